Lay the foundation: checked settings, sheet, verdicts, object service client

Cause: nothing existed; all parts need common types before they can be built side by side. Engine connections are not pooled, since a pooled client drains a dropped response in the background and keeps the engine's stream running.

--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Bench
+fn main() {}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,153 @@
+//! Command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Args, Parser, Subcommand};
+
+/// Serves online and batch inference on one fleet of model engines and plain services.
+#[derive(Debug, Clone, Parser)]
+#[command(version, about)]
+pub struct Options {
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// Commands of the program.
+#[derive(Debug, Clone, Subcommand)]
+pub enum Command {
+    /// Run one entry instance.
+    Serve {
+        /// Settings file (JSON).
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Work with settings files.
+    #[command(subcommand)]
+    Settings(SettingsCommand),
+    /// Work with sheets.
+    #[command(subcommand)]
+    Sheet(SheetCommand),
+    /// Work with batch jobs.
+    #[command(subcommand)]
+    Job(JobCommand),
+    /// Show the state of an entry instance.
+    Status {
+        /// Operators' address of the instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+    /// Send a recorded trace at a running system and judge the stated outcomes.
+    ///
+    /// The trace has one JSON object a line: arrival time, kind, prompt, length, flags. The exit
+    /// code is 4 when an outcome is missed.
+    Replay {
+        /// Trace file (JSON lines).
+        #[arg(value_name = "TRACE")]
+        trace: PathBuf,
+        /// Callers' address of an entry instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+}
+
+/// The instance that a command talks to.
+#[derive(Debug, Clone, Args)]
+pub struct Remote {
+    /// Address of the entry instance, as IP:PORT.
+    #[arg(long, value_name = "ADDRESS")]
+    pub address: SocketAddr,
+    /// Print JSON for scripts.
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Commands on settings files.
+#[derive(Debug, Clone, Subcommand)]
+pub enum SettingsCommand {
+    /// Check a settings file.
+    Check {
+        /// Settings file (JSON).
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+}
+
+/// Commands on sheets.
+#[derive(Debug, Clone, Subcommand)]
+pub enum SheetCommand {
+    /// Check a sheet file.
+    Check {
+        /// Sheet file (JSON).
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+    /// Push a sheet; fails with exit code 3 when another operator's push came first.
+    Push {
+        /// Sheet file (JSON).
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Revision that the sheet was made from; the one in force when left out.
+        #[arg(long, value_name = "REVISION")]
+        base: Option<u64>,
+        /// Operators' address of an entry instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+    /// Show the sheet in force.
+    Show {
+        /// Operators' address of an entry instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+}
+
+/// Commands on batch jobs.
+#[derive(Debug, Clone, Subcommand)]
+pub enum JobCommand {
+    /// Submit a batch job; the same name with the same items is the same job.
+    Submit {
+        /// Items file (JSON lines).
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Name of the job.
+        #[arg(long, value_name = "NAME")]
+        name: String,
+        /// Model.
+        #[arg(long, value_name = "MODEL")]
+        model: String,
+        /// Deadline, in seconds since 1970-01-01 UTC.
+        #[arg(long, value_name = "SECONDS")]
+        deadline: u64,
+        /// Callers' address of an entry instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+    /// Show the progress of a job.
+    Status {
+        /// Name of the job.
+        #[arg(value_name = "NAME")]
+        name: String,
+        /// Callers' address of an entry instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+    /// Print the results of a job (JSON lines).
+    Results {
+        /// Name of the job.
+        #[arg(value_name = "NAME")]
+        name: String,
+        /// Callers' address of an entry instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// Name of the job.
+        #[arg(value_name = "NAME")]
+        name: String,
+        /// Callers' address of an entry instance.
+        #[command(flatten)]
+        remote: Remote,
+    },
+}
--- /dev/null
+++ b/src/context.rs
@@ -0,0 +1,78 @@
+//! What all parts of a running entry instance share.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use smol::channel::{Receiver, Sender};
+
+use crate::{
+    drain::Drain,
+    engine::Engine,
+    ids::{InstanceId, SessionId, WorkerId},
+    platform::Platform,
+    route::Router,
+    settings::Settings,
+    view::SharedView,
+    workers::WorkerTable,
+};
+
+/// Commands that wait for the control thread at most.
+const COMMAND_CAPACITY: usize = 4096;
+
+/// A message from traffic to control.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// The number of online requests on a worker that another instance owns has changed.
+    OnlineLevel {
+        /// The worker.
+        worker: WorkerId,
+        /// Its owner.
+        owner: InstanceId,
+    },
+    /// An operator has written an object of a watched kind; read it without waiting.
+    Refresh,
+}
+
+/// State that all parts of an entry instance share.
+#[derive(Debug)]
+pub struct Context {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Run of this instance.
+    pub session: SessionId,
+    /// Latest view, published by control.
+    pub view: SharedView,
+    /// Router of the latest view, published by control.
+    pub router: Arc<ArcSwap<Router>>,
+    /// Live counts of the workers.
+    pub workers: WorkerTable,
+    /// Client of the platform.
+    pub platform: Platform,
+    /// Client of model engines.
+    pub engine: Engine,
+    /// Phase of a planned stop.
+    pub drain: Drain,
+    /// Messages to control.
+    pub commands: Sender<Command>,
+}
+
+impl Context {
+    /// Builds the shared state and the receiver for the control thread.
+    pub fn new(settings: Settings, session: SessionId) -> (Arc<Self>, Receiver<Command>) {
+        let (commands, receiver) = smol::channel::bounded(COMMAND_CAPACITY);
+        let timeouts = settings.timeouts.clone();
+        let platform = Platform::new(settings.platform, timeouts.connect, timeouts.platform);
+        let context = Self {
+            settings,
+            session,
+            view: SharedView::default(),
+            router: Arc::default(),
+            workers: WorkerTable::default(),
+            platform,
+            engine: Engine::new(timeouts),
+            drain: Drain::default(),
+            commands,
+        };
+        (Arc::new(context), receiver)
+    }
+}
--- /dev/null
+++ b/src/dial.rs
@@ -0,0 +1,75 @@
+//! HTTP client whose errors tell whether a request was written.
+
+use std::{io, time::Duration};
+
+use trillium_client::{Client, Error};
+use trillium_server_common::{Connector, Destination, url::Url};
+use trillium_smol::ClientConfig;
+
+/// Connector with a bound on opening a connection. Its errors are marked, so that a request that
+/// never left can be told from one that was written.
+#[derive(Debug, Clone, Copy)]
+pub struct Dialer {
+    inner: ClientConfig,
+    timeout: Duration,
+}
+
+/// Marks an I/O error that happened before the connection was open.
+#[derive(Debug)]
+struct NotConnected(io::Error);
+
+impl std::fmt::Display for NotConnected {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "cannot connect: {}", self.0)
+    }
+}
+
+impl std::error::Error for NotConnected {}
+
+impl Connector for Dialer {
+    type Runtime = <ClientConfig as Connector>::Runtime;
+    type Transport = <ClientConfig as Connector>::Transport;
+    type Udp = <ClientConfig as Connector>::Udp;
+
+    fn runtime(&self) -> Self::Runtime {
+        self.inner.runtime()
+    }
+
+    async fn connect(&self, url: &Url) -> io::Result<Self::Transport> {
+        self.connect_to(Destination::from_url(url)?).await
+    }
+
+    async fn connect_to(&self, destination: Destination) -> io::Result<Self::Transport> {
+        let timeout = async {
+            async_io::Timer::after(self.timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let opened = smol::future::or(self.inner.connect_to(destination), timeout).await;
+        opened.map_err(|e| io::Error::new(e.kind(), NotConnected(e)))
+    }
+
+    async fn resolve(&self, host: &str, port: u16) -> io::Result<Vec<std::net::SocketAddr>> {
+        self.inner.resolve(host, port).await
+    }
+}
+
+/// Builds a client that opens a connection for each request.
+///
+/// There is no pool: a pooled client drains a dropped response in the background, which keeps the
+/// engine's stream running, and may hand out a connection that has gone silent.
+pub fn client(connect: Duration) -> Client {
+    let inner = ClientConfig::new().with_nodelay(true);
+    Client::new(Dialer {
+        inner,
+        timeout: connect,
+    })
+    .without_keepalive()
+}
+
+/// Says whether a failed request was never written, because no connection was opened.
+pub fn never_left(error: &Error) -> bool {
+    match error {
+        Error::Io(e) => e.get_ref().is_some_and(|inner| inner.is::<NotConnected>()),
+        _ => false,
+    }
+}
--- /dev/null
+++ b/src/drain.rs
@@ -0,0 +1,58 @@
+//! Phases of a planned stop.
+
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+
+/// Phase of an entry instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Takes requests.
+    Running,
+    /// Is not ready any more, and still takes requests until the balancer has noticed.
+    Leaving,
+    /// Refuses new requests and finishes those in flight.
+    Draining,
+}
+
+/// Phase and number of caller requests in flight, shared by all threads.
+#[derive(Debug, Default)]
+pub struct Drain {
+    phase: AtomicU8,
+    active: AtomicUsize,
+}
+
+/// Counts a caller request until it is dropped.
+#[derive(Debug)]
+pub struct ActiveGuard<'a>(&'a Drain);
+
+impl Drain {
+    /// Returns the current phase.
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Running,
+            1 => Phase::Leaving,
+            _ => Phase::Draining,
+        }
+    }
+
+    /// Moves to a later phase; an earlier one is ignored.
+    pub fn advance(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    /// Counts a caller request.
+    pub fn begin(&self) -> ActiveGuard<'_> {
+        self.active.fetch_add(1, Ordering::AcqRel);
+        ActiveGuard(self)
+    }
+
+    /// Returns the number of caller requests in flight.
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for ActiveGuard<'_> {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,75 @@
+//! Numbered log events. docs/events.md is their catalogue; a test keeps both in agreement.
+
+/// Defines the enum of events with number and name.
+macro_rules! events {
+    ($($(#[$doc:meta])* $event:ident = $number:literal, $name:literal;)*) => {
+        /// A numbered log event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[$doc])* $event,)*
+        }
+
+        impl Event {
+            /// All events in the order of their numbers.
+            pub const ALL: &'static [Event] = &[$(Event::$event,)*];
+
+            /// Returns the number of the event.
+            pub fn number(self) -> u16 {
+                match self {
+                    $(Event::$event => $number,)*
+                }
+            }
+
+            /// Returns the name of the event.
+            pub fn name(self) -> &'static str {
+                match self {
+                    $(Event::$event => $name,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    // 1000 to 1999: online requests.
+    /// A worker was chosen for an online request.
+    RouteChosen = 1001, "route-chosen";
+    /// An online request was refused.
+    RequestRefused = 1002, "request-refused";
+
+    // 2000 to 2999: batch jobs.
+    /// A batch job was accepted.
+    JobAccepted = 2001, "job-accepted";
+    /// A group of items was claimed.
+    GroupClaimed = 2002, "group-claimed";
+
+    // 3000 to 3999: sheet, peers and instance list.
+    /// A sheet revision came into force.
+    SheetInForce = 3001, "sheet-in-force";
+
+    // 4000 to 4999: placement and orders.
+    /// The placement of a worker was recorded.
+    PlacementChosen = 4001, "placement-chosen";
+
+    // 5000 to 5999: the process.
+    /// The instance takes requests.
+    InstanceReady = 5001, "instance-ready";
+    /// A planned stop began.
+    StopBegan = 5002, "stop-began";
+    /// The process ends.
+    StopEnded = 5003, "stop-ended";
+}
+
+/// Logs an event at a level: `event!(Info, RouteChosen, "worker={}", id)`.
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $event:ident, $($arg:tt)+) => {
+        log::log!(
+            log::Level::$level,
+            "[{}] {} {}",
+            $crate::events::Event::$event.number(),
+            $crate::events::Event::$event.name(),
+            format_args!($($arg)+)
+        )
+    };
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,38 @@
+//! Entry point: parses the command line, checks it, runs the command and returns an exit code.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use gentianpath::{
+    cli::{Command, Options, SettingsCommand, SheetCommand},
+    exit::Exit,
+    settings::Settings,
+    sheet::Sheet,
+};
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let exit = run(options.command).unwrap_or_else(|e| {
+        eprintln!("gentianpath: {e:#}");
+        Exit::Usage
+    });
+    exit.into()
+}
+
+fn run(command: Command) -> anyhow::Result<Exit> {
+    match command {
+        Command::Settings(SettingsCommand::Check { file }) => {
+            Settings::load(&file)?;
+            println!("{}: settings are valid", file.display());
+            Ok(Exit::Success)
+        }
+        Command::Sheet(SheetCommand::Check { file }) => {
+            let text = std::fs::read_to_string(&file)?;
+            Sheet::parse(&text)?;
+            println!("{}: sheet is valid", file.display());
+            Ok(Exit::Success)
+        }
+        other => anyhow::bail!("command is not available yet: {other:?}"),
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,424 @@
+//! Client of the platform: the object service and the instance list.
+
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use trillium_client::{Client, Conn, Method};
+
+use crate::{
+    dial,
+    ids::{InstanceId, SessionId, TargetId, Version, Zone},
+};
+
+/// Kinds of objects that the system keeps in the object service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Kind {
+    /// Entries of the sheet log.
+    Sheet,
+    /// Snapshots of the sheet.
+    SheetSnapshot,
+    /// Batch jobs.
+    Job,
+    /// Items of a group.
+    Input,
+    /// Claim and results of a group.
+    Group,
+    /// Finished groups of a job.
+    Progress,
+    /// Leases of entry instances.
+    Lease,
+    /// Requests that may not be repeated.
+    Once,
+    /// Placement of workers.
+    Placement,
+    /// Slots of the weight store.
+    Weights,
+}
+
+impl Kind {
+    /// Returns the name of the kind in paths.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Sheet => "sheet",
+            Kind::SheetSnapshot => "sheet-snapshot",
+            Kind::Job => "job",
+            Kind::Input => "input",
+            Kind::Group => "group",
+            Kind::Progress => "progress",
+            Kind::Lease => "lease",
+            Kind::Once => "once",
+            Kind::Placement => "placement",
+            Kind::Weights => "weights",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// An object with its version.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct Object {
+    /// Name inside its kind.
+    pub name: Arc<str>,
+    /// Version of the last change.
+    pub version: Version,
+    /// Content.
+    pub value: Value,
+}
+
+/// Objects of a kind at one moment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Listing {
+    /// Version of the whole store when the listing was made.
+    pub version: Version,
+    /// Objects in the order of their names.
+    pub items: Vec<Object>,
+}
+
+/// One change of a watched kind.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct Change {
+    /// Name of the object.
+    pub name: Arc<str>,
+    /// Version of the change.
+    pub version: Version,
+    /// New content; nothing when the object was removed.
+    pub value: Option<Value>,
+}
+
+/// Changes of a watched kind up to a version.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Changes {
+    /// Version up to which the changes are complete.
+    pub version: Version,
+    /// Changes in the order of their versions.
+    pub events: Vec<Change>,
+}
+
+/// State of an instance or target in the instance list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListState {
+    /// Takes work.
+    #[default]
+    Live,
+    /// Is about to stop and takes no new work.
+    Leaving,
+}
+
+/// An entry instance in the instance list.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct ListedEntry {
+    /// Name of the instance.
+    pub id: InstanceId,
+    /// Run of the instance.
+    pub session: SessionId,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for other entry instances.
+    pub peer_address: SocketAddr,
+    /// Availability zone.
+    pub zone: Zone,
+    /// State.
+    #[serde(default)]
+    pub state: ListState,
+}
+
+/// Kind of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum TargetKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// A target in the instance list.
+#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+pub struct ListedTarget {
+    /// Name of the target.
+    pub id: TargetId,
+    /// Kind.
+    pub kind: TargetKind,
+    /// Service that a plain service target belongs to; empty for an engine.
+    #[serde(default)]
+    pub service: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Zone,
+    /// State.
+    #[serde(default)]
+    pub state: ListState,
+}
+
+/// The instance list; it lags behind reality.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct InstanceList {
+    /// Entry instances.
+    pub entries: Vec<ListedEntry>,
+    /// Targets.
+    pub targets: Vec<ListedTarget>,
+}
+
+/// Why a read failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReadError {
+    /// The service did not answer in time or is down.
+    Unavailable,
+    /// The history before the given version is gone; a full listing is needed.
+    Gone,
+}
+
+/// Why a write failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum WriteError {
+    /// The condition failed; the object has another version or exists already.
+    Conflict,
+    /// The write did not take effect: it never left or was refused.
+    Refused,
+    /// The value is over the size limit.
+    TooLarge,
+    /// No answer; the write may have taken effect.
+    Unknown,
+}
+
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ReadError::Unavailable => "the object service does not answer",
+            ReadError::Gone => "the history of the watch is gone",
+        })
+    }
+}
+
+impl fmt::Display for WriteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            WriteError::Conflict => "the object changed",
+            WriteError::Refused => "the object service refused the write or is down",
+            WriteError::TooLarge => "the object is over the size limit",
+            WriteError::Unknown => "no answer; the write may have taken effect",
+        })
+    }
+}
+
+impl std::error::Error for ReadError {}
+impl std::error::Error for WriteError {}
+
+#[derive(Deserialize)]
+struct Written {
+    version: Version,
+}
+
+/// Client of the platform; every call has a deadline. Clones share nothing but settings.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    client: Client,
+    base: Arc<str>,
+    timeout: Duration,
+}
+
+impl Platform {
+    /// Builds a client for the platform at `address` with a deadline for each call.
+    pub fn new(address: SocketAddr, connect: Duration, timeout: Duration) -> Self {
+        Self {
+            client: dial::client(connect),
+            base: format!("http://{address}").into(),
+            timeout,
+        }
+    }
+
+    /// Reads an object; nothing when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Unavailable`] when the service does not answer.
+    pub async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, ReadError> {
+        let conn = self
+            .client
+            .get(format!("{}/objects/{kind}/{name}", self.base));
+        match self.send(conn, self.timeout).await {
+            Ok((200, body)) => parse(&body).map(Some),
+            Ok((404, _)) => Ok(None),
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    /// Lists at most `limit` objects of a kind whose names start with `prefix` and come after
+    /// `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Unavailable`] when the service does not answer.
+    pub async fn list(
+        &self,
+        kind: Kind,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Listing, ReadError> {
+        let url = format!(
+            "{}/objects/{kind}?prefix={prefix}&after={after}&limit={limit}",
+            self.base
+        );
+        match self.send(self.client.get(url), self.timeout).await {
+            Ok((200, body)) => parse(&body),
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    /// Waits up to `wait` for changes of a kind after a version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Gone`] when a full listing is needed first.
+    pub async fn watch(
+        &self,
+        kind: Kind,
+        since: Version,
+        wait: Duration,
+    ) -> Result<Changes, ReadError> {
+        let url = format!(
+            "{}/watch/{kind}?since={since}&timeout_ms={}",
+            self.base,
+            wait.as_millis()
+        );
+        match self.send(self.client.get(url), wait + self.timeout).await {
+            Ok((200, body)) => parse(&body),
+            Ok((410, _)) => Err(ReadError::Gone),
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    /// Creates an object and returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WriteError::Conflict`] when it exists already.
+    pub async fn create(
+        &self,
+        kind: Kind,
+        name: &str,
+        value: &impl Serialize,
+    ) -> Result<Version, WriteError> {
+        let conn = self
+            .object(Method::Put, kind, name)
+            .with_request_header("if-none-match", "*");
+        self.write(conn, value).await
+    }
+
+    /// Updates an object that still has `version` and returns the new version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WriteError::Conflict`] when it has another version.
+    pub async fn update(
+        &self,
+        kind: Kind,
+        name: &str,
+        version: Version,
+        value: &impl Serialize,
+    ) -> Result<Version, WriteError> {
+        let conn = self
+            .object(Method::Put, kind, name)
+            .with_request_header("if-match", version.to_string());
+        self.write(conn, value).await
+    }
+
+    /// Removes an object that still has `version`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WriteError::Conflict`] when it has another version.
+    pub async fn delete(&self, kind: Kind, name: &str, version: Version) -> Result<(), WriteError> {
+        let conn = self
+            .object(Method::Delete, kind, name)
+            .with_request_header("if-match", version.to_string());
+        let answer = self.send(conn, self.timeout).await?;
+        written(answer).map(|_| ())
+    }
+
+    /// Reads the instance list.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Unavailable`] when the platform does not answer.
+    pub async fn instances(&self) -> Result<InstanceList, ReadError> {
+        let conn = self.client.get(format!("{}/instances", self.base));
+        match self.send(conn, self.timeout).await {
+            Ok((200, body)) => parse(&body),
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    /// Puts an entry instance on the instance list, or changes its state there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WriteError::Unknown`] when no answer came. The call may be repeated.
+    pub async fn register(&self, entry: &ListedEntry) -> Result<(), WriteError> {
+        let url = format!("{}/instances/entries/{}", self.base, entry.id);
+        let body = serde_json::to_vec(entry).map_err(|_| WriteError::Refused)?;
+        let conn = self.client.put(url).with_body(body);
+        match self.send(conn, self.timeout).await? {
+            (200, _) => Ok(()),
+            _ => Err(WriteError::Refused),
+        }
+    }
+
+    fn object(&self, method: Method, kind: Kind, name: &str) -> Conn {
+        let url = format!("{}/objects/{kind}/{name}", self.base);
+        self.client.build_conn(method, url)
+    }
+
+    async fn write(&self, conn: Conn, value: &impl Serialize) -> Result<Version, WriteError> {
+        let body = serde_json::to_vec(value).map_err(|_| WriteError::Refused)?;
+        let answer = self.send(conn.with_body(body), self.timeout).await?;
+        written(answer)
+    }
+
+    /// Sends a request and reads the whole answer before the deadline.
+    async fn send(&self, conn: Conn, deadline: Duration) -> Result<(u16, Vec<u8>), WriteError> {
+        let timeout = async {
+            async_io::Timer::after(deadline).await;
+            Err(WriteError::Unknown)
+        };
+        smol::future::or(exchange(conn), timeout).await
+    }
+}
+
+async fn exchange(mut conn: Conn) -> Result<(u16, Vec<u8>), WriteError> {
+    if let Err(e) = (&mut conn).await {
+        return Err(if dial::never_left(&e) {
+            WriteError::Refused
+        } else {
+            WriteError::Unknown
+        });
+    }
+    let status = conn.status().map_or(0, u16::from);
+    let body = conn.response_body().read_bytes().await;
+    body.map(|b| (status, b)).map_err(|_| WriteError::Unknown)
+}
+
+fn written((status, body): (u16, Vec<u8>)) -> Result<Version, WriteError> {
+    match status {
+        200 => serde_json::from_slice::<Written>(&body)
+            .map(|w| w.version)
+            .map_err(|_| WriteError::Unknown),
+        404 | 409 => Err(WriteError::Conflict),
+        413 => Err(WriteError::TooLarge),
+        503 => Err(WriteError::Refused),
+        _ => Err(WriteError::Unknown),
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, ReadError> {
+    serde_json::from_slice(body).map_err(|_| ReadError::Unavailable)
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins
