Add one form for refused requests and the phase of the batch driver

Cause: caller, batch and operator handlers all refuse requests and must answer in the same form; a planned stop must know when batch claims are handed back. Change: refusal.rs writes status, verdict header, JSON body and Retry-After; Drain records that the batch driver has stopped.

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -1,6 +1,6 @@
 //! Phases of a planned stop.
 
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 
 /// Phase of an entry instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -18,6 +18,7 @@
 pub struct Drain {
     phase: AtomicU8,
     active: AtomicUsize,
+    released: AtomicBool,
 }
 
 /// Counts a caller request until it is dropped.
@@ -45,6 +46,16 @@
         ActiveGuard(self)
     }
 
+    /// Records that the batch driver has handed back its claims and stopped.
+    pub fn set_batch_released(&self) {
+        self.released.store(true, Ordering::Release);
+    }
+
+    /// Says whether the batch driver has handed back its claims and stopped.
+    pub fn batch_released(&self) -> bool {
+        self.released.load(Ordering::Acquire)
+    }
+
     /// Returns the number of caller requests in flight.
     pub fn active(&self) -> usize {
         self.active.load(Ordering::Acquire)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exit;
 pub mod ids;
 pub mod platform;
+pub mod refusal;
 pub mod route;
 pub mod schedule;
 pub mod settings;
--- /dev/null
+++ b/src/refusal.rs
@@ -0,0 +1,35 @@
+//! The form in which a refused request is answered.
+
+use serde_json::json;
+use trillium::{Conn, KnownHeaderName};
+
+use crate::verdict::{Reason, RequestError, VERDICT_HEADER};
+
+/// Answers a request with its error: status, verdict header, JSON body, and `Retry-After` where
+/// waiting helps.
+pub fn refuse(conn: Conn, error: &RequestError) -> Conn {
+    let mut conn = conn
+        .with_status(error.reason.status())
+        .with_response_header(VERDICT_HEADER, error.verdict.as_str())
+        .with_response_header(KnownHeaderName::ContentType, "application/json");
+    if let Some(wait) = error.retry_after {
+        let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
+        conn.insert_response_header(KnownHeaderName::RetryAfter, seconds.to_string());
+    }
+    conn.with_body(body(error).to_string()).halt()
+}
+
+/// Returns the JSON body of an error.
+pub fn body(error: &RequestError) -> serde_json::Value {
+    json!({"error": {
+        "message": &*error.message,
+        "reason": error.reason.as_str(),
+        "verdict": error.verdict.as_str(),
+    }})
+}
+
+/// Refuses a request that no handler has answered.
+pub async fn unmatched(conn: Conn) -> Conn {
+    let message = format!("no such path: {} {}", conn.method(), conn.path());
+    refuse(conn, &RequestError::not_run(Reason::NotFound, message))
+}
