Add stand-ins for engine, platform and weight store

The entry instance needs outside systems to run against: every test with processes and every replay waits for them.

The crate standins now has three programs that speak the protocols of section 7 of the design page, take faults over POST /faults and list what they did at GET /ledger. The engine models slots in the order of arrival, token time that grows with the load, a bounded prefix cache and streams that resume; the platform holds versioned objects with conditional writes, long-poll watches and a lagging instance list. Generated text is a function of the prompt, so that tests can compare bytes.

--- /dev/null
+++ b/standins/src/engine.rs
@@ -0,0 +1,499 @@
+//! State of the engine's stand-in: streams, slots, load and faults.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use clap::Parser;
+use serde::{Deserialize, Serialize};
+use smol::channel::{Receiver, Sender};
+
+use crate::{
+    faults::{Bound, Gate, GateFaults, PathFault},
+    line::Line,
+    orders::{Loaded, OrderRecord},
+    prefix::PrefixCache,
+    stream_faults::{self, StreamFault},
+};
+
+/// Load reports that are remembered for a lagging report.
+const REPORT_LIMIT: usize = 4096;
+
+/// Runs a stand-in for a model engine, or for a plain service with `--service`.
+#[derive(Debug, Clone, Parser)]
+pub struct Options {
+    /// Address to listen on; port 0 takes a free one and prints it.
+    #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
+    pub address: SocketAddr,
+    /// Address to register on the instance list, when another party listens there and forwards.
+    #[arg(long, value_name = "IP:PORT")]
+    pub advertise: Option<SocketAddr>,
+    /// Name of the target.
+    #[arg(long, value_name = "NAME", default_value = "engine-1")]
+    pub id: String,
+    /// Availability zone.
+    #[arg(long, value_name = "ZONE", default_value = "zone-a")]
+    pub zone: String,
+    /// Streams that run at most at once.
+    #[arg(long, value_name = "COUNT", default_value_t = 8)]
+    pub slots: usize,
+    /// Streams that wait for a slot at most; more get 429.
+    #[arg(long, value_name = "COUNT", default_value_t = 1024)]
+    pub max_waiting: usize,
+    /// Model that is loaded at the start; none when left out.
+    #[arg(long, value_name = "MODEL")]
+    pub model: Option<String>,
+    /// Version of the model.
+    #[arg(long, value_name = "VERSION", default_value = "1")]
+    pub version: String,
+    /// Role at the start.
+    #[arg(long, value_name = "ROLE", default_value = "")]
+    pub role: String,
+    /// Time of a token of a stream that runs alone, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 5.0)]
+    pub token_ms: f64,
+    /// Time to the first token for each prompt block that is not cached, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 1.0)]
+    pub prefill_ms: f64,
+    /// Prompt blocks that the prefix cache holds.
+    #[arg(long, value_name = "COUNT", default_value_t = 4096)]
+    pub prefix_blocks: usize,
+    /// Stopped and finished streams whose state is kept.
+    #[arg(long, value_name = "COUNT", default_value_t = 256)]
+    pub keep: usize,
+    /// Time that the load report lags behind, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
+    pub load_lag_ms: u64,
+    /// Time that cache events lag behind, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
+    pub event_lag_ms: u64,
+    /// Time that loading a model takes, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 50)]
+    pub load_ms: u64,
+    /// Refuse an order whose fencing number is lower than an earlier one.
+    #[arg(long)]
+    pub check_fence: bool,
+    /// Platform to register at.
+    #[arg(long, value_name = "IP:PORT")]
+    pub platform: Option<SocketAddr>,
+    /// Weight store to read from when a model is loaded.
+    #[arg(long, value_name = "IP:PORT")]
+    pub weights: Option<SocketAddr>,
+    /// Plain service to stand in for instead of a model engine.
+    #[arg(long, value_name = "NAME")]
+    pub service: Option<String>,
+    /// Time that a call of a plain service takes, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
+    pub service_ms: u64,
+    /// Time that running streams have after SIGTERM, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 30_000)]
+    pub leave_ms: u64,
+}
+
+/// Faults of an engine. Each `POST /faults` replaces all of them.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Delay, outage and cuts.
+    pub gate: GateFaults,
+    /// Faults of streams; the first that matches is taken.
+    pub streams: Vec<StreamFault>,
+    /// New requests that are refused as not run.
+    pub refuse: Option<Bound>,
+    /// Calls that take effect and get no answer, except for streams.
+    pub lost: Option<PathFault>,
+    /// Tokens of all streams after which the process ends; 0 ends it at once.
+    pub die_after_tokens: Option<u64>,
+    /// Marks the engine as leaving; it stays so.
+    pub leaving: bool,
+    /// Lag of the load report, in milliseconds, instead of the option's.
+    pub load_lag_ms: Option<u64>,
+    /// Lag of cache events, in milliseconds, instead of the option's.
+    pub event_lag_ms: Option<u64>,
+    /// Next cache events that are lost.
+    pub event_gap: u32,
+}
+
+/// State of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum RunState {
+    /// Waits for a slot or runs.
+    Running,
+    /// Ended by itself.
+    Done,
+    /// Stopped by a cancel order; its state is kept.
+    Cancelled,
+    /// Stopped because its connection closed; its state is kept.
+    Stopped,
+    /// Ended by an error.
+    Failed,
+}
+
+/// One run of a request, as the ledger lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Run {
+    /// Id of the request.
+    pub request: Arc<str>,
+    /// Prompt.
+    pub prompt: Arc<str>,
+    /// Tokens asked for.
+    pub max_tokens: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// State.
+    pub state: RunState,
+    /// Times that the stream was resumed.
+    pub resumes: u32,
+    /// Whether the state came from another engine.
+    pub imported: bool,
+    /// Time of the start, in milliseconds since the engine started.
+    pub started_ms: u64,
+}
+
+/// A call of a plain service, as the ledger lists it.
+#[derive(Debug, Clone, Serialize)]
+pub struct ServiceCall {
+    /// HTTP method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Body.
+    pub body: String,
+    /// Content of the header `Idempotency-Key`.
+    pub key: String,
+}
+
+/// Load report, as `GET /load` returns it.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    running: usize,
+    slots: usize,
+    waiting: usize,
+    model: Option<String>,
+    adapters: Vec<String>,
+    version: String,
+    role: String,
+    leaving: bool,
+    loading: Option<String>,
+}
+
+/// A stream whose state the engine has.
+#[derive(Debug)]
+pub struct Stream {
+    /// Place of its run in the ledger.
+    pub run: usize,
+    epoch: u64,
+    /// Dropped to detach the connection that carries the stream.
+    holder: Option<Sender<()>>,
+}
+
+/// A connection's hold on a stream.
+#[derive(Debug)]
+pub struct Hold {
+    /// Stream.
+    pub id: Arc<str>,
+    /// Prompt.
+    pub prompt: Arc<str>,
+    /// Tokens asked for.
+    pub max_tokens: u64,
+    /// Number of the next event.
+    pub seq: u64,
+    /// Whether the stream is resumed.
+    pub resumed: bool,
+    /// Number of the connection.
+    pub epoch: u64,
+    /// Closes when another connection or a cancel order takes the stream.
+    pub detached: Receiver<()>,
+}
+
+/// Why a stream cannot be resumed or exported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Missing {
+    /// The engine does not have the stream.
+    Unknown,
+    /// The stream has not come to the event that was asked for.
+    Ahead,
+}
+
+/// All state that changes.
+#[derive(Debug)]
+pub struct State {
+    /// Runs, in the order of their starts.
+    pub runs: Vec<Run>,
+    /// Calls of the plain service.
+    pub calls: Vec<ServiceCall>,
+    /// Streams by request id.
+    pub streams: HashMap<Arc<str>, Stream>,
+    /// Slots and who waits for them.
+    pub line: Line,
+    /// Prefix cache.
+    pub prefix: PrefixCache,
+    /// What is loaded.
+    pub loaded: Loaded,
+    /// Orders obeyed and refused.
+    pub orders: Vec<OrderRecord>,
+    /// Whether the engine is about to stop.
+    pub leaving: bool,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Requests refused as invalid.
+    pub invalid: u64,
+    /// Faults.
+    pub faults: Faults,
+    /// Time of the last change of faults.
+    pub since: Instant,
+    keep: usize,
+    kept: VecDeque<Arc<str>>,
+    epoch: u64,
+    reports: VecDeque<(Instant, Report)>,
+}
+
+/// An engine. Clones share the state.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Options.
+    pub options: Arc<Options>,
+    /// Common faults.
+    pub gate: Arc<Gate>,
+    /// Time of the start.
+    pub started: Instant,
+    state: Arc<Mutex<State>>,
+}
+
+impl Engine {
+    /// Makes an idle engine.
+    pub fn new(options: Options) -> Self {
+        let state = State {
+            runs: Vec::new(),
+            calls: Vec::new(),
+            streams: HashMap::new(),
+            line: Line::new(options.slots),
+            prefix: PrefixCache::new(options.prefix_blocks),
+            loaded: Loaded::new(&options),
+            orders: Vec::new(),
+            leaving: false,
+            refused: 0,
+            invalid: 0,
+            faults: Faults::default(),
+            since: Instant::now(),
+            keep: options.keep,
+            kept: VecDeque::new(),
+            epoch: 0,
+            reports: VecDeque::new(),
+        };
+        Self {
+            options: Arc::new(options),
+            gate: Arc::default(),
+            started: Instant::now(),
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Locks the state.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the time since the start, in milliseconds.
+    pub fn uptime_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        if faults.die_after_tokens == Some(0) {
+            die();
+        }
+        self.gate.set(faults.gate.clone());
+        let mut state = self.lock();
+        state.prefix.lose(faults.event_gap);
+        state.leaving |= faults.leaving;
+        state.since = Instant::now();
+        state.faults = faults;
+        self.note(&mut state);
+    }
+
+    /// Marks the engine as leaving: it takes no new work.
+    pub fn leave(&self) {
+        let mut state = self.lock();
+        state.leaving = true;
+        self.note(&mut state);
+    }
+
+    /// Remembers the load as it is now, for readers that lag behind.
+    pub fn note(&self, state: &mut State) {
+        let report = Report {
+            running: state.line.running(),
+            slots: self.options.slots,
+            waiting: state.line.waiting(),
+            model: state.loaded.model.clone(),
+            adapters: state.loaded.adapters.clone(),
+            version: state.loaded.version.clone(),
+            role: state.loaded.role.clone(),
+            leaving: state.leaving,
+            loading: state.loaded.loading.clone(),
+        };
+        state.reports.push_back((Instant::now(), report));
+        if state.reports.len() > REPORT_LIMIT {
+            state.reports.pop_front();
+        }
+    }
+
+    /// Returns the load report as it was before the lag.
+    pub fn report(&self) -> Option<Report> {
+        let mut state = self.lock();
+        if state.reports.is_empty() {
+            self.note(&mut state);
+        }
+        let lag = state.faults.load_lag_ms.unwrap_or(self.options.load_lag_ms);
+        let lag = Duration::from_millis(lag);
+        let mut latest = state.reports.iter().rev();
+        let ripe = latest.find(|(at, _)| at.elapsed() >= lag);
+        ripe.or(state.reports.front())
+            .map(|(_, report)| report.clone())
+    }
+}
+
+impl State {
+    /// Starts a run and holds its stream.
+    pub fn begin(&mut self, run: Run) -> Hold {
+        let id = run.request.clone();
+        self.cancel(&id);
+        self.runs.push(run);
+        let stream = Stream {
+            run: self.runs.len() - 1,
+            epoch: 0,
+            holder: None,
+        };
+        self.streams.insert(id.clone(), stream);
+        self.hold(&id, 0).expect("the stream was just inserted")
+    }
+
+    /// Resumes a stream from an event and detaches the connection that held it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream cannot be resumed.
+    pub fn resume(&mut self, id: &Arc<str>, from: u64) -> Result<Hold, Missing> {
+        let mut hold = self.hold(id, from)?;
+        hold.resumed = true;
+        let run = &mut self.runs[self.streams[id].run];
+        run.resumes += 1;
+        if run.tokens < run.max_tokens {
+            run.state = RunState::Running;
+        }
+        Ok(hold)
+    }
+
+    fn hold(&mut self, id: &Arc<str>, seq: u64) -> Result<Hold, Missing> {
+        let stream = self.streams.get_mut(id).ok_or(Missing::Unknown)?;
+        let run = &self.runs[stream.run];
+        if seq > run.tokens {
+            return Err(Missing::Ahead);
+        }
+        let (holder, detached) = smol::channel::bounded(1);
+        self.epoch += 1;
+        stream.epoch = self.epoch;
+        stream.holder = Some(holder);
+        Ok(Hold {
+            id: id.clone(),
+            prompt: run.prompt.clone(),
+            max_tokens: run.max_tokens,
+            seq,
+            resumed: false,
+            epoch: self.epoch,
+            detached,
+        })
+    }
+
+    /// Ends a connection's hold; a stream that still runs is stopped and kept.
+    pub fn release(&mut self, hold: &Hold) {
+        let Some(stream) = self.streams.get_mut(&hold.id) else {
+            return;
+        };
+        if stream.epoch != hold.epoch {
+            return;
+        }
+        stream.holder = None;
+        let run = &mut self.runs[stream.run];
+        if run.state == RunState::Running {
+            run.state = RunState::Stopped;
+        }
+        self.keep(hold.id.clone());
+    }
+
+    /// Cancels a stream; false when the engine does not have it.
+    pub fn cancel(&mut self, id: &str) -> bool {
+        let Some(stream) = self.streams.get_mut(id) else {
+            return false;
+        };
+        let run = &mut self.runs[stream.run];
+        if matches!(run.state, RunState::Running | RunState::Stopped) {
+            run.state = RunState::Cancelled;
+        }
+        stream.holder = None;
+        true
+    }
+
+    /// Ends a stream with an error and drops its state.
+    pub fn fail(&mut self, id: &str) {
+        if let Some(stream) = self.streams.remove(id) {
+            self.runs[stream.run].state = RunState::Failed;
+        }
+    }
+
+    /// Ends all running streams with an error, because their model is gone.
+    pub fn fail_all(&mut self) {
+        let streams = std::mem::take(&mut self.streams);
+        for stream in streams.into_values() {
+            let run = &mut self.runs[stream.run];
+            if run.state == RunState::Running {
+                run.state = RunState::Failed;
+            }
+        }
+    }
+
+    /// Returns the run of a stream.
+    pub fn run_mut(&mut self, id: &str) -> Option<&mut Run> {
+        let stream = self.streams.get(id)?;
+        self.runs.get_mut(stream.run)
+    }
+
+    /// Keeps the state of a stream that nobody holds, and drops the oldest beyond the limit.
+    pub fn keep(&mut self, id: Arc<str>) {
+        self.kept.push_back(id);
+        while self.kept.len() > self.keep
+            && let Some(oldest) = self.kept.pop_front()
+        {
+            let idle = |stream: &Stream| stream.holder.is_none();
+            if self.streams.get(&oldest).is_some_and(idle) && !self.kept.contains(&oldest) {
+                self.streams.remove(&oldest);
+            }
+        }
+    }
+
+    /// Takes the fault for a new connection.
+    pub fn pick_fault(&mut self, hold: &Hold) -> Option<StreamFault> {
+        stream_faults::pick(&mut self.faults.streams, &hold.prompt, hold.resumed)
+    }
+
+    /// Counts a token of any stream; ends the process when a fault says so.
+    pub fn count_token(&mut self) {
+        if let Some(left) = &mut self.faults.die_after_tokens {
+            *left -= 1;
+            if *left == 0 {
+                die();
+            }
+        }
+    }
+}
+
+/// Ends the process as a crash does: nothing is finished or reported.
+pub fn die() -> ! {
+    const CRASH_CODE: i32 = 101;
+    std::process::exit(CRASH_CODE)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,20 @@
-//! Stand-ins
+//! Stand-ins for the systems outside gentianpath: model engine, platform and weight store.
+//!
+//! They speak the protocols of docs/design.md, section 7, and take faults over `POST /faults`.
+
+pub mod engine;
+pub mod engine_http;
+pub mod faults;
+pub mod generate;
+pub mod host;
+pub mod ledger;
+pub mod line;
+pub mod orders;
+pub mod platform;
+pub mod prefix;
+pub mod register;
+pub mod reply;
+pub mod store;
+pub mod stream_faults;
+pub mod text;
+pub mod weights;
--- /dev/null
+++ b/standins/src/orders.rs
@@ -0,0 +1,194 @@
+//! Orders to the engine: fencing, and loading of models and adapters.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    engine::{Engine, Options, State},
+    register,
+};
+
+/// What an order asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Action {
+    /// Load a model or adapter.
+    Load,
+    /// Unload a model or adapter.
+    Unload,
+    /// Change the role.
+    Role,
+}
+
+/// An order.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Order {
+    /// Fencing number.
+    pub fence: u64,
+    /// What to do.
+    pub action: Action,
+    /// Model.
+    #[serde(default)]
+    pub model: Option<String>,
+    /// Version of the model.
+    #[serde(default)]
+    pub version: Option<String>,
+    /// Adapter.
+    #[serde(default)]
+    pub adapter: Option<String>,
+    /// Role.
+    #[serde(default)]
+    pub role: Option<String>,
+}
+
+/// An order as the ledger lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+pub struct OrderRecord {
+    /// The order.
+    #[serde(flatten)]
+    pub order: Order,
+    /// Whether it was obeyed.
+    pub obeyed: bool,
+    /// Time of the order, in milliseconds since the engine started.
+    pub at_ms: u64,
+}
+
+/// What an engine has loaded.
+#[derive(Debug, Clone, Default)]
+pub struct Loaded {
+    /// Model.
+    pub model: Option<String>,
+    /// Version of the model.
+    pub version: String,
+    /// Adapters.
+    pub adapters: Vec<String>,
+    /// Role.
+    pub role: String,
+    /// Model that is being loaded.
+    pub loading: Option<String>,
+    /// Highest fencing number seen.
+    pub fence: u64,
+    /// Number of the last load; a later one replaces an earlier one that has not ended.
+    round: u64,
+}
+
+impl Loaded {
+    /// Returns what is loaded at the start.
+    pub fn new(options: &Options) -> Self {
+        Self {
+            model: options.model.clone(),
+            version: options
+                .model
+                .as_ref()
+                .map_or(String::new(), |_| options.version.clone()),
+            role: options.role.clone(),
+            ..Self::default()
+        }
+    }
+}
+
+/// The order carries an old fencing number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Stale {
+    /// Highest fencing number seen.
+    pub fence: u64,
+}
+
+/// Obeys an order, or refuses it when the engine checks fencing numbers and has seen a higher one.
+///
+/// # Errors
+///
+/// Returns [`Stale`] for an old fencing number.
+pub fn obey(engine: &Engine, order: &Order) -> Result<(), Stale> {
+    let mut state = engine.lock();
+    let fence = state.loaded.fence;
+    let obeyed = !engine.options.check_fence || order.fence >= fence;
+    state.orders.push(OrderRecord {
+        order: order.clone(),
+        obeyed,
+        at_ms: engine.uptime_ms(),
+    });
+    if !obeyed {
+        return Err(Stale { fence });
+    }
+    state.loaded.fence = fence.max(order.fence);
+    match order.action {
+        Action::Load => load(engine, &mut state, order),
+        Action::Unload => unload(&mut state, order),
+        Action::Role => state.loaded.role = order.role.clone().unwrap_or_default(),
+    }
+    engine.note(&mut state);
+    Ok(())
+}
+
+fn load(engine: &Engine, state: &mut State, order: &Order) {
+    let version = order.version.clone().unwrap_or_default();
+    let model = order.model.clone().or_else(|| state.loaded.model.clone());
+    let Some(model) = model else {
+        return;
+    };
+    let same_model = state.loaded.model.as_ref() == Some(&model);
+    let same = same_model && (order.version.is_none() || state.loaded.version == version);
+    match &order.adapter {
+        Some(adapter) if same && state.loaded.adapters.contains(adapter) => return,
+        None if same => return,
+        _ => {}
+    }
+    if !same {
+        state.fail_all();
+        state.prefix.clear();
+        state.loaded.model = None;
+        state.loaded.adapters.clear();
+    }
+    state.loaded.loading = Some(model.clone());
+    state.loaded.round += 1;
+    let target = Target {
+        round: state.loaded.round,
+        model,
+        version: if same {
+            state.loaded.version.clone()
+        } else {
+            version
+        },
+        adapter: order.adapter.clone(),
+    };
+    async_global_executor::spawn(finish(engine.clone(), target)).detach();
+}
+
+/// What a load leads to.
+struct Target {
+    round: u64,
+    model: String,
+    version: String,
+    adapter: Option<String>,
+}
+
+async fn finish(engine: Engine, target: Target) {
+    register::fetch_weights(&engine, &target.model, &target.version).await;
+    Timer::after(Duration::from_millis(engine.options.load_ms)).await;
+    let mut state = engine.lock();
+    if state.loaded.round != target.round {
+        return;
+    }
+    state.loaded.loading = None;
+    state.loaded.model = Some(target.model);
+    state.loaded.version = target.version;
+    state.loaded.adapters.extend(target.adapter);
+    engine.note(&mut state);
+}
+
+fn unload(state: &mut State, order: &Order) {
+    if let Some(adapter) = &order.adapter {
+        state.loaded.adapters.retain(|a| a != adapter);
+        return;
+    }
+    state.fail_all();
+    state.prefix.clear();
+    state.loaded.model = None;
+    state.loaded.version.clear();
+    state.loaded.adapters.clear();
+    state.loaded.loading = None;
+    state.loaded.round += 1;
+}
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,436 @@
+//! The platform's stand-in: object service and instance list over HTTP.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use clap::Parser;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use smol::channel::{Receiver, Sender};
+use trillium::{Conn, Handler, Method};
+
+use crate::{
+    faults::{Gate, GateFaults, PathFault, take},
+    ledger::Counter,
+    reply,
+    store::{Change, Condition, Gone, Refusal, Store},
+};
+
+/// Largest value of an object, in bytes.
+pub const VALUE_LIMIT: usize = 1 << 20;
+/// Longest wait of a watch.
+const WATCH_LIMIT: Duration = Duration::from_secs(120);
+/// Objects in a listing when the caller names no limit.
+const LIST_LIMIT: u64 = 1000;
+
+/// Runs a stand-in for the platform: object service and instance list.
+#[derive(Debug, Clone, Parser)]
+pub struct Options {
+    /// Address to listen on; port 0 takes a free one and prints it.
+    #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
+    pub address: SocketAddr,
+    /// Changes that watches can go back.
+    #[arg(long, value_name = "COUNT", default_value_t = 100_000)]
+    pub history: usize,
+    /// Time that the instance list lags behind, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
+    pub list_lag_ms: u64,
+    /// Time that each call of the object service takes, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 0)]
+    pub call_ms: u64,
+    /// Writes within a second that are served, the rest get 503; 0 is without limit.
+    #[arg(long, value_name = "COUNT", default_value_t = 0)]
+    pub write_limit: u64,
+    /// Reads within a second that are served, the rest get 503; 0 is without limit.
+    #[arg(long, value_name = "COUNT", default_value_t = 0)]
+    pub read_limit: u64,
+}
+
+/// Faults of the platform. Each `POST /faults` replaces all of them.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Delay, outage and cuts.
+    pub gate: GateFaults,
+    /// Writes that take effect and get no answer.
+    pub lost: Option<PathFault>,
+    /// Writes that take no effect and get no answer.
+    pub dropped: Option<PathFault>,
+    /// Writes that are refused with 503.
+    pub refused: Option<PathFault>,
+    /// Lag of the instance list, in milliseconds, instead of the option's.
+    pub list_lag_ms: Option<u64>,
+    /// Forgets the history once, so that older watches get 410.
+    pub forget: bool,
+}
+
+/// What the platform did.
+#[derive(Debug, Default, Clone, Serialize)]
+struct Ledger {
+    reads: Counter,
+    writes: Counter,
+    watches: Counter,
+    instance_reads: Counter,
+    registrations: Counter,
+    conflicts: u64,
+    lost: u64,
+    dropped: u64,
+    refused: u64,
+    calls: BTreeMap<String, u64>,
+}
+
+type Instances = BTreeMap<String, BTreeMap<String, Value>>;
+
+#[derive(Debug)]
+struct State {
+    store: Store,
+    instances: Instances,
+    snapshots: VecDeque<(Instant, Value)>,
+    waiting: Vec<Sender<()>>,
+    ledger: Ledger,
+    faults: Faults,
+    since: Instant,
+}
+
+/// The platform.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    options: Arc<Options>,
+    gate: Arc<Gate>,
+    state: Arc<Mutex<State>>,
+}
+
+/// Changes up to a version, and the notice of the next one.
+struct Seen {
+    version: u64,
+    events: Vec<Change>,
+    news: Receiver<()>,
+}
+
+/// What a fault does to a write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Normal,
+    Refused,
+    Dropped(bool),
+    Lost(bool),
+}
+
+impl Platform {
+    /// Makes an empty platform.
+    pub fn new(options: Options) -> Self {
+        let state = State {
+            store: Store::new(options.history),
+            instances: Instances::new(),
+            snapshots: VecDeque::new(),
+            waiting: Vec::new(),
+            ledger: Ledger::default(),
+            faults: Faults::default(),
+            since: Instant::now(),
+        };
+        Self {
+            options: Arc::new(options),
+            gate: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn set_faults(&self, mut conn: Conn) -> Conn {
+        let faults: Faults = match reply::body(&mut conn).await {
+            Ok(faults) => faults,
+            Err(e) => return reply::error(conn, 400, &e),
+        };
+        self.gate.set(faults.gate.clone());
+        let mut state = self.lock();
+        if faults.forget {
+            state.store.forget();
+        }
+        state.faults = faults;
+        state.since = Instant::now();
+        drop(state);
+        reply::json(conn, 200, &json!({}))
+    }
+
+    async fn serve(&self, conn: Conn, parts: &[&str]) -> Conn {
+        match (conn.method(), parts) {
+            (Method::Get, ["objects", kind, name]) => self.get(conn, kind, name).await,
+            (Method::Get, ["objects", kind]) => self.list(conn, kind).await,
+            (Method::Put | Method::Delete, ["objects", kind, name]) => {
+                self.write(conn, kind, name).await
+            }
+            (Method::Get, ["watch", kind]) => self.watch(conn, kind).await,
+            (Method::Get, ["instances"]) => self.list_instances(conn),
+            (Method::Put, ["instances", group @ ("entries" | "targets"), id]) => {
+                self.register(conn, group, id).await
+            }
+            (Method::Delete, ["instances", group, id]) => self.unregister(conn, group, id),
+            _ => reply::error(conn, 404, "no such path"),
+        }
+    }
+
+    async fn get(&self, conn: Conn, kind: &str, name: &str) -> Conn {
+        if !self.count_read(kind).await {
+            return reply::error(conn, 503, "over the read limit");
+        }
+        let object = self.lock().store.get(kind, name).cloned();
+        match object {
+            Some(object) => reply::json(conn, 200, &object),
+            None => reply::error(conn, 404, "no such object"),
+        }
+    }
+
+    async fn list(&self, conn: Conn, kind: &str) -> Conn {
+        if !self.count_read(kind).await {
+            return reply::error(conn, 503, "over the read limit");
+        }
+        let prefix = reply::query(&conn, "prefix").unwrap_or_default();
+        let after = reply::query(&conn, "after").unwrap_or_default();
+        let limit = match reply::number(&conn, "limit") {
+            0 => LIST_LIMIT,
+            limit => limit,
+        };
+        let state = self.lock();
+        let items = state.store.list(kind, prefix, after, limit as usize);
+        let answer = json!({ "version": state.store.version(), "items": items });
+        drop(state);
+        reply::json(conn, 200, &answer)
+    }
+
+    async fn write(&self, mut conn: Conn, kind: &str, name: &str) -> Conn {
+        if !self.count_write(kind).await {
+            return reply::error(conn, 503, "over the write limit");
+        }
+        let body = match conn.request_body().read_bytes().await {
+            Ok(body) if body.len() <= VALUE_LIMIT => body,
+            _ => return reply::error(conn, 413, "the value is over the limit"),
+        };
+        let Some(condition) = condition(&conn) else {
+            return reply::error(conn, 400, "If-Match or If-None-Match is missing");
+        };
+        let remove = conn.method() == Method::Delete;
+        let value = serde_json::from_slice(&body);
+        if value.is_err() && !remove {
+            return reply::error(conn, 400, "the value is not JSON");
+        }
+        let fate = self.fate(&format!("{kind}/{name}"));
+        match fate {
+            Fate::Refused => return reply::error(conn, 503, "refused by a fault"),
+            Fate::Dropped(silent) => return reply::vanish(conn, silent).await,
+            Fate::Normal | Fate::Lost(_) => {}
+        }
+        let result = self.apply(kind, name, condition, value.ok().filter(|_| !remove));
+        if let Fate::Lost(silent) = fate {
+            return reply::vanish(conn, silent).await;
+        }
+        match result {
+            Ok(version) => {
+                let answer = json!({ "kind": kind, "name": name, "version": version });
+                reply::json(conn, 200, &answer)
+            }
+            Err(Refusal::Missing) => reply::error(conn, 404, "no such object"),
+            Err(Refusal::Conflict(version)) => {
+                reply::json(conn, 409, &json!({ "version": version }))
+            }
+        }
+    }
+
+    fn apply(
+        &self,
+        kind: &str,
+        name: &str,
+        condition: Condition,
+        value: Option<Value>,
+    ) -> Result<u64, Refusal> {
+        let mut state = self.lock();
+        let result = match (value, condition) {
+            (Some(value), _) => state.store.put(kind, name, condition, value),
+            (None, Condition::Version(version)) => state.store.remove(kind, name, version),
+            (None, Condition::Absent) => Err(Refusal::Missing),
+        };
+        match result {
+            Ok(_) => state.waiting.clear(),
+            Err(_) => state.ledger.conflicts += 1,
+        }
+        result
+    }
+
+    async fn watch(&self, mut conn: Conn, kind: &str) -> Conn {
+        let since = reply::number(&conn, "since");
+        let wait = Duration::from_millis(reply::number(&conn, "timeout_ms")).min(WATCH_LIMIT);
+        {
+            let mut state = self.lock();
+            state.ledger.watches.add(Instant::now());
+            state.ledger.count("watch", kind);
+        }
+        let deadline = Instant::now() + wait;
+        loop {
+            let Ok(seen) = self.changes(kind, since) else {
+                return reply::error(conn, 410, "the history is gone");
+            };
+            if !seen.events.is_empty() || Instant::now() >= deadline {
+                let answer = json!({ "version": seen.version, "events": seen.events });
+                return reply::json(conn, 200, &answer);
+            }
+            let timeout = async {
+                async_io::Timer::at(deadline).await;
+            };
+            let changed = async {
+                let _ = seen.news.recv().await;
+            };
+            let woken = smol::future::or(changed, timeout);
+            if conn.cancel_on_disconnect(woken).await.is_none() {
+                return reply::lost(conn);
+            }
+        }
+    }
+
+    /// Reads the changes and subscribes to the next one in one step.
+    fn changes(&self, kind: &str, since: u64) -> Result<Seen, Gone> {
+        let (sender, news) = smol::channel::bounded(1);
+        let mut state = self.lock();
+        state.waiting.retain(|waiter| !waiter.is_closed());
+        state.waiting.push(sender);
+        Ok(Seen {
+            version: state.store.version(),
+            events: state.store.since(kind, since)?,
+            news,
+        })
+    }
+
+    fn list_instances(&self, conn: Conn) -> Conn {
+        let mut state = self.lock();
+        state.ledger.instance_reads.add(Instant::now());
+        let lag = state.faults.list_lag_ms.unwrap_or(self.options.list_lag_ms);
+        let lag = Duration::from_millis(lag);
+        let seen = state.snapshots.iter().rev();
+        let seen = seen
+            .filter(|(at, _)| at.elapsed() >= lag)
+            .map(|(_, list)| list.clone())
+            .next();
+        drop(state);
+        let empty = json!({ "entries": [], "targets": [] });
+        reply::json(conn, 200, &seen.unwrap_or(empty))
+    }
+
+    async fn register(&self, mut conn: Conn, group: &str, id: &str) -> Conn {
+        let value: Value = match reply::body(&mut conn).await {
+            Ok(value) => value,
+            Err(e) => return reply::error(conn, 400, &e),
+        };
+        let mut state = self.lock();
+        state.ledger.registrations.add(Instant::now());
+        let members = state.instances.entry(group.into()).or_default();
+        members.insert(id.into(), value);
+        state.take_snapshot();
+        drop(state);
+        reply::json(conn, 200, &json!({}))
+    }
+
+    fn unregister(&self, conn: Conn, group: &str, id: &str) -> Conn {
+        let mut state = self.lock();
+        if let Some(members) = state.instances.get_mut(group) {
+            members.remove(id);
+        }
+        state.take_snapshot();
+        drop(state);
+        reply::json(conn, 200, &json!({}))
+    }
+
+    async fn count_read(&self, kind: &str) -> bool {
+        let rate = {
+            let mut state = self.lock();
+            state.ledger.count("read", kind);
+            state.ledger.reads.add(Instant::now())
+        };
+        async_io::Timer::after(Duration::from_millis(self.options.call_ms)).await;
+        self.options.read_limit == 0 || rate <= self.options.read_limit
+    }
+
+    async fn count_write(&self, kind: &str) -> bool {
+        let rate = {
+            let mut state = self.lock();
+            state.ledger.count("write", kind);
+            state.ledger.writes.add(Instant::now())
+        };
+        async_io::Timer::after(Duration::from_millis(self.options.call_ms)).await;
+        self.options.write_limit == 0 || rate <= self.options.write_limit
+    }
+
+    fn fate(&self, path: &str) -> Fate {
+        let mut state = self.lock();
+        let since = state.since;
+        let State { faults, ledger, .. } = &mut *state;
+        if take(&mut faults.refused, path, since).is_some() {
+            ledger.refused += 1;
+            return Fate::Refused;
+        }
+        if let Some(silent) = take(&mut faults.dropped, path, since) {
+            ledger.dropped += 1;
+            return Fate::Dropped(silent);
+        }
+        if let Some(silent) = take(&mut faults.lost, path, since) {
+            ledger.lost += 1;
+            return Fate::Lost(silent);
+        }
+        Fate::Normal
+    }
+}
+
+impl Handler for Platform {
+    async fn run(&self, conn: Conn) -> Conn {
+        let path = conn.path().to_owned();
+        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (conn.method(), parts.as_slice()) {
+            (Method::Post, ["faults"]) => self.set_faults(conn).await,
+            (Method::Get, ["ledger"]) => {
+                let ledger = self.lock().ledger.clone();
+                reply::json(conn, 200, &ledger)
+            }
+            _ => match self.gate.pass(conn).await {
+                Ok(conn) => self.serve(conn, &parts).await,
+                Err(conn) => conn,
+            },
+        }
+    }
+}
+
+impl Ledger {
+    fn count(&mut self, call: &str, kind: &str) {
+        *self.calls.entry(format!("{call} {kind}")).or_default() += 1;
+    }
+}
+
+impl State {
+    /// Remembers the instance list as it is now, for readers that lag behind.
+    fn take_snapshot(&mut self) {
+        const SNAPSHOTS: usize = 4096;
+        let members = |group: &str| -> Vec<Value> {
+            let members = self.instances.get(group);
+            members
+                .map(|m| m.values().cloned().collect())
+                .unwrap_or_default()
+        };
+        let list = json!({ "entries": members("entries"), "targets": members("targets") });
+        self.snapshots.push_back((Instant::now(), list));
+        if self.snapshots.len() > SNAPSHOTS {
+            self.snapshots.pop_front();
+        }
+    }
+}
+
+fn condition(conn: &Conn) -> Option<Condition> {
+    let headers = conn.request_headers();
+    if headers.get_str("if-none-match") == Some("*") {
+        return Some(Condition::Absent);
+    }
+    let version = headers.get_str("if-match")?.trim_matches('"').parse();
+    version.ok().map(Condition::Version)
+}
--- /dev/null
+++ b/standins/src/reply.rs
@@ -0,0 +1,95 @@
+//! Answers over HTTP, and the lack of one.
+
+use std::{
+    future::pending,
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use futures::AsyncRead;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::json;
+use trillium::{Body, Conn};
+
+/// Header by which a caller names itself, so that faults can cut it off.
+pub const PARTY_HEADER: &str = "gentianpath-party";
+
+/// Fails at the first read, so that the connection closes before any byte of the answer.
+struct Broken;
+
+impl AsyncRead for Broken {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        _: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+    }
+}
+
+/// Answers with JSON.
+pub fn json(conn: Conn, status: u16, body: &impl Serialize) -> Conn {
+    let text = serde_json::to_string(body).unwrap_or_default();
+    conn.with_status(status)
+        .with_response_header("content-type", "application/json")
+        .with_body(text)
+        .halt()
+}
+
+/// Answers with an error message as JSON.
+pub fn error(conn: Conn, status: u16, message: &str) -> Conn {
+    json(conn, status, &json!({ "error": { "message": message } }))
+}
+
+/// Closes the connection without an answer.
+pub fn lost(conn: Conn) -> Conn {
+    conn.with_status(200)
+        .with_body(Body::new_streaming(Broken, None))
+        .halt()
+}
+
+/// Keeps the connection open without an answer until the caller closes it.
+pub async fn silent(mut conn: Conn) -> Conn {
+    conn.cancel_on_disconnect(pending::<()>()).await;
+    lost(conn)
+}
+
+/// Gives no answer: keeps the connection open or closes it.
+pub async fn vanish(conn: Conn, keep_open: bool) -> Conn {
+    if keep_open {
+        silent(conn).await
+    } else {
+        lost(conn)
+    }
+}
+
+/// Reads the request body as JSON.
+///
+/// # Errors
+///
+/// Returns one line that says what is wrong with the body.
+pub async fn body<T: DeserializeOwned>(conn: &mut Conn) -> Result<T, String> {
+    let bytes = conn.request_body().read_bytes().await;
+    let bytes = bytes.map_err(|e| e.to_string())?;
+    serde_json::from_slice(&bytes).map_err(|e| e.to_string())
+}
+
+/// Returns a parameter of the query string; names and values are not percent-decoded.
+pub fn query<'a>(conn: &'a Conn, key: &str) -> Option<&'a str> {
+    let pairs = conn.querystring().split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(name, _)| *name == key)
+        .map(|(_, value)| value)
+}
+
+/// Returns a number from the query string, or 0 when it is missing.
+pub fn number(conn: &Conn, key: &str) -> u64 {
+    query(conn, key).and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the name that the caller gave itself.
+pub fn party(conn: &Conn) -> Option<&str> {
+    conn.request_headers().get_str(PARTY_HEADER)
+}
