Add rendezvous hashing

Cause: the batch owner of a worker, the claim order of groups and the watchers of a zone must be agreed on by all instances and releases without messages.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod events;
 pub mod exit;
 pub mod ids;
+pub mod ownership;
 pub mod platform;
 pub mod route;
 pub mod schedule;
