--- a/src/context.rs
+++ b/src/context.rs
@@ -12,6 +12,7 @@
     platform::Platform,
     route::Router,
     settings::Settings,
+    status::SharedStatus,
     view::SharedView,
     workers::WorkerTable,
 };
@@ -52,6 +53,8 @@
     pub engine: Engine,
     /// Phase of a planned stop.
     pub drain: Drain,
+    /// Latest status for operators, published by control.
+    pub status: SharedStatus,
     /// Messages to control.
     pub commands: Sender<Command>,
 }
@@ -71,6 +74,7 @@
             platform,
             engine: Engine::new(timeouts),
             drain: Drain::default(),
+            status: SharedStatus::default(),
             commands,
         };
         (Arc::new(context), receiver)
--- /dev/null
+++ b/src/control_state.rs
@@ -0,0 +1,452 @@
+//! State of control: what the instance knows, and what it publishes from it.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    context::Context,
+    event,
+    ids::{InstanceId, Map, Set, Version, WorkerId, Zone},
+    members::{self, Identity, Members},
+    metrics, ownership,
+    peer::{Digest, WorkerLoad},
+    placement::{self, Place, Placement},
+    platform::{ListState, ListedTarget, Object, TargetKind},
+    sheet::Sheet,
+    sheet_log::{self, SNAPSHOT_INTERVAL, SheetLog, Snapshot},
+    spread::{Delta, KindView, Watched},
+    status::{MemberReport, PeerCounts, Report, SheetReport, ViewReport, WorkerReport},
+    store::SavedSheet,
+    view::{ServiceTarget, View, WorkerInfo},
+    workers::Load,
+};
+
+/// Watchers of the platform in each zone.
+const WATCHERS: usize = 2;
+/// Age up to which a load report counts as fresh.
+pub const LOAD_FRESH: Duration = Duration::from_secs(10);
+
+/// Last known load of a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownLoad {
+    /// The load.
+    pub load: WorkerLoad,
+    /// When it was reported.
+    pub at: Duration,
+}
+
+/// What an instance knows. All of it lives on the control thread.
+#[derive(Debug)]
+pub struct State {
+    /// Entry instances and targets.
+    pub members: Members,
+    /// Log of the sheet.
+    pub log: SheetLog,
+    /// Loads of workers.
+    pub loads: Map<WorkerId, KnownLoad>,
+    /// Calls of other entry instances.
+    pub counts: PeerCounts,
+    /// Whether the platform has answered what the sheet is.
+    pub answered: bool,
+    /// Last time at which a peer or the platform answered.
+    pub contact: Option<Duration>,
+    /// Random choices.
+    pub rng: fastrand::Rng,
+    views: Map<Watched, KindView>,
+    live: Map<Zone, Vec<InstanceId>>,
+    owners: Map<WorkerId, InstanceId>,
+    watching: bool,
+    dirty: bool,
+}
+
+impl State {
+    /// Builds the state of an instance that knows nothing yet.
+    pub fn new(me: Identity, seed: u64) -> Self {
+        Self {
+            members: Members::new(me),
+            log: SheetLog::default(),
+            loads: Map::default(),
+            counts: PeerCounts::default(),
+            answered: false,
+            contact: None,
+            rng: fastrand::Rng::with_seed(seed),
+            views: Watched::ALL.iter().map(|k| (*k, KindView::default())).collect(),
+            live: Map::default(),
+            owners: Map::default(),
+            watching: false,
+            dirty: true,
+        }
+    }
+
+    /// Returns the view of a kind.
+    pub fn view(&self, kind: Watched) -> &KindView {
+        &self.views[&kind]
+    }
+
+    /// Takes over a delta of a kind and says whether something changed.
+    pub fn merge(&mut self, kind: Watched, delta: Delta, now: Duration) -> bool {
+        let view = self.views.entry(kind).or_default();
+        if !view.merge(delta) {
+            return false;
+        }
+        self.follow(kind, now);
+        true
+    }
+
+    /// Takes over objects of a kind that were read one by one.
+    pub fn learn(&mut self, kind: Watched, objects: Vec<Object>, now: Duration) {
+        if self.views.entry(kind).or_default().learn(objects) {
+            self.follow(kind, now);
+        }
+    }
+
+    /// Takes over a sheet from the data folder.
+    pub fn restore(&mut self, saved: SavedSheet, now: Duration) {
+        let delta = Delta {
+            since: 0,
+            version: saved.version,
+            full: false,
+            changes: vec![snapshot_object(&saved.snapshot, saved.version).into()],
+        };
+        event!(Info, SheetRestored, "revision={}", saved.snapshot.revision);
+        self.merge(Watched::Sheet, delta, now);
+    }
+
+    /// Returns the sheet to save.
+    pub fn saved(&self) -> SavedSheet {
+        SavedSheet {
+            version: self.view(Watched::Sheet).latest(),
+            snapshot: self.log.head().clone(),
+        }
+    }
+
+    fn follow(&mut self, kind: Watched, now: Duration) {
+        self.dirty = true;
+        match kind {
+            Watched::Sheet => self.follow_sheet(),
+            Watched::Job => {}
+            Watched::Instances => {
+                let list = members::list_of(self.view(kind).objects());
+                self.members.set_list(list, now);
+            }
+        }
+    }
+
+    fn follow_sheet(&mut self) {
+        let view = &self.views[&Watched::Sheet];
+        let mut names: Vec<&Arc<str>> = view.objects().keys().collect();
+        // Snapshots come last in this order and are applied first.
+        names.sort_by(|a, b| b.cmp(a));
+        let (snapshots, entries): (Vec<_>, Vec<_>) =
+            names.into_iter().partition(|n| sheet_log::revision_of(n).is_none());
+        for name in snapshots.into_iter().chain(entries.into_iter().rev()) {
+            let head = self.log.head().revision;
+            if sheet_log::revision_of(name).is_none_or(|r| r > head) {
+                self.log.offer_object(name, &view.objects()[name].value);
+            }
+        }
+        let before = self.log.fault().cloned();
+        if self.log.settle() {
+            let revision = self.log.in_force().revision;
+            event!(Info, SheetInForce, "revision={revision}");
+            metrics::sheet_revision(revision);
+        } else if let Some(fault) = self.log.fault().filter(|f| Some(*f) != before.as_ref()) {
+            event!(Warn, SheetInvalid, "revision={} {fault}", self.log.head().revision);
+        }
+        self.compact();
+    }
+
+    /// Replaces old entries of the sheet log by a snapshot, so that the view stays bounded.
+    fn compact(&mut self) {
+        let Some(view) = self.views.get_mut(&Watched::Sheet) else {
+            return;
+        };
+        let Some(snapshot) = self.log.checkpoint() else {
+            return;
+        };
+        let long = view.objects().len() as u64 > 2 * SNAPSHOT_INTERVAL;
+        let last = view.objects().get(&*sheet_log::entry_name(snapshot.revision));
+        let (true, Some(version)) = (long, last.map(|o| o.version)) else {
+            return;
+        };
+        let covered = |name: &str| {
+            sheet_log::revision_of(name).is_none_or(|r| r <= snapshot.revision)
+        };
+        view.compact(covered, snapshot_object(snapshot, version));
+    }
+
+    /// Takes over a digest of another instance.
+    pub fn take_digest(&mut self, ctx: &Context, digest: Digest, now: Duration) {
+        self.contact = Some(now);
+        self.members.set_heard(digest.identity, now);
+        self.members.set_relayed(&digest.heard, now);
+        for load in digest.loads {
+            if !self.owns(&load.worker) {
+                self.set_load(ctx, load, now);
+            }
+        }
+    }
+
+    /// Takes over the load of a worker.
+    pub fn set_load(&mut self, ctx: &Context, load: WorkerLoad, now: Duration) {
+        let known = self.loads.get(&load.worker).map(|k| &k.load);
+        let same = known.is_some_and(|k| {
+            (k.slots, k.leaving, &k.model, &k.version)
+                == (load.slots, load.leaving, &load.model, &load.version)
+        });
+        self.dirty |= !same;
+        let report = Load {
+            running: load.online + load.batch,
+            waiting: load.waiting,
+        };
+        let slots = effective_slots(&load, &self.log.in_force().sheet);
+        ctx.workers.cell(&load.worker).set_report(report, slots, now);
+        let worker = load.worker.clone();
+        self.loads.insert(worker, KnownLoad { load, at: now });
+    }
+
+    /// Returns the digest of this instance.
+    pub fn digest(&mut self, now: Duration) -> Digest {
+        let views = self.views.iter().map(|(k, v)| (*k, v.latest()));
+        let owned = self.loads.values().filter(|k| self.owns(&k.load.worker));
+        let owned = owned.filter(|k| now.saturating_sub(k.at) < LOAD_FRESH);
+        Digest {
+            identity: self.members.me().clone(),
+            views: views.collect(),
+            loads: owned.map(|k| k.load.clone()).collect(),
+            heard: self.members.heard(now, &mut self.rng),
+        }
+    }
+
+    /// Says whether this instance is the batch owner of a worker.
+    pub fn owns(&self, worker: &WorkerId) -> bool {
+        self.owners.get(worker) == Some(&self.members.me().id)
+    }
+
+    /// Says whether this instance has heard of anything lately. After a pause it has not, and
+    /// what it believes to own may have another owner.
+    pub fn is_in_touch(&self, now: Duration) -> bool {
+        let recent = |at: Duration| now.saturating_sub(at) < members::HEARTBEAT_LIMIT;
+        self.contact.is_some_and(recent)
+    }
+
+    /// Says whether this instance watches the platform for its zone. It does so as well when it
+    /// hears no other instance of the zone.
+    pub fn watches(&mut self, now: Duration) -> bool {
+        let me = self.members.me().clone();
+        let live = self.members.live(now);
+        let zone = live.get(&me.zone).map_or(&[][..], Vec::as_slice);
+        let rank = ownership::position(&format!("watch/{}", me.zone), &me.id, zone);
+        let alone = !zone.iter().any(|id| *id != me.id);
+        let watches = alone || (rank < WATCHERS && !me.leaving);
+        if watches != self.watching {
+            self.watching = watches;
+            event!(Info, WatcherChanged, "zone={} watches={watches}", me.zone);
+        }
+        watches
+    }
+
+    /// Returns the workers of the zone as placement sees them; `placed` are the records that this
+    /// instance knows.
+    pub fn places(&self, placed: &Map<WorkerId, Placement>) -> Vec<Place> {
+        let zone = &self.members.me().zone;
+        let engines = self.members.targets().filter(|t| is_engine(t) && t.zone == *zone);
+        let mut places: Vec<Place> = engines
+            .filter(|t| !self.is_leaving(t))
+            .map(|t| self.place(t, placed.get(&t.id)))
+            .collect();
+        places.sort_by(|a, b| a.worker.cmp(&b.worker));
+        places
+    }
+
+    fn place(&self, target: &ListedTarget, placed: Option<&Placement>) -> Place {
+        let load = self.loads.get(&target.id).map(|k| &k.load);
+        let loaded = load.and_then(|l| l.model.clone());
+        Place {
+            worker: target.id.clone(),
+            model: placed.map(|p| p.model.clone()).or(loaded),
+            busy: load.is_some_and(|l| l.online + l.batch + l.waiting > 0),
+        }
+    }
+
+    /// Returns what the sheet wants of the zone's workers.
+    pub fn wanted(&self, placed: &Map<WorkerId, Placement>) -> Map<WorkerId, Placement> {
+        placement::assign(&self.places(placed), &self.log.in_force().sheet)
+    }
+
+    fn is_leaving(&self, target: &ListedTarget) -> bool {
+        let reported = self.loads.get(&target.id).is_some_and(|k| k.load.leaving);
+        target.state == ListState::Leaving || reported
+    }
+
+    /// Builds the next view; nothing when it cannot differ from the last one.
+    pub fn build(&mut self, ctx: &Context, now: Duration) -> Option<View> {
+        let live = self.members.live(now);
+        if live != self.live {
+            self.log_members(&live);
+            self.reset_levels(ctx, &live, now);
+            self.live = live;
+            self.dirty = true;
+        }
+        if !std::mem::take(&mut self.dirty) {
+            return None;
+        }
+        self.choose_owners();
+        Some(self.view_now(now))
+    }
+
+    fn log_members(&self, live: &Map<Zone, Vec<InstanceId>>) {
+        let names = |zones: &Map<Zone, Vec<InstanceId>>| -> Set<InstanceId> {
+            zones.values().flatten().cloned().collect()
+        };
+        let (old, new) = (names(&self.live), names(live));
+        for id in new.difference(&old) {
+            event!(Info, MemberJoined, "instance={id}");
+        }
+        for id in old.difference(&new) {
+            event!(Info, MemberLeft, "instance={id}");
+        }
+    }
+
+    /// Forgets the online requests of instances that are gone; nobody will report their end.
+    fn reset_levels(&self, ctx: &Context, live: &Map<Zone, Vec<InstanceId>>, now: Duration) {
+        let gone = self.live.values().flatten();
+        let gone = gone.filter(|id| !live.values().any(|names| names.contains(id)));
+        for id in gone {
+            let known = self.members.entry(id);
+            // An instance that is about to stop still finishes its requests.
+            if known.is_some_and(|m| m.identity.leaving && m.fresh(now)) {
+                continue;
+            }
+            for worker in self.owners.keys() {
+                ctx.workers.cell(worker).set_peer_level(id, 0, now);
+            }
+        }
+    }
+
+    fn choose_owners(&mut self) {
+        let engines = self.members.targets().filter(|t| is_engine(t));
+        let owner = |t: &ListedTarget| {
+            let candidates = self.live.get(&t.zone)?;
+            Some((t.id.clone(), ownership::owner(&t.id, candidates)?.clone()))
+        };
+        self.owners = engines.filter_map(owner).collect();
+    }
+
+    fn view_now(&self, now: Duration) -> View {
+        let force = self.log.in_force();
+        let engines = self.members.targets().filter(|t| is_engine(t));
+        let mut workers: Vec<_> = engines.map(|t| self.worker(t, &force.sheet)).collect();
+        workers.sort_by(|a, b| a.id.cmp(&b.id));
+        let plain = self.members.targets().filter(|t| !is_engine(t));
+        let mut services: Vec<_> = plain.map(service_target).collect();
+        services.sort_by(|a, b| a.id.cmp(&b.id));
+        let live = self.members.entries().filter(|m| self.members.is_live(m, now));
+        View {
+            revision: force.revision,
+            sheet: force.sheet.clone(),
+            workers,
+            services,
+            jobs: self.view(Watched::Job).objects().clone(),
+            peers: live.map(|m| (m.identity.id.clone(), m.identity.address)).collect(),
+        }
+    }
+
+    fn worker(&self, target: &ListedTarget, sheet: &Sheet) -> WorkerInfo {
+        let load = self.loads.get(&target.id).map(|k| &k.load);
+        WorkerInfo {
+            id: target.id.clone(),
+            address: target.address,
+            zone: target.zone.clone(),
+            model: load.and_then(|l| l.model.clone()),
+            version: load.map(|l| l.version.clone()).unwrap_or_default(),
+            slots: load.map_or(0, |l| effective_slots(l, sheet)),
+            leaving: self.is_leaving(target),
+            owner: self.owners.get(&target.id).cloned(),
+        }
+    }
+
+    /// Returns what operators see.
+    pub fn report(&self, view: &View, now: Duration) -> Report {
+        Report {
+            sheet: SheetReport {
+                revision: view.revision,
+                head: self.log.head().revision,
+                fault: self.log.fault().cloned(),
+            },
+            members: self.member_reports(now),
+            workers: view.workers.iter().map(|w| self.worker_report(w)).collect(),
+            views: Watched::ALL.iter().map(|k| self.view_report(*k)).collect(),
+            peers: self.counts,
+        }
+    }
+
+    fn member_reports(&self, now: Duration) -> Vec<MemberReport> {
+        let report = |i: &Identity, live| MemberReport {
+            instance: i.id.clone(),
+            session: i.session,
+            zone: i.zone.clone(),
+            address: i.address,
+            live,
+            leaving: i.leaving,
+        };
+        let me = self.members.me();
+        let others = self.members.entries();
+        let others = others.map(|m| report(&m.identity, self.members.is_live(m, now)));
+        let mut reports: Vec<_> = others.chain([report(me, !me.leaving)]).collect();
+        reports.sort_by(|a, b| a.instance.cmp(&b.instance));
+        reports
+    }
+
+    fn worker_report(&self, info: &WorkerInfo) -> WorkerReport {
+        let load = self.loads.get(&info.id).map(|k| &k.load);
+        WorkerReport {
+            worker: info.id.clone(),
+            zone: info.zone.clone(),
+            owner: info.owner.clone(),
+            model: info.model.clone(),
+            slots: info.slots,
+            running: load.map_or(0, |l| l.online + l.batch),
+            waiting: load.map_or(0, |l| l.waiting),
+            leaving: info.leaving,
+        }
+    }
+
+    fn view_report(&self, kind: Watched) -> ViewReport {
+        let view = self.view(kind);
+        ViewReport {
+            kind: kind.as_str(),
+            version: view.version(),
+            latest: view.latest(),
+            objects: view.objects().len(),
+            watched: self.watching,
+        }
+    }
+}
+
+/// Returns the slots of a worker: its own limit or that of the sheet for its model.
+fn effective_slots(load: &WorkerLoad, sheet: &Sheet) -> u32 {
+    let model = load.model.as_ref().and_then(|m| sheet.models.get(m));
+    model.map_or(load.slots, |m| m.slots.min(load.slots))
+}
+
+fn snapshot_object(snapshot: &Snapshot, version: Version) -> Object {
+    Object {
+        name: sheet_log::snapshot_name(snapshot.revision).into(),
+        version,
+        value: serde_json::to_value(snapshot).unwrap_or_default(),
+    }
+}
+
+fn is_engine(target: &ListedTarget) -> bool {
+    target.kind == TargetKind::Engine
+}
+
+fn service_target(target: &ListedTarget) -> ServiceTarget {
+    ServiceTarget {
+        id: target.id.clone(),
+        service: target.service.clone(),
+        address: target.address,
+        zone: target.zone.clone(),
+        leaving: target.state == ListState::Leaving,
+    }
+}
--- a/src/events.rs
+++ b/src/events.rs
@@ -46,10 +46,32 @@
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
     SheetInForce = 3001, "sheet-in-force";
+    /// A sheet revision is not valid as a whole; the earlier one stays in force.
+    SheetInvalid = 3002, "sheet-invalid";
+    /// A sheet was pushed through this instance.
+    SheetPushed = 3003, "sheet-pushed";
+    /// The sheet was read from the data folder.
+    SheetRestored = 3004, "sheet-restored";
+    /// This instance began or ended to watch the platform for its zone.
+    WatcherChanged = 3005, "watcher-changed";
+    /// An entry instance came.
+    MemberJoined = 3006, "member-joined";
+    /// An entry instance went or is about to stop.
+    MemberLeft = 3007, "member-left";
+    /// The platform does not answer.
+    PlatformLost = 3008, "platform-lost";
+    /// The platform answers again.
+    PlatformBack = 3009, "platform-back";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
     PlacementChosen = 4001, "placement-chosen";
+    /// An order was given to an engine.
+    OrderGiven = 4002, "order-given";
+    /// An engine refused an order with an old fencing number.
+    OrderStale = 4003, "order-stale";
+    /// An engine did not carry out an order.
+    OrderFailed = 4004, "order-failed";
 
     // 5000 to 5999: the process.
     /// The instance takes requests.
--- /dev/null
+++ b/src/orders.rs
@@ -0,0 +1,171 @@
+//! Records the placement of a worker and orders it, as a pure state machine per worker.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    engine::{Action, LoadReport, Order},
+    ids::{Fence, Revision, Version},
+    placement::{Placement, Record},
+};
+
+/// Wait before an order is repeated while the load report does not show it yet: loading takes
+/// time, and reports lag.
+pub const REPEAT_WAIT: Duration = Duration::from_secs(5);
+
+/// What the owner of a worker does next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Nothing.
+    Idle,
+    /// Read the record.
+    Read,
+    /// Create the record, or update it from a version.
+    Write(Option<Version>),
+    /// Read the record again and, when it is the same, give the order.
+    Order(Order),
+}
+
+/// What the owner of a worker knows of its record.
+#[derive(Debug, Clone, PartialEq)]
+enum Known {
+    Unread,
+    Absent,
+    Record(Version, Record),
+}
+
+/// Orders for one worker.
+#[derive(Debug, Clone)]
+pub struct Desk {
+    known: Known,
+    ordered: Option<(Order, Duration)>,
+}
+
+impl Default for Desk {
+    fn default() -> Self {
+        Self {
+            known: Known::Unread,
+            ordered: None,
+        }
+    }
+}
+
+impl Desk {
+    /// Returns the recorded placement, as far as it is known.
+    pub fn placement(&self) -> Option<&Placement> {
+        match &self.known {
+            Known::Record(_, record) => Some(&record.placement),
+            _ => None,
+        }
+    }
+
+    /// Says whether the record has to be read first.
+    pub fn is_unread(&self) -> bool {
+        self.known == Known::Unread
+    }
+
+    /// Decides what to do after a load report. `wanted` was decided from `revision`.
+    ///
+    /// A record that was decided from a later sheet stands: the instance is behind, and what it
+    /// wants is older than the record.
+    pub fn next(
+        &mut self,
+        wanted: Option<&Placement>,
+        revision: Revision,
+        report: &LoadReport,
+        now: Duration,
+    ) -> Step {
+        let (version, record) = match (&self.known, wanted) {
+            (Known::Unread, _) => return Step::Read,
+            (Known::Absent, None) => return Step::Idle,
+            (Known::Absent, Some(_)) => return Step::Write(None),
+            (Known::Record(version, record), _) => (*version, record),
+        };
+        let outdated = record.revision <= revision;
+        if outdated && wanted.is_some_and(|w| *w != record.placement) {
+            return Step::Write(Some(version));
+        }
+        let Some(order) = order(version, &record.placement, report) else {
+            self.ordered = None;
+            return Step::Idle;
+        };
+        match &self.ordered {
+            Some((last, at)) if *last == order && now.saturating_sub(*at) < REPEAT_WAIT => {
+                Step::Idle
+            }
+            _ => Step::Order(order),
+        }
+    }
+
+    /// Takes over a read of the record; nothing when it does not exist.
+    pub fn set_read(&mut self, read: Option<(Version, Record)>) {
+        self.known = match read {
+            Some((version, record)) => Known::Record(version, record),
+            None => Known::Absent,
+        };
+    }
+
+    /// Takes over a write that took effect.
+    pub fn set_written(&mut self, version: Version, record: Record) {
+        self.known = Known::Record(version, record);
+    }
+
+    /// Forgets the record after a write without effect or answer, or a refused order: another
+    /// instance may have written it. It is read again before anything else is done.
+    pub fn forget(&mut self) {
+        self.known = Known::Unread;
+    }
+
+    /// Says whether the record that was just read again is the one that an order follows from,
+    /// and takes it over.
+    pub fn confirm(&mut self, order: &Order, read: Option<(Version, Record)>) -> bool {
+        let same = read
+            .as_ref()
+            .is_some_and(|(version, _)| *version == order.fence);
+        self.set_read(read);
+        same
+    }
+
+    /// Notes that an order was given.
+    pub fn set_ordered(&mut self, order: Order, now: Duration) {
+        self.ordered = Some((order, now));
+    }
+}
+
+/// Returns the order that brings a worker closer to its placement; nothing when it is there.
+pub fn order(fence: Fence, placement: &Placement, report: &LoadReport) -> Option<Order> {
+    let loaded = report.model.as_ref() == Some(&placement.model);
+    if !loaded || report.version != placement.version {
+        return Some(Order {
+            version: Some(placement.version.clone()),
+            ..build(fence, Action::Load, &placement.model, None)
+        });
+    }
+    let missing = placement
+        .adapters
+        .iter()
+        .find(|a| !report.adapters.contains(a));
+    if let Some(adapter) = missing {
+        return Some(build(fence, Action::Load, &placement.model, Some(adapter)));
+    }
+    let extra = report
+        .adapters
+        .iter()
+        .find(|a| !placement.adapters.contains(a));
+    extra.map(|a| build(fence, Action::Unload, &placement.model, Some(a)))
+}
+
+fn build(fence: Fence, action: Action, model: &Arc<str>, adapter: Option<&Arc<str>>) -> Order {
+    Order {
+        fence,
+        action,
+        model: Some(model.clone()),
+        version: None,
+        adapter: adapter.cloned(),
+        role: None,
+    }
+}
+
+/// Says whether an order makes the engine load weights from the weight store.
+pub fn loads_weights(order: &Order) -> bool {
+    order.action == Action::Load && order.adapter.is_none()
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,126 @@
+//! Which model each worker of a zone should run, from the sheet and what is loaded.
+
+use std::{cmp::Reverse, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{InstanceId, Map, ModelId, Revision, WorkerId},
+    ownership,
+    sheet::Sheet,
+};
+
+/// What a worker should run.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Placement {
+    /// Model.
+    pub model: ModelId,
+    /// Version of the model.
+    pub version: Arc<str>,
+    /// Adapters.
+    pub adapters: Vec<Arc<str>>,
+}
+
+/// The placement of a worker as it stands in the object service. The version of the object is
+/// the fencing number of the orders that follow from it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Record {
+    /// What the worker should run.
+    pub placement: Placement,
+    /// Sheet revision that it was decided from.
+    pub revision: Revision,
+    /// Instance that decided it.
+    pub owner: InstanceId,
+    /// Token of the write.
+    pub token: Arc<str>,
+}
+
+/// A worker of the zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Model that is recorded for it, or else the one that it has loaded.
+    pub model: Option<ModelId>,
+    /// Whether it has requests.
+    pub busy: bool,
+}
+
+/// Assigns a model to each worker of a zone; workers without one stay as they are.
+///
+/// A worker keeps its model while the sheet has it. Models below their least number of workers
+/// take first workers without a model, then those of the model with the largest surplus, idle
+/// before busy ones. All owners of a zone compute the same from the same input, and each acts on
+/// its own workers only.
+pub fn assign(places: &[Place], sheet: &Sheet) -> Map<WorkerId, Placement> {
+    let mut table = Table::new(places, sheet);
+    let mut models: Vec<&ModelId> = sheet.models.keys().collect();
+    models.sort();
+    for model in &models {
+        while table.count(model) < sheet.models[*model].workers {
+            let Some(worker) = table.donor(model) else {
+                break;
+            };
+            table.models[worker] = Some((*model).clone());
+        }
+    }
+    while let Some(worker) = table.models.iter().position(Option::is_none) {
+        let Some(model) = models.iter().min_by_key(|m| (table.count(m), **m)) else {
+            break;
+        };
+        table.models[worker] = Some((*model).clone());
+    }
+    let assigned = places.iter().zip(table.models);
+    let placed = assigned.filter_map(|(p, m)| Some((p.worker.clone(), placement(&m?, sheet)?)));
+    placed.collect()
+}
+
+fn placement(model: &ModelId, sheet: &Sheet) -> Option<Placement> {
+    let entry = sheet.models.get(model)?;
+    Some(Placement {
+        model: model.clone(),
+        version: entry.version.clone(),
+        adapters: entry.adapters.clone(),
+    })
+}
+
+/// Models of the workers while they are assigned.
+struct Table<'a> {
+    places: &'a [Place],
+    sheet: &'a Sheet,
+    models: Vec<Option<ModelId>>,
+}
+
+impl<'a> Table<'a> {
+    fn new(places: &'a [Place], sheet: &'a Sheet) -> Self {
+        let known = |p: &Place| p.model.clone().filter(|m| sheet.models.contains_key(m));
+        Self {
+            places,
+            sheet,
+            models: places.iter().map(known).collect(),
+        }
+    }
+
+    fn count(&self, model: &ModelId) -> u32 {
+        let with = self.models.iter().filter(|m| m.as_ref() == Some(model));
+        with.count() as u32
+    }
+
+    /// Returns the worker whose change to a model disturbs least.
+    fn donor(&self, model: &ModelId) -> Option<usize> {
+        let usable = (0..self.places.len()).filter_map(|i| Some((self.cost(i, model)?, i)));
+        usable.min().map(|(_, i)| i)
+    }
+
+    /// Returns the cost of giving a worker another model; nothing when its own model needs it.
+    fn cost(&self, i: usize, model: &ModelId) -> Option<(bool, Reverse<u32>, bool, Reverse<u64>)> {
+        let place = &self.places[i];
+        let tie = Reverse(ownership::score(model, &place.worker));
+        let Some(own) = &self.models[i] else {
+            return Some((false, Reverse(0), place.busy, tie));
+        };
+        let least = self.sheet.models[own].workers;
+        let surplus = self.count(own).checked_sub(least + 1)?;
+        (own != model).then_some((true, Reverse(surplus), place.busy, tie))
+    }
+}
--- a/src/sheet_log.rs
+++ b/src/sheet_log.rs
@@ -55,6 +55,11 @@
     format!("{SNAPSHOT_PREFIX}{revision:010}")
 }
 
+/// Returns the revision of an entry's name; nothing for a snapshot.
+pub fn revision_of(name: &str) -> Option<Revision> {
+    name.parse().ok()
+}
+
 /// Splits a sheet into its parts.
 ///
 /// # Errors
@@ -204,8 +209,8 @@
             let snapshot = Snapshot::deserialize(value);
             return snapshot.map_or(Offer::Known, |s| self.restore(s));
         }
-        match (name.parse(), Entry::deserialize(value)) {
-            (Ok(revision), Ok(entry)) => self.offer(revision, entry),
+        match (revision_of(name), Entry::deserialize(value)) {
+            (Some(revision), Ok(entry)) => self.offer(revision, entry),
             _ => Offer::Known,
         }
     }
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,54 @@
+//! Data folder: the last sheet, for a restart without platform and peers.
+
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    path::Path,
+};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ids::Version, sheet_log::Snapshot};
+
+/// File of the sheet.
+const SHEET_FILE: &str = "sheet.json";
+/// File that is written before it replaces the sheet.
+const SHEET_TEMP: &str = "sheet.json.new";
+
+/// A sheet in the data folder.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SavedSheet {
+    /// Version of the sheet's last change in the object service.
+    pub version: Version,
+    /// The sheet.
+    pub snapshot: Snapshot,
+}
+
+/// Replaces the saved sheet. A crash at any moment leaves the old or the new one.
+///
+/// # Errors
+///
+/// Returns the error of the file system.
+pub fn save_sheet(folder: &Path, sheet: &SavedSheet) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    let temp = folder.join(SHEET_TEMP);
+    let mut file = File::create(&temp)?;
+    file.write_all(&serde_json::to_vec(sheet)?)?;
+    file.sync_all()?;
+    fs::rename(&temp, folder.join(SHEET_FILE))?;
+    File::open(folder)?.sync_all()
+}
+
+/// Reads the saved sheet; nothing when there is none.
+///
+/// # Errors
+///
+/// Returns the error of the file system, or one for a file of another form.
+pub fn load_sheet(folder: &Path) -> io::Result<Option<SavedSheet>> {
+    match fs::read(folder.join(SHEET_FILE)) {
+        Ok(text) => Ok(Some(serde_json::from_slice(&text)?)),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(e),
+    }
+}
