--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -54,6 +54,7 @@
     views: Map<Watched, KindView>,
     live: Map<Zone, Vec<InstanceId>>,
     owners: Map<WorkerId, InstanceId>,
+    pulling: Set<Watched>,
     watching: bool,
     dirty: bool,
 }
@@ -69,9 +70,13 @@
             answered: false,
             contact: None,
             rng: fastrand::Rng::with_seed(seed),
-            views: Watched::ALL.iter().map(|k| (*k, KindView::default())).collect(),
+            views: Watched::ALL
+                .iter()
+                .map(|k| (*k, KindView::default()))
+                .collect(),
             live: Map::default(),
             owners: Map::default(),
+            pulling: Set::default(),
             watching: false,
             dirty: true,
         }
@@ -136,8 +141,9 @@
         let mut names: Vec<&Arc<str>> = view.objects().keys().collect();
         // Snapshots come last in this order and are applied first.
         names.sort_by(|a, b| b.cmp(a));
-        let (snapshots, entries): (Vec<_>, Vec<_>) =
-            names.into_iter().partition(|n| sheet_log::revision_of(n).is_none());
+        let (snapshots, entries): (Vec<_>, Vec<_>) = names
+            .into_iter()
+            .partition(|n| sheet_log::revision_of(n).is_none());
         for name in snapshots.into_iter().chain(entries.into_iter().rev()) {
             let head = self.log.head().revision;
             if sheet_log::revision_of(name).is_none_or(|r| r > head) {
@@ -150,7 +156,12 @@
             event!(Info, SheetInForce, "revision={revision}");
             metrics::sheet_revision(revision);
         } else if let Some(fault) = self.log.fault().filter(|f| Some(*f) != before.as_ref()) {
-            event!(Warn, SheetInvalid, "revision={} {fault}", self.log.head().revision);
+            event!(
+                Warn,
+                SheetInvalid,
+                "revision={} {fault}",
+                self.log.head().revision
+            );
         }
         self.compact();
     }
@@ -164,13 +175,14 @@
             return;
         };
         let long = view.objects().len() as u64 > 2 * SNAPSHOT_INTERVAL;
-        let last = view.objects().get(&*sheet_log::entry_name(snapshot.revision));
+        let last = view
+            .objects()
+            .get(&*sheet_log::entry_name(snapshot.revision));
         let (true, Some(version)) = (long, last.map(|o| o.version)) else {
             return;
         };
-        let covered = |name: &str| {
-            sheet_log::revision_of(name).is_none_or(|r| r <= snapshot.revision)
-        };
+        let covered =
+            |name: &str| sheet_log::revision_of(name).is_none_or(|r| r <= snapshot.revision);
         view.compact(covered, snapshot_object(snapshot, version));
     }
 
@@ -181,25 +193,27 @@
         self.members.set_relayed(&digest.heard, now);
         for load in digest.loads {
             if !self.owns(&load.worker) {
-                self.set_load(ctx, load, now);
+                let counts = Load {
+                    running: load.online + load.batch,
+                    waiting: load.waiting,
+                };
+                self.set_load(ctx, load, counts, now);
             }
         }
     }
 
-    /// Takes over the load of a worker.
-    pub fn set_load(&mut self, ctx: &Context, load: WorkerLoad, now: Duration) {
+    /// Takes over the load of a worker, and what was reported for its counts.
+    pub fn set_load(&mut self, ctx: &Context, load: WorkerLoad, counts: Load, now: Duration) {
         let known = self.loads.get(&load.worker).map(|k| &k.load);
         let same = known.is_some_and(|k| {
             (k.slots, k.leaving, &k.model, &k.version)
                 == (load.slots, load.leaving, &load.model, &load.version)
         });
         self.dirty |= !same;
-        let report = Load {
-            running: load.online + load.batch,
-            waiting: load.waiting,
-        };
         let slots = effective_slots(&load, &self.log.in_force().sheet);
-        ctx.workers.cell(&load.worker).set_report(report, slots, now);
+        ctx.workers
+            .cell(&load.worker)
+            .set_report(counts, slots, now);
         let worker = load.worker.clone();
         self.loads.insert(worker, KnownLoad { load, at: now });
     }
@@ -217,6 +231,22 @@
         }
     }
 
+    /// Says whether a pull of a kind may begin: one at a time, so that a change that several
+    /// peers tell of is pulled once.
+    pub fn begin_pull(&mut self, kind: Watched) -> bool {
+        self.pulling.insert(kind)
+    }
+
+    /// Notes that a pull of a kind has ended.
+    pub fn end_pull(&mut self, kind: Watched) {
+        self.pulling.remove(&kind);
+    }
+
+    /// Returns the batch owner of a worker.
+    pub fn owner(&self, worker: &WorkerId) -> Option<InstanceId> {
+        self.owners.get(worker).cloned()
+    }
+
     /// Says whether this instance is the batch owner of a worker.
     pub fn owns(&self, worker: &WorkerId) -> bool {
         self.owners.get(worker) == Some(&self.members.me().id)
@@ -249,7 +279,10 @@
     /// instance knows.
     pub fn places(&self, placed: &Map<WorkerId, Placement>) -> Vec<Place> {
         let zone = &self.members.me().zone;
-        let engines = self.members.targets().filter(|t| is_engine(t) && t.zone == *zone);
+        let engines = self
+            .members
+            .targets()
+            .filter(|t| is_engine(t) && t.zone == *zone);
         let mut places: Vec<Place> = engines
             .filter(|t| !self.is_leaving(t))
             .map(|t| self.place(t, placed.get(&t.id)))
@@ -340,14 +373,19 @@
         let plain = self.members.targets().filter(|t| !is_engine(t));
         let mut services: Vec<_> = plain.map(service_target).collect();
         services.sort_by(|a, b| a.id.cmp(&b.id));
-        let live = self.members.entries().filter(|m| self.members.is_live(m, now));
+        let live = self
+            .members
+            .entries()
+            .filter(|m| self.members.is_live(m, now));
         View {
             revision: force.revision,
             sheet: force.sheet.clone(),
             workers,
             services,
             jobs: self.view(Watched::Job).objects().clone(),
-            peers: live.map(|m| (m.identity.id.clone(), m.identity.address)).collect(),
+            peers: live
+                .map(|m| (m.identity.id.clone(), m.identity.address))
+                .collect(),
         }
     }
 
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,348 @@
+//! Reads load reports of workers, records placements and gives orders for owned workers.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use serde::Deserialize;
+
+use crate::{
+    backoff::Backoff,
+    control::{Control, unix_ms},
+    control_state::LOAD_FRESH,
+    engine::{LoadReport, Order, OrderError},
+    event,
+    ids::{Map, Set, Version, WorkerId},
+    orders::{Desk, Step, loads_weights},
+    peer::WorkerLoad,
+    placement::{Placement, Record},
+    platform::{Kind, ListedTarget, ReadError, TargetKind, WriteError},
+    weights::{SLOTS_NAME, Slots},
+    workers::Load,
+};
+
+/// Reads of workers that this instance does not own, in one interval. Owners tell the loads of
+/// their workers, so reads are left for workers of which no fresh load is known.
+const STALE_READS: usize = 8;
+/// Steps for one worker after one load report at most.
+const STEP_LIMIT: usize = 4;
+/// Tries to take or free a slot of the weight store.
+const SLOT_TRIES: usize = 3;
+/// Bound of the first wait for a slot of the weight store.
+const SLOT_BASE: Duration = Duration::from_millis(500);
+/// Bound of the longest wait for a slot of the weight store.
+const SLOT_CAP: Duration = Duration::from_secs(8);
+
+/// What this instance knows of the workers that it owns.
+#[derive(Default)]
+struct Fleet {
+    seats: Map<WorkerId, Seat>,
+    wanted: Map<WorkerId, Placement>,
+    reading: Set<WorkerId>,
+}
+
+/// An owned worker.
+struct Seat {
+    desk: Desk,
+    has_slot: bool,
+    backoff: Backoff,
+    not_before: Duration,
+}
+
+impl Default for Seat {
+    fn default() -> Self {
+        Self {
+            desk: Desk::default(),
+            has_slot: false,
+            backoff: Backoff::new(SLOT_BASE, SLOT_CAP),
+            not_before: Duration::ZERO,
+        }
+    }
+}
+
+type SharedFleet = Rc<RefCell<Fleet>>;
+
+/// Reads loads and keeps the owned workers at what the sheet wants.
+pub async fn run(control: Rc<Control>) {
+    let fleet = SharedFleet::default();
+    loop {
+        fleet.borrow_mut().plan(&control);
+        for target in due(&control) {
+            if fleet.borrow_mut().reading.insert(target.id.clone()) {
+                control.spawn(visit(control.clone(), fleet.clone(), target));
+            }
+        }
+        control.pause(control.ctx.settings.timeouts.load_poll).await;
+    }
+}
+
+impl Fleet {
+    /// Decides what the sheet wants of the zone's workers.
+    fn plan(&mut self, control: &Control) {
+        let state = control.state();
+        self.seats.retain(|worker, _| state.owns(worker));
+        let placed = self.seats.iter().filter_map(|(worker, seat)| {
+            let placement = seat.desk.placement()?;
+            Some((worker.clone(), placement.clone()))
+        });
+        let placed = placed.collect();
+        self.wanted = state.wanted(&placed);
+    }
+
+    fn seat(&mut self, worker: &WorkerId) -> &mut Seat {
+        self.seats.entry(worker.clone()).or_default()
+    }
+}
+
+/// Returns the workers whose load is to be read: owned ones, and some without a fresh load.
+fn due(control: &Control) -> Vec<ListedTarget> {
+    let state = control.state();
+    let now = control.now();
+    let engines = state
+        .members
+        .targets()
+        .filter(|t| t.kind == TargetKind::Engine);
+    let (mut due, others): (Vec<_>, Vec<_>) = engines.cloned().partition(|t| state.owns(&t.id));
+    let read = |t: &ListedTarget| state.loads.get(&t.id).map(|known| known.at);
+    let mut stale: Vec<_> = others
+        .into_iter()
+        .filter(|t| read(t).is_none_or(|at| now.saturating_sub(at) >= LOAD_FRESH))
+        .collect();
+    stale.sort_by_key(|t| (read(t), t.id.clone()));
+    due.extend(stale.into_iter().take(STALE_READS));
+    due
+}
+
+async fn visit(control: Rc<Control>, fleet: SharedFleet, target: ListedTarget) {
+    let report = control.ctx.engine.load(target.address).await;
+    if let Some(report) = report {
+        take_report(&control, &target.id, &report);
+        let acts = {
+            let state = control.state();
+            let has_sheet = state.log.in_force().revision > 0;
+            state.owns(&target.id) && state.is_in_touch(control.now()) && has_sheet
+        };
+        if acts {
+            reconcile(&control, &fleet, &target, &report).await;
+        }
+    }
+    fleet.borrow_mut().reading.remove(&target.id);
+}
+
+fn take_report(control: &Control, worker: &WorkerId, report: &LoadReport) {
+    let known = control.ctx.workers.cell(worker).known();
+    let mut state = control.state();
+    let batch = if state.owns(worker) {
+        known.batch.min(report.running)
+    } else {
+        0
+    };
+    let load = WorkerLoad {
+        worker: worker.clone(),
+        slots: report.slots,
+        online: report.running - batch,
+        batch,
+        waiting: report.waiting,
+        leaving: report.leaving,
+        model: report.model.clone(),
+        version: report.version.clone(),
+    };
+    let counts = Load {
+        running: report.running,
+        waiting: report.waiting,
+    };
+    state.set_load(&control.ctx, load, counts, control.now());
+}
+
+/// Brings the record of a worker in line with the sheet and the worker in line with the record.
+async fn reconcile(
+    control: &Control,
+    fleet: &SharedFleet,
+    target: &ListedTarget,
+    report: &LoadReport,
+) {
+    for _ in 0..STEP_LIMIT {
+        let revision = control.state().log.in_force().revision;
+        let now = control.now();
+        let step = {
+            let mut fleet = fleet.borrow_mut();
+            let wanted = fleet.wanted.get(&target.id).cloned();
+            let desk = &mut fleet.seat(&target.id).desk;
+            desk.next(wanted.as_ref(), revision, report, now)
+        };
+        let goes_on = match step {
+            Step::Idle => {
+                free_slot(control, fleet, &target.id).await;
+                false
+            }
+            Step::Read => read(control, fleet, &target.id).await,
+            Step::Write(version) => write(control, fleet, &target.id, version).await,
+            Step::Order(order) => {
+                give(control, fleet, target, report, order).await;
+                false
+            }
+        };
+        if !goes_on {
+            return;
+        }
+    }
+}
+
+async fn read_record(
+    control: &Control,
+    worker: &str,
+) -> Result<Option<(Version, Record)>, ReadError> {
+    let object = control.ctx.platform.get(Kind::Placement, worker).await?;
+    let record = object.map(|o| Record::deserialize(&o.value).map(|r| (o.version, r)));
+    record.transpose().map_err(|_| ReadError::Unavailable)
+}
+
+async fn read(control: &Control, fleet: &SharedFleet, worker: &WorkerId) -> bool {
+    let Ok(record) = read_record(control, worker).await else {
+        return false;
+    };
+    fleet.borrow_mut().seat(worker).desk.set_read(record);
+    // What the record says can change what is wanted of the zone.
+    fleet.borrow_mut().plan(control);
+    true
+}
+
+async fn write(
+    control: &Control,
+    fleet: &SharedFleet,
+    worker: &WorkerId,
+    version: Option<Version>,
+) -> bool {
+    let Some(placement) = fleet.borrow().wanted.get(worker).cloned() else {
+        return false;
+    };
+    let me = &control.ctx.settings.instance;
+    let record = {
+        let mut state = control.state();
+        let token = format!("{me}-{:016x}", state.rng.u64(..));
+        Record {
+            placement,
+            revision: state.log.in_force().revision,
+            owner: me.clone(),
+            token: token.into(),
+        }
+    };
+    let platform = &control.ctx.platform;
+    let written = match version {
+        Some(version) => {
+            platform
+                .update(Kind::Placement, worker, version, &record)
+                .await
+        }
+        None => platform.create(Kind::Placement, worker, &record).await,
+    };
+    let mut fleet = fleet.borrow_mut();
+    let desk = &mut fleet.seat(worker).desk;
+    let Ok(fence) = written else {
+        desk.forget();
+        return false;
+    };
+    let Placement { model, version, .. } = &record.placement;
+    event!(
+        Info,
+        PlacementChosen,
+        "worker={worker} model={model} version={version} fence={fence}"
+    );
+    desk.set_written(fence, record);
+    true
+}
+
+async fn give(
+    control: &Control,
+    fleet: &SharedFleet,
+    target: &ListedTarget,
+    report: &LoadReport,
+    order: Order,
+) {
+    if loads_weights(&order) && !take_slot(control, fleet, &target.id).await {
+        return;
+    }
+    let Ok(record) = read_record(control, &target.id).await else {
+        return;
+    };
+    if !fleet
+        .borrow_mut()
+        .seat(&target.id)
+        .desk
+        .confirm(&order, record)
+    {
+        return;
+    }
+    let answer = control.ctx.engine.order(target.address, &order).await;
+    let (worker, fence) = (&target.id, order.fence);
+    let mut fleet = fleet.borrow_mut();
+    let desk = &mut fleet.seat(worker).desk;
+    match answer {
+        Ok(()) => {
+            event!(
+                Info,
+                OrderGiven,
+                "worker={worker} fence={fence} action={:?}",
+                order.action
+            );
+            desk.set_given(order, report, control.now());
+        }
+        Err(OrderError::Stale) => {
+            event!(Warn, OrderStale, "worker={worker} fence={fence}");
+            desk.forget();
+        }
+        Err(OrderError::Failed) => event!(Warn, OrderFailed, "worker={worker} fence={fence}"),
+    }
+}
+
+async fn take_slot(control: &Control, fleet: &SharedFleet, worker: &WorkerId) -> bool {
+    let now = control.now();
+    if fleet.borrow_mut().seat(worker).not_before > now {
+        return false;
+    }
+    let taken = change_slots(control, |slots| slots.take(worker, unix_ms())).await;
+    let mut fleet = fleet.borrow_mut();
+    let seat = fleet.seat(worker);
+    seat.has_slot = taken;
+    if taken {
+        seat.backoff.succeed();
+    } else {
+        seat.not_before = now + seat.backoff.fail(&mut control.state().rng);
+    }
+    taken
+}
+
+async fn free_slot(control: &Control, fleet: &SharedFleet, worker: &WorkerId) {
+    if std::mem::take(&mut fleet.borrow_mut().seat(worker).has_slot) {
+        change_slots(control, |slots| slots.free(worker)).await;
+    }
+}
+
+/// Changes the slots of the weight store by a conditional update. A slot whose write got no
+/// answer counts as not taken; it expires.
+async fn change_slots(control: &Control, change: impl Fn(&mut Slots) -> bool) -> bool {
+    let platform = &control.ctx.platform;
+    for _ in 0..SLOT_TRIES {
+        let Ok(object) = platform.get(Kind::Weights, SLOTS_NAME).await else {
+            return false;
+        };
+        let version = object.as_ref().map(|o| o.version);
+        let slots = object.map(|o| Slots::deserialize(&o.value).unwrap_or_default());
+        let mut slots = slots.unwrap_or_default();
+        if !change(&mut slots) {
+            return false;
+        }
+        let written = match version {
+            Some(version) => {
+                platform
+                    .update(Kind::Weights, SLOTS_NAME, version, &slots)
+                    .await
+            }
+            None => platform.create(Kind::Weights, SLOTS_NAME, &slots).await,
+        };
+        match written {
+            Ok(_) => return true,
+            Err(WriteError::Conflict) => {}
+            Err(_) => return false,
+        }
+    }
+    false
+}
--- a/src/members.rs
+++ b/src/members.rs
@@ -100,9 +100,14 @@
     numbered.map(change).collect()
 }
 
+/// Returns the name of an entry instance in the versioned instance list.
+pub fn entry_name(id: &str) -> String {
+    format!("{ENTRY_PREFIX}{id}")
+}
+
 fn listed_objects(list: &InstanceList) -> Map<Arc<str>, Value> {
     let entries = list.entries.iter().map(|e| {
-        let name = format!("{ENTRY_PREFIX}{}", e.id);
+        let name = entry_name(&e.id);
         (name.into(), serde_json::to_value(e).unwrap_or_default())
     });
     let targets = list.targets.iter().map(|t| {
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -8,9 +8,9 @@
     placement::{Placement, Record},
 };
 
-/// Wait before an order is repeated while the load report does not show it yet: loading takes
-/// time, and reports lag.
-pub const REPEAT_WAIT: Duration = Duration::from_secs(5);
+/// Wait before an order is repeated while the load report does not show its effect: reports lag,
+/// and an order that arrives during a load starts the load again.
+pub const REPEAT_WAIT: Duration = Duration::from_secs(60);
 
 /// What the owner of a worker does next.
 #[derive(Debug, Clone, PartialEq)]
@@ -33,18 +33,33 @@
     Record(Version, Record),
 }
 
+/// An order that was given.
+#[derive(Debug, Clone, PartialEq)]
+struct Given {
+    order: Order,
+    at: Duration,
+    loaded: Option<Loaded>,
+}
+
+/// What a load report shows as loaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Loaded {
+    model: Arc<str>,
+    version: Arc<str>,
+}
+
 /// Orders for one worker.
 #[derive(Debug, Clone)]
 pub struct Desk {
     known: Known,
-    ordered: Option<(Order, Duration)>,
+    given: Option<Given>,
 }
 
 impl Default for Desk {
     fn default() -> Self {
         Self {
             known: Known::Unread,
-            ordered: None,
+            given: None,
         }
     }
 }
@@ -85,13 +100,11 @@
             return Step::Write(Some(version));
         }
         let Some(order) = order(version, &record.placement, report) else {
-            self.ordered = None;
+            self.given = None;
             return Step::Idle;
         };
-        match &self.ordered {
-            Some((last, at)) if *last == order && now.saturating_sub(*at) < REPEAT_WAIT => {
-                Step::Idle
-            }
+        match &self.given {
+            Some(given) if given.order == order && given.is_pending(report, now) => Step::Idle,
             _ => Step::Order(order),
         }
     }
@@ -125,41 +138,60 @@
         same
     }
 
-    /// Notes that an order was given.
-    pub fn set_ordered(&mut self, order: Order, now: Duration) {
-        self.ordered = Some((order, now));
+    /// Notes that the engine took an order after it had sent a load report.
+    pub fn set_given(&mut self, order: Order, report: &LoadReport, now: Duration) {
+        self.given = Some(Given {
+            order,
+            at: now,
+            loaded: loaded(report),
+        });
+    }
+}
+
+impl Given {
+    /// Says whether the order may still take effect. It may not when the engine has loaded
+    /// something else since then, by an order of another instance.
+    fn is_pending(&self, report: &LoadReport, now: Duration) -> bool {
+        let loaded = loaded(report);
+        let other = loaded.is_some() && loaded != self.loaded;
+        !other && now.saturating_sub(self.at) < REPEAT_WAIT
     }
 }
 
+fn loaded(report: &LoadReport) -> Option<Loaded> {
+    let model = report.model.clone()?;
+    Some(Loaded {
+        model,
+        version: report.version.clone(),
+    })
+}
+
 /// Returns the order that brings a worker closer to its placement; nothing when it is there.
 pub fn order(fence: Fence, placement: &Placement, report: &LoadReport) -> Option<Order> {
     let loaded = report.model.as_ref() == Some(&placement.model);
     if !loaded || report.version != placement.version {
-        return Some(Order {
-            version: Some(placement.version.clone()),
-            ..build(fence, Action::Load, &placement.model, None)
-        });
+        return Some(build(fence, Action::Load, placement, None));
     }
     let missing = placement
         .adapters
         .iter()
         .find(|a| !report.adapters.contains(a));
     if let Some(adapter) = missing {
-        return Some(build(fence, Action::Load, &placement.model, Some(adapter)));
+        return Some(build(fence, Action::Load, placement, Some(adapter)));
     }
     let extra = report
         .adapters
         .iter()
         .find(|a| !placement.adapters.contains(a));
-    extra.map(|a| build(fence, Action::Unload, &placement.model, Some(a)))
+    extra.map(|a| build(fence, Action::Unload, placement, Some(a)))
 }
 
-fn build(fence: Fence, action: Action, model: &Arc<str>, adapter: Option<&Arc<str>>) -> Order {
+fn build(fence: Fence, action: Action, to: &Placement, adapter: Option<&Arc<str>>) -> Order {
     Order {
         fence,
         action,
-        model: Some(model.clone()),
-        version: None,
+        model: Some(to.model.clone()),
+        version: Some(to.version.clone()),
         adapter: adapter.cloned(),
         role: None,
     }
--- /dev/null
+++ b/src/peer_server.rs
@@ -0,0 +1,116 @@
+//! Server for the other entry instances.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use async_io::Timer;
+use capnp::{Error, message::ReaderOptions};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use futures::AsyncReadExt;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::{
+    control::Control,
+    exchange,
+    ids::{InstanceId, WorkerId},
+    peer::{read_digest, write_changes, write_digest},
+    peer_capnp::peer,
+    peer_stream::Counted,
+    spread::Watched,
+};
+
+/// Time without a call after which a connection is closed. A caller that went silent does not
+/// close its side.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// Wait after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
+/// Serves the calls of one connection.
+struct Session {
+    control: Rc<Control>,
+    last: Rc<Cell<Instant>>,
+}
+
+/// Accepts connections of other entry instances.
+pub async fn serve(control: Rc<Control>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => control.spawn(run(control.clone(), stream)),
+            Err(e) => {
+                log::warn!("cannot accept a peer: {e}");
+                Timer::after(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn run(control: Rc<Control>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let last = Rc::new(Cell::new(Instant::now()));
+    let session = Session {
+        control,
+        last: last.clone(),
+    };
+    let (reader, writer) = Counted(stream).split();
+    let network = VatNetwork::new(reader, writer, Side::Server, ReaderOptions::new());
+    let client: peer::Client = capnp_rpc::new_client(session);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let work = async {
+        let _ = system.await;
+    };
+    smol::future::or(work, wait_idle(last)).await;
+}
+
+async fn wait_idle(last: Rc<Cell<Instant>>) {
+    while last.get().elapsed() < IDLE_LIMIT {
+        Timer::at(last.get() + IDLE_LIMIT).await;
+    }
+}
+
+impl peer::Server for Session {
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer::ExchangeParams,
+        mut results: peer::ExchangeResults,
+    ) -> Result<(), Error> {
+        self.last.set(Instant::now());
+        let digest = read_digest(params.get()?.get_digest()?)?;
+        let answer = exchange::answer(&self.control, digest);
+        write_digest(&answer, results.get().init_digest());
+        Ok(())
+    }
+
+    async fn changes(
+        self: Rc<Self>,
+        params: peer::ChangesParams,
+        mut results: peer::ChangesResults,
+    ) -> Result<(), Error> {
+        self.last.set(Instant::now());
+        let params = params.get()?;
+        let kind = Watched::parse(params.get_kind()?.to_str()?)
+            .ok_or_else(|| Error::failed("no such kind is watched".into()))?;
+        let delta = self.control.state().view(kind).since(params.get_since());
+        let mut to = results.get();
+        to.set_version(delta.version);
+        to.set_full(delta.full);
+        write_changes(&delta, to.init_changes(delta.changes.len() as u32));
+        Ok(())
+    }
+
+    async fn online(
+        self: Rc<Self>,
+        params: peer::OnlineParams,
+        _: peer::OnlineResults,
+    ) -> Result<(), Error> {
+        self.last.set(Instant::now());
+        let params = params.get()?;
+        let instance: InstanceId = params.get_instance()?.to_str()?.into();
+        let worker: WorkerId = params.get_worker()?.to_str()?.into();
+        let cell = self.control.ctx.workers.cell(&worker);
+        cell.set_peer_level(&instance, params.get_level(), self.control.now());
+        Ok(())
+    }
+}
--- a/src/status.rs
+++ b/src/status.rs
@@ -25,8 +25,7 @@
 pub type SharedStatus = Arc<ArcSwap<Status>>;
 
 /// Part of the status that operators see.
-#[derive(Debug, Clone, Default, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct Report {
     /// Sheet in force.
     pub sheet: SheetReport,
@@ -41,8 +40,7 @@
 }
 
 /// The sheet in a status.
-#[derive(Debug, Clone, Default, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
 pub struct SheetReport {
     /// Revision in force.
     pub revision: Revision,
@@ -53,8 +51,7 @@
 }
 
 /// An entry instance in a status.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct MemberReport {
     /// Name.
     pub instance: InstanceId,
@@ -71,8 +68,7 @@
 }
 
 /// A worker in a status.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct WorkerReport {
     /// Name.
     pub worker: WorkerId,
@@ -93,8 +89,7 @@
 }
 
 /// A view of a watched kind in a status.
-#[derive(Debug, Clone, PartialEq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ViewReport {
     /// Kind.
     pub kind: &'static str,
@@ -109,8 +104,7 @@
 }
 
 /// Calls of other entry instances in a status.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct PeerCounts {
     /// Exchanges that were answered.
     pub exchanges: u64,
--- /dev/null
+++ b/src/watch.rs
@@ -0,0 +1,239 @@
+//! Watches of the platform: sheet, jobs and instance list, by two instances of each zone.
+//!
+//! The instance list is polled by the watchers as well and spread like the other kinds. At the
+//! target size it is about 1.5 MB long, so polls by all 370 instances every 2 s would be 185
+//! calls and 280 MB a second; 16 watchers make 8 calls a second.
+
+use std::{rc::Rc, time::Duration};
+
+use async_io::Timer;
+
+use crate::{
+    backoff::Backoff,
+    control::{Control, unix_ms},
+    drain::Phase,
+    members::{self, list_changes},
+    platform::{Kind, ListState, ListedEntry, Listing, Object, ReadError},
+    sheet_log::{self, Snapshot},
+    spread::{Delta, Watched},
+};
+
+/// Longest wait of a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Interval of reads of the instance list.
+const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which an instance looks whether it is a watcher, or about to stop.
+const ROLE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which an instance that is missing on the list registers again.
+const REGISTER_AGAIN: Duration = Duration::from_secs(10);
+/// Bound of the first wait after the platform did not answer.
+const RETRY_BASE: Duration = Duration::from_millis(200);
+/// Bound of the longest wait after the platform did not answer.
+const RETRY_CAP: Duration = Duration::from_secs(10);
+/// Objects in a page of a listing.
+const PAGE: usize = 500;
+
+/// Keeps the view of a kind up to date while this instance is a watcher.
+pub async fn run(control: Rc<Control>, kind: Watched, stored: Kind) {
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+    let mut list_first = true;
+    loop {
+        if !control.state().watches(control.now()) {
+            control.pause(ROLE_INTERVAL).await;
+            continue;
+        }
+        let since = control.state().view(kind).version();
+        let result = if list_first {
+            list_all(&control, stored).await
+        } else {
+            let changes = control.ctx.platform.watch(stored, since, WATCH_WAIT).await;
+            changes.map(|c| Delta::of_watch(since, c))
+        };
+        match result {
+            Ok(delta) => {
+                list_first = false;
+                touch(&control, &mut backoff, kind.as_str());
+                if kind == Watched::Sheet {
+                    control.state().answered = true;
+                }
+                control.merge(kind, delta);
+            }
+            Err(ReadError::Gone) => list_first = true,
+            Err(ReadError::Unavailable) => wait(&control, &mut backoff, kind.as_str()).await,
+        }
+    }
+}
+
+fn touch(control: &Control, backoff: &mut Backoff, kind: &str) {
+    control.state().contact = Some(control.now());
+    if backoff.failures() > 0 {
+        backoff.succeed();
+        control.log_platform(kind, 0);
+    }
+}
+
+async fn wait(control: &Control, backoff: &mut Backoff, kind: &str) {
+    let time = backoff.fail(&mut control.state().rng);
+    control.log_platform(kind, backoff.failures());
+    Timer::after(time).await;
+}
+
+/// Lists a kind in pages. The sheet log is read from its latest snapshot on.
+async fn list_all(control: &Control, kind: Kind) -> Result<Delta, ReadError> {
+    let platform = &control.ctx.platform;
+    let mut items = Vec::new();
+    let mut version = None;
+    let mut after = String::new();
+    if kind == Kind::Sheet {
+        let page = platform.list(Kind::SheetSnapshot, "", "", PAGE).await?;
+        version = Some(page.version);
+        if let Some(snapshot) = page.items.into_iter().next_back() {
+            after = snapshot.name.to_string();
+            items.push(Object {
+                name: sheet_log::snapshot_name(sheet_log::revision_of(&after).unwrap_or(0)).into(),
+                ..snapshot
+            });
+        }
+    }
+    loop {
+        let page = platform.list(kind, "", &after, PAGE).await?;
+        version.get_or_insert(page.version);
+        let last = page.items.len() < PAGE;
+        if let Some(object) = page.items.last() {
+            after = object.name.to_string();
+        }
+        items.extend(page.items);
+        if last {
+            break;
+        }
+    }
+    Ok(Delta::of_listing(Listing {
+        version: version.unwrap_or_default(),
+        items,
+    }))
+}
+
+/// Reads the entries of the sheet log that this instance lacks, without waiting for a watch.
+pub async fn refresh(control: Rc<Control>) {
+    let after = sheet_log::entry_name(control.state().log.head().revision);
+    if let Ok(page) = control
+        .ctx
+        .platform
+        .list(Kind::Sheet, "", &after, PAGE)
+        .await
+    {
+        let now = control.now();
+        control.state().learn(Watched::Sheet, page.items, now);
+        control.publish_soon();
+    }
+}
+
+/// Reads the instance list while this instance is a watcher.
+pub async fn run_instances(control: Rc<Control>) {
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+    loop {
+        if !control.state().watches(control.now()) {
+            control.pause(ROLE_INTERVAL).await;
+            continue;
+        }
+        match control.ctx.platform.instances().await {
+            Ok(list) => {
+                touch(&control, &mut backoff, Watched::Instances.as_str());
+                take_list(&control, &list);
+                control.pause(LIST_INTERVAL).await;
+            }
+            Err(_) => wait(&control, &mut backoff, Watched::Instances.as_str()).await,
+        }
+    }
+}
+
+fn take_list(control: &Control, list: &crate::platform::InstanceList) {
+    let delta = {
+        let state = control.state();
+        let view = state.view(Watched::Instances);
+        let changes = list_changes(view.objects(), list, view.version(), unix_ms());
+        let Some(last) = changes.last() else {
+            return;
+        };
+        Delta {
+            since: view.version(),
+            version: last.version,
+            full: false,
+            changes,
+        }
+    };
+    control.merge(Watched::Instances, delta);
+}
+
+/// Keeps this instance on the platform's list, with its state.
+pub async fn run_register(control: Rc<Control>) {
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+    let mut done: Option<(ListState, Duration)> = None;
+    loop {
+        let entry = own_entry(&control);
+        let now = control.now();
+        let current = done.is_some_and(|(state, at)| {
+            let recent = now.saturating_sub(at) < REGISTER_AGAIN;
+            state == entry.state && (recent || is_listed(&control, &entry))
+        });
+        if current {
+            control.pause(ROLE_INTERVAL).await;
+            continue;
+        }
+        match control.ctx.platform.register(&entry).await {
+            Ok(()) => {
+                backoff.succeed();
+                done = Some((entry.state, now));
+            }
+            Err(_) => {
+                let time = backoff.fail(&mut control.state().rng);
+                Timer::after(time).await;
+            }
+        }
+    }
+}
+
+fn own_entry(control: &Control) -> ListedEntry {
+    let settings = &control.ctx.settings;
+    let state = match control.ctx.drain.phase() {
+        Phase::Running => ListState::Live,
+        Phase::Leaving | Phase::Draining => ListState::Leaving,
+    };
+    ListedEntry {
+        id: settings.instance.clone(),
+        session: control.ctx.session,
+        address: settings.callers,
+        peer_address: settings.peer,
+        zone: settings.zone.clone(),
+        state,
+    }
+}
+
+fn is_listed(control: &Control, entry: &ListedEntry) -> bool {
+    let state = control.state();
+    let name = members::entry_name(&entry.id);
+    let listed = state.view(Watched::Instances).objects().get(&*name);
+    listed.is_some_and(|o| serde_json::to_value(entry).is_ok_and(|v| v == o.value))
+}
+
+/// Writes a snapshot of the sheet and removes all but the one before it.
+pub async fn write_snapshot(platform: &crate::platform::Platform, snapshot: &Snapshot) {
+    let name = sheet_log::entry_name(snapshot.revision);
+    if let Err(e) = platform.create(Kind::SheetSnapshot, &name, snapshot).await {
+        log::warn!(
+            "cannot write the snapshot of revision {}: {e}",
+            snapshot.revision
+        );
+        return;
+    }
+    let Ok(page) = platform.list(Kind::SheetSnapshot, "", "", PAGE).await else {
+        return;
+    };
+    let kept = 2;
+    let old = page.items.len().saturating_sub(kept);
+    for object in &page.items[..old] {
+        let _ = platform
+            .delete(Kind::SheetSnapshot, &object.name, object.version)
+            .await;
+    }
+}
