--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,23 +3,45 @@
 //! docs/design.md describes the modules, the state and its owners, and the messages.
 
 pub mod admit;
+pub mod backoff;
 pub mod cli;
 pub mod context;
+pub mod control;
+pub mod control_state;
 pub mod dial;
 pub mod drain;
 pub mod engine;
 pub mod events;
+pub mod exchange;
 pub mod exit;
+pub mod fleet;
 pub mod ids;
+pub mod levels;
+pub mod members;
+pub mod metrics;
+pub mod orders;
+pub mod ownership;
+pub mod peer;
+pub mod peer_client;
+pub mod peer_server;
+pub mod peer_stream;
+pub mod placement;
 pub mod platform;
 pub mod refusal;
 pub mod route;
 pub mod schedule;
 pub mod settings;
 pub mod sheet;
+pub mod sheet_log;
+pub mod sheet_push;
+pub mod spread;
+pub mod status;
+pub mod store;
 pub mod stream;
 pub mod verdict;
 pub mod view;
+pub mod watch;
+pub mod weights;
 pub mod workers;
 
 /// Generated from schema/peer.capnp.
