--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! docs/design.md describes the modules, the state and its owners, and the messages.
 
+pub mod admin;
 pub mod admit;
 pub mod backoff;
 pub mod cli;
@@ -27,6 +28,7 @@
 pub mod peer_stream;
 pub mod placement;
 pub mod platform;
+pub mod push;
 pub mod route;
 pub mod schedule;
 pub mod settings;
--- /dev/null
+++ b/src/push.rs
@@ -0,0 +1,184 @@
+//! Pushes a sheet: brings the log up to date, then drives the conditional create.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+
+use crate::{
+    backoff::Backoff,
+    context::{Command, Context},
+    event,
+    ids::Revision,
+    platform::{Kind, Platform, ReadError},
+    sheet::RawSheet,
+    sheet_log::{Entry, SNAPSHOT_INTERVAL, SheetLog, entry_name},
+    sheet_push::{Outcome, Push, Step, Winner},
+    watch,
+};
+
+/// Entries in a page of the log.
+const PAGE: usize = 500;
+/// Bound of the first wait before a call of a push is repeated.
+const RETRY_BASE: Duration = Duration::from_millis(50);
+/// Bound of the longest wait before a call of a push is repeated.
+const RETRY_CAP: Duration = Duration::from_secs(1);
+
+/// A sheet to push.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The sheet.
+    pub raw: RawSheet,
+    /// Revision that the operator's sheet follows; the last one when it is missing.
+    pub base: Option<Revision>,
+    /// Token by which a resend is recognised; a new one when it is missing.
+    pub token: Option<Arc<str>>,
+}
+
+/// Why a push failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// The sheet or its base is wrong; one line says why.
+    Invalid(String),
+    /// Another operator's revision came first.
+    Lost(Winner),
+    /// The platform does not answer and nothing was written.
+    NotRun,
+    /// The platform does not answer and the sheet may have been written.
+    MayHaveRun,
+}
+
+/// Pushes a sheet and returns its revision.
+///
+/// # Errors
+///
+/// Returns why the sheet is not, or may not be, in the log.
+pub async fn push(ctx: &Context, request: Request) -> Result<Revision, Refusal> {
+    let known = ctx.status.load().log.clone();
+    let log = catch_up(&ctx.platform, &known)
+        .await
+        .map_err(|_| Refusal::NotRun)?;
+    let token = request.token.clone().unwrap_or_else(|| new_token(ctx));
+    let head = log.head();
+    if let Some(base) = request.base.filter(|b| *b != head.revision) {
+        return other_base(&ctx.platform, base, head.revision, &token).await;
+    }
+    let push = Push::new(&request.raw, head, token.clone());
+    let push = push.map_err(|e| Refusal::Invalid(format!("{e:#}")))?;
+    let Some(mut push) = push else {
+        return Ok(head.revision);
+    };
+    let outcome = drive(&ctx.platform, &mut push).await;
+    event!(
+        Info,
+        SheetPushed,
+        "revision={} token={token} outcome={outcome:?}",
+        push.revision
+    );
+    let revision = settle(outcome)?;
+    let _ = ctx.commands.try_send(Command::Refresh);
+    if revision.is_multiple_of(SNAPSHOT_INTERVAL) {
+        save_snapshot(ctx.platform.clone(), log, push.entry);
+    }
+    Ok(revision)
+}
+
+fn new_token(ctx: &Context) -> Arc<str> {
+    format!("{}-{:016x}", ctx.settings.instance, fastrand::u64(..)).into()
+}
+
+/// Returns the log with all entries that the platform has. What this instance knows from its
+/// peers can be seconds old, and an operator who pushes twice must not race with himself.
+async fn catch_up(platform: &Platform, known: &SheetLog) -> Result<SheetLog, ReadError> {
+    let mut log = known.clone();
+    if log.head().revision == 0 {
+        for change in watch::list_all(platform, Kind::Sheet).await?.changes {
+            if let Some(value) = &change.value {
+                log.offer_object(&change.name, value);
+            }
+        }
+    }
+    loop {
+        let after = entry_name(log.head().revision);
+        let page = platform.list(Kind::Sheet, "", &after, PAGE).await?;
+        for object in &page.items {
+            log.offer_object(&object.name, &object.value);
+        }
+        if page.items.len() < PAGE {
+            return Ok(log);
+        }
+    }
+}
+
+/// Answers a push whose base is not the last revision.
+async fn other_base(
+    platform: &Platform,
+    base: Revision,
+    head: Revision,
+    token: &Arc<str>,
+) -> Result<Revision, Refusal> {
+    if base > head {
+        return Err(Refusal::Invalid(format!(
+            "base revision {base} is after the last revision {head}; read the sheet again"
+        )));
+    }
+    let revision = base + 1;
+    match read_token(platform, revision).await {
+        Ok(Some(found)) if found == *token => Ok(revision),
+        Ok(token) => Err(Refusal::Lost(Winner { revision, token })),
+        Err(_) => Err(Refusal::Lost(Winner {
+            revision,
+            token: None,
+        })),
+    }
+}
+
+async fn drive(platform: &Platform, push: &mut Push) -> Outcome {
+    let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+    let mut rng = fastrand::Rng::new();
+    let name = entry_name(push.revision);
+    let mut first = true;
+    loop {
+        let step = push.step().clone();
+        if !std::mem::take(&mut first) && !matches!(step, Step::Done(_)) {
+            Timer::after(backoff.fail(&mut rng)).await;
+        }
+        match step {
+            Step::Create => {
+                let answer = platform.create(Kind::Sheet, &name, &push.entry).await;
+                push.created(answer.map(|_| ()));
+            }
+            Step::Read => push.read(read_token(platform, push.revision).await),
+            Step::Done(outcome) => return outcome,
+        }
+    }
+}
+
+async fn read_token(
+    platform: &Platform,
+    revision: Revision,
+) -> Result<Option<Arc<str>>, ReadError> {
+    let object = platform.get(Kind::Sheet, &entry_name(revision)).await?;
+    let token = object.and_then(|o| o.value["token"].as_str().map(Into::into));
+    Ok(token)
+}
+
+fn settle(outcome: Outcome) -> Result<Revision, Refusal> {
+    match outcome {
+        Outcome::Accepted(revision) => Ok(revision),
+        Outcome::Lost(winner) => Err(Refusal::Lost(winner)),
+        Outcome::TooLarge => Err(Refusal::Invalid(
+            "the changed parts are over the size limit of an object; push them in several steps"
+                .into(),
+        )),
+        Outcome::NotRun => Err(Refusal::NotRun),
+        Outcome::MayHaveRun => Err(Refusal::MayHaveRun),
+    }
+}
+
+fn save_snapshot(platform: Platform, mut log: SheetLog, entry: Entry) {
+    let task = async move {
+        log.offer(entry.base + 1, entry);
+        watch::write_snapshot(&platform, log.head()).await;
+    };
+    async_global_executor::spawn(task).detach();
+}
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -13,7 +13,7 @@
     control::{Control, unix_ms},
     drain::Phase,
     members::{self, list_changes},
-    platform::{Kind, ListState, ListedEntry, Listing, Object, ReadError},
+    platform::{InstanceList, Kind, ListState, ListedEntry, Listing, Object, Platform, ReadError},
     sheet_log::{self, Snapshot},
     spread::{Delta, Watched},
 };
@@ -30,6 +30,8 @@
 const RETRY_BASE: Duration = Duration::from_millis(200);
 /// Bound of the longest wait after the platform did not answer.
 const RETRY_CAP: Duration = Duration::from_secs(10);
+/// Snapshots of the sheet that are kept. A reader may still use the one before the last.
+const SNAPSHOTS_KEPT: usize = 2;
 /// Objects in a page of a listing.
 const PAGE: usize = 500;
 
@@ -44,7 +46,7 @@
         }
         let since = control.state().view(kind).version();
         let result = if list_first {
-            list_all(&control, stored).await
+            list_all(&control.ctx.platform, stored).await
         } else {
             let changes = control.ctx.platform.watch(stored, since, WATCH_WAIT).await;
             changes.map(|c| Delta::of_watch(since, c))
@@ -79,8 +81,11 @@
 }
 
 /// Lists a kind in pages. The sheet log is read from its latest snapshot on.
-async fn list_all(control: &Control, kind: Kind) -> Result<Delta, ReadError> {
-    let platform = &control.ctx.platform;
+///
+/// # Errors
+///
+/// Returns [`ReadError::Unavailable`] when the platform does not answer.
+pub async fn list_all(platform: &Platform, kind: Kind) -> Result<Delta, ReadError> {
     let mut items = Vec::new();
     let mut version = None;
     let mut after = String::new();
@@ -147,7 +152,7 @@
     }
 }
 
-fn take_list(control: &Control, list: &crate::platform::InstanceList) {
+fn take_list(control: &Control, list: &InstanceList) {
     let delta = {
         let state = control.state();
         let view = state.view(Watched::Instances);
@@ -217,7 +222,7 @@
 }
 
 /// Writes a snapshot of the sheet and removes all but the one before it.
-pub async fn write_snapshot(platform: &crate::platform::Platform, snapshot: &Snapshot) {
+pub async fn write_snapshot(platform: &Platform, snapshot: &Snapshot) {
     let name = sheet_log::entry_name(snapshot.revision);
     if let Err(e) = platform.create(Kind::SheetSnapshot, &name, snapshot).await {
         log::warn!(
@@ -229,8 +234,7 @@
     let Ok(page) = platform.list(Kind::SheetSnapshot, "", "", PAGE).await else {
         return;
     };
-    let kept = 2;
-    let old = page.items.len().saturating_sub(kept);
+    let old = page.items.len().saturating_sub(SNAPSHOTS_KEPT);
     for object in &page.items[..old] {
         let _ = platform
             .delete(Kind::SheetSnapshot, &object.name, object.version)
