Test placement, orders, members and online levels; tell new owners of running requests

Cause: a new owner did not learn of online requests that began under the earlier one; after a pause an instance took itself for the owner of all workers because it had heard nobody. Change: the repair of notices looks at all workers in use; a gap of more than 1 s between two looks of control starts the listing grace anew and stops orders until a peer or the platform answers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -40,6 +40,8 @@
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of the status for operators.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a look at what to publish after which this instance was paused.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 /// Least interval between two writes of the sheet to the data folder.
 const SAVE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -57,6 +59,7 @@
 /// What was published last.
 #[derive(Default)]
 struct Published {
+    looked: Duration,
     status: Duration,
     log: Arc<SheetLog>,
     saved: Option<(Revision, Duration)>,
@@ -189,6 +192,10 @@
     fn publish(&self, published: &mut Published) {
         let now = self.now();
         let mut state = self.state();
+        let looked = std::mem::replace(&mut published.looked, now);
+        if now.saturating_sub(looked) > PAUSE_LIMIT {
+            state.resume(now);
+        }
         if self.ctx.drain.phase() != Phase::Running {
             state.members.leave();
         }
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -252,6 +252,12 @@
         self.owners.get(worker) == Some(&self.members.me().id)
     }
 
+    /// Starts anew after a pause of this instance.
+    pub fn resume(&mut self, now: Duration) {
+        self.members.resume(now);
+        self.contact = None;
+    }
+
     /// Says whether this instance has heard of anything lately. After a pause it has not, and
     /// what it believes to own may have another owner.
     pub fn is_in_touch(&self, now: Duration) -> bool {
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -95,13 +95,24 @@
 async fn run_repair(control: Rc<Control>, levels: Rc<RefCell<Levels>>) {
     loop {
         control.pause(control.ctx.settings.timeouts.exchange).await;
-        let workers = levels.borrow().workers();
+        let mut workers: Set<WorkerId> = levels.borrow().workers().into_iter().collect();
+        workers.extend(in_use(&control));
         for worker in workers {
             control.spawn(tell(control.clone(), levels.clone(), worker));
         }
     }
 }
 
+/// Returns the workers of other owners on which this instance has online requests. A new owner
+/// has to be told of requests that began under the earlier one.
+fn in_use(control: &Control) -> Vec<WorkerId> {
+    let me = &control.ctx.settings.instance;
+    let view = control.ctx.view.load();
+    let foreign = view.workers.iter().filter(|w| w.owner.as_ref() != Some(me));
+    let used = foreign.filter(|w| control.ctx.workers.cell(&w.id).online() > 0);
+    used.map(|w| w.id.clone()).collect()
+}
+
 /// Tells the owner of a worker the present level, until what was told is the present level.
 async fn tell(control: Rc<Control>, levels: Rc<RefCell<Levels>>, worker: WorkerId) {
     let me = &control.ctx.settings.instance;
--- a/src/members.rs
+++ b/src/members.rs
@@ -235,6 +235,15 @@
         identity.leaving = self.left.contains(&run);
     }
 
+    /// Starts anew after a pause of this instance, in which it heard nobody. Instances on the list
+    /// count as live until they had time to be heard; else this one would take all for dead and
+    /// itself for the owner of all workers.
+    pub fn resume(&mut self, now: Duration) {
+        for member in self.entries.values_mut() {
+            member.listed = member.listed.map(|_| now);
+        }
+    }
+
     /// Takes over heartbeats that another instance passed on. They count for instances that are
     /// on the list or were heard here before.
     pub fn set_relayed(&mut self, heard: &[Heard], now: Duration) {
--- /dev/null
+++ b/tests/control_orders.rs
@@ -0,0 +1,118 @@
+//! Placement, orders and notices over real engines and several controls.
+
+mod control_support;
+
+use std::time::Duration;
+
+use control_support::{Instance, Process, http, sheet, wait};
+use gentianpath::context::Command;
+use serde_json::{Value, json};
+
+const ZONE: &str = "tas-south-a";
+const MODEL: &str = "coinread";
+
+fn engine(platform: &Process, id: &str, more: &[&str]) -> Process {
+    let address = platform.address.to_string();
+    let mut options = vec!["--id", id, "--zone", ZONE, "--platform", &address];
+    options.extend(more);
+    Process::start("standin-engine", &options)
+}
+
+fn loaded(engine: &Process) -> (Value, Value) {
+    let load: Value = serde_json::from_str(&http("GET", engine.address, "/load", "").1).unwrap();
+    (load["model"].clone(), load["version"].clone())
+}
+
+fn has(engine: &Process, version: &str) -> bool {
+    loaded(engine) == (json!(MODEL), json!(version))
+}
+
+/// Guards against engines that do not follow the sheet, and against an order of an owner that was
+/// paused: an engine that checks refuses it, another one is corrected at the next report.
+#[test]
+fn engines_follow_the_sheet_and_a_stale_order_is_undone() {
+    let platform = Process::platform();
+    let checking = engine(&platform, "w1", &["--check-fence"]);
+    let ignoring = engine(&platform, "w2", &[]);
+    let _a = Instance::simple(platform.address, "a", ZONE);
+    let b = Instance::simple(platform.address, "b", ZONE);
+    for version in ["v1", "v2"] {
+        b.push(sheet(MODEL, version, 4), None).unwrap();
+        wait(version, || {
+            has(&checking, version) && has(&ignoring, version)
+        });
+    }
+    let stale = json!({ "fence": 1, "action": "load", "model": MODEL, "version": "v1" });
+    let order = |engine: &Process| http("POST", engine.address, "/orders", &stale.to_string()).0;
+    assert_eq!(order(&checking), 409);
+    assert_eq!(order(&ignoring), 200);
+    wait("the stale order shows", || !has(&ignoring, "v2"));
+    wait("the stale order is undone", || has(&ignoring, "v2"));
+    assert!(has(&checking, "v2"));
+    wait("the view shows the models", || {
+        let view = b.ctx.view.load();
+        let right = |w: &&_| right_version(w);
+        view.workers.iter().filter(right).count() == 2
+    });
+    wait("slots of the weight store are free", || {
+        let slots = http("GET", platform.address, "/objects/weights/slots", "").1;
+        let slots: Value = serde_json::from_str(&slots).unwrap();
+        slots["value"]["taken"] == json!([])
+    });
+}
+
+fn right_version(worker: &gentianpath::view::WorkerInfo) -> bool {
+    worker.model.as_deref() == Some(MODEL) && &*worker.version == "v2" && worker.slots == 4
+}
+
+/// Guards against an owner that does not learn of online requests which another instance sends to
+/// its worker, or of their end.
+#[test]
+fn the_owner_learns_the_level_of_online_requests() {
+    let platform = Process::platform();
+    let _engine = engine(&platform, "w1", &["--model", MODEL]);
+    let mut pair = [
+        Instance::simple(platform.address, "a", ZONE),
+        Instance::simple(platform.address, "b", ZONE),
+    ];
+    let owner_of = |i: &Instance| {
+        let view = i.ctx.view.load();
+        let both = view.peers.len() == 1;
+        view.workers
+            .first()
+            .filter(|_| both)
+            .and_then(|w| w.owner.clone())
+    };
+    wait("both agree on the owner", || {
+        let owner = owner_of(&pair[0]);
+        owner.is_some() && owner == owner_of(&pair[1])
+    });
+    let owner = owner_of(&pair[0]).unwrap();
+    if *owner == *"b" {
+        pair.swap(0, 1);
+    }
+    let [owning, sending] = &pair;
+    let worker: gentianpath::ids::WorkerId = "w1".into();
+    let notify = || {
+        let (worker, owner) = (worker.clone(), owner.clone());
+        let command = Command::OnlineLevel { worker, owner };
+        sending.ctx.commands.try_send(command).unwrap();
+    };
+    let level = || owning.ctx.workers.cell(&worker).known().online;
+    let cell = sending.ctx.workers.cell(&worker);
+    let guards: Vec<_> = (0..3).map(|_| cell.begin_online(Duration::ZERO)).collect();
+    notify();
+    wait("the owner knows of three", || level() == 3);
+    drop(guards);
+    notify();
+    wait("the owner knows of none", || level() == 0);
+    // The level of an instance that is gone must not keep batch work away for ever.
+    let _guard = cell.begin_online(Duration::ZERO);
+    notify();
+    wait("the owner knows of one", || level() == 1);
+    let [owning, sending] = pair;
+    drop(sending);
+    wait("the level of a lost instance is forgotten", || {
+        owning.ctx.workers.cell(&worker).known().online == 0
+    });
+}
