Add the pure parts and the path of online requests

Cause: the design page describes the path of online requests, and no code serves it.

Change: chat parsing, limits, health of targets, records of non-repeatable requests (state machine and driver), placement with a queue, attempts with resumes and retries, plain services, and bounds on callers' connections.

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -24,6 +24,18 @@
 #[derive(Debug)]
 pub struct ActiveGuard<'a>(&'a Drain);
 
+/// Counts a caller request until it is dropped; for state that must not borrow.
+#[derive(Debug)]
+pub struct OwnedGuard<T: AsRef<Drain>>(T);
+
+impl<T: AsRef<Drain>> OwnedGuard<T> {
+    /// Counts a caller request of the drain that `owner` holds.
+    pub fn begin(owner: T) -> Self {
+        owner.as_ref().active.fetch_add(1, Ordering::AcqRel);
+        Self(owner)
+    }
+}
+
 impl Drain {
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
@@ -56,3 +68,9 @@
         self.0.active.fetch_sub(1, Ordering::AcqRel);
     }
 }
+
+impl<T: AsRef<Drain>> Drop for OwnedGuard<T> {
+    fn drop(&mut self) {
+        self.0.as_ref().active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -159,10 +159,12 @@
             .with_request_header("content-type", "application/json")
             .with_request_header(REQUEST_HEADER, request.id.to_string())
             .with_body(body);
-        self.start(conn, &request.id, 0).await
+        self.start(conn, &request.id, 0, self.timeouts.first_token)
+            .await
     }
 
-    /// Continues a stream from an event number on a new connection.
+    /// Continues a stream from an event number on a new connection. The wait for the first event
+    /// was spent on the first connection, so the limit on silence holds from the start.
     ///
     /// # Errors
     ///
@@ -174,7 +176,8 @@
         from: u64,
     ) -> Result<EngineStream, RequestError> {
         let url = format!("http://{address}/streams/{id}/resume?from={from}");
-        self.start(self.client.post(url), id, from).await
+        self.start(self.client.post(url), id, from, self.timeouts.stall)
+            .await
     }
 
     /// Cancels a stream. The engine keeps its state for a resume as long as it has room.
@@ -217,10 +220,11 @@
         conn: Conn,
         id: &RequestId,
         from: u64,
+        limit: Duration,
     ) -> Result<EngineStream, RequestError> {
         let opened = async { conn.into_sse().await.map_err(open_error) };
         let timeout = async {
-            async_io::Timer::after(self.timeouts.first_token).await;
+            async_io::Timer::after(limit).await;
             Err(RequestError::may_have_run(
                 Reason::Timeout,
                 "the worker did not answer in time",
@@ -230,7 +234,7 @@
         Ok(EngineStream {
             events,
             order: Reassembly::new(id.clone(), from),
-            first: self.timeouts.first_token,
+            first: limit,
             stall: self.timeouts.stall,
         })
     }
@@ -300,13 +304,17 @@
     }
 }
 
+/// Only the engine's own word makes a refusal not-run; any other status says nothing about it.
 fn status_error(status: u16, refused: bool) -> RequestError {
-    match (status, refused) {
-        (400 | 413 | 422, _) => {
-            RequestError::not_run(Reason::Invalid, "the worker refused the request as invalid")
-        }
-        (404, _) => RequestError::not_run(Reason::NotFound, "the worker does not have it"),
-        (_, true) => RequestError::not_run(Reason::Overloaded, "the worker refused the request"),
-        _ => RequestError::may_have_run(Reason::TargetFailed, "the worker failed"),
+    let (reason, message) = match (status, refused) {
+        (400 | 413 | 422, _) => (Reason::Invalid, "the worker refused the request as invalid"),
+        (404, _) => (Reason::NotFound, "the worker does not have it"),
+        (_, true) => (Reason::Overloaded, "the worker refused the request"),
+        _ => (Reason::TargetFailed, "the worker failed"),
+    };
+    if refused {
+        RequestError::not_run(reason, message)
+    } else {
+        RequestError::may_have_run(reason, message)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 //! docs/design.md describes the modules, the state and its owners, and the messages.
 
 pub mod admit;
+pub mod caller;
+pub mod chat;
 pub mod cli;
 pub mod context;
 pub mod dial;
@@ -10,8 +12,17 @@
 pub mod engine;
 pub mod events;
 pub mod exit;
+pub mod forward;
+pub mod health;
+pub mod http;
 pub mod ids;
+pub mod limits;
+pub mod once;
+pub mod once_store;
+pub mod online;
+pub mod plain;
 pub mod platform;
+pub mod reply;
 pub mod route;
 pub mod schedule;
 pub mod settings;
--- /dev/null
+++ b/src/plain.rs
@@ -0,0 +1,361 @@
+//! Forwards calls to the targets of plain services.
+
+use std::sync::Arc;
+
+use async_io::Timer;
+use futures::AsyncReadExt;
+use percent_encoding::percent_decode_str;
+use trillium::{Headers, Method};
+use trillium_client::{Client, Conn};
+use trillium_server_common::url::Url;
+
+use crate::{
+    dial,
+    engine::REFUSED_HEADER,
+    event,
+    forward::Repeat,
+    ids::ServiceId,
+    once::{Outcome, STORED_BYTES, Stored},
+    once_store::Entry,
+    online::{Online, RETRY_AFTER},
+    reply::{self, Header, Reply, Terms},
+    settings::Timeouts,
+    sheet::{Call, Service},
+    verdict::{Reason, RequestError, Verdict},
+    view::ServiceTarget,
+};
+
+/// Attempts of one call at most.
+const ATTEMPTS: usize = 4;
+/// Size of one read of an answer.
+const READ_BYTES: usize = 16 << 10;
+/// Headers that belong to one connection and are not forwarded.
+const HOP_HEADERS: &[&str] = &[
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Serves calls of plain services.
+#[derive(Debug)]
+pub struct Services {
+    /// State that is shared with the chat path.
+    pub online: Arc<Online>,
+    client: Client,
+}
+
+/// A call of a plain service.
+#[derive(Debug, Clone)]
+pub struct PlainCall {
+    service: ServiceId,
+    method: Method,
+    url: Url,
+    headers: Vec<Header>,
+    body: Arc<[u8]>,
+}
+
+/// What a target answered.
+#[derive(Debug)]
+struct Answered {
+    status: u16,
+    headers: Vec<Header>,
+    body: Vec<u8>,
+}
+
+impl PlainCall {
+    /// Builds a call from its parts; `path` is the path below the service.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a path that cannot stand in a URL.
+    pub fn new(
+        service: &str,
+        method: Method,
+        path: &str,
+        query: &str,
+        headers: Vec<Header>,
+        body: Vec<u8>,
+    ) -> Result<Self, RequestError> {
+        let mut url = Url::parse("http://127.0.0.1/")
+            .map_err(|_| RequestError::not_run(Reason::Invalid, "the path is malformed"))?;
+        url.set_path(path);
+        url.set_query(Some(query).filter(|q| !q.is_empty()));
+        Ok(Self {
+            service: service.into(),
+            method,
+            url,
+            headers,
+            body: body.into(),
+        })
+    }
+
+    /// Returns the call in the form in which the sheet lists it. Spellings of a path that a target
+    /// may take for the same one give the same call.
+    pub fn listed(&self) -> Call {
+        let decoded = percent_decode_str(self.url.path()).decode_utf8_lossy();
+        let parts: Vec<&str> = decoded.split('/').filter(|p| !p.is_empty()).collect();
+        Call {
+            method: self.method.as_str().to_ascii_uppercase().into(),
+            path: format!("/{}", parts.join("/")).into(),
+        }
+    }
+
+    fn conn(&self, client: &Client, target: &ServiceTarget) -> Conn {
+        let mut url = self.url.clone();
+        let _ = url.set_ip_host(target.address.ip());
+        let _ = url.set_port(Some(target.address.port()));
+        let mut conn = client.build_conn(self.method, url);
+        for header in &self.headers {
+            let headers = conn.request_headers_mut();
+            headers.append(header.name.clone(), header.value.clone());
+        }
+        conn.with_body(self.body.to_vec())
+    }
+}
+
+/// Returns the headers that are forwarded.
+pub fn own_headers(headers: &Headers) -> Vec<Header> {
+    let mut own = Vec::new();
+    for (name, values) in headers.iter() {
+        let name = name.to_string();
+        if HOP_HEADERS.contains(&name.to_ascii_lowercase().as_str()) {
+            continue;
+        }
+        for value in values.iter().filter_map(|v| v.as_str()) {
+            own.push(Header {
+                name: name.clone(),
+                value: value.to_owned(),
+            });
+        }
+    }
+    own
+}
+
+impl Services {
+    /// Builds the state for an entry instance.
+    pub fn new(online: Arc<Online>) -> Arc<Self> {
+        let client = dial::client(online.ctx.settings.timeouts.connect);
+        Arc::new(Self { online, client })
+    }
+
+    /// Serves one call.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a call that is not answered.
+    pub async fn call(&self, mut terms: Terms, call: PlainCall) -> Result<Reply, RequestError> {
+        let _team = self.online.enter_team(&terms.team)?;
+        if self.never(&call)? {
+            terms.repeat = Repeat::Never;
+        }
+        let method = call.method.as_str().as_bytes();
+        let content = [&*call.service, call.url.as_str()].map(str::as_bytes);
+        let content = [content[0], method, content[1], &call.body];
+        let record = match reply::enter(&self.online, &terms, &content).await? {
+            Some(Entry::Return(stored)) => return Ok(stored.into()),
+            Some(Entry::Dispatch(record)) => Some(record),
+            None => None,
+        };
+        match self.send(&terms, &call).await {
+            Ok(answered) => {
+                if let Some(record) = record {
+                    record.finish(Outcome::Answered(answered.stored())).await;
+                }
+                Ok(answered.into_reply())
+            }
+            Err(error) => {
+                reply::close_failed(record, &error).await;
+                Err(error)
+            }
+        }
+    }
+
+    /// Says whether the sheet lists the call as non-repeatable.
+    fn never(&self, call: &PlainCall) -> Result<bool, RequestError> {
+        let view = self.online.ctx.view.load();
+        match view.sheet.services.get(&call.service) {
+            Some(Service::Plain(calls)) => Ok(calls.contains(&call.listed())),
+            Some(Service::Model(_)) => Err(RequestError::not_run(
+                Reason::NotFound,
+                "a model answers this service; use /v1/chat/completions",
+            )),
+            None => {
+                let message = format!("no service '{}'", call.service);
+                Err(RequestError::not_run(Reason::NotFound, message))
+            }
+        }
+    }
+
+    /// Sends the call to one target after another, as far as its terms allow.
+    async fn send(&self, terms: &Terms, call: &PlainCall) -> Result<Answered, RequestError> {
+        let mut in_doubt = false;
+        let mut last = RequestError::not_run(Reason::Unavailable, "no target of the service")
+            .with_retry_after(RETRY_AFTER);
+        for target in self.targets(&call.service).iter().take(ATTEMPTS) {
+            event!(
+                Info,
+                RouteChosen,
+                "request={} target={} zone={}",
+                terms.id,
+                target.id,
+                target.zone
+            );
+            self.online.chosen(&target.id);
+            let error = match self.exchange(call, target).await {
+                Ok(answered) => {
+                    self.online.worked(&target.id);
+                    return Ok(answered);
+                }
+                Err(error) => error,
+            };
+            if error.reason != Reason::Overloaded && error.reason != Reason::TooLarge {
+                self.online.failed(&target.id);
+            }
+            in_doubt |= error.verdict == Verdict::MayHaveRun;
+            let reached = error.reason != Reason::Unavailable;
+            let ends = error.reason == Reason::TooLarge
+                || in_doubt && terms.repeat == Repeat::Never
+                || reached && !self.online.may_retry();
+            last = error;
+            if ends {
+                break;
+            }
+        }
+        if in_doubt {
+            last.verdict = Verdict::MayHaveRun;
+        }
+        Err(last)
+    }
+
+    /// Returns the targets of a service in the order in which they are tried: own zone first,
+    /// ejected ones last.
+    fn targets(&self, service: &ServiceId) -> Vec<ServiceTarget> {
+        let view = self.online.ctx.view.load();
+        let ejected = self.online.ejected();
+        let zone = &self.online.ctx.settings.zone;
+        let usable = |t: &&ServiceTarget| t.service == *service && !t.leaving;
+        let mut targets: Vec<ServiceTarget> =
+            view.services.iter().filter(usable).cloned().collect();
+        fastrand::shuffle(&mut targets);
+        targets.sort_by_key(|t| (ejected.contains(&t.id), t.zone != *zone));
+        targets
+    }
+
+    async fn exchange(
+        &self,
+        call: &PlainCall,
+        target: &ServiceTarget,
+    ) -> Result<Answered, RequestError> {
+        let settings = &self.online.ctx.settings;
+        let mut conn = call.conn(&self.client, target);
+        let sent = async { (&mut conn).await.map_err(|e| send_error(&e)) };
+        within(settings.timeouts.first_token, sent).await?;
+        let status = conn.status().map_or(0, u16::from);
+        let refused = conn.response_headers().get_str(REFUSED_HEADER) == Some("not-run");
+        if refused && matches!(status, 429 | 503) {
+            let message = "the target refused the call";
+            return Err(
+                RequestError::not_run(Reason::Overloaded, message).with_retry_after(RETRY_AFTER)
+            );
+        }
+        let headers = own_headers(conn.response_headers());
+        let body = read_answer(&mut conn, settings.limits.answer, &settings.timeouts).await?;
+        Ok(Answered {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+async fn read_answer(
+    conn: &mut Conn,
+    limit: usize,
+    timeouts: &Timeouts,
+) -> Result<Vec<u8>, RequestError> {
+    let mut bytes = Vec::new();
+    let mut buffer = vec![0; READ_BYTES];
+    let mut body = conn.response_body();
+    loop {
+        let read = async { body.read(&mut buffer).await.map_err(|_| broken()) };
+        let count = within(timeouts.stall, read).await?;
+        if count == 0 {
+            return Ok(bytes);
+        }
+        if bytes.len() + count > limit {
+            return Err(RequestError::may_have_run(
+                Reason::TooLarge,
+                "the answer is over the size limit",
+            ));
+        }
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+}
+
+async fn within<T>(
+    limit: std::time::Duration,
+    work: impl Future<Output = Result<T, RequestError>>,
+) -> Result<T, RequestError> {
+    let timeout = async {
+        Timer::after(limit).await;
+        Err(RequestError::may_have_run(
+            Reason::Timeout,
+            "the target did not answer in time",
+        ))
+    };
+    smol::future::or(work, timeout).await
+}
+
+fn send_error(error: &trillium_client::Error) -> RequestError {
+    if dial::never_left(error) {
+        return RequestError::not_run(Reason::Unavailable, "the target cannot be reached")
+            .with_retry_after(RETRY_AFTER);
+    }
+    broken()
+}
+
+fn broken() -> RequestError {
+    RequestError::may_have_run(Reason::TargetFailed, "the target broke the connection")
+}
+
+impl Answered {
+    fn kind(&self) -> Arc<str> {
+        let named = |h: &&Header| h.name.eq_ignore_ascii_case("content-type");
+        match self.headers.iter().find(named) {
+            Some(header) => header.value.as_str().into(),
+            None => "application/octet-stream".into(),
+        }
+    }
+
+    /// Returns what a record keeps; nothing when the body is too large or not text.
+    fn stored(&self) -> Option<Stored> {
+        if self.body.len() > STORED_BYTES {
+            return None;
+        }
+        let body = std::str::from_utf8(&self.body).ok()?;
+        Some(Stored {
+            status: self.status,
+            kind: self.kind(),
+            body: body.into(),
+        })
+    }
+
+    fn into_reply(mut self) -> Reply {
+        let kind = self.kind();
+        self.headers
+            .retain(|h| !h.name.eq_ignore_ascii_case("content-type"));
+        Reply {
+            status: self.status,
+            kind,
+            headers: self.headers,
+            body: self.body.into(),
+        }
+    }
+}
--- /dev/null
+++ b/tests/online_limits.rs
@@ -0,0 +1,121 @@
+//! Limits, queue, retry budget and health of targets.
+
+use std::{sync::Arc, time::Duration};
+
+use gentianpath::{
+    health::Health,
+    ids::{ModelId, TeamId},
+    limits::{Budget, Queue, Teams, Turned},
+};
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn id(text: &str) -> Arc<str> {
+    text.into()
+}
+
+/// Guards against a team that takes more than its share, and against counts that never fall.
+#[test]
+fn team_is_held_to_its_limit() {
+    let (a, b): (TeamId, TeamId) = (id("a"), id("b"));
+    let mut teams = Teams::default();
+    assert!(teams.enter(&a, Some(2)));
+    assert!(teams.enter(&a, Some(2)));
+    assert!(!teams.enter(&a, Some(2)));
+    assert!(teams.enter(&b, Some(1)));
+    teams.leave(&a);
+    assert!(teams.enter(&a, Some(2)));
+    assert_eq!(teams.active(&a), 2);
+}
+
+/// Guards against a queue that grows without bound, and against a count of waiting requests that
+/// falls when a request leaves twice.
+#[test]
+fn queue_is_bounded_in_length() {
+    let model: ModelId = id("m");
+    let mut queue = Queue::new(2, ms(100));
+    let first = queue.join(&model).expect("room");
+    queue.join(&model).expect("room");
+    assert_eq!(queue.join(&model), Err(Turned::Full));
+    queue.leave(&model, first);
+    queue.leave(&model, first);
+    queue.join(&model).expect("room again");
+    assert_eq!(queue.join(&model), Err(Turned::Full));
+}
+
+/// Guards against a request that waits out its bound although the wait was foreseeable.
+#[test]
+fn request_that_would_wait_too_long_is_refused_early() {
+    let model: ModelId = id("m");
+    let mut queue = Queue::new(100, ms(100));
+    for _ in 0..2 {
+        queue.started(&model);
+    }
+    queue.started(&model);
+    queue.ended(&model, ms(80));
+    // Two run for 80 ms each, so that one ends every 40 ms: the third would wait for 120 ms.
+    queue.join(&model).expect("40 ms");
+    queue.join(&model).expect("80 ms");
+    assert_eq!(queue.join(&model), Err(Turned::TooLong { wait: ms(120) }));
+}
+
+/// Guards against requests of one model that wait behind those of another.
+#[test]
+fn models_wait_apart_and_in_order() {
+    let (m, n): (ModelId, ModelId) = (id("m"), id("n"));
+    let mut queue = Queue::new(10, ms(100));
+    let first = queue.join(&m).expect("room");
+    let second = queue.join(&m).expect("room");
+    let other = queue.join(&n).expect("room");
+    assert_eq!(queue.head(&m), Some(first));
+    assert_eq!(queue.head(&n), Some(other));
+    queue.leave(&m, first);
+    assert_eq!(queue.head(&m), Some(second));
+}
+
+/// Guards against retries that multiply the load of a failing fleet.
+#[test]
+fn retries_stay_at_a_tenth_of_requests() {
+    let mut budget = Budget::default();
+    let saved = (0..1000).filter(|_| budget.retry()).count();
+    assert_eq!(saved, 10);
+    let mut made = 0;
+    for _ in 0..1000 {
+        budget.request();
+        made += u32::from(budget.retry());
+    }
+    assert_eq!(made, 100);
+}
+
+/// Guards against requests that go to a worker which refuses every connection, and against one
+/// that is never tried again.
+#[test]
+fn failing_target_is_ejected_and_probed() {
+    let target = id("w");
+    let mut health = Health::default();
+    let now = ms(1000);
+    health.failed(&target, now);
+    health.failed(&target, now);
+    assert!(health.ejected(now).is_empty());
+    health.failed(&target, now);
+    assert_eq!(health.ejected(now), vec![target.clone()]);
+
+    let later = now + ms(1000);
+    assert!(health.ejected(later).is_empty(), "time for a probe");
+    health.chosen(&target, later);
+    assert_eq!(
+        health.ejected(later),
+        vec![target.clone()],
+        "one probe only"
+    );
+    health.failed(&target, later);
+    assert_eq!(
+        health.ejected(later + ms(1500)),
+        vec![target.clone()],
+        "the ejection grows"
+    );
+    health.worked(&target);
+    assert!(health.ejected(later).is_empty());
+}
