Add tests of whole answers against the stand-in engine

Cause: the path of online requests had tests of its pure parts only.

When no worker is left, the failure of the latest attempt is told. The stand-in engine ignored its streams for clients that send Connection: close, because trillium closes before an upgrade; it now drops that header from the request.

--- a/src/forward.rs
+++ b/src/forward.rs
@@ -37,6 +37,8 @@
     attempts: u32,
     tried: Vec<WorkerId>,
     in_doubt: bool,
+    /// Failure of the latest attempt.
+    last: Option<RequestError>,
     live: Option<Live>,
 }
 
@@ -71,6 +73,7 @@
             attempts: 0,
             tried: Vec::new(),
             in_doubt: false,
+            last: None,
             live: None,
         }
     }
@@ -146,19 +149,16 @@
 
     /// Opens a stream on a worker that was not tried before.
     async fn open(&mut self) -> Result<Live, RequestError> {
-        let mut last = None;
         loop {
             let placed = self
                 .online
                 .place(&self.id, &self.request.model, &self.tried)
-                .await
-                .map_err(|e| self.judge(last.take().unwrap_or(e)))?;
+                .await;
+            // With no worker left the failure of the latest attempt tells the caller more.
+            let placed = placed.map_err(|e| self.judge(self.last.clone().unwrap_or(e)))?;
             match self.attempt(placed).await {
                 Ok(live) => return Ok(live),
-                Err(error) => {
-                    self.again(error.clone())?;
-                    last = Some(error);
-                }
+                Err(error) => self.again(error)?,
             }
         }
     }
@@ -213,7 +213,7 @@
     }
 
     /// Lets the request go on to another worker, or ends it with the error.
-    fn again(&self, error: RequestError) -> Result<(), RequestError> {
+    fn again(&mut self, error: RequestError) -> Result<(), RequestError> {
         let final_reason = matches!(error.reason, Reason::Invalid | Reason::TooLarge);
         if final_reason || self.forwarded || self.attempts >= ATTEMPTS {
             return Err(self.judge(error));
@@ -226,6 +226,7 @@
         if reached && !self.online.may_retry() {
             return Err(self.judge(error));
         }
+        self.last = Some(error);
         Ok(())
     }
 
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -373,7 +373,9 @@
 }
 
 /// Answers with the head of an event stream; the events follow on the upgraded connection.
-fn start(conn: Conn, start: Start) -> Conn {
+fn start(mut conn: Conn, start: Start) -> Conn {
+    // An answer to a request with `Connection: close` would end before the upgrade.
+    conn.request_headers_mut().remove("connection");
     conn.with_status(200)
         .with_response_header("content-type", "text/event-stream")
         .with_state(start)
--- /dev/null
+++ b/tests/online_common/mod.rs
@@ -0,0 +1,399 @@
+//! An entry's caller side with engines, plain services and a platform, all in one process.
+
+#![allow(dead_code)]
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use clap::Parser;
+use gentianpath::{
+    caller::CallerBounds,
+    context::{Command, Context},
+    http,
+    route::Router,
+    settings::Settings,
+    sheet::Sheet,
+    view::{ServiceTarget, View, WorkerInfo},
+};
+use serde_json::{Value, json};
+use smol::channel::Receiver;
+use standins::{engine, host, host::Host, platform};
+
+/// Model that all engines have.
+pub const MODEL: &str = "m";
+/// Slots of an engine.
+pub const SLOTS: u32 = 4;
+/// Bound on a read of a test, so that a fault ends the test and does not hang it.
+const READ_LIMIT: Duration = Duration::from_secs(30);
+
+/// A stand-in engine or plain service.
+pub struct Target {
+    pub id: String,
+    pub engine: engine::Engine,
+    pub host: Host,
+}
+
+/// A stand-in platform.
+pub struct Platform {
+    pub host: Host,
+}
+
+/// An entry's caller side.
+pub struct Entry {
+    pub ctx: Arc<Context>,
+    pub address: SocketAddr,
+    pub commands: Receiver<Command>,
+    _host: Host,
+}
+
+/// An answer to a caller.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+}
+
+/// Text of a stream and how it ended.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Events {
+    pub text: String,
+    pub done: u32,
+    pub errors: Vec<Value>,
+}
+
+pub fn target(id: &str, options: &[&str]) -> Target {
+    let args = ["standin-engine", "--id", id, "--slots", "4"];
+    let args = args.iter().chain(options);
+    let engine = engine::Engine::new(engine::Options::parse_from(args));
+    let host = serve(engine.clone());
+    Target {
+        id: id.into(),
+        engine,
+        host,
+    }
+}
+
+pub fn worker(id: &str, options: &[&str]) -> Target {
+    target(
+        id,
+        &[&["--model", MODEL, "--token-ms", "1"], options].concat(),
+    )
+}
+
+pub fn platform() -> Platform {
+    let options = platform::Options::parse_from(["standin-platform"]);
+    Platform {
+        host: serve(platform::Platform::new(options)),
+    }
+}
+
+fn serve(handler: impl trillium::Handler) -> Host {
+    let listener = host::listen(([127, 0, 0, 1], 0).into()).expect("a free port");
+    async_global_executor::block_on(async { host::serve(listener, handler) }).expect("a server")
+}
+
+impl Target {
+    pub fn address(&self) -> SocketAddr {
+        self.host.address
+    }
+
+    pub fn faults(&self, faults: Value) {
+        set_faults(self.host.address, &faults);
+    }
+
+    pub fn runs(&self) -> Vec<engine::Run> {
+        self.engine.lock().runs.clone()
+    }
+
+    pub fn calls(&self) -> usize {
+        self.engine.lock().calls.len()
+    }
+
+    /// Waits until no run is under way and returns the runs.
+    pub fn settled(&self) -> Vec<engine::Run> {
+        wait_until(|| {
+            let runs = self.runs();
+            runs.iter().all(|r| r.state != engine::RunState::Running)
+        });
+        self.runs()
+    }
+
+    pub fn info(&self) -> WorkerInfo {
+        info(&self.id, self.address())
+    }
+}
+
+impl Platform {
+    pub fn faults(&self, faults: Value) {
+        set_faults(self.host.address, &faults);
+    }
+}
+
+fn set_faults(address: SocketAddr, faults: &Value) {
+    let answer = post(address, "/faults", &[], &faults.to_string());
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
+
+/// Waits for a state that must come, whatever time it takes.
+pub fn wait_until(reached: impl Fn() -> bool) {
+    while !reached() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn info(id: &str, address: SocketAddr) -> WorkerInfo {
+    WorkerInfo {
+        id: id.into(),
+        address,
+        zone: "z".into(),
+        model: Some(MODEL.into()),
+        version: "1".into(),
+        slots: SLOTS,
+        leaving: false,
+        owner: None,
+    }
+}
+
+pub fn service_target(target: &Target, service: &str, zone: &str) -> ServiceTarget {
+    ServiceTarget {
+        id: target.id.as_str().into(),
+        service: service.into(),
+        address: target.address(),
+        zone: zone.into(),
+        leaving: false,
+    }
+}
+
+pub fn sheet() -> Sheet {
+    let sheet = json!({
+        "deployment": "test", "throughput_weight": 0.5,
+        "models": [{ "name": MODEL, "version": "1", "slots": SLOTS }],
+        "services": [{ "name": "lm", "model": MODEL },
+                     { "name": "till", "no_repeat": ["POST /receipts"] }],
+        "teams": [{ "name": "small", "online_limit": 1 }],
+    });
+    Sheet::parse(&sheet.to_string()).expect("a valid sheet")
+}
+
+/// Starts an entry. `changes` are merged into its limits and timeouts.
+pub fn entry(platform: SocketAddr, workers: Vec<WorkerInfo>, changes: Value) -> Entry {
+    let view = View {
+        sheet: Arc::new(sheet()),
+        workers,
+        ..View::default()
+    };
+    entry_with(platform, view, changes)
+}
+
+pub fn entry_with(platform: SocketAddr, view: View, changes: Value) -> Entry {
+    let settings = settings(platform, changes);
+    let (ctx, commands) = Context::new(settings, fastrand::u64(..));
+    for worker in &view.workers {
+        ctx.workers.cell(&worker.id).configure(0.5, worker.slots);
+    }
+    publish(&ctx, view);
+    let listener = host::listen(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let server = async_global_executor::block_on(async {
+        listener.set_nonblocking(true).expect("a listener");
+        let listener = smol::net::TcpListener::try_from(listener).expect("a listener");
+        trillium_smol::config()
+            .without_signals()
+            .with_nodelay()
+            .with_http_config(http::config(&ctx.settings))
+            .with_acceptor(CallerBounds::new(&ctx.settings))
+            .with_prebound_server(listener)
+            .spawn(http::handler(ctx.clone()))
+    });
+    Entry {
+        ctx,
+        address,
+        commands,
+        _host: Host { address, server },
+    }
+}
+
+pub fn publish(ctx: &Context, view: View) {
+    let settings = &ctx.settings;
+    let router = Router::build(&view, &ctx.workers, &settings.instance, &settings.zone);
+    ctx.router.store(Arc::new(router));
+    ctx.view.store(Arc::new(view));
+}
+
+fn settings(platform: SocketAddr, changes: Value) -> Settings {
+    let mut raw = json!({
+        "instance": "e1", "zone": "z", "region": "r",
+        "caller_address": "127.0.0.1:1", "operator_address": "127.0.0.1:1",
+        "peer_address": "127.0.0.1:1", "platform_address": platform.to_string(),
+        "limits": {}, "timeouts": { "first_token_ms": 500, "stall_ms": 300, "platform_ms": 500 },
+    });
+    for part in ["limits", "timeouts"] {
+        for (name, value) in changes[part].as_object().into_iter().flatten() {
+            raw[part][name] = value.clone();
+        }
+    }
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    std::fs::write(file.path(), raw.to_string()).expect("a file");
+    Settings::load(file.path()).expect("valid settings")
+}
+
+/// An address where nothing listens.
+pub fn dead_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// Body of a chat request.
+pub fn chat(prompt: &str, tokens: u64, stream: bool) -> String {
+    json!({
+        "model": MODEL, "stream": stream, "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+    .to_string()
+}
+
+pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    let mut conn = send(address, "POST", path, headers, body);
+    receive(&mut conn)
+}
+
+pub fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> TcpStream {
+    let length = body.len();
+    let mut request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\ncontent-length: {length}\r\n"
+    );
+    for (name, value) in headers {
+        request.push_str(&format!("{name}: {value}\r\n"));
+    }
+    raw(address, &format!("{request}\r\n{body}"))
+}
+
+/// Opens a connection and writes some bytes.
+pub fn raw(address: SocketAddr, bytes: &str) -> TcpStream {
+    let mut conn = TcpStream::connect(address).expect("a connection");
+    conn.set_read_timeout(Some(READ_LIMIT))
+        .expect("a time limit");
+    conn.write_all(bytes.as_bytes()).expect("a write");
+    conn
+}
+
+/// Reads an answer up to the end of the connection.
+pub fn receive(conn: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    conn.read_to_end(&mut bytes).expect("an answer");
+    let text = String::from_utf8(bytes).expect("text");
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let head = head.to_ascii_lowercase();
+    let chunked = head.contains("transfer-encoding: chunked");
+    Answer {
+        status: status.unwrap_or(0),
+        body: if chunked { dechunk(body) } else { body.into() },
+        head,
+    }
+}
+
+fn dechunk(mut body: &str) -> String {
+    let mut text = String::new();
+    while let Some((size, rest)) = body.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).expect("a chunk size");
+        if size == 0 || rest.len() < size + 2 {
+            break;
+        }
+        text.push_str(&rest[..size]);
+        body = &rest[size + 2..];
+    }
+    text
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.head.lines().filter_map(|l| l.split_once(": "));
+        lines.find(|(n, _)| *n == name).map(|(_, v)| v)
+    }
+
+    /// Returns the verdict after checking that header and body agree.
+    pub fn verdict(&self) -> &str {
+        let verdict = self.header("gentianpath-verdict").expect("a verdict");
+        let body: Value = serde_json::from_str(&self.body).expect("JSON");
+        assert_eq!(body["error"]["verdict"], verdict);
+        assert!(body["error"]["reason"].is_string());
+        verdict
+    }
+
+    /// Returns the text of a whole answer.
+    pub fn text(&self) -> String {
+        let body: Value = serde_json::from_str(&self.body).expect("JSON");
+        let text = body["choices"][0]["message"]["content"].as_str();
+        text.unwrap_or_else(|| panic!("{}", self.body)).to_owned()
+    }
+
+    pub fn events(&self) -> Events {
+        let mut events = Events::default();
+        for data in self.body.lines().filter_map(|l| l.strip_prefix("data: ")) {
+            if data == "[DONE]" {
+                events.done += 1;
+                continue;
+            }
+            let data: Value = serde_json::from_str(data).expect("JSON");
+            if !data["error"].is_null() {
+                events.errors.push(data["error"].clone());
+            }
+            let text = data["choices"][0]["delta"]["content"].as_str();
+            events.text.push_str(text.unwrap_or(""));
+        }
+        events
+    }
+}
+
+/// Forwards connections to an engine until it is shut, which looks like the engine's death.
+pub struct Door {
+    pub address: SocketAddr,
+    open: Mutex<Option<smol::Task<()>>>,
+}
+
+impl Door {
+    pub fn to(upstream: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let open = smol::spawn(forward_all(listener, upstream));
+        Self {
+            address,
+            open: Mutex::new(Some(open)),
+        }
+    }
+
+    /// Closes the listener and all connections.
+    pub fn shut(&self) {
+        let task = self.open.lock().expect("a lock").take();
+        if let Some(task) = task {
+            smol::block_on(task.cancel());
+        }
+    }
+}
+
+async fn forward_all(listener: TcpListener, upstream: SocketAddr) {
+    let listener = smol::Async::new(listener).expect("a listener");
+    let mut tasks = Vec::new();
+    while let Ok((near, _)) = listener.accept().await {
+        tasks.push(smol::spawn(async move {
+            let Ok(far) = smol::Async::<TcpStream>::connect(upstream).await else {
+                return;
+            };
+            let there = smol::io::copy(&near, &far);
+            let back = smol::io::copy(&far, &near);
+            let _ = smol::future::or(there, back).await;
+        }));
+    }
+}
--- /dev/null
+++ b/tests/online_verdict.rs
@@ -0,0 +1,356 @@
+//! Verdicts against the engines' own ledgers, at each place where a request can fail.
+
+mod online_common;
+
+use std::{
+    io::Read,
+    net::{SocketAddr, TcpListener},
+};
+
+use gentianpath::context::Command;
+use online_common::{
+    Answer, Door, Entry, SLOTS, Target, chat, dead_address, entry, info, platform, post, receive,
+    send, wait_until, worker,
+};
+use serde_json::{Value, json};
+use standins::text;
+
+const CHAT: &str = "/v1/chat/completions";
+const NEVER: &[(&str, &str)] = &[("gentianpath-repeat", "never")];
+const TOKENS: u64 = 5;
+
+fn ask(entry: &Entry, headers: &[(&str, &str)], prompt: &str, stream: bool) -> Answer {
+    post(entry.address, CHAT, headers, &chat(prompt, TOKENS, stream))
+}
+
+fn runs(workers: &[&Target], prompt: &str) -> usize {
+    let all = workers.iter().flat_map(|w| w.runs());
+    all.filter(|r| &*r.prompt == prompt).count()
+}
+
+/// Guards against a refusal that says not-run when the engine saw the request, and against a
+/// request that may not be repeated running on two engines: one engine fails in each way, and the
+/// other works.
+#[test]
+fn ledger_agrees_with_the_verdict() {
+    let failures = [
+        ("refused", json!({ "refuse": {} })),
+        (
+            "closed",
+            json!({ "gate": { "outage": "close", "prefix": "/v1" } }),
+        ),
+        (
+            "unavailable",
+            json!({ "gate": { "outage": "refuse", "prefix": "/v1" } }),
+        ),
+        ("silent", json!({ "gate": { "outage": "silent" } })),
+        (
+            "broken",
+            json!({ "streams": [{ "kind": "fail", "after": 0 }] }),
+        ),
+        (
+            "broken later",
+            json!({ "streams": [{ "kind": "fail", "after": 2 }] }),
+        ),
+        (
+            "silent stream",
+            json!({ "streams": [{ "kind": "silence", "after": 2, "resumed": true }] }),
+        ),
+        (
+            "cut stream",
+            json!({ "streams": [{ "kind": "truncate", "after": 1, "resumed": true }] }),
+        ),
+    ];
+    for (name, faults) in failures {
+        for headers in [&[], NEVER] {
+            for stream in [true, false] {
+                check_failure(&format!("{name} {stream}"), &faults, headers, stream);
+            }
+        }
+    }
+}
+
+fn check_failure(prompt: &str, faults: &Value, headers: &[(&str, &str)], stream: bool) {
+    let platform = platform();
+    let (bad, good) = (worker("a", &[]), worker("b", &[]));
+    bad.faults(faults.clone());
+    let entry = entry(
+        platform.host.address,
+        vec![bad.info(), good.info()],
+        json!({}),
+    );
+    let answer = ask(&entry, headers, prompt, stream);
+    let ran = runs(&[&bad, &good], prompt);
+    let never = headers == NEVER;
+    assert!(!never || ran <= 1, "{prompt}: ran {ran} times");
+    if answer.status != 200 {
+        let verdict = answer.verdict();
+        assert!(
+            verdict == "may-have-run" || ran == 0,
+            "{prompt}: not-run, ran {ran} times"
+        );
+        assert!(never, "{prompt}: not retried: {}", answer.body);
+        return;
+    }
+    if !stream {
+        assert_eq!(answer.text(), text::answer(prompt, TOKENS));
+        return;
+    }
+    let events = answer.events();
+    assert_eq!(
+        events.done + events.errors.len() as u32,
+        1,
+        "{prompt}: {}",
+        answer.body
+    );
+    assert!(
+        text::answer(prompt, TOKENS).starts_with(&events.text),
+        "{prompt}"
+    );
+    if let Some(error) = events.errors.first() {
+        assert_eq!(error["verdict"], "may-have-run", "{prompt}");
+    } else {
+        assert_eq!(events.text, text::answer(prompt, TOKENS), "{prompt}");
+    }
+}
+
+/// Guards against a request that is refused although another worker would take it, and against a
+/// worker that refuses connections being asked each time.
+#[test]
+fn unreachable_worker_is_passed_over_and_ejected() {
+    let platform = platform();
+    let good = worker("b", &[]);
+    let workers = vec![info("a", dead_address()), good.info()];
+    let entry = entry(platform.host.address, workers, json!({}));
+    for number in 0..8 {
+        let prompt = format!("p{number}");
+        let answer = ask(&entry, NEVER, &prompt, false);
+        assert_eq!(answer.text(), text::answer(&prompt, TOKENS));
+    }
+}
+
+/// Guards against a refusal without verdict or Retry-After when no worker can be reached.
+#[test]
+fn without_a_worker_nothing_runs() {
+    let platform = platform();
+    for workers in [vec![], vec![info("a", dead_address())]] {
+        let entry = entry(platform.host.address, workers, json!({}));
+        let answer = ask(&entry, &[], "p", true);
+        assert_eq!((answer.status, answer.verdict()), (503, "not-run"));
+        assert!(answer.header("retry-after").is_some());
+    }
+}
+
+/// Guards against a stream that is lost with its engine counting as whole or as not run, and
+/// against text that is generated anew after some was forwarded.
+#[test]
+fn death_of_the_engine_mid_stream_is_told() {
+    let platform = platform();
+    let (bad, good) = (worker("a", &["--token-ms", "20"]), worker("b", &[]));
+    let door = Door::to(bad.address());
+    let workers = vec![info("a", door.address), good.info()];
+    let entry = entry(platform.host.address, workers, json!({}));
+    let mut conn = send(entry.address, "POST", CHAT, &[], &chat("p", 10_000, true));
+    let mut first = [0; 1];
+    conn.read_exact(&mut first).expect("a first byte");
+    door.shut();
+    let answer = receive(&mut conn);
+    let body = &answer.body;
+    assert!(body.contains("\"verdict\":\"may-have-run\""), "{body}");
+    assert!(!body.contains("[DONE]"), "{body}");
+    assert_eq!(runs(&[&good], "p"), 0);
+}
+
+/// Guards against a request that is lost when its engine dies before the first text, although it
+/// may run again; a marked one is refused as may-have-run.
+#[test]
+fn death_of_the_engine_before_the_first_text() {
+    for headers in [&[], NEVER] {
+        let platform = platform();
+        let good = worker("b", &[]);
+        let bad = worker("a", &["--prefill-ms", "1000000"]);
+        let door = Door::to(bad.address());
+        let workers = vec![info("a", door.address), good.info()];
+        let timeouts = json!({ "timeouts": { "first_token_ms": 60_000 } });
+        let entry = entry(platform.host.address, workers, timeouts);
+        let mut conn = send(
+            entry.address,
+            "POST",
+            CHAT,
+            headers,
+            &chat("p", TOKENS, true),
+        );
+        wait_until(|| runs(&[&bad], "p") == 1);
+        door.shut();
+        let answer = receive(&mut conn);
+        if headers == NEVER {
+            assert_eq!(answer.verdict(), "may-have-run");
+            assert_eq!(runs(&[&good], "p"), 0);
+        } else {
+            assert_eq!(answer.events().text, text::answer("p", TOKENS));
+        }
+    }
+}
+
+/// Guards against queues without bound in the engine: with all slots taken a request waits within
+/// its bound, is refused as not-run, and the engine never sees it.
+#[test]
+fn full_workers_refuse_early() {
+    let platform = platform();
+    let worker = worker("a", &["--token-ms", "50"]);
+    let settings = json!({ "limits": { "queued": 1 }, "timeouts": { "queue_wait_ms": 100 } });
+    let entry = entry(platform.host.address, vec![worker.info()], settings);
+    let busy: Vec<_> = (0..SLOTS)
+        .map(|_| {
+            send(
+                entry.address,
+                "POST",
+                CHAT,
+                &[],
+                &chat("busy", 10_000, true),
+            )
+        })
+        .collect();
+    wait_until(|| worker.runs().len() == SLOTS as usize);
+    let answer = ask(&entry, &[], "late", false);
+    assert_eq!((answer.status, answer.verdict()), (429, "not-run"));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(runs(&[&worker], "late"), 0);
+    drop(busy);
+}
+
+/// Guards against a request that stays in the queue after a worker became free, and against
+/// places that are never given back.
+#[test]
+fn waiting_request_gets_the_freed_worker() {
+    let platform = platform();
+    let worker = worker("a", &["--token-ms", "20"]);
+    let settings = json!({ "timeouts": { "queue_wait_ms": 60_000 } });
+    let entry = entry(platform.host.address, vec![worker.info()], settings);
+    let busy: Vec<_> = (0..SLOTS)
+        .map(|_| {
+            send(
+                entry.address,
+                "POST",
+                CHAT,
+                &[],
+                &chat("busy", 10_000, true),
+            )
+        })
+        .collect();
+    wait_until(|| worker.runs().len() == SLOTS as usize);
+    let mut waiting = send(
+        entry.address,
+        "POST",
+        CHAT,
+        &[],
+        &chat("late", TOKENS, false),
+    );
+    drop(busy);
+    assert_eq!(receive(&mut waiting).text(), text::answer("late", TOKENS));
+    wait_until(|| entry.ctx.workers.cell(&"a".into()).online() == 0);
+}
+
+/// Guards against a team that takes the places of the others.
+#[test]
+fn team_at_its_limit_is_refused() {
+    let platform = platform();
+    let worker = worker("a", &["--token-ms", "20"]);
+    let entry = entry(platform.host.address, vec![worker.info()], json!({}));
+    let team = &[("gentianpath-team", "small")];
+    let busy = send(
+        entry.address,
+        "POST",
+        CHAT,
+        team,
+        &chat("busy", 10_000, true),
+    );
+    wait_until(|| worker.runs().len() == 1);
+    let answer = ask(&entry, team, "late", false);
+    assert_eq!((answer.status, answer.verdict()), (429, "not-run"));
+    assert_eq!(ask(&entry, &[], "other", false).status, 200);
+    drop(busy);
+}
+
+/// Guards against batch work that goes on beside an online request, and against an owner that is
+/// not told of requests on its worker, or not told of their end.
+#[test]
+fn batch_yields_and_the_owner_is_told() {
+    let platform = platform();
+    let worker = worker("a", &[]);
+    let info = gentianpath::view::WorkerInfo {
+        owner: Some("e2".into()),
+        ..worker.info()
+    };
+    let entry = entry(platform.host.address, vec![info], json!({}));
+    let cell = entry.ctx.workers.cell(&"a".into());
+    let now = entry.ctx.workers.now();
+    let batch: Vec<_> = (0..SLOTS).filter_map(|_| cell.begin_batch(now)).collect();
+    assert_eq!(ask(&entry, &[], "p", false).status, 200);
+    assert!(batch.iter().any(|b| b.yielded.try_recv().is_ok()));
+    let told = Command::OnlineLevel {
+        worker: "a".into(),
+        owner: "e2".into(),
+    };
+    for _ in 0..2 {
+        assert_eq!(entry.commands.recv_blocking().as_ref(), Ok(&told));
+    }
+}
+
+/// Guards against new requests during a stop, and against a stop that does not wait for the last
+/// byte of a stream.
+#[test]
+fn draining_refuses_new_and_finishes_old() {
+    let platform = platform();
+    let worker = worker("a", &["--token-ms", "10"]);
+    let entry = entry(platform.host.address, vec![worker.info()], json!({}));
+    let drain = &entry.ctx.drain;
+    let mut old = send(entry.address, "POST", CHAT, &[], &chat("old", 30, true));
+    wait_until(|| worker.runs().len() == 1);
+    drain.advance(gentianpath::drain::Phase::Draining);
+    assert_eq!(drain.active(), 1);
+    let refused = ask(&entry, &[], "new", true);
+    assert_eq!((refused.status, refused.verdict()), (503, "not-run"));
+    let events = receive(&mut old).events();
+    assert_eq!((events.text, events.done), (text::answer("old", 30), 1));
+    wait_until(|| drain.active() == 0);
+    assert_eq!(runs(&[&worker], "new"), 0);
+}
+
+/// Guards against an engine that is called not-run without its own word: 4xx and 5xx without the
+/// header may have run.
+#[test]
+fn only_the_engines_word_is_not_run() {
+    for (status, header, verdict) in [
+        (400, "", "may-have-run"),
+        (404, "", "may-have-run"),
+        (429, "", "may-have-run"),
+        (503, "", "may-have-run"),
+        (503, "gentianpath-engine-refused: not-run\r\n", "not-run"),
+        (429, "gentianpath-engine-refused: not-run\r\n", "not-run"),
+    ] {
+        let platform = platform();
+        let reply = format!("HTTP/1.1 {status} X\r\n{header}content-length: 0\r\n\r\n");
+        let address = scripted(reply);
+        let entry = entry(platform.host.address, vec![info("a", address)], json!({}));
+        let answer = ask(&entry, NEVER, "p", false);
+        assert_eq!(answer.verdict(), verdict, "{status} {header}");
+    }
+}
+
+/// Starts an engine that answers every request with the same bytes.
+fn scripted(reply: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for conn in listener.incoming() {
+            let mut conn = conn.expect("a connection");
+            let mut buffer = [0; 4096];
+            let _ = conn.read(&mut buffer);
+            let _ = std::io::Write::write_all(&mut conn, reply.as_bytes());
+            // Waits for the other side to close, so that the reply is not lost with a reset.
+            while conn.read(&mut buffer).is_ok_and(|n| n > 0) {}
+        }
+    });
+    address
+}
