--- a/src/admit.rs
+++ b/src/admit.rs
@@ -2,6 +2,27 @@
 
 use std::time::Duration;
 
+/// Width of a bucket of the concurrency history.
+const BUCKET: Duration = Duration::from_millis(250);
+/// Buckets of the concurrency history.
+const BUCKETS: usize = 16;
+/// Window of the online peak that headroom follows.
+const PEAK_WINDOW: Duration = Duration::from_secs(2);
+/// Oldest state that a load report may show. A request that was known within this time and has
+/// ended since is not mistaken for unannounced traffic.
+const REPORT_LAG: Duration = Duration::from_secs(2);
+/// Part of the drop from the recent online peak that is kept free at weight 0.
+const PEAK_SHARE: f64 = 0.25;
+/// Part of the slots that batch leaves free at weight 0 while online requests are recent.
+const RESERVE_SHARE: f64 = 0.0625;
+/// Batch streams before their first token at most, at weight 0. A prefill delays each online
+/// request that arrives behind it, because engines admit in arrival order.
+const STARTING_LOW: f64 = 1.0;
+/// Batch streams before their first token at most, at weight 1.
+const STARTING_HIGH: f64 = 2.0;
+/// Weight up to which an online arrival makes batch prefills yield.
+const PREEMPT_WEIGHT: f64 = 0.5;
+
 /// What is known of a worker's load.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -11,6 +32,8 @@
     pub online: u32,
     /// Batch streams in flight.
     pub batch: u32,
+    /// Batch streams in flight that have no first token yet.
+    pub starting: u32,
     /// Requests that the engine reported, running and waiting; lags.
     pub reported: u32,
 }
@@ -19,17 +42,22 @@
 #[derive(Debug, Clone, Default)]
 pub struct Admission {
     weight: f64,
+    online: Peaks,
+    total: Peaks,
 }
 
 impl Admission {
     /// Sets the weight of batch throughput against online tail latency, 0 to 1.
     pub fn set_weight(&mut self, weight: f64) {
-        self.weight = weight;
+        self.weight = weight.clamp(0.0, 1.0);
     }
 
     /// Returns how many more batch streams the worker has room for.
     pub fn room(&mut self, now: Duration, demand: Demand) -> u32 {
-        self.limit(now, demand).saturating_sub(demand.batch)
+        let free = self.limit(now, demand).saturating_sub(demand.batch);
+        let span = STARTING_HIGH - STARTING_LOW;
+        let starts = (STARTING_LOW + span * self.weight).round() as u32;
+        free.min(starts.saturating_sub(demand.starting))
     }
 
     /// Returns how many batch streams must yield.
@@ -37,8 +65,70 @@
         demand.batch.saturating_sub(self.limit(now, demand))
     }
 
-    fn limit(&mut self, _now: Duration, demand: Demand) -> u32 {
-        let headroom = if demand.online == 0 { 0 } else { 1 };
-        demand.slots.saturating_sub(demand.online + headroom)
+    /// Says whether batch streams before their first token yield to an online arrival.
+    pub fn preempts(&self) -> bool {
+        self.weight <= PREEMPT_WEIGHT
+    }
+
+    fn limit(&mut self, now: Duration, demand: Demand) -> u32 {
+        self.total.record(now, demand.online + demand.batch);
+        let known = self.total.peak(now, REPORT_LAG);
+        let unannounced = demand.reported.saturating_sub(known);
+        let online = demand.online + unannounced;
+        self.online.record(now, online);
+        let used = online + self.headroom(now, demand.slots, online);
+        demand.slots.saturating_sub(used)
+    }
+
+    /// Returns the slots kept free for online requests that may arrive next.
+    fn headroom(&self, now: Duration, slots: u32, online: u32) -> u32 {
+        let peak = self.online.peak(now, PEAK_WINDOW);
+        if peak == 0 {
+            return 0;
+        }
+        let tail = 1.0 - self.weight;
+        let fallen = f64::from(peak - online);
+        let kept = fallen * PEAK_SHARE + f64::from(slots) * RESERVE_SHARE;
+        (kept * tail).round() as u32
     }
 }
+
+/// Peak of a count over a sliding window, in buckets.
+#[derive(Debug, Clone, Default)]
+struct Peaks {
+    ring: [u32; BUCKETS],
+    last: u64,
+}
+
+impl Peaks {
+    /// Records the count at a moment; moments do not go back.
+    fn record(&mut self, now: Duration, count: u32) {
+        let bucket = bucket(now);
+        let skipped = bucket.saturating_sub(self.last).min(BUCKETS as u64);
+        for i in 0..skipped {
+            self.ring[index(bucket - i)] = 0;
+        }
+        self.last = self.last.max(bucket);
+        let slot = &mut self.ring[index(self.last)];
+        *slot = count.max(*slot);
+    }
+
+    /// Returns the highest count of the window that ends now.
+    fn peak(&self, now: Duration, window: Duration) -> u32 {
+        let reach = bucket(window).min(BUCKETS as u64 - 1);
+        let first = bucket(now).saturating_sub(reach);
+        let oldest = self.last.saturating_sub(BUCKETS as u64 - 1).max(first);
+        (oldest..=self.last)
+            .map(|b| self.ring[index(b)])
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+fn bucket(time: Duration) -> u64 {
+    (time.as_millis() / BUCKET.as_millis()) as u64
+}
+
+fn index(bucket: u64) -> usize {
+    (bucket % BUCKETS as u64) as usize
+}
--- /dev/null
+++ b/src/affinity.rs
@@ -0,0 +1,235 @@
+//! Prefix cache state of workers, inferred from own routing and from late, incomplete cache
+//! events.
+
+use std::time::Duration;
+
+use crate::ids::{Map, WorkerId};
+
+/// Bytes of prompt text in a block.
+const BLOCK_BYTES: usize = 256;
+/// Blocks of a prompt that are hashed at most; later ones are rarely shared.
+pub const MAX_BLOCKS: usize = 64;
+/// Workers remembered for a block at most.
+const HOLDERS: usize = 4;
+/// Blocks in each of the two generations at most.
+const GENERATION_BLOCKS: usize = 65_536;
+/// Time after which a generation is closed; a block is forgotten after one to two of them
+/// without use.
+const GENERATION_AGE: Duration = Duration::from_secs(120);
+/// Workers with a number at most; beyond that all is forgotten.
+const MAX_WORKERS: usize = 16_384;
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hashes the blocks of a prompt; each hash covers all text up to the end of its block. The hash
+/// is FNV-1a and the same on every instance and in every release.
+pub fn blocks(prompt: &str) -> Vec<u64> {
+    let mut hash = FNV_OFFSET;
+    let whole = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
+    whole
+        .take(MAX_BLOCKS)
+        .map(|block| {
+            hash = block.iter().fold(hash, |h, &b| fold(h, b));
+            hash
+        })
+        .collect()
+}
+
+/// Returns the FNV-1a hash of bytes, the same on every instance and in every release.
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(FNV_OFFSET, |h, &b| fold(h, b))
+}
+
+fn fold(hash: u64, byte: u8) -> u64 {
+    (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+}
+
+/// A change of a worker's prefix cache.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CacheChange {
+    /// Blocks were stored.
+    Stored(Vec<u64>),
+    /// Blocks were removed.
+    Removed(Vec<u64>),
+}
+
+/// A numbered cache event of a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheEvent {
+    /// Position in the events of the worker.
+    pub number: u64,
+    /// What changed.
+    pub change: CacheChange,
+}
+
+/// A worker that holds a prefix of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Holder {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Blocks from the start of the prompt that it holds.
+    pub depth: usize,
+}
+
+#[derive(Debug)]
+struct Worker {
+    id: WorkerId,
+    /// Entries of earlier epochs are void.
+    epoch: u32,
+    next: Option<u64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Entry {
+    worker: u32,
+    epoch: u32,
+}
+
+type Holders = [Option<Entry>; HOLDERS];
+
+/// What is known of the prefix caches of all workers. Memory is bounded by two generations of
+/// blocks.
+#[derive(Debug, Default)]
+pub struct Affinity {
+    numbers: Map<WorkerId, u32>,
+    workers: Vec<Worker>,
+    young: Map<u64, Holders>,
+    old: Map<u64, Holders>,
+    opened: Duration,
+}
+
+impl Affinity {
+    /// Records that a prompt was sent to a worker, which caches it.
+    pub fn sent(&mut self, blocks: &[u64], worker: &WorkerId, now: Duration) {
+        let entry = self.entry(worker);
+        for &block in blocks.iter().take(MAX_BLOCKS) {
+            self.store(block, entry, now);
+        }
+    }
+
+    /// Takes over a cache event. An event that was seen is ignored; a gap in the numbers clears
+    /// what is known of the worker, because a removal may be missing.
+    pub fn event(&mut self, worker: &WorkerId, event: &CacheEvent, now: Duration) {
+        let number = self.number(worker) as usize;
+        let state = &mut self.workers[number];
+        if state.next.is_some_and(|next| event.number < next) {
+            return;
+        }
+        if state.next.is_some_and(|next| event.number > next) {
+            state.epoch = state.epoch.wrapping_add(1);
+        }
+        state.next = Some(event.number + 1);
+        match &event.change {
+            CacheChange::Stored(blocks) => self.sent(blocks, worker, now),
+            CacheChange::Removed(blocks) => self.remove(blocks, number as u32),
+        }
+    }
+
+    /// Forgets a worker's cache and the position of its events, after a restart.
+    pub fn clear(&mut self, worker: &WorkerId) {
+        let number = self.number(worker) as usize;
+        let state = &mut self.workers[number];
+        state.epoch = state.epoch.wrapping_add(1);
+        state.next = None;
+    }
+
+    /// Returns the workers that hold the longest known prefix of a prompt.
+    pub fn holders(&self, blocks: &[u64]) -> Vec<Holder> {
+        let depth = blocks.len().min(MAX_BLOCKS);
+        for (i, block) in blocks[..depth].iter().enumerate().rev() {
+            let found: Vec<Holder> = self
+                .valid(*block)
+                .map(|e| Holder {
+                    worker: self.workers[e.worker as usize].id.clone(),
+                    depth: i + 1,
+                })
+                .collect();
+            if !found.is_empty() {
+                return found;
+            }
+        }
+        Vec::new()
+    }
+
+    /// Returns the number of blocks that are held in memory.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Says whether nothing is held in memory.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn valid(&self, block: u64) -> impl Iterator<Item = Entry> + '_ {
+        let holders = self.young.get(&block).or_else(|| self.old.get(&block));
+        let entries = holders.into_iter().flatten().flatten();
+        entries
+            .copied()
+            .filter(|e| self.workers[e.worker as usize].epoch == e.epoch)
+    }
+
+    fn store(&mut self, block: u64, entry: Entry, now: Duration) {
+        self.age(now);
+        let aged = self.old.remove(&block);
+        let holders = self.young.entry(block).or_insert(aged.unwrap_or_default());
+        let known = holders
+            .iter()
+            .position(|h| h.is_some_and(|e| e.worker == entry.worker));
+        // The most recent holder comes first; the least recent one falls out.
+        let end = known.unwrap_or(HOLDERS - 1);
+        holders[..=end].rotate_right(1);
+        holders[0] = Some(entry);
+    }
+
+    fn remove(&mut self, blocks: &[u64], worker: u32) {
+        for block in blocks {
+            for generation in [&mut self.young, &mut self.old] {
+                let Some(holders) = generation.get_mut(block) else {
+                    continue;
+                };
+                for holder in holders.iter_mut() {
+                    holder.take_if(|e| e.worker == worker);
+                }
+            }
+        }
+    }
+
+    /// Drops the old generation when the young one is full or has reached its age.
+    fn age(&mut self, now: Duration) {
+        let aged = now.saturating_sub(self.opened) >= GENERATION_AGE;
+        if aged || self.young.len() >= GENERATION_BLOCKS {
+            self.old = std::mem::take(&mut self.young);
+            self.opened = now;
+        }
+    }
+
+    fn entry(&mut self, worker: &WorkerId) -> Entry {
+        let number = self.number(worker);
+        let epoch = self.workers[number as usize].epoch;
+        Entry {
+            worker: number,
+            epoch,
+        }
+    }
+
+    fn number(&mut self, worker: &WorkerId) -> u32 {
+        if let Some(&number) = self.numbers.get(worker) {
+            return number;
+        }
+        if self.workers.len() >= MAX_WORKERS {
+            *self = Self {
+                opened: self.opened,
+                ..Self::default()
+            };
+        }
+        let number = self.workers.len() as u32;
+        self.numbers.insert(worker.clone(), number);
+        self.workers.push(Worker {
+            id: worker.clone(),
+            epoch: 0,
+            next: None,
+        });
+        number
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! docs/design.md describes the modules, the state and its owners, and the messages.
 
 pub mod admit;
+pub mod affinity;
 pub mod cli;
 pub mod context;
 pub mod dial;
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,13 +1,40 @@
 //! Choice of a worker for an online request.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use crate::{
+    affinity::Affinity,
     ids::{InstanceId, Map, ModelId, WorkerId, Zone},
     view::{View, WorkerInfo},
     workers::{WorkerCell, WorkerTable},
 };
 
+/// Workers sampled among the own ones, whose online requests are known exactly.
+const OWN_SAMPLE: usize = 2;
+/// Workers sampled among the others of the zone.
+const ZONE_SAMPLE: usize = 3;
+/// Workers sampled in other zones.
+const REMOTE_SAMPLE: usize = 2;
+/// Default cost of a zone hop, as a part of a worker's slots.
+const HOP_COST: f64 = 0.5;
+/// Cost of a worker that another instance owns, as a part of its slots: less than one request on
+/// most workers, so that it only decides between equal loads.
+const FOREIGN_COST: f64 = 0.03;
+/// Load of a worker, over the mean, up to which affinity is followed.
+const AFFINITY_RATIO: f64 = 1.25;
+/// Requests over the mean load up to which affinity is followed.
+const AFFINITY_MARGIN: f64 = 1.0;
+/// Lists up to this length are always searched when the sample has no room.
+const SEARCH_ALWAYS: usize = 256;
+/// Least time between two searches of a longer list that found no room.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(5);
+
 /// What an online request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -39,39 +66,233 @@
     NoWorker,
 }
 
-/// Chooses workers; built for each view and read by all traffic threads.
+/// Workers of one model: own ones, then others of the zone, then those of other zones.
 #[derive(Debug, Default)]
+struct Pool {
+    list: Vec<Candidate>,
+    /// End of the own workers in the list.
+    own: usize,
+    /// End of the workers of the own zone in the list.
+    zone: usize,
+    places: Map<WorkerId, usize>,
+    /// Time of the last search that found no room, in microseconds.
+    searched: AtomicU64,
+}
+
+/// Chooses workers; built for each view and read by all traffic threads.
+#[derive(Debug)]
 pub struct Router {
-    models: Map<ModelId, Vec<Candidate>>,
+    models: Map<ModelId, Pool>,
+    affinity: Arc<Mutex<Affinity>>,
+    hop: f64,
+}
+
+impl Default for Router {
+    fn default() -> Self {
+        Self {
+            models: Map::default(),
+            affinity: Arc::default(),
+            hop: HOP_COST,
+        }
+    }
 }
 
 impl Router {
     /// Builds the router of a view, for an entry instance in `zone`.
-    pub fn build(view: &View, table: &WorkerTable, _me: &InstanceId, zone: &Zone) -> Self {
-        let mut models: Map<ModelId, Vec<Candidate>> = Map::default();
+    pub fn build(view: &View, table: &WorkerTable, me: &InstanceId, zone: &Zone) -> Self {
+        let mut models: Map<ModelId, Pool> = Map::default();
         for info in view.workers.iter().filter(|w| !w.leaving) {
             let Some(model) = &info.model else { continue };
-            models.entry(model.clone()).or_default().push(Candidate {
+            let pool = models.entry(model.clone()).or_default();
+            pool.list.push(Candidate {
                 info: info.clone(),
                 cell: table.cell(&info.id),
             });
         }
-        for list in models.values_mut() {
-            list.sort_by_key(|c| c.info.zone != *zone);
+        for pool in models.values_mut() {
+            pool.arrange(me, zone);
+        }
+        Self {
+            models,
+            affinity: table.affinity(),
+            hop: HOP_COST,
         }
-        Self { models }
     }
 
-    /// Chooses a worker for a request.
-    pub fn choose(&self, ask: &Ask<'_>, _rng: &mut fastrand::Rng, _now: Duration) -> Choice<'_> {
-        let Some(list) = self.models.get(ask.model) else {
+    /// Sets the cost of a zone hop, as a part of a worker's slots.
+    pub fn with_hop_cost(mut self, cost: f64) -> Self {
+        self.hop = cost;
+        self
+    }
+
+    /// Chooses a worker for a request. The cost does not grow with the number of workers, unless
+    /// the sampled ones have no room.
+    pub fn choose(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Choice<'_> {
+        let Some(pool) = self.models.get(ask.model) else {
+            return Choice::NoWorker;
+        };
+        if pool.exhausted(ask) {
             return Choice::NoWorker;
+        }
+        let sample = self.sample(pool, ask, rng);
+        let chosen = self
+            .holder(pool, ask, &sample)
+            .or(sample.best)
+            .or_else(|| pool.search(ask, rng, now));
+        let Some(chosen) = chosen else {
+            return Choice::Full;
+        };
+        if !ask.blocks.is_empty() {
+            self.lock().sent(ask.blocks, &chosen.info.id, now);
+        }
+        Choice::Worker(chosen)
+    }
+
+    /// Samples own workers, the zone and the other zones, and finds the one of least cost.
+    fn sample<'a>(&self, pool: &'a Pool, ask: &Ask<'_>, rng: &mut fastrand::Rng) -> Sample<'a> {
+        let mut sample = Sample::default();
+        for i in picks(rng, 0, pool.own, OWN_SAMPLE) {
+            sample.add(&pool.list[i], ask, 0.0);
+        }
+        for i in picks(rng, pool.own, pool.zone, ZONE_SAMPLE) {
+            sample.add(&pool.list[i], ask, FOREIGN_COST);
+        }
+        for i in picks(rng, pool.zone, pool.list.len(), REMOTE_SAMPLE) {
+            sample.add(&pool.list[i], ask, FOREIGN_COST + self.hop);
+        }
+        sample
+    }
+
+    /// Returns the least loaded worker that holds a prefix of the prompt, when its load is within
+    /// the bound of affinity.
+    fn holder<'a>(
+        &self,
+        pool: &'a Pool,
+        ask: &Ask<'_>,
+        sample: &Sample<'_>,
+    ) -> Option<&'a Candidate> {
+        if ask.blocks.is_empty() {
+            return None;
+        }
+        let bound = sample.mean()? * AFFINITY_RATIO + AFFINITY_MARGIN;
+        let holders = self.lock().holders(ask.blocks);
+        let places = holders.iter().filter_map(|h| pool.places.get(&h.worker));
+        places
+            .filter(|&&i| i < pool.zone)
+            .map(|&i| &pool.list[i])
+            .filter(|c| has_room(c, ask) && f64::from(c.cell.load()) <= bound)
+            .min_by_key(|c| c.cell.load())
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Affinity> {
+        self.affinity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Pool {
+    fn arrange(&mut self, me: &InstanceId, zone: &Zone) {
+        let rank = |c: &Candidate| match (&c.info.zone == zone, &c.info.owner) {
+            (true, Some(owner)) if owner == me => 0,
+            (true, _) => 1,
+            (false, _) => 2,
         };
-        let usable = list.iter().filter(|c| !ask.tried.contains(&c.info.id));
-        match usable.min_by_key(|c| c.cell.known().online) {
-            Some(c) if c.cell.known().online < c.info.slots => Choice::Worker(c),
-            Some(_) => Choice::Full,
-            None => Choice::NoWorker,
+        self.list.sort_by_key(rank);
+        self.own = self.list.partition_point(|c| rank(c) == 0);
+        self.zone = self.list.partition_point(|c| rank(c) <= 1);
+        for owned in &self.list[..self.own] {
+            // The owner counts by notices; what an earlier owner announced is void.
+            owned.cell.set_announced(0);
+        }
+        let names = self.list.iter().map(|c| c.info.id.clone());
+        self.places = names.zip(0..).collect();
+    }
+
+    /// Says whether all workers were tried.
+    fn exhausted(&self, ask: &Ask<'_>) -> bool {
+        let fresh = |c: &Candidate| !ask.tried.contains(&c.info.id);
+        // Found at one of the first few places, unless all were tried.
+        !self.list.iter().any(fresh)
+    }
+
+    /// Searches the list for a worker with room, the own zone first. A search of a long list that
+    /// found none is not repeated at once, so that a full fleet does not cost a scan per request.
+    fn search(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Option<&Candidate> {
+        let now = now.as_micros() as u64 + 1;
+        let last = self.searched.load(Ordering::Relaxed);
+        let recent = last != 0 && now.saturating_sub(last) < SEARCH_INTERVAL.as_micros() as u64;
+        if recent && self.list.len() > SEARCH_ALWAYS {
+            return None;
+        }
+        let (near, far) = self.list.split_at(self.zone);
+        let found = first_free(near, ask, rng).or_else(|| first_free(far, ask, rng));
+        if found.is_none() {
+            self.searched.store(now, Ordering::Relaxed);
+        }
+        found
+    }
+}
+
+/// Workers looked at for one request.
+#[derive(Debug, Default)]
+struct Sample<'a> {
+    best: Option<&'a Candidate>,
+    cost: f64,
+    load: u64,
+    count: u64,
+}
+
+impl<'a> Sample<'a> {
+    fn add(&mut self, candidate: &'a Candidate, ask: &Ask<'_>, extra: f64) {
+        let load = candidate.cell.load();
+        self.load += u64::from(load);
+        self.count += 1;
+        if !has_room(candidate, ask) {
+            return;
         }
+        let cost = f64::from(load) / f64::from(candidate.info.slots) + extra;
+        if self.best.is_none() || cost < self.cost {
+            self.best = Some(candidate);
+            self.cost = cost;
+        }
+    }
+
+    fn mean(&self) -> Option<f64> {
+        (self.count > 0).then(|| self.load as f64 / self.count as f64)
+    }
+}
+
+/// Picks up to `count` distinct places in `low..high`: neighbours in steps from a random place, so
+/// that short ranges are covered without repeats.
+fn picks(
+    rng: &mut fastrand::Rng,
+    low: usize,
+    high: usize,
+    count: usize,
+) -> impl Iterator<Item = usize> + use<> {
+    let len = high - low;
+    let start = if len == 0 { 0 } else { rng.usize(..len) };
+    let step = if len <= count { 1 } else { rng.usize(1..len) };
+    let taken = if is_spread(len, step, count) { step } else { 1 };
+    (0..count.min(len)).map(move |i| low + (start + i * taken) % len)
+}
+
+/// Says whether `count` steps of a size through a ring of `len` places meet no place twice.
+fn is_spread(len: usize, step: usize, count: usize) -> bool {
+    (1..count).all(|i| !(i * step).is_multiple_of(len))
+}
+
+fn has_room(candidate: &Candidate, ask: &Ask<'_>) -> bool {
+    candidate.cell.load() < candidate.info.slots && !ask.tried.contains(&candidate.info.id)
+}
+
+fn first_free<'a>(
+    list: &'a [Candidate],
+    ask: &Ask<'_>,
+    rng: &mut fastrand::Rng,
+) -> Option<&'a Candidate> {
+    if list.is_empty() {
+        return None;
     }
+    let (head, tail) = list.split_at(rng.usize(..list.len()));
+    tail.iter().chain(head).find(|c| has_room(c, ask))
 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -12,9 +12,18 @@
 
 use crate::{
     admit::{Admission, Demand},
+    affinity::Affinity,
     ids::{InstanceId, Map, WorkerId},
 };
 
+/// Time for which a batch stream without a first token counts as starting at most, so that a
+/// driver that never reports first tokens does not stop admission.
+const START_LIMIT: Duration = Duration::from_secs(1);
+/// Equal reports in a row after which a report counts as frozen, when own counts changed.
+const FROZEN_REPORTS: u32 = 4;
+/// Change of the own counts that a live report must have followed.
+const FROZEN_CHANGE: u32 = 2;
+
 /// A load report of an engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
@@ -30,6 +39,10 @@
     /// Name of the worker.
     pub id: WorkerId,
     online: AtomicU32,
+    /// Online requests of peers by their notices.
+    peers: AtomicU32,
+    /// Online requests of other instances by the owner's last digest.
+    announced: AtomicU32,
     slots: AtomicU32,
     state: Mutex<CellState>,
 }
@@ -40,15 +53,52 @@
     peers: Map<InstanceId, u32>,
     batch: Vec<BatchStream>,
     report: Load,
+    frozen: Frozen,
     next: u64,
 }
 
+/// Detects a load report that does not follow the worker any more.
+#[derive(Debug, Default)]
+struct Frozen {
+    equal: u32,
+    low: u32,
+    high: u32,
+}
+
+impl Frozen {
+    fn observe(&mut self, changed: bool, known: u32) {
+        if changed {
+            *self = Self {
+                equal: 0,
+                low: known,
+                high: known,
+            };
+            return;
+        }
+        self.equal += 1;
+        self.low = self.low.min(known);
+        self.high = self.high.max(known);
+    }
+
+    fn holds(&self) -> bool {
+        self.equal >= FROZEN_REPORTS && self.high - self.low >= FROZEN_CHANGE
+    }
+}
+
 #[derive(Debug)]
 struct BatchStream {
     number: u64,
+    begun: Duration,
+    started: bool,
     stop: Sender<()>,
 }
 
+impl BatchStream {
+    fn starting(&self, now: Duration) -> bool {
+        !self.started && now < self.begun + START_LIMIT
+    }
+}
+
 /// Counts an online request on its worker until it is dropped.
 #[derive(Debug)]
 pub struct OnlineGuard(Arc<WorkerCell>);
@@ -67,6 +117,8 @@
         Self {
             id,
             online: AtomicU32::new(0),
+            peers: AtomicU32::new(0),
+            announced: AtomicU32::new(0),
             slots: AtomicU32::new(0),
             state: Mutex::default(),
         }
@@ -75,21 +127,26 @@
     /// Counts an online request of this instance and makes batch streams yield for it at once.
     pub fn begin_online(self: &Arc<Self>, now: Duration) -> OnlineGuard {
         self.online.fetch_add(1, Ordering::Relaxed);
-        self.rebalance(now);
+        self.rebalance(now, true);
         OnlineGuard(self.clone())
     }
 
     /// Counts a batch stream, when the worker has room for one.
     pub fn begin_batch(self: &Arc<Self>, now: Duration) -> Option<BatchGuard> {
         let mut state = self.lock();
-        let demand = self.demand(&state);
+        let demand = self.demand(&state, now);
         if state.admission.room(now, demand) == 0 {
             return None;
         }
         let (stop, yielded) = smol::channel::bounded(1);
         let number = state.next;
         state.next += 1;
-        state.batch.push(BatchStream { number, stop });
+        state.batch.push(BatchStream {
+            number,
+            begun: now,
+            started: false,
+            stop,
+        });
         drop(state);
         Some(BatchGuard {
             cell: self.clone(),
@@ -101,27 +158,48 @@
     /// Returns how many more batch streams the worker has room for.
     pub fn batch_room(&self, now: Duration) -> u32 {
         let mut state = self.lock();
-        let demand = self.demand(&state);
+        let demand = self.demand(&state, now);
         state.admission.room(now, demand)
     }
 
     /// Sets how many online requests a peer has in flight on the worker.
     pub fn set_peer_level(&self, peer: &InstanceId, level: u32, now: Duration) {
         let mut state = self.lock();
-        if level == 0 {
-            state.peers.remove(peer);
-        } else {
-            state.peers.insert(peer.clone(), level);
-        }
+        let before = match level {
+            0 => state.peers.remove(peer),
+            _ => state.peers.insert(peer.clone(), level),
+        };
+        let total = state.peers.values().sum();
+        self.peers.store(total, Ordering::Relaxed);
         drop(state);
-        self.rebalance(now);
+        self.rebalance(now, level > before.unwrap_or(0));
     }
 
     /// Takes over a load report of the engine.
     pub fn set_report(&self, report: Load, slots: u32, now: Duration) {
         self.slots.store(slots, Ordering::Relaxed);
-        self.lock().report = report;
-        self.rebalance(now);
+        let mut state = self.lock();
+        let known = self.known_online() + state.batch.len() as u32;
+        let changed = state.report != report;
+        state.frozen.observe(changed, known);
+        state.report = report;
+        drop(state);
+        self.rebalance(now, false);
+    }
+
+    /// Takes over the number of all online requests on the worker from its owner's digest. The own
+    /// ones are part of it, as far as the owner knew them.
+    pub fn set_announced(&self, online: u32) {
+        let others = online.saturating_sub(self.online());
+        self.announced.store(others, Ordering::Relaxed);
+    }
+
+    /// Returns the online requests on the worker as far as this instance knows: its own exactly,
+    /// those of others by notices to the owner or by the owner's digest. Takes no lock.
+    pub fn load(&self) -> u32 {
+        let noticed = self.peers.load(Ordering::Relaxed);
+        let announced = self.announced.load(Ordering::Relaxed);
+        self.online() + noticed.max(announced)
     }
 
     /// Sets the weight of throughput against online tail, and the number of slots.
@@ -135,28 +213,43 @@
         self.online.load(Ordering::Relaxed)
     }
 
-    /// Returns what is known of the worker's load.
+    /// Returns what is known of the worker's load. Batch streams are all counted as started.
     pub fn known(&self) -> Demand {
-        self.demand(&self.lock())
+        self.demand(&self.lock(), Duration::MAX)
     }
 
-    fn rebalance(&self, now: Duration) {
+    /// Makes batch streams yield to the present load; after a rise of online requests also those
+    /// that would delay them by their prefill.
+    fn rebalance(&self, now: Duration, rise: bool) {
         let mut state = self.lock();
-        let demand = self.demand(&state);
+        let demand = self.demand(&state, now);
         let excess = state.admission.excess(now, demand) as usize;
+        let preempts = rise && state.admission.preempts();
         // The most recently started streams yield first: they have the least work to lose.
         let keep = state.batch.len().saturating_sub(excess);
-        for stream in &state.batch[keep..] {
-            let _ = stream.stop.try_send(());
+        for (i, stream) in state.batch.iter().enumerate() {
+            if i >= keep || (preempts && stream.starting(now)) {
+                let _ = stream.stop.try_send(());
+            }
         }
     }
 
-    fn demand(&self, state: &CellState) -> Demand {
+    fn known_online(&self) -> u32 {
+        self.online() + self.peers.load(Ordering::Relaxed)
+    }
+
+    fn demand(&self, state: &CellState, now: Duration) -> Demand {
+        let reported = match state.frozen.holds() {
+            true => 0,
+            false => state.report.running + state.report.waiting,
+        };
+        let starting = state.batch.iter().filter(|s| s.starting(now)).count();
         Demand {
             slots: self.slots.load(Ordering::Relaxed),
-            online: self.online() + state.peers.values().sum::<u32>(),
+            online: self.known_online(),
             batch: state.batch.len() as u32,
-            reported: state.report.running + state.report.waiting,
+            starting: starting as u32,
+            reported,
         }
     }
 
@@ -171,6 +264,17 @@
     }
 }
 
+impl BatchGuard {
+    /// Marks that the stream's first token has arrived, so that the next one may start.
+    pub fn started(&self) {
+        let mut state = self.cell.lock();
+        let mut streams = state.batch.iter_mut();
+        if let Some(stream) = streams.find(|s| s.number == self.number) {
+            stream.started = true;
+        }
+    }
+}
+
 impl Drop for BatchGuard {
     fn drop(&mut self) {
         self.cell.lock().batch.retain(|s| s.number != self.number);
@@ -181,6 +285,7 @@
 #[derive(Debug)]
 pub struct WorkerTable {
     cells: RwLock<Map<WorkerId, Arc<WorkerCell>>>,
+    affinity: Arc<Mutex<Affinity>>,
     start: Instant,
 }
 
@@ -188,6 +293,7 @@
     fn default() -> Self {
         Self {
             cells: RwLock::default(),
+            affinity: Arc::default(),
             start: Instant::now(),
         }
     }
@@ -208,6 +314,11 @@
         made.clone()
     }
 
+    /// Returns what is known of the workers' prefix caches; shared by the routers of all views.
+    pub fn affinity(&self) -> Arc<Mutex<Affinity>> {
+        self.affinity.clone()
+    }
+
     /// Returns the time since the table was made; the clock of all its cells.
     pub fn now(&self) -> Duration {
         self.start.elapsed()
