Lengthen the traces to an hour and correct the fault of frozen reports

The yield time counted from a fall of a level that was coalesced with a rise. Change: 3,600 s traces with the fault from 1,200 to 1,800 s; frozen reports show an overload and an idle engine; the cause of a yield is the rise. The cost of a zone hop falls from 0.5 to 0.125 of the slots. Conclusion: zones of 2 and 3 workers were loaded unevenly at the high hop cost; kept.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -32,6 +32,10 @@
 const CACHE_LAG: Micros = 300 * MILLI;
 /// Part of the cache events that is lost.
 const CACHE_LOSS: f64 = 0.1;
+/// Running and waiting requests in a frozen report of an overload.
+const FROZEN_HIGH: (u32, u32) = (SLOTS, SLOTS / 2);
+/// Running and waiting requests in a frozen report of an idle moment.
+const FROZEN_LOW: (u32, u32) = (0, 0);
 /// Marks the ids of batch streams.
 pub const BATCH_BIT: u64 = 1 << 63;
 
@@ -109,12 +113,11 @@
     pub(crate) online: Vec<Online>,
     pub(crate) runs: Vec<Vec<BatchRun>>,
     pub(crate) next_batch: u64,
-    /// Times at which levels that were not sent yet began to rise, by entry and worker.
-    pub(crate) rises: BTreeMap<(usize, usize), Micros>,
+    /// Levels that were not sent yet, by entry and worker, with the time since which they rose.
+    pub(crate) rises: BTreeMap<(usize, usize), Option<Micros>>,
     pub(crate) rng: Rng,
     queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
     sequence: u64,
-    frozen: Option<(u32, u32)>,
     cache: BTreeMap<u64, Vec<gentianpath::affinity::CacheEvent>>,
     /// Batch jobs.
     pub jobs: Vec<Job>,
@@ -155,7 +158,6 @@
             rng: Rng::with_seed(seed),
             queue: BinaryHeap::new(),
             sequence: 0,
-            frozen: None,
             cache: BTreeMap::new(),
             jobs,
             tally: Tally::default(),
@@ -319,14 +321,15 @@
         }
     }
 
-    /// Returns the load that a worker reports; two workers repeat one moment of it during a fault.
-    fn reported_load(&mut self, worker: usize) -> (u32, u32) {
-        let load = self.engines[worker].load();
-        let fault = (FAULT_START..FAULT_END * 2).contains(&self.now);
-        if self.kind != Kind::FrozenReport || worker > 1 || !fault {
-            return load;
+    /// Returns the load that a worker reports. During a fault the first worker repeats the report
+    /// of an overload, the second one that of an idle moment.
+    fn reported_load(&self, worker: usize) -> (u32, u32) {
+        let fault = (FAULT_START..FAULT_END).contains(&self.now);
+        match worker {
+            0 if self.kind == Kind::FrozenReport && fault => FROZEN_HIGH,
+            1 if self.kind == Kind::FrozenReport && fault => FROZEN_LOW,
+            _ => self.engines[worker].load(),
         }
-        *self.frozen.get_or_insert(load)
     }
 
     fn report_arrived(&mut self, worker: usize, running: u32, waiting: u32) {
--- a/bench/src/online.rs
+++ b/bench/src/online.rs
@@ -149,6 +149,7 @@
         if self.reach(from, to) {
             let level = self.entries[entry].cells[worker].online();
             let delay = self.delay(from, to);
+            let cause = cause.unwrap_or(self.now);
             self.after(delay, Event::Level(entry, worker, level, cause));
         }
     }
@@ -204,12 +205,13 @@
         self.entries[entry].guards.insert(id, guard);
         if self.owners[worker] == entry {
             self.collect_yields(worker, self.now);
-        } else if !self.rises.contains_key(&(entry, worker)) {
-            self.rises.insert((entry, worker), self.now);
-            self.after(RISE_WINDOW, Event::SendLevel(entry, worker));
         } else {
-            // A pending notice of a fall is brought forward.
-            self.after(RISE_WINDOW, Event::SendLevel(entry, worker));
+            let pending = self.rises.entry((entry, worker)).or_insert(None);
+            // A pending notice of a rise goes out as planned; that of a fall is brought forward.
+            if pending.is_none() {
+                *pending = Some(self.now);
+                self.after(RISE_WINDOW, Event::SendLevel(entry, worker));
+            }
         }
         let delay = self.delay(from, self.zone(worker));
         self.after(delay, Event::Admit(worker, id));
@@ -229,8 +231,7 @@
             self.fill(worker);
             return;
         }
-        let now = self.now;
-        self.rises.entry((entry, worker)).or_insert(now);
+        self.rises.entry((entry, worker)).or_insert(None);
         self.after(FALL_WINDOW, Event::SendLevel(entry, worker));
     }
 
--- a/bench/src/trace.rs
+++ b/bench/src/trace.rs
@@ -9,11 +9,11 @@
 use crate::{Micros, SECOND, engine::SLOTS};
 
 /// Length of a trace.
-pub const LENGTH: Micros = 900 * SECOND;
+pub const LENGTH: Micros = 3600 * SECOND;
 /// Start of the fault of a trace that has one.
-pub const FAULT_START: Micros = 300 * SECOND;
+pub const FAULT_START: Micros = 1200 * SECOND;
 /// End of the fault.
-pub const FAULT_END: Micros = 360 * SECOND;
+pub const FAULT_END: Micros = 1800 * SECOND;
 /// Shared prompt prefixes of online requests.
 const PREFIXES: u32 = 48;
 /// Tokens of a cache block.
@@ -44,7 +44,7 @@
     WorkerLost,
     /// A zone is cut off from the others and returns.
     ZoneCut,
-    /// Load reports of two workers stay as they are at one moment.
+    /// Load reports of two workers stop to change: one at an overload, one at an idle moment.
     FrozenReport,
 }
 
--- a/src/route.rs
+++ b/src/route.rs
@@ -22,7 +22,7 @@
 /// Workers sampled in other zones.
 const REMOTE_SAMPLE: usize = 2;
 /// Default cost of a zone hop, as a part of a worker's slots.
-const HOP_COST: f64 = 0.5;
+const HOP_COST: f64 = 0.125;
 /// Cost of a worker that another instance owns, as a part of its slots: less than one request on
 /// most workers, so that it only decides between equal loads.
 const FOREIGN_COST: f64 = 0.03;
