--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod admit;
+pub mod affinity;
 pub mod backoff;
 pub mod caller;
 pub mod chat;
