Model creates that arrive late in the enumeration of pushes

Cause: 'a conflict means lost' survived as a mutant, because no create of the push itself arrived between two calls in the model. Change: a fault by which an earlier create arrives just before a call.

--- a/tests/sheet_log.rs
+++ b/tests/sheet_log.rs
@@ -229,8 +229,10 @@
     None,
     /// A create takes effect or conflicts, and its answer is lost.
     LostAfter,
-    /// A create takes effect only when the push has ended, and its answer is lost.
+    /// A create takes effect later, at the latest when the push has ended, and its answer is lost.
     Late,
+    /// Such a create takes effect just before the call.
+    Arrives,
     /// The call never takes effect; the caller knows for a write.
     Refused,
     /// No answer and no effect.
@@ -239,10 +241,11 @@
     Rival,
 }
 
-const FAULTS: [Fault; 6] = [
+const FAULTS: [Fault; 7] = [
     Fault::None,
     Fault::LostAfter,
     Fault::Late,
+    Fault::Arrives,
     Fault::Refused,
     Fault::Lost,
     Fault::Rival,
@@ -302,6 +305,9 @@
 /// Walks all sequences of faults from one state of a push.
 fn explore(mut push: Push, mut store: Store, fault: Fault, ends: &mut u32) {
     let token = push.entry.token.clone();
+    if fault == Fault::Arrives {
+        store.settle(&token);
+    }
     match push.step() {
         Step::Create => {
             let answer = store.create(&token, fault);
