Test silent peers, zones without platform and long logs; count platform calls

Change: owners are chosen when instances or targets change; digests walk the owned workers. Calls of the platform are counted by kind and outcome in its client. Reports for operators move to src/status.rs.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,7 +30,7 @@
     route::Router,
     sheet_log::SheetLog,
     spread::{Delta, Watched},
-    status::Status,
+    status::{self, Status},
     store,
     view::View,
     watch,
@@ -216,7 +216,7 @@
         let status = Status {
             log: published.log.clone(),
             informed: state.answered || state.log.in_force().revision > 0,
-            report: state.report(&self.ctx.view.load(), now),
+            report: status::report(&state, &self.ctx.view.load(), now),
         };
         self.ctx.status.store(Arc::new(status));
     }
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -14,7 +14,7 @@
     sheet::Sheet,
     sheet_log::{self, SNAPSHOT_INTERVAL, SheetLog, Snapshot},
     spread::{Delta, KindView, Watched},
-    status::{MemberReport, PeerCounts, Report, SheetReport, ViewReport, WorkerReport},
+    status::PeerCounts,
     store::SavedSheet,
     view::{ServiceTarget, View, WorkerInfo},
     workers::Load,
@@ -54,6 +54,8 @@
     views: Map<Watched, KindView>,
     live: Map<Zone, Vec<InstanceId>>,
     owners: Map<WorkerId, InstanceId>,
+    owned: Set<WorkerId>,
+    moved: bool,
     pulling: Set<Watched>,
     watching: bool,
     dirty: bool,
@@ -76,6 +78,8 @@
                 .collect(),
             live: Map::default(),
             owners: Map::default(),
+            owned: Set::default(),
+            moved: true,
             pulling: Set::default(),
             watching: false,
             dirty: true,
@@ -132,6 +136,7 @@
             Watched::Instances => {
                 let list = members::list_of(self.view(kind).objects());
                 self.members.set_list(list, now);
+                self.moved = true;
             }
         }
     }
@@ -221,7 +226,10 @@
     /// Returns the digest of this instance.
     pub fn digest(&mut self, now: Duration) -> Digest {
         let views = self.views.iter().map(|(k, v)| (*k, v.latest()));
-        let owned = self.loads.values().filter(|k| self.owns(&k.load.worker));
+        let owned = self
+            .owned
+            .iter()
+            .filter_map(|worker| self.loads.get(worker));
         let owned = owned.filter(|k| now.saturating_sub(k.at) < LOAD_FRESH);
         Digest {
             identity: self.members.me().clone(),
@@ -249,7 +257,7 @@
 
     /// Says whether this instance is the batch owner of a worker.
     pub fn owns(&self, worker: &WorkerId) -> bool {
-        self.owners.get(worker) == Some(&self.members.me().id)
+        self.owned.contains(worker)
     }
 
     /// Starts anew after a pause of this instance.
@@ -324,12 +332,15 @@
             self.log_members(&live);
             self.reset_levels(ctx, &live, now);
             self.live = live;
+            self.moved = true;
+        }
+        if std::mem::take(&mut self.moved) {
+            self.choose_owners();
             self.dirty = true;
         }
         if !std::mem::take(&mut self.dirty) {
             return None;
         }
-        self.choose_owners();
         Some(self.view_now(now))
     }
 
@@ -362,6 +373,8 @@
         }
     }
 
+    /// Chooses the owners of all workers. It takes a hash for each worker and live instance of its
+    /// zone, so it runs only when instances or targets change.
     fn choose_owners(&mut self) {
         let engines = self.members.targets().filter(|t| is_engine(t));
         let owner = |t: &ListedTarget| {
@@ -369,6 +382,9 @@
             Some((t.id.clone(), ownership::owner(&t.id, candidates)?.clone()))
         };
         self.owners = engines.filter_map(owner).collect();
+        let me = &self.members.me().id;
+        let owned = self.owners.iter().filter(|(_, owner)| *owner == me);
+        self.owned = owned.map(|(worker, _)| worker.clone()).collect();
     }
 
     fn view_now(&self, now: Duration) -> View {
@@ -409,61 +425,9 @@
         }
     }
 
-    /// Returns what operators see.
-    pub fn report(&self, view: &View, now: Duration) -> Report {
-        Report {
-            sheet: SheetReport {
-                revision: view.revision,
-                head: self.log.head().revision,
-                fault: self.log.fault().cloned(),
-            },
-            members: self.member_reports(now),
-            workers: view.workers.iter().map(|w| self.worker_report(w)).collect(),
-            views: Watched::ALL.iter().map(|k| self.view_report(*k)).collect(),
-            peers: self.counts,
-        }
-    }
-
-    fn member_reports(&self, now: Duration) -> Vec<MemberReport> {
-        let report = |i: &Identity, live| MemberReport {
-            instance: i.id.clone(),
-            session: i.session,
-            zone: i.zone.clone(),
-            address: i.address,
-            live,
-            leaving: i.leaving,
-        };
-        let me = self.members.me();
-        let others = self.members.entries();
-        let others = others.map(|m| report(&m.identity, self.members.is_live(m, now)));
-        let mut reports: Vec<_> = others.chain([report(me, !me.leaving)]).collect();
-        reports.sort_by(|a, b| a.instance.cmp(&b.instance));
-        reports
-    }
-
-    fn worker_report(&self, info: &WorkerInfo) -> WorkerReport {
-        let load = self.loads.get(&info.id).map(|k| &k.load);
-        WorkerReport {
-            worker: info.id.clone(),
-            zone: info.zone.clone(),
-            owner: info.owner.clone(),
-            model: info.model.clone(),
-            slots: info.slots,
-            running: load.map_or(0, |l| l.online + l.batch),
-            waiting: load.map_or(0, |l| l.waiting),
-            leaving: info.leaving,
-        }
-    }
-
-    fn view_report(&self, kind: Watched) -> ViewReport {
-        let view = self.view(kind);
-        ViewReport {
-            kind: kind.as_str(),
-            version: view.version(),
-            latest: view.latest(),
-            objects: view.objects().len(),
-            watched: self.watching,
-        }
+    /// Says whether this instance watched the platform when it last looked.
+    pub fn is_watching(&self) -> bool {
+        self.watching
     }
 }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -100,15 +100,15 @@
         .members
         .targets()
         .filter(|t| t.kind == TargetKind::Engine);
-    let (mut due, others): (Vec<_>, Vec<_>) = engines.cloned().partition(|t| state.owns(&t.id));
+    let (owned, others): (Vec<_>, Vec<_>) = engines.partition(|t| state.owns(&t.id));
     let read = |t: &ListedTarget| state.loads.get(&t.id).map(|known| known.at);
     let mut stale: Vec<_> = others
         .into_iter()
         .filter(|t| read(t).is_none_or(|at| now.saturating_sub(at) >= LOAD_FRESH))
         .collect();
-    stale.sort_by_key(|t| (read(t), t.id.clone()));
-    due.extend(stale.into_iter().take(STALE_READS));
-    due
+    stale.sort_by_key(|t| (read(t), &t.id));
+    let chosen = owned.into_iter().chain(stale.into_iter().take(STALE_READS));
+    chosen.cloned().collect()
 }
 
 async fn visit(control: Rc<Control>, fleet: SharedFleet, target: ListedTarget) {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -62,6 +62,19 @@
     Register,
 }
 
+/// How a call of the platform ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// It was answered.
+    Done,
+    /// The object or history is missing or has another version.
+    Conflict,
+    /// It was refused or could not be sent.
+    Refused,
+    /// No answer came.
+    Unknown,
+}
+
 /// A call of another entry instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerCall {
@@ -185,7 +198,13 @@
 }
 
 /// Counts a call of the platform.
-pub fn platform_call(call: PlatformCall, outcome: &'static str) {
+pub fn platform_call(call: PlatformCall, outcome: CallOutcome) {
+    let outcome = match outcome {
+        CallOutcome::Done => "done",
+        CallOutcome::Conflict => "conflict",
+        CallOutcome::Refused => "refused",
+        CallOutcome::Unknown => "unknown",
+    };
     let labels = [
         KeyValue::new("call", call.as_str()),
         KeyValue::new("outcome", outcome),
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,6 +9,7 @@
 use crate::{
     dial,
     ids::{InstanceId, SessionId, TargetId, Version, Zone},
+    metrics::{self, CallOutcome, PlatformCall},
 };
 
 /// Kinds of objects that the system keeps in the object service.
@@ -244,7 +245,7 @@
         let conn = self
             .client
             .get(format!("{}/objects/{kind}/{name}", self.base));
-        match self.send(conn, self.timeout).await {
+        match self.send(PlatformCall::Get, conn, self.timeout).await {
             Ok((200, body)) => parse(&body).map(Some),
             Ok((404, _)) => Ok(None),
             _ => Err(ReadError::Unavailable),
@@ -268,7 +269,10 @@
             "{}/objects/{kind}?prefix={prefix}&after={after}&limit={limit}",
             self.base
         );
-        match self.send(self.client.get(url), self.timeout).await {
+        match self
+            .send(PlatformCall::List, self.client.get(url), self.timeout)
+            .await
+        {
             Ok((200, body)) => parse(&body),
             _ => Err(ReadError::Unavailable),
         }
@@ -290,7 +294,11 @@
             self.base,
             wait.as_millis()
         );
-        match self.send(self.client.get(url), wait + self.timeout).await {
+        let deadline = wait + self.timeout;
+        match self
+            .send(PlatformCall::Watch, self.client.get(url), deadline)
+            .await
+        {
             Ok((200, body)) => parse(&body),
             Ok((410, _)) => Err(ReadError::Gone),
             _ => Err(ReadError::Unavailable),
@@ -311,7 +319,7 @@
         let conn = self
             .object(Method::Put, kind, name)
             .with_request_header("if-none-match", "*");
-        self.write(conn, value).await
+        self.write(PlatformCall::Create, conn, value).await
     }
 
     /// Updates an object that still has `version` and returns the new version.
@@ -329,7 +337,7 @@
         let conn = self
             .object(Method::Put, kind, name)
             .with_request_header("if-match", version.to_string());
-        self.write(conn, value).await
+        self.write(PlatformCall::Update, conn, value).await
     }
 
     /// Removes an object that still has `version`.
@@ -341,7 +349,7 @@
         let conn = self
             .object(Method::Delete, kind, name)
             .with_request_header("if-match", version.to_string());
-        let answer = self.send(conn, self.timeout).await?;
+        let answer = self.send(PlatformCall::Delete, conn, self.timeout).await?;
         written(answer).map(|_| ())
     }
 
@@ -352,7 +360,7 @@
     /// Returns [`ReadError::Unavailable`] when the platform does not answer.
     pub async fn instances(&self) -> Result<InstanceList, ReadError> {
         let conn = self.client.get(format!("{}/instances", self.base));
-        match self.send(conn, self.timeout).await {
+        match self.send(PlatformCall::Instances, conn, self.timeout).await {
             Ok((200, body)) => parse(&body),
             _ => Err(ReadError::Unavailable),
         }
@@ -367,7 +375,10 @@
         let url = format!("{}/instances/entries/{}", self.base, entry.id);
         let body = serde_json::to_vec(entry).map_err(|_| WriteError::Refused)?;
         let conn = self.client.put(url).with_body(body);
-        match self.send(conn, self.timeout).await? {
+        match self
+            .send(PlatformCall::Register, conn, self.timeout)
+            .await?
+        {
             (200, _) => Ok(()),
             _ => Err(WriteError::Refused),
         }
@@ -378,19 +389,40 @@
         self.client.build_conn(method, url)
     }
 
-    async fn write(&self, conn: Conn, value: &impl Serialize) -> Result<Version, WriteError> {
+    async fn write(
+        &self,
+        call: PlatformCall,
+        conn: Conn,
+        value: &impl Serialize,
+    ) -> Result<Version, WriteError> {
         let body = serde_json::to_vec(value).map_err(|_| WriteError::Refused)?;
-        let answer = self.send(conn.with_body(body), self.timeout).await?;
+        let answer = self.send(call, conn.with_body(body), self.timeout).await?;
         written(answer)
     }
 
     /// Sends a request and reads the whole answer before the deadline.
-    async fn send(&self, conn: Conn, deadline: Duration) -> Result<(u16, Vec<u8>), WriteError> {
+    async fn send(
+        &self,
+        call: PlatformCall,
+        conn: Conn,
+        deadline: Duration,
+    ) -> Result<(u16, Vec<u8>), WriteError> {
         let timeout = async {
             async_io::Timer::after(deadline).await;
             Err(WriteError::Unknown)
         };
-        smol::future::or(exchange(conn), timeout).await
+        let answer = smol::future::or(exchange(conn), timeout).await;
+        metrics::platform_call(call, call_outcome(&answer));
+        answer
+    }
+}
+
+fn call_outcome(answer: &Result<(u16, Vec<u8>), WriteError>) -> CallOutcome {
+    match answer {
+        Ok((200, _)) => CallOutcome::Done,
+        Ok((404 | 409 | 410, _)) => CallOutcome::Conflict,
+        Ok(_) | Err(WriteError::Refused) => CallOutcome::Refused,
+        Err(_) => CallOutcome::Unknown,
     }
 }
 
--- a/src/status.rs
+++ b/src/status.rs
@@ -1,13 +1,17 @@
 //! What control tells the operators' interface.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use arc_swap::ArcSwap;
 use serde::Serialize;
 
 use crate::{
+    control_state::State,
     ids::{InstanceId, ModelId, Revision, SessionId, Version, WorkerId, Zone},
+    members::Identity,
     sheet_log::SheetLog,
+    spread::Watched,
+    view::{View, WorkerInfo},
 };
 
 /// State of control at one moment.
@@ -115,3 +119,67 @@
     /// Pulls of changes.
     pub pulls: u64,
 }
+
+/// Returns what operators see of a state and the view that was published from it.
+pub fn report(state: &State, view: &View, now: Duration) -> Report {
+    Report {
+        sheet: SheetReport {
+            revision: view.revision,
+            head: state.log.head().revision,
+            fault: state.log.fault().cloned(),
+        },
+        members: member_reports(state, now),
+        workers: view
+            .workers
+            .iter()
+            .map(|w| worker_report(state, w))
+            .collect(),
+        views: Watched::ALL
+            .iter()
+            .map(|k| view_report(state, *k))
+            .collect(),
+        peers: state.counts,
+    }
+}
+
+fn member_reports(state: &State, now: Duration) -> Vec<MemberReport> {
+    let report = |i: &Identity, live| MemberReport {
+        instance: i.id.clone(),
+        session: i.session,
+        zone: i.zone.clone(),
+        address: i.address,
+        live,
+        leaving: i.leaving,
+    };
+    let me = state.members.me();
+    let others = state.members.entries();
+    let others = others.map(|m| report(&m.identity, state.members.is_live(m, now)));
+    let mut reports: Vec<_> = others.chain([report(me, !me.leaving)]).collect();
+    reports.sort_by(|a, b| a.instance.cmp(&b.instance));
+    reports
+}
+
+fn worker_report(state: &State, info: &WorkerInfo) -> WorkerReport {
+    let load = state.loads.get(&info.id).map(|k| &k.load);
+    WorkerReport {
+        worker: info.id.clone(),
+        zone: info.zone.clone(),
+        owner: info.owner.clone(),
+        model: info.model.clone(),
+        slots: info.slots,
+        running: load.map_or(0, |l| l.online + l.batch),
+        waiting: load.map_or(0, |l| l.waiting),
+        leaving: info.leaving,
+    }
+}
+
+fn view_report(state: &State, kind: Watched) -> ViewReport {
+    let view = state.view(kind);
+    ViewReport {
+        kind: kind.as_str(),
+        version: view.version(),
+        latest: view.latest(),
+        objects: view.objects().len(),
+        watched: state.is_watching(),
+    }
+}
--- /dev/null
+++ b/tests/control_peers.rs
@@ -0,0 +1,153 @@
+//! Connections between entry instances, zones without platform, long logs.
+
+mod control_support;
+
+use std::{
+    io::Read,
+    net::TcpListener,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use control_support::{Instance, Plan, Process, free_address, http, sheet, wait};
+use gentianpath::{
+    ids::Map,
+    members::Identity,
+    peer::Digest,
+    peer_client::{PeerClient, PeerError},
+    sheet_log::SNAPSHOT_INTERVAL,
+};
+use serde_json::{Value, json};
+use smol::LocalExecutor;
+
+const MODEL: &str = "coinread";
+
+/// Guards against a call that waits for ever on a connection which went silent, and against a
+/// client that keeps such a connection.
+#[test]
+fn a_silent_connection_is_replaced() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let opened = Arc::new(AtomicUsize::new(0));
+    let counter = opened.clone();
+    // Reads all and answers nothing.
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            counter.fetch_add(1, Ordering::Relaxed);
+            let mut stream = stream.unwrap();
+            thread::spawn(move || while stream.read(&mut [0; 4096]).is_ok_and(|n| n > 0) {});
+        }
+    });
+    let digest = Digest {
+        identity: Identity {
+            id: "me".into(),
+            session: 1,
+            zone: "z".into(),
+            address: free_address(),
+            leaving: false,
+        },
+        views: Map::default(),
+        loads: vec![],
+        heard: vec![],
+    };
+    let executor = Rc::new(LocalExecutor::new());
+    let deadline = Duration::from_millis(100);
+    let client = PeerClient::new(address, deadline, Rc::downgrade(&executor));
+    smol::block_on(executor.run(async {
+        for calls in 1..=2 {
+            while opened.load(Ordering::Relaxed) < calls {
+                match client.exchange(&digest).await {
+                    Err(PeerError::Silent) => {}
+                    Err(PeerError::Waiting) => {
+                        async_io::Timer::after(Duration::from_millis(5)).await;
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+        }
+    }));
+    assert!(opened.load(Ordering::Relaxed) >= 2);
+}
+
+/// Guards against a zone that does not learn of a sheet because its instances cannot reach the
+/// platform, and against a watch that ends when the platform has forgotten its history.
+#[test]
+fn a_zone_without_platform_learns_from_other_zones() {
+    let platform = Process::platform();
+    let a = Instance::simple(platform.address, "a", "tas-south-a");
+    let nowhere = free_address();
+    let cut = |name, session| {
+        let plan = Plan {
+            name,
+            zone: "tas-south-b",
+            session,
+            peers: vec![a.peer()],
+            ..Plan::default()
+        };
+        Instance::start(nowhere, &plan)
+    };
+    let (b, c) = (cut("b", 2), cut("c", 3));
+    assert_eq!(a.push(sheet(MODEL, "v1", 1), None), Ok(1));
+    [&a, &b, &c].iter().for_each(|i| i.wait_revision(1));
+    platform.set_faults(&json!({ "forget": true }));
+    assert_eq!(a.push(sheet(MODEL, "v1", 2), None), Ok(2));
+    // Through the platform and not through `a`, which knows its own push at once.
+    let changes = json!({ "token": "t", "base": 2, "changes": { "throughput_weight": 1.0 } });
+    smol::block_on(async {
+        let create =
+            a.ctx
+                .platform
+                .create(gentianpath::platform::Kind::Sheet, "0000000003", &changes);
+        create.await.unwrap();
+    });
+    [&a, &b, &c].iter().for_each(|i| i.wait_revision(3));
+}
+
+/// Guards against a log that must be read from its first entry, and one that grows without bound
+/// in memory.
+#[test]
+fn a_long_log_is_read_from_its_snapshot() {
+    let last = 2 * SNAPSHOT_INTERVAL + 8;
+    let platform = Process::platform();
+    let a = Instance::simple(platform.address, "a", "tas-south-a");
+    let b = Instance::simple(platform.address, "b", "tas-south-a");
+    for revision in 1..=last {
+        assert_eq!(
+            a.push(sheet(MODEL, "v1", revision as u32), None),
+            Ok(revision)
+        );
+    }
+    for instance in [&a, &b] {
+        instance.wait_revision(last);
+        wait("the log is compacted", || {
+            let status = instance.ctx.status.load();
+            let objects = status.report.views[0].objects as u64;
+            status.report.sheet.revision == last && objects < SNAPSHOT_INTERVAL
+        });
+    }
+    let snapshots = http("GET", platform.address, "/objects/sheet-snapshot", "").1;
+    let snapshots: Value = serde_json::from_str(&snapshots).unwrap();
+    assert_eq!(snapshots["items"].as_array().unwrap().len(), 2);
+    // A new instance of another zone reads the platform, one without platform reads the peers.
+    let c = Instance::simple(platform.address, "c", "tas-south-b");
+    let plan = Plan {
+        name: "d",
+        zone: "tas-south-a",
+        session: 4,
+        peers: vec![b.peer()],
+        ..Plan::default()
+    };
+    let d = Instance::start(free_address(), &plan);
+    for instance in [&c, &d] {
+        instance.wait_revision(last);
+        assert_eq!(
+            instance.ctx.view.load().sheet.models[MODEL].slots,
+            last as u32
+        );
+    }
+}
--- a/tests/control_sheet.rs
+++ b/tests/control_sheet.rs
@@ -206,7 +206,7 @@
     };
     wait("two watchers per zone", || watchers() == 8);
     let before = platform.ledger();
-    let start = Instant::now();
+    let (bytes, start) = (sent_bytes(), Instant::now());
     let mut times = Vec::new();
     for push in 1..=PUSHES {
         let pushed = Instant::now();
@@ -220,6 +220,8 @@
     }
     let after = platform.ledger();
     let took = start.elapsed().as_secs_f64();
+    let bytes = (sent_bytes() - bytes) / took / instances.len() as f64;
+    println!("an instance sends its peers {bytes:.0} bytes/s");
     println!("spread of {PUSHES} pushes to 20 instances, exchange every 100 ms: {times:?}");
     for counter in [
         "reads",
@@ -240,6 +242,16 @@
     );
 }
 
+/// Returns the bytes that all instances of this process have sent to peers.
+fn sent_bytes() -> f64 {
+    let metrics = gentianpath::metrics::text();
+    let line = metrics
+        .lines()
+        .find(|l| l.starts_with("gentianpath_peer_bytes") && l.contains("direction=\"out\""));
+    line.and_then(|l| l.rsplit(' ').next()?.parse().ok())
+        .unwrap_or_default()
+}
+
 /// Guards against operators who cannot tell from the answers what became of a push.
 #[test]
 fn operators_see_verdicts_and_state_over_http() {
