Add batch jobs: submit, claim, run, commit, results

Cause: accepted batch items must complete exactly once and stay readable although instances, engines and the object service fail.

--- /dev/null
+++ b/src/batch_claims.rs
@@ -0,0 +1,436 @@
+//! Claims of the batch driver: which group is tried, what its answers lead to, progress.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    batch::{Driver, HELD_MOST, today},
+    batch_calls::{self, ProgressRead, Purpose, SeenLease},
+    batch_state::FinishedGroup,
+    claim::{Answer, Pace, Phase},
+    held::Held,
+    ids::{JobId, Map, ModelId, Set},
+    job_record::{Claim, GroupKey, InputRecord, JobState, Repeat},
+    progress::Progress,
+};
+
+/// What a held group needs next.
+enum Need {
+    Nothing,
+    /// The call that the machine waits for.
+    Call,
+    /// The items.
+    Input,
+    /// The claim can be written.
+    Claim,
+    /// The lease of the holder.
+    Lease(Claim),
+    /// The group is not wanted any more.
+    Drop,
+}
+
+impl Driver {
+    /// Moves every group on as far as possible without waiting.
+    pub(crate) fn step_groups(&mut self, now: Duration) {
+        let keys: Vec<GroupKey> = self.held.keys().cloned().collect();
+        for key in keys {
+            self.step(&key, now);
+        }
+    }
+
+    fn step(&mut self, key: &GroupKey, now: Duration) {
+        self.step_held(key, now);
+        let Some(held) = self.held.get(key).filter(|h| !h.busy && now >= h.retry) else {
+            return;
+        };
+        let ctx = self.ctx.clone();
+        match self.need(held, now) {
+            Need::Nothing => {}
+            Need::Call => {
+                if let Some(op) = held.holder.op() {
+                    self.begin(key, batch_calls::group(ctx, key.clone(), op));
+                }
+            }
+            Need::Input => self.begin(key, batch_calls::input(ctx, key.clone())),
+            Need::Claim => self.write_claim(key),
+            Need::Lease(claim) => {
+                let holder = claim.holder;
+                self.begin(key, batch_calls::holder_lease(ctx, key.clone(), holder));
+            }
+            Need::Drop => self.drop_group(key, now),
+        }
+    }
+
+    fn begin(&mut self, key: &GroupKey, call: batch_calls::CallFuture) {
+        if let Some(held) = self.held.get_mut(key) {
+            held.busy = true;
+        }
+        self.call(call);
+    }
+
+    fn need(&self, held: &Held, now: Duration) -> Need {
+        let unclaimed = matches!(held.holder.phase(), Phase::Look | Phase::Free | Phase::Busy(_));
+        if unclaimed && (self.stopping.is_some() || !self.ready(&held.key)) {
+            return Need::Drop;
+        }
+        match held.holder.phase() {
+            Phase::Busy(claim) if *claim != self.me && held.from.is_none() => {
+                Need::Lease(claim.clone())
+            }
+            Phase::Free | Phase::Busy(_) if held.input.is_none() => Need::Input,
+            Phase::Free | Phase::Busy(_) => {
+                let valid = self.lease.valid(now, self.ctx.settings.timeouts.lease);
+                if valid { Need::Claim } else { Need::Nothing }
+            }
+            Phase::Finished if held.input.is_none() => Need::Input,
+            Phase::Finished | Phase::Released | Phase::Lost if held.running() == 0 => Need::Drop,
+            _ if held.holder.op().is_some() => Need::Call,
+            _ => Need::Nothing,
+        }
+    }
+
+    fn ready(&self, key: &GroupKey) -> bool {
+        let entry = self.jobs.get(&key.job);
+        entry.is_some_and(|e| e.record.state == JobState::Ready)
+    }
+
+    fn write_claim(&mut self, key: &GroupKey) {
+        let token = self.token();
+        if let Some(held) = self.held.get_mut(key) {
+            let count = held.input.as_ref().map_or(0, |i| i.items.len());
+            held.holder.claim(count, token);
+        }
+    }
+
+    /// Decides for a group that is held whether to save, give back or check it.
+    fn step_held(&mut self, key: &GroupKey, now: Duration) {
+        let token = self.token();
+        let cancelled = !self.ready(key);
+        let stopping = self.stopping.is_some();
+        let grace_over = self.grace_over(now);
+        let interval = self.ctx.settings.timeouts.progress;
+        let Some(held) = self.held.get_mut(key) else {
+            return;
+        };
+        if matches!(held.holder.phase(), Phase::Lost) {
+            held.stop_runs();
+        }
+        if !held.holder.holds() {
+            return;
+        }
+        if cancelled || (stopping && (held.repeat() == Repeat::Allowed || grace_over)) {
+            held.stop_runs();
+        }
+        if cancelled || stopping {
+            held.holder.stop(false);
+        }
+        if *held.holder.phase() != Phase::Held {
+            return;
+        }
+        let idle = held.running() == 0;
+        if cancelled && idle {
+            held.holder.stop(true);
+            held.holder.save(token);
+        } else if stopping && idle {
+            held.holder.release(token);
+        } else if held.holder.record().finished()
+            || (held.holder.dirty() && now >= held.saved + interval)
+        {
+            held.saved = now;
+            held.holder.save(token);
+        } else if std::mem::take(&mut held.recheck) {
+            held.holder.check();
+        }
+    }
+
+    /// Takes the answer to a call for a group.
+    pub(crate) fn group_answered(&mut self, key: &GroupKey, answer: Answer, now: Duration) {
+        let token = self.token();
+        let Some(held) = self.held.get_mut(key) else {
+            return;
+        };
+        held.busy = false;
+        let before = held.holder.phase().clone();
+        match held.holder.answer(answer, token) {
+            Pace::Now => held.backoff.succeed(),
+            Pace::Backoff => held.retry = now + held.backoff.fail(&mut self.rng),
+        }
+        let after = held.holder.phase().clone();
+        if before == Phase::Claiming && after == Phase::Held {
+            self.claimed(key, now);
+        }
+        if before == Phase::Look && after == Phase::Look {
+            self.drop_group(key, now);
+        }
+    }
+
+    fn claimed(&mut self, key: &GroupKey, now: Duration) {
+        self.looking = None;
+        self.claims.succeed(now);
+        let Some(held) = self.held.get_mut(key) else {
+            return;
+        };
+        held.prepare(now);
+        let items = held.ready(now);
+        match &held.from {
+            Some(from) => crate::event!(
+                Info,
+                GroupTakenOver,
+                "group={key} items={items} from={}",
+                from.holder
+            ),
+            None => crate::event!(Info, GroupClaimed, "group={key} items={items}"),
+        }
+        self.schedule.claimed(&key.job, &held.job.team, items as u64);
+    }
+
+    /// Takes the items of a group.
+    pub(crate) fn input_read(
+        &mut self,
+        key: &GroupKey,
+        input: Option<Arc<InputRecord>>,
+        now: Duration,
+    ) {
+        let Some(held) = self.held.get_mut(key) else {
+            return;
+        };
+        held.busy = false;
+        match input {
+            Some(input) => held.input = Some(input),
+            None if *held.holder.phase() == Phase::Finished => {
+                held.retry = now + held.backoff.fail(&mut self.rng);
+            }
+            None => self.drop_group(key, now),
+        }
+    }
+
+    /// Takes the lease of the holder of a group, and takes the group over if it has expired.
+    pub(crate) fn holder_seen(&mut self, key: &GroupKey, seen: Option<SeenLease>, now: Duration) {
+        let lease = self.ctx.settings.timeouts.lease;
+        let Some(held) = self.held.get_mut(key) else {
+            return;
+        };
+        held.busy = false;
+        let Phase::Busy(claim) = held.holder.phase().clone() else {
+            return;
+        };
+        if let Some(seen) = seen {
+            let (version, session) = (seen.version, seen.session);
+            self.observer.observe(&claim.holder, version, session, now);
+            if self.observer.expired(&claim, lease) {
+                held.from = Some(claim);
+                return;
+            }
+        }
+        self.drop_group(key, now);
+        if self.listing.due(now) {
+            self.listing.busy = true;
+            self.listing.succeed(now + self.ctx.settings.timeouts.renew);
+            self.call(batch_calls::listed(self.ctx.clone()));
+        }
+    }
+
+    /// Ends the work on a group.
+    fn drop_group(&mut self, key: &GroupKey, now: Duration) {
+        let Some(held) = self.held.remove(key) else {
+            return;
+        };
+        let looked = self.looking.as_ref() == Some(key);
+        if looked {
+            self.looking = None;
+            self.claims.fail(now, &mut self.rng);
+        }
+        let record = held.holder.record();
+        match held.holder.phase() {
+            Phase::Finished => {
+                let counts = record.counts();
+                self.jobs.finish(key, counts);
+                self.keep(&held);
+                if looked && held.from.is_none() {
+                    let interval = self.ctx.settings.timeouts.progress;
+                    self.jobs.outdated(&key.job, now, interval);
+                } else {
+                    crate::event!(
+                        Info,
+                        GroupCommitted,
+                        "group={key} done={} failed={} doubt={} cancelled={}",
+                        counts.done,
+                        counts.failed,
+                        counts.doubt,
+                        counts.cancelled
+                    );
+                }
+            }
+            Phase::Released => {
+                crate::event!(Info, GroupReleased, "group={key}");
+                self.jobs.give_back(key, now);
+            }
+            Phase::Lost if !looked => {
+                crate::event!(Warn, GroupLost, "group={key}");
+                self.jobs.give_back(key, now);
+            }
+            // A holder renews its lease three times before it expires; looking as often notices
+            // an expiry soon.
+            Phase::Busy(_) => {
+                let wait = self.ctx.settings.timeouts.renew.mul_f64(self.rng.f64());
+                self.jobs.give_back(key, now + wait);
+            }
+            _ => self.jobs.give_back(key, now),
+        }
+    }
+
+    fn keep(&self, held: &Held) {
+        let Some(input) = held.input.clone() else {
+            return;
+        };
+        let record = Arc::new(held.holder.record().clone());
+        let group = Arc::new(FinishedGroup { input, record });
+        self.ctx.batch.keep(&held.key, group);
+    }
+
+    /// Claims one more group when owned workers have room for more items than are ready. One group
+    /// is tried at a time: claims that wait for room would keep other instances from them.
+    pub(crate) fn claim_more(&mut self, now: Duration) {
+        let failing = self.held.values().any(|h| h.backoff.failures() > 0);
+        let full = self.held.len() >= HELD_MOST;
+        let stopping = self.stopping.is_some();
+        if stopping || failing || full || self.looking.is_some() || !self.claims.due(now) {
+            return;
+        }
+        let wanted = self.wanted(now);
+        if wanted.is_empty() {
+            return;
+        }
+        let pending = self.jobs.claimable(now, today(), |m| wanted.contains(m));
+        let Some(choice) = self.schedule.choose(&pending) else {
+            return;
+        };
+        let job = pending[choice].job.clone();
+        if !self.jobs.loaded(&job) {
+            self.claims.busy = true;
+            self.call(batch_calls::progress(
+                self.ctx.clone(),
+                job,
+                Purpose::Claim,
+            ));
+            return;
+        }
+        self.look(&job, now);
+    }
+
+    fn look(&mut self, job: &JobId, now: Duration) {
+        let Some(key) = self.jobs.take(job, now) else {
+            return;
+        };
+        let Some(entry) = self.jobs.get(job) else {
+            return;
+        };
+        self.epoch += 1;
+        let held = Held::new(
+            key.clone(),
+            entry.record.clone(),
+            self.me.clone(),
+            self.epoch,
+            now,
+        );
+        self.held.insert(key.clone(), held);
+        self.looking = Some(key.clone());
+        self.step(&key, now);
+    }
+
+    /// Returns the models with more room on owned workers than items that are ready.
+    fn wanted(&self, now: Duration) -> Set<ModelId> {
+        let mut room: Map<ModelId, i64> = Map::default();
+        for worker in self.owned.iter().filter(|w| self.usable(w, now)) {
+            if let Some(model) = &worker.model {
+                let more = self.ctx.workers.cell(&worker.id).batch_room(now);
+                *room.entry(model.clone()).or_default() += i64::from(more);
+            }
+        }
+        for held in self.held.values() {
+            if let Some(room) = room.get_mut(held.model()) {
+                *room -= held.ready(now) as i64;
+            }
+        }
+        room.into_iter().filter(|(_, r)| *r > 0).map(|(m, _)| m).collect()
+    }
+
+    /// Writes or reads the progress of one job at each interval, and judges deadlines.
+    pub(crate) fn report(&mut self, now: Duration) {
+        let work = self.held.values().any(|h| h.ready(now) > 0);
+        if self.rate.sample(now, work) {
+            self.judge();
+        }
+        if !self.progress.due(now) {
+            return;
+        }
+        let job = self.jobs.unreported().or_else(|| self.jobs.stalest());
+        let Some(job) = job else {
+            return;
+        };
+        self.progress.busy = true;
+        self.call(batch_calls::progress(
+            self.ctx.clone(),
+            job,
+            Purpose::Report,
+        ));
+    }
+
+    /// Takes the progress of a job, and adds to it what only this instance knows.
+    pub(crate) fn progress_read(&mut self, read: ProgressRead, now: Duration) {
+        if let Some(stored) = &read.stored {
+            self.jobs.merge(&read.job, stored.progress.clone(), now);
+        }
+        if read.purpose == Purpose::Claim {
+            self.claims.busy = false;
+            if read.stored.is_none() {
+                self.claims.fail(now, &mut self.rng);
+            }
+            return;
+        }
+        let known = self.jobs.get(&read.job).map(|e| e.finished().clone());
+        match (read.stored, known) {
+            (Some(stored), Some(known)) if known.groups() > stored.progress.groups() => {
+                let ctx = self.ctx.clone();
+                let call = batch_calls::write_progress(ctx, read.job, stored.version, known);
+                self.call(call);
+            }
+            _ => self.end_progress(now),
+        }
+    }
+
+    fn end_progress(&mut self, now: Duration) {
+        let interval = self.ctx.settings.timeouts.progress;
+        self.progress.busy = false;
+        // Jitter keeps instances that started together from writing together.
+        self.progress.succeed(now + interval + interval.mul_f64(self.rng.f64()));
+    }
+
+    /// Takes the end of a progress write. A failed one is repeated with the next interval.
+    pub(crate) fn progress_written(
+        &mut self,
+        job: &JobId,
+        written: Option<Progress>,
+        now: Duration,
+    ) {
+        if let Some(progress) = written {
+            self.jobs.merge(job, progress, now);
+        }
+        self.end_progress(now);
+    }
+
+    /// Publishes which jobs cannot meet their deadline, and logs those that are new.
+    fn judge(&mut self) {
+        let pending = self.jobs.open(today());
+        let fleet = self.view.peers.len() as f64 + 1.0;
+        let late: Vec<usize> = match self.rate.get() {
+            Some(rate) => self.schedule.infeasible(&pending, rate * fleet),
+            None => (0..pending.len()).filter(|&i| pending[i].left.is_zero()).collect(),
+        };
+        let jobs: Set<JobId> = late.into_iter().map(|i| pending[i].job.clone()).collect();
+        for job in jobs.difference(&self.infeasible) {
+            crate::event!(Warn, JobInfeasible, "job={job}");
+        }
+        self.ctx.batch.set_infeasible(jobs.clone());
+        self.infeasible = jobs;
+    }
+}
--- a/src/context.rs
+++ b/src/context.rs
@@ -6,6 +6,7 @@
 use smol::channel::{Receiver, Sender};
 
 use crate::{
+    batch_state::BatchState,
     drain::Drain,
     engine::Engine,
     ids::{InstanceId, SessionId, WorkerId},
@@ -50,6 +51,8 @@
     pub platform: Platform,
     /// Client of model engines.
     pub engine: Engine,
+    /// What the batch driver and the callers' HTTP share.
+    pub batch: BatchState,
     /// Phase of a planned stop.
     pub drain: Drain,
     /// Messages to control.
@@ -70,6 +73,7 @@
             workers: WorkerTable::default(),
             platform,
             engine: Engine::new(timeouts),
+            batch: BatchState::default(),
             drain: Drain::default(),
             commands,
         };
--- a/src/events.rs
+++ b/src/events.rs
@@ -42,6 +42,28 @@
     JobAccepted = 2001, "job-accepted";
     /// A group of items was claimed.
     GroupClaimed = 2002, "group-claimed";
+    /// A group was taken over from a holder whose lease had expired.
+    GroupTakenOver = 2003, "group-taken-over";
+    /// The results of a finished group were committed.
+    GroupCommitted = 2004, "group-committed";
+    /// A claim was given back with items left.
+    GroupReleased = 2005, "group-released";
+    /// A claim was lost to another instance.
+    GroupLost = 2006, "group-lost";
+    /// A batch stream yielded to online requests.
+    ItemYielded = 2007, "item-yielded";
+    /// An item failed for good.
+    ItemFailed = 2008, "item-failed";
+    /// A non-repeatable item ended in doubt.
+    ItemInDoubt = 2009, "item-in-doubt";
+    /// A job was cancelled.
+    JobCancelled = 2010, "job-cancelled";
+    /// A job cannot meet its deadline at the observed rate.
+    JobInfeasible = 2011, "job-infeasible";
+    /// The own lease lapsed; claims are checked before more items start.
+    LeaseLapsed = 2012, "lease-lapsed";
+    /// A worker did not do its part in a batch run and is left alone for a while.
+    WorkerBackedOff = 2013, "worker-backed-off";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
--- /dev/null
+++ b/src/held.rs
@@ -0,0 +1,306 @@
+//! A group that this instance looks at or holds, with the runs of its items (pure).
+
+use std::{sync::Arc, time::Duration};
+
+use smol::channel::{Receiver, Sender};
+
+use crate::{
+    backoff::Backoff,
+    claim::Holder,
+    ids::{ModelId, RequestId},
+    item_run::{Partial, RunEnd},
+    job_record::{Claim, GroupKey, InputRecord, JobRecord, Outcome, Repeat},
+};
+
+/// First span of the backoff between calls of the object service for a group.
+const CALL_FIRST: Duration = Duration::from_millis(50);
+/// Longest span of the backoff between calls of the object service for a group.
+const CALL_MOST: Duration = Duration::from_secs(5);
+/// First span of the backoff between runs of an item.
+const ITEM_FIRST: Duration = Duration::from_millis(100);
+/// Longest span of the backoff between runs of an item. An item that brings engines down is tried
+/// again without end, so it must not do so often.
+const ITEM_MOST: Duration = Duration::from_secs(60);
+/// How long a stopped stream waits for its worker to have room again, before it starts anew on
+/// another worker.
+const RESUME_WAIT: Duration = Duration::from_secs(10);
+/// The same for an item that may not be repeated and would end in doubt.
+const RESUME_WAIT_NEVER: Duration = Duration::from_secs(120);
+
+/// Where an item stands.
+#[derive(Debug)]
+enum Slot {
+    /// May start after a time.
+    Waiting(Duration),
+    /// Runs; closing the channel stops it.
+    Running(Option<Sender<()>>),
+    /// Was stopped and may be resumed on its worker.
+    Paused {
+        partial: Partial,
+        since: Duration,
+        after: Duration,
+    },
+    /// Has its outcome.
+    Done,
+}
+
+/// What an item's run came to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// Nothing to tell.
+    Quiet,
+    /// The item completed.
+    Done,
+    /// The item yielded and keeps its text.
+    Yielded,
+    /// The item failed for good.
+    Failed(Arc<str>),
+    /// The item may not be repeated, and whether it ran is not known.
+    Doubt,
+    /// The worker did not do its part.
+    WorkerFailed,
+}
+
+/// What a run starts from.
+#[derive(Debug)]
+pub struct Launch {
+    /// Where to start, or to continue.
+    pub from: Partial,
+    /// Whether to continue.
+    pub resume: bool,
+    /// Closes when the run must stop.
+    pub stop: Receiver<()>,
+}
+
+/// A group that this instance looks at or holds.
+#[derive(Debug)]
+pub struct Held {
+    /// The group.
+    pub key: GroupKey,
+    /// Its job.
+    pub job: Arc<JobRecord>,
+    /// Tells runs of this claim from those of an earlier one.
+    pub epoch: u64,
+    /// Claim and results.
+    pub holder: Holder,
+    /// Items, once they were read.
+    pub input: Option<Arc<InputRecord>>,
+    /// Whether a call is under way.
+    pub busy: bool,
+    /// Time of the next call.
+    pub retry: Duration,
+    /// Backoff of calls.
+    pub backoff: Backoff,
+    /// Time of the last checkpoint, or of the claim.
+    pub saved: Duration,
+    /// Whether the claim must be checked before more items start.
+    pub recheck: bool,
+    /// Holder from whom the group is taken over.
+    pub from: Option<Claim>,
+    slots: Vec<Slot>,
+    waits: Vec<Backoff>,
+}
+
+impl Held {
+    /// Starts to look at a group.
+    pub fn new(key: GroupKey, job: Arc<JobRecord>, me: Claim, epoch: u64, now: Duration) -> Self {
+        let repeat = job.repeat(key.index);
+        Self {
+            key,
+            job,
+            epoch,
+            holder: Holder::new(me, repeat),
+            input: None,
+            busy: false,
+            retry: Duration::ZERO,
+            backoff: Backoff::new(CALL_FIRST, CALL_MOST),
+            saved: now,
+            recheck: false,
+            from: None,
+            slots: Vec::new(),
+            waits: Vec::new(),
+        }
+    }
+
+    /// Returns the model.
+    pub fn model(&self) -> &ModelId {
+        &self.job.model
+    }
+
+    /// Returns whether the items may be repeated.
+    pub fn repeat(&self) -> Repeat {
+        self.job.repeat(self.key.index)
+    }
+
+    /// Says whether items may start.
+    pub fn starts(&self) -> bool {
+        self.holder.starts() && !self.recheck
+    }
+
+    /// Makes the items ready to run, once the group is held.
+    pub fn prepare(&mut self, now: Duration) {
+        let items = self.holder.record().items.iter();
+        self.slots = items
+            .map(|i| match i.outcome {
+                Some(_) => Slot::Done,
+                None => Slot::Waiting(now),
+            })
+            .collect();
+        self.waits = vec![Backoff::new(ITEM_FIRST, ITEM_MOST); self.slots.len()];
+        self.saved = now;
+    }
+
+    /// Returns how many items run.
+    pub fn running(&self) -> usize {
+        let running = self.slots.iter();
+        running.filter(|s| matches!(s, Slot::Running(_))).count()
+    }
+
+    /// Returns how many items could start now.
+    pub fn ready(&self, now: Duration) -> usize {
+        let ready = |s: &&Slot| matches!(s, Slot::Waiting(after) if *after <= now);
+        self.slots.iter().filter(ready).count()
+    }
+
+    /// Returns an item that was stopped on this worker.
+    pub fn paused_on(&self, worker: &str, now: Duration) -> Option<usize> {
+        self.slots.iter().position(|s| match s {
+            Slot::Paused { partial, after, .. } => {
+                partial.worker.as_ref() == worker && *after <= now
+            }
+            _ => false,
+        })
+    }
+
+    /// Returns an item that could start on any worker.
+    pub fn next_ready(&self, now: Duration) -> Option<usize> {
+        let ready = |s: &Slot| matches!(s, Slot::Waiting(after) if *after <= now);
+        self.slots.iter().position(ready)
+    }
+
+    /// Starts a run; nothing when the item must not run. `fresh` is where a run begins anew.
+    pub fn launch(&mut self, item: usize, fresh: Partial) -> Option<Launch> {
+        let resume = matches!(self.slots[item], Slot::Paused { .. });
+        if !resume && !self.holder.start(item) {
+            return None;
+        }
+        let (sender, stop) = smol::channel::bounded(1);
+        let slot = std::mem::replace(&mut self.slots[item], Slot::Running(Some(sender)));
+        let from = match slot {
+            Slot::Paused { partial, .. } => partial,
+            _ => fresh,
+        };
+        Some(Launch { from, resume, stop })
+    }
+
+    /// Takes the end of a run.
+    pub fn ended(
+        &mut self,
+        item: usize,
+        end: RunEnd,
+        now: Duration,
+        rng: &mut fastrand::Rng,
+    ) -> Note {
+        match end {
+            RunEnd::Done(text) => {
+                self.holder.finish(item, Outcome::Done { text });
+                self.close(item, now, Note::Done)
+            }
+            RunEnd::Rejected(reason) => {
+                self.holder.finish(item, Outcome::failed(&reason));
+                self.close(item, now, Note::Failed(reason))
+            }
+            RunEnd::Failed(reason) => {
+                self.holder.attempt(item, &reason);
+                let after = now + self.waits[item].fail(rng);
+                self.close(item, after, Note::Failed(reason))
+            }
+            RunEnd::NotRun => {
+                self.holder.unstart(item, false);
+                let after = now + self.waits[item].fail(rng);
+                self.close(item, after, Note::WorkerFailed)
+            }
+            RunEnd::Lost => {
+                self.holder.unstart(item, true);
+                let after = now + self.waits[item].fail(rng);
+                self.close(item, after, Note::WorkerFailed)
+            }
+            RunEnd::Gone => {
+                self.holder.unstart(item, true);
+                self.close(item, now, Note::Quiet)
+            }
+            RunEnd::Stopped { partial, healthy } => self.pause(item, partial, healthy, now, rng),
+        }
+    }
+
+    /// Gives up stopped streams whose worker is gone, or has had no room for too long.
+    pub fn expire(&mut self, now: Duration, present: impl Fn(&str) -> bool) {
+        let wait = match self.repeat() {
+            Repeat::Allowed => RESUME_WAIT,
+            Repeat::Never => RESUME_WAIT_NEVER,
+        };
+        for item in 0..self.slots.len() {
+            let Slot::Paused { partial, since, .. } = &self.slots[item] else {
+                continue;
+            };
+            if now >= *since + wait || !present(&partial.worker) {
+                self.holder.unstart(item, true);
+                self.close(item, now, Note::Quiet);
+            }
+        }
+    }
+
+    /// Stops all runs. Their ends still arrive.
+    pub fn stop_runs(&mut self) {
+        for slot in &mut self.slots {
+            if let Slot::Running(stop) = slot {
+                stop.take();
+            }
+        }
+    }
+
+    fn pause(
+        &mut self,
+        item: usize,
+        partial: Partial,
+        healthy: bool,
+        now: Duration,
+        rng: &mut fastrand::Rng,
+    ) -> Note {
+        let wait = if healthy {
+            Duration::ZERO
+        } else {
+            self.waits[item].fail(rng)
+        };
+        let since = now;
+        self.slots[item] = Slot::Paused {
+            partial,
+            since,
+            after: now + wait,
+        };
+        if healthy {
+            Note::Yielded
+        } else {
+            Note::WorkerFailed
+        }
+    }
+
+    /// Puts an item back unless it has its outcome.
+    fn close(&mut self, item: usize, after: Duration, note: Note) -> Note {
+        let outcome = self.holder.record().items[item].outcome.as_ref();
+        self.slots[item] = match outcome {
+            Some(_) => Slot::Done,
+            None => Slot::Waiting(after),
+        };
+        match (outcome, note) {
+            (Some(Outcome::MayHaveRun), _) => Note::Doubt,
+            (None, Note::Failed(_)) => Note::Quiet,
+            (_, note) => note,
+        }
+    }
+}
+
+/// Builds the id of a request, new for each run.
+pub fn request_id(key: &GroupKey, item: usize, rng: &mut fastrand::Rng) -> RequestId {
+    format!("{}.{}.{item}.{:016x}", key.job, key.index, rng.u64(..)).into()
+}
