Run the batch driver in an entry instance

Cause: jobs were accepted by handlers that no instance mounted. Change: the serve command mounts the batch paths, runs the driver on the control thread, and waits in a planned stop until claims are handed back. The benchmark fleet waits until workers are known.

--- a/bench/src/processes.rs
+++ b/bench/src/processes.rs
@@ -205,7 +205,7 @@
     /// Returns an error when one of them does not become ready in time.
     pub fn wait_ready(&self) -> anyhow::Result<()> {
         for entry in &self.entries {
-            wait_until(|| entry.is_ready())?;
+            wait_until(|| entry.is_ready(self.workers.len()))?;
         }
         Ok(())
     }
@@ -222,9 +222,10 @@
 }
 
 impl Entry {
-    /// Says whether the instance is ready and knows workers.
-    pub fn is_ready(&self) -> bool {
-        call(self.operators, "GET", "/readyz", "").is_ok()
+    /// Says whether the instance is ready and knows a number of workers with a model.
+    pub fn is_ready(&self, workers: usize) -> bool {
+        let ready = call(self.operators, "GET", "/readyz", "").is_ok();
+        ready && self.status().is_ok_and(|s| usable_workers(&s) >= workers)
     }
 
     /// Reads the status page.
@@ -270,6 +271,12 @@
     }
 }
 
+fn usable_workers(status: &Value) -> usize {
+    let workers = status["workers"].as_array();
+    let usable = |w: &&Value| w["model"].is_string() && w["slots"].as_u64() > Some(0);
+    workers.map_or(0, |w| w.iter().filter(usable).count())
+}
+
 /// Reads user and system time from a line of `/proc/*/stat` when the thread has the name.
 fn cpu_of(stat: &str, name: &str) -> Option<f64> {
     const USER_TIME: usize = 11;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -17,7 +17,7 @@
 use trillium_server_common::ServerHandle;
 
 use crate::{
-    admin,
+    admin, batch, batch_http,
     context::{Command, Context},
     control,
     drain::Phase,
@@ -88,16 +88,28 @@
 }
 
 fn run_control(ctx: Arc<Context>, commands: Receiver<Command>, ended: &Sender<anyhow::Result<()>>) {
-    let result = smol::block_on(control::run(ctx, commands));
+    let executor = smol::LocalExecutor::new();
+    let driver = executor.spawn(run_batch(ctx.clone()));
+    let result = smol::block_on(executor.run(control::run(ctx, commands)));
+    drop(driver);
     let _ = ended.try_send(result);
 }
 
+async fn run_batch(ctx: Arc<Context>) {
+    batch::run(ctx.clone()).await;
+    ctx.drain.set_batch_released();
+}
+
 fn start_servers(ctx: &Arc<Context>) -> anyhow::Result<Servers> {
     let limits = &ctx.settings.limits;
     let http = HttpConfig::DEFAULT
         .with_head_max_len(limits.header)
         .with_received_body_max_len(limits.batch.max(limits.body) as u64);
-    let callers = (http::handler(ctx.clone()), refusal::unmatched);
+    let callers = (
+        http::handler(ctx.clone()),
+        batch_http::handler(ctx.clone()),
+        refusal::unmatched,
+    );
     let operators = (admin::handler(ctx.clone()), refusal::unmatched);
     let connections = Some(limits.connections);
     Ok(Servers {
@@ -174,7 +186,7 @@
 }
 
 fn is_idle(ctx: &Context) -> bool {
-    ctx.drain.active() == 0
+    ctx.drain.active() == 0 && ctx.drain.batch_released()
 }
 
 fn report_end(ctx: &Context, drained: bool) -> Exit {
