Keep engine streams open for callers that close after the response

Cause: the server closes a connection whose request says Connection: close instead of upgrading it, so every stream asked for by the engine client, which has no keep-alive, ended after the head. Change: the stand-in removes the header before the upgrade. The weight store's rate window is an option.

--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -373,7 +373,10 @@
 }
 
 /// Answers with the head of an event stream; the events follow on the upgraded connection.
-fn start(conn: Conn, start: Start) -> Conn {
+fn start(mut conn: Conn, start: Start) -> Conn {
+    // The server closes a connection with this header instead of upgrading it. The connection is
+    // closed after the stream in any case.
+    conn.request_headers_mut().remove("connection");
     conn.with_status(200)
         .with_response_header("content-type", "text/event-stream")
         .with_state(start)
--- a/standins/src/weights.rs
+++ b/standins/src/weights.rs
@@ -27,9 +27,12 @@
     /// Address to listen on; port 0 takes a free one and prints it.
     #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
     pub address: SocketAddr,
-    /// Reads within a second that are served, the rest get 429; 0 is without limit.
+    /// Reads within the window that are served, the rest get 429; 0 is without limit.
     #[arg(long, value_name = "COUNT", default_value_t = 4)]
     pub rate: usize,
+    /// Window of the rate, in milliseconds.
+    #[arg(long, value_name = "MS", default_value_t = 1000)]
+    pub window_ms: u64,
     /// Time that a read takes, in milliseconds.
     #[arg(long, value_name = "MS", default_value_t = 0)]
     pub read_ms: u64,
@@ -91,7 +94,8 @@
         let now = Instant::now();
         let mut state = self.lock();
         state.ledger.asked.add(now);
-        state.served.retain(|at| now - *at < Duration::from_secs(1));
+        let window = Duration::from_millis(self.options.window_ms);
+        state.served.retain(|at| now - *at < window);
         let within = self.options.rate == 0 || state.served.len() < self.options.rate;
         if within {
             state.served.push(now);
--- /dev/null
+++ b/standins/tests/weights.rs
@@ -0,0 +1,22 @@
+//! The weight store's stand-in.
+
+mod support;
+
+use standins::host::block_on;
+use support::{get, weights};
+
+/// Guards against a store that serves any number of engines at once.
+#[test]
+fn reads_over_the_rate_are_refused() {
+    block_on(async {
+        let address = weights(&["--rate", "2", "--window-ms", "600000"]);
+        let mut statuses = Vec::new();
+        for _ in 0..3 {
+            statuses.push(get(address, "/weights/m/1").await.0);
+        }
+        assert_eq!(statuses, [200, 200, 429]);
+        let (_, ledger) = get(address, "/ledger").await;
+        assert_eq!(ledger["refused"], 1);
+        assert_eq!(ledger["reads"].as_array().unwrap().len(), 2);
+    });
+}
