Evict the last blocks of a prompt first in the stand-in's prefix cache

Cause: a property test found that the cache evicted the first block of a prompt before its successors and then reported blocks as stored twice. Change: blocks are touched from the last to the first. The test that ends an engine process waits within a bound.

--- a/standins/src/prefix.rs
+++ b/standins/src/prefix.rs
@@ -93,7 +93,8 @@
             .iter()
             .take_while(|b| self.used.contains_key(b))
             .count();
-        for block in &blocks {
+        // From the last block to the first, so that a block is never evicted before its successors.
+        for block in blocks.iter().rev() {
             self.touch(*block);
         }
         let evicted = self.evict();
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -197,6 +197,7 @@
             .unwrap();
         let mut text = String::new();
         read(&mut stream, &mut text).await.unwrap_err();
+        until(async || process.0.try_wait().unwrap().is_some()).await;
         assert_eq!(process.0.wait().unwrap().code(), Some(101));
     });
 }
