Add a test harness that runs entry instances and stand-ins as processes

Cause: faults of whole processes (death, pause, restart, planned stop, cut links) need real processes and one place that starts and ends them. Four tests use it.

--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,70 @@
+//! Entry instances, engines and platform as processes.
+
+mod support;
+
+use serde_json::json;
+use standins::text;
+use support::{Fleet, until};
+
+/// Guards against a harness or an entry instance that does not come to serve.
+#[test]
+fn a_fleet_of_processes_serves_whole_answers() {
+    let fleet = Fleet::running(2, 2);
+    for (i, entry) in fleet.entries.iter().enumerate() {
+        let prompt = format!("question {i}");
+        let answer = entry.chat(&prompt, 20).unwrap();
+        assert_eq!(answer.content(), text::answer(&prompt, 20));
+        assert_eq!(fleet.runs(&prompt).len(), 1);
+    }
+}
+
+/// Guards against a planned stop that cuts off the requests in flight.
+#[test]
+fn a_planned_stop_finishes_the_stream_in_flight() {
+    let mut fleet = Fleet::running(1, 1);
+    let entry = &fleet.entries[0];
+    let answer = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| entry.chat_with("long", 300, true, &[]).unwrap());
+        until("the stream runs", || !fleet.runs("long").is_empty());
+        entry.process.terminate();
+        asked.join().unwrap()
+    });
+    assert_eq!(answer.events().last().map(String::as_str), Some("[DONE]"));
+    assert_eq!(fleet.entries[0].process.exit_code(), Some(0));
+}
+
+/// Guards against requests that go to an engine that died: one that forwarded nothing is tried on
+/// another.
+#[test]
+fn requests_after_the_death_of_an_engine_are_answered_by_another() {
+    let mut fleet = Fleet::running(2, 1);
+    fleet.targets[0].process.kill();
+    for i in 0..8 {
+        let prompt = format!("after {i}");
+        let answer = fleet.entries[0].chat(&prompt, 5).unwrap();
+        assert_eq!(
+            (answer.status, answer.content()),
+            (200, text::answer(&prompt, 5))
+        );
+    }
+}
+
+/// Guards against an entry instance that a pause or a restart leaves without its sheet.
+#[test]
+fn a_paused_and_a_restarted_instance_serve_the_latest_sheet() {
+    let mut fleet = Fleet::running(1, 2);
+    fleet.entries[1].process.pause();
+    let mut changed = support::sheet();
+    changed["teams"] = json!([{ "name": "t", "online_limit": 3 }]);
+    let revision = fleet.entries[0].push_sheet(&changed);
+    fleet.entries[1].process.resume();
+    let paused = &fleet.entries[1];
+    until("the paused instance follows", || {
+        paused.status()["sheet"]["revision"] == revision
+    });
+    fleet.entries[0].restart();
+    let restarted = &fleet.entries[0];
+    until("the restarted instance follows", || {
+        restarted.status()["sheet"]["revision"] == revision
+    });
+}
--- /dev/null
+++ b/tests/support/http.rs
@@ -0,0 +1,137 @@
+//! A small blocking HTTP client that shares no code with the product.
+
+use std::{
+    io::{self, BufRead, BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
+
+use serde_json::Value;
+
+/// Bound on opening a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+/// Bound on silence while a test waits for an answer.
+const READ_LIMIT: Duration = Duration::from_secs(60);
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Names in small letters, and values of the headers.
+    pub headers: Vec<(String, String)>,
+    /// Body without its framing.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Returns the value of a header, by its name in small letters.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(n, _)| n == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the generated text of an answer in one piece.
+    pub fn content(&self) -> String {
+        let content = &self.json()["choices"][0]["message"]["content"];
+        content.as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns the data of the events of a streamed answer.
+    pub fn events(&self) -> Vec<String> {
+        let text = self.text();
+        let data = text.lines().filter_map(|line| line.strip_prefix("data:"));
+        data.map(|line| line.trim_start().to_owned()).collect()
+    }
+}
+
+/// Sends a request; nothing when the connection fails or breaks before the answer is whole.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<Answer> {
+    exchange(address, method, path, headers, body).ok()
+}
+
+fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> io::Result<Answer> {
+    let mut connection = TcpStream::connect_timeout(&address, CONNECT_LIMIT)?;
+    connection.set_read_timeout(Some(READ_LIMIT))?;
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n");
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.push_str(&format!("content-length: {}\r\n\r\n{body}", body.len()));
+    connection.write_all(head.as_bytes())?;
+    read_answer(BufReader::new(connection))
+}
+
+fn read_answer(mut reader: impl BufRead) -> io::Result<Answer> {
+    let status = line(&mut reader)?;
+    let status = status.split(' ').nth(1).and_then(|s| s.parse().ok());
+    let mut answer = Answer {
+        status: status.ok_or(io::ErrorKind::InvalidData)?,
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    loop {
+        let line = line(&mut reader)?;
+        let Some((name, value)) = line.split_once(':') else {
+            break;
+        };
+        let header = (name.to_ascii_lowercase(), value.trim().to_owned());
+        answer.headers.push(header);
+    }
+    answer.body = read_body(&answer, reader)?;
+    Ok(answer)
+}
+
+fn read_body(answer: &Answer, mut reader: impl BufRead) -> io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    if answer.header("transfer-encoding") == Some("chunked") {
+        while read_chunk(&mut reader, &mut body)? {}
+    } else if let Some(length) = answer.header("content-length") {
+        body.resize(length.parse().unwrap_or(0), 0);
+        reader.read_exact(&mut body)?;
+    } else {
+        reader.read_to_end(&mut body)?;
+    }
+    Ok(body)
+}
+
+/// Reads one chunk; false after the last.
+fn read_chunk(reader: &mut impl BufRead, body: &mut Vec<u8>) -> io::Result<bool> {
+    let size = usize::from_str_radix(&line(reader)?, 16);
+    let size = size.map_err(|_| io::ErrorKind::UnexpectedEof)?;
+    let mut chunk = vec![0; size];
+    reader.read_exact(&mut chunk)?;
+    body.extend(chunk);
+    line(reader)?;
+    Ok(size > 0)
+}
+
+fn line(reader: &mut impl BufRead) -> io::Result<String> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(line.trim_end().to_owned())
+}
