Add the commands on a running instance and the replay of traces

Cause: operators and load tests need sheet, job, status and replay from the command line, with one-line errors and exit codes.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -45,6 +45,15 @@
         /// Trace file (JSON lines).
         #[arg(value_name = "TRACE")]
         trace: PathBuf,
+        /// Model of online requests and batch items.
+        #[arg(long, value_name = "MODEL")]
+        model: String,
+        /// Plain service of plain calls.
+        #[arg(long, value_name = "SERVICE")]
+        service: Option<String>,
+        /// Further callers' addresses; requests take turns over all of them.
+        #[arg(long, value_name = "ADDRESS")]
+        also: Vec<SocketAddr>,
         /// Callers' address of an entry instance.
         #[command(flatten)]
         remote: Remote,
@@ -119,6 +128,9 @@
         /// Deadline, in seconds since 1970-01-01 UTC.
         #[arg(long, value_name = "SECONDS")]
         deadline: u64,
+        /// Team that the job belongs to; the default team when left out.
+        #[arg(long, value_name = "TEAM")]
+        team: Option<String>,
         /// Callers' address of an entry instance.
         #[command(flatten)]
         remote: Remote,
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,8 @@
 use gentianpath::{
     cli::{Command, Options, SettingsCommand, SheetCommand},
     exit::Exit,
+    remote,
+    replay::{self, Plan},
     serve,
     settings::Settings,
     sheet::Sheet,
@@ -35,7 +37,29 @@
             println!("{}: sheet is valid", file.display());
             Ok(Exit::Success)
         }
-        other => anyhow::bail!("command is not available yet: {other:?}"),
+        Command::Sheet(SheetCommand::Push { file, base, remote }) => {
+            remote::push_sheet(&file, base, &remote)
+        }
+        Command::Sheet(SheetCommand::Show { remote }) => remote::show_sheet(&remote),
+        Command::Job(command) => remote::job(&command),
+        Command::Status { remote } => remote::status(&remote),
+        Command::Replay {
+            trace,
+            model,
+            service,
+            also,
+            remote,
+        } => {
+            let mut addresses = vec![remote.address];
+            addresses.extend(also);
+            let plan = Plan {
+                addresses,
+                model,
+                service,
+                json: remote.json,
+            };
+            replay::replay(&trace, plan)
+        }
     }
 }
 
--- /dev/null
+++ b/src/replay.rs
@@ -0,0 +1,243 @@
+//! Command that sends a recorded trace at a running system and judges the stated outcomes.
+
+use std::{
+    io::IsTerminal,
+    net::SocketAddr,
+    path::Path,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, bail};
+use async_global_executor::GlobalExecutorConfig;
+use async_io::Timer;
+use serde::Deserialize;
+
+use crate::{
+    exit::Exit,
+    replay_report::{Outcomes, Report},
+    replay_run::{Job, Run, Tally},
+    settings::is_name,
+};
+
+/// Threads that send requests.
+const THREADS: usize = 4;
+/// Interval of the progress line on a terminal.
+const PROGRESS: Duration = Duration::from_millis(500);
+/// Team of a line that names none.
+const DEFAULT_TEAM: &str = "default";
+
+/// Kind of a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum LineKind {
+    /// A streamed request for text.
+    Online,
+    /// An item of a batch job.
+    Batch,
+    /// A call of a plain service.
+    Plain,
+}
+
+/// Whether a request may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Repeat {
+    /// It runs once at most.
+    Never,
+}
+
+/// A line of a trace.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Line {
+    /// Time of arrival, in milliseconds since the start.
+    pub at_ms: u64,
+    /// Kind.
+    pub kind: LineKind,
+    /// Prompt, or the body of a plain call.
+    #[serde(default)]
+    pub prompt: String,
+    /// Tokens.
+    #[serde(default = "default_tokens")]
+    pub max_tokens: u64,
+    /// Present when it may not be repeated.
+    #[serde(default)]
+    pub repeat: Option<Repeat>,
+    /// Team.
+    #[serde(default = "default_team")]
+    pub team: String,
+    /// Deadline of a batch item, in seconds after its arrival.
+    #[serde(default)]
+    pub deadline_s: Option<u64>,
+    /// Path of a plain call below its service.
+    #[serde(default = "default_path")]
+    pub path: String,
+}
+
+fn default_tokens() -> u64 {
+    16
+}
+
+fn default_team() -> String {
+    DEFAULT_TEAM.to_owned()
+}
+
+fn default_path() -> String {
+    "/".to_owned()
+}
+
+/// A trace: what is sent when, and the outcomes that are stated for it.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Trace {
+    /// Stated outcomes.
+    pub outcomes: Outcomes,
+    /// Lines in the order of their arrival.
+    pub lines: Vec<Line>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Head {
+    outcomes: Outcomes,
+}
+
+impl Trace {
+    /// Parses and checks the text of a trace.
+    ///
+    /// # Errors
+    ///
+    /// Returns one line that names the line of the trace and what is wrong with it.
+    pub fn parse(text: &str) -> anyhow::Result<Self> {
+        let mut trace = Self::default();
+        for (number, line) in (1..).zip(text.lines()) {
+            if line.trim().is_empty() {
+                continue;
+            }
+            if number == 1 && line.contains("\"outcomes\"") {
+                let head: Head = serde_json::from_str(line).context("trace line 1")?;
+                trace.outcomes = head.outcomes;
+                continue;
+            }
+            let line: Line =
+                serde_json::from_str(line).with_context(|| format!("trace line {number}"))?;
+            check(number, &line)?;
+            trace.lines.push(line);
+        }
+        trace.lines.sort_by_key(|line| line.at_ms);
+        Ok(trace)
+    }
+
+    /// Returns the batch jobs: items that arrive together, with one team and deadline.
+    fn jobs(&self) -> Vec<Job> {
+        let mut jobs: Vec<Job> = Vec::new();
+        for line in self.lines.iter().filter(|l| l.kind == LineKind::Batch) {
+            let known = jobs.iter_mut().rev().find(|job| job.takes(line));
+            match known {
+                Some(job) => job.items.push(line.clone()),
+                None => jobs.push(Job::new(line.clone())),
+            }
+        }
+        jobs
+    }
+}
+
+fn check(number: usize, line: &Line) -> anyhow::Result<()> {
+    if !is_name(&line.team) {
+        bail!(
+            "trace line {number}: team '{}' is not a name; use 1 to 128 of a-z, A-Z, 0-9, '-', '_'",
+            line.team
+        );
+    }
+    if line.kind == LineKind::Batch && line.deadline_s.is_none() {
+        bail!("trace line {number}: a batch item has no deadline; add 'deadline_s'");
+    }
+    if !line.path.starts_with('/') {
+        bail!(
+            "trace line {number}: path '{}' has no '/' at its start; add it",
+            line.path
+        );
+    }
+    Ok(())
+}
+
+/// What a replay needs besides its trace.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Callers' addresses; requests take turns over all of them.
+    pub addresses: Vec<SocketAddr>,
+    /// Model of online requests and batch items.
+    pub model: String,
+    /// Plain service of plain calls.
+    pub service: Option<String>,
+    /// Whether the report is printed as JSON.
+    pub json: bool,
+}
+
+/// Sends a trace and prints the report.
+///
+/// # Errors
+///
+/// Returns one line when the trace is wrong.
+pub fn replay(file: &Path, plan: Plan) -> anyhow::Result<Exit> {
+    let text = std::fs::read_to_string(file)
+        .with_context(|| format!("cannot read trace {}", file.display()))?;
+    let trace = Trace::parse(&text)?;
+    let plain = trace.lines.iter().any(|line| line.kind == LineKind::Plain);
+    if plain && plan.service.is_none() {
+        bail!("the trace has plain calls; name their service with --service");
+    }
+    let config = GlobalExecutorConfig::default()
+        .with_min_threads(THREADS)
+        .with_max_threads(THREADS);
+    async_global_executor::init_with_config(config);
+    let json = plan.json;
+    let run = Arc::new(Run::new(plan));
+    smol::block_on(send(&run, &trace));
+    let report = Report::new(&trace.outcomes, &run.tally());
+    Ok(finish(&report, json))
+}
+
+fn finish(report: &Report, json: bool) -> Exit {
+    if json {
+        println!("{}", serde_json::to_string(report).unwrap_or_default());
+    } else {
+        print!("{report}");
+    }
+    let missed = report.missed();
+    if missed.is_empty() {
+        return Exit::Success;
+    }
+    eprintln!("gentianpath: missed outcome: {}", missed.join(", "));
+    Exit::Missed
+}
+
+/// Sends everything at its time and waits for all answers.
+async fn send(run: &Arc<Run>, trace: &Trace) {
+    let start = Instant::now();
+    let total = trace.lines.len();
+    let progress = async_global_executor::spawn(show_progress(run.clone(), total));
+    let mut tasks = Vec::new();
+    for job in trace.jobs() {
+        let at = start + Duration::from_millis(job.at_ms());
+        tasks.push(async_global_executor::spawn(run.clone().job(job, at)));
+    }
+    for line in trace.lines.iter().filter(|l| l.kind != LineKind::Batch) {
+        Timer::at(start + Duration::from_millis(line.at_ms)).await;
+        tasks.push(async_global_executor::spawn(run.clone().call(line.clone())));
+    }
+    futures::future::join_all(tasks).await;
+    progress.cancel().await;
+    if std::io::stderr().is_terminal() {
+        eprintln!();
+    }
+}
+
+/// Shows on a terminal how many lines have their answer.
+async fn show_progress(run: Arc<Run>, total: usize) {
+    while std::io::stderr().is_terminal() {
+        let Tally { ended, .. } = run.tally();
+        eprint!("\r{ended} of {total}");
+        Timer::after(PROGRESS).await;
+    }
+}
--- /dev/null
+++ b/tests/remote_commands.rs
@@ -0,0 +1,152 @@
+//! Commands that talk to a running entry instance.
+
+mod support;
+
+use std::{fs, path::PathBuf};
+
+use assert_cmd::Command;
+use serde_json::{Value, json};
+use support::{Fleet, Item, MODEL, Standin, free_address, sheet};
+
+/// Deadline that does not come while a test runs, in seconds since 1970-01-01 UTC.
+const FAR: &str = "4000000000";
+
+struct Output {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+fn run(args: &[&str]) -> Output {
+    let output = Command::new(env!("CARGO_BIN_EXE_gentianpath"))
+        .args(args)
+        .env("RUST_LOG", "off")
+        .output()
+        .unwrap();
+    Output {
+        code: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+fn file(folder: &tempfile::TempDir, name: &str, text: &str) -> PathBuf {
+    let path = folder.path().join(name);
+    fs::write(&path, text).unwrap();
+    path
+}
+
+/// Guards against a second operator who is not told that another push came first.
+#[test]
+fn a_push_takes_effect_once_and_a_late_one_exits_with_the_conflict_code() {
+    let mut fleet = Fleet::new(&[]);
+    fleet.add_entry("entry-0", json!({}));
+    let address = fleet.entries[0].operators.to_string();
+    let folder = tempfile::tempdir().unwrap();
+    let mut content = sheet();
+    let first = file(&folder, "first.json", &content.to_string());
+    content["throughput_weight"] = json!(0.7);
+    let second = file(&folder, "second.json", &content.to_string());
+    let push = |file: &PathBuf| {
+        run(&[
+            "sheet",
+            "push",
+            file.to_str().unwrap(),
+            "--base",
+            "0",
+            "--address",
+            &address,
+        ])
+    };
+    let pushed = push(&first);
+    assert_eq!(
+        (pushed.code, pushed.out.as_str()),
+        (0, "sheet pushed as revision 1\n")
+    );
+    let late = push(&second);
+    assert_eq!(late.code, 3, "{}", late.err);
+    assert_eq!(late.err.lines().count(), 1, "{}", late.err);
+    let shown = run(&["sheet", "show", "--json", "--address", &address]);
+    let shown: Value = serde_json::from_str(&shown.out).unwrap();
+    assert_eq!(shown["sheet"]["throughput_weight"], 0.5);
+    let status = run(&["status", "--address", &address]);
+    assert!(status.out.contains("instance: entry-0"), "{}", status.out);
+}
+
+/// Guards against a wrong sheet or a missing instance that looks like success or fills the screen.
+#[test]
+fn wrong_input_and_unreachable_instances_give_one_line_and_their_codes() {
+    let folder = tempfile::tempdir().unwrap();
+    let nobody = free_address().to_string();
+    let bad = file(
+        &folder,
+        "bad.json",
+        r#"{"deployment":"d","throughput_weight":2.0}"#,
+    );
+    let good = file(&folder, "good.json", &sheet().to_string());
+    let (bad, good) = (bad.to_str().unwrap(), good.to_str().unwrap());
+    let cases: [(&[&str], i32, &str); 4] = [
+        (&["sheet", "push", bad], 2, "throughput_weight"),
+        (&["sheet", "push", good], 1, "not-run"),
+        (&["job", "status", "a/b"], 2, "is not a name"),
+        (&["status"], 1, "cannot be reached"),
+    ];
+    for (args, code, part) in cases {
+        let output = run(&[args, &["--address", &nobody]].concat());
+        assert_eq!(output.code, code, "{args:?}: {}", output.err);
+        assert_eq!(output.err.lines().count(), 1, "{args:?}: {}", output.err);
+        assert!(output.err.contains(part), "{args:?}: {}", output.err);
+    }
+}
+
+/// Guards against job commands that call the wrong path or change the items on their way.
+#[test]
+fn job_commands_call_the_paths_of_the_callers_interface() {
+    let recorder = Standin::start("standin-engine", &["--service", "recorder"]);
+    let address = recorder.address.to_string();
+    let folder = tempfile::tempdir().unwrap();
+    let lines = [
+        Item::new("a", "first", 3).line(),
+        Item::new("b", "second", 3).line(),
+    ]
+    .join("\n");
+    let items = file(&folder, "items.jsonl", &lines);
+    let submit = [
+        "job",
+        "submit",
+        items.to_str().unwrap(),
+        "--name",
+        "j",
+        "--model",
+        MODEL,
+    ];
+    let commands: [&[&str]; 4] = [
+        &[&submit[..], &["--deadline", FAR]].concat(),
+        &["job", "status", "j"],
+        &["job", "results", "j"],
+        &["job", "cancel", "j"],
+    ];
+    for command in commands {
+        let output = run(&[command, &["--address", &address]].concat());
+        assert_eq!(output.code, 0, "{command:?}: {}", output.err);
+    }
+    let ledger = recorder.ledger();
+    let calls = ledger["calls"].as_array().unwrap();
+    let seen: Vec<String> = calls
+        .iter()
+        .map(|c| format!("{} {}", c["method"], c["path"]))
+        .collect();
+    let submitted = format!("\"POST\" \"/v1/batches?name=j&model={MODEL}&deadline={FAR}\"");
+    assert_eq!(seen[0], submitted);
+    assert_eq!(
+        seen[1..],
+        [
+            "\"GET\" \"/v1/batches/j\"",
+            "\"GET\" \"/v1/batches/j/results\"",
+            "\"POST\" \"/v1/batches/j/cancel\"",
+        ]
+    );
+    assert_eq!(calls[0]["body"], lines);
+    recorder.set_faults(&json!({ "leaving": true }));
+    assert_eq!(run(&["job", "status", "j", "--address", &address]).code, 1);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -194,7 +194,7 @@
         call(self.callers, "POST", path, headers, &body.to_string())
     }
 
-    /// Submits a job of items `(id, prompt, tokens)`; nothing when the connection breaks.
+    /// Submits a job; nothing when the connection breaks.
     pub fn submit(&self, name: &str, deadline: u64, items: &[Item]) -> Option<Answer> {
         let lines: Vec<String> = items.iter().map(Item::line).collect();
         let path = format!("/v1/batches?name={name}&model={MODEL}&deadline={deadline}");
@@ -232,7 +232,18 @@
 }
 
 impl Item {
-    fn line(&self) -> String {
+    /// Makes an item that may be repeated.
+    pub fn new(id: &str, prompt: &str, tokens: u64) -> Self {
+        Self {
+            id: id.into(),
+            prompt: prompt.into(),
+            tokens,
+            once: false,
+        }
+    }
+
+    /// Returns the item as a line of a job.
+    pub fn line(&self) -> String {
         let mut line = json!({ "id": self.id, "prompt": self.prompt, "max_tokens": self.tokens });
         if self.once {
             line["repeat"] = "never".into();
