Test job commands and batch replays against processes that run batch

Cause: main now serves /v1/batches, so the commands can be tried end to end. Change: one test takes a job from its file to its results and cancels a second one; another replays 30 items of two teams and finds each run once.

--- a/tests/remote_commands.rs
+++ b/tests/remote_commands.rs
@@ -6,7 +6,7 @@
 
 use assert_cmd::Command;
 use serde_json::{Value, json};
-use support::{Fleet, Item, MODEL, Standin, free_address, sheet};
+use support::{Fleet, Item, MODEL, Standin, free_address, sheet, until};
 
 /// Deadline that does not come while a test runs, in seconds since 1970-01-01 UTC.
 const FAR: &str = "4000000000";
@@ -150,3 +150,45 @@
     recorder.set_faults(&json!({ "leaving": true }));
     assert_eq!(run(&["job", "status", "j", "--address", &address]).code, 1);
 }
+
+/// Guards against commands that lose items of a job between file and results.
+#[test]
+fn a_job_goes_from_its_file_to_its_results_and_a_cancelled_one_stops() {
+    let fleet = Fleet::running(1, 1);
+    let address = fleet.entries[0].callers.to_string();
+    let folder = tempfile::tempdir().unwrap();
+    let items: Vec<String> = (0..5)
+        .map(|i| Item::new(&format!("i{i}"), &format!("item {i}"), 3).line())
+        .collect();
+    let items = file(&folder, "items.jsonl", &items.join("\n"));
+    let items = items.to_str().unwrap();
+    let submit = |name: &str| {
+        let options = ["--name", name, "--model", MODEL, "--deadline", FAR];
+        let args = [
+            &["job", "submit", items, "--address", &address],
+            &options[..],
+        ]
+        .concat();
+        run(&args)
+    };
+    let submitted = submit("j");
+    assert_eq!(submitted.code, 0, "{}", submitted.err);
+    until("the job finishes", || {
+        let status = run(&["job", "status", "j", "--json", "--address", &address]);
+        let status: Value = serde_json::from_str(&status.out).unwrap_or_default();
+        status["state"] == "finished"
+    });
+    let results = run(&["job", "results", "j", "--address", &address]);
+    let mut ids: Vec<String> = results
+        .out
+        .lines()
+        .map(|line| serde_json::from_str::<Value>(line).unwrap()["id"].to_string())
+        .collect();
+    ids.sort();
+    assert_eq!(ids, ["\"i0\"", "\"i1\"", "\"i2\"", "\"i3\"", "\"i4\""]);
+    assert_eq!(submit("k").code, 0);
+    let cancelled = run(&["job", "cancel", "k", "--address", &address]);
+    assert_eq!(cancelled.code, 0, "{}", cancelled.err);
+    let unknown = run(&["job", "status", "nothing", "--address", &address]);
+    assert_eq!(unknown.code, 1);
+}
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -67,6 +67,27 @@
     assert_eq!(calls.matches("paid").count(), 1);
 }
 
+/// Guards against a replay that loses batch items, or an entry instance that does.
+#[test]
+fn batch_items_become_jobs_with_one_result_each() {
+    let fleet = Fleet::running(1, 1);
+    let stated = json!({ "whole_answers": 1.0, "items_once": true, "max_refused": 0.0 });
+    let mut lines = vec![json!({ "outcomes": stated })];
+    lines.extend((0..30).map(|i| {
+        let team = if i % 2 == 0 { "even" } else { "odd" };
+        json!({
+            "at_ms": 0, "kind": "batch", "prompt": format!("item {i}"), "max_tokens": 3,
+            "team": team, "deadline_s": 3600,
+        })
+    }));
+    let (code, out, err) = replay(&fleet, &lines, &["--json"]);
+    assert_eq!(code, 0, "{out}{err}");
+    let report: Value = serde_json::from_str(&out).unwrap();
+    let row = json!({ "kind": "batch", "sent": 30, "whole": 30, "refused": 0, "broken": 0 });
+    assert_eq!(report["requests"][2], row);
+    assert!((0..30).all(|i| fleet.runs(&format!("item {i}")).len() == 1));
+}
+
 /// Guards against a replay that passes although a stated outcome was missed.
 #[test]
 fn a_missed_outcome_is_named_and_gives_its_exit_code() {
