--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -146,7 +146,8 @@
         if version < self.dropped {
             return Err(Gone);
         }
-        let newer = self.changes.iter().filter(|c| c.version > version);
+        let first = self.changes.partition_point(|c| c.version <= version);
+        let newer = self.changes.range(first..);
         Ok(newer.filter(|c| *c.kind == *kind).cloned().collect())
     }
 
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -4,7 +4,11 @@
 
 use serde_json::json;
 use standins::text;
-use support::{Fleet, until};
+use support::{
+    Fleet,
+    link::{Link, State},
+    until,
+};
 
 /// Guards against a harness or an entry instance that does not come to serve.
 #[test]
@@ -68,3 +72,50 @@
         restarted.status()["sheet"]["revision"] == revision
     });
 }
+
+/// Guards against an entry instance that needs the platform to answer online requests, and against
+/// one that does not come back after a cut or a silence.
+#[test]
+fn an_instance_without_its_platform_answers_online_requests_and_catches_up() {
+    for state in [State::Silent, State::Cut] {
+        let mut fleet = Fleet::running(1, 1);
+        let link = Link::new(fleet.platform.address);
+        let platform = json!({ "platform_address": link.address.to_string() });
+        let peers = fleet.entries[0].peer.to_string();
+        let mut changes = platform;
+        changes["peers"] = json!([peers]);
+        fleet.add_entry("entry-linked", changes);
+        let linked = &fleet.entries[1];
+        let answers = |prompt: &str| {
+            let answer = linked.chat(prompt, 5);
+            answer.is_some_and(|a| a.content() == text::answer(prompt, 5))
+        };
+        until("the workers are known", || answers("before"));
+        link.set(state);
+        assert!(answers("during"), "{state:?}");
+        link.set(State::Open);
+        let mut changed = support::sheet();
+        changed["throughput_weight"] = json!(0.6);
+        let revision = fleet.entries[0].push_sheet(&changed);
+        until("the sheet is in force", || {
+            linked.status()["sheet"]["revision"] == revision
+        });
+        assert!(answers("after"), "{state:?}");
+    }
+}
+
+/// Guards against an engine that stays in use after it left the list.
+#[test]
+fn an_engine_off_the_list_gets_no_new_requests() {
+    let fleet = Fleet::running(2, 1);
+    fleet.unlist("targets", "engine-0");
+    until("the engine is forgotten", || {
+        let status = fleet.entries[0].status();
+        status["workers"].as_array().is_some_and(|w| w.len() == 1)
+    });
+    for i in 0..6 {
+        let prompt = format!("p{i}");
+        assert_eq!(fleet.entries[0].chat(&prompt, 3).unwrap().status, 200);
+        assert_eq!(fleet.targets[0].runs(&prompt).len(), 0);
+    }
+}
