Test verdicts and callers; read a body before refusing it

Cause: a caller that was refused during a stop, or for a wrong header, got a reset in place of the refusal, because the connection closed with unread bytes. A body in chunks over the limit was cut and taken as whole.

Change: the body is read, and dropped when it is over the limit, before anything is refused; being over the limit is remembered until the end of the body.

--- a/src/http.rs
+++ b/src/http.rs
@@ -4,7 +4,7 @@
 
 use async_io::Timer;
 use futures::AsyncReadExt;
-use trillium::{Conn, Handler, HttpConfig, KnownHeaderName, Method};
+use trillium::{Conn, Handler, HttpConfig, KnownHeaderName, Method, RequestBody};
 
 use crate::{
     chat,
@@ -77,17 +77,20 @@
     let ctx = services.online.ctx.clone();
     // The state of the connection lives until the last byte of the answer has been sent.
     conn.insert_state(OwnedGuard::begin(Counted(ctx.clone())));
+    // The body is read before anything is refused: a connection that closes with unread bytes is
+    // reset, and the caller would lose the refusal.
+    let body = read_body(&mut conn, &ctx.settings).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return refuse(close(conn), &error),
+    };
     if ctx.drain.phase() == Phase::Draining {
         let error = RequestError::not_run(Reason::Unavailable, "the instance is stopping");
         return refuse(close(conn), &error.with_retry_after(RETRY_AFTER));
     }
     let terms = match terms(&conn, &services.online) {
         Ok(terms) => terms,
-        Err(error) => return refuse(close(conn), &error),
-    };
-    let body = match read_body(&mut conn, &ctx.settings).await {
-        Ok(body) => body,
-        Err(error) => return refuse(close(conn), &error),
+        Err(error) => return refuse(conn, &error),
     };
     let served = match service {
         None => {
@@ -147,33 +150,35 @@
 /// Reads the body within the limits of size and time.
 async fn read_body(conn: &mut Conn, settings: &Settings) -> Result<Vec<u8>, RequestError> {
     let limit = settings.limits.body;
-    let time = settings.timeouts.request_read;
     let read = async {
-        let mut body = conn.request_body().with_max_len(u64::MAX);
-        let mut bytes = Vec::new();
-        let mut buffer = vec![0; READ_BYTES];
-        let announced = body.content_length().unwrap_or(0);
-        let mut dropped = 0;
-        loop {
-            let count = body
-                .read(&mut buffer)
-                .await
-                .map_err(|_| invalid("the body ended early or is malformed"))?;
-            let over = announced > limit as u64 || bytes.len() + count > limit;
-            if count == 0 && !over {
-                return Ok(bytes);
-            }
-            if !over {
-                bytes.extend_from_slice(&buffer[..count]);
-                continue;
-            }
+        let body = conn.request_body().with_max_len(u64::MAX);
+        read_limited(body, limit).await
+    };
+    smol::future::or(read, too_slow(settings.timeouts.request_read)).await
+}
+
+async fn read_limited(mut body: RequestBody<'_>, limit: usize) -> Result<Vec<u8>, RequestError> {
+    let mut bytes = Vec::new();
+    let mut buffer = vec![0; READ_BYTES];
+    let mut over = body.content_length().is_some_and(|l| l > limit as u64);
+    let mut dropped = 0;
+    while dropped < DROPPED_BYTES {
+        let read = body.read(&mut buffer).await;
+        let count = read.map_err(|_| invalid("the body ended early or is malformed"))?;
+        if count == 0 {
+            break;
+        }
+        over |= bytes.len() + count > limit;
+        if over {
             dropped += count;
-            if count == 0 || dropped >= DROPPED_BYTES {
-                return Err(too_large(limit));
-            }
+        } else {
+            bytes.extend_from_slice(&buffer[..count]);
         }
-    };
-    smol::future::or(read, too_slow(time)).await
+    }
+    if over {
+        return Err(too_large(limit));
+    }
+    Ok(bytes)
 }
 
 async fn too_slow(time: Duration) -> Result<Vec<u8>, RequestError> {
--- a/tests/online_common/mod.rs
+++ b/tests/online_common/mod.rs
@@ -79,10 +79,11 @@
 }
 
 pub fn worker(id: &str, options: &[&str]) -> Target {
-    target(
-        id,
-        &[&["--model", MODEL, "--token-ms", "1"], options].concat(),
-    )
+    let pace: &[&str] = match options.contains(&"--token-ms") {
+        true => &[],
+        false => &["--token-ms", "1"],
+    };
+    target(id, &[&["--model", MODEL], pace, options].concat())
 }
 
 pub fn platform() -> Platform {
