Test marked requests through two entries, and plain services

Cause: the records of non-repeatable requests were tested without I/O only.

Change: resends through another entry, at once and under each fault of the object service, and plain calls with listed, keyed and refused cases. Tests of an engine's death publish the second worker after the request has begun, so that they do not depend on the order of the router's choice.

--- /dev/null
+++ b/tests/once_resend.rs
@@ -0,0 +1,291 @@
+//! Marked requests through two entries: run at most once under resends and outages.
+
+mod online_common;
+
+use std::{thread, time::Duration};
+
+use online_common::{
+    Answer, Entry, Platform, Target, chat, entry, entry_with, platform, post, receive, send,
+    service_target, target, view, wait_until, worker,
+};
+use serde_json::{Value, json};
+use standins::text;
+
+const CHAT: &str = "/v1/chat/completions";
+const MARKED: &[(&str, &str)] = &[("gentianpath-repeat", "never"), ("idempotency-key", "k 1")];
+const TOKENS: u64 = 5;
+
+struct Fleet {
+    platform: Platform,
+    worker: Target,
+    entries: [Entry; 2],
+}
+
+fn fleet(options: &[&str]) -> Fleet {
+    let platform = platform();
+    let worker = worker("a", options);
+    let address = platform.host.address;
+    let entries = [(), ()].map(|()| entry(address, vec![worker.info()], json!({})));
+    Fleet {
+        platform,
+        worker,
+        entries,
+    }
+}
+
+fn ask(entry: &Entry, prompt: &str, stream: bool) -> Answer {
+    post(entry.address, CHAT, MARKED, &chat(prompt, TOKENS, stream))
+}
+
+/// Guards against a second run, and against a resend that does not get the answer.
+#[test]
+fn resend_through_another_entry_gets_the_stored_answer() {
+    for stream in [false, true] {
+        let fleet = fleet(&[]);
+        let first = ask(&fleet.entries[0], "p", stream);
+        let again = ask(&fleet.entries[1], "p", stream);
+        assert_eq!(fleet.worker.runs().len(), 1);
+        if stream {
+            assert_eq!(again.events(), first.events());
+            assert_eq!(again.events().done, 1);
+        } else {
+            assert_eq!(again.body, first.body);
+            assert_eq!(again.text(), text::answer("p", TOKENS));
+        }
+    }
+}
+
+/// Guards against two runs when a caller sends the same request through two entries at once.
+#[test]
+fn concurrent_resends_run_once() {
+    let fleet = fleet(&[]);
+    thread::scope(|scope| {
+        for entry in fleet.entries.iter().cycle().take(8) {
+            let address = entry.address;
+            scope.spawn(move || post(address, CHAT, MARKED, &chat("p", TOKENS, false)));
+        }
+    });
+    assert_eq!(fleet.worker.runs().len(), 1);
+}
+
+/// Guards against a second run while the first one is under way or was cut off with its caller.
+#[test]
+fn resend_of_a_run_in_doubt_is_refused() {
+    let fleet = fleet(&["--token-ms", "20"]);
+    let first = &fleet.entries[0];
+    let conn = send(
+        first.address,
+        "POST",
+        CHAT,
+        MARKED,
+        &chat("p", 10_000, true),
+    );
+    wait_until(|| fleet.worker.runs().len() == 1);
+    let body = chat("p", 10_000, true);
+    let during = post(fleet.entries[1].address, CHAT, MARKED, &body);
+    assert_eq!((during.status, during.verdict()), (409, "may-have-run"));
+    drop(conn);
+    fleet.worker.settled();
+    let after = post(fleet.entries[1].address, CHAT, MARKED, &body);
+    assert_eq!((after.status, after.verdict()), (409, "may-have-run"));
+    assert_eq!(fleet.worker.runs().len(), 1);
+}
+
+/// Guards against a run without a record, and against a second run after the answer to a write of
+/// the record was lost: every fault of the object service at the first call and at the store.
+#[test]
+fn faults_of_the_object_service_never_give_a_second_run() {
+    let faults = [
+        ("outage", json!({ "gate": { "outage": "refuse" } })),
+        ("silence", json!({ "gate": { "outage": "silent" } })),
+        ("lost answers", json!({ "lost": { "prefix": "once/" } })),
+        (
+            "one lost answer",
+            json!({ "lost": { "prefix": "once/", "count": 1 } }),
+        ),
+        (
+            "dropped writes",
+            json!({ "dropped": { "prefix": "once/" } }),
+        ),
+        (
+            "refused writes",
+            json!({ "refused": { "prefix": "once/" } }),
+        ),
+    ];
+    for (name, fault) in faults {
+        let fleet = fleet(&[]);
+        fleet.platform.faults(fault);
+        let first = ask(&fleet.entries[0], "p", false);
+        let ran = fleet.worker.runs().len();
+        if first.status != 200 {
+            assert_eq!((first.status, first.verdict()), (503, "not-run"), "{name}");
+            assert!(first.header("retry-after").is_some(), "{name}");
+            assert_eq!(ran, 0, "{name}");
+        }
+        fleet.platform.faults(json!({}));
+        let again = ask(&fleet.entries[1], "p", false);
+        assert!(fleet.worker.runs().len() <= 1, "{name}");
+        if again.status == 200 {
+            assert_eq!(again.text(), text::answer("p", TOKENS), "{name}");
+        } else {
+            assert_eq!(again.verdict(), "may-have-run", "{name}");
+        }
+    }
+}
+
+/// Guards against a store that fails taking the answer from the caller, or letting a resend run.
+#[test]
+fn outage_at_the_store_leaves_the_answer_and_no_second_run() {
+    let fleet = fleet(&["--token-ms", "50"]);
+    let first = &fleet.entries[0];
+    let mut conn = send(
+        first.address,
+        "POST",
+        CHAT,
+        MARKED,
+        &chat("p", TOKENS, false),
+    );
+    wait_until(|| fleet.worker.runs().len() == 1);
+    fleet
+        .platform
+        .faults(json!({ "gate": { "outage": "refuse" } }));
+    assert_eq!(receive(&mut conn).text(), text::answer("p", TOKENS));
+    fleet.platform.faults(json!({}));
+    let again = ask(&fleet.entries[1], "p", false);
+    assert_eq!((again.status, again.verdict()), (409, "may-have-run"));
+    assert_eq!(fleet.worker.runs().len(), 1);
+}
+
+/// Guards against a resend that is refused for ever although the engine refused the first call.
+#[test]
+fn refused_by_the_engine_can_be_resent() {
+    let fleet = fleet(&[]);
+    fleet.worker.faults(json!({ "refuse": {} }));
+    let first = ask(&fleet.entries[0], "p", false);
+    assert_eq!((first.status, first.verdict()), (429, "not-run"));
+    fleet.worker.faults(json!({}));
+    let again = ask(&fleet.entries[1], "p", false);
+    assert_eq!(again.text(), text::answer("p", TOKENS));
+}
+
+struct Services {
+    _platform: Platform,
+    targets: [Target; 2],
+    entries: [Entry; 2],
+}
+
+/// Starts a plain service with a target in the entries' zone and one in another.
+fn services() -> Services {
+    let platform = platform();
+    let targets = ["s1", "s2"].map(|id| target(id, &["--service", "till"]));
+    let mut view = view(vec![]);
+    view.services = vec![
+        service_target(&targets[0], "till", "far"),
+        service_target(&targets[1], "till", "z"),
+    ];
+    let address = platform.host.address;
+    let entries = [(), ()].map(|()| entry_with(address, view.clone(), json!({})));
+    Services {
+        _platform: platform,
+        targets,
+        entries,
+    }
+}
+
+fn calls(services: &Services) -> [usize; 2] {
+    [services.targets[0].calls(), services.targets[1].calls()]
+}
+
+/// Guards against calls that leave the zone without need, lose parts, or reach unknown services.
+#[test]
+fn plain_calls_go_to_the_own_zone_first() {
+    let services = services();
+    let address = services.entries[0].address;
+    let answer = post(address, "/services/till/a/b?c=d", &[], "body");
+    let body: Value = serde_json::from_str(&answer.body).expect("JSON");
+    assert_eq!(body["call"]["path"], "/a/b?c=d");
+    assert_eq!(body["call"]["method"], "POST");
+    assert_eq!(body["call"]["body"], "body");
+    assert_eq!(calls(&services), [0, 1]);
+    services.targets[1].faults(json!({ "gate": { "outage": "close" } }));
+    assert_eq!(post(address, "/services/till/a", &[], "").status, 200);
+    assert_eq!(calls(&services), [1, 1]);
+    for path in ["/services/none/a", "/services/lm/a"] {
+        let answer = post(address, path, &[], "");
+        assert_eq!((answer.status, answer.verdict()), (404, "not-run"));
+    }
+}
+
+/// Guards against a second run of a call that the sheet lists, however its path is spelled: the
+/// target acts on it and its answer is lost.
+#[test]
+fn listed_calls_run_at_most_once() {
+    for path in [
+        "/receipts",
+        "/receipts/",
+        "//receipts",
+        "/x/../receipts",
+        "/%72eceipts",
+        "/receipts?a=b",
+    ] {
+        let services = services();
+        for target in &services.targets {
+            target.faults(json!({ "lost": {} }));
+        }
+        let address = services.entries[0].address;
+        let answer = post(address, &format!("/services/till{path}"), &[], "");
+        assert_eq!(answer.verdict(), "may-have-run", "{path}");
+        assert_eq!(calls(&services), [0, 1], "{path}");
+    }
+}
+
+/// Guards against a resend of a listed call with a key that runs again on any entry or target.
+#[test]
+fn keyed_calls_are_answered_from_the_record() {
+    let services = services();
+    let path = "/services/till/receipts";
+    let key = &[("idempotency-key", "k")];
+    let first = post(services.entries[0].address, path, key, "a");
+    let again = post(services.entries[1].address, path, key, "a");
+    assert_eq!((first.status, &first.body), (again.status, &again.body));
+    let other = post(services.entries[1].address, path, key, "b");
+    assert_eq!((other.status, other.verdict()), (409, "not-run"));
+    assert_eq!(calls(&services), [0, 1]);
+}
+
+/// Guards against a target's own refusal ending a call that another target takes, and against a
+/// refusal that hides a run.
+#[test]
+fn refused_calls_go_to_another_target() {
+    let services = services();
+    services.targets[1].faults(json!({ "leaving": true }));
+    let address = services.entries[0].address;
+    assert_eq!(
+        post(address, "/services/till/receipts", &[], "").status,
+        200
+    );
+    services.targets[0].faults(json!({ "leaving": true }));
+    let answer = post(address, "/services/till/receipts", &[], "");
+    assert_eq!(answer.verdict(), "not-run");
+    assert_eq!(calls(&services), [1, 0]);
+}
+
+/// Guards against a target that never answers holding its caller.
+#[test]
+fn silent_target_is_given_up() {
+    let services = services();
+    for target in &services.targets {
+        target.faults(json!({ "gate": { "outage": "silent" } }));
+    }
+    let mut conn = send(
+        services.entries[0].address,
+        "GET",
+        "/services/till/a",
+        &[],
+        "",
+    );
+    conn.set_read_timeout(Some(Duration::from_secs(60)))
+        .expect("a time limit");
+    let answer = receive(&mut conn);
+    assert_eq!((answer.status, answer.verdict()), (504, "may-have-run"));
+}
--- a/tests/online_common/mod.rs
+++ b/tests/online_common/mod.rs
@@ -6,7 +6,7 @@
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use clap::Parser;
@@ -27,8 +27,8 @@
 pub const MODEL: &str = "m";
 /// Slots of an engine.
 pub const SLOTS: u32 = 4;
-/// Bound on a read of a test, so that a fault ends the test and does not hang it.
-const READ_LIMIT: Duration = Duration::from_secs(30);
+/// Bound on a wait of a test, so that a fault ends the test and does not hang it.
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// A stand-in engine or plain service.
 pub struct Target {
@@ -140,9 +140,11 @@
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
 
-/// Waits for a state that must come, whatever time it takes.
+/// Waits for a state that must come.
 pub fn wait_until(reached: impl Fn() -> bool) {
+    let begin = Instant::now();
     while !reached() {
+        assert!(begin.elapsed() < WAIT_LIMIT, "the state never came");
         std::thread::sleep(Duration::from_millis(5));
     }
 }
@@ -183,12 +185,15 @@
 
 /// Starts an entry. `changes` are merged into its limits and timeouts.
 pub fn entry(platform: SocketAddr, workers: Vec<WorkerInfo>, changes: Value) -> Entry {
-    let view = View {
+    entry_with(platform, view(workers), changes)
+}
+
+pub fn view(workers: Vec<WorkerInfo>) -> View {
+    View {
         sheet: Arc::new(sheet()),
         workers,
         ..View::default()
-    };
-    entry_with(platform, view, changes)
+    }
 }
 
 pub fn entry_with(platform: SocketAddr, view: View, changes: Value) -> Entry {
@@ -283,7 +288,7 @@
 /// Opens a connection and writes some bytes.
 pub fn raw(address: SocketAddr, bytes: &str) -> TcpStream {
     let mut conn = TcpStream::connect(address).expect("a connection");
-    conn.set_read_timeout(Some(READ_LIMIT))
+    conn.set_read_timeout(Some(WAIT_LIMIT))
         .expect("a time limit");
     conn.write_all(bytes.as_bytes()).expect("a write");
     conn
--- a/tests/online_verdict.rs
+++ b/tests/online_verdict.rs
@@ -7,10 +7,10 @@
     net::{SocketAddr, TcpListener},
 };
 
-use gentianpath::context::Command;
+use gentianpath::{context::Command, view::WorkerInfo};
 use online_common::{
-    Answer, Door, Entry, SLOTS, Target, chat, dead_address, entry, info, platform, post, receive,
-    send, wait_until, worker,
+    Answer, Door, Entry, SLOTS, Target, chat, dead_address, entry, info, platform, post, publish,
+    receive, send, view, wait_until, worker,
 };
 use serde_json::{Value, json};
 use standins::text;
@@ -70,15 +70,20 @@
     }
 }
 
+/// Makes an entry prefer a worker to others of the same load.
+fn preferred(worker: WorkerInfo) -> WorkerInfo {
+    WorkerInfo {
+        owner: Some("e1".into()),
+        ..worker
+    }
+}
+
 fn check_failure(prompt: &str, faults: &Value, headers: &[(&str, &str)], stream: bool) {
     let platform = platform();
     let (bad, good) = (worker("a", &[]), worker("b", &[]));
     bad.faults(faults.clone());
-    let entry = entry(
-        platform.host.address,
-        vec![bad.info(), good.info()],
-        json!({}),
-    );
+    let workers = vec![preferred(bad.info()), good.info()];
+    let entry = entry(platform.host.address, workers, json!({}));
     let answer = ask(&entry, headers, prompt, stream);
     let ran = runs(&[&bad, &good], prompt);
     let never = headers == NEVER;
@@ -148,11 +153,12 @@
     let platform = platform();
     let (bad, good) = (worker("a", &["--token-ms", "20"]), worker("b", &[]));
     let door = Door::to(bad.address());
-    let workers = vec![info("a", door.address), good.info()];
-    let entry = entry(platform.host.address, workers, json!({}));
+    let behind = info("a", door.address);
+    let entry = entry(platform.host.address, vec![behind.clone()], json!({}));
     let mut conn = send(entry.address, "POST", CHAT, &[], &chat("p", 10_000, true));
     let mut first = [0; 1];
     conn.read_exact(&mut first).expect("a first byte");
+    publish(&entry.ctx, view(vec![behind, good.info()]));
     door.shut();
     let answer = receive(&mut conn);
     let body = &answer.body;
@@ -170,9 +176,9 @@
         let good = worker("b", &[]);
         let bad = worker("a", &["--prefill-ms", "1000000"]);
         let door = Door::to(bad.address());
-        let workers = vec![info("a", door.address), good.info()];
+        let behind = info("a", door.address);
         let timeouts = json!({ "timeouts": { "first_token_ms": 60_000 } });
-        let entry = entry(platform.host.address, workers, timeouts);
+        let entry = entry(platform.host.address, vec![behind.clone()], timeouts);
         let mut conn = send(
             entry.address,
             "POST",
@@ -181,6 +187,7 @@
             &chat("p", TOKENS, true),
         );
         wait_until(|| runs(&[&bad], "p") == 1);
+        publish(&entry.ctx, view(vec![behind, good.info()]));
         door.shut();
         let answer = receive(&mut conn);
         if headers == NEVER {
@@ -278,7 +285,7 @@
 fn batch_yields_and_the_owner_is_told() {
     let platform = platform();
     let worker = worker("a", &[]);
-    let info = gentianpath::view::WorkerInfo {
+    let info = WorkerInfo {
         owner: Some("e2".into()),
         ..worker.info()
     };
