--- /dev/null
+++ b/bench/src/overhead.rs
@@ -0,0 +1,237 @@
+//! What an entry instance adds to a request: time to first token, time per token, and how many
+//! short requests it serves in a second.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use anyhow::Context;
+use futures::StreamExt;
+use gentianpath::dial;
+use hdrhistogram::Histogram;
+use serde_json::json;
+use trillium_client::Client;
+
+use crate::processes::{Fleet, Shape};
+
+/// Streams measured on each side.
+const STREAMS: usize = 400;
+/// Tokens of each measured stream.
+const STREAM_TOKENS: u32 = 32;
+/// Streams in flight at once while the overhead is measured.
+const STREAMS_AT_ONCE: usize = 4;
+/// Length of the throughput measurement.
+const RATE_TIME: Duration = Duration::from_secs(8);
+/// Connections that send short requests at once.
+const RATE_CONNECTIONS: usize = 128;
+/// Bound on opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Times of streams on one side, in microseconds.
+struct Side {
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+}
+
+impl Side {
+    fn new() -> anyhow::Result<Self> {
+        Ok(Self {
+            first: Histogram::new(3)?,
+            gap: Histogram::new(3)?,
+        })
+    }
+}
+
+/// Measures and prints the overhead of one entry instance.
+///
+/// # Errors
+///
+/// Returns an error when a process does not start or a stream fails.
+pub fn run() -> anyhow::Result<()> {
+    let fleet = Fleet::start(Shape {
+        zones: 1,
+        entries: 1,
+        workers: 4,
+        slots: 256,
+        token_ms: 5,
+    })?;
+    smol::block_on(measure_streams(&fleet))?;
+    drop(fleet);
+    let fleet = Fleet::start(Shape {
+        zones: 1,
+        entries: 1,
+        workers: 4,
+        slots: 4096,
+        token_ms: 0,
+    })?;
+    smol::block_on(measure_rate(&fleet))
+}
+
+/// Streams directly to a worker and through the entry in turn, so that both see the same noise.
+async fn measure_streams(fleet: &Fleet) -> anyhow::Result<()> {
+    let client = dial::client(CONNECT_TIMEOUT);
+    let mut direct = Side::new()?;
+    let mut through = Side::new()?;
+    for round in 0..STREAMS / STREAMS_AT_ONCE {
+        let worker = fleet.workers[round % fleet.workers.len()];
+        round_of(&client, worker, round, &mut direct).await?;
+        round_of(&client, fleet.entries[0].callers, round, &mut through).await?;
+    }
+    println!("| measure | direct us | through entry us | added us | ratio |");
+    println!("|---|---|---|---|---|");
+    print_row("first token p50", &direct.first, &through.first, 0.5);
+    print_row("first token p99", &direct.first, &through.first, 0.99);
+    print_row("token gap p50", &direct.gap, &through.gap, 0.5);
+    print_row("token gap p99", &direct.gap, &through.gap, 0.99);
+    Ok(())
+}
+
+async fn round_of(
+    client: &Client,
+    address: SocketAddr,
+    round: usize,
+    side: &mut Side,
+) -> anyhow::Result<()> {
+    let streams = (0..STREAMS_AT_ONCE).map(|i| stream(client, address, round, i));
+    for times in futures::future::join_all(streams).await {
+        let times = times?;
+        side.first.record(times[0])?;
+        for gap in &times[1..] {
+            side.gap.record(*gap)?;
+        }
+    }
+    Ok(())
+}
+
+/// Runs one stream and returns the time to its first event and between its events, in
+/// microseconds.
+async fn stream(
+    client: &Client,
+    address: SocketAddr,
+    round: usize,
+    i: usize,
+) -> anyhow::Result<Vec<u64>> {
+    let body = json!({
+        "model": "m1",
+        "messages": [{"role": "user", "content": format!("request {round} {i}")}],
+        "max_tokens": STREAM_TOKENS,
+        "stream": true,
+    });
+    let mut last = Instant::now();
+    let mut events = client
+        .post(format!("http://{address}/v1/chat/completions"))
+        .with_request_header("content-type", "application/json")
+        .with_request_header(
+            "gentianpath-request",
+            format!("{address}-{round}-{i}").replace(':', "-"),
+        )
+        .with_body(body.to_string())
+        .into_sse()
+        .await
+        .map_err(|e| anyhow::anyhow!("the stream did not start: {}", e.kind))?;
+    let mut times = Vec::new();
+    while let Some(event) = events.next().await {
+        event.context("the stream broke")?;
+        let now = Instant::now();
+        times.push((now - last).as_micros() as u64);
+        last = now;
+    }
+    anyhow::ensure!(
+        times.len() as u32 >= STREAM_TOKENS,
+        "the stream was not whole"
+    );
+    // The last events carry no token.
+    times.truncate(STREAM_TOKENS as usize);
+    Ok(times)
+}
+
+fn print_row(name: &str, direct: &Histogram<u64>, through: &Histogram<u64>, quantile: f64) {
+    let d = direct.value_at_quantile(quantile);
+    let t = through.value_at_quantile(quantile);
+    let added = t as i64 - d as i64;
+    println!(
+        "| {name} | {d} | {t} | {added} | {:.3} |",
+        t as f64 / d.max(1) as f64
+    );
+}
+
+async fn measure_rate(fleet: &Fleet) -> anyhow::Result<()> {
+    let entry = &fleet.entries[0];
+    let cpu = (entry.thread_cpu("traffic"), entry.thread_cpu("control"));
+    let done = Arc::new(AtomicU64::new(0));
+    let failed = Arc::new(AtomicU64::new(0));
+    let client = Client::new(trillium_smol::ClientConfig::new().with_nodelay(true));
+    let end = Instant::now() + RATE_TIME;
+    let senders = (0..RATE_CONNECTIONS).map(|i| {
+        let sender = send_until(
+            client.clone(),
+            entry.callers,
+            i,
+            end,
+            done.clone(),
+            failed.clone(),
+        );
+        async_global_executor::spawn(sender)
+    });
+    futures::future::join_all(senders).await;
+    let done = done.load(Ordering::Relaxed);
+    let traffic = entry.thread_cpu("traffic") - cpu.0;
+    println!("\n| measure | value |\n|---|---|");
+    println!(
+        "| short requests a second | {:.0} |",
+        done as f64 / RATE_TIME.as_secs_f64()
+    );
+    println!("| failed requests | {} |", failed.load(Ordering::Relaxed));
+    println!(
+        "| traffic CPU us a request | {:.1} |",
+        traffic * 1e6 / done.max(1) as f64
+    );
+    println!(
+        "| traffic cores used | {:.2} |",
+        traffic / RATE_TIME.as_secs_f64()
+    );
+    println!(
+        "| control cores used | {:.3} |",
+        (entry.thread_cpu("control") - cpu.1) / RATE_TIME.as_secs_f64()
+    );
+    Ok(())
+}
+
+async fn send_until(
+    client: Client,
+    address: SocketAddr,
+    i: usize,
+    end: Instant,
+    done: Arc<AtomicU64>,
+    failed: Arc<AtomicU64>,
+) {
+    let mut round = 0;
+    while Instant::now() < end {
+        round += 1;
+        let body = json!({
+            "model": "m1",
+            "messages": [{"role": "user", "content": format!("short {i} {round}")}],
+            "max_tokens": 1,
+        });
+        match send(&client, address, body.to_string()).await {
+            Some(200) => done.fetch_add(1, Ordering::Relaxed),
+            _ => failed.fetch_add(1, Ordering::Relaxed),
+        };
+    }
+}
+
+async fn send(client: &Client, address: SocketAddr, body: String) -> Option<u16> {
+    let mut conn = client
+        .post(format!("http://{address}/v1/chat/completions"))
+        .with_request_header("content-type", "application/json")
+        .with_body(body);
+    (&mut conn).await.ok()?;
+    let status = conn.status().map(u16::from);
+    conn.response_body().read_bytes().await.ok()?;
+    status
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,12 @@
 //! Entry point: parses the command line, checks it, runs the command and returns an exit code.
 
-use std::process::ExitCode;
+use std::{path::Path, process::ExitCode};
 
 use clap::Parser;
 use gentianpath::{
     cli::{Command, Options, SettingsCommand, SheetCommand},
     exit::Exit,
+    serve,
     settings::Settings,
     sheet::Sheet,
 };
@@ -22,6 +23,7 @@
 
 fn run(command: Command) -> anyhow::Result<Exit> {
     match command {
+        Command::Serve { settings } => run_serve(&settings),
         Command::Settings(SettingsCommand::Check { file }) => {
             Settings::load(&file)?;
             println!("{}: settings are valid", file.display());
@@ -36,3 +38,11 @@
         other => anyhow::bail!("command is not available yet: {other:?}"),
     }
 }
+
+fn run_serve(file: &Path) -> anyhow::Result<Exit> {
+    let settings = Settings::load(file)?;
+    serve::serve(settings).or_else(|e| {
+        eprintln!("gentianpath: {e:#}");
+        Ok(Exit::Failure)
+    })
+}
