Route by prefix blocks; log resumes, retries and ejections

Cause: the router takes hashes of the prompt's blocks and got none. Resumes and retries left no line. A marked request that is run again after a lost stream passed the table of failures, because each resumed connection made progress.

Change: blocks of the prompt go to the router; events 1003 to 1005; the refusal form is the shared one; the table of failures breaks each resumed connection at once, and its rows run in parallel.

--- a/src/chat.rs
+++ b/src/chat.rs
@@ -8,7 +8,9 @@
 use serde_json::{Value, json};
 
 use crate::{
+    affinity,
     ids::{ModelId, RequestId},
+    refusal,
     sheet::{Service, Sheet},
     stream::End,
     verdict::{Reason, RequestError},
@@ -16,6 +18,8 @@
 
 /// Last event of a whole stream.
 pub const DONE: &str = "data: [DONE]\n\n";
+/// Bytes at the start of a prompt that decide on its worker.
+const PROMPT_BYTES: usize = 16 << 10;
 
 /// A checked request of a caller.
 #[derive(Debug, Clone)]
@@ -26,6 +30,8 @@
     pub stream: bool,
     /// Body for the engine; asks for a stream.
     pub body: Arc<Value>,
+    /// Hashes of the prompt's blocks, from its start.
+    pub blocks: Arc<[u64]>,
 }
 
 impl ChatRequest {
@@ -40,7 +46,8 @@
         let Some(fields) = body.as_object_mut() else {
             return Err(invalid("the body is not a JSON object"));
         };
-        check_messages(fields.get("messages"))?;
+        let messages = check_messages(fields.get("messages"))?;
+        let blocks = affinity::blocks(&prompt(messages)).into();
         let stream = match fields.get("stream") {
             None | Some(Value::Null) => false,
             Some(Value::Bool(stream)) => *stream,
@@ -56,11 +63,12 @@
             model,
             stream,
             body: Arc::new(body),
+            blocks,
         })
     }
 }
 
-fn check_messages(messages: Option<&Value>) -> Result<(), RequestError> {
+fn check_messages(messages: Option<&Value>) -> Result<&[Value], RequestError> {
     let Some(messages) = messages.and_then(Value::as_array) else {
         return Err(invalid("field 'messages' is missing or not a list"));
     };
@@ -71,7 +79,27 @@
     if !messages.iter().all(whole) {
         return Err(invalid("field 'messages' has an entry without a role"));
     }
-    Ok(())
+    Ok(messages)
+}
+
+/// Returns the start of the text that an engine reads: the contents of the messages, one a line.
+fn prompt(messages: &[Value]) -> String {
+    let mut text = String::new();
+    for message in messages {
+        if text.len() >= PROMPT_BYTES {
+            break;
+        }
+        match &message["content"] {
+            Value::String(content) => text.push_str(content),
+            Value::Array(parts) => {
+                let texts = parts.iter().filter_map(|p| p["text"].as_str());
+                text.extend(texts);
+            }
+            _ => {}
+        }
+        text.push('\n');
+    }
+    text
 }
 
 fn find_model(name: &str, sheet: &Sheet) -> Result<ModelId, RequestError> {
@@ -166,21 +194,9 @@
     }
 }
 
-/// Returns the JSON body of a refusal.
-pub fn error_body(error: &RequestError) -> String {
-    json!({
-        "error": {
-            "message": &*error.message,
-            "reason": error.reason.as_str(),
-            "verdict": error.verdict.as_str(),
-        }
-    })
-    .to_string()
-}
-
 /// Returns the event that ends a stream which is not whole.
 pub fn error_event(error: &RequestError) -> String {
-    format!("data: {}\n\n", error_body(error))
+    format!("data: {}\n\n", refusal::body(error))
 }
 
 /// Returns the list of models of a sheet.
--- a/src/events.rs
+++ b/src/events.rs
@@ -36,6 +36,12 @@
     RouteChosen = 1001, "route-chosen";
     /// An online request was refused.
     RequestRefused = 1002, "request-refused";
+    /// An engine stream is resumed on a new connection.
+    StreamResumed = 1003, "stream-resumed";
+    /// A request goes on to another worker.
+    RequestRetried = 1004, "request-retried";
+    /// A target is ejected for a while after consecutive failures.
+    TargetEjected = 1005, "target-ejected";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -5,8 +5,9 @@
 use crate::{
     chat::ChatRequest,
     engine::{Break, EngineStream, Generate, Piece},
+    event,
     ids::{RequestId, WorkerId},
-    online::{Online, Placed, RETRY_AFTER},
+    online::{Online, Placed, RETRY_AFTER, Wanted},
     stream::End,
     verdict::{Reason, RequestError, Verdict},
 };
@@ -152,7 +153,12 @@
         loop {
             let placed = self
                 .online
-                .place(&self.id, &self.request.model, &self.tried)
+                .place(&Wanted {
+                    id: &self.id,
+                    model: &self.request.model,
+                    blocks: &self.request.blocks,
+                    tried: &self.tried,
+                })
                 .await;
             // With no worker left the failure of the latest attempt tells the caller more.
             let placed = placed.map_err(|e| self.judge(self.last.clone().unwrap_or(e)))?;
@@ -226,6 +232,15 @@
         if reached && !self.online.may_retry() {
             return Err(self.judge(error));
         }
+        event!(
+            Info,
+            RequestRetried,
+            "request={} attempts={} reason={} verdict={}",
+            self.id,
+            self.attempts,
+            error.reason.as_str(),
+            error.verdict
+        );
         self.last = Some(error);
         Ok(())
     }
@@ -280,6 +295,15 @@
 
     async fn resume(&mut self) -> Result<(), RequestError> {
         self.resumes += 1;
+        event!(
+            Info,
+            StreamResumed,
+            "attempt={} worker={} from={} resumes={}",
+            self.attempt.id,
+            self.attempt.placed.worker.id,
+            self.position,
+            self.resumes
+        );
         let address = self.attempt.placed.worker.address;
         let engine = &self.attempt.online.ctx.engine;
         let resumed = engine
--- a/src/health.rs
+++ b/src/health.rs
@@ -25,15 +25,18 @@
 }
 
 impl Health {
-    /// Takes a failure of a target: it could not be reached, broke or fell silent.
-    pub fn failed(&mut self, target: &TargetId, now: Duration) {
+    /// Takes a failure of a target: it could not be reached, broke or fell silent. Says whether
+    /// the target is ejected for it.
+    pub fn failed(&mut self, target: &TargetId, now: Duration) -> bool {
         let state = self.targets.entry(target.clone()).or_default();
         state.failures = state.failures.saturating_add(1);
-        if state.failures >= EJECT_AFTER {
-            let doublings = (state.failures - EJECT_AFTER).min(16);
-            let length = FIRST_EJECTION * (1 << doublings);
-            state.until = now + length.min(LONGEST_EJECTION);
+        if state.failures < EJECT_AFTER {
+            return false;
         }
+        let doublings = (state.failures - EJECT_AFTER).min(16);
+        let length = FIRST_EJECTION * (1 << doublings);
+        state.until = now + length.min(LONGEST_EJECTION);
+        true
     }
 
     /// Takes a success of a target.
--- a/src/http.rs
+++ b/src/http.rs
@@ -4,7 +4,7 @@
 
 use async_io::Timer;
 use futures::AsyncReadExt;
-use trillium::{Conn, Handler, HttpConfig, KnownHeaderName, Method, RequestBody};
+use trillium::{Conn, Handler, KnownHeaderName, Method, RequestBody};
 
 use crate::{
     chat,
@@ -15,9 +15,10 @@
     ids::TeamId,
     online::{Online, RETRY_AFTER},
     plain::{PlainCall, Services, own_headers},
+    refusal,
     reply::{self, JSON, Reply, Terms},
     settings::{Settings, is_name},
-    verdict::{Reason, RequestError, VERDICT_HEADER},
+    verdict::{Reason, RequestError},
 };
 
 /// Header that names the team of a caller.
@@ -43,11 +44,6 @@
     }
 }
 
-/// Returns the HTTP settings of a server for callers.
-pub fn config(settings: &Settings) -> HttpConfig {
-    HttpConfig::default().with_head_max_len(settings.limits.header)
-}
-
 /// Returns the handler of online requests. It leaves alone what it does not serve.
 pub fn handler(ctx: Arc<Context>) -> impl Handler {
     let services = Services::new(Online::new(ctx));
@@ -210,8 +206,8 @@
     conn.with_status(reply.status).with_body(reply.body).halt()
 }
 
-/// Sends a refusal with its verdict.
-pub fn refuse(mut conn: Conn, error: &RequestError) -> Conn {
+/// Sends a refusal and logs it.
+fn refuse(conn: Conn, error: &RequestError) -> Conn {
     event!(
         Info,
         RequestRefused,
@@ -221,16 +217,7 @@
         error.verdict,
         error.message
     );
-    let headers = conn.response_headers_mut();
-    headers.insert(VERDICT_HEADER, error.verdict.as_str());
-    headers.insert(KnownHeaderName::ContentType, JSON);
-    if let Some(wait) = error.retry_after {
-        let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
-        headers.insert(KnownHeaderName::RetryAfter, seconds.to_string());
-    }
-    conn.with_status(error.reason.status())
-        .with_body(chat::error_body(error))
-        .halt()
+    refusal::refuse(conn, error)
 }
 
 /// Closes the connection after the answer, because the request was not read to its end.
--- a/src/online.rs
+++ b/src/online.rs
@@ -48,6 +48,19 @@
     team: TeamId,
 }
 
+/// What a request needs of a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// Id of the request.
+    pub id: &'a RequestId,
+    /// Model that answers it.
+    pub model: &'a ModelId,
+    /// Hashes of the prompt's blocks, from its start.
+    pub blocks: &'a [u64],
+    /// Workers that it has tried already.
+    pub tried: &'a [WorkerId],
+}
+
 /// A request on its worker. Dropping it frees the place.
 #[derive(Debug)]
 pub struct Placed {
@@ -119,7 +132,9 @@
 
     /// Notes that a target could not be reached, broke or fell silent.
     pub fn failed(&self, target: &TargetId) {
-        lock(&self.health).failed(target, self.now());
+        if lock(&self.health).failed(target, self.now()) {
+            event!(Warn, TargetEjected, "target={target}");
+        }
     }
 
     /// Notes that a target works.
@@ -143,33 +158,27 @@
     ///
     /// Refuses the request as not-run when no worker has the model, the queue is full, or the wait
     /// is or would be over its bound.
-    pub async fn place(
-        self: &Arc<Self>,
-        id: &RequestId,
-        model: &ModelId,
-        tried: &[WorkerId],
-    ) -> Result<Placed, RequestError> {
-        let empty = lock(&self.queue).head(model).is_none();
-        if empty && let Some(placed) = self.choose(id, model, tried)? {
+    pub async fn place(self: &Arc<Self>, wanted: &Wanted<'_>) -> Result<Placed, RequestError> {
+        let empty = lock(&self.queue).head(wanted.model).is_none();
+        if empty && let Some(placed) = self.choose(wanted)? {
             return Ok(placed);
         }
-        let turn = self.join(model)?;
+        let turn = self.join(wanted.model)?;
         let timeout = async {
             Timer::after(self.ctx.settings.timeouts.queue).await;
             Err(busy("no worker became free in time", RETRY_AFTER))
         };
-        smol::future::or(self.wait(&turn, id, tried), timeout).await
+        smol::future::or(self.wait(&turn, wanted), timeout).await
     }
 
     async fn wait(
         self: &Arc<Self>,
         turn: &Turn<'_>,
-        id: &RequestId,
-        tried: &[WorkerId],
+        wanted: &Wanted<'_>,
     ) -> Result<Placed, RequestError> {
         loop {
             if turn.is_first()
-                && let Some(placed) = self.choose(id, turn.model, tried)?
+                && let Some(placed) = self.choose(wanted)?
             {
                 return Ok(placed);
             }
@@ -194,55 +203,50 @@
     }
 
     /// Chooses a worker; nothing when all of them are full.
-    fn choose(
-        self: &Arc<Self>,
-        id: &RequestId,
-        model: &ModelId,
-        tried: &[WorkerId],
-    ) -> Result<Option<Placed>, RequestError> {
+    fn choose(self: &Arc<Self>, wanted: &Wanted<'_>) -> Result<Option<Placed>, RequestError> {
         let mut avoid = self.ejected();
         if avoid.is_empty() {
-            return self.choose_from(id, model, tried);
+            return self.choose_from(wanted, wanted.tried);
         }
-        avoid.extend_from_slice(tried);
+        avoid.extend_from_slice(wanted.tried);
         // With all others gone an ejected worker is better than none.
-        let chosen = self.choose_from(id, model, &avoid);
-        chosen.or_else(|_| self.choose_from(id, model, tried))
+        let chosen = self.choose_from(wanted, &avoid);
+        chosen.or_else(|_| self.choose_from(wanted, wanted.tried))
     }
 
     fn choose_from(
         self: &Arc<Self>,
-        id: &RequestId,
-        model: &ModelId,
+        wanted: &Wanted<'_>,
         tried: &[WorkerId],
     ) -> Result<Option<Placed>, RequestError> {
         let router = self.ctx.router.load();
         let ask = Ask {
-            model,
-            blocks: &[],
+            model: wanted.model,
+            blocks: wanted.blocks,
             tried,
         };
         match router.choose(&ask, &mut fastrand::Rng::new(), self.now()) {
-            Choice::Worker(candidate) => Ok(Some(self.take(id, model, candidate))),
+            Choice::Worker(candidate) => Ok(Some(self.take(wanted, candidate))),
             Choice::Full => Ok(None),
             Choice::NoWorker => {
-                let message = format!("no worker has model '{model}'");
+                let message = format!("no worker has model '{}'", wanted.model);
                 Err(RequestError::not_run(Reason::Unavailable, message)
                     .with_retry_after(RETRY_AFTER))
             }
         }
     }
 
-    fn take(self: &Arc<Self>, id: &RequestId, model: &ModelId, candidate: &Candidate) -> Placed {
+    fn take(self: &Arc<Self>, wanted: &Wanted<'_>, candidate: &Candidate) -> Placed {
         let now = self.now();
         let worker = candidate.info.clone();
         let guard = candidate.cell.begin_online(now);
-        lock(&self.queue).started(model);
+        lock(&self.queue).started(wanted.model);
         self.chosen(&worker.id);
         event!(
             Info,
             RouteChosen,
-            "request={id} worker={} zone={}",
+            "request={} worker={} zone={}",
+            wanted.id,
             worker.id,
             worker.zone
         );
@@ -250,7 +254,7 @@
         Placed {
             online: self.clone(),
             worker,
-            model: model.clone(),
+            model: wanted.model.clone(),
             started: now,
             guard: Some(guard),
         }
--- a/tests/online_common/mod.rs
+++ b/tests/online_common/mod.rs
@@ -211,7 +211,6 @@
         trillium_smol::config()
             .without_signals()
             .with_nodelay()
-            .with_http_config(http::config(&ctx.settings))
             .with_acceptor(CallerBounds::new(&ctx.settings))
             .with_prebound_server(listener)
             .spawn(http::handler(ctx.clone()))
--- a/tests/online_verdict.rs
+++ b/tests/online_verdict.rs
@@ -5,6 +5,7 @@
 use std::{
     io::Read,
     net::{SocketAddr, TcpListener},
+    thread,
 };
 
 use gentianpath::{context::Command, view::WorkerInfo};
@@ -52,22 +53,38 @@
             "broken later",
             json!({ "streams": [{ "kind": "fail", "after": 2 }] }),
         ),
+        ("silent stream", json!({ "streams": [lost("silence", 0)] })),
+        ("cut stream", json!({ "streams": [lost("truncate", 0)] })),
         (
-            "silent stream",
-            json!({ "streams": [{ "kind": "silence", "after": 2, "resumed": true }] }),
+            "silent later",
+            json!({ "streams": [once("silence", 2), lost("silence", 0)] }),
         ),
         (
-            "cut stream",
-            json!({ "streams": [{ "kind": "truncate", "after": 1, "resumed": true }] }),
+            "cut later",
+            json!({ "streams": [once("truncate", 2), lost("truncate", 0)] }),
         ),
     ];
-    for (name, faults) in failures {
-        for headers in [&[], NEVER] {
-            for stream in [true, false] {
-                check_failure(&format!("{name} {stream}"), &faults, headers, stream);
-            }
+    thread::scope(|scope| {
+        for (name, faults) in &failures {
+            scope.spawn(move || {
+                for headers in [&[], NEVER] {
+                    for stream in [true, false] {
+                        check_failure(&format!("{name} {stream}"), faults, headers, stream);
+                    }
+                }
+            });
         }
-    }
+    });
+}
+
+/// Breaks every connection of a stream.
+fn lost(kind: &str, after: u64) -> Value {
+    json!({ "kind": kind, "after": after, "resumed": true })
+}
+
+/// Breaks one connection of a stream.
+fn once(kind: &str, after: u64) -> Value {
+    json!({ "kind": kind, "after": after, "count": 1 })
 }
 
 /// Makes an entry prefer a worker to others of the same load.
@@ -349,7 +366,7 @@
 fn scripted(reply: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
+    thread::spawn(move || {
         for conn in listener.incoming() {
             let mut conn = conn.expect("a connection");
             let mut buffer = [0; 4096];
