Forget the health of targets that left the fleet

Cause: the map of failing targets kept those that the view no longer has.

Change: an ejection drops entries of unknown targets.

--- a/src/online.rs
+++ b/src/online.rs
@@ -132,9 +132,15 @@
 
     /// Notes that a target could not be reached, broke or fell silent.
     pub fn failed(&self, target: &TargetId) {
-        if lock(&self.health).failed(target, self.now()) {
-            event!(Warn, TargetEjected, "target={target}");
+        let mut health = lock(&self.health);
+        if !health.failed(target, self.now()) {
+            return;
         }
+        event!(Warn, TargetEjected, "target={target}");
+        let view = self.ctx.view.load();
+        let worker = |t: &TargetId| view.workers.iter().any(|w| w.id == *t);
+        let service = |t: &TargetId| view.services.iter().any(|s| s.id == *t);
+        health.retain(|t| worker(t) || service(t));
     }
 
     /// Notes that a target works.
