--- a/tests/online_verdict.rs
+++ b/tests/online_verdict.rs
@@ -5,12 +5,13 @@
 use std::{
     io::Read,
     net::{SocketAddr, TcpListener},
+    thread,
 };
 
-use gentianpath::context::Command;
+use gentianpath::{context::Command, view::WorkerInfo};
 use online_common::{
-    Answer, Door, Entry, SLOTS, Target, chat, dead_address, entry, info, platform, post, receive,
-    send, wait_until, worker,
+    Answer, Door, Entry, SLOTS, Target, chat, dead_address, entry, info, platform, post, publish,
+    receive, send, view, wait_until, worker,
 };
 use serde_json::{Value, json};
 use standins::text;
@@ -52,21 +53,45 @@
             "broken later",
             json!({ "streams": [{ "kind": "fail", "after": 2 }] }),
         ),
+        ("silent stream", json!({ "streams": [lost("silence", 0)] })),
+        ("cut stream", json!({ "streams": [lost("truncate", 0)] })),
         (
-            "silent stream",
-            json!({ "streams": [{ "kind": "silence", "after": 2, "resumed": true }] }),
+            "silent later",
+            json!({ "streams": [once("silence", 2), lost("silence", 0)] }),
         ),
         (
-            "cut stream",
-            json!({ "streams": [{ "kind": "truncate", "after": 1, "resumed": true }] }),
+            "cut later",
+            json!({ "streams": [once("truncate", 2), lost("truncate", 0)] }),
         ),
     ];
-    for (name, faults) in failures {
-        for headers in [&[], NEVER] {
-            for stream in [true, false] {
-                check_failure(&format!("{name} {stream}"), &faults, headers, stream);
-            }
+    thread::scope(|scope| {
+        for (name, faults) in &failures {
+            scope.spawn(move || {
+                for headers in [&[], NEVER] {
+                    for stream in [true, false] {
+                        check_failure(&format!("{name} {stream}"), faults, headers, stream);
+                    }
+                }
+            });
         }
+    });
+}
+
+/// Breaks every connection of a stream.
+fn lost(kind: &str, after: u64) -> Value {
+    json!({ "kind": kind, "after": after, "resumed": true })
+}
+
+/// Breaks one connection of a stream.
+fn once(kind: &str, after: u64) -> Value {
+    json!({ "kind": kind, "after": after, "count": 1 })
+}
+
+/// Makes an entry prefer a worker to others of the same load.
+fn preferred(worker: WorkerInfo) -> WorkerInfo {
+    WorkerInfo {
+        owner: Some("e1".into()),
+        ..worker
     }
 }
 
@@ -74,11 +99,8 @@
     let platform = platform();
     let (bad, good) = (worker("a", &[]), worker("b", &[]));
     bad.faults(faults.clone());
-    let entry = entry(
-        platform.host.address,
-        vec![bad.info(), good.info()],
-        json!({}),
-    );
+    let workers = vec![preferred(bad.info()), good.info()];
+    let entry = entry(platform.host.address, workers, json!({}));
     let answer = ask(&entry, headers, prompt, stream);
     let ran = runs(&[&bad, &good], prompt);
     let never = headers == NEVER;
@@ -148,11 +170,12 @@
     let platform = platform();
     let (bad, good) = (worker("a", &["--token-ms", "20"]), worker("b", &[]));
     let door = Door::to(bad.address());
-    let workers = vec![info("a", door.address), good.info()];
-    let entry = entry(platform.host.address, workers, json!({}));
+    let behind = info("a", door.address);
+    let entry = entry(platform.host.address, vec![behind.clone()], json!({}));
     let mut conn = send(entry.address, "POST", CHAT, &[], &chat("p", 10_000, true));
     let mut first = [0; 1];
     conn.read_exact(&mut first).expect("a first byte");
+    publish(&entry.ctx, view(vec![behind, good.info()]));
     door.shut();
     let answer = receive(&mut conn);
     let body = &answer.body;
@@ -170,9 +193,9 @@
         let good = worker("b", &[]);
         let bad = worker("a", &["--prefill-ms", "1000000"]);
         let door = Door::to(bad.address());
-        let workers = vec![info("a", door.address), good.info()];
+        let behind = info("a", door.address);
         let timeouts = json!({ "timeouts": { "first_token_ms": 60_000 } });
-        let entry = entry(platform.host.address, workers, timeouts);
+        let entry = entry(platform.host.address, vec![behind.clone()], timeouts);
         let mut conn = send(
             entry.address,
             "POST",
@@ -181,6 +204,7 @@
             &chat("p", TOKENS, true),
         );
         wait_until(|| runs(&[&bad], "p") == 1);
+        publish(&entry.ctx, view(vec![behind, good.info()]));
         door.shut();
         let answer = receive(&mut conn);
         if headers == NEVER {
@@ -278,7 +302,7 @@
 fn batch_yields_and_the_owner_is_told() {
     let platform = platform();
     let worker = worker("a", &[]);
-    let info = gentianpath::view::WorkerInfo {
+    let info = WorkerInfo {
         owner: Some("e2".into()),
         ..worker.info()
     };
@@ -342,7 +366,7 @@
 fn scripted(reply: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
+    thread::spawn(move || {
         for conn in listener.incoming() {
             let mut conn = conn.expect("a connection");
             let mut buffer = [0; 4096];
