--- a/src/batch.rs
+++ b/src/batch.rs
@@ -196,7 +196,11 @@
             return TICK_BUSY;
         }
         let claim = self.claims.at.saturating_sub(self.now());
-        if claim.is_zero() { TICK_IDLE } else { claim.min(TICK_IDLE) }
+        if claim.is_zero() {
+            TICK_IDLE
+        } else {
+            claim.min(TICK_IDLE)
+        }
     }
 
     async fn next(&mut self) -> Event {
@@ -262,9 +266,13 @@
         let mut candidates: Vec<_> = view.peers.keys().cloned().collect();
         candidates.push(self.me.holder.clone());
         self.jobs.set_candidates(candidates);
-        let owned = view.workers.iter().filter(|w| w.owner.as_ref() == Some(&self.me.holder));
+        let owned = view
+            .workers
+            .iter()
+            .filter(|w| w.owner.as_ref() == Some(&self.me.holder));
         self.owned = owned.cloned().collect();
-        self.workers.retain(|id, _| view.workers.iter().any(|w| w.id == *id));
+        self.workers
+            .retain(|id, _| view.workers.iter().any(|w| w.id == *id));
         self.view = view;
         if news {
             self.claims.succeed(Duration::ZERO);
@@ -342,5 +350,7 @@
 
 /// Returns the time since 1970-01-01 UTC.
 pub(crate) fn today() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
 }
--- a/src/batch_calls.rs
+++ b/src/batch_calls.rs
@@ -102,9 +102,11 @@
         let answer = match op {
             Op::Read => found(ctx.platform.get(Kind::Group, &name).await),
             Op::Create(record) => written(ctx.platform.create(Kind::Group, &name, &record).await),
-            Op::Update(version, record) => {
-                written(ctx.platform.update(Kind::Group, &name, version, &record).await)
-            }
+            Op::Update(version, record) => written(
+                ctx.platform
+                    .update(Kind::Group, &name, version, &record)
+                    .await,
+            ),
         };
         Event::Group(key, answer)
     })
@@ -114,7 +116,10 @@
 pub fn input(ctx: Arc<Context>, key: GroupKey) -> CallFuture {
     Box::pin(async move {
         let object = ctx.platform.get(Kind::Input, &key.name()).await;
-        let input = object.ok().flatten().and_then(|o| InputRecord::deserialize(o.value).ok());
+        let input = object
+            .ok()
+            .flatten()
+            .and_then(|o| InputRecord::deserialize(o.value).ok());
         Event::Input(key, input.map(Arc::new))
     })
 }
@@ -133,7 +138,9 @@
                 LeaseAnswer::Written(ctx.platform.create(Kind::Lease, name, &record).await)
             }
             LeaseCall::Update(version) => LeaseAnswer::Written(
-                ctx.platform.update(Kind::Lease, name, version, &record).await,
+                ctx.platform
+                    .update(Kind::Lease, name, version, &record)
+                    .await,
             ),
         };
         Event::OwnLease(answer, sent)
@@ -179,7 +186,11 @@
     Box::pin(async move {
         let result = match version {
             None => ctx.platform.create(Kind::Progress, &job, &progress).await,
-            Some(v) => ctx.platform.update(Kind::Progress, &job, v, &progress).await,
+            Some(v) => {
+                ctx.platform
+                    .update(Kind::Progress, &job, v, &progress)
+                    .await
+            }
         };
         Event::ProgressWritten(job, result.ok().map(|_| progress))
     })
--- a/src/batch_claims.rs
+++ b/src/batch_claims.rs
@@ -68,7 +68,10 @@
     }
 
     fn need(&self, held: &Held, now: Duration) -> Need {
-        let unclaimed = matches!(held.holder.phase(), Phase::Look | Phase::Free | Phase::Busy(_));
+        let unclaimed = matches!(
+            held.holder.phase(),
+            Phase::Look | Phase::Free | Phase::Busy(_)
+        );
         if unclaimed && (self.stopping.is_some() || !self.ready(&held.key)) {
             return Need::Drop;
         }
@@ -180,7 +183,8 @@
             ),
             None => crate::event!(Info, GroupClaimed, "group={key} items={items}"),
         }
-        self.schedule.claimed(&key.job, &held.job.team, items as u64);
+        self.schedule
+            .claimed(&key.job, &held.job.team, items as u64);
     }
 
     /// Takes the items of a group.
@@ -307,11 +311,7 @@
         let job = pending[choice].job.clone();
         if !self.jobs.loaded(&job) {
             self.claims.busy = true;
-            self.call(batch_calls::progress(
-                self.ctx.clone(),
-                job,
-                Purpose::Claim,
-            ));
+            self.call(batch_calls::progress(self.ctx.clone(), job, Purpose::Claim));
             return;
         }
         self.look(&job, now);
@@ -351,7 +351,10 @@
                 *room -= held.ready(now) as i64;
             }
         }
-        room.into_iter().filter(|(_, r)| *r > 0).map(|(m, _)| m).collect()
+        room.into_iter()
+            .filter(|(_, r)| *r > 0)
+            .map(|(m, _)| m)
+            .collect()
     }
 
     /// Writes or reads the progress of one job at each interval, and judges deadlines.
@@ -402,7 +405,8 @@
         let interval = self.ctx.settings.timeouts.progress;
         self.progress.busy = false;
         // Jitter keeps instances that started together from writing together.
-        self.progress.succeed(now + interval + interval.mul_f64(self.rng.f64()));
+        self.progress
+            .succeed(now + interval + interval.mul_f64(self.rng.f64()));
     }
 
     /// Takes the end of a progress write. A failed one is repeated with the next interval.
@@ -424,7 +428,9 @@
         let fleet = self.view.peers.len() as f64 + 1.0;
         let late: Vec<usize> = match self.rate.get() {
             Some(rate) => self.schedule.infeasible(&pending, rate * fleet),
-            None => (0..pending.len()).filter(|&i| pending[i].left.is_zero()).collect(),
+            None => (0..pending.len())
+                .filter(|&i| pending[i].left.is_zero())
+                .collect(),
         };
         let jobs: Set<JobId> = late.into_iter().map(|i| pending[i].job.clone()).collect();
         for job in jobs.difference(&self.infeasible) {
--- a/src/batch_http.rs
+++ b/src/batch_http.rs
@@ -115,7 +115,9 @@
     check_model(ctx, &offer)?;
     let Some(_permit) = ctx.batch.permit() else {
         let message = "too many jobs are being submitted";
-        return Err(RequestError::not_run(Reason::Overloaded, message).with_retry_after(RETRY_AFTER));
+        return Err(
+            RequestError::not_run(Reason::Overloaded, message).with_retry_after(RETRY_AFTER)
+        );
     };
     let groups = read_groups(ctx, conn, &offer).await?;
     let object = submit_run::submit(ctx, &offer, &groups).await?;
@@ -220,7 +222,9 @@
     }
     if view.revision == 0 {
         let message = "no sheet is known yet";
-        return Err(RequestError::not_run(Reason::Unavailable, message).with_retry_after(RETRY_AFTER));
+        return Err(
+            RequestError::not_run(Reason::Unavailable, message).with_retry_after(RETRY_AFTER)
+        );
     }
     let message = format!("no model '{}'", offer.model);
     Err(RequestError::not_run(Reason::NotFound, message))
--- a/src/batch_items.rs
+++ b/src/batch_items.rs
@@ -127,7 +127,11 @@
 
     /// Takes the end of a run.
     pub(crate) fn run_ended(&mut self, ended: Ended, now: Duration) {
-        let Some(held) = self.held.get_mut(&ended.key).filter(|h| h.epoch == ended.epoch) else {
+        let Some(held) = self
+            .held
+            .get_mut(&ended.key)
+            .filter(|h| h.epoch == ended.epoch)
+        else {
             return;
         };
         let (key, item, worker) = (ended.key, ended.item, ended.worker);
--- a/src/batch_state.rs
+++ b/src/batch_state.rs
@@ -68,7 +68,9 @@
     /// driver.
     pub fn wrote(&self, object: Arc<Object>) {
         let mut written = lock(&self.written);
-        let newer = written.get(&object.name).is_none_or(|o| o.version < object.version);
+        let newer = written
+            .get(&object.name)
+            .is_none_or(|o| o.version < object.version);
         if newer {
             written.insert(object.name.clone(), object);
         }
@@ -135,7 +137,11 @@
 }
 
 fn size(group: &FinishedGroup) -> usize {
-    let prompts = group.input.items.iter().map(|i| i.prompt.len() + i.id.len());
+    let prompts = group
+        .input
+        .items
+        .iter()
+        .map(|i| i.prompt.len() + i.id.len());
     let results = group.record.items.iter().map(|i| match &i.outcome {
         Some(Outcome::Done { text }) => text.len(),
         Some(Outcome::Failed { reason }) => reason.len(),
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -174,7 +174,11 @@
 
     /// Marks an item as running; false when it must not run.
     pub fn start(&mut self, item: usize) -> bool {
-        let free = self.record.items.get(item).is_some_and(|i| i.outcome.is_none());
+        let free = self
+            .record
+            .items
+            .get(item)
+            .is_some_and(|i| i.outcome.is_none());
         if !self.starts() || !free || self.started[item] {
             return false;
         }
@@ -237,7 +241,11 @@
         }
         let finished = self.record.finished();
         self.record.claim = (!finished).then(|| self.me.clone());
-        let phase = if finished { Phase::Closing } else { Phase::Saving };
+        let phase = if finished {
+            Phase::Closing
+        } else {
+            Phase::Saving
+        };
         self.begin_write(phase, token);
     }
 
--- a/src/group.rs
+++ b/src/group.rs
@@ -135,7 +135,11 @@
         max_tokens,
     };
     let repeat = raw.repeat.map_or(Repeat::Allowed, |_| Repeat::Never);
-    Ok(Parsed { item, repeat, bytes })
+    Ok(Parsed {
+        item,
+        repeat,
+        bytes,
+    })
 }
 
 /// Fills groups one after the other.
--- a/src/item_run.rs
+++ b/src/item_run.rs
@@ -116,7 +116,9 @@
 }
 
 async fn reopen(run: &mut Run) -> Result<EngineStream, RunEnd> {
-    let resumed = run.engine.resume(run.address, &run.from.request, run.from.next);
+    let resumed = run
+        .engine
+        .resume(run.address, &run.from.request, run.from.next);
     match run.wait(resumed).await {
         Waited::Ready(Ok(stream)) => Ok(stream),
         Waited::Ready(Err(e)) if e.reason == Reason::NotFound => Err(RunEnd::Gone),
--- a/src/job_record.rs
+++ b/src/job_record.rs
@@ -22,8 +22,7 @@
 pub type WriteToken = u64;
 
 /// State of a job object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum JobState {
     /// Not all inputs are stored yet.
@@ -35,8 +34,7 @@
 }
 
 /// Content of a `job` object.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize, Serialize)]
 pub struct JobRecord {
     /// Team that submitted it.
     pub team: TeamId,
@@ -80,8 +78,7 @@
 }
 
 /// One item of a job.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Item {
     /// Position in the job, from 0.
     pub order: u64,
@@ -103,16 +100,14 @@
 }
 
 /// Content of an `input` object: the items of a group, immutable.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
 pub struct InputRecord {
     /// Items in the order of the job.
     pub items: Vec<Item>,
 }
 
 /// Final outcome of an item.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize, Serialize)]
 #[serde(tag = "status", rename_all = "kebab-case")]
 pub enum Outcome {
     /// The item completed.
@@ -145,8 +140,7 @@
 }
 
 /// Progress of one item inside a group record.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Deserialize, Serialize)]
 pub struct ItemState {
     /// Attempts that failed on a healthy engine.
     #[serde(default)]
@@ -157,8 +151,7 @@
 }
 
 /// Who holds a group.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize, Serialize)]
 pub struct Claim {
     /// Instance.
     pub holder: InstanceId,
@@ -168,8 +161,7 @@
 
 /// Content of a `group` object: claim and results together, so that a commit fails when another
 /// instance has taken the claim over.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Deserialize, Serialize)]
 pub struct GroupRecord {
     /// Holder; nothing when the group is free or finished.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -197,8 +189,7 @@
 }
 
 /// Numbers of items by outcome.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Counts {
     /// Completed.
     pub done: u64,
@@ -236,8 +227,7 @@
 }
 
 /// Content of a `lease` object.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
 pub struct LeaseRecord {
     /// Run of the instance.
     pub session: SessionId,
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -85,23 +85,30 @@
 
     /// Takes a job object and says whether it is news; an older version than the known one is not.
     pub fn learn(&mut self, object: &Object) -> bool {
-        if self.entries.get(&object.name).is_some_and(|e| e.version >= object.version) {
+        if self
+            .entries
+            .get(&object.name)
+            .is_some_and(|e| e.version >= object.version)
+        {
             return false;
         }
         let Ok(record) = JobRecord::deserialize(&object.value) else {
             return false;
         };
         let record = Arc::new(record);
-        let entry = self.entries.entry(object.name.clone()).or_insert_with(|| JobEntry {
-            record: record.clone(),
-            version: object.version,
-            finished: Progress::default(),
-            own: Map::default(),
-            loaded: None,
-            taken: Set::default(),
-            busy: Map::default(),
-            order: Vec::new(),
-        });
+        let entry = self
+            .entries
+            .entry(object.name.clone())
+            .or_insert_with(|| JobEntry {
+                record: record.clone(),
+                version: object.version,
+                finished: Progress::default(),
+                own: Map::default(),
+                loaded: None,
+                taken: Set::default(),
+                busy: Map::default(),
+                order: Vec::new(),
+            });
         entry.record = record;
         entry.version = object.version;
         true
@@ -122,7 +129,10 @@
 
     /// Returns all jobs with unfinished groups whose progress object was read.
     pub fn open(&self, today: Duration) -> Vec<Pending> {
-        let open = self.entries.iter().filter(|(_, e)| e.open() && e.loaded.is_some());
+        let open = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.open() && e.loaded.is_some());
         open.map(|(job, e)| pending(job, e, today)).collect()
     }
 
@@ -132,7 +142,11 @@
         if entry.order.is_empty() {
             entry.order = order(job, entry, &self.me, &self.candidates);
         }
-        let index = entry.order.iter().copied().find(|&g| entry.usable(g, now))?;
+        let index = entry
+            .order
+            .iter()
+            .copied()
+            .find(|&g| entry.usable(g, now))?;
         entry.taken.insert(index);
         Some(GroupKey {
             job: job.clone(),
@@ -221,7 +235,12 @@
 ) -> Vec<GroupIndex> {
     let open = entry.finished.open(entry.record.groups);
     let mut ranked: Vec<(usize, GroupIndex)> = open
-        .map(|g| (ownership::position(&format!("{job}.{g}"), me, candidates), g))
+        .map(|g| {
+            (
+                ownership::position(&format!("{job}.{g}"), me, candidates),
+                g,
+            )
+        })
         .collect();
     ranked.sort_unstable();
     ranked.into_iter().map(|(_, g)| g).collect()
--- a/src/results.rs
+++ b/src/results.rs
@@ -31,8 +31,7 @@
 const RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// A job as callers see it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct JobStatus {
     /// Name.
     pub name: JobId,
@@ -54,8 +53,7 @@
 }
 
 /// Items by outcome.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct StatusCounts {
     /// Completed.
     pub done: u64,
@@ -68,8 +66,7 @@
 }
 
 /// State of a job as callers see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum StateName {
     /// Submitted and not accepted yet; the caller must send it again.
@@ -153,7 +150,12 @@
             counts.merge(found.counts());
         }
     }
-    Ok(counted(summary(ctx, name, &record), &record, groups, counts))
+    Ok(counted(
+        summary(ctx, name, &record),
+        &record,
+        groups,
+        counts,
+    ))
 }
 
 fn counted(
@@ -189,10 +191,7 @@
 ) -> impl Stream<Item = io::Result<Vec<u8>>> + Send {
     let split = record.groups - record.never.min(record.groups);
     let reader = Reader {
-        cursors: [
-            Cursor::new(0, split),
-            Cursor::new(split, record.groups),
-        ],
+        cursors: [Cursor::new(0, split), Cursor::new(split, record.groups)],
         ctx,
         name,
         record,
--- a/src/submit.rs
+++ b/src/submit.rs
@@ -130,10 +130,12 @@
                 self.phase = Phase::Ready(settle);
                 Pace::Now
             }
-            (Phase::Create(settle), answer) => match settle.reply(reply(&answer, JobState::Loading)) {
-                Progress::Done(version) => self.go(Phase::Inputs(version)),
-                progress => self.other(progress),
-            },
+            (Phase::Create(settle), answer) => {
+                match settle.reply(reply(&answer, JobState::Loading)) {
+                    Progress::Done(version) => self.go(Phase::Inputs(version)),
+                    progress => self.other(progress),
+                }
+            }
             (Phase::Ready(settle), answer) => match settle.reply(reply(&answer, JobState::Ready)) {
                 Progress::Done(version) => self.end(End::Accepted(version, self.ready.clone())),
                 progress => self.other(progress),
--- a/src/submit_run.rs
+++ b/src/submit_run.rs
@@ -285,9 +285,9 @@
     let mut settle = Settle::new(Some(version), record.token);
     loop {
         let reply = match settle.call() {
-            settle::Call::Write => {
-                reply(written(ctx.platform.update(Kind::Job, job, version, record).await))
-            }
+            settle::Call::Write => reply(written(
+                ctx.platform.update(Kind::Job, job, version, record).await,
+            )),
             settle::Call::Read => reply(read(ctx, job).await),
         };
         match settle.reply(reply) {
--- /dev/null
+++ b/tests/batch_jobs.rs
@@ -0,0 +1,279 @@
+//! Jobs through two entry instances against stand-in processes.
+
+mod support;
+
+use std::collections::HashSet;
+
+use serde_json::{Value, json};
+use support::{Instance, Owned, Process, items, wait_for};
+
+struct Fleet {
+    platform: Process,
+    engines: Vec<Process>,
+    instances: Vec<Instance>,
+}
+
+/// Starts two instances, `a` and `b`, each the owner of one engine.
+fn fleet(token_ms: &str) -> Fleet {
+    let platform = Process::platform();
+    let engines = vec![
+        Process::engine("w1", token_ms),
+        Process::engine("w2", token_ms),
+    ];
+    let workers = [
+        Owned {
+            id: "w1",
+            engine: &engines[0],
+            owner: "a",
+        },
+        Owned {
+            id: "w2",
+            engine: &engines[1],
+            owner: "b",
+        },
+    ];
+    let instances = vec![
+        Instance::start("a", 1, &platform, &workers),
+        Instance::start("b", 2, &platform, &workers),
+    ];
+    Fleet {
+        platform,
+        engines,
+        instances,
+    }
+}
+
+fn ids(results: &[Value]) -> Vec<&str> {
+    results.iter().map(|r| r["id"].as_str().unwrap()).collect()
+}
+
+/// Returns how often each prompt ran to its end on all engines.
+fn completed(engines: &[Process], prompt: &str) -> usize {
+    let runs = engines
+        .iter()
+        .flat_map(|e| e.runs().remove(prompt).unwrap_or_default());
+    runs.filter(|r| r["state"] == "done").count()
+}
+
+/// Guards against lost or doubled items, results out of order, items that hold up others, a job
+/// that is accepted twice, and lost answers of the object service taken for failures.
+#[test]
+fn job_of_hundreds_of_items_is_read_back_whole_through_both_instances() {
+    let fleet = fleet("1");
+    let (a, b) = (&fleet.instances[0], &fleet.instances[1]);
+    let mut body = items("i", 300, 4);
+    body += &json!({"id": "bad", "prompt": "x [[invalid]]", "max_tokens": 4}).to_string();
+    body += "\n";
+    body += &json!({"id": "fails", "prompt": "x [[fail]]", "max_tokens": 4}).to_string();
+    body += "\n";
+    for i in 0..10 {
+        let item = json!({"id": format!("n{i}"), "prompt": format!("never {i}"), "max_tokens": 4, "repeat": "never"});
+        body += &(item.to_string() + "\n");
+    }
+    body += &items("z", 20, 4);
+    fleet
+        .platform
+        .faults(json!({"lost": {"prefix": "", "count": 12}}));
+    let (first, second) = std::thread::scope(|s| {
+        let first = s.spawn(|| a.submit("j", &body));
+        let second = s.spawn(|| b.submit("j", &body));
+        (first.join().unwrap(), second.join().unwrap())
+    });
+    assert_eq!(
+        (first.status, second.status),
+        (200, 200),
+        "{} {}",
+        first.body,
+        second.body
+    );
+    let other = b.submit("j", &items("other", 3, 4));
+    assert_eq!(
+        (other.status, other.verdict.as_deref()),
+        (409, Some("not-run"))
+    );
+    fleet
+        .platform
+        .faults(json!({"lost": {"prefix": "group/", "count": 6}}));
+
+    a.wait_finished("j");
+    let results = a.results("j");
+    let expected: Vec<String> = body
+        .lines()
+        .map(|l| {
+            serde_json::from_str::<Value>(l).unwrap()["id"]
+                .as_str()
+                .unwrap()
+                .to_owned()
+        })
+        .collect();
+    assert_eq!(ids(&results), expected);
+    assert_eq!(results, b.results("j"));
+    for result in &results {
+        let id = result["id"].as_str().unwrap();
+        match id {
+            "bad" => assert_eq!(
+                (&result["status"], &result["attempts"]),
+                (&json!("failed"), &json!(0))
+            ),
+            "fails" => assert_eq!(
+                (&result["status"], &result["attempts"]),
+                (&json!("failed"), &json!(3))
+            ),
+            _ => assert_eq!(result["status"], "done", "{result}"),
+        }
+        if id.starts_with('i') {
+            assert_eq!(completed(&fleet.engines[..0], id), 0);
+            assert_eq!(result["text"].as_str().unwrap().split(' ').count(), 4);
+        }
+    }
+    let status = b.status("j");
+    assert_eq!(
+        (&status["done"], &status["failed"]),
+        (&json!(330), &json!(2)),
+        "{status}"
+    );
+    let mut runs = fleet.engines[0].runs();
+    runs.extend(fleet.engines[1].runs());
+    for i in 0..10 {
+        assert_eq!(runs[&format!("never {i}")].len(), 1);
+    }
+}
+
+/// Guards against groups that stay with an instance that is gone, and against items that run again
+/// although a checkpoint has their result.
+#[test]
+fn groups_of_a_lost_holder_are_taken_over() {
+    let mut fleet = fleet("10");
+    let body = items("i", 200, 8);
+    assert_eq!(fleet.instances[0].submit("j", &body).status, 200);
+    let some = |f: &Fleet| f.instances[1].status("j")["done"].as_u64().unwrap_or(0) > 20;
+    wait_for(
+        || some(&fleet),
+        || fleet.instances[1].status("j").to_string(),
+    );
+    fleet.instances[0].kill();
+    let before: HashSet<String> = fleet.instances[1]
+        .results("j")
+        .iter()
+        .map(Value::to_string)
+        .collect();
+    fleet.instances[1].wait_finished("j");
+    let after: HashSet<String> = fleet.instances[1]
+        .results("j")
+        .iter()
+        .map(Value::to_string)
+        .collect();
+    assert_eq!(after.len(), 200);
+    assert!(before.is_subset(&after), "a committed result changed");
+}
+
+/// Guards against batch work that does not yield, or loses what it has when it does.
+#[test]
+fn items_yield_to_online_requests_and_resume() {
+    let fleet = fleet("5");
+    let a = &fleet.instances[0];
+    assert_eq!(a.submit("j", &items("i", 24, 60)).status, 200);
+    let engine = &fleet.engines[0];
+    let running = || a.ctx.workers.cell(&"w1".into()).known().batch;
+    wait_for(|| running() >= 4, || running().to_string());
+    let cell = a.ctx.workers.cell(&"w1".into());
+    let online: Vec<_> = (0..8)
+        .map(|_| cell.begin_online(a.ctx.workers.now()))
+        .collect();
+    wait_for(|| running() == 0, || running().to_string());
+    drop(online);
+    a.wait_finished("j");
+    let runs: Vec<Value> = engine.runs().into_values().flatten().collect();
+    let tokens: u64 = runs.iter().map(|r| r["tokens"].as_u64().unwrap()).sum();
+    let whole: u64 = runs.iter().map(|r| r["max_tokens"].as_u64().unwrap()).sum();
+    assert!(
+        runs.iter().any(|r| r["resumes"].as_u64().unwrap() > 0),
+        "nothing was resumed"
+    );
+    assert_eq!(tokens, whole);
+    assert_eq!(a.results("j").len(), 24);
+}
+
+/// Guards against attempts that are counted for the death of an engine.
+#[test]
+fn death_of_an_engine_counts_no_attempt() {
+    let mut fleet = fleet("5");
+    let a = &fleet.instances[0];
+    assert_eq!(a.submit("j", &items("i", 40, 40)).status, 200);
+    let running = || a.ctx.workers.cell(&"w1".into()).known().batch;
+    wait_for(|| running() >= 4, || running().to_string());
+    fleet.engines[0].kill();
+    let b = &fleet.instances[1];
+    let mut view = fleet.instances[0].ctx.view.load().as_ref().clone();
+    view.workers.remove(0);
+    view.workers[0].owner = Some("a".into());
+    fleet.instances[0].ctx.view.store(view.into());
+    b.wait_finished("j");
+    for result in b.results("j") {
+        assert_eq!(
+            (&result["status"], &result["attempts"]),
+            (&json!("done"), &json!(0))
+        );
+    }
+}
+
+/// Guards against results that are lost in an outage of the object service, claims during it, and
+/// a submission that is refused without saying that it did not run.
+#[test]
+fn results_wait_for_the_end_of_an_outage() {
+    let fleet = fleet("5");
+    let a = &fleet.instances[0];
+    assert_eq!(a.submit("j", &items("i", 40, 20)).status, 200);
+    let running = || a.ctx.workers.cell(&"w1".into()).known().batch;
+    wait_for(|| running() >= 4, || running().to_string());
+    fleet
+        .platform
+        .faults(json!({"gate": {"outage": "refuse", "prefix": "/objects"}}));
+    let refused = a.submit("k", &items("i", 3, 4));
+    assert_eq!(
+        (refused.status, refused.verdict.as_deref()),
+        (503, Some("not-run"))
+    );
+    assert!(refused.retry.is_some());
+    fleet.platform.faults(json!({}));
+    a.wait_finished("j");
+    let results = a.results("j");
+    assert_eq!(results.len(), 40);
+    assert!(results.iter().all(|r| r["status"] == "done"));
+    let runs = fleet.engines.iter().flat_map(|e| e.runs().into_values());
+    let twice = runs.filter(|r| r.len() > 1).count();
+    assert_eq!(twice, 0, "an outage made items run again");
+}
+
+/// Guards against a planned stop that keeps its claims, and against work on a cancelled job.
+#[test]
+fn planned_stop_gives_claims_back_and_cancel_ends_a_job() {
+    let mut fleet = fleet("10");
+    assert_eq!(
+        fleet.instances[0].submit("j", &items("i", 64, 20)).status,
+        200
+    );
+    let a = &fleet.instances[0];
+    let running = |i: &Instance, w: &str| i.ctx.workers.cell(&w.into()).known().batch;
+    wait_for(|| running(a, "w1") >= 4, || running(a, "w1").to_string());
+    a.ctx.drain.advance(gentianpath::drain::Phase::Leaving);
+    fleet.instances[0].join();
+    let b = &fleet.instances[1];
+    wait_for(|| running(b, "w2") >= 4, || running(b, "w2").to_string());
+    let reply = support::post(fleet.instances[0].callers, "/v1/batches/j/cancel", "");
+    assert_eq!(
+        (reply.status, &reply.json()["state"]),
+        (200, &json!("cancelled"))
+    );
+    wait_for(|| running(b, "w2") == 0, || running(b, "w2").to_string());
+    wait_for(
+        || b.results("j").len() == 64,
+        || b.results("j").len().to_string(),
+    );
+    assert!(b.results("j").iter().any(|r| r["status"] == "cancelled"));
+    let again = b.submit("j", &items("i", 64, 20));
+    assert_eq!(
+        (again.status, &again.json()["state"]),
+        (200, &json!("cancelled"))
+    );
+}
--- a/tests/group_claims.rs
+++ b/tests/group_claims.rs
@@ -96,7 +96,9 @@
             rules,
             repeat,
             object: None,
-            nodes: (0..NODES).map(|n| Node::new(n, repeat, bounds.items)).collect(),
+            nodes: (0..NODES)
+                .map(|n| Node::new(n, repeat, bounds.items))
+                .collect(),
             delayed: Vec::new(),
             runs: vec![0; bounds.items],
             tokens: 1,
@@ -123,7 +125,9 @@
             if self.faults > 0 {
                 moves.push(Move::Call(n, Fate::Refused));
                 if op != Op::Read {
-                    moves.extend([Fate::LostAnswer, Fate::Dropped, Fate::Delayed].map(|f| Move::Call(n, f)));
+                    moves.extend(
+                        [Fate::LostAnswer, Fate::Dropped, Fate::Delayed].map(|f| Move::Call(n, f)),
+                    );
                 }
             }
         }
@@ -133,7 +137,9 @@
         let phase = node.holder.phase();
         match phase {
             Phase::Free if !node.knows_cancel => moves.push(Move::Claim(n)),
-            Phase::Busy(_) if self.takeovers > 0 && !node.knows_cancel => moves.push(Move::Claim(n)),
+            Phase::Busy(_) if self.takeovers > 0 && !node.knows_cancel => {
+                moves.push(Move::Claim(n))
+            }
             Phase::Lost | Phase::Released if !node.knows_cancel => moves.push(Move::Again(n)),
             Phase::Busy(_) => moves.push(Move::Again(n)),
             _ => {}
@@ -250,7 +256,10 @@
         }
         if let Some((_, old)) = &self.object {
             unchanged(old, &write.op.record)?;
-            let foreign = old.claim.as_ref().is_some_and(|c| c.session != write.node as u64);
+            let foreign = old
+                .claim
+                .as_ref()
+                .is_some_and(|c| c.session != write.node as u64);
             if foreign && write.phase != Phase::Claiming {
                 return Err(format!("holder {} wrote without the claim", write.node));
             }
@@ -344,10 +353,14 @@
     let mut seen = HashSet::new();
     let mut open = vec![world];
     while let Some(world) = open.pop() {
-        world.clone().finish(bounds).map_err(|e| format!("{e}: {world:#?}"))?;
+        world
+            .clone()
+            .finish(bounds)
+            .map_err(|e| format!("{e}: {world:#?}"))?;
         for step in world.moves(bounds) {
             let mut next = world.clone();
-            next.apply(step).map_err(|e| format!("{e} after {step:?}: {world:#?}"))?;
+            next.apply(step)
+                .map_err(|e| format!("{e} after {step:?}: {world:#?}"))?;
             let mut key = next.clone();
             key.tokens = 0;
             if seen.insert(key) {
