--- a/src/context.rs
+++ b/src/context.rs
@@ -13,6 +13,7 @@
     platform::Platform,
     route::Router,
     settings::Settings,
+    status::SharedStatus,
     view::SharedView,
     workers::WorkerTable,
 };
@@ -55,6 +56,8 @@
     pub batch: BatchState,
     /// Phase of a planned stop.
     pub drain: Drain,
+    /// Latest status for operators, published by control.
+    pub status: SharedStatus,
     /// Messages to control.
     pub commands: Sender<Command>,
 }
@@ -75,6 +78,7 @@
             engine: Engine::new(timeouts),
             batch: BatchState::default(),
             drain: Drain::default(),
+            status: SharedStatus::default(),
             commands,
         };
         (Arc::new(context), receiver)
--- a/src/drain.rs
+++ b/src/drain.rs
@@ -1,6 +1,6 @@
 //! Phases of a planned stop.
 
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
 
 /// Phase of an entry instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -18,12 +18,25 @@
 pub struct Drain {
     phase: AtomicU8,
     active: AtomicUsize,
+    released: AtomicBool,
 }
 
 /// Counts a caller request until it is dropped.
 #[derive(Debug)]
 pub struct ActiveGuard<'a>(&'a Drain);
 
+/// Counts a caller request until it is dropped; for state that must not borrow.
+#[derive(Debug)]
+pub struct OwnedGuard<T: AsRef<Drain>>(T);
+
+impl<T: AsRef<Drain>> OwnedGuard<T> {
+    /// Counts a caller request of the drain that `owner` holds.
+    pub fn begin(owner: T) -> Self {
+        owner.as_ref().active.fetch_add(1, Ordering::AcqRel);
+        Self(owner)
+    }
+}
+
 impl Drain {
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
@@ -45,6 +58,16 @@
         ActiveGuard(self)
     }
 
+    /// Records that the batch driver has handed back its claims and stopped.
+    pub fn set_batch_released(&self) {
+        self.released.store(true, Ordering::Release);
+    }
+
+    /// Says whether the batch driver has handed back its claims and stopped.
+    pub fn batch_released(&self) -> bool {
+        self.released.load(Ordering::Acquire)
+    }
+
     /// Returns the number of caller requests in flight.
     pub fn active(&self) -> usize {
         self.active.load(Ordering::Acquire)
@@ -56,3 +79,9 @@
         self.0.active.fetch_sub(1, Ordering::AcqRel);
     }
 }
+
+impl<T: AsRef<Drain>> Drop for OwnedGuard<T> {
+    fn drop(&mut self) {
+        self.0.as_ref().active.fetch_sub(1, Ordering::AcqRel);
+    }
+}
