--- a/tests/orders_fence.rs
+++ b/tests/orders_fence.rs
@@ -266,6 +266,13 @@
         Step::Order(order.clone()),
         "another order took effect"
     );
+    let late = desk.next(Some(&wanted), 1, &report(None), LOAD_WAIT);
+    assert_eq!(late, Step::Order(order.clone()), "the load takes too long");
+    // A report may lag, or a stale order brought back what was loaded before.
+    desk.set_given(order.clone(), &report(Some("v0")), at(5));
+    let old = |desk: &mut Desk, now| desk.next(Some(&wanted), 1, &report(Some("v0")), now);
+    assert_eq!(old(&mut desk, at(6)), Step::Idle);
+    assert_eq!(old(&mut desk, at(5) + LAG_WAIT), Step::Order(order.clone()));
     assert_eq!(
         desk.next(Some(&wanted), 1, &report(Some("v1")), at(6)),
         Step::Idle
