Pause batch starts after an online arrival and drop the fixed reserve

Change: no batch start for 150 ms after an online rise at weight 0; the reserve of one slot is gone, the headroom of a quarter of the drop from the recent peak stays.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -13,13 +13,14 @@
 const REPORT_LAG: Duration = Duration::from_secs(2);
 /// Part of the drop from the recent online peak that is kept free at weight 0.
 const PEAK_SHARE: f64 = 0.25;
-/// Part of the slots that batch leaves free at weight 0 while online requests are recent.
-const RESERVE_SHARE: f64 = 0.0625;
 /// Batch streams before their first token at most, at weight 0. A prefill delays each online
 /// request that arrives behind it, because engines admit in arrival order.
 const STARTING_LOW: f64 = 1.0;
 /// Batch streams before their first token at most, at weight 1.
 const STARTING_HIGH: f64 = 2.0;
+/// Time after an online arrival in which no batch stream starts, at weight 0. The prefills would
+/// share the iterations of the engine.
+const START_PAUSE: Duration = Duration::from_millis(150);
 /// Weight up to which an online arrival makes batch prefills yield.
 const PREEMPT_WEIGHT: f64 = 0.5;
 
@@ -44,6 +45,9 @@
     weight: f64,
     online: Peaks,
     total: Peaks,
+    latest: u32,
+    /// Time of the last rise of online requests.
+    risen: Option<Duration>,
 }
 
 impl Admission {
@@ -55,6 +59,9 @@
     /// Returns how many more batch streams the worker has room for.
     pub fn room(&mut self, now: Duration, demand: Demand) -> u32 {
         let free = self.limit(now, demand).saturating_sub(demand.batch);
+        if self.paused(now) {
+            return 0;
+        }
         let span = STARTING_HIGH - STARTING_LOW;
         let starts = (STARTING_LOW + span * self.weight).round() as u32;
         free.min(starts.saturating_sub(demand.starting))
@@ -70,26 +77,32 @@
         self.weight <= PREEMPT_WEIGHT
     }
 
+    /// Says whether the prefill of a recent online request is likely to be under way.
+    fn paused(&self, now: Duration) -> bool {
+        let pause = START_PAUSE.mul_f64(1.0 - self.weight);
+        self.risen.is_some_and(|risen| now < risen + pause)
+    }
+
     fn limit(&mut self, now: Duration, demand: Demand) -> u32 {
         self.total.record(now, demand.online + demand.batch);
         let known = self.total.peak(now, REPORT_LAG);
         let unannounced = demand.reported.saturating_sub(known);
         let online = demand.online + unannounced;
         self.online.record(now, online);
-        let used = online + self.headroom(now, demand.slots, online);
+        if demand.online > self.latest {
+            self.risen = Some(now);
+        }
+        self.latest = demand.online;
+        let used = online + self.headroom(now, online);
         demand.slots.saturating_sub(used)
     }
 
     /// Returns the slots kept free for online requests that may arrive next.
-    fn headroom(&self, now: Duration, slots: u32, online: u32) -> u32 {
+    fn headroom(&self, now: Duration, online: u32) -> u32 {
         let peak = self.online.peak(now, PEAK_WINDOW);
-        if peak == 0 {
-            return 0;
-        }
         let tail = 1.0 - self.weight;
         let fallen = f64::from(peak - online);
-        let kept = fallen * PEAK_SHARE + f64::from(slots) * RESERVE_SHARE;
-        (kept * tail).round() as u32
+        (fallen * PEAK_SHARE * tail).round() as u32
     }
 }
 
