Let long prompts claim slots until their first token

Change: a prompt with 20 or more blocks to compute claims further slots, which the level for the owner contains, so that batch yields for the prefill and routing avoids a worker that computes a long prompt.

--- a/bench/src/entry.rs
+++ b/bench/src/entry.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     policy::Deployment,
-    trace::{Item, Request},
+    trace::{BLOCK_TOKENS, Item, Request, prefix_blocks},
 };
 
 /// The only model of a trace.
@@ -109,9 +109,13 @@
     format!("worker-{number}").into()
 }
 
-/// Returns the block hashes of a request's prompt.
-pub fn request_blocks(request: &Request) -> Vec<u64> {
-    crate::trace::prefix_blocks(request.prefix)
+/// Returns the block hashes of a request's prompt: those of the shared prefix and its own.
+pub fn request_blocks(number: usize, request: &Request) -> Vec<u64> {
+    let mut blocks = prefix_blocks(request.prefix);
+    let own = request.own / BLOCK_TOKENS;
+    let hash = |i: u32| stable_hash(&[number.to_le_bytes(), (i as usize).to_le_bytes()].concat());
+    blocks.extend((0..own).map(hash));
+    blocks
 }
 
 fn zone_id(number: usize) -> Zone {
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -48,6 +48,8 @@
     Admit(usize, u64),
     /// An iteration of a worker's life ends.
     Iteration(usize, u32),
+    /// An entry instance gets the first token of an attempt.
+    FirstToken(u64),
     /// An entry instance learns that an attempt has ended.
     Ended(u64),
     /// An entry instance tells a worker's owner its level.
@@ -226,7 +228,7 @@
         let zones = self.deployment.zones;
         let slots = online_slots(self.policy);
         for entry in &mut self.entries {
-            let reached = |w: &usize| !cut || (w % zones == 0) == (entry.zone == 0);
+            let reached = |w: &usize| !cut || w.is_multiple_of(zones) == (entry.zone == 0);
             let numbers = (0..self.deployment.workers).filter(|w| !(dead && *w == 0));
             let infos = numbers
                 .filter(reached)
@@ -259,6 +261,7 @@
             Event::Dispatch(request) => self.dispatch(request),
             Event::Admit(worker, id) => self.admit(worker, id),
             Event::Iteration(worker, life) => self.iterate(worker, life),
+            Event::FirstToken(attempt) => self.first_token(attempt),
             Event::Ended(attempt) => self.ended(attempt),
             Event::SendLevel(entry, worker) => self.send_level(entry, worker),
             Event::Level(entry, worker, level, cause) => self.level(entry, worker, level, cause),
--- a/bench/src/online.rs
+++ b/bench/src/online.rs
@@ -64,7 +64,7 @@
     /// Sends a request to a worker, lets it wait for room, or refuses it.
     pub(crate) fn dispatch(&mut self, number: usize) {
         match self.route(number) {
-            Some(worker) => self.send(number, worker),
+            Some((worker, fresh)) => self.send(number, worker, fresh),
             None => self.wait(number),
         }
     }
@@ -96,6 +96,18 @@
         }
     }
 
+    /// An entry instance gets the first token of an attempt.
+    pub(crate) fn first_token(&mut self, id: u64) {
+        let number = (id & u64::from(u32::MAX)) as usize;
+        let state = &self.online[number];
+        let entry = state.request.entry;
+        let guard = self.entries[entry].guards.get(&id);
+        let changed = guard.is_some_and(|g| g.first_token());
+        if let Some(worker) = state.worker.filter(|_| changed) {
+            self.fallen(entry, worker);
+        }
+    }
+
     /// Passes on what a worker produced for an online request.
     pub(crate) fn online_output(&mut self, worker: usize, id: u64, news: BatchNews) {
         let number = (id & u64::from(u32::MAX)) as usize;
@@ -117,6 +129,7 @@
         let delay = self.delay(self.entries[request.entry].zone, self.zone(worker));
         if news == BatchNews::First {
             self.tally.first.push(now + delay - request.at);
+            self.after(delay, Event::FirstToken(id));
         } else {
             self.after(delay, Event::Ended(id));
         }
@@ -147,7 +160,7 @@
         let owner = self.owners[worker];
         let (from, to) = (self.entries[entry].zone, self.entries[owner].zone);
         if self.reach(from, to) {
-            let level = self.entries[entry].cells[worker].online();
+            let level = self.entries[entry].cells[worker].level();
             let delay = self.delay(from, to);
             let cause = cause.unwrap_or(self.now);
             self.after(delay, Event::Level(entry, worker, level, cause));
@@ -164,11 +177,12 @@
         self.fill(worker);
     }
 
-    fn route(&mut self, number: usize) -> Option<usize> {
+    /// Chooses a worker; returns it with the blocks of the prompt that it has to compute.
+    fn route(&mut self, number: usize) -> Option<(usize, usize)> {
         let time = self.time();
         let state = &self.online[number];
         let entry = &mut self.entries[state.request.entry];
-        let blocks = request_blocks(&state.request);
+        let blocks = request_blocks(number, &state.request);
         let ask = Ask {
             model: &ModelId::from(MODEL),
             blocks: &blocks,
@@ -176,20 +190,26 @@
         };
         let count = entry.cells.len();
         match self.policy.routing {
-            Routing::Router => match entry.router.choose(&ask, &mut entry.rng, time) {
-                Choice::Worker(c) => entry.cells.iter().position(|cell| cell.id == c.info.id),
-                Choice::Full | Choice::NoWorker => None,
-            },
-            Routing::Random => Some(entry.rng.usize(..count)),
+            Routing::Router => {
+                let placement = entry.router.place(&ask, &mut entry.rng, time);
+                let Choice::Worker(chosen) = placement.choice else {
+                    return None;
+                };
+                let mut cells = entry.cells.iter();
+                let worker = cells.position(|cell| cell.id == chosen.info.id)?;
+                Some((worker, placement.fresh))
+            }
+            Routing::Random => Some((entry.rng.usize(..count), 0)),
             Routing::Reported => {
                 let untried = |w: &usize| !state.tried.contains(&worker_id(*w));
                 let load = |w: &usize| (entry.reported[*w], entry.rng.u32(..));
-                (0..count).filter(untried).min_by_key(load)
+                let least = (0..count).filter(untried).min_by_key(load)?;
+                Some((least, 0))
             }
         }
     }
 
-    fn send(&mut self, number: usize, worker: usize) {
+    fn send(&mut self, number: usize, worker: usize, fresh: usize) {
         let time = self.time();
         let state = &mut self.online[number];
         state.worker = Some(worker);
@@ -201,7 +221,7 @@
             self.retry(number, CONNECT_TIMEOUT);
             return;
         }
-        let guard = self.entries[entry].cells[worker].begin_online(time);
+        let guard = self.entries[entry].cells[worker].begin_prompt(fresh, time);
         self.entries[entry].guards.insert(id, guard);
         if self.owners[worker] == entry {
             self.collect_yields(worker, self.now);
--- a/bench/src/trace.rs
+++ b/bench/src/trace.rs
@@ -17,7 +17,7 @@
 /// Shared prompt prefixes of online requests.
 const PREFIXES: u32 = 48;
 /// Tokens of a cache block.
-const BLOCK_TOKENS: u32 = 64;
+pub const BLOCK_TOKENS: u32 = 64;
 /// Online requests a second and worker in a steady trace.
 const STEADY_RATE: f64 = 1.0;
 /// Online requests a second and worker between bursts.
--- a/src/admit.rs
+++ b/src/admit.rs
@@ -24,6 +24,21 @@
 /// Weight up to which an online arrival makes batch prefills yield.
 const PREEMPT_WEIGHT: f64 = 0.5;
 
+/// Blocks of a prompt that a worker has to compute, from which it counts as long.
+const LONG_BLOCKS: usize = 20;
+/// Part of the slots that a long prompt claims at weight 0 until its first token. Each running
+/// stream lengthens each of the iterations that the prompt takes.
+const LONG_SHARE: f64 = 0.375;
+/// Part of the slots up to which the claims of long prompts count.
+const CLAIM_SHARE: f64 = 0.5;
+
+/// Returns the slots to tell a worker's owner for online requests in flight, with the claims of
+/// long prompts.
+pub fn level(slots: u32, online: u32, claims: u32) -> u32 {
+    let most = (f64::from(slots) * CLAIM_SHARE) as u32;
+    (online + claims).min(most).max(online)
+}
+
 /// What is known of a worker's load.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -72,6 +87,14 @@
         demand.batch.saturating_sub(self.limit(now, demand))
     }
 
+    /// Returns the slots that a prompt claims beside its own until its first token.
+    pub fn claim(&self, slots: u32, fresh: usize) -> u32 {
+        if fresh < LONG_BLOCKS {
+            return 0;
+        }
+        (f64::from(slots) * LONG_SHARE * (1.0 - self.weight)).round() as u32
+    }
+
     /// Says whether batch streams before their first token yield to an online arrival.
     pub fn preempts(&self) -> bool {
         self.weight <= PREEMPT_WEIGHT
--- a/src/affinity.rs
+++ b/src/affinity.rs
@@ -151,6 +151,16 @@
         Vec::new()
     }
 
+    /// Returns how many blocks from the start of a prompt a worker is known to hold.
+    pub fn depth(&self, blocks: &[u64], worker: &WorkerId) -> usize {
+        let Some(&number) = self.numbers.get(worker) else {
+            return 0;
+        };
+        let holds = |block: &u64| self.valid(*block).any(|e| e.worker == number);
+        let known = blocks.iter().take(MAX_BLOCKS);
+        known.take_while(|b| holds(b)).count()
+    }
+
     /// Returns the number of blocks that are held in memory.
     pub fn len(&self) -> usize {
         self.young.len() + self.old.len()
--- a/src/route.rs
+++ b/src/route.rs
@@ -66,6 +66,15 @@
     NoWorker,
 }
 
+/// A choice with what is known of the prompt on the chosen worker.
+#[derive(Debug, Clone)]
+pub struct Placement<'a> {
+    /// The choice.
+    pub choice: Choice<'a>,
+    /// Blocks of the prompt that the worker is not known to hold.
+    pub fresh: usize,
+}
+
 /// Workers of one model: own ones, then others of the zone, then those of other zones.
 #[derive(Debug, Default)]
 struct Pool {
@@ -128,6 +137,24 @@
     /// Chooses a worker for a request. The cost does not grow with the number of workers, unless
     /// the sampled ones have no room.
     pub fn choose(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Choice<'_> {
+        self.place(ask, rng, now).choice
+    }
+
+    /// Chooses a worker for a request and tells how much of the prompt it has to compute.
+    pub fn place(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Placement<'_> {
+        let choice = self.pick(ask, rng, now);
+        let mut fresh = 0;
+        if let Choice::Worker(chosen) = &choice
+            && !ask.blocks.is_empty()
+        {
+            let mut affinity = self.lock();
+            fresh = ask.blocks.len() - affinity.depth(ask.blocks, &chosen.info.id);
+            affinity.sent(ask.blocks, &chosen.info.id, now);
+        }
+        Placement { choice, fresh }
+    }
+
+    fn pick(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Choice<'_> {
         let Some(pool) = self.models.get(ask.model) else {
             return Choice::NoWorker;
         };
@@ -139,13 +166,7 @@
             .holder(pool, ask, &sample)
             .or(sample.best)
             .or_else(|| pool.search(ask, rng, now));
-        let Some(chosen) = chosen else {
-            return Choice::Full;
-        };
-        if !ask.blocks.is_empty() {
-            self.lock().sent(ask.blocks, &chosen.info.id, now);
-        }
-        Choice::Worker(chosen)
+        chosen.map_or(Choice::Full, Choice::Worker)
     }
 
     /// Samples own workers, the zone and the other zones, and finds the one of least cost.
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -11,7 +11,7 @@
 use smol::channel::{Receiver, Sender};
 
 use crate::{
-    admit::{Admission, Demand},
+    admit::{self, Admission, Demand},
     affinity::Affinity,
     ids::{InstanceId, Map, WorkerId},
 };
@@ -39,6 +39,8 @@
     /// Name of the worker.
     pub id: WorkerId,
     online: AtomicU32,
+    /// Slots that own long prompts claim until their first token.
+    claims: AtomicU32,
     /// Online requests of peers by their notices.
     peers: AtomicU32,
     /// Online requests of other instances by the owner's last digest.
@@ -101,7 +103,10 @@
 
 /// Counts an online request on its worker until it is dropped.
 #[derive(Debug)]
-pub struct OnlineGuard(Arc<WorkerCell>);
+pub struct OnlineGuard {
+    cell: Arc<WorkerCell>,
+    claim: AtomicU32,
+}
 
 /// Counts a batch stream on its worker until it is dropped, and tells when it must yield.
 #[derive(Debug)]
@@ -117,6 +122,7 @@
         Self {
             id,
             online: AtomicU32::new(0),
+            claims: AtomicU32::new(0),
             peers: AtomicU32::new(0),
             announced: AtomicU32::new(0),
             slots: AtomicU32::new(0),
@@ -126,9 +132,24 @@
 
     /// Counts an online request of this instance and makes batch streams yield for it at once.
     pub fn begin_online(self: &Arc<Self>, now: Duration) -> OnlineGuard {
+        self.begin_prompt(0, now)
+    }
+
+    /// Counts an online request like [`Self::begin_online`]. A long prompt, of which the worker has
+    /// to compute `fresh` blocks, makes more batch streams yield until its first token.
+    pub fn begin_prompt(self: &Arc<Self>, fresh: usize, now: Duration) -> OnlineGuard {
+        let slots = self.slots.load(Ordering::Relaxed);
+        let claim = match fresh {
+            0 => 0,
+            _ => self.lock().admission.claim(slots, fresh),
+        };
         self.online.fetch_add(1, Ordering::Relaxed);
+        self.claims.fetch_add(claim, Ordering::Relaxed);
         self.rebalance(now, true);
-        OnlineGuard(self.clone())
+        OnlineGuard {
+            cell: self.clone(),
+            claim: AtomicU32::new(claim),
+        }
     }
 
     /// Counts a batch stream, when the worker has room for one.
@@ -199,7 +220,7 @@
     pub fn load(&self) -> u32 {
         let noticed = self.peers.load(Ordering::Relaxed);
         let announced = self.announced.load(Ordering::Relaxed);
-        self.online() + noticed.max(announced)
+        self.level() + noticed.max(announced)
     }
 
     /// Sets the weight of throughput against online tail, and the number of slots.
@@ -213,6 +234,14 @@
         self.online.load(Ordering::Relaxed)
     }
 
+    /// Returns the level of online requests of this instance that the worker's owner is told: their
+    /// number and the claims of long prompts.
+    pub fn level(&self) -> u32 {
+        let slots = self.slots.load(Ordering::Relaxed);
+        let claims = self.claims.load(Ordering::Relaxed);
+        admit::level(slots, self.online(), claims)
+    }
+
     /// Returns what is known of the worker's load. Batch streams are all counted as started.
     pub fn known(&self) -> Demand {
         self.demand(&self.lock(), Duration::MAX)
@@ -235,7 +264,7 @@
     }
 
     fn known_online(&self) -> u32 {
-        self.online() + self.peers.load(Ordering::Relaxed)
+        self.level() + self.peers.load(Ordering::Relaxed)
     }
 
     fn demand(&self, state: &CellState, now: Duration) -> Demand {
@@ -258,9 +287,20 @@
     }
 }
 
+impl OnlineGuard {
+    /// Marks that the first token has arrived, so that the prompt claims no more slots. Says
+    /// whether that changed the level, which the worker's owner is told then.
+    pub fn first_token(&self) -> bool {
+        let claim = self.claim.swap(0, Ordering::Relaxed);
+        self.cell.claims.fetch_sub(claim, Ordering::Relaxed);
+        claim > 0
+    }
+}
+
 impl Drop for OnlineGuard {
     fn drop(&mut self) {
-        self.0.online.fetch_sub(1, Ordering::Relaxed);
+        self.first_token();
+        self.cell.online.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
