--- a/src/admit.rs
+++ b/src/admit.rs
@@ -29,6 +29,8 @@
 /// Part of the slots that a long prompt claims at weight 0 until its first token. Each running
 /// stream lengthens each of the iterations that the prompt takes.
 const LONG_SHARE: f64 = 0.375;
+/// The same at weight 1, where it mainly keeps other online requests off the worker.
+const LONG_SHARE_HIGH: f64 = 0.125;
 /// Part of the slots up to which the claims of long prompts count.
 const CLAIM_SHARE: f64 = 0.5;
 
@@ -92,7 +94,8 @@
         if fresh < LONG_BLOCKS {
             return 0;
         }
-        (f64::from(slots) * LONG_SHARE * (1.0 - self.weight)).round() as u32
+        let share = LONG_SHARE + (LONG_SHARE_HIGH - LONG_SHARE) * self.weight;
+        (f64::from(slots) * share).round() as u32
     }
 
     /// Says whether batch streams before their first token yield to an online arrival.
