Raise the claim of long prompts and lower the headroom at weight 0

Change: a long prompt claims half of the slots (was 0.375), headroom is 0.15 of the fallen peak (was 0.25); in the model an owner without a worker hands on its items.

--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -33,6 +33,9 @@
     /// Takes a fault or its end over into the views of the entry instances.
     pub(crate) fn noticed(&mut self, start: bool) {
         self.publish(start && self.dead, start && self.cut);
+        if start && self.dead {
+            self.release();
+        }
         if start && self.cut {
             self.forget_levels();
         }
@@ -46,6 +49,18 @@
         }
     }
 
+    /// An owner that has no other worker than the dead one releases its claimed items; the next
+    /// owner takes them over.
+    fn release(&mut self) {
+        let owner = self.owners[0];
+        if self.owners[1..].contains(&owner) {
+            return;
+        }
+        let items = std::mem::take(&mut self.entries[owner].items);
+        let next = self.owners[1];
+        self.entries[next].items.extend(items);
+    }
+
     /// Ends all streams of the first worker.
     fn kill(&mut self) {
         let lost = self.engines[0].die();
--- a/src/admit.rs
+++ b/src/admit.rs
@@ -12,7 +12,7 @@
 /// ended since is not mistaken for unannounced traffic.
 const REPORT_LAG: Duration = Duration::from_secs(2);
 /// Part of the drop from the recent online peak that is kept free at weight 0.
-const PEAK_SHARE: f64 = 0.25;
+const PEAK_SHARE: f64 = 0.15;
 /// Batch streams before their first token at most, at weight 0. A prefill delays each online
 /// request that arrives behind it, because engines admit in arrival order.
 const STARTING_LOW: f64 = 1.0;
@@ -28,7 +28,7 @@
 const LONG_BLOCKS: usize = 20;
 /// Part of the slots that a long prompt claims at weight 0 until its first token. Each running
 /// stream lengthens each of the iterations that the prompt takes.
-const LONG_SHARE: f64 = 0.375;
+const LONG_SHARE: f64 = 0.5;
 /// The same at weight 1, where it mainly keeps other online requests off the worker.
 const LONG_SHARE_HIGH: f64 = 0.125;
 /// Part of the slots up to which the claims of long prompts count.
