--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -17,7 +17,7 @@
     jobs::Job,
     online::Online,
     policy::{Deployment, Policy, Sharing},
-    trace::{FAULT_END, FAULT_START, Kind, LENGTH, Request},
+    trace::{FAULT_END, FAULT_START, Kind, Request},
 };
 
 /// Delay between an entry instance and a worker or peer of its zone, one way.
@@ -106,6 +106,7 @@
     pub(crate) deployment: Deployment,
     pub(crate) policy: Policy,
     pub(crate) kind: Kind,
+    pub(crate) length: Micros,
     pub(crate) now: Micros,
     pub(crate) cut: bool,
     pub(crate) dead: bool,
@@ -133,6 +134,7 @@
         deployment: Deployment,
         policy: Policy,
         kind: Kind,
+        length: Micros,
         requests: &[Request],
         jobs: Vec<Job>,
         seed: u64,
@@ -147,6 +149,7 @@
             deployment,
             policy,
             kind,
+            length,
             now: 0,
             cut: false,
             dead: false,
@@ -171,7 +174,7 @@
     /// Runs to the end of the trace.
     pub fn run(&mut self) {
         while let Some(Reverse((at, _, event))) = self.queue.pop() {
-            if at > LENGTH {
+            if at > self.length {
                 break;
             }
             self.now = at;
--- a/bench/src/jobs.rs
+++ b/bench/src/jobs.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Micros,
-    trace::{Item, Kind, LENGTH, item},
+    trace::{Item, Kind, item},
 };
 
 /// Items of a claimed group. Smaller than the system's limit, in proportion to the length of a
@@ -44,10 +44,10 @@
 
 /// Makes the jobs of a trace for an idle capacity of `rate` items a second. All deadlines are
 /// feasible with a part of that rate; the last job never ends.
-pub fn jobs(kind: Kind, rate: f64, rng: &mut Rng) -> Vec<Job> {
+pub fn jobs(kind: Kind, rate: f64, length: Micros, rng: &mut Rng) -> Vec<Job> {
     let mut jobs: Vec<Job> = (0..JOBS)
         .map(|i| {
-            let due = deadline(kind, i, rng);
+            let due = deadline(kind, i, length, rng);
             make(i, due, 0)
         })
         .collect();
@@ -63,7 +63,7 @@
         job.unfinished = job.unclaimed;
         before += job.unclaimed as f64;
     }
-    jobs.push(make(JOBS, LENGTH * 10, BACKLOG));
+    jobs.push(make(JOBS, length * 10, BACKLOG));
     jobs
 }
 
@@ -98,10 +98,10 @@
 }
 
 /// Deadlines are spread over the trace; those of a rush lie within its fifth sixth.
-fn deadline(kind: Kind, index: usize, rng: &mut Rng) -> Micros {
-    let slot = LENGTH / (JOBS as u64 + 1);
+fn deadline(kind: Kind, index: usize, length: Micros, rng: &mut Rng) -> Micros {
+    let slot = length / (JOBS as u64 + 1);
     match kind {
-        Kind::Rush => LENGTH * 4 / 6 + rng.u64(..LENGTH / 6),
+        Kind::Rush => length * 4 / 6 + rng.u64(..length / 6),
         _ => slot * (index as u64 + 1) + rng.u64(..slot / 2),
     }
 }
--- a/bench/src/run.rs
+++ b/bench/src/run.rs
@@ -37,6 +37,7 @@
     pub kind: Kind,
     /// Seed.
     pub seed: u64,
+    length: Micros,
     requests: Vec<Request>,
     /// Batch tokens a second that the fleet could make beside the online load.
     pub idle: f64,
@@ -76,14 +77,21 @@
 }
 
 impl Case {
-    /// Makes a trace and runs it without batch work.
+    /// Makes a trace of the table's length and runs it without batch work.
     pub fn new(deployment: Deployment, kind: Kind, seed: u64) -> Self {
+        Self::with_length(deployment, kind, LENGTH, seed)
+    }
+
+    /// Makes a trace of a length and runs it without batch work.
+    pub fn with_length(deployment: Deployment, kind: Kind, length: Micros, seed: u64) -> Self {
         let mut rng = Rng::with_seed(seed);
-        let requests = requests(kind, deployment.workers, deployment.entries, &mut rng);
+        let (workers, entries) = (deployment.workers, deployment.entries);
+        let requests = requests(kind, workers, entries, length, &mut rng);
         let mut case = Self {
             deployment,
             kind,
             seed,
+            length,
             requests,
             idle: 1.0,
             items: 1.0,
@@ -91,7 +99,7 @@
         };
         let reference = case.simulate(Policy::REFERENCE);
         let full = full_rate(seed);
-        let free = free_workers(&reference, kind);
+        let free = free_workers(&reference, kind, length);
         case.idle = full.tokens * free;
         case.items = full.items * free;
         case.reference = percentiles(reference.tally.first);
@@ -105,14 +113,14 @@
         let batch: u64 = work.clone().map(|w| w.batch).sum();
         let prompt: u64 = work.clone().map(|w| w.batch_prompt).sum();
         let lost: u64 = work.map(|w| w.lost_prompt).sum();
-        let due = fleet.jobs.iter().filter(|j| j.due <= LENGTH);
+        let due = fleet.jobs.iter().filter(|j| j.due <= self.length);
         let met = |j: &&crate::jobs::Job| j.finished.is_some_and(|f| f <= j.due);
         let first = percentiles(fleet.tally.first);
         let ratio = |i: usize| first[i] as f64 / self.reference[i] as f64;
         let mut between = fleet.tally.between;
         between.sort_unstable();
         Row {
-            filled: batch as f64 / (LENGTH as f64 / 1e6) / self.idle,
+            filled: batch as f64 / (self.length as f64 / 1e6) / self.idle,
             met: due.clone().filter(met).count(),
             due: due.count(),
             first,
@@ -130,11 +138,20 @@
     fn simulate(&self, policy: Policy) -> Fleet {
         let jobs = match policy.sharing {
             Sharing::NoBatch => Vec::new(),
-            _ => jobs(self.kind, self.items, &mut Rng::with_seed(self.seed + 1)),
+            _ => {
+                let mut rng = Rng::with_seed(self.seed + 1);
+                jobs(self.kind, self.items, self.length, &mut rng)
+            }
         };
-        let seed = self.seed + 2;
-        let requests = &self.requests;
-        let mut fleet = Fleet::new(self.deployment, policy, self.kind, requests, jobs, seed);
+        let mut fleet = Fleet::new(
+            self.deployment,
+            policy,
+            self.kind,
+            self.length,
+            &self.requests,
+            jobs,
+            self.seed + 2,
+        );
         fleet.run();
         fleet
     }
@@ -175,14 +192,14 @@
 
 /// Returns the workers' worth of engine time that the online load leaves free: an online token
 /// takes its part of an iteration of a full engine.
-fn free_workers(reference: &Fleet, kind: Kind) -> f64 {
+fn free_workers(reference: &Fleet, kind: Kind, length: Micros) -> f64 {
     let work = reference.engines().iter().map(|e| e.work);
     let used: f64 = work.map(|w| full_time(w.online_prompt, w.online)).sum();
     let lost = match kind {
         Kind::WorkerLost => FAULT_END - FAULT_START,
         _ => 0,
     };
-    reference.engines().len() as f64 - (used + lost as f64) / LENGTH as f64
+    reference.engines().len() as f64 - (used + lost as f64) / length as f64
 }
 
 fn percentiles(mut times: Vec<Micros>) -> [Micros; 4] {
--- a/bench/src/trace.rs
+++ b/bench/src/trace.rs
@@ -6,9 +6,9 @@
 use fastrand::Rng;
 use gentianpath::affinity::stable_hash;
 
-use crate::{Micros, SECOND, engine::SLOTS};
+use crate::{Micros, SECOND};
 
-/// Length of a trace.
+/// Length of the traces of the table.
 pub const LENGTH: Micros = 3600 * SECOND;
 /// Start of the fault of a trace that has one.
 pub const FAULT_START: Micros = 1200 * SECOND;
@@ -121,9 +121,15 @@
 }
 
 /// Makes the online requests of a trace.
-pub fn requests(kind: Kind, workers: usize, entries: usize, rng: &mut Rng) -> Vec<Request> {
+pub fn requests(
+    kind: Kind,
+    workers: usize,
+    entries: usize,
+    length: Micros,
+    rng: &mut Rng,
+) -> Vec<Request> {
     let bursts = match kind {
-        Kind::Bursts | Kind::FrozenReport => bursts(rng),
+        Kind::Bursts | Kind::FrozenReport => bursts(length, rng),
         _ => Vec::new(),
     };
     let calm = if bursts.is_empty() {
@@ -133,7 +139,7 @@
     };
     let mut requests = Vec::new();
     let mut at = 0.0;
-    let end = seconds(LENGTH);
+    let end = seconds(length);
     while at < end {
         let burst = bursts.iter().any(|b| b.contains(&at));
         let factor = if burst { BURST_FACTOR } else { 1.0 };
@@ -158,15 +164,10 @@
     }
 }
 
-/// Returns the slots of the fleet that online requests may use together.
-pub fn fleet_slots(workers: usize) -> u32 {
-    workers as u32 * SLOTS
-}
-
-fn bursts(rng: &mut Rng) -> Vec<std::ops::Range<f64>> {
+fn bursts(length: Micros, rng: &mut Rng) -> Vec<std::ops::Range<f64>> {
     let mut bursts = Vec::new();
     let mut at = 0.0;
-    while at < seconds(LENGTH) {
+    while at < seconds(length) {
         let start = at + 5.0 + exponential(rng) * (BURST_GAP - 5.0);
         at = start + BURST_LOW + rng.f64() * (BURST_HIGH - BURST_LOW);
         bursts.push(start..at);
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -92,6 +92,7 @@
     number: u64,
     begun: Duration,
     started: bool,
+    told: bool,
     stop: Sender<()>,
 }
 
@@ -166,6 +167,7 @@
             number,
             begun: now,
             started: false,
+            told: false,
             stop,
         });
         drop(state);
@@ -256,8 +258,10 @@
         let preempts = rise && state.admission.preempts();
         // The most recently started streams yield first: they have the least work to lose.
         let keep = state.batch.len().saturating_sub(excess);
-        for (i, stream) in state.batch.iter().enumerate() {
-            if i >= keep || (preempts && stream.starting(now)) {
+        for (i, stream) in state.batch.iter_mut().enumerate() {
+            let yields = i >= keep || (preempts && stream.starting(now));
+            if yields && !stream.told {
+                stream.told = true;
                 let _ = stream.stop.try_send(());
             }
         }
