Scale the claim of a long prompt with its length

Change: a prompt claims up to 0.75 of the slots at weight 0 and 0.25 at weight 1, in proportion to the blocks to compute up to 48.

--- a/src/admit.rs
+++ b/src/admit.rs
@@ -26,13 +26,15 @@
 
 /// Blocks of a prompt that a worker has to compute, from which it counts as long.
 const LONG_BLOCKS: usize = 20;
+/// Blocks to compute from which a prompt claims the full share.
+const FULL_BLOCKS: f64 = 48.0;
 /// Part of the slots that a long prompt claims at weight 0 until its first token. Each running
 /// stream lengthens each of the iterations that the prompt takes.
-const LONG_SHARE: f64 = 0.5;
+const LONG_SHARE: f64 = 0.75;
 /// The same at weight 1, where it mainly keeps other online requests off the worker.
-const LONG_SHARE_HIGH: f64 = 0.125;
+const LONG_SHARE_HIGH: f64 = 0.25;
 /// Part of the slots up to which the claims of long prompts count.
-const CLAIM_SHARE: f64 = 0.5;
+const CLAIM_SHARE: f64 = 0.75;
 
 /// Returns the slots to tell a worker's owner for online requests in flight, with the claims of
 /// long prompts.
@@ -95,7 +97,8 @@
             return 0;
         }
         let share = LONG_SHARE + (LONG_SHARE_HIGH - LONG_SHARE) * self.weight;
-        (f64::from(slots) * share).round() as u32
+        let size = (fresh as f64 / FULL_BLOCKS).min(1.0);
+        (f64::from(slots) * share * size).round() as u32
     }
 
     /// Says whether batch streams before their first token yield to an online arrival.
