--- a/src/schedule.rs
+++ b/src/schedule.rs
@@ -10,6 +10,9 @@
 const URGENCY_SHARE: f64 = 0.05;
 /// One claim in this many goes to a job past its deadline while others can still meet theirs.
 const OVERDUE_TURN: u64 = 4;
+/// Items by which a team may run ahead of the others before the turn changes; a full group. Items
+/// of one job share a prompt prefix, which engines cache in limited memory.
+const QUANTUM: f64 = 128.0;
 /// Items in the share accounts at most, before all accounts are halved. It bounds how far back
 /// earlier claims count against a team.
 const ACCOUNT_LIMIT: f64 = 100_000.0;
@@ -32,6 +35,7 @@
 pub struct Schedule {
     accounts: Map<TeamId, f64>,
     turns: u64,
+    latest: Option<JobId>,
 }
 
 impl Schedule {
@@ -50,7 +54,8 @@
     }
 
     /// Records that items of a job were claimed.
-    pub fn claimed(&mut self, _job: &JobId, team: &TeamId, items: u64) {
+    pub fn claimed(&mut self, job: &JobId, team: &TeamId, items: u64) {
+        self.latest = Some(job.clone());
         *self.accounts.entry(team.clone()).or_insert(0.0) += items as f64;
         if self.accounts.values().sum::<f64>() > ACCOUNT_LIMIT {
             self.accounts.retain(|_, a| {
@@ -77,7 +82,8 @@
         order
     }
 
-    /// Returns the job of the team with the smallest account, the earliest within the team.
+    /// Returns the job of the latest claim as long as its team's turn lasts, or else the earliest
+    /// job of the team with the smallest account.
     fn fairest(&mut self, jobs: &[Pending], wanted: impl Fn(&Pending) -> bool) -> Option<usize> {
         let open = |j: &&Pending| j.items > 0 && wanted(j);
         let known = jobs.iter().filter(open);
@@ -94,6 +100,14 @@
             }
         }
         let indices = (0..jobs.len()).filter(|&i| open(&&jobs[i]));
+        let turn = |&i: &usize| {
+            let job = &jobs[i];
+            let ahead = self.accounts[&job.team] - lowest;
+            self.latest.as_ref() == Some(&job.job) && ahead < QUANTUM
+        };
+        if let Some(same) = indices.clone().find(turn) {
+            return Some(same);
+        }
         indices.min_by(|&a, &b| {
             let (a, b) = (&jobs[a], &jobs[b]);
             let accounts = self.accounts[&a.team].total_cmp(&self.accounts[&b.team]);
