--- a/src/admit.rs
+++ b/src/admit.rs
@@ -20,14 +20,14 @@
 const STARTING_HIGH: f64 = 2.0;
 /// Time after an online arrival in which no batch stream starts, at weight 0. The prefills would
 /// share the iterations of the engine.
-const START_PAUSE: Duration = Duration::from_millis(150);
+const START_PAUSE: Duration = Duration::from_millis(250);
 /// Weight up to which an online arrival makes batch prefills yield.
 const PREEMPT_WEIGHT: f64 = 0.5;
 
 /// Blocks of a prompt that a worker has to compute, from which it counts as long.
 const LONG_BLOCKS: usize = 20;
 /// Blocks to compute from which a prompt claims the full share.
-const FULL_BLOCKS: f64 = 48.0;
+const FULL_BLOCKS: f64 = 40.0;
 /// Part of the slots that a long prompt claims at weight 0 until its first token. Each running
 /// stream lengthens each of the iterations that the prompt takes.
 const LONG_SHARE: f64 = 0.75;
