--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -4,8 +4,8 @@
 
 use std::collections::HashSet;
 
-use serde_json::{Value, json};
 use batch_support::{Instance, Owned, Process, items, wait_for};
+use serde_json::{Value, json};
 
 struct Fleet {
     platform: Process,
