Correct the latencies of a replay and test a stopping engine

Cause: a trial of 200 requests reported 0.002 ms for every latency: the histogram saturated at its first bound, so any stated latency was met. Change: the histogram covers the longest request; latency counts from the time a request is due. A process test stops an engine with a stream in flight.

--- a/src/replay.rs
+++ b/src/replay.rs
@@ -223,8 +223,10 @@
         tasks.push(async_global_executor::spawn(run.clone().job(job, at)));
     }
     for line in trace.lines.iter().filter(|l| l.kind != LineKind::Batch) {
-        Timer::at(start + Duration::from_millis(line.at_ms)).await;
-        tasks.push(async_global_executor::spawn(run.clone().call(line.clone())));
+        let due = start + Duration::from_millis(line.at_ms);
+        Timer::at(due).await;
+        let call = run.clone().call(line.clone(), due);
+        tasks.push(async_global_executor::spawn(call));
     }
     futures::future::join_all(tasks).await;
     progress.cancel().await;
--- a/src/replay_run.rs
+++ b/src/replay_run.rs
@@ -30,6 +30,8 @@
 const JOB_GRACE: Duration = Duration::from_secs(60);
 /// Tries of a submit, where a job that was accepted before is recognised, and of reading results.
 const TRIES: u32 = 5;
+/// Longest latency that is told from longer ones, in microseconds; over [`REQUEST_LIMIT`].
+const LONGEST_US: u64 = 200_000_000;
 /// Significant digits of latencies.
 const DIGITS: u8 = 3;
 
@@ -118,7 +120,8 @@
 
 impl Default for Tally {
     fn default() -> Self {
-        let histogram = || Histogram::new(DIGITS).expect("the number of digits is valid");
+        let histogram =
+            || Histogram::new_with_max(LONGEST_US, DIGITS).expect("bounds and digits are valid");
         Self {
             ended: 0,
             online: Counts::default(),
@@ -168,12 +171,13 @@
         (number, addresses[number % addresses.len()])
     }
 
-    /// Sends an online request or plain call and counts how it ended.
-    pub async fn call(self: std::sync::Arc<Self>, line: Line) {
+    /// Sends an online request or plain call that is due at a time, and counts how it ended.
+    /// Latency counts from that time, so that a late sender does not hide a wait.
+    pub async fn call(self: std::sync::Arc<Self>, line: Line, due: Instant) {
         let answer = async {
             match line.kind {
                 LineKind::Plain => self.plain(&line).await,
-                _ => self.online(&line).await,
+                _ => self.online(&line, due).await,
             }
         };
         let timeout = async {
@@ -202,7 +206,7 @@
         }
     }
 
-    async fn online(&self, line: &Line) -> Ending {
+    async fn online(&self, line: &Line, due: Instant) -> Ending {
         let body = json!({
             "model": self.plan.model,
             "messages": [{ "role": "user", "content": line.prompt }],
@@ -211,9 +215,8 @@
         });
         let conn = self.request(line, "/v1/chat/completions");
         let conn = conn.with_body(body.to_string());
-        let sent = Instant::now();
         let error = match conn.into_sse().await {
-            Ok(events) => return self.read(events, sent).await,
+            Ok(events) => return self.read(events, due).await,
             Err(error) => error,
         };
         let verdict = error.response_headers().get_str(VERDICT_HEADER);
@@ -226,7 +229,7 @@
     }
 
     /// Reads a stream and measures its tokens.
-    async fn read(&self, mut events: EventStream, sent: Instant) -> Ending {
+    async fn read(&self, mut events: EventStream, due: Instant) -> Ending {
         let mut last = None;
         while let Some(Ok(event)) = events.next().await {
             if event.data() == "[DONE]" {
@@ -236,7 +239,7 @@
                 continue;
             }
             let now = Instant::now();
-            let since = last.unwrap_or(sent);
+            let since = last.unwrap_or(due);
             let micros = (now - since).as_micros() as u64;
             self.with_tally(|tally| match last {
                 None => tally.first_token.saturating_record(micros),
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -119,3 +119,23 @@
         assert_eq!(fleet.targets[0].runs(&prompt).len(), 0);
     }
 }
+
+/// Guards against new work for an engine that stops, and against a stop that cuts off its streams.
+#[test]
+fn a_stopping_engine_finishes_its_stream_and_gets_no_new_one() {
+    let mut fleet = Fleet::running(1, 1);
+    let entry = &fleet.entries[0];
+    let answer = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| entry.chat("long", 400).unwrap());
+        until("the stream runs", || !fleet.runs("long").is_empty());
+        fleet.targets[0].process.terminate();
+        until("new requests are refused", || {
+            entry
+                .chat("new", 1)
+                .is_some_and(|answer| answer.status != 200)
+        });
+        asked.join().unwrap()
+    });
+    assert_eq!(answer.content(), text::answer("long", 400));
+    assert_eq!(fleet.targets[0].process.exit_code(), Some(0));
+}
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -34,7 +34,8 @@
     json!({ "at_ms": at, "kind": "online", "prompt": prompt, "max_tokens": 5, "team": "t" })
 }
 
-/// Guards against a replay that sends less than its trace or judges a good run as bad.
+/// Guards against a replay that sends less than its trace, judges a good run as bad, or measures
+/// latencies below what the engines can do.
 #[test]
 fn a_good_run_meets_its_outcomes() {
     let mut fleet = Fleet::running(2, 1);
@@ -57,6 +58,8 @@
     assert_eq!(report["requests"][0], row);
     assert_eq!(report["latencies"][0]["count"], 20);
     assert_eq!(report["latencies"][1]["count"], 20 * 4);
+    // The engines take 2 ms for a token at least, whatever the load of the machine.
+    assert!(report["latencies"][0]["p50_ms"].as_f64() >= Some(2.0));
     assert_eq!(
         (0..20)
             .map(|i| fleet.runs(&format!("p{i}")).len())
