--- a/tests/control_support/mod.rs
+++ b/tests/control_support/mod.rs
@@ -25,7 +25,7 @@
 
 /// Bound on a wait for a state. It ends a test that hangs; no test is decided by how long a wait
 /// took.
-const WAIT_LIMIT: Duration = Duration::from_secs(60);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 /// Time between two looks at a state.
 const LOOK: Duration = Duration::from_millis(10);
 
@@ -38,6 +38,7 @@
 impl Process {
     /// Starts a stand-in and waits for the line with its address.
     pub fn start(program: &str, options: &[&str]) -> Self {
+        let _ = env_logger::builder().is_test(true).try_init();
         let mut child = Command::new(program_path(program))
             .args(options)
             .stdout(Stdio::piped())
