--- /dev/null
+++ b/tests/process_batch.rs
@@ -0,0 +1,178 @@
+//! Batch jobs while entry instances are killed and paused and the platform is down.
+
+mod support;
+
+use serde_json::{Value, json};
+use standins::text;
+use support::{Entry, Fleet, Item, MODEL, until};
+
+/// Deadline of all jobs, in seconds since 1970.
+const DEADLINE: u64 = 4_000_000_000;
+/// Tokens of an item.
+const TOKENS: u64 = 12;
+
+/// Starts a fleet in one zone whose leases are short, so that takeovers are seen within seconds.
+fn fleet(engines: usize, entries: usize, token_ms: &str) -> Fleet {
+    let mut fleet = Fleet::new(&[]);
+    for i in 0..engines {
+        let options = ["--slots", "4", "--token-ms", token_ms];
+        fleet.add_engine(&format!("engine-{i}"), &options);
+    }
+    let timeouts = json!({
+        "leave_notice_ms": 100, "load_poll_ms": 100, "exchange_ms": 100,
+        "lease_ms": 1500, "renew_ms": 500, "progress_ms": 300, "platform_ms": 500,
+    });
+    for i in 0..entries {
+        fleet.add_entry(&format!("entry-{i}"), json!({ "timeouts": timeouts }));
+    }
+    let revision = fleet.entries[0].push_sheet(&support::sheet());
+    for entry in &fleet.entries {
+        until("the sheet is in force", || {
+            entry.status()["sheet"]["revision"] == revision
+        });
+        until("all workers are known", || knows_workers(entry, engines));
+    }
+    fleet
+}
+
+fn knows_workers(entry: &Entry, engines: usize) -> bool {
+    let status = entry.status();
+    let workers = status["workers"].as_array().cloned().unwrap_or_default();
+    workers.iter().filter(|w| w["model"] == MODEL).count() == engines
+}
+
+fn items(count: usize, once: bool) -> Vec<Item> {
+    let item = |i: usize| Item {
+        once,
+        ..Item::new(&format!("i{i}"), &format!("item {i} of a job"), TOKENS)
+    };
+    (0..count).map(item).collect()
+}
+
+fn state(entry: &Entry, job: &str) -> Option<String> {
+    let answer = entry.job(job).filter(|a| a.status == 200)?;
+    answer.json()["state"].as_str().map(str::to_owned)
+}
+
+fn wait_finished(entry: &Entry, job: &str) {
+    until("the job is finished", || {
+        state(entry, job).as_deref() == Some("finished")
+    });
+}
+
+/// Checks that each item has its own result, in order, with the text of its own prompt.
+fn assert_whole(entry: &Entry, job: &str, items: &[Item]) {
+    let results = entry.results(job);
+    assert_eq!(results.len(), items.len());
+    for (result, item) in results.iter().zip(items) {
+        assert_eq!(result["id"], item.id.as_str());
+        assert_eq!(result["status"], "done", "{result}");
+        assert_eq!(result["text"], text::answer(&item.prompt, item.tokens));
+    }
+}
+
+fn runs(fleet: &Fleet, prompt: &str) -> usize {
+    fleet.targets.iter().map(|t| t.runs(prompt).len()).sum()
+}
+
+/// Guards against an acknowledged job that dies with the instance which acknowledged it.
+#[test]
+fn a_job_survives_the_instance_that_acknowledged_it() {
+    let mut fleet = fleet(2, 2, "2");
+    let items = items(300, false);
+    let answer = fleet.entries[0].submit("j", DEADLINE, &items).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    fleet.entries[0].process.kill();
+    wait_finished(&fleet.entries[1], "j");
+    assert_whole(&fleet.entries[1], "j", &items);
+    fleet.entries[0].restart();
+    assert_whole(&fleet.entries[0], "j", &items);
+}
+
+/// Guards against a holder that is paused past its lease, wakes, and commits or runs again what
+/// another instance has taken over.
+#[test]
+fn a_holder_that_wakes_after_its_lease_neither_commits_nor_runs_again() {
+    let fleet = fleet(2, 2, "20");
+    let once = items(32, true);
+    let answer = fleet.entries[0].submit("once", DEADLINE, &once).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    until("items run", || {
+        once.iter().any(|i| runs(&fleet, &i.prompt) > 0)
+    });
+    fleet.entries[0].process.pause();
+    wait_finished(&fleet.entries[1], "once");
+    let settled = fleet.entries[1].results("once");
+    fleet.entries[0].process.resume();
+    until("the woken instance answers", || {
+        state(&fleet.entries[0], "once").as_deref() == Some("finished")
+    });
+    assert_eq!(fleet.entries[0].results("once"), settled);
+    for (item, result) in once.iter().zip(&settled) {
+        let count = runs(&fleet, &item.prompt);
+        assert!(count <= 1, "{} ran {count} times", item.id);
+        assert_ne!(result["status"], "failed", "{result}");
+        if result["status"] == "done" {
+            assert_eq!(result["text"], text::answer(&item.prompt, item.tokens));
+        }
+    }
+}
+
+/// Guards against items that are lost or never finish because the object service was down while
+/// they ran.
+#[test]
+fn an_outage_of_the_platform_loses_no_item_in_flight() {
+    let fleet = fleet(2, 2, "5");
+    let items = items(200, false);
+    let answer = fleet.entries[0].submit("j", DEADLINE, &items).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    until("items run", || runs(&fleet, &items[0].prompt) > 0);
+    fleet
+        .platform
+        .set_faults(&json!({ "gate": { "outage": "refuse" } }));
+    let refused = fleet.entries[1].submit("k", DEADLINE, &items).unwrap();
+    assert_eq!(refused.status, 503);
+    assert_eq!(refused.header("gentianpath-verdict"), Some("not-run"));
+    let online = fleet.entries[1].chat("during the outage", 5).unwrap();
+    assert_eq!(online.content(), text::answer("during the outage", 5));
+    std::thread::sleep(std::time::Duration::from_secs(3));
+    fleet.platform.set_faults(&json!({}));
+    wait_finished(&fleet.entries[1], "j");
+    assert_whole(&fleet.entries[0], "j", &items);
+}
+
+/// Guards against a cancelled job that goes on or starts again, also when it is sent again.
+#[test]
+fn a_cancelled_job_stops_everywhere_and_stays_so() {
+    let mut fleet = fleet(2, 2, "10");
+    let items = items(400, false);
+    let submit = |entry: &Entry| entry.submit("j", DEADLINE, &items).unwrap().status;
+    assert_eq!(submit(&fleet.entries[0]), 200);
+    until("items run", || runs(&fleet, &items[0].prompt) > 0);
+    let path = "/v1/batches/j/cancel";
+    let answer = support::http::call(fleet.entries[1].callers, "POST", path, &[], "").unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    until("no worker runs an item", || running(&fleet) == 0);
+    let before = all_runs(&fleet);
+    assert_eq!(submit(&fleet.entries[1]), 200);
+    fleet.entries[0].restart();
+    std::thread::sleep(std::time::Duration::from_secs(2));
+    assert_eq!(all_runs(&fleet), before);
+    assert_eq!(state(&fleet.entries[1], "j").as_deref(), Some("cancelled"));
+}
+
+fn ledger_runs(fleet: &Fleet) -> Vec<Value> {
+    let ledgers = fleet.targets.iter().map(support::Standin::ledger);
+    ledgers
+        .flat_map(|l| l["runs"].as_array().cloned().unwrap_or_default())
+        .collect()
+}
+
+fn all_runs(fleet: &Fleet) -> usize {
+    ledger_runs(fleet).len()
+}
+
+fn running(fleet: &Fleet) -> usize {
+    let runs = ledger_runs(fleet);
+    runs.iter().filter(|r| r["state"] == "running").count()
+}
