--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -27,6 +27,8 @@
 const DECISIONS: usize = 20_000;
 /// Decisions that are timed together, so that reading the clock does not count.
 const BATCH: usize = 20;
+/// Decisions between two searches of a full fleet, a little over 5 ms.
+const SEARCH_STEP: usize = 61;
 /// Blocks of a prompt.
 const BLOCKS: u64 = 12;
 /// Different prompts.
@@ -79,6 +81,11 @@
             "route, all full",
             time(|i| route(&fixture, i, false, &mut rng)),
         );
+        report(
+            size,
+            "route, all full, with a search each",
+            time(|i| route(&fixture, i * SEARCH_STEP, false, &mut rng)),
+        );
         drop(guards);
     }
     schedule(seed);
