Forget levels of runs that sent a notice before their first heartbeat

Cause: the level of a run was forgotten only when the run had been heard. A notice can arrive before the first exchange; such a run that restarted left its level with the owner for ever. Change: notices carry the session; src/callers.rs (pure) decides which runs are gone.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -61,6 +61,6 @@
   # Objects of a watched kind newer than a version, and the version that they lead to. A full
   # answer has all objects; others do not exist.
 
-  online @2 (instance :Text, worker :Text, level :UInt32) -> ();
+  online @2 (instance :Text, session :UInt64, worker :Text, level :UInt32) -> ();
   # Online requests that the sender has in flight on a worker which the receiver owns.
 }
--- /dev/null
+++ b/src/callers.rs
@@ -0,0 +1,65 @@
+//! Runs of instances that told of online requests on workers of this one.
+
+use std::time::Duration;
+
+use crate::{
+    ids::{InstanceId, Map, SessionId},
+    members::{HEARTBEAT_LIMIT, Members},
+};
+
+/// What a notice of online requests means for what is known of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Notice {
+    /// It counts.
+    Current,
+    /// It counts, and what an earlier run told does not any more.
+    NewRun,
+    /// It comes from an earlier run.
+    Late,
+}
+
+/// The run of each instance that told of online requests.
+#[derive(Debug, Default)]
+pub struct Callers(Map<InstanceId, Caller>);
+
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    session: SessionId,
+    at: Duration,
+}
+
+impl Callers {
+    /// Takes over that a run of an instance sent a notice.
+    pub fn note(
+        &mut self,
+        members: &Members,
+        id: &InstanceId,
+        session: SessionId,
+        now: Duration,
+    ) -> Notice {
+        let heard = members.entry(id).filter(|m| m.fresh(now));
+        if heard.is_some_and(|m| m.identity.session != session) {
+            return Notice::Late;
+        }
+        let earlier = self.0.insert(id.clone(), Caller { session, at: now });
+        match earlier {
+            Some(caller) if caller.session != session => Notice::NewRun,
+            _ => Notice::Current,
+        }
+    }
+
+    /// Removes and returns the instances whose run is gone; nobody will report the end of its
+    /// requests. An instance that is about to stop still finishes them.
+    pub fn remove_gone(&mut self, members: &Members, now: Duration) -> Vec<InstanceId> {
+        let is_gone = |id: &InstanceId, caller: &Caller| match members.entry(id) {
+            Some(member) if member.fresh(now) => member.identity.session != caller.session,
+            _ => now.saturating_sub(caller.at) >= HEARTBEAT_LIMIT,
+        };
+        let gone = self.0.iter().filter(|(id, caller)| is_gone(id, caller));
+        let gone: Vec<InstanceId> = gone.map(|(id, _)| id.clone()).collect();
+        for id in &gone {
+            self.0.remove(id);
+        }
+        gone
+    }
+}
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
+    callers::{Callers, Notice},
     context::Context,
     event,
     ids::{InstanceId, Map, SessionId, Set, Version, WorkerId, Zone},
@@ -65,7 +66,7 @@
     pub rng: fastrand::Rng,
     views: Map<Watched, KindView>,
     live: Map<Zone, Vec<InstanceId>>,
-    sessions: Map<InstanceId, SessionId>,
+    callers: Callers,
     owners: Map<WorkerId, InstanceId>,
     owned: Set<WorkerId>,
     moved: bool,
@@ -90,7 +91,7 @@
                 .map(|k| (*k, KindView::default()))
                 .collect(),
             live: Map::default(),
-            sessions: Map::default(),
+            callers: Callers::default(),
             owners: Map::default(),
             owned: Set::default(),
             moved: true,
@@ -362,7 +363,9 @@
             self.live = live;
             self.moved = true;
         }
-        self.reset_levels(ctx, now);
+        for id in self.callers.remove_gone(&self.members, now) {
+            self.forget_levels(ctx, &id, now);
+        }
         if std::mem::take(&mut self.moved) {
             self.choose_owners();
             self.dirty = true;
@@ -386,20 +389,26 @@
         }
     }
 
-    /// Forgets the online requests of runs of instances that are gone; nobody will report their
-    /// end. An instance that is about to stop still finishes its requests.
-    fn reset_levels(&mut self, ctx: &Context, now: Duration) {
-        let present = self.members.entries().filter(|m| m.fresh(now));
-        let present = present.map(|m| (m.identity.id.clone(), m.identity.session));
-        let present: Map<InstanceId, SessionId> = present.collect();
-        let earlier = std::mem::replace(&mut self.sessions, present);
-        for (id, session) in &earlier {
-            if self.sessions.get(id) == Some(session) {
-                continue;
-            }
-            for worker in self.owners.keys() {
-                ctx.workers.cell(worker).set_peer_level(id, 0, now);
-            }
+    /// Takes over how many online requests a run of an instance has on a worker.
+    pub fn set_level(
+        &mut self,
+        ctx: &Context,
+        (id, session): (InstanceId, SessionId),
+        worker: &WorkerId,
+        level: u32,
+        now: Duration,
+    ) {
+        match self.callers.note(&self.members, &id, session, now) {
+            Notice::Late => return,
+            Notice::NewRun => self.forget_levels(ctx, &id, now),
+            Notice::Current => {}
+        }
+        ctx.workers.cell(worker).set_peer_level(&id, level, now);
+    }
+
+    fn forget_levels(&self, ctx: &Context, id: &InstanceId, now: Duration) {
+        for worker in self.owners.keys() {
+            ctx.workers.cell(worker).set_peer_level(id, 0, now);
         }
     }
 
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -129,7 +129,10 @@
         if !levels.borrow_mut().begin(&worker, &owner, level) {
             break;
         }
-        let arrived = control.client(address).online(me, &worker, level).await;
+        let arrived = control
+            .client(address)
+            .online((me, control.ctx.session), &worker, level)
+            .await;
         levels.borrow_mut().end(&worker, level, arrived.is_ok());
         if arrived.is_err() {
             return;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 pub mod admit;
 pub mod backoff;
+pub mod callers;
 pub mod cli;
 pub mod context;
 pub mod control;
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -4028,6 +4028,10 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
+            pub fn get_session(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
             pub fn get_worker(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(1),
@@ -4040,7 +4044,7 @@
             }
             #[inline]
             pub fn get_level(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+                self.reader.get_data_field::<u32>(2)
             }
         }
 
@@ -4050,7 +4054,7 @@
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
-                    data: 1,
+                    data: 2,
                     pointers: 2,
                 };
         }
@@ -4166,6 +4170,14 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
+            pub fn get_session(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_session(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
             pub fn get_worker(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(1),
@@ -4194,11 +4206,11 @@
             }
             #[inline]
             pub fn get_level(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+                self.builder.get_data_field::<u32>(2)
             }
             #[inline]
             pub fn set_level(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(0, value);
+                self.builder.set_data_field::<u32>(2, value);
             }
         }
 
@@ -4214,45 +4226,52 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(117, 89, 231, 207, 178, 206, 87, 223),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(111, 110, 108, 105, 110, 101, 36, 80),
                 ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -4262,6 +4281,14 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 115, 115, 105, 111, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(119, 111, 114, 107, 101, 114, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4282,8 +4309,9 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4302,9 +4330,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 1, 2];
             pub(crate) const TYPE_ID: u64 = 0xdf57_ceb2_cfe7_5975;
         }
     }
--- a/src/peer_client.rs
+++ b/src/peer_client.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     backoff::Backoff,
-    ids::{InstanceId, Version, WorkerId},
+    ids::{InstanceId, SessionId, Version, WorkerId},
     metrics::{self, PeerCall},
     peer::{Digest, read_changes, read_digest, write_digest},
     peer_capnp::peer,
@@ -138,13 +138,14 @@
     /// Returns why the call failed.
     pub async fn online(
         &self,
-        me: &InstanceId,
+        me: (&InstanceId, SessionId),
         worker: &WorkerId,
         level: u32,
     ) -> Result<(), PeerError> {
         let call = async |client: peer::Client| {
             let mut request = client.online_request();
-            request.get().set_instance(&**me);
+            request.get().set_instance(&**me.0);
+            request.get().set_session(me.1);
             request.get().set_worker(&**worker);
             request.get().set_level(level);
             request.send().promise.await?;
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -109,8 +109,11 @@
         let params = params.get()?;
         let instance: InstanceId = params.get_instance()?.to_str()?.into();
         let worker: WorkerId = params.get_worker()?.to_str()?.into();
-        let cell = self.control.ctx.workers.cell(&worker);
-        cell.set_peer_level(&instance, params.get_level(), self.control.now());
+        let run = (instance, params.get_session());
+        let (control, now) = (&self.control, self.control.now());
+        control
+            .state()
+            .set_level(&control.ctx, run, &worker, params.get_level(), now);
         Ok(())
     }
 }
