--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod batch_items;
 pub mod batch_state;
 pub mod caller;
+pub mod callers;
 pub mod chat;
 pub mod claim;
 pub mod cli;
