--- a/tests/members_list.rs
+++ b/tests/members_list.rs
@@ -163,13 +163,13 @@
     assert!(callers.remove_gone(&members, at(1)).is_empty());
     assert_eq!(
         callers.remove_gone(&members, at(gone)).as_slice(),
-        [a.clone()]
+        std::slice::from_ref(&a)
     );
     assert_eq!(callers.note(&members, &a, 5, at(10)), Notice::Current);
     members.set_heard(identity("a", 6, "z1"), at(11));
     assert_eq!(
         callers.remove_gone(&members, at(11)).as_slice(),
-        [a.clone()]
+        std::slice::from_ref(&a)
     );
     assert_eq!(callers.note(&members, &a, 5, at(12)), Notice::Late);
     assert_eq!(callers.note(&members, &a, 6, at(12)), Notice::Current);
