Tighten tests of zones, cut answers and notices to owners

Cause: naive variants passed or hung: targets in any order of zones passed every other time, a target that goes silent inside its answer had no test, and a missing notice to an owner hung the test in place of failing it.

Change: eight calls must stay in the zone; a target that sends a part of its answer; the notices are waited for within the bound of all waits.

--- a/tests/once_resend.rs
+++ b/tests/once_resend.rs
@@ -5,8 +5,8 @@
 use std::{thread, time::Duration};
 
 use online_common::{
-    Answer, Entry, Platform, Target, chat, entry, entry_with, platform, post, receive, send,
-    service_target, target, view, wait_until, worker,
+    Answer, Entry, Platform, Target, chat, entry, entry_with, platform, post, receive, scripted,
+    send, service_target, target, view, wait_until, worker,
 };
 use serde_json::{Value, json};
 use standins::text;
@@ -201,15 +201,18 @@
 fn plain_calls_go_to_the_own_zone_first() {
     let services = services();
     let address = services.entries[0].address;
+    for _ in 0..8 {
+        post(address, "/services/till/a", &[], "");
+    }
+    assert_eq!(calls(&services), [0, 8]);
     let answer = post(address, "/services/till/a/b?c=d", &[], "body");
     let body: Value = serde_json::from_str(&answer.body).expect("JSON");
     assert_eq!(body["call"]["path"], "/a/b?c=d");
     assert_eq!(body["call"]["method"], "POST");
     assert_eq!(body["call"]["body"], "body");
-    assert_eq!(calls(&services), [0, 1]);
     services.targets[1].faults(json!({ "gate": { "outage": "close" } }));
     assert_eq!(post(address, "/services/till/a", &[], "").status, 200);
-    assert_eq!(calls(&services), [1, 1]);
+    assert_eq!(calls(&services), [1, 9]);
     for path in ["/services/none/a", "/services/lm/a"] {
         let answer = post(address, path, &[], "");
         assert_eq!((answer.status, answer.verdict()), (404, "not-run"));
@@ -289,3 +292,17 @@
     let answer = receive(&mut conn);
     assert_eq!((answer.status, answer.verdict()), (504, "may-have-run"));
 }
+
+/// Guards against a part of an answer that is taken for the whole, or that holds its caller.
+#[test]
+fn cut_answer_of_a_target_is_refused() {
+    let platform = platform();
+    let reply = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\npart";
+    let mut view = view(vec![]);
+    let target = target("s1", &["--service", "till"]);
+    view.services = vec![service_target(&target, "till", "z")];
+    view.services[0].address = scripted(reply.into());
+    let entry = entry_with(platform.host.address, view, json!({}));
+    let answer = post(entry.address, "/services/till/a", &[], "");
+    assert_eq!((answer.status, answer.verdict()), (504, "may-have-run"));
+}
--- a/tests/online_common/mod.rs
+++ b/tests/online_common/mod.rs
@@ -402,3 +402,20 @@
         }));
     }
 }
+
+/// Starts a target that answers every request with the same bytes.
+pub fn scripted(reply: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for conn in listener.incoming() {
+            let mut conn = conn.expect("a connection");
+            let mut buffer = [0; 4096];
+            let _ = conn.read(&mut buffer);
+            let _ = conn.write_all(reply.as_bytes());
+            // Waits for the other side to close, so that the reply is not lost with a reset.
+            while conn.read(&mut buffer).is_ok_and(|n| n > 0) {}
+        }
+    });
+    address
+}
--- a/tests/online_verdict.rs
+++ b/tests/online_verdict.rs
@@ -2,16 +2,12 @@
 
 mod online_common;
 
-use std::{
-    io::Read,
-    net::{SocketAddr, TcpListener},
-    thread,
-};
+use std::{io::Read, thread};
 
 use gentianpath::{context::Command, view::WorkerInfo};
 use online_common::{
     Answer, Door, Entry, SLOTS, Target, chat, dead_address, entry, info, platform, post, publish,
-    receive, send, view, wait_until, worker,
+    receive, scripted, send, view, wait_until, worker,
 };
 use serde_json::{Value, json};
 use standins::text;
@@ -316,8 +312,9 @@
         worker: "a".into(),
         owner: "e2".into(),
     };
+    wait_until(|| entry.commands.len() == 2);
     for _ in 0..2 {
-        assert_eq!(entry.commands.recv_blocking().as_ref(), Ok(&told));
+        assert_eq!(entry.commands.try_recv().as_ref(), Ok(&told));
     }
 }
 
@@ -361,20 +358,3 @@
         assert_eq!(answer.verdict(), verdict, "{status} {header}");
     }
 }
-
-/// Starts an engine that answers every request with the same bytes.
-fn scripted(reply: String) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    thread::spawn(move || {
-        for conn in listener.incoming() {
-            let mut conn = conn.expect("a connection");
-            let mut buffer = [0; 4096];
-            let _ = conn.read(&mut buffer);
-            let _ = std::io::Write::write_all(&mut conn, reply.as_bytes());
-            // Waits for the other side to close, so that the reply is not lost with a reset.
-            while conn.read(&mut buffer).is_ok_and(|n| n > 0) {}
-        }
-    });
-    address
-}
