Use claims of long prompts and announced loads in the running instance

Cause: the measured policy counts long prompts until their first token and takes the owner's count of online requests from digests; the running instance did neither. Change: online requests claim slots by the blocks that the worker has to compute, release them at the first token, and tell the owner the level; digests set the announced load; batch streams report their first token.

--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -220,6 +220,7 @@
                     running: load.online + load.batch,
                     waiting: load.waiting,
                 };
+                ctx.workers.cell(&load.worker).set_announced(load.online);
                 self.set_load(ctx, load, counts, now);
             }
         }
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -140,7 +140,10 @@
 
     fn keep(&mut self, mut live: Live, piece: &Piece) {
         match piece {
-            Piece::Text(_) => self.live = Some(live),
+            Piece::Text(_) => {
+                live.attempt.placed.first_token();
+                self.live = Some(live);
+            }
             Piece::End(_) => {
                 live.attempt.running = false;
                 self.online.worked(&live.attempt.placed.worker.id);
--- a/src/item_run.rs
+++ b/src/item_run.rs
@@ -158,6 +158,7 @@
     loop {
         match run.wait(stream.next()).await {
             Waited::Ready(Ok(Piece::Text(text))) => {
+                run.guard.started();
                 broken = 0;
                 length += escaped(&text);
                 run.from.text.push_str(&text);
--- a/src/levels.rs
+++ b/src/levels.rs
@@ -125,7 +125,7 @@
         let Some((owner, address)) = address else {
             return;
         };
-        let level = control.ctx.workers.cell(&worker).online();
+        let level = control.ctx.workers.cell(&worker).level();
         if !levels.borrow_mut().begin(&worker, &owner, level) {
             break;
         }
--- a/src/online.rs
+++ b/src/online.rs
@@ -231,8 +231,9 @@
             blocks: wanted.blocks,
             tried,
         };
-        match router.choose(&ask, &mut fastrand::Rng::new(), self.now()) {
-            Choice::Worker(candidate) => Ok(Some(self.take(wanted, candidate))),
+        let placement = router.place(&ask, &mut fastrand::Rng::new(), self.now());
+        match placement.choice {
+            Choice::Worker(candidate) => Ok(Some(self.take(wanted, candidate, placement.fresh))),
             Choice::Full => Ok(None),
             Choice::NoWorker => {
                 let message = format!("no worker has model '{}'", wanted.model);
@@ -242,10 +243,11 @@
         }
     }
 
-    fn take(self: &Arc<Self>, wanted: &Wanted<'_>, candidate: &Candidate) -> Placed {
+    /// Counts a request on its worker, which has to compute `fresh` blocks of the prompt.
+    fn take(self: &Arc<Self>, wanted: &Wanted<'_>, candidate: &Candidate, fresh: usize) -> Placed {
         let now = self.now();
         let worker = candidate.info.clone();
-        let guard = candidate.cell.begin_online(now);
+        let guard = candidate.cell.begin_prompt(fresh, now);
         lock(&self.queue).started(wanted.model);
         self.chosen(&worker.id);
         event!(
@@ -320,6 +322,16 @@
     }
 }
 
+impl Placed {
+    /// Notes that the first token has arrived; a long prompt claims no more slots then.
+    pub fn first_token(&self) {
+        let changed = self.guard.as_ref().is_some_and(OnlineGuard::first_token);
+        if changed {
+            self.online.announce(&self.worker);
+        }
+    }
+}
+
 impl Drop for Placed {
     fn drop(&mut self) {
         self.guard = None;
