Test that a verdict covers all attempts of a request

Cause: a variant that gives the verdict of the last attempt only passed all tests.

Change: one engine loses the stream, the other refuses as not-run; the caller is told may-have-run.

--- a/tests/online_verdict.rs
+++ b/tests/online_verdict.rs
@@ -132,6 +132,22 @@
     }
 }
 
+/// Guards against the not-run of the last worker hiding that an earlier one ran the request.
+#[test]
+fn verdict_covers_all_attempts() {
+    let platform = platform();
+    let (bad, full) = (worker("a", &[]), worker("b", &[]));
+    bad.faults(json!({ "streams": [lost("truncate", 0)] }));
+    full.faults(json!({ "refuse": {} }));
+    let workers = vec![preferred(bad.info()), full.info()];
+    for number in 0..4 {
+        let entry = entry(platform.host.address, workers.clone(), json!({}));
+        let answer = ask(&entry, &[], &format!("p{number}"), false);
+        assert_eq!(answer.verdict(), "may-have-run");
+    }
+    assert_eq!(bad.runs().len(), 4);
+}
+
 /// Guards against a request that is refused although another worker would take it, and against a
 /// worker that refuses connections being asked each time.
 #[test]
