Tell the worker's admission when a batch stream has its first token

Cause: admission bounds the batch streams of a worker that have no first token yet; item runs never told that theirs came, so that each start held its place for the whole start limit and a worker of 8 slots never ran 4 at once. Change: an item run calls BatchGuard::started with its first token. The tests over processes give the traffic threads their number and no longer depend on which instance claims a job of one group.

--- a/src/item_run.rs
+++ b/src/item_run.rs
@@ -155,10 +155,14 @@
     let limit = run.input.items[run.item].result_limit();
     let mut length = escaped(&run.from.text);
     let mut broken = 0;
+    let mut begun = false;
     loop {
         match run.wait(stream.next()).await {
             Waited::Ready(Ok(Piece::Text(text))) => {
                 broken = 0;
+                if !std::mem::replace(&mut begun, true) {
+                    run.guard.started();
+                }
                 length += escaped(&text);
                 run.from.text.push_str(&text);
                 run.from.next = stream.position();
--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -15,6 +15,11 @@
 
 /// Starts two instances, `a` and `b`, each the owner of one engine.
 fn fleet(token_ms: &str) -> Fleet {
+    owned_fleet(token_ms, ["a", "b"])
+}
+
+/// Starts two instances and two engines with the given owners.
+fn owned_fleet(token_ms: &str, owners: [&str; 2]) -> Fleet {
     let platform = Process::platform();
     let engines = vec![
         Process::engine("w1", token_ms),
@@ -24,12 +29,12 @@
         Owned {
             id: "w1",
             engine: &engines[0],
-            owner: "a",
+            owner: owners[0],
         },
         Owned {
             id: "w2",
             engine: &engines[1],
-            owner: "b",
+            owner: owners[1],
         },
     ];
     let instances = vec![
@@ -170,7 +175,7 @@
 /// Guards against batch work that does not yield, or loses what it has when it does.
 #[test]
 fn items_yield_to_online_requests_and_resume() {
-    let fleet = fleet("5");
+    let fleet = owned_fleet("5", ["a", "a"]);
     let a = &fleet.instances[0];
     assert_eq!(a.submit("j", &items("i", 24, 60)).status, 200);
     let engine = &fleet.engines[0];
@@ -197,7 +202,7 @@
 /// Guards against attempts that are counted for the death of an engine.
 #[test]
 fn death_of_an_engine_counts_no_attempt() {
-    let mut fleet = fleet("5");
+    let mut fleet = owned_fleet("5", ["a", "a"]);
     let a = &fleet.instances[0];
     assert_eq!(a.submit("j", &items("i", 40, 40)).status, 200);
     let running = || a.ctx.workers.cell(&"w1".into()).known().batch;
@@ -206,7 +211,6 @@
     let b = &fleet.instances[1];
     let mut view = fleet.instances[0].ctx.view.load().as_ref().clone();
     view.workers.remove(0);
-    view.workers[0].owner = Some("a".into());
     fleet.instances[0].ctx.view.store(view.into());
     b.wait_finished("j");
     for result in b.results("j") {
@@ -221,7 +225,7 @@
 /// a submission that is refused without saying that it did not run.
 #[test]
 fn results_wait_for_the_end_of_an_outage() {
-    let fleet = fleet("5");
+    let fleet = owned_fleet("5", ["a", "a"]);
     let a = &fleet.instances[0];
     assert_eq!(a.submit("j", &items("i", 40, 20)).status, 200);
     let running = || a.ctx.workers.cell(&"w1".into()).known().batch;
@@ -249,23 +253,30 @@
 #[test]
 fn planned_stop_gives_claims_back_and_cancel_ends_a_job() {
     let mut fleet = fleet("10");
-    assert_eq!(
-        fleet.instances[0].submit("j", &items("i", 64, 20)).status,
-        200
-    );
-    let a = &fleet.instances[0];
-    let running = |i: &Instance, w: &str| i.ctx.workers.cell(&w.into()).known().batch;
-    wait_for(|| running(a, "w1") >= 4, || running(a, "w1").to_string());
-    a.ctx.drain.advance(gentianpath::drain::Phase::Leaving);
-    fleet.instances[0].join();
-    let b = &fleet.instances[1];
-    wait_for(|| running(b, "w2") >= 4, || running(b, "w2").to_string());
+    let reply = fleet.instances[0].submit("j", &items("i", 64, 20));
+    assert_eq!(reply.status, 200);
+    let running = |fleet: &Fleet, i: usize| {
+        let worker = ["w1", "w2"][i].into();
+        fleet.instances[i].ctx.workers.cell(&worker).known().batch
+    };
+    let any = |f: &Fleet| running(f, 0).max(running(f, 1)) >= 4;
+    wait_for(|| any(&fleet), || "no runs".into());
+    let (first, second) = if running(&fleet, 0) >= 4 {
+        (0, 1)
+    } else {
+        (1, 0)
+    };
+    let leaving = gentianpath::drain::Phase::Leaving;
+    fleet.instances[first].ctx.drain.advance(leaving);
+    fleet.instances[first].join();
+    wait_for(|| running(&fleet, second) >= 4, || "no runs".into());
+    let b = &fleet.instances[second];
     let reply = support::post(fleet.instances[0].callers, "/v1/batches/j/cancel", "");
     assert_eq!(
         (reply.status, &reply.json()["state"]),
         (200, &json!("cancelled"))
     );
-    wait_for(|| running(b, "w2") == 0, || running(b, "w2").to_string());
+    wait_for(|| running(&fleet, second) == 0, || "still runs".into());
     wait_for(
         || b.results("j").len() == 64,
         || b.results("j").len().to_string(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -28,6 +28,8 @@
 
 /// Model of all tests.
 pub const MODEL: &str = "m";
+/// Traffic threads of a test process.
+const THREADS: usize = 4;
 /// Slots of an engine.
 pub const SLOTS: u32 = 8;
 /// Waits in a row after which a test has failed. It only ends a test that hangs.
@@ -171,6 +173,10 @@
     /// Starts an instance with a view of its own, in which only jobs change.
     pub fn start(name: &str, session: u64, platform: &Process, workers: &[Owned<'_>]) -> Self {
         let _ = env_logger::builder().is_test(true).try_init();
+        let threads = async_global_executor::GlobalExecutorConfig::default()
+            .with_min_threads(THREADS)
+            .with_max_threads(THREADS);
+        async_global_executor::init_with_config(threads);
         let (ctx, commands) = Context::new(settings(name, platform.address), session);
         ctx.view.store(Arc::new(view(workers, name)));
         for worker in workers {
