--- a/src/claim.rs
+++ b/src/claim.rs
@@ -223,10 +223,10 @@
         }
     }
 
-    /// Starts no more items. With `cancelled` the items that are not finished end as cancelled.
+    /// Starts no more items. With `cancelled` the items of a held group that are not finished end as cancelled.
     pub fn stop(&mut self, cancelled: bool) {
         self.stopping = true;
-        if !cancelled {
+        if !cancelled || !self.holds() {
             return;
         }
         for item in 0..self.record.items.len() {
