--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -182,7 +182,7 @@
 }
 
 fn revision_of(entry: &Entry) -> Option<u64> {
-    entry.status().ok()?["revision"].as_u64()
+    entry.status().ok()?["sheet"]["revision"].as_u64()
 }
 
 fn batch_table() -> anyhow::Result<()> {
