Make the chunked body of the size test end in a small read

Cause: a variant that forgets that the body was over the limit passed, because both chunks arrived in one read.

Change: the first chunk fills a read, the last one is small.

--- a/tests/online_callers.rs
+++ b/tests/online_callers.rs
@@ -148,7 +148,7 @@
     let head = format!("POST {CHAT} HTTP/1.1\r\nhost: t\r\ntransfer-encoding: chunked\r\n\r\n");
     // A small chunk after one that is over the limit must not count as the end of a good body.
     let chunk = |size: usize| format!("{size:x}\r\n{}\r\n", "x".repeat(size));
-    let chunks = [chunk(1500), chunk(1500), chunk(10)].concat();
+    let chunks = [chunk(16 << 10), chunk(100)].concat();
     let mut conn = raw(entry.address, &format!("{head}{chunks}0\r\n\r\n"));
     let answer = receive(&mut conn);
     assert_eq!((answer.status, answer.verdict()), (413, "not-run"));
