Bound callers' connections and count requests and items in metrics

Change: both servers accept through the connection bounds; requests by outcome and verdict, time to first token and committed items are counted.

--- a/src/batch_claims.rs
+++ b/src/batch_claims.rs
@@ -10,6 +10,7 @@
     held::Held,
     ids::{JobId, Map, ModelId, Set},
     job_record::{Claim, GroupKey, InputRecord, JobState, Repeat},
+    metrics::{self, ItemStatus},
     progress::Progress,
 };
 
@@ -253,6 +254,9 @@
                     let interval = self.ctx.settings.timeouts.progress;
                     self.jobs.outdated(&key.job, now, interval);
                 } else {
+                    metrics::items(ItemStatus::Completed, counts.done);
+                    metrics::items(ItemStatus::Failed, counts.failed);
+                    metrics::items(ItemStatus::MayHaveRun, counts.doubt);
                     crate::event!(
                         Info,
                         GroupCommitted,
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -1,6 +1,9 @@
 //! One online request on the engines: attempts, resumes and retries.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use crate::{
     chat::ChatRequest,
@@ -29,6 +32,7 @@
 /// One request and its present attempt. Dropping it stops the engine.
 #[derive(Debug)]
 pub struct Forward {
+    begun: Instant,
     online: Arc<Online>,
     id: RequestId,
     request: ChatRequest,
@@ -66,6 +70,7 @@
     /// Builds a request that has not been sent.
     pub fn new(online: Arc<Online>, id: RequestId, request: ChatRequest, repeat: Repeat) -> Self {
         Self {
+            begun: Instant::now(),
             online,
             id,
             request,
@@ -79,6 +84,11 @@
         }
     }
 
+    /// Returns the time since the request was taken up.
+    pub fn age(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
     /// Waits for the next piece and forwards it: from then on nothing is generated anew.
     ///
     /// # Errors
--- a/src/http.rs
+++ b/src/http.rs
@@ -13,6 +13,7 @@
     event,
     forward::Repeat,
     ids::TeamId,
+    metrics::{self, RequestOutcome},
     online::{Online, RETRY_AFTER},
     plain::{PlainCall, Services, own_headers},
     refusal,
@@ -103,7 +104,10 @@
         Some(Ok(reply)) => answer(conn, reply),
         Some(Err(error)) => refuse(conn, &error),
         // The caller has left; dropping the call has stopped it.
-        None => close(conn).with_status(400).halt(),
+        None => {
+            metrics::request(RequestOutcome::Abandoned);
+            close(conn).with_status(400).halt()
+        }
     }
 }
 
@@ -217,6 +221,7 @@
         error.verdict,
         error.message
     );
+    metrics::request(RequestOutcome::Failed(error.reason, error.verdict));
     refusal::refuse(conn, error)
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,7 +6,7 @@
     KeyValue,
     metrics::{Counter, Gauge, Histogram, MeterProvider},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
+use opentelemetry_sdk::{Resource, metrics::SdkMeterProvider};
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::{
@@ -139,7 +139,8 @@
 
 fn build() -> Instruments {
     let registry = Registry::new();
-    let mut provider = SdkMeterProvider::builder();
+    let resource = Resource::builder().with_service_name("gentianpath").build();
+    let mut provider = SdkMeterProvider::builder().with_resource(resource);
     let exporter = opentelemetry_prometheus::exporter()
         .with_registry(registry.clone())
         .build();
@@ -185,8 +186,8 @@
     instruments().first_token.record(time.as_secs_f64(), &[]);
 }
 
-/// Counts a batch item whose result was committed.
-pub fn item(status: ItemStatus) {
+/// Counts batch items whose results were committed.
+pub fn items(status: ItemStatus, count: u64) {
     let status = match status {
         ItemStatus::Completed => "completed",
         ItemStatus::Failed => "failed",
@@ -194,7 +195,7 @@
     };
     instruments()
         .items
-        .add(1, &[KeyValue::new("status", status)]);
+        .add(count, &[KeyValue::new("status", status)]);
 }
 
 /// Counts a call of the platform.
--- a/src/reply.rs
+++ b/src/reply.rs
@@ -11,6 +11,7 @@
     event,
     forward::{Forward, Repeat},
     ids::{RequestId, TeamId},
+    metrics::{self, RequestOutcome},
     once::{Outcome, STORED_BYTES, Stored},
     once_store::{self, Entry, Marked, OnceRecord},
     online::{Online, TeamGuard},
@@ -188,6 +189,7 @@
     if let Some(record) = record {
         record.finish(Outcome::Answered(Some(stored(&body)))).await;
     }
+    metrics::request(RequestOutcome::Complete);
     Ok(Reply::new(JSON, body))
 }
 
@@ -205,6 +207,7 @@
             return Err(error);
         }
     };
+    metrics::first_token(forward.age());
     let reply = ReplyStream {
         forward,
         answer,
@@ -253,6 +256,7 @@
     /// Stores the answer before the caller learns that it is whole.
     async fn end(&mut self, end: &End) -> String {
         self.over = true;
+        metrics::request(RequestOutcome::Complete);
         if let Some(kept) = self.kept.take() {
             let body = kept.text.map(|t| stored(&self.answer.whole(&t, end)));
             kept.record.finish(Outcome::Answered(body)).await;
@@ -262,6 +266,7 @@
 
     async fn failed(&mut self, error: &RequestError) -> String {
         self.over = true;
+        metrics::request(RequestOutcome::Failed(error.reason, error.verdict));
         event!(
             Info,
             RequestRefused,
@@ -274,6 +279,14 @@
     }
 }
 
+impl Drop for ReplyStream {
+    fn drop(&mut self) {
+        if !self.over {
+            metrics::request(RequestOutcome::Abandoned);
+        }
+    }
+}
+
 impl Kept {
     fn new(record: OnceRecord) -> Self {
         Self {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     admin, batch, batch_http,
+    caller::CallerBounds,
     context::{Command, Context},
     control,
     drain::Phase,
@@ -111,17 +112,16 @@
         refusal::unmatched,
     );
     let operators = (admin::handler(ctx.clone()), refusal::unmatched);
-    let connections = Some(limits.connections);
     Ok(Servers {
-        callers: start_server(ctx.settings.callers, http, connections, callers)?,
-        operators: start_server(ctx.settings.operators, http, connections, operators)?,
+        callers: start_server(ctx, ctx.settings.callers, http, callers)?,
+        operators: start_server(ctx, ctx.settings.operators, http, operators)?,
     })
 }
 
 fn start_server(
+    ctx: &Context,
     address: SocketAddr,
     http: HttpConfig,
-    connections: Option<usize>,
     handler: impl Handler,
 ) -> anyhow::Result<ServerHandle> {
     let listener = std::net::TcpListener::bind(address)
@@ -131,7 +131,8 @@
         .without_signals()
         .with_nodelay()
         .with_http_config(http)
-        .with_max_connections(connections)
+        .with_max_connections(Some(ctx.settings.limits.connections))
+        .with_acceptor(CallerBounds::new(&ctx.settings))
         .with_prebound_server(listener)
         .spawn(handler);
     Ok(handle)
