Name the calling instance to the platform

Cause: a test can cut off a named caller at the stand-in only when the caller gives its name. Change: each call of the platform carries the name of the instance in a header.

--- a/src/context.rs
+++ b/src/context.rs
@@ -67,7 +67,8 @@
     pub fn new(settings: Settings, session: SessionId) -> (Arc<Self>, Receiver<Command>) {
         let (commands, receiver) = smol::channel::bounded(COMMAND_CAPACITY);
         let timeouts = settings.timeouts.clone();
-        let platform = Platform::new(settings.platform, timeouts.connect, timeouts.platform);
+        let platform = Platform::new(settings.platform, timeouts.connect, timeouts.platform)
+            .with_party(&settings.instance);
         let context = Self {
             settings,
             session,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -12,6 +12,9 @@
     metrics::{self, CallOutcome, PlatformCall},
 };
 
+/// Header that names the calling instance.
+const PARTY_HEADER: &str = "gentianpath-party";
+
 /// Kinds of objects that the system keeps in the object service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
@@ -236,6 +239,14 @@
         }
     }
 
+    /// Adds the name of the calling instance to each call.
+    pub fn with_party(mut self, instance: &InstanceId) -> Self {
+        self.client = self
+            .client
+            .with_default_header(PARTY_HEADER, instance.to_string());
+        self
+    }
+
     /// Reads an object; nothing when it does not exist.
     ///
     /// # Errors
