End the items of a cancelled job whose holder is gone

Cause: nobody claims groups of a cancelled job, so that a group whose holder died stayed claimed and its open items never got a result. Change: a reader of results that finds such a group names it to the driver of its instance, which takes it over when the holder's lease has expired and ends the items as cancelled without running them.

--- a/src/batch_claims.rs
+++ b/src/batch_claims.rs
@@ -72,13 +72,16 @@
             held.holder.phase(),
             Phase::Look | Phase::Free | Phase::Busy(_)
         );
-        if unclaimed && (self.stopping.is_some() || !self.ready(&held.key)) {
+        let wanted = self.ready(&held.key) || held.settle;
+        if unclaimed && (self.stopping.is_some() || !wanted) {
             return Need::Drop;
         }
         match held.holder.phase() {
             Phase::Busy(claim) if *claim != self.me && held.from.is_none() => {
                 Need::Lease(claim.clone())
             }
+            // An unclaimed group of a cancelled job needs no record.
+            Phase::Free if held.settle => Need::Drop,
             Phase::Free | Phase::Busy(_) if held.input.is_none() => Need::Input,
             Phase::Free | Phase::Busy(_) => {
                 let valid = self.lease.valid(now, self.ctx.settings.timeouts.lease);
@@ -300,6 +303,10 @@
         if stopping || failing || full || self.looking.is_some() || !self.claims.due(now) {
             return;
         }
+        if let Some(key) = self.ctx.batch.take_claimed() {
+            self.look_at(key, true, now);
+            return;
+        }
         let wanted = self.wanted(now);
         if wanted.is_empty() {
             return;
@@ -318,20 +325,24 @@
     }
 
     fn look(&mut self, job: &JobId, now: Duration) {
-        let Some(key) = self.jobs.take(job, now) else {
+        if let Some(key) = self.jobs.take(job, now) {
+            self.look_at(key, false, now);
+        }
+    }
+
+    /// Starts to look at a group. With `settle` it belongs to a cancelled job and is not run.
+    fn look_at(&mut self, key: GroupKey, settle: bool, now: Duration) {
+        let Some(entry) = self.jobs.get(&key.job) else {
             return;
         };
-        let Some(entry) = self.jobs.get(job) else {
+        // A cancel that this driver has not heard of yet must not make it claim the group to run.
+        if self.held.contains_key(&key) || (settle && self.ready(&key)) {
             return;
-        };
+        }
         self.epoch += 1;
-        let held = Held::new(
-            key.clone(),
-            entry.record.clone(),
-            self.me.clone(),
-            self.epoch,
-            now,
-        );
+        let me = self.me.clone();
+        let mut held = Held::new(key.clone(), entry.record.clone(), me, self.epoch, now);
+        held.settle = settle;
         self.held.insert(key.clone(), held);
         self.looking = Some(key.clone());
         self.step(&key, now);
--- a/src/batch_state.rs
+++ b/src/batch_state.rs
@@ -17,6 +17,8 @@
 const CACHE_BYTES: usize = 32 << 20;
 /// Submissions that are held in memory at once at most.
 const SUBMISSIONS: usize = 4;
+/// Claimed groups of cancelled jobs that are remembered at most.
+const UNSETTLED: usize = 1024;
 /// Bytes that an item takes beside its texts, about.
 const ITEM_BYTES: usize = 128;
 
@@ -43,6 +45,7 @@
     written: Mutex<Map<JobId, Arc<Object>>>,
     infeasible: Mutex<Set<JobId>>,
     cache: Mutex<Cache>,
+    unsettled: Mutex<Set<GroupKey>>,
     permits: (Sender<()>, Receiver<()>),
     wake: (Sender<()>, Receiver<()>),
 }
@@ -57,6 +60,7 @@
             written: Mutex::default(),
             infeasible: Mutex::default(),
             cache: Mutex::default(),
+            unsettled: Mutex::default(),
             permits: smol::channel::bounded(SUBMISSIONS),
             wake: smol::channel::bounded(1),
         }
@@ -100,6 +104,22 @@
         lock(&self.infeasible).contains(job)
     }
 
+    /// Records a group of a cancelled job that a reader found claimed. Its holder may be gone, and
+    /// nobody claims groups of a cancelled job.
+    pub fn found_claimed(&self, key: GroupKey) {
+        let mut unsettled = lock(&self.unsettled);
+        if unsettled.len() < UNSETTLED {
+            unsettled.insert(key);
+        }
+    }
+
+    /// Takes one of the groups of cancelled jobs that readers found claimed.
+    pub fn take_claimed(&self) -> Option<GroupKey> {
+        let mut unsettled = lock(&self.unsettled);
+        let key = unsettled.iter().next().cloned()?;
+        unsettled.take(&key)
+    }
+
     /// Takes a place for a submission; nothing when all are in use.
     pub fn permit(&self) -> Option<Permit> {
         self.permits.0.try_send(()).ok()?;
--- a/src/held.rs
+++ b/src/held.rs
@@ -95,6 +95,9 @@
     pub saved: Duration,
     /// Whether the claim must be checked before more items start.
     pub recheck: bool,
+    /// Whether the group belongs to a cancelled job and is only taken over, once its holder is
+    /// gone, to end its items.
+    pub settle: bool,
     /// Holder from whom the group is taken over.
     pub from: Option<Claim>,
     slots: Vec<Slot>,
@@ -116,6 +119,7 @@
             backoff: Backoff::new(CALL_FIRST, CALL_MOST),
             saved: now,
             recheck: false,
+            settle: false,
             from: None,
             slots: Vec::new(),
             waits: Vec::new(),
--- a/src/results.rs
+++ b/src/results.rs
@@ -274,6 +274,9 @@
     async fn rows(&self, key: &GroupKey) -> io::Result<Vec<Row>> {
         let group = load(&self.ctx, key).await?;
         let held = group.record.claim.is_some();
+        if held && self.record.state == JobState::Cancelled {
+            self.ctx.batch.found_claimed(key.clone());
+        }
         let cancelled = self.record.state == JobState::Cancelled && !held;
         let none = ItemState::default();
         let items = group.input.items.iter().enumerate();
--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -288,3 +288,22 @@
         (200, &json!("cancelled"))
     );
 }
+
+/// Guards against items of a cancelled job that never get a result, because their holder is gone
+/// and nobody claims groups of a cancelled job.
+#[test]
+fn cancelled_job_of_a_lost_holder_is_settled() {
+    let mut fleet = owned_fleet("20", ["a", "a"]);
+    let reply = fleet.instances[0].submit("j", &items("i", 40, 100));
+    assert_eq!(reply.status, 200);
+    let cell = fleet.instances[0].ctx.workers.cell(&"w1".into());
+    wait_for(|| cell.known().batch >= 4, || "no runs".into());
+    fleet.instances[0].kill();
+    let b = &fleet.instances[1];
+    let reply = support::post(b.callers, "/v1/batches/j/cancel", "");
+    assert_eq!(reply.status, 200);
+    wait_for(
+        || b.results("j").len() == 40,
+        || b.results("j").len().to_string(),
+    );
+}
