--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -17,7 +17,7 @@
     jobs::Job,
     online::Online,
     policy::{Deployment, Policy, Sharing},
-    trace::{FAULT_END, FAULT_START, Kind, LENGTH, Request},
+    trace::{FAULT_END, FAULT_START, Kind, Request},
 };
 
 /// Delay between an entry instance and a worker or peer of its zone, one way.
@@ -48,6 +48,8 @@
     Admit(usize, u64),
     /// An iteration of a worker's life ends.
     Iteration(usize, u32),
+    /// An entry instance gets the first token of an attempt.
+    FirstToken(u64),
     /// An entry instance learns that an attempt has ended.
     Ended(u64),
     /// An entry instance tells a worker's owner its level.
@@ -104,6 +106,7 @@
     pub(crate) deployment: Deployment,
     pub(crate) policy: Policy,
     pub(crate) kind: Kind,
+    pub(crate) length: Micros,
     pub(crate) now: Micros,
     pub(crate) cut: bool,
     pub(crate) dead: bool,
@@ -131,6 +134,7 @@
         deployment: Deployment,
         policy: Policy,
         kind: Kind,
+        length: Micros,
         requests: &[Request],
         jobs: Vec<Job>,
         seed: u64,
@@ -145,6 +149,7 @@
             deployment,
             policy,
             kind,
+            length,
             now: 0,
             cut: false,
             dead: false,
@@ -169,7 +174,7 @@
     /// Runs to the end of the trace.
     pub fn run(&mut self) {
         while let Some(Reverse((at, _, event))) = self.queue.pop() {
-            if at > LENGTH {
+            if at > self.length {
                 break;
             }
             self.now = at;
@@ -259,6 +264,7 @@
             Event::Dispatch(request) => self.dispatch(request),
             Event::Admit(worker, id) => self.admit(worker, id),
             Event::Iteration(worker, life) => self.iterate(worker, life),
+            Event::FirstToken(attempt) => self.first_token(attempt),
             Event::Ended(attempt) => self.ended(attempt),
             Event::SendLevel(entry, worker) => self.send_level(entry, worker),
             Event::Level(entry, worker, level, cause) => self.level(entry, worker, level, cause),
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -3,9 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
+    callers::{Callers, Notice},
     context::Context,
     event,
-    ids::{InstanceId, Map, Set, Version, WorkerId, Zone},
+    ids::{InstanceId, Map, SessionId, Set, Version, WorkerId, Zone},
     members::{self, Identity, Members},
     metrics, ownership,
     peer::{Digest, WorkerLoad},
@@ -34,6 +35,18 @@
     pub at: Duration,
 }
 
+/// What a digest holds besides identity and views. Loads are the largest part of it; each
+/// instance of the zone gets them often enough when only the beginner of an exchange sends them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Detail {
+    /// Nothing more; for other zones.
+    Views,
+    /// Heartbeats; for answers.
+    Heartbeats,
+    /// Heartbeats and loads of owned workers; for instances of the zone.
+    Zone,
+}
+
 /// What an instance knows. All of it lives on the control thread.
 #[derive(Debug)]
 pub struct State {
@@ -53,6 +66,7 @@
     pub rng: fastrand::Rng,
     views: Map<Watched, KindView>,
     live: Map<Zone, Vec<InstanceId>>,
+    callers: Callers,
     owners: Map<WorkerId, InstanceId>,
     owned: Set<WorkerId>,
     moved: bool,
@@ -77,6 +91,7 @@
                 .map(|k| (*k, KindView::default()))
                 .collect(),
             live: Map::default(),
+            callers: Callers::default(),
             owners: Map::default(),
             owned: Set::default(),
             moved: true,
@@ -136,6 +151,9 @@
             Watched::Instances => {
                 let list = members::list_of(self.view(kind).objects());
                 self.members.set_list(list, now);
+                let members = &self.members;
+                self.loads
+                    .retain(|worker, _| members.target(worker).is_some());
                 self.moved = true;
             }
         }
@@ -202,6 +220,7 @@
                     running: load.online + load.batch,
                     waiting: load.waiting,
                 };
+                ctx.workers.cell(&load.worker).set_announced(load.online);
                 self.set_load(ctx, load, counts, now);
             }
         }
@@ -224,21 +243,33 @@
     }
 
     /// Returns the digest of this instance.
-    pub fn digest(&mut self, now: Duration) -> Digest {
+    pub fn digest(&mut self, detail: Detail, now: Duration) -> Digest {
         let views = self.views.iter().map(|(k, v)| (*k, v.latest()));
-        let owned = self
-            .owned
-            .iter()
-            .filter_map(|worker| self.loads.get(worker));
-        let owned = owned.filter(|k| now.saturating_sub(k.at) < LOAD_FRESH);
+        let heard = match detail {
+            Detail::Views => Vec::new(),
+            Detail::Heartbeats | Detail::Zone => self.members.heard(now, &mut self.rng),
+        };
+        let loads = match detail {
+            Detail::Views | Detail::Heartbeats => Vec::new(),
+            Detail::Zone => self.owned_loads(now),
+        };
         Digest {
             identity: self.members.me().clone(),
             views: views.collect(),
-            loads: owned.map(|k| k.load.clone()).collect(),
-            heard: self.members.heard(now, &mut self.rng),
+            loads,
+            heard,
         }
     }
 
+    fn owned_loads(&self, now: Duration) -> Vec<WorkerLoad> {
+        let known = self
+            .owned
+            .iter()
+            .filter_map(|worker| self.loads.get(worker));
+        let fresh = known.filter(|k| now.saturating_sub(k.at) < LOAD_FRESH);
+        fresh.map(|k| k.load.clone()).collect()
+    }
+
     /// Says whether a pull of a kind may begin: one at a time, so that a change that several
     /// peers tell of is pulled once.
     pub fn begin_pull(&mut self, kind: Watched) -> bool {
@@ -330,10 +361,12 @@
         let live = self.members.live(now);
         if live != self.live {
             self.log_members(&live);
-            self.reset_levels(ctx, &live, now);
             self.live = live;
             self.moved = true;
         }
+        for id in self.callers.remove_gone(&self.members, now) {
+            self.forget_levels(ctx, &id, now);
+        }
         if std::mem::take(&mut self.moved) {
             self.choose_owners();
             self.dirty = true;
@@ -357,19 +390,26 @@
         }
     }
 
-    /// Forgets the online requests of instances that are gone; nobody will report their end.
-    fn reset_levels(&self, ctx: &Context, live: &Map<Zone, Vec<InstanceId>>, now: Duration) {
-        let gone = self.live.values().flatten();
-        let gone = gone.filter(|id| !live.values().any(|names| names.contains(id)));
-        for id in gone {
-            let known = self.members.entry(id);
-            // An instance that is about to stop still finishes its requests.
-            if known.is_some_and(|m| m.identity.leaving && m.fresh(now)) {
-                continue;
-            }
-            for worker in self.owners.keys() {
-                ctx.workers.cell(worker).set_peer_level(id, 0, now);
-            }
+    /// Takes over how many online requests a run of an instance has on a worker.
+    pub fn set_level(
+        &mut self,
+        ctx: &Context,
+        (id, session): (InstanceId, SessionId),
+        worker: &WorkerId,
+        level: u32,
+        now: Duration,
+    ) {
+        match self.callers.note(&self.members, &id, session, now) {
+            Notice::Late => return,
+            Notice::NewRun => self.forget_levels(ctx, &id, now),
+            Notice::Current => {}
+        }
+        ctx.workers.cell(worker).set_peer_level(&id, level, now);
+    }
+
+    fn forget_levels(&self, ctx: &Context, id: &InstanceId, now: Duration) {
+        for worker in self.owners.keys() {
+            ctx.workers.cell(worker).set_peer_level(id, 0, now);
         }
     }
 
--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -1,11 +1,11 @@
 //! Jobs through two entry instances against stand-in processes.
 
-mod support;
+mod batch_support;
 
 use std::collections::HashSet;
 
+use batch_support::{Instance, Owned, Process, items, wait_for};
 use serde_json::{Value, json};
-use support::{Instance, Owned, Process, items, wait_for};
 
 struct Fleet {
     platform: Process,
@@ -271,7 +271,7 @@
     fleet.instances[first].join();
     wait_for(|| running(&fleet, second) >= 4, || "no runs".into());
     let b = &fleet.instances[second];
-    let reply = support::post(fleet.instances[0].callers, "/v1/batches/j/cancel", "");
+    let reply = batch_support::post(fleet.instances[0].callers, "/v1/batches/j/cancel", "");
     assert_eq!(
         (reply.status, &reply.json()["state"]),
         (200, &json!("cancelled"))
--- a/tests/orders_fence.rs
+++ b/tests/orders_fence.rs
@@ -4,7 +4,7 @@
 
 use gentianpath::{
     engine::{LoadReport, Order},
-    orders::{Desk, REPEAT_WAIT, Step, loads_weights, order},
+    orders::{Desk, LAG_WAIT, LOAD_WAIT, Step, loads_weights, order},
     placement::{Place, Placement, Record, assign},
     sheet::{RawModel, RawSheet, Sheet},
     weights::{SLOT_LIFE_MS, SLOT_LIMIT, Slots},
@@ -185,7 +185,7 @@
                     );
                 }
                 // One report and one order of the owner, without a repeat wait.
-                let waited = world.now + REPEAT_WAIT;
+                let waited = world.now + LAG_WAIT;
                 (0..ALONE).for_each(|_| new.step(&mut world));
                 assert!(world.now < waited);
                 assert_eq!(
@@ -266,6 +266,13 @@
         Step::Order(order.clone()),
         "another order took effect"
     );
+    let late = desk.next(Some(&wanted), 1, &report(None), LOAD_WAIT);
+    assert_eq!(late, Step::Order(order.clone()), "the load takes too long");
+    // A report may lag, or a stale order brought back what was loaded before.
+    desk.set_given(order.clone(), &report(Some("v0")), at(5));
+    let old = |desk: &mut Desk, now| desk.next(Some(&wanted), 1, &report(Some("v0")), now);
+    assert_eq!(old(&mut desk, at(6)), Step::Idle);
+    assert_eq!(old(&mut desk, at(5) + LAG_WAIT), Step::Order(order.clone()));
     assert_eq!(
         desk.next(Some(&wanted), 1, &report(Some("v1")), at(6)),
         Step::Idle
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,348 +1,395 @@
-//! Runs entry instances without their servers against stand-in processes.
+//! Runs entry instances and stand-ins as processes.
+//!
+//! Everything ends when the values are dropped. A wait ends a test that hangs; no test is decided
+//! by how long a wait took.
 
-#![allow(dead_code)]
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
+pub mod http;
+pub mod link;
+pub mod process;
 
 use std::{
-    collections::HashMap,
-    io::{BufRead, BufReader},
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::Arc,
-    thread::JoinHandle,
-    time::Duration,
+    path::{Path, PathBuf},
+    thread,
+    time::{Duration, Instant},
 };
 
-use gentianpath::{
-    batch, batch_http,
-    context::Context,
-    ids::Map,
-    platform::Kind,
-    settings::Settings,
-    sheet::Sheet,
-    view::{View, WorkerInfo},
-};
 use serde_json::{Value, json};
-use smol::channel::{Receiver, Sender};
-use trillium_client::Client;
 
-/// Model of all tests.
+use http::{Answer, call};
+use process::Process;
+
+/// Bound on a wait for a state.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
+/// Time between two looks at a state.
+const LOOK: Duration = Duration::from_millis(20);
+/// Starts of an entry instance before a test fails.
+const START_TRIES: u32 = 3;
+/// Model of the engines.
 pub const MODEL: &str = "m";
-/// Traffic threads of a test process.
-const THREADS: usize = 4;
-/// Slots of an engine.
-pub const SLOTS: u32 = 8;
-/// Waits in a row after which a test has failed. It only ends a test that hangs.
-const WAITS: usize = 600;
-
-/// A stand-in process, ended when it is dropped.
-pub struct Process {
-    child: Child,
+/// Zone of engines and entry instances that name no other.
+pub const ZONE: &str = "zone-a";
+
+/// Waits until a condition holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT_LIMIT;
+    while !holds() {
+        assert!(Instant::now() < deadline, "{what}: did not come to hold");
+        thread::sleep(LOOK);
+    }
+}
+
+/// Returns a loopback address whose port is free at this moment.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Returns a sheet with the model of the engines and a plain service `till`, whose receipts may
+/// not be repeated.
+pub fn sheet() -> Value {
+    json!({
+        "deployment": "test",
+        "throughput_weight": 0.5,
+        "models": [{ "name": MODEL, "version": "1", "slots": 4 }],
+        "services": [
+            { "name": "lm", "model": MODEL },
+            { "name": "till", "no_repeat": ["POST /receipts"] },
+        ],
+    })
+}
+
+/// A stand-in that runs as a process.
+pub struct Standin {
+    /// The process.
+    pub process: Process,
+    /// Its address.
     pub address: SocketAddr,
 }
 
-impl Process {
-    /// Starts a stand-in and reads its address.
-    pub fn start(name: &str, arguments: &[&str]) -> Self {
-        let mut child = Command::new(folder().join(name))
-            .args(arguments)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap_or_else(|e| panic!("{name}: {e}; run cargo build --workspace first"));
-        let mut line = String::new();
-        let out = child.stdout.take().unwrap();
-        BufReader::new(out).read_line(&mut line).unwrap();
-        let address = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
-        Self { child, address }
+impl Standin {
+    /// Starts a stand-in by the name of its program and waits for its address.
+    pub fn start(program: &str, options: &[&str]) -> Self {
+        let (process, address) = Process::start_listening(&program_path(program), options);
+        Self { process, address }
     }
 
-    /// Starts an engine.
-    pub fn engine(id: &str, token_ms: &str) -> Self {
-        let slots = SLOTS.to_string();
-        let arguments = [
-            "--id",
-            id,
-            "--model",
-            MODEL,
-            "--slots",
-            &slots,
-            "--token-ms",
-            token_ms,
-        ];
-        Self::start("standin-engine", &arguments)
+    /// Replaces its faults.
+    pub fn set_faults(&self, faults: &Value) {
+        let answer = call(self.address, "POST", "/faults", &[], &faults.to_string());
+        assert_eq!(answer.expect("an answer").status, 200);
     }
 
-    /// Starts a platform.
-    pub fn platform() -> Self {
-        Self::start("standin-platform", &[])
+    /// Reads what it did.
+    pub fn ledger(&self) -> Value {
+        call(self.address, "GET", "/ledger", &[], "")
+            .expect("an answer")
+            .json()
     }
 
-    /// Sets the faults.
-    pub fn faults(&self, faults: Value) {
-        let reply = post(self.address, "/faults", &faults.to_string());
-        assert_eq!(reply.status, 200, "{}", reply.body);
+    /// Returns the runs of an engine that a prompt started.
+    pub fn runs(&self, prompt: &str) -> Vec<Value> {
+        let ledger = self.ledger();
+        let runs = ledger["runs"].as_array().cloned().unwrap_or_default();
+        runs.into_iter()
+            .filter(|run| run["prompt"] == prompt)
+            .collect()
     }
+}
 
-    /// Reads the ledger.
-    pub fn ledger(&self) -> Value {
-        serde_json::from_str(&get(self.address, "/ledger").body).unwrap()
+/// Returns the path of a program beside the one under test.
+fn program_path(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_gentianpath")).with_file_name(name)
+}
+
+/// An entry instance that runs as a process.
+pub struct Entry {
+    /// The process.
+    pub process: Process,
+    /// Name.
+    pub name: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Address for other entry instances.
+    pub peer: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Entry {
+    /// Starts the entry instance again after its process ended, with the same settings.
+    pub fn restart(&mut self) {
+        self.process.kill();
+        self.process = serve(&self.settings);
+        self.wait_ready();
     }
 
-    /// Returns the runs of an engine by prompt.
-    pub fn runs(&self) -> HashMap<String, Vec<Value>> {
-        let mut runs: HashMap<String, Vec<Value>> = HashMap::new();
-        for run in self.ledger()["runs"].as_array().unwrap() {
-            let prompt = run["prompt"].as_str().unwrap().to_owned();
-            runs.entry(prompt).or_default().push(run.clone());
-        }
-        runs
+    /// Says whether it is ready.
+    pub fn is_ready(&self) -> bool {
+        let answer = call(self.operators, "GET", "/readyz", &[], "");
+        answer.is_some_and(|answer| answer.status == 200)
     }
 
-    /// Ends the process.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    /// Waits until it is ready.
+    pub fn wait_ready(&mut self) {
+        let ready = self.becomes_ready();
+        assert!(ready, "{} ended:\n{}", self.name, self.process_log());
     }
-}
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
+    /// Waits until it is ready; false when its process ended.
+    fn becomes_ready(&mut self) -> bool {
+        let deadline = Instant::now() + WAIT_LIMIT;
+        while !self.is_ready() {
+            if self.process.ended().is_some() {
+                return false;
+            }
+            let log = || self.process_log();
+            assert!(
+                Instant::now() < deadline,
+                "{} is not ready:\n{}",
+                self.name,
+                log()
+            );
+            thread::sleep(LOOK);
+        }
+        true
     }
-}
 
-/// An answer to a call.
-pub struct Reply {
-    pub status: u16,
-    pub verdict: Option<String>,
-    pub retry: Option<String>,
-    pub body: String,
-}
+    /// Returns the log of the process.
+    pub fn process_log(&self) -> String {
+        std::fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default()
+    }
 
-impl Reply {
-    pub fn json(&self) -> Value {
-        serde_json::from_str(&self.body).unwrap_or(Value::Null)
+    /// Reads the status.
+    pub fn status(&self) -> Value {
+        call(self.operators, "GET", "/status", &[], "")
+            .expect("an answer")
+            .json()
     }
-}
 
-pub fn get(address: SocketAddr, path: &str) -> Reply {
-    send(client().get(format!("http://{address}{path}")))
-}
+    /// Pushes a sheet and returns its revision.
+    pub fn push_sheet(&self, sheet: &Value) -> u64 {
+        let answer = call(self.operators, "POST", "/sheet", &[], &sheet.to_string());
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        answer.json()["revision"].as_u64().expect("a revision")
+    }
 
-pub fn post(address: SocketAddr, path: &str, body: &str) -> Reply {
-    let url = format!("http://{address}{path}");
-    send(client().post(url).with_body(body.to_owned()))
-}
+    /// Asks for text in one piece; nothing when the connection breaks.
+    pub fn chat(&self, prompt: &str, tokens: u64) -> Option<Answer> {
+        self.chat_with(prompt, tokens, false, &[])
+    }
 
-fn client() -> Client {
-    Client::new(trillium_smol::ClientConfig::default()).without_keepalive()
-}
+    /// Asks for text, as a stream or in one piece, with extra headers.
+    pub fn chat_with(
+        &self,
+        prompt: &str,
+        tokens: u64,
+        stream: bool,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        let body = json!({
+            "model": MODEL,
+            "messages": [{ "role": "user", "content": prompt }],
+            "max_tokens": tokens,
+            "stream": stream,
+        });
+        let path = "/v1/chat/completions";
+        call(self.callers, "POST", path, headers, &body.to_string())
+    }
 
-fn send(conn: trillium_client::Conn) -> Reply {
-    smol::block_on(async {
-        let mut conn = conn.await.unwrap();
-        let header = |name: &'static str| conn.response_headers().get_str(name).map(str::to_owned);
-        let (verdict, retry) = (header("gentianpath-verdict"), header("retry-after"));
-        let status = u16::from(conn.status().unwrap());
-        let body = conn.response_body().read_string().await.unwrap_or_default();
-        Reply {
-            status,
-            verdict,
-            retry,
-            body,
-        }
-    })
-}
+    /// Submits a job; nothing when the connection breaks.
+    pub fn submit(&self, name: &str, deadline: u64, items: &[Item]) -> Option<Answer> {
+        let lines: Vec<String> = items.iter().map(Item::line).collect();
+        let path = format!("/v1/batches?name={name}&model={MODEL}&deadline={deadline}");
+        call(self.callers, "POST", &path, &[], &lines.join("\n"))
+    }
+
+    /// Reads the progress of a job.
+    pub fn job(&self, name: &str) -> Option<Answer> {
+        call(self.callers, "GET", &format!("/v1/batches/{name}"), &[], "")
+    }
 
-/// A worker and the instance that owns it.
-pub struct Owned<'a> {
-    pub id: &'a str,
-    pub engine: &'a Process,
-    pub owner: &'a str,
+    /// Reads the results of a job.
+    pub fn results(&self, name: &str) -> Vec<Value> {
+        let path = format!("/v1/batches/{name}/results");
+        let answer = call(self.callers, "GET", &path, &[], "").expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let text = answer.text();
+        text.lines()
+            .map(|line| serde_json::from_str(line).expect("a result"))
+            .collect()
+    }
 }
 
-/// An entry instance: batch driver on a thread of its own, and the HTTP of jobs.
-pub struct Instance {
-    pub ctx: Arc<Context>,
-    pub callers: SocketAddr,
-    kill: Sender<()>,
-    thread: Option<JoinHandle<()>>,
+/// An item of a job.
+#[derive(Debug, Clone)]
+pub struct Item {
+    /// Name inside the job.
+    pub id: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens.
+    pub tokens: u64,
+    /// Whether it may run once at most.
+    pub once: bool,
 }
 
-impl Instance {
-    /// Starts an instance with a view of its own, in which only jobs change.
-    pub fn start(name: &str, session: u64, platform: &Process, workers: &[Owned<'_>]) -> Self {
-        let _ = env_logger::builder().is_test(true).try_init();
-        let threads = async_global_executor::GlobalExecutorConfig::default()
-            .with_min_threads(THREADS)
-            .with_max_threads(THREADS);
-        async_global_executor::init_with_config(threads);
-        let (ctx, commands) = Context::new(settings(name, platform.address), session);
-        ctx.view.store(Arc::new(view(workers, name)));
-        for worker in workers {
-            ctx.workers.cell(&worker.id.into()).configure(1.0, SLOTS);
-        }
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let callers = listener.local_addr().unwrap();
-        listener.set_nonblocking(true).unwrap();
-        let server = trillium_smol::config()
-            .without_signals()
-            .with_prebound_server(smol::net::TcpListener::try_from(listener).unwrap());
-        drop(server.spawn(batch_http::handler(ctx.clone())));
-        let (kill, killed) = smol::channel::bounded(1);
-        let shared = ctx.clone();
-        let thread = std::thread::spawn(move || {
-            let _commands = commands;
-            smol::block_on(drive(shared, killed));
-        });
+impl Item {
+    /// Makes an item that may be repeated.
+    pub fn new(id: &str, prompt: &str, tokens: u64) -> Self {
         Self {
-            ctx,
-            callers,
-            kill,
-            thread: Some(thread),
+            id: id.into(),
+            prompt: prompt.into(),
+            tokens,
+            once: false,
         }
     }
 
-    /// Ends the driver at once, as a crash would.
-    pub fn kill(&mut self) {
-        let _ = self.kill.try_send(());
-        self.join();
-    }
-
-    /// Waits for the driver after a planned stop.
-    pub fn join(&mut self) {
-        if let Some(thread) = self.thread.take() {
-            thread.join().unwrap();
+    /// Returns the item as a line of a job.
+    pub fn line(&self) -> String {
+        let mut line = json!({ "id": self.id, "prompt": self.prompt, "max_tokens": self.tokens });
+        if self.once {
+            line["repeat"] = "never".into();
         }
+        line.to_string()
     }
+}
 
-    pub fn submit(&self, job: &str, items: &str) -> Reply {
-        let path = format!("/v1/batches?name={job}&model={MODEL}&deadline=4000000000");
-        post(self.callers, &path, items)
+/// Platform, engines and entry instances of one test.
+pub struct Fleet {
+    /// Platform.
+    pub platform: Standin,
+    /// Engines and plain services.
+    pub targets: Vec<Standin>,
+    /// Entry instances.
+    pub entries: Vec<Entry>,
+    folder: tempfile::TempDir,
+}
+
+impl Fleet {
+    /// Starts a platform with extra options.
+    pub fn new(options: &[&str]) -> Self {
+        Self {
+            platform: Standin::start("standin-platform", options),
+            targets: Vec::new(),
+            entries: Vec::new(),
+            folder: tempfile::tempdir().unwrap(),
+        }
     }
 
-    pub fn status(&self, job: &str) -> Value {
-        get(self.callers, &format!("/v1/batches/{job}")).json()
+    /// Starts a platform, engines, and entry instances with the sheet in force.
+    pub fn running(engines: usize, entries: usize) -> Self {
+        let mut fleet = Self::new(&[]);
+        for i in 0..engines {
+            fleet.add_engine(&format!("engine-{i}"), &["--slots", "4", "--token-ms", "2"]);
+        }
+        for i in 0..entries {
+            fleet.add_entry(&format!("entry-{i}"), json!({}));
+        }
+        let revision = fleet.entries[0].push_sheet(&sheet());
+        for entry in &fleet.entries {
+            until("the sheet is in force", || {
+                entry.status()["sheet"]["revision"] == revision
+            });
+            until("all workers are known", || {
+                entry
+                    .chat("warm up", 1)
+                    .is_some_and(|answer| answer.status == 200)
+            });
+        }
+        fleet
     }
 
-    /// Returns the results as parsed lines.
-    pub fn results(&self, job: &str) -> Vec<Value> {
-        let reply = get(self.callers, &format!("/v1/batches/{job}/results"));
-        let lines = reply.body.lines();
-        lines.map(|l| serde_json::from_str(l).unwrap()).collect()
+    /// Starts an engine that registers itself.
+    pub fn add_engine(&mut self, id: &str, options: &[&str]) {
+        self.add_target(&[&["--id", id, "--model", MODEL], options].concat());
     }
 
-    /// Waits until all items of a job have an outcome.
-    pub fn wait_finished(&self, job: &str) {
-        wait_for(
-            || self.status(job)["state"] == "finished",
-            || self.status(job).to_string(),
-        );
+    /// Starts an instance of a plain service that registers itself.
+    pub fn add_service(&mut self, id: &str, service: &str, options: &[&str]) {
+        self.add_target(&[&["--id", id, "--service", service], options].concat());
     }
-}
 
-impl Drop for Instance {
-    fn drop(&mut self) {
-        self.kill();
+    fn add_target(&mut self, options: &[&str]) {
+        let platform = self.platform.address.to_string();
+        let common = ["--platform", &platform, "--zone", ZONE];
+        let options = [&common[..], options].concat();
+        self.targets
+            .push(Standin::start("standin-engine", &options));
     }
-}
 
-/// Waits for a condition.
-pub fn wait_for(done: impl Fn() -> bool, state: impl Fn() -> String) {
-    for _ in 0..WAITS {
-        if done() {
-            return;
+    /// Starts an entry instance and waits until it is ready. `changes` replace single settings.
+    ///
+    /// Another process may take a free port before the entry instance does, so a start that ends
+    /// early is tried again with other ports.
+    pub fn add_entry(&mut self, name: &str, changes: Value) -> &mut Entry {
+        for _ in 1..START_TRIES {
+            let mut entry = self.start_entry(name, &changes);
+            if entry.becomes_ready() {
+                self.entries.push(entry);
+                return self.entries.last_mut().unwrap();
+            }
         }
-        std::thread::sleep(Duration::from_millis(50));
+        let mut entry = self.start_entry(name, &changes);
+        entry.wait_ready();
+        self.entries.push(entry);
+        self.entries.last_mut().unwrap()
     }
-    panic!("the condition never held: {}", state());
-}
-
-/// Builds items that ask for a number of tokens.
-pub fn items(prefix: &str, count: usize, tokens: u32) -> String {
-    let lines = (0..count).map(|i| {
-        let id = format!("{prefix}{i:04}");
-        let prompt = format!("prompt of {id}");
-        json!({"id": id, "prompt": prompt, "max_tokens": tokens}).to_string() + "\n"
-    });
-    lines.collect()
-}
 
-async fn drive(ctx: Arc<Context>, killed: Receiver<()>) {
-    let run = batch::run(ctx.clone());
-    let watch = async {
-        loop {
-            refresh(&ctx).await;
-            smol::Timer::after(Duration::from_millis(50)).await;
+    fn start_entry(&self, name: &str, changes: &Value) -> Entry {
+        let (callers, operators, peer) = (free_address(), free_address(), free_address());
+        let mut settings = json!({
+            "instance": name,
+            "zone": ZONE,
+            "region": "region",
+            "caller_address": callers.to_string(),
+            "operator_address": operators.to_string(),
+            "peer_address": peer.to_string(),
+            "platform_address": self.platform.address.to_string(),
+            "timeouts": { "leave_notice_ms": 100, "load_poll_ms": 100, "exchange_ms": 100 },
+        });
+        for (key, value) in changes.as_object().into_iter().flatten() {
+            settings[key] = value.clone();
+        }
+        let file = self.folder.path().join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        Entry {
+            process: serve(&file),
+            name: name.into(),
+            callers,
+            operators,
+            peer,
+            settings: file,
         }
-    };
-    let killed = async {
-        let _ = killed.recv().await;
-    };
-    smol::future::or(smol::future::or(run, killed), watch).await;
-}
-
-/// Does what control does for the kind `job`.
-async fn refresh(ctx: &Context) {
-    let Ok(listing) = ctx.platform.list(Kind::Job, "", "", 1000).await else {
-        return;
-    };
-    let old = ctx.view.load_full();
-    let jobs: Map<_, _> = listing
-        .items
-        .into_iter()
-        .map(|o| (o.name.clone(), Arc::new(o)))
-        .collect();
-    if jobs != old.jobs {
-        let view = View {
-            jobs,
-            ..old.as_ref().clone()
-        };
-        ctx.view.store(Arc::new(view));
     }
-}
 
-fn view(workers: &[Owned<'_>], me: &str) -> View {
-    let sheet = json!({
-        "deployment": "test", "throughput_weight": 1.0,
-        "models": [{"name": MODEL, "version": "1", "slots": SLOTS}],
-    });
-    let infos = workers.iter().map(|w| WorkerInfo {
-        id: w.id.into(),
-        address: w.engine.address,
-        zone: "z".into(),
-        model: Some(MODEL.into()),
-        version: "1".into(),
-        slots: SLOTS,
-        leaving: false,
-        owner: Some(w.owner.into()),
-    });
-    let others = ["a", "b"].into_iter().filter(|n| *n != me);
-    let nowhere: SocketAddr = "127.0.0.1:9".parse().unwrap();
-    View {
-        revision: 1,
-        sheet: Arc::new(Sheet::parse(&sheet.to_string()).unwrap()),
-        workers: infos.collect(),
-        peers: others.map(|n| (n.into(), nowhere)).collect(),
-        ..View::default()
+    /// Takes an instance off the instance list, as the platform does some time after its death.
+    /// `group` is `entries` or `targets`.
+    pub fn unlist(&self, group: &str, id: &str) {
+        let path = format!("/instances/{group}/{id}");
+        let answer = call(self.platform.address, "DELETE", &path, &[], "");
+        assert_eq!(answer.expect("an answer").status, 200);
     }
-}
 
-fn settings(name: &str, platform: SocketAddr) -> Settings {
-    let raw = json!({
-        "instance": name, "zone": "z", "region": "r",
-        "caller_address": "127.0.0.1:0", "operator_address": "127.0.0.1:0",
-        "peer_address": "127.0.0.1:0", "platform_address": platform.to_string(),
-        "timeouts": {
-            "lease_ms": 3000, "renew_ms": 500, "progress_ms": 300, "platform_ms": 1000,
-            "stall_ms": 1000, "first_token_ms": 5000,
-        },
-    });
-    let raw: gentianpath::settings::RawSettings = serde_json::from_value(raw).unwrap();
-    Settings::try_from(raw).unwrap()
+    /// Returns the runs on all engines that a prompt started.
+    pub fn runs(&self, prompt: &str) -> Vec<Value> {
+        self.targets
+            .iter()
+            .flat_map(|target| target.runs(prompt))
+            .collect()
+    }
 }
 
-fn folder() -> PathBuf {
-    let test = std::env::current_exe().unwrap();
-    test.parent().unwrap().parent().unwrap().to_owned()
+fn serve(settings: &Path) -> Process {
+    let program = Path::new(env!("CARGO_BIN_EXE_gentianpath"));
+    let file = settings.to_str().unwrap();
+    Process::start(
+        program,
+        &["serve", "--settings", file],
+        &settings.with_extension("log"),
+    )
 }
