--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -300,7 +300,7 @@
     wait_for(|| cell.known().batch >= 4, || "no runs".into());
     fleet.instances[0].kill();
     let b = &fleet.instances[1];
-    let reply = support::post(b.callers, "/v1/batches/j/cancel", "");
+    let reply = batch_support::post(b.callers, "/v1/batches/j/cancel", "");
     assert_eq!(reply.status, 200);
     wait_for(
         || b.results("j").len() == 40,
