--- a/src/control.rs
+++ b/src/control.rs
@@ -20,13 +20,14 @@
     context::{Command, Context},
     control_state::State,
     drain::Phase,
-    event, exchange, fleet,
+    event, exchange,
     ids::{Revision, Set},
     levels,
     members::Identity,
     peer_client::{PeerClient, PeerClients},
     peer_server,
     platform::Kind,
+    reconcile,
     route::Router,
     sheet_log::SheetLog,
     spread::{Delta, Watched},
@@ -83,7 +84,7 @@
     control.spawn(watch::run(control.clone(), Watched::Job, Kind::Job));
     control.spawn(watch::run_instances(control.clone()));
     control.spawn(watch::run_register(control.clone()));
-    control.spawn(fleet::run(control.clone()));
+    control.spawn(reconcile::run(control.clone()));
     control.spawn(control.clone().run_publish());
     executor.run(levels::run(control, commands)).await;
     Ok(())
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -3,13 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    callers::{Callers, Notice},
     context::Context,
     event,
     ids::{InstanceId, Map, SessionId, Set, Version, WorkerId, Zone},
     members::{self, Identity, Members},
     metrics, ownership,
     peer::{Digest, WorkerLoad},
+    peer_levels::{Notice, PeerRuns},
     placement::{self, Place, Placement},
     platform::{ListState, ListedTarget, Object, TargetKind},
     sheet::Sheet,
@@ -68,7 +68,7 @@
     pub rng: fastrand::Rng,
     views: Map<Watched, KindView>,
     live: Map<Zone, Vec<InstanceId>>,
-    callers: Callers,
+    peer_runs: PeerRuns,
     owners: Map<WorkerId, InstanceId>,
     owned: Set<WorkerId>,
     moved: bool,
@@ -93,7 +93,7 @@
                 .map(|k| (*k, KindView::default()))
                 .collect(),
             live: Map::default(),
-            callers: Callers::default(),
+            peer_runs: PeerRuns::default(),
             owners: Map::default(),
             owned: Set::default(),
             moved: true,
@@ -369,7 +369,7 @@
             self.live = live;
             self.moved = true;
         }
-        for id in self.callers.remove_gone(&self.members, now) {
+        for id in self.peer_runs.remove_gone(&self.members, now) {
             self.forget_levels(ctx, &id, now);
         }
         if std::mem::take(&mut self.moved) {
@@ -404,7 +404,7 @@
         level: u32,
         now: Duration,
     ) {
-        match self.callers.note(&self.members, &id, session, now) {
+        match self.peer_runs.note(&self.members, &id, session, now) {
             Notice::Late => return,
             Notice::NewRun => self.forget_levels(ctx, &id, now),
             Notice::Current => {}
--- a/src/orders.rs
+++ b/src/orders.rs
@@ -53,12 +53,12 @@
 
 /// Orders for one worker.
 #[derive(Debug, Clone)]
-pub struct Desk {
+pub struct WorkerOrders {
     known: Known,
     given: Option<Given>,
 }
 
-impl Default for Desk {
+impl Default for WorkerOrders {
     fn default() -> Self {
         Self {
             known: Known::Unread,
@@ -67,7 +67,7 @@
     }
 }
 
-impl Desk {
+impl WorkerOrders {
     /// Returns the recorded placement, as far as it is known.
     pub fn placement(&self) -> Option<&Placement> {
         match &self.known {
--- a/src/callers.rs
+++ b/src/peer_levels.rs
@@ -20,15 +20,15 @@
 
 /// The run of each instance that told of online requests.
 #[derive(Debug, Default)]
-pub struct Callers(Map<InstanceId, Caller>);
+pub struct PeerRuns(Map<InstanceId, PeerRun>);
 
 #[derive(Debug, Clone, Copy)]
-struct Caller {
+struct PeerRun {
     session: SessionId,
     at: Duration,
 }
 
-impl Callers {
+impl PeerRuns {
     /// Takes over that a run of an instance sent a notice.
     pub fn note(
         &mut self,
@@ -41,9 +41,9 @@
         if heard.is_some_and(|m| m.identity.session != session) {
             return Notice::Late;
         }
-        let earlier = self.0.insert(id.clone(), Caller { session, at: now });
+        let earlier = self.0.insert(id.clone(), PeerRun { session, at: now });
         match earlier {
-            Some(caller) if caller.session != session => Notice::NewRun,
+            Some(run) if run.session != session => Notice::NewRun,
             _ => Notice::Current,
         }
     }
@@ -51,11 +51,11 @@
     /// Removes and returns the instances whose run is gone; nobody will report the end of its
     /// requests. An instance that is about to stop still finishes them.
     pub fn remove_gone(&mut self, members: &Members, now: Duration) -> Vec<InstanceId> {
-        let is_gone = |id: &InstanceId, caller: &Caller| match members.entry(id) {
-            Some(member) if member.fresh(now) => member.identity.session != caller.session,
-            _ => now.saturating_sub(caller.at) >= HEARTBEAT_LIMIT,
+        let is_gone = |id: &InstanceId, run: &PeerRun| match members.entry(id) {
+            Some(member) if member.fresh(now) => member.identity.session != run.session,
+            _ => now.saturating_sub(run.at) >= HEARTBEAT_LIMIT,
         };
-        let gone = self.0.iter().filter(|(id, caller)| is_gone(id, caller));
+        let gone = self.0.iter().filter(|(id, run)| is_gone(id, run));
         let gone: Vec<InstanceId> = gone.map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.0.remove(id);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -58,7 +58,7 @@
     models.sort();
     for model in &models {
         while table.count(model) < sheet.models[*model].workers {
-            let Some(worker) = table.donor(model) else {
+            let Some(worker) = table.cheapest_change(model) else {
                 break;
             };
             table.models[worker] = Some((*model).clone());
@@ -107,7 +107,7 @@
     }
 
     /// Returns the worker whose change to a model disturbs least.
-    fn donor(&self, model: &ModelId) -> Option<usize> {
+    fn cheapest_change(&self, model: &ModelId) -> Option<usize> {
         let usable = (0..self.places.len()).filter_map(|i| Some((self.cost(i, model)?, i)));
         usable.min().map(|(_, i)| i)
     }
--- a/src/fleet.rs
+++ b/src/reconcile.rs
@@ -11,7 +11,7 @@
     engine::{LoadReport, Order, OrderError},
     event,
     ids::{Map, Set, Version, WorkerId},
-    orders::{Desk, Step, loads_weights},
+    orders::{Step, WorkerOrders, loads_weights},
     peer::WorkerLoad,
     placement::{Placement, Record},
     platform::{Kind, ListedTarget, ReadError, TargetKind, WriteError},
@@ -33,24 +33,24 @@
 
 /// What this instance knows of the workers that it owns.
 #[derive(Default)]
-struct Fleet {
-    seats: Map<WorkerId, Seat>,
+struct OwnedWorkers {
+    workers: Map<WorkerId, OwnedWorker>,
     wanted: Map<WorkerId, Placement>,
     reading: Set<WorkerId>,
 }
 
 /// An owned worker.
-struct Seat {
-    desk: Desk,
+struct OwnedWorker {
+    orders: WorkerOrders,
     has_slot: bool,
     backoff: Backoff,
     not_before: Duration,
 }
 
-impl Default for Seat {
+impl Default for OwnedWorker {
     fn default() -> Self {
         Self {
-            desk: Desk::default(),
+            orders: WorkerOrders::default(),
             has_slot: false,
             backoff: Backoff::new(SLOT_BASE, SLOT_CAP),
             not_before: Duration::ZERO,
@@ -58,37 +58,37 @@
     }
 }
 
-type SharedFleet = Rc<RefCell<Fleet>>;
+type SharedWorkers = Rc<RefCell<OwnedWorkers>>;
 
 /// Reads loads and keeps the owned workers at what the sheet wants.
 pub async fn run(control: Rc<Control>) {
-    let fleet = SharedFleet::default();
+    let workers = SharedWorkers::default();
     loop {
-        fleet.borrow_mut().plan(&control);
+        workers.borrow_mut().plan(&control);
         for target in due(&control) {
-            if fleet.borrow_mut().reading.insert(target.id.clone()) {
-                control.spawn(visit(control.clone(), fleet.clone(), target));
+            if workers.borrow_mut().reading.insert(target.id.clone()) {
+                control.spawn(visit(control.clone(), workers.clone(), target));
             }
         }
         control.pause(control.ctx.settings.timeouts.load_poll).await;
     }
 }
 
-impl Fleet {
+impl OwnedWorkers {
     /// Decides what the sheet wants of the zone's workers.
     fn plan(&mut self, control: &Control) {
         let state = control.state();
-        self.seats.retain(|worker, _| state.owns(worker));
-        let placed = self.seats.iter().filter_map(|(worker, seat)| {
-            let placement = seat.desk.placement()?;
+        self.workers.retain(|worker, _| state.owns(worker));
+        let placed = self.workers.iter().filter_map(|(worker, owned)| {
+            let placement = owned.orders.placement()?;
             Some((worker.clone(), placement.clone()))
         });
         let placed = placed.collect();
         self.wanted = state.wanted(&placed);
     }
 
-    fn seat(&mut self, worker: &WorkerId) -> &mut Seat {
-        self.seats.entry(worker.clone()).or_default()
+    fn owned(&mut self, worker: &WorkerId) -> &mut OwnedWorker {
+        self.workers.entry(worker.clone()).or_default()
     }
 }
 
@@ -111,7 +111,7 @@
     chosen.cloned().collect()
 }
 
-async fn visit(control: Rc<Control>, fleet: SharedFleet, target: ListedTarget) {
+async fn visit(control: Rc<Control>, workers: SharedWorkers, target: ListedTarget) {
     let report = control.ctx.engine.load(target.address).await;
     if let Some(report) = report {
         take_report(&control, &target.id, &report);
@@ -121,10 +121,10 @@
             state.owns(&target.id) && state.is_in_touch(control.now()) && has_sheet
         };
         if acts {
-            reconcile(&control, &fleet, &target, &report).await;
+            reconcile(&control, &workers, &target, &report).await;
         }
     }
-    fleet.borrow_mut().reading.remove(&target.id);
+    workers.borrow_mut().reading.remove(&target.id);
 }
 
 fn take_report(control: &Control, worker: &WorkerId, report: &LoadReport) {
@@ -155,7 +155,7 @@
 /// Brings the record of a worker in line with the sheet and the worker in line with the record.
 async fn reconcile(
     control: &Control,
-    fleet: &SharedFleet,
+    workers: &SharedWorkers,
     target: &ListedTarget,
     report: &LoadReport,
 ) {
@@ -163,20 +163,20 @@
         let revision = control.state().log.in_force().revision;
         let now = control.now();
         let step = {
-            let mut fleet = fleet.borrow_mut();
-            let wanted = fleet.wanted.get(&target.id).cloned();
-            let desk = &mut fleet.seat(&target.id).desk;
-            desk.next(wanted.as_ref(), revision, report, now)
+            let mut workers = workers.borrow_mut();
+            let wanted = workers.wanted.get(&target.id).cloned();
+            let orders = &mut workers.owned(&target.id).orders;
+            orders.next(wanted.as_ref(), revision, report, now)
         };
         let goes_on = match step {
             Step::Idle => {
-                free_slot(control, fleet, &target.id).await;
+                free_slot(control, workers, &target.id).await;
                 false
             }
-            Step::Read => read(control, fleet, &target.id).await,
-            Step::Write(version) => write(control, fleet, &target.id, version).await,
+            Step::Read => read(control, workers, &target.id).await,
+            Step::Write(version) => write(control, workers, &target.id, version).await,
             Step::Order(order) => {
-                give(control, fleet, target, report, order).await;
+                give(control, workers, target, report, order).await;
                 false
             }
         };
@@ -195,23 +195,23 @@
     record.transpose().map_err(|_| ReadError::Unavailable)
 }
 
-async fn read(control: &Control, fleet: &SharedFleet, worker: &WorkerId) -> bool {
+async fn read(control: &Control, workers: &SharedWorkers, worker: &WorkerId) -> bool {
     let Ok(record) = read_record(control, worker).await else {
         return false;
     };
-    fleet.borrow_mut().seat(worker).desk.set_read(record);
+    workers.borrow_mut().owned(worker).orders.set_read(record);
     // What the record says can change what is wanted of the zone.
-    fleet.borrow_mut().plan(control);
+    workers.borrow_mut().plan(control);
     true
 }
 
 async fn write(
     control: &Control,
-    fleet: &SharedFleet,
+    workers: &SharedWorkers,
     worker: &WorkerId,
     version: Option<Version>,
 ) -> bool {
-    let Some(placement) = fleet.borrow().wanted.get(worker).cloned() else {
+    let Some(placement) = workers.borrow().wanted.get(worker).cloned() else {
         return false;
     };
     let me = &control.ctx.settings.instance;
@@ -234,10 +234,10 @@
         }
         None => platform.create(Kind::Placement, worker, &record).await,
     };
-    let mut fleet = fleet.borrow_mut();
-    let desk = &mut fleet.seat(worker).desk;
+    let mut workers = workers.borrow_mut();
+    let orders = &mut workers.owned(worker).orders;
     let Ok(fence) = written else {
-        desk.forget();
+        orders.forget();
         return false;
     };
     let Placement { model, version, .. } = &record.placement;
@@ -246,35 +246,35 @@
         PlacementChosen,
         "worker={worker} model={model} version={version} fence={fence}"
     );
-    desk.set_written(fence, record);
+    orders.set_written(fence, record);
     true
 }
 
 async fn give(
     control: &Control,
-    fleet: &SharedFleet,
+    workers: &SharedWorkers,
     target: &ListedTarget,
     report: &LoadReport,
     order: Order,
 ) {
-    if loads_weights(&order) && !take_slot(control, fleet, &target.id).await {
+    if loads_weights(&order) && !take_slot(control, workers, &target.id).await {
         return;
     }
     let Ok(record) = read_record(control, &target.id).await else {
         return;
     };
-    if !fleet
+    if !workers
         .borrow_mut()
-        .seat(&target.id)
-        .desk
+        .owned(&target.id)
+        .orders
         .confirm(&order, record)
     {
         return;
     }
     let answer = control.ctx.engine.order(target.address, &order).await;
     let (worker, fence) = (&target.id, order.fence);
-    let mut fleet = fleet.borrow_mut();
-    let desk = &mut fleet.seat(worker).desk;
+    let mut workers = workers.borrow_mut();
+    let orders = &mut workers.owned(worker).orders;
     match answer {
         Ok(()) => {
             event!(
@@ -283,35 +283,35 @@
                 "worker={worker} fence={fence} action={:?}",
                 order.action
             );
-            desk.set_given(order, report, control.now());
+            orders.set_given(order, report, control.now());
         }
         Err(OrderError::Stale) => {
             event!(Warn, OrderStale, "worker={worker} fence={fence}");
-            desk.forget();
+            orders.forget();
         }
         Err(OrderError::Failed) => event!(Warn, OrderFailed, "worker={worker} fence={fence}"),
     }
 }
 
-async fn take_slot(control: &Control, fleet: &SharedFleet, worker: &WorkerId) -> bool {
+async fn take_slot(control: &Control, workers: &SharedWorkers, worker: &WorkerId) -> bool {
     let now = control.now();
-    if fleet.borrow_mut().seat(worker).not_before > now {
+    if workers.borrow_mut().owned(worker).not_before > now {
         return false;
     }
     let taken = change_slots(control, |slots| slots.take(worker, unix_ms())).await;
-    let mut fleet = fleet.borrow_mut();
-    let seat = fleet.seat(worker);
-    seat.has_slot = taken;
+    let mut workers = workers.borrow_mut();
+    let owned = workers.owned(worker);
+    owned.has_slot = taken;
     if taken {
-        seat.backoff.succeed();
+        owned.backoff.succeed();
     } else {
-        seat.not_before = now + seat.backoff.fail(&mut control.state().rng);
+        owned.not_before = now + owned.backoff.fail(&mut control.state().rng);
     }
     taken
 }
 
-async fn free_slot(control: &Control, fleet: &SharedFleet, worker: &WorkerId) {
-    if std::mem::take(&mut fleet.borrow_mut().seat(worker).has_slot) {
+async fn free_slot(control: &Control, workers: &SharedWorkers, worker: &WorkerId) {
+    if std::mem::take(&mut workers.borrow_mut().owned(worker).has_slot) {
         change_slots(control, |slots| slots.free(worker)).await;
     }
 }
--- a/tests/members_list.rs
+++ b/tests/members_list.rs
@@ -3,10 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use gentianpath::{
-    callers::{Callers, Notice},
     ids::Map,
     members::{HEARTBEAT_LIMIT, Identity, Members, list_changes, list_of, run_hash},
     ownership::{owner, position, rank},
+    peer_levels::{Notice, PeerRuns},
     platform::{InstanceList, ListState, ListedEntry, ListedTarget, Object, TargetKind},
     spread::{Delta, KindView},
 };
@@ -154,31 +154,31 @@
 #[test]
 fn requests_of_a_lost_run_are_forgotten() {
     let mut members = Members::new(identity("me", 1, "z1"));
-    let mut callers = Callers::default();
+    let mut runs = PeerRuns::default();
     let at = Duration::from_secs;
     let a = "a".into();
     let gone = HEARTBEAT_LIMIT.as_secs();
-    assert_eq!(callers.note(&members, &a, 5, at(0)), Notice::Current);
-    assert!(callers.remove_gone(&members, at(1)).is_empty());
+    assert_eq!(runs.note(&members, &a, 5, at(0)), Notice::Current);
+    assert!(runs.remove_gone(&members, at(1)).is_empty());
     assert_eq!(
-        callers.remove_gone(&members, at(gone)).as_slice(),
+        runs.remove_gone(&members, at(gone)).as_slice(),
         std::slice::from_ref(&a)
     );
-    assert_eq!(callers.note(&members, &a, 5, at(10)), Notice::Current);
+    assert_eq!(runs.note(&members, &a, 5, at(10)), Notice::Current);
     members.set_heard(identity("a", 6, "z1"), at(11));
     assert_eq!(
-        callers.remove_gone(&members, at(11)).as_slice(),
+        runs.remove_gone(&members, at(11)).as_slice(),
         std::slice::from_ref(&a)
     );
-    assert_eq!(callers.note(&members, &a, 5, at(12)), Notice::Late);
-    assert_eq!(callers.note(&members, &a, 6, at(12)), Notice::Current);
-    assert_eq!(callers.note(&members, &a, 7, at(30)), Notice::NewRun);
+    assert_eq!(runs.note(&members, &a, 5, at(12)), Notice::Late);
+    assert_eq!(runs.note(&members, &a, 6, at(12)), Notice::Current);
+    assert_eq!(runs.note(&members, &a, 7, at(30)), Notice::NewRun);
     members.set_heard(identity("a", 7, "z1"), at(31));
     assert!(
-        callers.remove_gone(&members, at(31)).is_empty(),
+        runs.remove_gone(&members, at(31)).is_empty(),
         "requests may last long"
     );
-    assert_eq!(callers.remove_gone(&members, at(31 + gone)).as_slice(), [a]);
+    assert_eq!(runs.remove_gone(&members, at(31 + gone)).as_slice(), [a]);
 }
 
 /// Guards against an instance list that is lost or never settles when two watchers spread it.
--- a/tests/orders_fence.rs
+++ b/tests/orders_fence.rs
@@ -4,7 +4,7 @@
 
 use gentianpath::{
     engine::{LoadReport, Order},
-    orders::{Desk, LAG_WAIT, LOAD_WAIT, Step, loads_weights, order},
+    orders::{LAG_WAIT, LOAD_WAIT, Step, WorkerOrders, loads_weights, order},
     placement::{Place, Placement, Record, assign},
     sheet::{RawModel, RawSheet, Sheet},
     weights::{SLOT_LIFE_MS, SLOT_LIMIT, Slots},
@@ -88,7 +88,7 @@
 #[derive(Debug, Clone)]
 struct Owner {
     name: &'static str,
-    desk: Desk,
+    orders: WorkerOrders,
     wanted: Placement,
     revision: u64,
     intent: Intent,
@@ -98,7 +98,7 @@
     fn new(name: &'static str, version: &str, revision: u64) -> Self {
         Self {
             name,
-            desk: Desk::default(),
+            orders: WorkerOrders::default(),
             wanted: placement(version),
             revision,
             intent: Intent::Look,
@@ -111,7 +111,7 @@
         self.intent = match std::mem::replace(&mut self.intent, Intent::Look) {
             Intent::Look => self.look(world),
             Intent::Read => {
-                self.desk.set_read(world.record.clone());
+                self.orders.set_read(world.record.clone());
                 Intent::Look
             }
             Intent::Write(expected) => {
@@ -122,13 +122,13 @@
                     token: self.name.into(),
                 };
                 match world.write(expected, &record) {
-                    Some(version) => self.desk.set_written(version, record),
-                    None => self.desk.forget(),
+                    Some(version) => self.orders.set_written(version, record),
+                    None => self.orders.forget(),
                 }
                 Intent::Look
             }
             Intent::Confirm(order, seen) => {
-                if self.desk.confirm(&order, world.record.clone()) {
+                if self.orders.confirm(&order, world.record.clone()) {
                     Intent::Send(order, seen)
                 } else {
                     Intent::Look
@@ -136,9 +136,9 @@
             }
             Intent::Send(order, seen) => {
                 if world.obey(&order) {
-                    self.desk.set_given(order, &seen, world.now);
+                    self.orders.set_given(order, &seen, world.now);
                 } else {
-                    self.desk.forget();
+                    self.orders.forget();
                 }
                 Intent::Look
             }
@@ -148,7 +148,7 @@
     fn look(&mut self, world: &World) -> Intent {
         let seen = report(world.loaded.as_deref());
         let step = self
-            .desk
+            .orders
             .next(Some(&self.wanted), self.revision, &seen, world.now);
         match step {
             Step::Idle => Intent::Look,
@@ -231,15 +231,15 @@
 #[test]
 fn an_order_follows_its_record_and_is_not_repeated_while_it_loads() {
     let wanted = placement("v1");
-    let mut desk = Desk::default();
+    let mut orders = WorkerOrders::default();
     let at = Duration::from_secs;
     assert_eq!(
-        desk.next(Some(&wanted), 1, &report(None), at(0)),
+        orders.next(Some(&wanted), 1, &report(None), at(0)),
         Step::Read
     );
-    desk.set_read(None);
+    orders.set_read(None);
     assert_eq!(
-        desk.next(Some(&wanted), 1, &report(None), at(0)),
+        orders.next(Some(&wanted), 1, &report(None), at(0)),
         Step::Write(None)
     );
     let record = Record {
@@ -248,36 +248,40 @@
         owner: "a".into(),
         token: "t".into(),
     };
-    desk.set_written(7, record.clone());
-    let Step::Order(order) = desk.next(Some(&wanted), 1, &report(None), at(0)) else {
+    orders.set_written(7, record.clone());
+    let Step::Order(order) = orders.next(Some(&wanted), 1, &report(None), at(0)) else {
         panic!("no order");
     };
     assert_eq!(order.fence, 7);
     assert!(loads_weights(&order));
-    assert!(desk.confirm(&order, Some((7, record.clone()))));
-    desk.set_given(order.clone(), &report(None), at(0));
+    assert!(orders.confirm(&order, Some((7, record.clone()))));
+    orders.set_given(order.clone(), &report(None), at(0));
     assert_eq!(
-        desk.next(Some(&wanted), 1, &report(None), at(5)),
+        orders.next(Some(&wanted), 1, &report(None), at(5)),
         Step::Idle
     );
-    let other = desk.next(Some(&wanted), 1, &report(Some("v0")), at(5));
+    let other = orders.next(Some(&wanted), 1, &report(Some("v0")), at(5));
     assert_eq!(
         other,
         Step::Order(order.clone()),
         "another order took effect"
     );
-    let late = desk.next(Some(&wanted), 1, &report(None), LOAD_WAIT);
+    let late = orders.next(Some(&wanted), 1, &report(None), LOAD_WAIT);
     assert_eq!(late, Step::Order(order.clone()), "the load takes too long");
     // A report may lag, or a stale order brought back what was loaded before.
-    desk.set_given(order.clone(), &report(Some("v0")), at(5));
-    let old = |desk: &mut Desk, now| desk.next(Some(&wanted), 1, &report(Some("v0")), now);
-    assert_eq!(old(&mut desk, at(6)), Step::Idle);
-    assert_eq!(old(&mut desk, at(5) + LAG_WAIT), Step::Order(order.clone()));
+    orders.set_given(order.clone(), &report(Some("v0")), at(5));
+    let old =
+        |orders: &mut WorkerOrders, now| orders.next(Some(&wanted), 1, &report(Some("v0")), now);
+    assert_eq!(old(&mut orders, at(6)), Step::Idle);
     assert_eq!(
-        desk.next(Some(&wanted), 1, &report(Some("v1")), at(6)),
+        old(&mut orders, at(5) + LAG_WAIT),
+        Step::Order(order.clone())
+    );
+    assert_eq!(
+        orders.next(Some(&wanted), 1, &report(Some("v1")), at(6)),
         Step::Idle
     );
-    assert!(!desk.confirm(&order, Some((9, record))));
+    assert!(!orders.confirm(&order, Some((9, record))));
 }
 
 /// Guards against adapters that are never loaded or never unloaded.
