Bring jobs into line with the deadlines of the sheet

Cause: the sheet lists jobs with deadlines, and nothing read them. Change: the sheet's deadline replaces that of the submission in the order of jobs, in the early report and in the status; a submission may leave it out when the sheet has one.

--- a/bench/src/overhead.rs
+++ b/bench/src/overhead.rs
@@ -29,6 +29,10 @@
 const RATE_TIME: Duration = Duration::from_secs(8);
 /// Connections that send short requests at once.
 const RATE_CONNECTIONS: usize = 128;
+/// Streams at once while the cost of a token is measured.
+const LONG_STREAMS: usize = 64;
+/// Lengths of the streams by which the cost of a token is measured.
+const TOKEN_STEPS: [u32; 3] = [64, 256, 1024];
 /// Bound on opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -69,7 +73,8 @@
         slots: 4096,
         token_ms: 0,
     })?;
-    smol::block_on(measure_rate(&fleet))
+    smol::block_on(measure_rate(&fleet))?;
+    smol::block_on(measure_tokens(&fleet))
 }
 
 /// Streams directly to a worker and through the entry in turn, so that both see the same noise.
@@ -97,7 +102,7 @@
     round: usize,
     side: &mut Side,
 ) -> anyhow::Result<()> {
-    let streams = (0..STREAMS_AT_ONCE).map(|i| stream(client, address, round, i));
+    let streams = (0..STREAMS_AT_ONCE).map(|i| stream(client, address, round, i, STREAM_TOKENS));
     for times in futures::future::join_all(streams).await {
         let times = times?;
         side.first.record(times[0])?;
@@ -115,11 +120,12 @@
     address: SocketAddr,
     round: usize,
     i: usize,
+    tokens: u32,
 ) -> anyhow::Result<Vec<u64>> {
     let body = json!({
         "model": "m1",
         "messages": [{"role": "user", "content": format!("request {round} {i}")}],
-        "max_tokens": STREAM_TOKENS,
+        "max_tokens": tokens,
         "stream": true,
     });
     let mut last = Instant::now();
@@ -141,12 +147,9 @@
         times.push((now - last).as_micros() as u64);
         last = now;
     }
-    anyhow::ensure!(
-        times.len() as u32 >= STREAM_TOKENS,
-        "the stream was not whole"
-    );
+    anyhow::ensure!(times.len() as u32 >= tokens, "the stream was not whole");
     // The last events carry no token.
-    times.truncate(STREAM_TOKENS as usize);
+    times.truncate(tokens as usize);
     Ok(times)
 }
 
@@ -202,6 +205,26 @@
     Ok(())
 }
 
+/// Measures the processor time of a token on long streams, many at once.
+async fn measure_tokens(fleet: &Fleet) -> anyhow::Result<()> {
+    let entry = &fleet.entries[0];
+    let client = dial::client(CONNECT_TIMEOUT);
+    println!("\n| streams | tokens each | tokens/s | traffic CPU us a token |\n|---|---|---|---|");
+    for tokens in TOKEN_STEPS {
+        let cpu = entry.thread_cpu("traffic");
+        let start = Instant::now();
+        let streams = (0..LONG_STREAMS).map(|i| stream(&client, entry.callers, i, i, tokens));
+        for times in futures::future::join_all(streams).await {
+            times?;
+        }
+        let count = LONG_STREAMS as f64 * f64::from(tokens);
+        let cpu = (entry.thread_cpu("traffic") - cpu) * 1e6 / count;
+        let rate = count / start.elapsed().as_secs_f64();
+        println!("| {LONG_STREAMS} | {tokens} | {rate:.0} | {cpu:.1} |");
+    }
+    Ok(())
+}
+
 async fn send_until(
     client: Client,
     address: SocketAddr,
--- a/bench/src/processes.rs
+++ b/bench/src/processes.rs
@@ -6,6 +6,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -19,6 +20,10 @@
 const START_POLL: Duration = Duration::from_millis(50);
 /// Bound on one call of a process.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// First port that is given to a process.
+const FIRST_PORT: u16 = 12_000;
+/// Port after the last that is given to a process.
+const LAST_PORT: u16 = 32_000;
 /// Clock ticks a second in `/proc`, fixed on Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
 /// Bytes of a memory page in `/proc`.
@@ -333,8 +338,21 @@
     Ok(Process(child))
 }
 
+/// Returns a loopback address that is free. Its port is below those that the kernel gives to
+/// outgoing connections, so that no connection takes it before the process listens.
 fn free_address() -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        ensure!(
+            (FIRST_PORT..LAST_PORT).contains(&port),
+            "no free port is left"
+        );
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
 }
 
 /// Repeats a check until it holds.
--- a/src/batch.rs
+++ b/src/batch.rs
@@ -266,6 +266,7 @@
         let mut candidates: Vec<_> = view.peers.keys().cloned().collect();
         candidates.push(self.me.holder.clone());
         self.jobs.set_candidates(candidates);
+        self.jobs.set_sheet(view.sheet.clone());
         let owned = view
             .workers
             .iter()
--- a/src/batch_http.rs
+++ b/src/batch_http.rs
@@ -111,7 +111,7 @@
 }
 
 async fn submit(ctx: &Arc<Context>, conn: &mut Conn) -> Result<Answer, RequestError> {
-    let offer = offer(conn)?;
+    let offer = offer(ctx, conn)?;
     check_model(ctx, &offer)?;
     let Some(_permit) = ctx.batch.permit() else {
         let message = "too many jobs are being submitted";
@@ -165,7 +165,7 @@
     }
 }
 
-fn offer(conn: &Conn) -> Result<Offer, RequestError> {
+fn offer(ctx: &Context, conn: &Conn) -> Result<Offer, RequestError> {
     let team = conn.request_headers().get_str(TEAM_HEADER);
     let mut offer = Offer {
         job: "".into(),
@@ -184,8 +184,10 @@
     }
     offer.job = name("name", &offer.job)?;
     offer.model = name("model", &offer.model)?;
-    let missing = "parameter 'deadline' is missing; give a time as RFC 3339 or unix seconds";
-    offer.deadline = deadline.ok_or_else(|| invalid(missing))?;
+    let view = ctx.view.load();
+    let planned = view.sheet.jobs.get(&offer.job).map(|j| j.deadline);
+    let missing = "parameter 'deadline' is missing and the sheet has none for the job; give a time as RFC 3339 or unix seconds";
+    offer.deadline = deadline.or(planned).ok_or_else(|| invalid(missing))?;
     Ok(offer)
 }
 
--- a/src/batch_items.rs
+++ b/src/batch_items.rs
@@ -38,7 +38,11 @@
             return;
         }
         let mut order: Vec<GroupKey> = self.held.keys().cloned().collect();
-        order.sort_by_cached_key(|k| (self.held[k].job.deadline, k.job.clone(), k.index));
+        order.sort_by_cached_key(|k| {
+            let submitted = self.held[k].job.deadline;
+            let deadline = self.view.sheet.deadline(&k.job, submitted);
+            (deadline, k.job.clone(), k.index)
+        });
         let mut workers: Vec<WorkerInfo> = self.owned.clone();
         workers.retain(|w| self.usable(w, now));
         while !workers.is_empty() {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -11,6 +11,7 @@
     platform::Object,
     progress::Progress,
     schedule::Pending,
+    sheet::Sheet,
 };
 
 /// A job and what is known of its groups.
@@ -53,6 +54,7 @@
 pub struct Jobs {
     me: InstanceId,
     candidates: Vec<InstanceId>,
+    sheet: Arc<Sheet>,
     entries: Map<JobId, JobEntry>,
 }
 
@@ -62,6 +64,7 @@
         Self {
             candidates: vec![me.clone()],
             me,
+            sheet: Arc::default(),
             entries: Map::default(),
         }
     }
@@ -71,6 +74,11 @@
         self.entries.get(job)
     }
 
+    /// Sets the sheet in force, whose deadlines replace those of submissions.
+    pub fn set_sheet(&mut self, sheet: Arc<Sheet>) {
+        self.sheet = sheet;
+    }
+
     /// Sets the live entry instances, this one included. The order of groups depends on them.
     pub fn set_candidates(&mut self, mut candidates: Vec<InstanceId>) {
         candidates.sort();
@@ -124,7 +132,7 @@
     ) -> Vec<Pending> {
         let entries = self.entries.iter();
         let usable = entries.filter(|(_, e)| wanted(&e.record.model) && e.claimable(now));
-        usable.map(|(job, e)| pending(job, e, today)).collect()
+        usable.map(|(job, e)| self.pending(job, e, today)).collect()
     }
 
     /// Returns all jobs with unfinished groups whose progress object was read.
@@ -133,7 +141,7 @@
             .entries
             .iter()
             .filter(|(_, e)| e.open() && e.loaded.is_some());
-        open.map(|(job, e)| pending(job, e, today)).collect()
+        open.map(|(job, e)| self.pending(job, e, today)).collect()
     }
 
     /// Takes the next group of a job to try: those that this instance ranks first for come first.
@@ -200,6 +208,17 @@
         }
     }
 
+    fn pending(&self, job: &JobId, entry: &JobEntry, today: Duration) -> Pending {
+        let record = &entry.record;
+        let deadline = self.sheet.deadline(job, record.deadline);
+        Pending {
+            job: job.clone(),
+            team: record.team.clone(),
+            left: Duration::from_secs(deadline).saturating_sub(today),
+            items: record.items.saturating_sub(entry.finished.counts().total()),
+        }
+    }
+
     /// Returns the job whose progress object was read longest ago.
     pub fn stalest(&self) -> Option<JobId> {
         let open = self.entries.iter().filter(|(_, e)| e.open());
@@ -215,16 +234,6 @@
     }
 }
 
-fn pending(job: &JobId, entry: &JobEntry, today: Duration) -> Pending {
-    let record = &entry.record;
-    Pending {
-        job: job.clone(),
-        team: record.team.clone(),
-        left: Duration::from_secs(record.deadline).saturating_sub(today),
-        items: record.items.saturating_sub(entry.finished.counts().total()),
-    }
-}
-
 /// Orders the unfinished groups by this instance's rank for each, so that instances start on
 /// disjoint groups.
 fn order(
--- a/src/results.rs
+++ b/src/results.rs
@@ -120,7 +120,7 @@
         name: name.clone(),
         team: record.team.clone(),
         model: record.model.clone(),
-        deadline: record.deadline,
+        deadline: ctx.view.load().sheet.deadline(name, record.deadline),
         state,
         items: record.items,
         counts: None,
--- a/src/sheet.rs
+++ b/src/sheet.rs
@@ -175,6 +175,12 @@
 }
 
 impl Sheet {
+    /// Returns the deadline of a job, in seconds since 1970-01-01 UTC: the sheet's, or else the one
+    /// that it was submitted with.
+    pub fn deadline(&self, job: &str, submitted: u64) -> u64 {
+        self.jobs.get(job).map_or(submitted, |j| j.deadline)
+    }
+
     /// Parses and checks the text of a sheet.
     ///
     /// # Errors
--- /dev/null
+++ b/tests/batch_deadlines.rs
@@ -0,0 +1,50 @@
+//! Deadlines of jobs, from their submission and from the sheet.
+
+use std::{sync::Arc, time::Duration};
+
+use gentianpath::{
+    job_record::{JobRecord, JobState},
+    jobs::Jobs,
+    platform::Object,
+    sheet::Sheet,
+};
+
+fn object(name: &str, deadline: u64) -> Object {
+    let record = JobRecord {
+        team: "t".into(),
+        model: "m".into(),
+        deadline,
+        items: 10,
+        groups: 1,
+        never: 0,
+        digest: "d".into(),
+        token: Default::default(),
+        state: JobState::Ready,
+    };
+    Object {
+        name: name.into(),
+        version: 1,
+        value: serde_json::to_value(record).unwrap(),
+    }
+}
+
+/// Guards against a sheet whose deadlines change nothing for jobs that were submitted before.
+#[test]
+fn a_deadline_of_the_sheet_replaces_that_of_the_submission() {
+    let mut jobs = Jobs::new("me".into());
+    jobs.learn(&object("early", 100));
+    jobs.learn(&object("late", 200));
+    let sheet = r#"{
+        "deployment": "test", "throughput_weight": 0.5,
+        "models": [{"name": "m", "version": "1", "slots": 4}],
+        "jobs": [{"name": "late", "model": "m", "deadline": 50}]
+    }"#;
+    jobs.set_sheet(Arc::new(Sheet::parse(sheet).unwrap()));
+    let mut pending = jobs.claimable(Duration::ZERO, Duration::from_secs(10), |_| true);
+    pending.sort_by_key(|p| p.left);
+    let left: Vec<_> = pending
+        .iter()
+        .map(|p| (&*p.job, p.left.as_secs()))
+        .collect();
+    assert_eq!(left, [("late", 40), ("early", 90)]);
+}
