--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod policy;
 mod processes;
 pub mod run;
+pub mod sheet_cost;
 pub mod table;
 pub mod trace;
 
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::PathBuf};
 
 use anyhow::Context;
-use bench::{capacity, decisions, overhead, table, trace::Kind};
+use bench::{capacity, decisions, overhead, sheet_cost, table, trace::Kind};
 use clap::{Parser, Subcommand};
 
 /// Measures the decisions of gentianpath.
@@ -32,6 +32,8 @@
     Overhead,
     /// Measure the slopes of docs/CAPACITY.md, over processes.
     Capacity,
+    /// Measure the cost of a sheet change against the length of the sheet.
+    Sheet,
     /// Measure the cost of decisions at 10 to 12,000 workers.
     Decisions {
         /// Seed of the load.
@@ -53,6 +55,7 @@
         }
         Command::Overhead => overhead::run()?,
         Command::Capacity => capacity::run()?,
+        Command::Sheet => sheet_cost::run()?,
         Command::Decisions { seed } => decisions::print(seed),
     }
     Ok(())
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -1,22 +1,21 @@
 //! State of control: what the instance knows, and what it publishes from it.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use crate::{
     context::Context,
     event,
-    ids::{InstanceId, Map, SessionId, Set, Version, WorkerId, Zone},
+    ids::{InstanceId, Map, SessionId, Set, WorkerId, Zone},
     members::{self, Identity, Members},
-    metrics, ownership,
+    ownership,
     peer::{Digest, WorkerLoad},
     peer_levels::{Notice, PeerRuns},
     placement::{self, Place, Placement},
     platform::{ListState, ListedTarget, Object, TargetKind},
     sheet::Sheet,
-    sheet_log::{self, SNAPSHOT_INTERVAL, SheetLog, Snapshot},
+    sheet_log::SheetLog,
     spread::{Delta, KindView, Watched},
     status::PeerCounts,
-    store::SavedSheet,
     view::{ServiceTarget, View, WorkerInfo},
     workers::Load,
 };
@@ -66,7 +65,7 @@
     pub contact: Option<Duration>,
     /// Random choices.
     pub rng: fastrand::Rng,
-    views: Map<Watched, KindView>,
+    pub(crate) views: Map<Watched, KindView>,
     live: Map<Zone, Vec<InstanceId>>,
     peer_runs: PeerRuns,
     owners: Map<WorkerId, InstanceId>,
@@ -125,26 +124,6 @@
         }
     }
 
-    /// Takes over a sheet from the data folder.
-    pub fn restore(&mut self, saved: SavedSheet, now: Duration) {
-        let delta = Delta {
-            since: 0,
-            version: saved.version,
-            full: false,
-            changes: vec![snapshot_object(&saved.snapshot, saved.version).into()],
-        };
-        event!(Info, SheetRestored, "revision={}", saved.snapshot.revision);
-        self.merge(Watched::Sheet, delta, now);
-    }
-
-    /// Returns the sheet to save.
-    pub fn saved(&self) -> SavedSheet {
-        SavedSheet {
-            version: self.view(Watched::Sheet).latest(),
-            snapshot: self.log.head().clone(),
-        }
-    }
-
     fn follow(&mut self, kind: Watched, now: Duration) {
         self.dirty = true;
         match kind {
@@ -161,56 +140,6 @@
         }
     }
 
-    fn follow_sheet(&mut self) {
-        let view = &self.views[&Watched::Sheet];
-        let mut names: Vec<&Arc<str>> = view.objects().keys().collect();
-        // Snapshots come last in this order and are applied first.
-        names.sort_by(|a, b| b.cmp(a));
-        let (snapshots, entries): (Vec<_>, Vec<_>) = names
-            .into_iter()
-            .partition(|n| sheet_log::revision_of(n).is_none());
-        for name in snapshots.into_iter().chain(entries.into_iter().rev()) {
-            let head = self.log.head().revision;
-            if sheet_log::revision_of(name).is_none_or(|r| r > head) {
-                self.log.offer_object(name, &view.objects()[name].value);
-            }
-        }
-        let before = self.log.fault().cloned();
-        if self.log.settle() {
-            let revision = self.log.in_force().revision;
-            event!(Info, SheetInForce, "revision={revision}");
-            metrics::sheet_revision(revision);
-        } else if let Some(fault) = self.log.fault().filter(|f| Some(*f) != before.as_ref()) {
-            event!(
-                Warn,
-                SheetInvalid,
-                "revision={} {fault}",
-                self.log.head().revision
-            );
-        }
-        self.compact();
-    }
-
-    /// Replaces old entries of the sheet log by a snapshot, so that the view stays bounded.
-    fn compact(&mut self) {
-        let Some(view) = self.views.get_mut(&Watched::Sheet) else {
-            return;
-        };
-        let Some(snapshot) = self.log.checkpoint() else {
-            return;
-        };
-        let long = view.objects().len() as u64 > 2 * SNAPSHOT_INTERVAL;
-        let last = view
-            .objects()
-            .get(&*sheet_log::entry_name(snapshot.revision));
-        let (true, Some(version)) = (long, last.map(|o| o.version)) else {
-            return;
-        };
-        let covered =
-            |name: &str| sheet_log::revision_of(name).is_none_or(|r| r <= snapshot.revision);
-        view.compact(covered, snapshot_object(snapshot, version));
-    }
-
     /// Takes over a digest of another instance.
     pub fn take_digest(&mut self, ctx: &Context, digest: Digest, now: Duration) {
         self.contact = Some(now);
@@ -482,14 +411,6 @@
     model.map_or(load.slots, |m| m.slots.min(load.slots))
 }
 
-fn snapshot_object(snapshot: &Snapshot, version: Version) -> Object {
-    Object {
-        name: sheet_log::snapshot_name(snapshot.revision).into(),
-        version,
-        value: serde_json::to_value(snapshot).unwrap_or_default(),
-    }
-}
-
 fn is_engine(target: &ListedTarget) -> bool {
     target.kind == TargetKind::Engine
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod sheet;
 pub mod sheet_log;
 pub mod sheet_push;
+pub mod sheet_state;
 pub mod spread;
 pub mod status;
 pub mod store;
--- /dev/null
+++ b/src/sheet_state.rs
@@ -0,0 +1,95 @@
+//! How control follows the sheet log, and keeps it short.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    control_state::State,
+    event,
+    ids::Version,
+    metrics,
+    platform::Object,
+    sheet_log::{self, SNAPSHOT_INTERVAL, Snapshot},
+    spread::{Delta, Watched},
+    store::SavedSheet,
+};
+
+impl State {
+    /// Takes over a sheet from the data folder.
+    pub fn restore(&mut self, saved: SavedSheet, now: Duration) {
+        let delta = Delta {
+            since: 0,
+            version: saved.version,
+            full: false,
+            changes: vec![snapshot_object(&saved.snapshot, saved.version).into()],
+        };
+        event!(Info, SheetRestored, "revision={}", saved.snapshot.revision);
+        self.merge(Watched::Sheet, delta, now);
+    }
+
+    /// Returns the sheet to save.
+    pub fn saved(&self) -> SavedSheet {
+        SavedSheet {
+            version: self.view(Watched::Sheet).latest(),
+            snapshot: self.log.head().clone(),
+        }
+    }
+
+    /// Takes over what the view of the sheet log holds.
+    pub(crate) fn follow_sheet(&mut self) {
+        let view = &self.views[&Watched::Sheet];
+        let mut names: Vec<&Arc<str>> = view.objects().keys().collect();
+        // Snapshots come last in this order and are applied first.
+        names.sort_by(|a, b| b.cmp(a));
+        let (snapshots, entries): (Vec<_>, Vec<_>) = names
+            .into_iter()
+            .partition(|n| sheet_log::revision_of(n).is_none());
+        for name in snapshots.into_iter().chain(entries.into_iter().rev()) {
+            let head = self.log.head().revision;
+            if sheet_log::revision_of(name).is_none_or(|r| r > head) {
+                self.log.offer_object(name, &view.objects()[name].value);
+            }
+        }
+        let before = self.log.fault().cloned();
+        if self.log.settle() {
+            let revision = self.log.in_force().revision;
+            event!(Info, SheetInForce, "revision={revision}");
+            metrics::sheet_revision(revision);
+        } else if let Some(fault) = self.log.fault().filter(|f| Some(*f) != before.as_ref()) {
+            event!(
+                Warn,
+                SheetInvalid,
+                "revision={} {fault}",
+                self.log.head().revision
+            );
+        }
+        self.compact();
+    }
+
+    /// Replaces old entries of the sheet log by a snapshot, so that the view stays bounded.
+    fn compact(&mut self) {
+        let Some(view) = self.views.get_mut(&Watched::Sheet) else {
+            return;
+        };
+        let Some(snapshot) = self.log.checkpoint() else {
+            return;
+        };
+        let long = view.objects().len() as u64 > 2 * SNAPSHOT_INTERVAL;
+        let last = view
+            .objects()
+            .get(&*sheet_log::entry_name(snapshot.revision));
+        let (true, Some(version)) = (long, last.map(|o| o.version)) else {
+            return;
+        };
+        let covered =
+            |name: &str| sheet_log::revision_of(name).is_none_or(|r| r <= snapshot.revision);
+        view.compact(covered, snapshot_object(snapshot, version));
+    }
+}
+
+fn snapshot_object(snapshot: &Snapshot, version: Version) -> Object {
+    Object {
+        name: sheet_log::snapshot_name(snapshot.revision).into(),
+        version,
+        value: serde_json::to_value(snapshot).unwrap_or_default(),
+    }
+}
