Send heartbeats that are passed on in half the bytes

Cause: one zone of the target, 46 instances with one worker each, spent 7,821 bytes a second on peers for each instance, sent and received, against 7 KB/s. Change: the hash of a run has 32 bits, so that a heartbeat takes 8 bytes on the wire instead of 16.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -20,7 +20,7 @@
 }
 
 struct Heard {
-  run @0 :UInt64;
+  run @0 :UInt32;
   # Hash of an instance and its session.
   ageMs @1 :UInt32;
   # Time since its last heartbeat.
--- a/src/members.rs
+++ b/src/members.rs
@@ -20,6 +20,10 @@
 /// Prefix of targets in the versioned instance list.
 const TARGET_PREFIX: &str = "target.";
 
+/// Hash of an instance and its run. With 32 bits a heartbeat takes 8 bytes instead of 16, and two of
+/// 370 runs collide once in 60,000 fleets.
+pub type RunHash = u32;
+
 /// Who an instance is, as it says itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Identity {
@@ -39,7 +43,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Heard {
     /// Hash of instance and session.
-    pub run: u64,
+    pub run: RunHash,
     /// Time since the heartbeat.
     pub age: Duration,
 }
@@ -63,12 +67,12 @@
     targets: Map<TargetId, ListedTarget>,
     /// Runs that were once leaving. A lagging list may show them as live again. At about a
     /// thousand restarts a day the set stays small.
-    left: Set<u64>,
+    left: Set<RunHash>,
 }
 
 /// Returns the hash of an instance and its run.
-pub fn run_hash(id: &str, session: SessionId) -> u64 {
-    ownership::score(id, &session.to_string())
+pub fn run_hash(id: &str, session: SessionId) -> RunHash {
+    ownership::score(id, &session.to_string()) as RunHash
 }
 
 /// Returns the changes that lead from the known objects to a list that was just read.
@@ -248,7 +252,7 @@
     /// Takes over heartbeats that another instance passed on. They count for instances that are
     /// on the list or were heard here before.
     pub fn set_relayed(&mut self, heard: &[Heard], now: Duration) {
-        let ages: Map<u64, Duration> = heard.iter().map(|h| (h.run, h.age)).collect();
+        let ages: Map<RunHash, Duration> = heard.iter().map(|h| (h.run, h.age)).collect();
         for member in self.entries.values_mut() {
             let Some(age) = ages.get(&member.run()) else {
                 continue;
@@ -329,7 +333,7 @@
 
 impl Member {
     /// Returns the hash of instance and session.
-    pub fn run(&self) -> u64 {
+    pub fn run(&self) -> RunHash {
         run_hash(&self.identity.id, self.identity.session)
     }
 
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -664,12 +664,12 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_run(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
+        pub fn get_run(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
         }
         #[inline]
         pub fn get_age_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+            self.reader.get_data_field::<u32>(1)
         }
     }
 
@@ -679,7 +679,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 1,
                 pointers: 0,
             };
     }
@@ -763,20 +763,20 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_run(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
+        pub fn get_run(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
         }
         #[inline]
-        pub fn set_run(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
+        pub fn set_run(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(0, value);
         }
         #[inline]
         pub fn get_age_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+            self.builder.get_data_field::<u32>(1)
         }
         #[inline]
         pub fn set_age_ms(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(2, value);
+            self.builder.set_data_field::<u32>(1, value);
         }
     }
 
@@ -795,7 +795,7 @@
         pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(186, 161, 234, 213, 66, 177, 92, 241),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(97, 74, 62, 93, 169, 240, 193, 183),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -817,7 +817,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
@@ -825,11 +825,11 @@
             ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
@@ -843,7 +843,7 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
