--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -23,7 +23,7 @@
 /// Watchers of the platform in each zone.
 const WATCHERS: usize = 2;
 /// Loads in a digest at most, so that digests stay small at 32 workers for each instance.
-const LOADS_SENT: usize = 4;
+const LOADS_SENT: usize = 2;
 /// Age up to which a load report counts as fresh.
 pub const LOAD_FRESH: Duration = Duration::from_secs(10);
 
