Say per requirement which test fails when it is broken

Cause: the design page claimed a test under faults for each requirement without naming them, and held no figures.

--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -43,6 +43,22 @@
     }
 }
 
+/// Guards against a requirement whose tests in the design page do not exist.
+#[test]
+fn design_page_names_only_tests_that_exist() {
+    let page = include_str!("../docs/design.md");
+    let proof = page.split("## 9. Proof").nth(1).unwrap();
+    let rows = proof.split("## 10.").next().unwrap().lines();
+    let tests = read_sources(Path::new("tests"));
+    for name in rows.filter(|l| l.starts_with('|')).flat_map(code_spans) {
+        assert!(tests.contains(&format!("fn {name}(")), "no test {name}");
+    }
+}
+
+fn code_spans(line: &str) -> impl Iterator<Item = &str> {
+    line.split('`').skip(1).step_by(2)
+}
+
 /// Guards against a setting that docs/settings.md does not describe.
 #[test]
 fn each_setting_is_described() {
