--- a/tests/online_verdict.rs
+++ b/tests/online_verdict.rs
@@ -228,6 +228,15 @@
     }
 }
 
+/// Fills all slots of a worker with long streams.
+fn occupy(entry: &Entry, worker: &Target) -> Vec<std::net::TcpStream> {
+    let body = chat("busy", 10_000, true);
+    let start = |_| send(entry.address, "POST", CHAT, &[], &body);
+    let busy = (0..SLOTS).map(start).collect();
+    wait_until(|| worker.runs().len() == SLOTS as usize);
+    busy
+}
+
 /// Guards against queues without bound in the engine: with all slots taken a request waits within
 /// its bound, is refused as not-run, and the engine never sees it.
 #[test]
@@ -236,18 +245,7 @@
     let worker = worker("a", &["--token-ms", "50"]);
     let settings = json!({ "limits": { "queued": 1 }, "timeouts": { "queue_wait_ms": 100 } });
     let entry = entry(platform.host.address, vec![worker.info()], settings);
-    let busy: Vec<_> = (0..SLOTS)
-        .map(|_| {
-            send(
-                entry.address,
-                "POST",
-                CHAT,
-                &[],
-                &chat("busy", 10_000, true),
-            )
-        })
-        .collect();
-    wait_until(|| worker.runs().len() == SLOTS as usize);
+    let busy = occupy(&entry, &worker);
     let answer = ask(&entry, &[], "late", false);
     assert_eq!((answer.status, answer.verdict()), (429, "not-run"));
     assert!(answer.header("retry-after").is_some());
@@ -263,18 +261,7 @@
     let worker = worker("a", &["--token-ms", "20"]);
     let settings = json!({ "timeouts": { "queue_wait_ms": 60_000 } });
     let entry = entry(platform.host.address, vec![worker.info()], settings);
-    let busy: Vec<_> = (0..SLOTS)
-        .map(|_| {
-            send(
-                entry.address,
-                "POST",
-                CHAT,
-                &[],
-                &chat("busy", 10_000, true),
-            )
-        })
-        .collect();
-    wait_until(|| worker.runs().len() == SLOTS as usize);
+    let busy = occupy(&entry, &worker);
     let mut waiting = send(
         entry.address,
         "POST",
