Read the cache events of owned workers

Cause: prefix affinity knew only what this instance had routed; nothing read the engines' cache events, so evictions and prompts of other instances were missed. Change: an owner reads the events of its workers every 2 s and forgets a worker's cache when it does not answer. Blocks of the engine's size hash to the same values, because each hash covers the prompt up to the end of its block. Measured: the new test passes; without forgetting it fails at 'the owner forgets the lost engine'. One read each 2 s adds a quarter to the load reads of a worker; processor time was not measured again.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -8,6 +8,7 @@
 use trillium_client::{Client, Conn, EventStream, SseErrorKind};
 
 use crate::{
+    affinity::{CacheChange, CacheEvent},
     dial,
     ids::{Fence, RequestId},
     settings::Timeouts,
@@ -97,6 +98,38 @@
     Failed,
 }
 
+/// Cache events as an engine lists them.
+#[derive(Debug, Deserialize)]
+struct ListedEvents {
+    events: Vec<ListedEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ListedEvent {
+    seq: u64,
+    kind: EventKind,
+    blocks: Vec<u64>,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum EventKind {
+    Stored,
+    Evicted,
+}
+
+impl From<ListedEvent> for CacheEvent {
+    fn from(listed: ListedEvent) -> Self {
+        Self {
+            number: listed.seq,
+            change: match listed.kind {
+                EventKind::Stored => CacheChange::Stored(listed.blocks),
+                EventKind::Evicted => CacheChange::Removed(listed.blocks),
+            },
+        }
+    }
+}
+
 /// One step of an engine stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Piece {
@@ -197,6 +230,17 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Reads the cache events after a number; nothing when the engine does not answer.
+    pub async fn events(&self, address: SocketAddr, since: u64) -> Option<Vec<CacheEvent>> {
+        let url = format!("http://{address}/events?since={since}");
+        let (status, body) = self.answer(self.client.get(url)).await?;
+        if status != 200 {
+            return None;
+        }
+        let listed: ListedEvents = serde_json::from_slice(&body).ok()?;
+        Some(listed.events.into_iter().map(CacheEvent::from).collect())
+    }
+
     /// Gives an order.
     ///
     /// # Errors
--- a/src/reconcile.rs
+++ b/src/reconcile.rs
@@ -1,6 +1,6 @@
 //! Reads load reports of workers, records placements and gives orders for owned workers.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, rc::Rc, sync::PoisonError, time::Duration};
 
 use serde::Deserialize;
 
@@ -22,6 +22,8 @@
 /// Reads of workers that this instance does not own, in one interval. Owners tell the loads of
 /// their workers, so reads are left for workers of which no fresh load is known.
 const STALE_READS: usize = 8;
+/// Interval at which the cache events of an owned worker are read; they come late anyway.
+const EVENTS_INTERVAL: Duration = Duration::from_secs(2);
 /// Steps for one worker after one load report at most.
 const STEP_LIMIT: usize = 4;
 /// Tries to take or free a slot of the weight store.
@@ -45,6 +47,10 @@
     has_slot: bool,
     backoff: Backoff,
     not_before: Duration,
+    /// Number of the last cache event.
+    event: u64,
+    /// When cache events are read next.
+    events_at: Duration,
 }
 
 impl Default for OwnedWorker {
@@ -54,6 +60,8 @@
             has_slot: false,
             backoff: Backoff::new(SLOT_BASE, SLOT_CAP),
             not_before: Duration::ZERO,
+            event: 0,
+            events_at: Duration::ZERO,
         }
     }
 }
@@ -123,10 +131,48 @@
         if acts {
             reconcile(&control, &workers, &target, &report).await;
         }
+        if control.state().owns(&target.id) {
+            read_events(&control, &workers, &target).await;
+        }
+    } else {
+        forget_cache(&control, &workers, &target.id);
     }
     workers.borrow_mut().reading.remove(&target.id);
 }
 
+/// Reads the cache events of an owned worker, when it is time.
+async fn read_events(control: &Control, workers: &SharedWorkers, target: &ListedTarget) {
+    let now = control.now();
+    let since = {
+        let mut workers = workers.borrow_mut();
+        let owned = workers.owned(&target.id);
+        if now < owned.events_at {
+            return;
+        }
+        owned.events_at = now + EVENTS_INTERVAL;
+        owned.event
+    };
+    let events = control.ctx.engine.events(target.address, since).await;
+    let affinity = control.ctx.workers.affinity();
+    let mut affinity = affinity.lock().unwrap_or_else(PoisonError::into_inner);
+    for event in events.into_iter().flatten() {
+        affinity.event(&target.id, &event, now);
+        workers.borrow_mut().owned(&target.id).event = event.number;
+    }
+}
+
+/// Forgets the cache of a worker that does not answer: it may come back empty, with events from 1.
+fn forget_cache(control: &Control, workers: &SharedWorkers, worker: &WorkerId) {
+    if let Some(owned) = workers.borrow_mut().workers.get_mut(worker) {
+        owned.event = 0;
+    }
+    let affinity = control.ctx.workers.affinity();
+    affinity
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .clear(worker);
+}
+
 fn take_report(control: &Control, worker: &WorkerId, report: &LoadReport) {
     let known = control.ctx.workers.cell(worker).known();
     let mut state = control.state();
--- a/tests/control_orders.rs
+++ b/tests/control_orders.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use control_support::{Instance, Process, http, sheet, wait};
-use gentianpath::context::Command;
+use gentianpath::{affinity, context::Command};
 use serde_json::{Value, json};
 
 const ZONE: &str = "tas-south-a";
@@ -125,3 +125,28 @@
     drop(again);
     wait("the level of a lost instance is forgotten", || level() == 0);
 }
+
+/// Guards against an owner that does not learn which prompts its workers hold in their caches, or
+/// still counts on them after the engine was lost.
+#[test]
+fn the_owner_learns_and_forgets_the_cached_prompts_of_its_workers() {
+    let platform = Process::platform();
+    let engine = engine(&platform, "w1", &["--model", MODEL]);
+    let instance = Instance::simple(platform.address, "a", ZONE);
+    let prompt = "a prompt of many blocks ".repeat(100);
+    let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": 1 });
+    let path = "/v1/chat/completions";
+    wait("the engine answers", || {
+        http("POST", engine.address, path, &body.to_string()).0 == 200
+    });
+    let blocks = affinity::blocks(&prompt);
+    let worker: gentianpath::ids::WorkerId = "w1".into();
+    let depth = || {
+        let known = instance.ctx.workers.affinity();
+        known.lock().unwrap().depth(&blocks, &worker)
+    };
+    assert_eq!(blocks.len(), 9);
+    wait("the owner knows all blocks", || depth() == blocks.len());
+    drop(engine);
+    wait("the owner forgets the lost engine", || depth() == 0);
+}
