--- a/tests/process_batch.rs
+++ b/tests/process_batch.rs
@@ -176,3 +176,27 @@
     let runs = ledger_runs(fleet);
     runs.iter().filter(|r| r["state"] == "running").count()
 }
+
+/// Guards against a cancel that is acknowledged while the object service cannot keep it, and
+/// against one that cannot be repeated afterwards.
+#[test]
+fn a_cancel_during_an_outage_is_refused_and_works_when_repeated() {
+    let fleet = fleet(1, 2, "10");
+    let items = items(400, false);
+    let answer = fleet.entries[0].submit("j", DEADLINE, &items).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let cancel = || {
+        let address = fleet.entries[1].callers;
+        support::http::call(address, "POST", "/v1/batches/j/cancel", &[], "").unwrap()
+    };
+    fleet
+        .platform
+        .set_faults(&json!({ "gate": { "outage": "refuse" } }));
+    let refused = cancel();
+    assert_eq!(refused.status, 503, "{}", refused.text());
+    assert_eq!(refused.header("gentianpath-verdict"), Some("not-run"));
+    fleet.platform.set_faults(&json!({}));
+    until("the cancel is accepted", || cancel().status == 200);
+    until("no worker runs an item", || running(&fleet) == 0);
+    assert_eq!(state(&fleet.entries[0], "j").as_deref(), Some("cancelled"));
+}
