Bound the bodies that are being read by a common budget

Cause: a flood of bodies that are never whole was bounded only by connections times body size, 4 GB with the defaults. Change: bodies of online requests that are being read share limits.reading_bytes; beyond it a request is refused as not-run.

--- a/src/context.rs
+++ b/src/context.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     batch_state::BatchState,
+    budget::Budget,
     drain::Drain,
     engine::Engine,
     ids::{InstanceId, SessionId, WorkerId},
@@ -54,6 +55,8 @@
     pub engine: Engine,
     /// What the batch driver and the callers' HTTP share.
     pub batch: BatchState,
+    /// Bodies of online calls that are being read.
+    pub bodies: Budget,
     /// Phase of a planned stop.
     pub drain: Drain,
     /// Latest status for operators, published by control.
@@ -70,6 +73,7 @@
         let platform = Platform::new(settings.platform, timeouts.connect, timeouts.platform)
             .with_party(&settings.instance);
         let context = Self {
+            bodies: Budget::new(settings.limits.reading),
             settings,
             session,
             view: SharedView::default(),
--- a/src/http.rs
+++ b/src/http.rs
@@ -7,6 +7,7 @@
 use trillium::{Conn, Handler, KnownHeaderName, Method, RequestBody};
 
 use crate::{
+    budget::Taken,
     chat,
     context::Context,
     drain::{Drain, OwnedGuard, Phase},
@@ -18,7 +19,7 @@
     plain::{PlainCall, Services, own_headers},
     refusal,
     reply::{self, JSON, Reply, Terms},
-    settings::{Settings, is_name},
+    settings::is_name,
     verdict::{Reason, RequestError},
 };
 
@@ -76,7 +77,7 @@
     conn.insert_state(OwnedGuard::begin(Counted(ctx.clone())));
     // The body is read before anything is refused: a connection that closes with unread bytes is
     // reset, and the caller would lose the refusal.
-    let body = read_body(&mut conn, &ctx.settings).await;
+    let body = read_body(&mut conn, &ctx).await;
     let body = match body {
         Ok(body) => body,
         Err(error) => return refuse(close(conn), &error),
@@ -148,19 +149,25 @@
 }
 
 /// Reads the body within the limits of size and time.
-async fn read_body(conn: &mut Conn, settings: &Settings) -> Result<Vec<u8>, RequestError> {
+async fn read_body(conn: &mut Conn, ctx: &Context) -> Result<Vec<u8>, RequestError> {
+    let settings = &ctx.settings;
     let limit = settings.limits.body;
     let read = async {
         let body = conn.request_body().with_max_len(u64::MAX);
-        read_limited(body, limit).await
+        read_limited(body, limit, ctx.bodies.begin()).await
     };
     smol::future::or(read, too_slow(settings.timeouts.request_read)).await
 }
 
-async fn read_limited(mut body: RequestBody<'_>, limit: usize) -> Result<Vec<u8>, RequestError> {
+async fn read_limited(
+    mut body: RequestBody<'_>,
+    limit: usize,
+    mut taken: Taken<'_>,
+) -> Result<Vec<u8>, RequestError> {
     let mut bytes = Vec::new();
     let mut buffer = vec![0; READ_BYTES];
     let mut over = body.content_length().is_some_and(|l| l > limit as u64);
+    let mut full = false;
     let mut dropped = 0;
     while dropped < DROPPED_BYTES {
         let read = body.read(&mut buffer).await;
@@ -169,7 +176,8 @@
             break;
         }
         over |= bytes.len() + count > limit;
-        if over {
+        full |= !over && !full && !taken.take(count);
+        if over || full {
             dropped += count;
         } else {
             bytes.extend_from_slice(&buffer[..count]);
@@ -178,6 +186,11 @@
     if over {
         return Err(too_large(limit));
     }
+    if full {
+        let message = "too many request bodies are being read";
+        let error = RequestError::not_run(Reason::Overloaded, message);
+        return Err(error.with_retry_after(RETRY_AFTER));
+    }
     Ok(bytes)
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod batch_http;
 pub mod batch_items;
 pub mod batch_state;
+pub mod budget;
 pub mod caller;
 pub mod chat;
 pub mod claim;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -34,6 +34,7 @@
 #[serde(deny_unknown_fields, default)]
 struct RawLimits {
     body_bytes: usize,
+    reading_bytes: usize,
     header_bytes: usize,
     connections: usize,
     queued: usize,
@@ -45,6 +46,7 @@
     fn default() -> Self {
         Self {
             body_bytes: 1 << 20,
+            reading_bytes: 64 << 20,
             header_bytes: 16 << 10,
             connections: 4096,
             queued: 512,
@@ -136,6 +138,8 @@
 pub struct Limits {
     /// Largest request body of an online call, in bytes.
     pub body: usize,
+    /// Bodies of online calls that are being read, in bytes, all together.
+    pub reading: usize,
     /// Largest request head, in bytes.
     pub header: usize,
     /// Most caller connections at once.
@@ -236,6 +240,7 @@
     fn try_from(raw: RawLimits) -> anyhow::Result<Self> {
         Ok(Self {
             body: count("limits.body_bytes", raw.body_bytes, 1 << 10, 64 << 20)?,
+            reading: count("limits.reading_bytes", raw.reading_bytes, 1 << 10, 1 << 30)?,
             header: count("limits.header_bytes", raw.header_bytes, 1 << 10, 1 << 20)?,
             connections: count("limits.connections", raw.connections, 1, 1 << 20)?,
             queued: count("limits.queued", raw.queued, 1, 1 << 20)?,
--- a/tests/online_callers.rs
+++ b/tests/online_callers.rs
@@ -155,6 +155,23 @@
     assert!(worker.runs().is_empty());
 }
 
+/// Guards against a flood of bodies that are never whole and fill the memory.
+#[test]
+fn bodies_share_a_budget() {
+    let changes = json!({ "limits": { "reading_bytes": 65536 } });
+    let (_platform, worker, entry) = setup(&[], changes);
+    let head = format!("POST {CHAT} HTTP/1.1\r\nhost: t\r\ncontent-length: 200000\r\n\r\n");
+    let slow = raw(entry.address, &format!("{head}{}", "x".repeat(60_000)));
+    let long = chat(&"x".repeat(20_000), 1, false);
+    let ask = || post(entry.address, CHAT, &[], &long);
+    wait_until(|| ask().status == 429);
+    assert_eq!(ask().verdict(), "not-run");
+    assert!(ask().header("retry-after").is_some());
+    drop(slow);
+    wait_until(|| ask().status == 200);
+    assert!(!worker.runs().is_empty());
+}
+
 /// Guards against nonsense that reaches an engine, and against a refusal without verdict.
 #[test]
 fn malformed_requests_are_refused() {
