Write the refusal form, the stable hash and the team header once

Cause: a last read of the whole change found the form of a refusal in three handlers, FNV-1a in two modules and the team header with its default in four. Change: batch and operators' handlers answer through refusal.rs, ownership and affinity hash through fnv.rs, and the header and the default team stand in http.rs. Statuses, headers and bodies are as before; waits are whole seconds, so that the rounding of Retry-After makes no difference.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::Serialize;
-use serde_json::{Value, json};
+use serde_json::json;
 use trillium::{Conn, Handler};
 use trillium_router::Router;
 
@@ -13,11 +13,12 @@
     ids::Revision,
     metrics,
     push::{self, Refusal, Request},
+    refusal,
     sheet::{RawSheet, parse_raw},
     sheet_log,
     sheet_push::Winner,
     status::Report,
-    verdict::{Reason, RequestError, VERDICT_HEADER},
+    verdict::{Reason, RequestError},
 };
 
 /// Header of the revision that a pushed sheet follows.
@@ -186,21 +187,11 @@
 }
 
 fn fail(conn: Conn, status: u16, error: &RequestError, winner: Option<&Winner>) -> Conn {
-    let mut body = json!({
-        "message": error.message,
-        "reason": error.reason.as_str(),
-        "verdict": error.verdict.as_str(),
-    });
+    let mut body = refusal::body(error);
     if let Some(winner) = winner {
-        body["winner"] = json!({ "revision": winner.revision, "token": winner.token });
+        body["error"]["winner"] = json!({ "revision": winner.revision, "token": winner.token });
     }
-    let conn = conn.with_response_header(VERDICT_HEADER, error.verdict.as_str());
-    let conn = match error.retry_after {
-        Some(wait) => conn.with_response_header("retry-after", wait.as_secs().to_string()),
-        None => conn,
-    };
-    let body: Value = json!({ "error": body });
-    answer(conn, status, &body)
+    refusal::refuse_with(conn, status, error, &body)
 }
 
 fn answer(conn: Conn, status: u16, body: &impl Serialize) -> Conn {
--- a/src/affinity.rs
+++ b/src/affinity.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
-use crate::ids::{Map, WorkerId};
+use crate::{
+    fnv,
+    ids::{Map, WorkerId},
+};
 
 /// Bytes of prompt text in a block.
 const BLOCK_BYTES: usize = 256;
@@ -18,18 +21,16 @@
 const GENERATION_AGE: Duration = Duration::from_secs(120);
 /// Workers with a number at most; beyond that all is forgotten.
 const MAX_WORKERS: usize = 16_384;
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
 /// Hashes the blocks of a prompt; each hash covers all text up to the end of its block. The hash
 /// is FNV-1a and the same on every instance and in every release.
 pub fn blocks(prompt: &str) -> Vec<u64> {
-    let mut hash = FNV_OFFSET;
+    let mut hash = fnv::OFFSET;
     let whole = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
     whole
         .take(MAX_BLOCKS)
         .map(|block| {
-            hash = block.iter().fold(hash, |h, &b| fold(h, b));
+            hash = fnv::extend(hash, block.iter().copied());
             hash
         })
         .collect()
@@ -37,11 +38,7 @@
 
 /// Returns the FNV-1a hash of bytes, the same on every instance and in every release.
 pub fn stable_hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(FNV_OFFSET, |h, &b| fold(h, b))
-}
-
-fn fold(hash: u64, byte: u8) -> u64 {
-    (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    fnv::extend(fnv::OFFSET, bytes.iter().copied())
 }
 
 /// A change of a worker's prefix cache.
--- a/src/batch_http.rs
+++ b/src/batch_http.rs
@@ -12,21 +12,19 @@
     context::Context,
     event,
     group::{self, Groups},
+    http::{DEFAULT_TEAM, TEAM_HEADER},
     ids::{JobId, TeamId},
     job_record::JobRecord,
     platform::Object,
+    refusal,
     results::{self, JobStatus},
     settings::is_name,
     submit_run::{self, Offer},
-    verdict::{Reason, RequestError, VERDICT_HEADER},
+    verdict::{Reason, RequestError},
 };
 
 /// Path of the jobs.
 const JOBS_PATH: &str = "/v1/batches";
-/// Header that names the team of a caller.
-const TEAM_HEADER: &str = "gentianpath-team";
-/// Team of a caller that names none.
-const DEFAULT_TEAM: &str = "default";
 /// Bytes of a body that are read at once.
 const CHUNK_BYTES: usize = 64 << 10;
 /// Bound on reading a whole body, in multiples of the bound on one read.
@@ -93,21 +91,7 @@
         error.verdict,
         conn.path()
     );
-    let body = json!({"error": {
-        "message": error.message,
-        "reason": error.reason.as_str(),
-        "verdict": error.verdict.as_str(),
-    }});
-    let conn = conn
-        .with_status(error.reason.status())
-        .with_response_header(VERDICT_HEADER, error.verdict.as_str())
-        .with_response_header("content-type", "application/json")
-        .with_body(body.to_string())
-        .halt();
-    match error.retry_after {
-        Some(wait) => conn.with_response_header("retry-after", wait.as_secs().max(1).to_string()),
-        None => conn,
-    }
+    refusal::refuse(conn, error)
 }
 
 async fn submit(ctx: &Arc<Context>, conn: &mut Conn) -> Result<Answer, RequestError> {
--- /dev/null
+++ b/src/fnv.rs
@@ -0,0 +1,11 @@
+//! 64-bit FNV-1a, the same on every instance and in every release.
+
+/// Hash of no bytes.
+pub const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Continues a hash with more bytes.
+pub fn extend(hash: u64, bytes: impl IntoIterator<Item = u8>) -> u64 {
+    let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(PRIME);
+    bytes.into_iter().fold(hash, step)
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -30,7 +30,7 @@
 /// Header that identifies a resend.
 pub const KEY_HEADER: &str = "idempotency-key";
 /// Team of a caller that names none.
-const DEFAULT_TEAM: &str = "default";
+pub const DEFAULT_TEAM: &str = "default";
 /// Bytes of an oversized body that are read and dropped, so that the caller can read the refusal.
 const DROPPED_BYTES: usize = 1 << 20;
 /// Size of one read of a body.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod events;
 pub mod exchange;
 pub mod exit;
+pub mod fnv;
 pub mod forward;
 pub mod group;
 pub mod health;
--- a/src/ownership.rs
+++ b/src/ownership.rs
@@ -3,10 +3,8 @@
 
 use std::{cmp::Reverse, sync::Arc};
 
-/// Offset basis of 64-bit FNV-1a.
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-/// Prime of 64-bit FNV-1a.
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+use crate::fnv;
+
 /// Byte between key and candidate; it occurs in no UTF-8 text.
 const SEPARATOR: u8 = 0xff;
 
@@ -41,10 +39,7 @@
 /// run side by side and must agree.
 pub fn score(key: &str, candidate: &str) -> u64 {
     let bytes = key.bytes().chain([SEPARATOR]).chain(candidate.bytes());
-    let hash = bytes.fold(FNV_OFFSET, |h, b| {
-        (h ^ u64::from(b)).wrapping_mul(FNV_PRIME)
-    });
-    mix(hash)
+    mix(fnv::extend(fnv::OFFSET, bytes))
 }
 
 /// Spreads the bits of an FNV hash, whose high bits hardly depend on the last bytes.
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -1,6 +1,6 @@
 //! The form in which a refused request is answered.
 
-use serde_json::json;
+use serde_json::{Value, json};
 use trillium::{Conn, KnownHeaderName};
 
 use crate::verdict::{Reason, RequestError, VERDICT_HEADER};
@@ -8,19 +8,24 @@
 /// Answers a request with its error: status, verdict header, JSON body, and `Retry-After` where
 /// waiting helps.
 pub fn refuse(conn: Conn, error: &RequestError) -> Conn {
+    refuse_with(conn, error.reason.status(), error, &body(error))
+}
+
+/// Answers a request like [`refuse`], with a status and a JSON body of its own.
+pub fn refuse_with(conn: Conn, status: u16, error: &RequestError, body: &Value) -> Conn {
     let mut conn = conn
-        .with_status(error.reason.status())
+        .with_status(status)
         .with_response_header(VERDICT_HEADER, error.verdict.as_str())
         .with_response_header(KnownHeaderName::ContentType, "application/json");
     if let Some(wait) = error.retry_after {
         let seconds = wait.as_secs_f64().ceil().max(1.0) as u64;
         conn.insert_response_header(KnownHeaderName::RetryAfter, seconds.to_string());
     }
-    conn.with_body(body(error).to_string()).halt()
+    conn.with_body(body.to_string()).halt()
 }
 
 /// Returns the JSON body of an error.
-pub fn body(error: &RequestError) -> serde_json::Value {
+pub fn body(error: &RequestError) -> Value {
     json!({"error": {
         "message": &*error.message,
         "reason": error.reason.as_str(),
--- a/src/remote.rs
+++ b/src/remote.rs
@@ -14,14 +14,13 @@
     cli::{JobCommand, Remote},
     dial,
     exit::Exit,
+    http::TEAM_HEADER,
     ids::Revision,
     settings::is_name,
     sheet::Sheet,
     verdict::{Reason, Verdict},
 };
 
-/// Header that names the team of a caller.
-const TEAM_HEADER: &str = "gentianpath-team";
 /// Bound on opening a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(5);
 /// Bound on one call, with the upload of a large job.
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     exit::Exit,
+    http::DEFAULT_TEAM,
     replay_report::{Outcomes, Report},
     replay_run::{Job, Run, Tally},
     settings::is_name,
@@ -24,8 +25,6 @@
 const THREADS: usize = 4;
 /// Interval of the progress line on a terminal.
 const PROGRESS: Duration = Duration::from_millis(500);
-/// Team of a line that names none.
-const DEFAULT_TEAM: &str = "default";
 
 /// Kind of a line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
