--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,14 +7,16 @@
 use clap::{Parser, Subcommand};
 
 /// Measures the decisions of gentianpath.
-#[derive(Debug, Clone, Parser)]
+#[derive(Debug, Clone)]
+#[derive(Parser)]
 struct Options {
     /// What to measure.
     #[command(subcommand)]
     command: Command,
 }
 
-#[derive(Debug, Clone, Subcommand)]
+#[derive(Debug, Clone)]
+#[derive(Subcommand)]
 enum Command {
     /// Compare policies on seeded traces; the same figures for the same seed.
     Policy {
--- a/bench/src/trace.rs
+++ b/bench/src/trace.rs
@@ -32,7 +32,8 @@
 const BURST_HIGH: f64 = 5.0;
 
 /// Kind of a trace.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, ValueEnum)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(ValueEnum)]
 pub enum Kind {
     /// Requests at a constant mean rate.
     Steady,
--- a/src/admin.rs
+++ b/src/admin.rs
@@ -33,13 +33,15 @@
 const PUSH_RETRY: Duration = Duration::from_secs(2);
 
 /// Answer to a push.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Pushed {
     revision: Revision,
 }
 
 /// Answer to a read of the sheet.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Shown {
     revision: Revision,
     in_force: Revision,
@@ -47,7 +49,8 @@
 }
 
 /// Answer to a read of the status.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Shape<'a> {
     instance: &'a str,
     session: u64,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,7 +5,8 @@
 use clap::{Args, Parser, Subcommand};
 
 /// Serves online and batch inference on one fleet of model engines and plain services.
-#[derive(Debug, Clone, Parser)]
+#[derive(Debug, Clone)]
+#[derive(Parser)]
 #[command(version, about)]
 pub struct Options {
     /// What to do.
@@ -14,7 +15,8 @@
 }
 
 /// Commands of the program.
-#[derive(Debug, Clone, Subcommand)]
+#[derive(Debug, Clone)]
+#[derive(Subcommand)]
 pub enum Command {
     /// Run one entry instance.
     Serve {
@@ -61,7 +63,8 @@
 }
 
 /// The instance that a command talks to.
-#[derive(Debug, Clone, Args)]
+#[derive(Debug, Clone)]
+#[derive(Args)]
 pub struct Remote {
     /// Address of the entry instance, as IP:PORT.
     #[arg(long, value_name = "ADDRESS")]
@@ -72,7 +75,8 @@
 }
 
 /// Commands on settings files.
-#[derive(Debug, Clone, Subcommand)]
+#[derive(Debug, Clone)]
+#[derive(Subcommand)]
 pub enum SettingsCommand {
     /// Check a settings file.
     Check {
@@ -83,7 +87,8 @@
 }
 
 /// Commands on sheets.
-#[derive(Debug, Clone, Subcommand)]
+#[derive(Debug, Clone)]
+#[derive(Subcommand)]
 pub enum SheetCommand {
     /// Check a sheet file.
     Check {
@@ -112,7 +117,8 @@
 }
 
 /// Commands on batch jobs.
-#[derive(Debug, Clone, Subcommand)]
+#[derive(Debug, Clone)]
+#[derive(Subcommand)]
 pub enum JobCommand {
     /// Submit a batch job; the same name with the same items is the same job.
     Submit {
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -31,7 +31,8 @@
 }
 
 /// Load report of an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct LoadReport {
     /// Streams that run.
     pub running: u32,
@@ -57,7 +58,8 @@
 }
 
 /// An order to an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Order {
     /// Fencing number: the version of the placement record that the order follows from.
     pub fence: Fence,
@@ -78,7 +80,8 @@
 }
 
 /// What an order asks an engine to do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Action {
     /// Load a model or adapter.
@@ -99,19 +102,22 @@
 }
 
 /// Cache events as an engine lists them.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ListedEvents {
     events: Vec<ListedEvent>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct ListedEvent {
     seq: u64,
     kind: EventKind,
     blocks: Vec<u64>,
 }
 
-#[derive(Debug, Clone, Copy, Deserialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum EventKind {
     Stored,
--- a/src/job_record.rs
+++ b/src/job_record.rs
@@ -22,7 +22,8 @@
 pub type WriteToken = u64;
 
 /// State of a job object.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum JobState {
     /// Not all inputs are stored yet.
@@ -34,7 +35,8 @@
 }
 
 /// Content of a `job` object.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 pub struct JobRecord {
     /// Team that submitted it.
     pub team: TeamId,
@@ -78,7 +80,8 @@
 }
 
 /// One item of a job.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Item {
     /// Position in the job, from 0.
     pub order: u64,
@@ -100,14 +103,16 @@
 }
 
 /// Content of an `input` object: the items of a group, immutable.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct InputRecord {
     /// Items in the order of the job.
     pub items: Vec<Item>,
 }
 
 /// Final outcome of an item.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "status", rename_all = "kebab-case")]
 pub enum Outcome {
     /// The item completed.
@@ -140,7 +145,8 @@
 }
 
 /// Progress of one item inside a group record.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 pub struct ItemState {
     /// Attempts that failed on a healthy engine.
     #[serde(default)]
@@ -151,7 +157,8 @@
 }
 
 /// Who holds a group.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 pub struct Claim {
     /// Instance.
     pub holder: InstanceId,
@@ -161,7 +168,8 @@
 
 /// Content of a `group` object: claim and results together, so that a commit fails when another
 /// instance has taken the claim over.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
 pub struct GroupRecord {
     /// Holder; nothing when the group is free or finished.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -189,7 +197,8 @@
 }
 
 /// Numbers of items by outcome.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Counts {
     /// Completed.
     pub done: u64,
@@ -227,7 +236,8 @@
 }
 
 /// Content of a `lease` object.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct LeaseRecord {
     /// Run of the instance.
     pub session: SessionId,
--- a/src/once.rs
+++ b/src/once.rs
@@ -22,7 +22,8 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Record of a request in the object service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// Token of the request that wrote the record.
     pub token: Arc<str>,
@@ -35,7 +36,8 @@
 }
 
 /// Answer that is returned to a resend.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stored {
     /// HTTP status code.
     pub status: u16,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -11,7 +11,8 @@
 };
 
 /// What a worker should run.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Placement {
     /// Model.
     pub model: ModelId,
@@ -23,7 +24,8 @@
 
 /// The placement of a worker as it stands in the object service. The version of the object is
 /// the fencing number of the orders that follow from it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Record {
     /// What the worker should run.
     pub placement: Placement,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -65,7 +65,8 @@
 }
 
 /// An object with its version.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Object {
     /// Name inside its kind.
     pub name: Arc<str>,
@@ -76,7 +77,8 @@
 }
 
 /// Objects of a kind at one moment.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct Listing {
     /// Version of the whole store when the listing was made.
     pub version: Version,
@@ -85,7 +87,8 @@
 }
 
 /// One change of a watched kind.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Change {
     /// Name of the object.
     pub name: Arc<str>,
@@ -96,7 +99,8 @@
 }
 
 /// Changes of a watched kind up to a version.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 pub struct Changes {
     /// Version up to which the changes are complete.
     pub version: Version,
@@ -105,7 +109,8 @@
 }
 
 /// State of an instance or target in the instance list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ListState {
     /// Takes work.
@@ -116,7 +121,8 @@
 }
 
 /// An entry instance in the instance list.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ListedEntry {
     /// Name of the instance.
     pub id: InstanceId,
@@ -134,7 +140,8 @@
 }
 
 /// Kind of a target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum TargetKind {
     /// A model engine.
@@ -144,7 +151,8 @@
 }
 
 /// A target in the instance list.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct ListedTarget {
     /// Name of the target.
     pub id: TargetId,
@@ -163,7 +171,8 @@
 }
 
 /// The instance list; it lags behind reality.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 pub struct InstanceList {
     /// Entry instances.
     pub entries: Vec<ListedEntry>,
--- a/src/progress.rs
+++ b/src/progress.rs
@@ -8,7 +8,8 @@
 const WORD_BITS: GroupIndex = u64::BITS;
 
 /// Content of a `progress` object. Groups are only ever added.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Progress {
     /// One bit for each finished group.
     bits: Vec<u64>,
--- a/src/replay.rs
+++ b/src/replay.rs
@@ -27,7 +27,8 @@
 const PROGRESS: Duration = Duration::from_millis(500);
 
 /// Kind of a line.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LineKind {
     /// A streamed request for text.
@@ -39,7 +40,8 @@
 }
 
 /// Whether a request may be repeated.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Repeat {
     /// It runs once at most.
@@ -47,7 +49,8 @@
 }
 
 /// A line of a trace.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Line {
     /// Time of arrival, in milliseconds since the start.
--- a/src/replay_report.rs
+++ b/src/replay_report.rs
@@ -13,7 +13,8 @@
 const P95: f64 = 0.95;
 
 /// Outcomes that a trace states; one that is left out is not judged.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Outcomes {
     /// Time to the first token at p95, in milliseconds at most.
@@ -31,7 +32,8 @@
 }
 
 /// Measured counts of one kind of request.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
 struct Row {
     kind: &'static str,
     sent: u64,
@@ -41,7 +43,8 @@
 }
 
 /// One outcome and whether it was met.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Judged {
     name: &'static str,
     stated: String,
@@ -50,7 +53,8 @@
 }
 
 /// Measured latency, in milliseconds.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy)]
+#[derive(Serialize)]
 struct Latency {
     name: &'static str,
     count: u64,
@@ -60,7 +64,8 @@
 }
 
 /// Report of a replay.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct Report {
     requests: Vec<Row>,
     latencies: Vec<Latency>,
--- a/src/results.rs
+++ b/src/results.rs
@@ -37,7 +37,8 @@
 const RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// A job as callers see it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct JobStatus {
     /// Name.
     pub name: JobId,
@@ -59,7 +60,8 @@
 }
 
 /// Items by outcome.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct StatusCounts {
     /// Completed.
     pub done: u64,
@@ -72,7 +74,8 @@
 }
 
 /// State of a job as callers see it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum StateName {
     /// Submitted and not accepted yet; the caller must send it again.
@@ -86,7 +89,8 @@
 }
 
 /// One line of a list of results.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Line<'a> {
     id: &'a ItemId,
     status: &'static str,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,7 +8,8 @@
 use crate::ids::{InstanceId, Zone};
 
 /// Settings as they stand in the file, unchecked. Every field is described in docs/settings.md.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawSettings {
     instance: String,
@@ -30,7 +31,8 @@
     timeouts: RawTimeouts,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct RawLimits {
     body_bytes: usize,
@@ -56,7 +58,8 @@
     }
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 struct RawTimeouts {
     connect_ms: u64,
--- a/src/sheet.rs
+++ b/src/sheet.rs
@@ -11,7 +11,8 @@
 };
 
 /// A sheet as it stands in the file, unchecked. Every field is described in docs/settings.md.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawSheet {
     /// Name of the deployment.
@@ -39,7 +40,8 @@
 }
 
 /// A model in a raw sheet.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawModel {
     /// Name.
@@ -57,7 +59,8 @@
 }
 
 /// A service in a raw sheet.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawService {
     /// Name.
@@ -71,7 +74,8 @@
 }
 
 /// A job in a raw sheet.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawJob {
     /// Name.
@@ -83,7 +87,8 @@
 }
 
 /// A team in a raw sheet.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawTeam {
     /// Name.
--- a/src/sheet_log.rs
+++ b/src/sheet_log.rs
@@ -26,7 +26,8 @@
 pub type PartChanges = BTreeMap<PartPath, Option<Value>>;
 
 /// One revision of the log.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Entry {
     /// Token of the writer, by which it recognises its own entry.
     pub token: Arc<str>,
@@ -37,7 +38,8 @@
 }
 
 /// All parts of a sheet at one revision.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Snapshot {
     /// Revision.
     pub revision: Revision,
--- a/src/status.rs
+++ b/src/status.rs
@@ -29,7 +29,8 @@
 pub type SharedStatus = Arc<ArcSwap<Status>>;
 
 /// Part of the status that operators see.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct Report {
     /// Sheet in force.
     pub sheet: SheetReport,
@@ -44,7 +45,8 @@
 }
 
 /// The sheet in a status.
-#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct SheetReport {
     /// Revision in force.
     pub revision: Revision,
@@ -55,7 +57,8 @@
 }
 
 /// An entry instance in a status.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct MemberReport {
     /// Name.
     pub instance: InstanceId,
@@ -72,7 +75,8 @@
 }
 
 /// A worker in a status.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct WorkerReport {
     /// Name.
     pub worker: WorkerId,
@@ -93,7 +97,8 @@
 }
 
 /// A view of a watched kind in a status.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct ViewReport {
     /// Kind.
     pub kind: &'static str,
@@ -108,7 +113,8 @@
 }
 
 /// Calls of other entry instances in a status.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct PeerCounts {
     /// Exchanges that were answered.
     pub exchanges: u64,
--- a/src/store.rs
+++ b/src/store.rs
@@ -16,7 +16,8 @@
 const SHEET_TEMP: &str = "sheet.json.new";
 
 /// A sheet in the data folder.
-#[derive(Debug, Clone, PartialEq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct SavedSheet {
     /// Version of the sheet's last change in the object service.
     pub version: Version,
--- a/src/stream.rs
+++ b/src/stream.rs
@@ -7,7 +7,8 @@
 use crate::ids::RequestId;
 
 /// One event of an engine stream.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Frame {
     /// Stream that the event belongs to.
     pub stream: RequestId,
--- a/src/weights.rs
+++ b/src/weights.rs
@@ -12,14 +12,16 @@
 pub const SLOTS_NAME: &str = "slots";
 
 /// Slots that are taken.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Slots {
     /// Taken slots.
     pub taken: Vec<Slot>,
 }
 
 /// A slot that is taken.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Slot {
     /// Worker that loads.
     pub worker: WorkerId,
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -23,7 +23,8 @@
 const REPORT_LIMIT: usize = 4096;
 
 /// Runs a stand-in for a model engine, or for a plain service with `--service`.
-#[derive(Debug, Clone, Parser)]
+#[derive(Debug, Clone)]
+#[derive(Parser)]
 pub struct Options {
     /// Address to listen on; port 0 takes a free one and prints it.
     #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
@@ -94,7 +95,8 @@
 }
 
 /// Faults of an engine. Each `POST /faults` replaces all of them.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Delay, outage and cuts.
@@ -118,7 +120,8 @@
 }
 
 /// State of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum RunState {
     /// Waits for a slot or runs.
@@ -134,7 +137,8 @@
 }
 
 /// One run of a request, as the ledger lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Run {
     /// Id of the request.
     pub request: Arc<str>,
@@ -155,7 +159,8 @@
 }
 
 /// A call of a plain service, as the ledger lists it.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct ServiceCall {
     /// HTTP method.
     pub method: String,
@@ -168,7 +173,8 @@
 }
 
 /// Load report, as `GET /load` returns it.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 pub struct Report {
     running: usize,
     slots: usize,
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -24,7 +24,8 @@
 const DEFAULT_TOKENS: u64 = 16;
 
 /// Body of a request for text.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Ask {
     model: Option<String>,
     #[serde(default)]
@@ -35,14 +36,16 @@
     stream: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Message {
     #[serde(default)]
     content: String,
 }
 
 /// State of a stream on its way to another engine.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Debug)]
+#[derive(Deserialize, Serialize)]
 struct Cache {
     stream: Arc<str>,
     model: Option<String>,
--- a/standins/src/faults.rs
+++ b/standins/src/faults.rs
@@ -12,7 +12,8 @@
 use crate::reply;
 
 /// How a call fails.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Failure {
     /// The call is answered with 503.
@@ -25,7 +26,8 @@
 }
 
 /// Bound of a fault in calls and time; without either it lasts until the next change of faults.
-#[derive(Debug, Clone, Copy, Default, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default)]
 pub struct Bound {
     /// Calls that the fault touches at most.
@@ -55,7 +57,8 @@
 }
 
 /// Callers that cannot reach the stand-in.
-#[derive(Debug, Clone, Default, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Cut {
     /// Names that the callers give in the header `Gentianpath-Party`.
@@ -65,7 +68,8 @@
 }
 
 /// Faults that touch a call before the stand-in acts on it.
-#[derive(Debug, Clone, Default, Deserialize, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct GateFaults {
     /// Time before each call is looked at, in milliseconds.
@@ -83,7 +87,8 @@
 }
 
 /// Calls that a fault touches, by the start of their path.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PathFault {
     /// Start of the path, or of `kind/name` for writes of objects; all calls when empty.
--- a/standins/src/generate.rs
+++ b/standins/src/generate.rs
@@ -141,7 +141,8 @@
 }
 
 /// One event of a stream.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 struct Frame {
     stream: Arc<str>,
     seq: u64,
--- a/standins/src/ledger.rs
+++ b/standins/src/ledger.rs
@@ -11,7 +11,8 @@
 const WINDOW: Duration = Duration::from_secs(1);
 
 /// Number of calls of one kind, and the most within one second.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 pub struct Counter {
     /// Calls.
     pub total: u64,
--- a/standins/src/orders.rs
+++ b/standins/src/orders.rs
@@ -11,7 +11,8 @@
 };
 
 /// What an order asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Action {
     /// Load a model or adapter.
@@ -23,7 +24,8 @@
 }
 
 /// An order.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Order {
     /// Fencing number.
     pub fence: u64,
@@ -44,7 +46,8 @@
 }
 
 /// An order as the ledger lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct OrderRecord {
     /// The order.
     #[serde(flatten)]
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -28,7 +28,8 @@
 const LIST_LIMIT: u64 = 1000;
 
 /// Runs a stand-in for the platform: object service and instance list.
-#[derive(Debug, Clone, Parser)]
+#[derive(Debug, Clone)]
+#[derive(Parser)]
 pub struct Options {
     /// Address to listen on; port 0 takes a free one and prints it.
     #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
@@ -51,7 +52,8 @@
 }
 
 /// Faults of the platform. Each `POST /faults` replaces all of them.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Delay, outage and cuts.
@@ -69,7 +71,8 @@
 }
 
 /// What the platform did.
-#[derive(Debug, Default, Clone, Serialize)]
+#[derive(Debug, Default, Clone)]
+#[derive(Serialize)]
 struct Ledger {
     reads: Counter,
     writes: Counter,
--- a/standins/src/prefix.rs
+++ b/standins/src/prefix.rs
@@ -28,7 +28,8 @@
 }
 
 /// What happened to blocks of the cache.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum CacheChange {
     /// The blocks are in the cache now.
@@ -38,7 +39,8 @@
 }
 
 /// A numbered event of the cache.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct CacheEvent {
     /// Number, from 1 without gaps.
     pub seq: u64,
--- a/standins/src/store.rs
+++ b/standins/src/store.rs
@@ -9,7 +9,8 @@
 use serde_json::Value;
 
 /// An object with its version.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Object {
     /// Kind.
     pub kind: Arc<str>,
@@ -22,7 +23,8 @@
 }
 
 /// One change of an object.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize)]
 pub struct Change {
     /// Kind.
     #[serde(skip)]
--- a/standins/src/stream_faults.rs
+++ b/standins/src/stream_faults.rs
@@ -3,7 +3,8 @@
 use serde::Deserialize;
 
 /// What goes wrong on a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum StreamFaultKind {
     /// The connection stays open and carries no more bytes; the engine runs on.
@@ -25,7 +26,8 @@
 }
 
 /// A fault of streams.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StreamFault {
     /// What goes wrong.
--- a/standins/src/weights.rs
+++ b/standins/src/weights.rs
@@ -22,7 +22,8 @@
 const RETRY_AFTER_S: &str = "1";
 
 /// Runs a stand-in for the weight store.
-#[derive(Debug, Clone, Parser)]
+#[derive(Debug, Clone)]
+#[derive(Parser)]
 pub struct Options {
     /// Address to listen on; port 0 takes a free one and prints it.
     #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
@@ -39,7 +40,8 @@
 }
 
 /// Faults of the weight store. Each `POST /faults` replaces all of them.
-#[derive(Debug, Clone, Default, Deserialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Delay, outage and cuts.
@@ -47,14 +49,16 @@
 }
 
 /// One read that was served.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone)]
+#[derive(Serialize)]
 struct Read {
     model: String,
     version: String,
     party: String,
 }
 
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
+#[derive(Serialize)]
 struct Ledger {
     reads: Vec<Read>,
     asked: Counter,
