Save the sheet with the version of its last revision

After a push the instance reads the new revisions at once. They are in the log before the first watch has moved the view, and a sheet saved in that moment got version 0. The restart took the file for older than nothing and ignored it, so an instance that restarts in a cut-off zone lost its sheet.

Ruled out: a write of an older sheet that overtakes a newer one (one task writes, one at a time) and a half-written file (it replaces the old one by a rename).

Change: the saved version is that of the last revision in the log, or of the view when it is later. The log is contiguous, so the view is complete up to that version.

Measured: the new test reads three revisions before any watch. Before: version 0, nothing restored. After: version 42, revision 3 is in force and passed on to a peer.

--- a/src/sheet_state.rs
+++ b/src/sheet_state.rs
@@ -28,9 +28,14 @@
 
     /// Returns the sheet to save.
     pub fn saved(&self) -> SavedSheet {
+        let view = self.view(Watched::Sheet);
+        let head = self.log.head();
+        // A revision that was read after a push is in the log before a watch moves the view.
+        let last = view.objects().get(&*sheet_log::entry_name(head.revision));
+        let version = last.map_or(0, |o| o.version);
         SavedSheet {
-            version: self.view(Watched::Sheet).latest(),
-            snapshot: self.log.head().clone(),
+            version: version.max(view.latest()),
+            snapshot: head.clone(),
         }
     }
 
--- a/tests/sheet_log.rs
+++ b/tests/sheet_log.rs
@@ -1,12 +1,17 @@
 //! The log of sheet revisions and the push of one.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use gentianpath::{
-    platform::{ReadError, WriteError},
+    control_state::State,
+    members::Identity,
+    platform::{Object, ReadError, WriteError},
     sheet::{RawJob, RawModel, RawSheet, RawTeam},
-    sheet_log::{Entry, Offer, SNAPSHOT_INTERVAL, SheetLog, Snapshot, difference, join, split},
+    sheet_log::{
+        Entry, Offer, SNAPSHOT_INTERVAL, SheetLog, Snapshot, difference, entry_name, join, split,
+    },
     sheet_push::{Outcome, Push, Step},
+    spread::Watched,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use serde_json::json;
@@ -378,3 +383,41 @@
         (1, Some("other"))
     );
 }
+
+fn state() -> State {
+    let me = Identity {
+        id: "a".into(),
+        session: 1,
+        zone: "ipswich".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        leaving: false,
+    };
+    State::new(me, 1)
+}
+
+/// Guards against a saved sheet that a restart ignores: the revisions came from a read after a
+/// push, before the first watch, and the sheet was saved with version 0.
+#[test]
+fn a_sheet_that_was_read_before_the_first_watch_is_restored() {
+    const FIRST_VERSION: u64 = 40;
+    let object = |(i, entry): (usize, &Entry)| Object {
+        name: entry_name(i as u64 + 1).into(),
+        version: FIRST_VERSION + i as u64,
+        value: serde_json::to_value(entry).unwrap(),
+    };
+    let objects = entries(3).iter().enumerate().map(object).collect();
+    let mut before = state();
+    before.learn(Watched::Sheet, objects, Duration::ZERO);
+    let saved = before.saved();
+    assert_eq!(
+        (saved.version, saved.snapshot.revision),
+        (FIRST_VERSION + 2, 3)
+    );
+    let mut restarted = state();
+    restarted.restore(saved, Duration::ZERO);
+    assert_eq!(slots(&restarted.log), 3);
+    let mut peer = state();
+    let delta = restarted.view(Watched::Sheet).since(0);
+    peer.merge(Watched::Sheet, delta, Duration::ZERO);
+    assert_eq!(slots(&peer.log), 3);
+}
