Test planned stops under faults of platform, peers, engines and the instance itself

Change: seven tests over processes, each with a stream in flight and held batch claims: platform silent, cut off, down, answers to writes lost, peers silent, the stopping instance paused past its lease, the engine of the stream lost. The stream must be whole (or end with an error when its engine died), the process must end with code 0, and the job must be whole at the other instance.

Ruled out: the loss of an engine was first expected to leave the stream whole.

--- /dev/null
+++ b/tests/process_stop.rs
@@ -0,0 +1,225 @@
+//! Planned stops of an entry instance under load, each under one fault.
+
+mod support;
+
+use std::{
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use serde_json::json;
+use standins::text;
+use support::{
+    Fleet, Item,
+    http::{Answer, call},
+    link::{Link, State},
+    until,
+};
+
+/// Deadline of all jobs, in seconds since 1970.
+const DEADLINE: u64 = 4_000_000_000;
+/// Items of a job.
+const ITEMS: usize = 96;
+/// Lease of a claim.
+const LEASE: Duration = Duration::from_millis(1500);
+/// Time after which a process has noticed a signal.
+const NOTICED: Duration = Duration::from_millis(100);
+/// Tokens of an online answer; it takes at least a second.
+const LONG: u64 = 150;
+
+/// A fleet whose first entry instance reaches the platform through a link.
+struct Stop {
+    fleet: Fleet,
+    link: Link,
+    items: Vec<Item>,
+}
+
+impl Stop {
+    /// Starts the fleet and a job of which the first entry instance holds a part.
+    fn new() -> Self {
+        let mut fleet = Fleet::new(&[]);
+        for i in 0..4 {
+            let options = ["--slots", "4", "--token-ms", "8"];
+            fleet.add_engine(&format!("engine-{i}"), &options);
+        }
+        let link = Link::new(fleet.platform.address);
+        let timeouts = json!({
+            "leave_notice_ms": 300, "load_poll_ms": 100, "exchange_ms": 100,
+            "lease_ms": LEASE.as_millis() as u64, "renew_ms": 500, "progress_ms": 300, "platform_ms": 500,
+            "drain_ms": 30_000,
+        });
+        let linked = json!({ "timeouts": timeouts, "platform_address": link.address.to_string() });
+        fleet.add_entry("entry-0", linked);
+        fleet.add_entry("entry-1", json!({ "timeouts": timeouts }));
+        let revision = fleet.entries[0].push_sheet(&support::sheet());
+        for entry in &fleet.entries {
+            until("sheet, workers and peers are known", || {
+                let status = entry.status();
+                let owned = |name: &str| {
+                    let workers = status["workers"].as_array();
+                    workers.is_some_and(|w| w.iter().any(|w| w["owner"] == name))
+                };
+                status["sheet"]["revision"] == revision && owned("entry-0") && owned("entry-1")
+            });
+        }
+        let item = |i: usize| Item::new(&format!("i{i}"), &format!("item {i}"), 12);
+        let stop = Self {
+            fleet,
+            link,
+            items: (0..ITEMS).map(item).collect(),
+        };
+        let answer = stop.fleet.entries[1].submit("j", DEADLINE, &stop.items);
+        assert_eq!(answer.map(|a| a.status), Some(200));
+        until("items run", || !stop.fleet.runs("item 0").is_empty());
+        stop
+    }
+
+    /// Asks the first entry instance for a stream and waits until it runs.
+    fn ask(&self) -> JoinHandle<Option<Answer>> {
+        let callers = self.fleet.entries[0].callers;
+        let body = json!({
+            "model": support::MODEL,
+            "messages": [{ "role": "user", "content": "long" }],
+            "max_tokens": LONG,
+            "stream": true,
+        });
+        let asked = thread::spawn(move || {
+            let path = "/v1/chat/completions";
+            call(callers, "POST", path, &[], &body.to_string())
+        });
+        until("the stream runs", || !self.fleet.runs("long").is_empty());
+        asked
+    }
+
+    /// Stops the first entry instance while it forwards a stream, with a fault from just before
+    /// the stop on, and returns the answer.
+    fn under(&mut self, fault: impl FnOnce(&mut Fleet, &Link)) -> Answer {
+        let asked = self.ask();
+        fault(&mut self.fleet, &self.link);
+        self.fleet.entries[0].process.terminate();
+        asked.join().unwrap().expect("an answer")
+    }
+
+    /// Waits until the process ended by itself, and checks that it says it cut nothing off.
+    fn assert_clean_end(&mut self) {
+        let entry = &mut self.fleet.entries[0];
+        until("the process ends", || entry.process.ended().is_some());
+        let log = entry.process_log();
+        assert_eq!(entry.process.exit_code(), Some(0), "{log}");
+    }
+
+    /// Checks that the job ends whole at the other entry instance.
+    fn assert_job_whole(&self) {
+        let entry = &self.fleet.entries[1];
+        until("the job is finished", || {
+            let answer = entry.job("j").filter(|a| a.status == 200);
+            answer.is_some_and(|a| a.json()["state"] == "finished")
+        });
+        let results = entry.results("j");
+        assert_eq!(results.len(), ITEMS);
+        for (result, item) in results.iter().zip(&self.items) {
+            assert_eq!(result["id"], item.id.as_str());
+            assert_eq!(result["status"], "done", "{result}");
+            assert_eq!(result["text"], text::answer(&item.prompt, item.tokens));
+        }
+    }
+}
+
+/// Checks that a stream is whole.
+fn assert_whole(answer: &Answer) {
+    assert_eq!(answer.streamed(), text::answer("long", LONG));
+    assert_eq!(answer.events().last().map(String::as_str), Some("[DONE]"));
+}
+
+/// Guards against a planned stop that waits for ever for a platform whose connections carry
+/// nothing, or cuts off its stream because claims cannot be given back.
+#[test]
+fn a_planned_stop_ends_while_the_platform_is_silent() {
+    let mut stop = Stop::new();
+    let answer = stop.under(|_, link| link.set(State::Silent));
+    assert_whole(&answer);
+    stop.assert_clean_end();
+    stop.assert_job_whole();
+}
+
+/// Guards against the same when the platform cannot be reached.
+#[test]
+fn a_planned_stop_ends_while_it_is_cut_from_the_platform() {
+    let mut stop = Stop::new();
+    let answer = stop.under(|_, link| link.set(State::Cut));
+    assert_whole(&answer);
+    stop.assert_clean_end();
+    stop.assert_job_whole();
+}
+
+/// Guards against claims that are lost when the platform refuses all calls during a planned stop,
+/// for the other instances as well.
+#[test]
+fn a_planned_stop_ends_while_the_platform_is_down() {
+    let mut stop = Stop::new();
+    let outage = json!({ "gate": { "outage": "refuse" } });
+    let answer = stop.under(|fleet, _| fleet.platform.set_faults(&outage));
+    assert_whole(&answer);
+    stop.assert_clean_end();
+    stop.fleet.platform.set_faults(&json!({}));
+    stop.assert_job_whole();
+}
+
+/// Guards against claims that are given back twice or not at all when the answers to the writes
+/// of a planned stop are lost.
+#[test]
+fn a_planned_stop_gives_claims_back_although_answers_are_lost() {
+    let mut stop = Stop::new();
+    let lost = json!({ "lost": { "prefix": "group/", "count": 6 } });
+    let answer = stop.under(|fleet, _| fleet.platform.set_faults(&lost));
+    assert_whole(&answer);
+    stop.assert_clean_end();
+    assert!(stop.fleet.platform.ledger()["lost"].as_u64() > Some(0));
+    stop.fleet.platform.set_faults(&json!({}));
+    stop.assert_job_whole();
+}
+
+/// Guards against a planned stop that needs an answer of its peers: all of them are silent.
+#[test]
+fn a_planned_stop_ends_while_its_peers_are_silent() {
+    let mut stop = Stop::new();
+    let answer = stop.under(|fleet, _| fleet.entries[1].process.pause());
+    assert_whole(&answer);
+    stop.assert_clean_end();
+    stop.fleet.entries[1].process.resume();
+    stop.assert_job_whole();
+}
+
+/// Guards against a stream that is cut off because the stopping instance was paused, and against
+/// claims that it gives back after they were taken over.
+#[test]
+fn a_planned_stop_goes_on_after_a_pause() {
+    let mut stop = Stop::new();
+    let asked = stop.ask();
+    let process = &stop.fleet.entries[0].process;
+    process.terminate();
+    thread::sleep(NOTICED);
+    process.pause();
+    thread::sleep(2 * LEASE);
+    process.resume();
+    let answer = asked.join().unwrap().expect("an answer");
+    assert_whole(&answer);
+    stop.assert_clean_end();
+    stop.assert_job_whole();
+}
+
+/// Guards against a stop that takes the end of a stream whose engine died for a cut-off of its
+/// own, and against a stream that passes for whole.
+#[test]
+fn a_planned_stop_ends_after_the_engine_of_its_stream_died() {
+    let mut stop = Stop::new();
+    let answer = stop.under(|fleet, _| {
+        let runs = |t: &&mut support::Standin| !t.runs("long").is_empty();
+        let engine = fleet.targets.iter_mut().find(runs);
+        engine.expect("an engine with the stream").process.kill();
+    });
+    assert!(text::answer("long", LONG).starts_with(&answer.streamed()));
+    assert!(!answer.events().iter().any(|e| e == "[DONE]"));
+    stop.assert_clean_end();
+    stop.assert_job_whole();
+}
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -53,6 +53,14 @@
         let data = text.lines().filter_map(|line| line.strip_prefix("data:"));
         data.map(|line| line.trim_start().to_owned()).collect()
     }
+
+    /// Returns the generated text of a streamed answer.
+    pub fn streamed(&self) -> String {
+        let events = self.events().into_iter();
+        let frames = events.filter_map(|e| serde_json::from_str::<Value>(&e).ok());
+        let part = |f: Value| Some(f["choices"][0]["delta"]["content"].as_str()?.to_owned());
+        frames.filter_map(part).collect()
+    }
 }
 
 /// Sends a request; nothing when the connection fails or breaks before the answer is whole.
