Test orders to engines with a fault at each of their steps

Change: one test pushes a new version under each of twelve faults: record of the placement and slot refused, silent, closed, and answered by nothing after the effect; the order to the engine likewise. All engines must come to the new version, and an engine that checks fencing numbers is among them. Another test kills an engine while it loads and expects the model on the next one.

--- a/tests/control_orders.rs
+++ b/tests/control_orders.rs
@@ -61,6 +61,73 @@
     });
 }
 
+/// Guards against an engine that is left at an old version, or loads for ever, because a step of
+/// its change met a fault: the record of the placement, the slot of the weight store or the order
+/// was refused, got no answer, or took effect without one.
+#[test]
+fn orders_converge_after_a_fault_at_each_step() {
+    let platform = Process::platform();
+    let engines = [
+        engine(&platform, "w1", &["--check-fence"]),
+        engine(&platform, "w2", &[]),
+    ];
+    let instance = Instance::simple(platform.address, "a", ZONE);
+    let mut number = 0;
+    let mut change = |what: &str| {
+        number += 1;
+        let version = format!("v{number}");
+        instance.push(sheet(MODEL, &version, 4), None).unwrap();
+        wait(&format!("{version} after {what}"), || {
+            engines.iter().all(|e| has(e, &version))
+        });
+    };
+    change("nothing");
+    for kind in ["placement", "weights"] {
+        for outage in ["refuse", "silent", "close"] {
+            let prefix = format!("/objects/{kind}");
+            let gate = json!({ "outage": outage, "prefix": prefix, "count": 3 });
+            platform.set_faults(&json!({ "gate": gate }));
+            change(&format!("{outage} at {kind}"));
+        }
+        let lost = json!({ "prefix": format!("{kind}/"), "count": 2 });
+        platform.set_faults(&json!({ "lost": lost }));
+        change(&format!("lost answers at {kind}"));
+    }
+    assert!(platform.ledger()["lost"].as_u64() >= Some(2));
+    platform.set_faults(&json!({}));
+    let at_orders = |outage: &str| {
+        let gate = json!({ "outage": outage, "prefix": "/orders", "count": 2 });
+        json!({ "gate": gate })
+    };
+    let lost = json!({ "lost": { "prefix": "/orders", "count": 2 } });
+    for faults in ["refuse", "silent", "close"]
+        .map(at_orders)
+        .iter()
+        .chain([&lost])
+    {
+        for engine in &engines {
+            engine.set_faults(faults);
+        }
+        change(&format!("{faults} at an engine"));
+    }
+}
+
+/// Guards against a model that stays without its workers when one dies while it loads, and against
+/// the slot of the lost one that keeps others from loading.
+#[test]
+fn another_engine_takes_the_place_of_one_that_dies_while_it_loads() {
+    let platform = Process::platform();
+    let loading = engine(&platform, "w1", &["--load-ms", "60000"]);
+    let instance = Instance::simple(platform.address, "a", ZONE);
+    instance.push(sheet(MODEL, "v1", 4), None).unwrap();
+    wait("the first engine loads", || {
+        loading.ledger()["orders"] != json!([])
+    });
+    drop(loading);
+    let other = engine(&platform, "w2", &[]);
+    wait("the second engine has the model", || has(&other, "v1"));
+}
+
 fn right_version(worker: &gentianpath::view::WorkerInfo) -> bool {
     worker.model.as_deref() == Some(MODEL) && &*worker.version == "v2" && worker.slots == 4
 }
