Report ready only when a worker of each model is known

Ruled out: a longer wait in the queue. It would hold requests for models that really have no worker.

Change: an instance counts as informed when the sheet is known and a worker of each of its models is, or 5 s after the sheet when a model has none. It stays so whatever happens to the workers.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -93,7 +93,7 @@
         return conn.ok("ready\n");
     }
     let reason = match ctx.drain.phase() {
-        Phase::Running => "no sheet is known yet\n",
+        Phase::Running => "sheet or workers are not known yet\n",
         Phase::Leaving | Phase::Draining => "the instance stops\n",
     };
     conn.with_status(503).with_body(reason).halt()
--- a/src/control.rs
+++ b/src/control.rs
@@ -229,7 +229,7 @@
         }
         let status = Status {
             log: published.log.clone(),
-            informed: state.answered || state.log.in_force().revision > 0,
+            informed: state.is_informed(now),
             report: status::report(&state, &self.ctx.view.load(), now),
         };
         self.ctx.status.store(Arc::new(status));
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -24,6 +24,10 @@
 const WATCHERS: usize = 2;
 /// Loads in a digest at most, so that digests stay small at 32 workers for each instance.
 const LOADS_SENT: usize = 2;
+/// Longest wait for a worker of each model of the first sheet before the instance counts as
+/// informed. It is longer than a read of the instance list and of a load report, and ends when a
+/// model has no worker at all.
+const WORKER_WAIT: Duration = Duration::from_secs(5);
 /// Age up to which a load report counts as fresh.
 pub const LOAD_FRESH: Duration = Duration::from_secs(10);
 
@@ -73,6 +77,9 @@
     moved: bool,
     pulling: Set<Watched>,
     watching: bool,
+    /// When the sheet was known first.
+    sheet_known: Option<Duration>,
+    informed: bool,
     dirty: bool,
 }
 
@@ -98,6 +105,8 @@
             moved: true,
             pulling: Set::default(),
             watching: false,
+            sheet_known: None,
+            informed: false,
             dirty: true,
         }
     }
@@ -238,6 +247,27 @@
         self.contact.is_some_and(recent)
     }
 
+    /// Says whether this instance knows enough to take requests: the sheet, or that there is none,
+    /// and a worker for each of its models. Without the latter it would refuse the first requests
+    /// after each restart. Once informed it stays so, whatever becomes of the workers.
+    pub fn is_informed(&mut self, now: Duration) -> bool {
+        if self.informed {
+            return true;
+        }
+        let sheet = &self.log.in_force().sheet;
+        if !self.answered && self.log.in_force().revision == 0 {
+            return false;
+        }
+        let since = *self.sheet_known.get_or_insert(now);
+        let is_loaded = |model| {
+            self.loads
+                .values()
+                .any(|k| k.load.model.as_ref() == Some(model))
+        };
+        self.informed = sheet.models.keys().all(is_loaded) || now - since >= WORKER_WAIT;
+        self.informed
+    }
+
     /// Says whether this instance watches the platform for its zone. It does so as well when it
     /// hears no other instance of the zone.
     pub fn watches(&mut self, now: Duration) -> bool {
