Tell a broken connection from an error response of an engine

Cause: an engine that breaks the connection before the response head and then answers its load report at once (it restarted, or only the connection was reset) cost the item an attempt. The request error had one reason for this and for an HTTP 500, and the load report cannot tell them apart either.

Ruled out: comparing load reports before and after (an engine that restarts quickly shows the same load), and counting neither (an item that an engine fails with 500 would be tried without end).

Change: reason connection-broken beside target-failed, both 502 for callers. After a broken connection an item whose stream the engine does not have counts an engine loss; after an error response it counts an attempt, as before. Ejection, retries and resumes of online requests treat both reasons alike.

With the old reason (not committed) the new test fails: 0 losses after 4 closed connections, where 4 are expected.

Conclusion: attempts count only what an engine said about the item.

--- a/src/engine.rs
+++ b/src/engine.rs
@@ -350,7 +350,10 @@
         SseErrorKind::Http(e) if dial::never_left(e) => {
             RequestError::not_run(Reason::Unavailable, "the worker cannot be reached")
         }
-        _ => RequestError::may_have_run(Reason::TargetFailed, "the worker broke the connection"),
+        SseErrorKind::Http(_) => {
+            RequestError::may_have_run(Reason::ConnectionBroken, "the worker broke the connection")
+        }
+        _ => RequestError::may_have_run(Reason::TargetFailed, "the worker sent no stream"),
     }
 }
 
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -225,7 +225,8 @@
     /// Notes an attempt that failed.
     fn note(&mut self, worker: &WorkerId, error: &RequestError) {
         self.in_doubt |= error.verdict == Verdict::MayHaveRun;
-        let broken = [Reason::Unavailable, Reason::Timeout, Reason::TargetFailed];
+        use Reason::{ConnectionBroken, TargetFailed, Timeout, Unavailable};
+        let broken = [Unavailable, Timeout, TargetFailed, ConnectionBroken];
         if broken.contains(&error.reason) {
             self.online.failed(worker);
         }
@@ -300,7 +301,7 @@
         }
         let (reason, message) = match broken {
             Break::Stalled => (Reason::Timeout, "the worker fell silent"),
-            Break::Closed => (Reason::TargetFailed, "the worker broke the connection"),
+            Break::Closed => (Reason::ConnectionBroken, "the worker broke the connection"),
             Break::Disordered => (Reason::TargetFailed, "the worker's events were not whole"),
         };
         Err(RequestError::may_have_run(reason, message))
@@ -341,8 +342,9 @@
 
 /// Says whether a request was written and its connection broke or fell silent.
 fn broke(error: &RequestError) -> bool {
-    error.verdict == Verdict::MayHaveRun
-        && matches!(error.reason, Reason::Timeout | Reason::TargetFailed)
+    use Reason::{ConnectionBroken, TargetFailed, Timeout};
+    let broken = [Timeout, TargetFailed, ConnectionBroken];
+    error.verdict == Verdict::MayHaveRun && broken.contains(&error.reason)
 }
 
 impl Drop for Attempt {
--- a/src/item_run.rs
+++ b/src/item_run.rs
@@ -150,7 +150,8 @@
 }
 
 /// The engine may have started the stream before the connection broke: then it is continued. An
-/// engine that answers and has no such stream has failed the item.
+/// engine that answered with an error and has no such stream has failed the item; one that broke
+/// the connection and has no such stream was lost, even if it answers again by now.
 async fn recover(run: &mut Run, error: RequestError) -> Result<EngineStream, RunEnd> {
     run.from.fault = match error.reason {
         Reason::Timeout => Fault::Silent,
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -322,7 +322,7 @@
 }
 
 fn broken() -> RequestError {
-    RequestError::may_have_run(Reason::TargetFailed, "the target broke the connection")
+    RequestError::may_have_run(Reason::ConnectionBroken, "the target broke the connection")
 }
 
 impl Answered {
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -49,6 +49,8 @@
     Timeout,
     /// A target failed while it worked on the request.
     TargetFailed,
+    /// The connection to a target broke before its answer was whole.
+    ConnectionBroken,
 }
 
 impl Reason {
@@ -62,7 +64,7 @@
             Reason::Overloaded => 429,
             Reason::Unavailable => 503,
             Reason::Timeout => 504,
-            Reason::TargetFailed => 502,
+            Reason::TargetFailed | Reason::ConnectionBroken => 502,
         }
     }
 
@@ -77,6 +79,7 @@
             Reason::Unavailable => "unavailable",
             Reason::Timeout => "timeout",
             Reason::TargetFailed => "target-failed",
+            Reason::ConnectionBroken => "connection-broken",
         }
     }
 }
--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -222,6 +222,28 @@
     }
 }
 
+/// Guards against attempts that are counted for a connection that breaks before the answer although
+/// the engine answers again at once, and against errors of an engine that count as its loss.
+#[test]
+fn a_broken_connection_counts_a_loss_and_an_error_an_attempt() {
+    for (outage, counted) in [("close", "losses"), ("refuse", "attempts")] {
+        let fleet = owned_fleet("1", ["a", "a"]);
+        let gate = json!({"gate": {"outage": outage, "prefix": "/v1", "count": 2}});
+        fleet.engines.iter().for_each(|e| e.faults(gate.clone()));
+        let a = &fleet.instances[0];
+        assert_eq!(a.submit("j", &items("i", 24, 4)).status, 200);
+        a.wait_finished("j");
+        let states = fleet.platform.object("group/j.0")["items"].clone();
+        let states = states.as_array().unwrap();
+        let count = |field: &str| states.iter().filter_map(|s| s[field].as_u64()).sum::<u64>();
+        for field in ["losses", "attempts"] {
+            let expected = if field == counted { 4 } else { 0 };
+            assert_eq!(count(field), expected, "{field} after {outage}");
+        }
+        assert!(a.results("j").iter().all(|r| r["status"] == "done"));
+    }
+}
+
 /// Guards against an item that crashes engines without end, and against a count of lost engines
 /// that starts anew with each holder.
 #[test]
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -91,6 +91,11 @@
         assert_eq!(reply.status, 200, "{}", reply.body);
     }
 
+    /// Reads the value of an object of a platform.
+    pub fn object(&self, path: &str) -> Value {
+        get(self.address, &format!("/objects/{path}")).json()["value"].clone()
+    }
+
     /// Reads the ledger.
     pub fn ledger(&self) -> Value {
         serde_json::from_str(&get(self.address, "/ledger").body).unwrap()
