Close jobs whose submission stopped while they were loading

Cause: a job object is created in state loading before its inputs are stored. When the submitting instance died and the caller never sent the job again, it stayed in that state for ever.

Ruled out: removing the job and its inputs. A delayed delete can remove an input that a resend found stored, and a removed name can be taken by other items while a paused submitter still stores inputs under it. Also ruled out: a heartbeat of the submitter in the job object (a write for each submission; a live one that is closed completes anyway).

Change: a job whose object does not change for timeouts.loading_ms (10 min) in state loading is updated to the new state abandoned, conditional on exactly that version. The instance that ranks first for the job writes, the others wait longer. A submission that finds abandoned with its own digest opens the job again by a conditional update, stores what is missing and makes it ready. The write of ready by a submitter that was paused fails by condition, since the version has moved. New event 2014 job-abandoned.

Conclusion: no job stays in loading. Inputs of an abandoned job stay stored, like those of finished jobs; the name stays bound to its items.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -21,6 +21,7 @@
     job_record::{Claim, GroupKey, LeaseRecord},
     jobs::Jobs,
     lease::{Observer, OwnLease},
+    loading::Loading,
     rate::Rate,
     schedule::Schedule,
     view::{View, WorkerInfo},
@@ -106,6 +107,8 @@
     pub observer: Observer,
     pub listing: Pacer,
     pub progress: Pacer,
+    pub closing: Pacer,
+    pub loading: Loading,
     pub workers: Map<WorkerId, Pacer>,
     pub rate: Rate,
     pub infeasible: Set<Arc<str>>,
@@ -155,6 +158,8 @@
             observer: Observer::default(),
             listing: Pacer::new(interval, interval),
             progress: Pacer::new(interval, interval),
+            closing: Pacer::new(interval, interval),
+            loading: Loading::default(),
             workers: Map::default(),
             rate: Rate::default(),
             infeasible: Set::default(),
@@ -240,6 +245,7 @@
         self.claim_more(now);
         self.dispatch(now);
         self.report(now);
+        self.close_loading(now);
     }
 
     /// Takes over a new view and the jobs that were written through this instance.
@@ -344,6 +350,7 @@
             }
             Event::Progress(read) => self.progress_read(read, now),
             Event::ProgressWritten(job, written) => self.progress_written(&job, written, now),
+            Event::Closed(job, object) => self.closed(&job, object),
             Event::Ended(ended) => self.run_ended(ended, now),
         }
     }
--- a/src/batch_calls.rs
+++ b/src/batch_calls.rs
@@ -10,8 +10,9 @@
     context::Context,
     ids::{InstanceId, JobId, Map, SessionId, Version},
     item_run::RunEnd,
-    job_record::{GroupKey, GroupRecord, InputRecord, LeaseRecord},
+    job_record::{GroupKey, GroupRecord, InputRecord, JobRecord, LeaseRecord},
     lease::{LeaseAnswer, LeaseCall},
+    loading::Stale,
     platform::{Kind, Object, ReadError, WriteError},
     progress::Progress,
 };
@@ -35,6 +36,8 @@
     Progress(ProgressRead),
     /// Progress of a job was written, or not.
     ProgressWritten(JobId, Option<Progress>),
+    /// A job whose submission has stopped was closed; nothing when it was not, or without answer.
+    Closed(JobId, Option<Arc<Object>>),
     /// A run has ended.
     Ended(Ended),
 }
@@ -196,6 +199,24 @@
     })
 }
 
+/// Closes a job whose submission has stopped, if it still has the version.
+pub fn close(ctx: Arc<Context>, stale: Stale, record: JobRecord) -> CallFuture {
+    Box::pin(async move {
+        let Stale { job, version } = stale;
+        let closed = ctx.platform.update(Kind::Job, &job, version, &record).await;
+        let object = closed.ok().and_then(|version| {
+            let value = serde_json::to_value(&record).ok()?;
+            let name = job.clone();
+            Some(Arc::new(Object {
+                name,
+                version,
+                value,
+            }))
+        });
+        Event::Closed(job, object)
+    })
+}
+
 fn found(read: Result<Option<Object>, ReadError>) -> Answer {
     match read {
         Ok(Some(object)) => match GroupRecord::deserialize(object.value) {
--- a/src/events.rs
+++ b/src/events.rs
@@ -70,6 +70,8 @@
     LeaseLapsed = 2012, "lease-lapsed";
     /// A worker did not do its part in a batch run and is left alone for a while.
     WorkerBackedOff = 2013, "worker-backed-off";
+    /// A job was closed because its submission stopped before all inputs were stored.
+    JobAbandoned = 2014, "job-abandoned";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
--- a/src/job_record.rs
+++ b/src/job_record.rs
@@ -43,6 +43,9 @@
     Ready,
     /// The job was cancelled.
     Cancelled,
+    /// The submission stopped before all inputs were stored. The name keeps its digest, so that
+    /// inputs which are still stored late belong to whoever opens it again.
+    Abandoned,
 }
 
 /// Content of a `job` object.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -7,6 +7,7 @@
 use crate::{
     ids::{GroupIndex, InstanceId, JobId, Map, ModelId, Set, Version},
     job_record::{Counts, GroupKey, JobRecord, JobState},
+    loading::Stale,
     ownership,
     platform::Object,
     progress::Progress,
@@ -219,6 +220,16 @@
         }
     }
 
+    /// Returns the jobs whose inputs are not all stored.
+    pub fn loading(&self) -> impl Iterator<Item = Stale> {
+        let entries = self.entries.iter();
+        let loading = entries.filter(|(_, e)| e.record.state == JobState::Loading);
+        loading.map(|(job, e)| Stale {
+            job: job.clone(),
+            version: e.version,
+        })
+    }
+
     /// Returns the job whose progress object was read longest ago.
     pub fn stalest(&self) -> Option<JobId> {
         let open = self.entries.iter().filter(|(_, e)| e.open());
--- a/src/results.rs
+++ b/src/results.rs
@@ -80,6 +80,8 @@
 pub enum StateName {
     /// Submitted and not accepted yet; the caller must send it again.
     Loading,
+    /// Not accepted: its submission stopped; the caller may send it again.
+    Abandoned,
     /// Accepted.
     Running,
     /// All items have an outcome.
@@ -125,6 +127,7 @@
         JobState::Loading => StateName::Loading,
         JobState::Ready => StateName::Running,
         JobState::Cancelled => StateName::Cancelled,
+        JobState::Abandoned => StateName::Abandoned,
     };
     JobStatus {
         name: name.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -77,6 +77,7 @@
     lease_ms: u64,
     renew_ms: u64,
     progress_ms: u64,
+    loading_ms: u64,
 }
 
 impl Default for RawTimeouts {
@@ -97,6 +98,8 @@
             lease_ms: 30_000,
             renew_ms: 10_000,
             progress_ms: 10_000,
+            // The 1,797 inputs of the largest job, written two at once, take 90 s at 100 ms a write.
+            loading_ms: 600_000,
         }
     }
 }
@@ -188,6 +191,8 @@
     pub renew: Duration,
     /// Least interval between two progress writes of the instance.
     pub progress: Duration,
+    /// Time without a change after which a job in state loading is closed.
+    pub loading: Duration,
 }
 
 impl Settings {
@@ -278,6 +283,7 @@
             lease: millis("lease_ms", raw.lease_ms)?,
             renew: millis("renew_ms", raw.renew_ms)?,
             progress: millis("progress_ms", raw.progress_ms)?,
+            loading: millis("loading_ms", raw.loading_ms)?,
         };
         if timeouts.renew * 2 > timeouts.lease {
             bail!(
--- a/src/submit.rs
+++ b/src/submit.rs
@@ -64,7 +64,7 @@
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum Phase {
-    /// Creates the job object in state loading.
+    /// Creates the job object in state loading, or opens an abandoned one again.
     Create(Settle),
     /// Reads the job object that another submission wrote.
     Look,
@@ -102,9 +102,10 @@
     /// Returns the call that the submission waits for; nothing when it has ended.
     pub fn op(&self) -> Option<Op> {
         match &self.phase {
-            Phase::Create(settle) => Some(match settle.call() {
-                Call::Write => Op::Create(self.loading.clone()),
-                Call::Read => Op::Read,
+            Phase::Create(settle) => Some(match (settle.call(), settle.base()) {
+                (Call::Write, None) => Op::Create(self.loading.clone()),
+                (Call::Write, Some(version)) => Op::Update(version, self.loading.clone()),
+                (Call::Read, _) => Op::Read,
             }),
             Phase::Look => Some(Op::Read),
             Phase::Inputs(_) => Some(Op::Inputs),
@@ -150,6 +151,10 @@
             Answer::Found(version, found) if found.state == JobState::Loading => {
                 self.go(Phase::Inputs(version))
             }
+            Answer::Found(version, found) if found.state == JobState::Abandoned => {
+                let settle = Settle::new(Some(version), self.ready.token);
+                self.go(Phase::Create(settle))
+            }
             Answer::Found(version, found) => self.end(End::Accepted(version, found)),
             Answer::Absent => self.go(Phase::Create(Settle::new(None, self.ready.token))),
             _ => Pace::Backoff,
--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -4,8 +4,8 @@
 
 use std::collections::HashSet;
 
-use batch_support::{Instance, Owned, Process, WAITS, items, wait_for};
-use gentianpath::job_record::LOSS_LIMIT;
+use batch_support::{Instance, MODEL, Owned, Process, WAITS, items, wait_for};
+use gentianpath::{group, job_record::LOSS_LIMIT};
 use serde_json::{Value, json};
 
 struct Fleet {
@@ -349,6 +349,31 @@
     );
 }
 
+/// Guards against a job that stays in state loading for ever because its submitter is gone, and
+/// against a closed job that a resend cannot complete.
+#[test]
+fn a_job_whose_submitter_is_gone_is_closed_and_can_be_sent_again() {
+    let fleet = fleet("1");
+    let body = items("i", 300, 4);
+    let groups = group::cut(&body, &"default".into(), &MODEL.into()).unwrap();
+    let loading = json!({
+        "team": "default", "model": MODEL, "deadline": 4_000_000_000_u64, "items": 300,
+        "groups": groups.inputs.len(), "never": 0, "digest": groups.digest, "token": 5,
+        "state": "loading",
+    });
+    fleet.platform.create("job/j", &loading);
+    let first = json!(groups.inputs[0]);
+    fleet.platform.create("input/j.0", &first);
+    let b = &fleet.instances[1];
+    let closed = || b.status("j")["state"] == "abandoned";
+    wait_for(closed, || b.status("j").to_string());
+    let other = b.submit("j", &items("other", 3, 4));
+    assert_eq!(other.status, 409, "{}", other.body);
+    assert_eq!(b.submit("j", &body).status, 200);
+    b.wait_finished("j");
+    assert_eq!(fleet.instances[0].results("j").len(), 300);
+}
+
 /// Guards against items of a cancelled job that never get a result, because their holder is gone
 /// and nobody claims groups of a cancelled job.
 #[test]
--- a/tests/process_batch.rs
+++ b/tests/process_batch.rs
@@ -21,6 +21,7 @@
     let timeouts = json!({
         "leave_notice_ms": 100, "load_poll_ms": 100, "exchange_ms": 100,
         "lease_ms": 1500, "renew_ms": 500, "progress_ms": 300, "platform_ms": 500,
+        "loading_ms": 1000,
     });
     for i in 0..entries {
         fleet.add_entry(&format!("entry-{i}"), json!({ "timeouts": timeouts }));
@@ -118,6 +119,40 @@
     }
 }
 
+/// Guards against a submitter that was only paused while its job was closed and sent again through
+/// another instance, and that wakes: no half job may run, and no result may change or vanish.
+#[test]
+fn a_submitter_that_wakes_after_its_job_was_closed_changes_nothing() {
+    let fleet = fleet(2, 2, "2");
+    let items = items(160, true);
+    let (paused, other) = (&fleet.entries[0], &fleet.entries[1]);
+    let slow = json!({ "gate": { "delay_ms": 300, "prefix": "/objects/input" } });
+    fleet.platform.set_faults(&slow);
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| paused.submit("j", DEADLINE, &items));
+        until("the job is loading", || {
+            state(other, "j").as_deref() == Some("loading")
+        });
+        paused.process.pause();
+        until("the job is closed", || {
+            state(other, "j").as_deref() == Some("abandoned")
+        });
+        fleet.platform.set_faults(&json!({}));
+        let again = other.submit("j", DEADLINE, &items).unwrap();
+        assert_eq!(again.status, 200, "{}", again.text());
+        wait_finished(other, "j");
+        assert_whole(other, "j", &items);
+        paused.process.resume();
+        let first = first.join().unwrap().expect("an answer");
+        assert_eq!(first.status, 200, "{}", first.text());
+    });
+    assert_whole(paused, "j", &items);
+    assert_eq!(state(paused, "j").as_deref(), Some("finished"));
+    for item in &items {
+        assert_eq!(runs(&fleet, &item.prompt), 1, "{}", item.id);
+    }
+}
+
 /// Guards against items that are lost or never finish because the object service was down while
 /// they ran.
 #[test]
