--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -4,7 +4,8 @@
 
 use std::collections::HashSet;
 
-use batch_support::{Instance, Owned, Process, items, wait_for};
+use batch_support::{Instance, MODEL, Owned, Process, WAITS, items, wait_for};
+use gentianpath::{group, job_record::LOSS_LIMIT};
 use serde_json::{Value, json};
 
 struct Fleet {
@@ -221,6 +222,65 @@
     }
 }
 
+/// Guards against attempts that are counted for a connection that breaks before the answer although
+/// the engine answers again at once, and against errors of an engine that count as its loss.
+#[test]
+fn a_broken_connection_counts_a_loss_and_an_error_an_attempt() {
+    for (outage, counted) in [("close", "losses"), ("refuse", "attempts")] {
+        let fleet = owned_fleet("1", ["a", "a"]);
+        let gate = json!({"gate": {"outage": outage, "prefix": "/v1", "count": 2}});
+        fleet.engines.iter().for_each(|e| e.faults(gate.clone()));
+        let a = &fleet.instances[0];
+        assert_eq!(a.submit("j", &items("i", 24, 4)).status, 200);
+        a.wait_finished("j");
+        let states = fleet.platform.object("group/j.0")["items"].clone();
+        let states = states.as_array().unwrap();
+        let count = |field: &str| states.iter().filter_map(|s| s[field].as_u64()).sum::<u64>();
+        for field in ["losses", "attempts"] {
+            let expected = if field == counted { 4 } else { 0 };
+            assert_eq!(count(field), expected, "{field} after {outage}");
+        }
+        assert!(a.results("j").iter().all(|r| r["status"] == "done"));
+    }
+}
+
+/// Guards against an item that crashes engines without end, and against a count of lost engines
+/// that starts anew with each holder.
+#[test]
+fn an_item_that_crashes_its_engines_ends_and_its_neighbours_complete() {
+    let mut fleet = owned_fleet("5", ["a", "a"]);
+    let mut body = items("i", 10, 8);
+    body += &json!({"id": "crash", "prompt": "x [[crash]]", "max_tokens": 8}).to_string();
+    let mut states = vec![json!({}); 10];
+    states.push(json!({"losses": LOSS_LIMIT - 1}));
+    let record = json!({"token": 1, "items": states});
+    fleet.platform.create("group/j.0", &record);
+    let a = &fleet.instances[0];
+    assert_eq!(a.submit("j", &body).status, 200);
+    let mut lost = None;
+    for _ in 0..WAITS {
+        lost = fleet.engines.iter_mut().position(Process::ended);
+        if lost.is_some() {
+            break;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    let mut view = a.ctx.view.load().as_ref().clone();
+    view.workers.remove(lost.expect("no engine crashed"));
+    a.ctx.view.store(view.into());
+    let b = &fleet.instances[1];
+    b.wait_finished("j");
+    for result in b.results("j") {
+        assert_eq!(result["attempts"], 0);
+        if result["id"] == "crash" {
+            let reason = result["reason"].as_str().unwrap();
+            assert!(reason.contains("workers were lost"), "{result}");
+        } else {
+            assert_eq!(result["status"], "done", "{result}");
+        }
+    }
+}
+
 /// Guards against results that are lost in an outage of the object service, claims during it, and
 /// a submission that is refused without saying that it did not run.
 #[test]
@@ -289,6 +349,31 @@
     );
 }
 
+/// Guards against a job that stays in state loading for ever because its submitter is gone, and
+/// against a closed job that a resend cannot complete.
+#[test]
+fn a_job_whose_submitter_is_gone_is_closed_and_can_be_sent_again() {
+    let fleet = fleet("1");
+    let body = items("i", 300, 4);
+    let groups = group::cut(&body, &"default".into(), &MODEL.into()).unwrap();
+    let loading = json!({
+        "team": "default", "model": MODEL, "deadline": 4_000_000_000_u64, "items": 300,
+        "groups": groups.inputs.len(), "never": 0, "digest": groups.digest, "token": 5,
+        "state": "loading",
+    });
+    fleet.platform.create("job/j", &loading);
+    let first = json!(groups.inputs[0]);
+    fleet.platform.create("input/j.0", &first);
+    let b = &fleet.instances[1];
+    let closed = || b.status("j")["state"] == "abandoned";
+    wait_for(closed, || b.status("j").to_string());
+    let other = b.submit("j", &items("other", 3, 4));
+    assert_eq!(other.status, 409, "{}", other.body);
+    assert_eq!(b.submit("j", &body).status, 200);
+    b.wait_finished("j");
+    assert_eq!(fleet.instances[0].results("j").len(), 300);
+}
+
 /// Guards against items of a cancelled job that never get a result, because their holder is gone
 /// and nobody claims groups of a cancelled job.
 #[test]
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -33,7 +33,7 @@
 /// Slots of an engine.
 pub const SLOTS: u32 = 8;
 /// Waits in a row after which a test has failed. It only ends a test that hangs.
-const WAITS: usize = 600;
+pub const WAITS: usize = 600;
 
 /// A stand-in process, ended when it is dropped.
 pub struct Process {
@@ -83,6 +83,19 @@
         assert_eq!(reply.status, 200, "{}", reply.body);
     }
 
+    /// Creates an object of a platform.
+    pub fn create(&self, path: &str, value: &Value) {
+        let url = format!("http://{}/objects/{path}", self.address);
+        let put = client().put(url).with_request_header("if-none-match", "*");
+        let reply = send(put.with_body(value.to_string()));
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+
+    /// Reads the value of an object of a platform.
+    pub fn object(&self, path: &str) -> Value {
+        get(self.address, &format!("/objects/{path}")).json()["value"].clone()
+    }
+
     /// Reads the ledger.
     pub fn ledger(&self) -> Value {
         serde_json::from_str(&get(self.address, "/ledger").body).unwrap()
@@ -98,6 +111,11 @@
         runs
     }
 
+    /// Says whether the process has ended.
+    pub fn ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// Ends the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -335,7 +353,7 @@
         "peer_address": "127.0.0.1:0", "platform_address": platform.to_string(),
         "timeouts": {
             "lease_ms": 3000, "renew_ms": 500, "progress_ms": 300, "platform_ms": 1000,
-            "stall_ms": 1000, "first_token_ms": 5000,
+            "stall_ms": 1000, "first_token_ms": 5000, "loading_ms": 1000,
         },
     });
     let raw: gentianpath::settings::RawSettings = serde_json::from_value(raw).unwrap();
