Write create-or-update once, and give two time-outs their usual name

Cause: three callers chose between create and update by an optional version, and two constants had a figurative name.

Change: Platform::put does it, used for placements, slots of the weight store and progress. The constants are PROGRESS_TIMEOUT and TIMEOUT.

--- a/src/batch_calls.rs
+++ b/src/batch_calls.rs
@@ -187,14 +187,10 @@
     progress: Progress,
 ) -> CallFuture {
     Box::pin(async move {
-        let result = match version {
-            None => ctx.platform.create(Kind::Progress, &job, &progress).await,
-            Some(v) => {
-                ctx.platform
-                    .update(Kind::Progress, &job, v, &progress)
-                    .await
-            }
-        };
+        let result = ctx
+            .platform
+            .put(Kind::Progress, &job, version, &progress)
+            .await;
         Event::ProgressWritten(job, result.ok().map(|_| progress))
     })
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -342,6 +342,24 @@
         self.write(PlatformCall::Create, conn, value).await
     }
 
+    /// Creates an object, or updates one if it still has the version.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::create`] and [`Self::update`].
+    pub async fn put(
+        &self,
+        kind: Kind,
+        name: &str,
+        version: Option<Version>,
+        value: &impl Serialize,
+    ) -> Result<Version, WriteError> {
+        match version {
+            Some(version) => self.update(kind, name, version, value).await,
+            None => self.create(kind, name, value).await,
+        }
+    }
+
     /// Updates an object that still has `version` and returns the new version.
     ///
     /// # Errors
--- a/src/reconcile.rs
+++ b/src/reconcile.rs
@@ -272,14 +272,9 @@
         }
     };
     let platform = &control.ctx.platform;
-    let written = match version {
-        Some(version) => {
-            platform
-                .update(Kind::Placement, worker, version, &record)
-                .await
-        }
-        None => platform.create(Kind::Placement, worker, &record).await,
-    };
+    let written = platform
+        .put(Kind::Placement, worker, version, &record)
+        .await;
     let mut workers = workers.borrow_mut();
     let orders = &mut workers.owned(worker).orders;
     let Ok(fence) = written else {
@@ -376,14 +371,9 @@
         if !change(&mut slots) {
             return false;
         }
-        let written = match version {
-            Some(version) => {
-                platform
-                    .update(Kind::Weights, SLOTS_NAME, version, &slots)
-                    .await
-            }
-            None => platform.create(Kind::Weights, SLOTS_NAME, &slots).await,
-        };
+        let written = platform
+            .put(Kind::Weights, SLOTS_NAME, version, &slots)
+            .await;
         match written {
             Ok(_) => return true,
             Err(WriteError::Conflict) => {}
--- a/src/submit_run.rs
+++ b/src/submit_run.rs
@@ -20,7 +20,7 @@
 };
 
 /// How long a submission or a cancel order tries before it is refused, without storing inputs.
-const PATIENCE: Duration = Duration::from_secs(5);
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(5);
 /// Inputs of one submission that are written at once.
 const INPUTS_AT_ONCE: usize = 2;
 /// First span of the backoff.
@@ -62,7 +62,7 @@
     /// Waits for the next attempt; false when the time is up.
     async fn again(&mut self) -> bool {
         async_io::Timer::after(self.backoff.fail(&mut self.rng)).await;
-        self.progress.elapsed() < PATIENCE
+        self.progress.elapsed() < PROGRESS_TIMEOUT
     }
 
     fn advanced(&mut self) {
--- a/standins/tests/support/mod.rs
+++ b/standins/tests/support/mod.rs
@@ -14,7 +14,7 @@
 use trillium_client::{Client, Method};
 
 /// Bound on calls that are expected to be answered.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+pub const TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Starts a platform with extra options.
 pub fn platform(options: &[&str]) -> SocketAddr {
@@ -78,7 +78,7 @@
 
 /// Builds a client of engines that waits for a long time.
 pub fn engine_client() -> gentianpath::engine::Engine {
-    engine_client_with(PATIENCE)
+    engine_client_with(TIMEOUT)
 }
 
 /// Builds a client of engines with a bound on silence.
@@ -95,7 +95,7 @@
 
 /// Builds a client of a platform that waits for a long time.
 pub fn platform_client(address: SocketAddr) -> gentianpath::platform::Platform {
-    platform_client_with(address, PATIENCE)
+    platform_client_with(address, TIMEOUT)
 }
 
 /// Builds a client of a platform with a deadline for each call.
@@ -127,7 +127,7 @@
 
 /// Waits until a condition holds.
 pub async fn until<F: AsyncFnMut() -> bool>(mut holds: F) {
-    let deadline = std::time::Instant::now() + PATIENCE;
+    let deadline = std::time::Instant::now() + TIMEOUT;
     while !holds().await {
         assert!(
             std::time::Instant::now() < deadline,
