Read only the changes of the instance list

Cause: a watcher read the whole list each 2 s. A stale answer of a lagging replica counted as news and could bring back a removed target.

Ruled out: versions from clocks beside a conditional read (a restart still spreads a copy, a stale answer is not recognised); reads by zone (a whole read each 600 s is 2.4 KB/s, and changes are about 300 bytes without it); a later whole list as a difference where the service tells changes (the random test found a target that came and went between two reads and stayed at a peer).

Change: the view has the versions of the service. A watcher asks for the changes after its version, with a condition; a service that ignores both gives the whole list and still works. About each 600 s the whole list is compared with the view at the same version, and a missed change spreads with a number of its own. A list read whole at a start is offered to peers after 5 s. The test of the list states the new field of the list and is otherwise unchanged.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod jobs;
+pub mod list_cost;
 pub mod online;
 pub mod overhead;
 pub mod plot;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::PathBuf};
 
 use anyhow::Context;
-use bench::{capacity, decisions, overhead, sheet_cost, table, trace::Kind};
+use bench::{capacity, decisions, list_cost, overhead, sheet_cost, table, trace::Kind};
 use clap::{Parser, Subcommand};
 
 /// Measures the decisions of gentianpath.
@@ -38,6 +38,8 @@
     Zone,
     /// Measure batch items and losses of instances only, over processes.
     Items,
+    /// Measure the cost of the instance list against its length, over processes.
+    List,
     /// Measure the cost of a sheet change against the length of the sheet.
     Sheet,
     /// Measure the cost of decisions at 10 to 12,000 workers.
@@ -63,6 +65,7 @@
         Command::Capacity => capacity::run()?,
         Command::Zone => capacity::run_zone()?,
         Command::Items => capacity::run_items()?,
+        Command::List => list_cost::run()?,
         Command::Sheet => sheet_cost::run()?,
         Command::Decisions { seed } => decisions::print(seed),
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -173,8 +173,12 @@
 
     /// Waits for an interval, between 75% and 125% of it, so that instances do not act in step.
     pub async fn pause(&self, interval: Duration) {
-        let factor = 0.75 + self.state().rng.f64() / 2.0;
-        Timer::after(interval.mul_f64(factor)).await;
+        Timer::after(self.spread_out(interval)).await;
+    }
+
+    /// Returns a random time between 75% and 125% of an interval.
+    pub fn spread_out(&self, interval: Duration) -> Duration {
+        interval.mul_f64(0.75 + self.state().rng.f64() / 2.0)
     }
 
     fn restore(&self) {
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -24,6 +24,9 @@
 const WATCHERS: usize = 2;
 /// Loads in a digest at most, so that digests stay small at 32 workers for each instance.
 const LOADS_SENT: usize = 2;
+/// Time for which a list that was read whole at a start is not offered. A change is known to all
+/// instances within about 4 s.
+const LIST_HELD: Duration = Duration::from_secs(5);
 /// Age up to which a load report counts as fresh.
 pub const LOAD_FRESH: Duration = Duration::from_secs(10);
 
@@ -73,6 +76,7 @@
     moved: bool,
     pulling: Set<Watched>,
     watching: bool,
+    list_held: Option<Duration>,
     dirty: bool,
 }
 
@@ -98,6 +102,7 @@
             moved: true,
             pulling: Set::default(),
             watching: false,
+            list_held: None,
             dirty: true,
         }
     }
@@ -124,6 +129,13 @@
         }
     }
 
+    /// Offers the instance list to no peer for a while, after it was read whole at a start. A peer
+    /// that is behind would have to take the whole of it from here; meanwhile it gets the changes
+    /// from others.
+    pub fn hold_list(&mut self, now: Duration) {
+        self.list_held = Some(now + LIST_HELD);
+    }
+
     fn follow(&mut self, kind: Watched, now: Duration) {
         self.dirty = true;
         match kind {
@@ -175,7 +187,10 @@
 
     /// Returns the digest of this instance.
     pub fn digest(&mut self, detail: Detail, now: Duration) -> Digest {
-        let views = self.views.iter().map(|(k, v)| (*k, v.latest())).collect();
+        let held = self.list_held.is_some_and(|until| now < until);
+        let offered = |kind: &Watched| !held || *kind != Watched::Instances;
+        let views = self.views.iter().filter(|(kind, _)| offered(kind));
+        let views = views.map(|(k, v)| (*k, v.latest())).collect();
         let heard = match detail {
             Detail::Views => Vec::new(),
             Detail::Heartbeats | Detail::Zone => self.members.heard(now, &mut self.rng),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod lease;
 pub mod levels;
 pub mod limits;
+pub mod listing;
 pub mod members;
 pub mod metrics;
 pub mod once;
--- a/src/members.rs
+++ b/src/members.rs
@@ -77,9 +77,9 @@
 
 /// Returns the changes that lead from the known objects to a list that was just read.
 ///
-/// The platform gives the list no version. A watcher that sees a difference takes the next
-/// version, at least `now_ms` (milliseconds since 1970), so that it is higher than those of
-/// earlier watchers. Two watchers that see the same difference write the same content.
+/// Without versions of the service a watcher that sees a difference takes the next version, at
+/// least `now_ms` (milliseconds since 1970), so that it is higher than those of earlier watchers.
+/// Two watchers that see the same difference write the same content.
 pub fn list_changes(
     known: &Map<Arc<str>, Arc<Object>>,
     list: &InstanceList,
@@ -110,13 +110,18 @@
     format!("{ENTRY_PREFIX}{id}")
 }
 
+/// Returns the name of a target in the versioned instance list.
+pub fn target_name(id: &str) -> String {
+    format!("{TARGET_PREFIX}{id}")
+}
+
 fn listed_objects(list: &InstanceList) -> Map<Arc<str>, Value> {
     let entries = list.entries.iter().map(|e| {
         let name = entry_name(&e.id);
         (name.into(), serde_json::to_value(e).unwrap_or_default())
     });
     let targets = list.targets.iter().map(|t| {
-        let name = format!("{TARGET_PREFIX}{}", t.id);
+        let name = target_name(&t.id);
         (name.into(), serde_json::to_value(t).unwrap_or_default())
     });
     entries.chain(targets).collect()
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -14,6 +14,8 @@
 
 /// Header that names the calling instance.
 const PARTY_HEADER: &str = "gentianpath-party";
+/// Status of an answer that has no body.
+const NOT_MODIFIED: u16 = 304;
 
 /// Kinds of objects that the system keeps in the object service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -174,12 +176,60 @@
 #[derive(Debug, Clone, Default)]
 #[derive(Deserialize)]
 pub struct InstanceList {
+    /// Version of the list; nothing when the service does not number its changes.
+    #[serde(default)]
+    pub version: Option<Version>,
     /// Entry instances.
     pub entries: Vec<ListedEntry>,
     /// Targets.
     pub targets: Vec<ListedTarget>,
 }
 
+/// One change of the instance list.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Deserialize)]
+#[serde(tag = "group", rename_all = "lowercase")]
+pub enum ListEvent {
+    /// An entry instance changed or was removed.
+    Entries {
+        /// Name of the instance.
+        id: InstanceId,
+        /// Version of the change.
+        version: Version,
+        /// New content; nothing when it was removed.
+        value: Option<ListedEntry>,
+    },
+    /// A target changed or was removed.
+    Targets {
+        /// Name of the target.
+        id: TargetId,
+        /// Version of the change.
+        version: Version,
+        /// New content; nothing when it was removed.
+        value: Option<ListedTarget>,
+    },
+}
+
+/// Answer to a read of the instance list after a version.
+#[derive(Debug, Clone)]
+pub enum ListAnswer {
+    /// Nothing changed.
+    Unchanged,
+    /// Changes after a version.
+    Changes {
+        /// Version that the changes follow.
+        since: Version,
+        /// Version up to which they are complete.
+        version: Version,
+        /// Changes in the order of their versions.
+        events: Vec<ListEvent>,
+    },
+    /// The whole list, as it was asked for.
+    Whole(InstanceList),
+    /// The whole list, though changes were asked for: the service does not tell them.
+    Unfiltered(InstanceList),
+}
+
 /// Why a read failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadError {
@@ -225,6 +275,17 @@
 impl std::error::Error for ReadError {}
 impl std::error::Error for WriteError {}
 
+/// Answer of a service that may or may not know the parameter `since`.
+#[derive(Deserialize)]
+struct ListBody {
+    version: Option<Version>,
+    events: Option<Vec<ListEvent>>,
+    #[serde(default)]
+    entries: Vec<ListedEntry>,
+    #[serde(default)]
+    targets: Vec<ListedTarget>,
+}
+
 #[derive(Deserialize)]
 struct Written {
     version: Version,
@@ -373,7 +434,7 @@
         written(answer).map(|_| ())
     }
 
-    /// Reads the instance list.
+    /// Reads the whole instance list.
     ///
     /// # Errors
     ///
@@ -386,6 +447,27 @@
         }
     }
 
+    /// Reads what changed on the instance list after a version. A service that does not know the
+    /// condition or the parameter gives the whole list.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Gone`] when the whole list must be read first.
+    pub async fn instances_since(&self, since: Version) -> Result<ListAnswer, ReadError> {
+        let url = format!("{}/instances?since={since}", self.base);
+        let tag = format!("\"{since}\"");
+        let conn = self
+            .client
+            .get(url)
+            .with_request_header("if-none-match", tag);
+        match self.send(PlatformCall::Instances, conn, self.timeout).await {
+            Ok((200, body)) => parse(&body).map(|b| list_answer(since, b)),
+            Ok((304, _)) => Ok(ListAnswer::Unchanged),
+            Ok((410, _)) => Err(ReadError::Gone),
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
     /// Puts an entry instance on the instance list, or changes its state there.
     ///
     /// # Errors
@@ -439,7 +521,7 @@
 
 fn call_outcome(answer: &Result<(u16, Vec<u8>), WriteError>) -> CallOutcome {
     match answer {
-        Ok((200, _)) => CallOutcome::Done,
+        Ok((200 | 304, _)) => CallOutcome::Done,
         Ok((404 | 409 | 410, _)) => CallOutcome::Conflict,
         Ok(_) | Err(WriteError::Refused) => CallOutcome::Refused,
         Err(_) => CallOutcome::Unknown,
@@ -455,10 +537,28 @@
         });
     }
     let status = conn.status().map_or(0, u16::from);
+    if status == NOT_MODIFIED {
+        return Ok((status, Vec::new()));
+    }
     let body = conn.response_body().read_bytes().await;
     body.map(|b| (status, b)).map_err(|_| WriteError::Unknown)
 }
 
+fn list_answer(since: Version, body: ListBody) -> ListAnswer {
+    match (body.version, body.events) {
+        (Some(version), Some(events)) => ListAnswer::Changes {
+            since,
+            version,
+            events,
+        },
+        (version, _) => ListAnswer::Unfiltered(InstanceList {
+            version,
+            entries: body.entries,
+            targets: body.targets,
+        }),
+    }
+}
+
 fn written((status, body): (u16, Vec<u8>)) -> Result<Version, WriteError> {
     match status {
         200 => serde_json::from_slice::<Written>(&body)
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -1,8 +1,7 @@
 //! Watches of the platform: sheet, jobs and instance list, by two instances of each zone.
 //!
 //! The instance list is polled by the watchers as well and spread like the other kinds. At the
-//! target size it is about 1.5 MB long, so polls by all 370 instances every 2 s would be 185
-//! calls and 280 MB a second; 16 watchers make 8 calls a second.
+//! target size it is about 1.4 MB long, so a poll asks for what changed since the last one.
 
 use std::{rc::Rc, time::Duration};
 
@@ -12,8 +11,8 @@
     backoff::Backoff,
     control::{Control, unix_ms},
     drain::Phase,
-    members::{self, list_changes},
-    platform::{InstanceList, Kind, ListState, ListedEntry, Listing, Object, Platform, ReadError},
+    listing, members,
+    platform::{Kind, ListAnswer, ListState, ListedEntry, Listing, Object, Platform, ReadError},
     sheet_log::{self, Snapshot},
     spread::{Delta, Watched},
 };
@@ -22,6 +21,8 @@
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Interval of reads of the instance list.
 const LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval of reads of the whole instance list by a service that gives only the changes else.
+const WHOLE_INTERVAL: Duration = Duration::from_secs(600);
 /// Interval at which an instance looks whether it is a watcher, or about to stop.
 const ROLE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which an instance that is missing on the list registers again.
@@ -133,18 +134,23 @@
     }
 }
 
-/// Reads the instance list while this instance is a watcher.
+/// Reads the instance list while this instance is a watcher: mostly what changed, at times the
+/// whole list, so that a change that was missed is found.
 pub async fn run_instances(control: Rc<Control>) {
     let mut backoff = Backoff::new(RETRY_BASE, RETRY_CAP);
+    let mut whole_due = Duration::ZERO;
     loop {
-        if !control.state().watches(control.now()) {
+        let now = control.now();
+        if !control.state().watches(now) {
             control.pause(ROLE_INTERVAL).await;
             continue;
         }
-        match control.ctx.platform.instances().await {
-            Ok(list) => {
+        match read_list(&control, now >= whole_due).await {
+            Ok(was_whole) => {
                 touch(&control, &mut backoff, Watched::Instances.as_str());
-                take_list(&control, &list);
+                if was_whole {
+                    whole_due = now + control.spread_out(WHOLE_INTERVAL);
+                }
                 control.pause(LIST_INTERVAL).await;
             }
             Err(_) => wait(&control, &mut backoff, Watched::Instances.as_str()).await,
@@ -152,22 +158,40 @@
     }
 }
 
-fn take_list(control: &Control, list: &InstanceList) {
-    let delta = {
-        let state = control.state();
-        let view = state.view(Watched::Instances);
-        let changes = list_changes(view.objects(), list, view.version(), unix_ms());
-        let Some(last) = changes.last() else {
-            return;
-        };
-        Delta {
-            since: view.version(),
-            version: last.version,
-            full: false,
-            changes,
+/// Reads what changed on the instance list, and says whether the whole list was read. A whole read
+/// follows one of the changes, because it is compared with the view at the same version only.
+///
+/// # Errors
+///
+/// Returns [`ReadError::Unavailable`] when the platform does not answer.
+async fn read_list(control: &Control, whole: bool) -> Result<bool, ReadError> {
+    let platform = &control.ctx.platform;
+    let since = listing::service_version(control.state().view(Watched::Instances));
+    if let Some(since) = since {
+        match platform.instances_since(since).await {
+            Ok(answer) => {
+                take_list(control, &answer);
+                if !whole || matches!(answer, ListAnswer::Unfiltered(_)) {
+                    return Ok(whole);
+                }
+            }
+            Err(ReadError::Gone) => {}
+            Err(e) => return Err(e),
         }
-    };
-    control.merge(Watched::Instances, delta);
+    }
+    let list = platform.instances().await?;
+    take_list(control, &ListAnswer::Whole(list));
+    Ok(true)
+}
+
+fn take_list(control: &Control, answer: &ListAnswer) {
+    let delta = listing::delta_of(control.state().view(Watched::Instances), answer, unix_ms());
+    if let Some(delta) = delta {
+        if delta.full {
+            control.state().hold_list(control.now());
+        }
+        control.merge(Watched::Instances, delta);
+    }
 }
 
 /// Keeps this instance on the platform's list, with its state.
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's stand-in: object service and instance list over HTTP.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -15,6 +15,7 @@
 
 use crate::{
     faults::{Gate, GateFaults, PathFault, take},
+    instances::{Instances, Whole},
     ledger::Counter,
     reply,
     store::{Change, Condition, Gone, Refusal, Store},
@@ -49,6 +50,9 @@
     /// Reads within a second that are served, the rest get 503; 0 is without limit.
     #[arg(long, value_name = "COUNT", default_value_t = 0)]
     pub read_limit: u64,
+    /// Gives the instance list always whole and without a version.
+    #[arg(long)]
+    pub plain_list: bool,
 }
 
 /// Faults of the platform. Each `POST /faults` replaces all of them.
@@ -78,6 +82,7 @@
     writes: Counter,
     watches: Counter,
     instance_reads: Counter,
+    instance_bytes: u64,
     registrations: Counter,
     conflicts: u64,
     lost: u64,
@@ -86,13 +91,10 @@
     calls: BTreeMap<String, u64>,
 }
 
-type Instances = BTreeMap<String, BTreeMap<String, Value>>;
-
 #[derive(Debug)]
 struct State {
     store: Store,
     instances: Instances,
-    snapshots: VecDeque<(Instant, Value)>,
     waiting: Vec<Sender<()>>,
     ledger: Ledger,
     faults: Faults,
@@ -128,8 +130,7 @@
     pub fn new(options: Options) -> Self {
         let state = State {
             store: Store::new(options.history),
-            instances: Instances::new(),
-            snapshots: VecDeque::new(),
+            instances: Instances::default(),
             waiting: Vec::new(),
             ledger: Ledger::default(),
             faults: Faults::default(),
@@ -312,15 +313,33 @@
         let mut state = self.lock();
         state.ledger.instance_reads.add(Instant::now());
         let lag = state.faults.list_lag_ms.unwrap_or(self.options.list_lag_ms);
-        let lag = Duration::from_millis(lag);
-        let seen = state.snapshots.iter().rev();
-        let seen = seen
-            .filter(|(at, _)| at.elapsed() >= lag)
-            .map(|(_, list)| list.clone())
-            .next();
+        let (status, text) = self.list_answer(&conn, &state.instances, Duration::from_millis(lag));
+        state.ledger.instance_bytes += text.len() as u64;
         drop(state);
-        let empty = json!({ "entries": [], "targets": [] });
-        reply::json(conn, 200, &seen.unwrap_or(empty))
+        reply::text(conn, status, text)
+    }
+
+    /// Answers a conditional read with 304, one of the changes after a version with these or 410,
+    /// and others with the whole list.
+    fn list_answer(&self, conn: &Conn, list: &Instances, lag: Duration) -> (u16, String) {
+        if self.options.plain_list {
+            let plain = Whole {
+                version: None,
+                ..list.whole(lag)
+            };
+            return (200, reply::encode(&plain));
+        }
+        let tag = format!("\"{}\"", list.version(lag));
+        if conn.request_headers().get_str("if-none-match") == Some(&*tag) {
+            return (304, String::new());
+        }
+        match reply::query(conn, "since").map(|_| reply::number(conn, "since")) {
+            None => (200, reply::encode(&list.whole(lag))),
+            Some(since) => match list.since(since, lag) {
+                Some(changes) => (200, reply::encode(&changes)),
+                None => (410, String::new()),
+            },
+        }
     }
 
     async fn register(&self, mut conn: Conn, group: &str, id: &str) -> Conn {
@@ -330,20 +349,13 @@
         };
         let mut state = self.lock();
         state.ledger.registrations.add(Instant::now());
-        let members = state.instances.entry(group.into()).or_default();
-        members.insert(id.into(), value);
-        state.take_snapshot();
+        state.instances.set(group, id, Some(value));
         drop(state);
         reply::json(conn, 200, &json!({}))
     }
 
     fn unregister(&self, conn: Conn, group: &str, id: &str) -> Conn {
-        let mut state = self.lock();
-        if let Some(members) = state.instances.get_mut(group) {
-            members.remove(id);
-        }
-        state.take_snapshot();
-        drop(state);
+        self.lock().instances.set(group, id, None);
         reply::json(conn, 200, &json!({}))
     }
 
@@ -411,24 +423,6 @@
     }
 }
 
-impl State {
-    /// Remembers the instance list as it is now, for readers that lag behind.
-    fn take_snapshot(&mut self) {
-        const SNAPSHOTS: usize = 4096;
-        let members = |group: &str| -> Vec<Value> {
-            let members = self.instances.get(group);
-            members
-                .map(|m| m.values().cloned().collect())
-                .unwrap_or_default()
-        };
-        let list = json!({ "entries": members("entries"), "targets": members("targets") });
-        self.snapshots.push_back((Instant::now(), list));
-        if self.snapshots.len() > SNAPSHOTS {
-            self.snapshots.pop_front();
-        }
-    }
-}
-
 fn condition(conn: &Conn) -> Option<Condition> {
     let headers = conn.request_headers();
     if headers.get_str("if-none-match") == Some("*") {
--- a/standins/src/reply.rs
+++ b/standins/src/reply.rs
@@ -30,7 +30,16 @@
 
 /// Answers with JSON.
 pub fn json(conn: Conn, status: u16, body: &impl Serialize) -> Conn {
-    let text = serde_json::to_string(body).unwrap_or_default();
+    text(conn, status, encode(body))
+}
+
+/// Returns the JSON text of a value.
+pub fn encode(body: &impl Serialize) -> String {
+    serde_json::to_string(body).unwrap_or_default()
+}
+
+/// Answers with a text that is JSON, or with none.
+pub fn text(conn: Conn, status: u16, text: String) -> Conn {
     conn.with_status(status)
         .with_response_header("content-type", "application/json")
         .with_body(text)
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use gentianpath::platform::{Kind, ListState, ListedEntry, ReadError, WriteError};
+use gentianpath::platform::{
+    Kind, ListAnswer, ListEvent, ListState, ListedEntry, ReadError, WriteError,
+};
 use serde_json::json;
 use standins::host::block_on;
 use support::{call, faults, get, platform, platform_client, platform_client_with};
@@ -190,3 +192,42 @@
         assert_eq!(other.map(|(status, _)| status), Some(404));
     });
 }
+
+/// Guards against a list whose changes the client does not get, misses, or takes for none.
+#[test]
+fn instance_list_tells_changes_after_a_version() {
+    block_on(async {
+        let address = platform(&[]);
+        let client = platform_client(address);
+        let mut entry = ListedEntry {
+            id: "i".into(),
+            session: 7,
+            address: "127.0.0.1:1".parse().unwrap(),
+            peer_address: "127.0.0.1:2".parse().unwrap(),
+            zone: "z".into(),
+            state: ListState::Live,
+        };
+        client.register(&entry).await.unwrap();
+        let version = client.instances().await.unwrap().version.unwrap();
+        let same = client.instances_since(version).await.unwrap();
+        assert!(matches!(same, ListAnswer::Unchanged));
+        entry.state = ListState::Leaving;
+        client.register(&entry).await.unwrap();
+        let path = "/instances/entries/i";
+        call(address, Method::Delete, path, None, "").await;
+        let answer = client.instances_since(version).await.unwrap();
+        let ListAnswer::Changes { since, events, .. } = answer else {
+            panic!("{answer:?}");
+        };
+        let event = |version, value| ListEvent::Entries {
+            id: "i".into(),
+            version,
+            value,
+        };
+        let changes = [event(version + 1, Some(entry)), event(version + 2, None)];
+        assert_eq!((since, &*events), (version, &changes[..]));
+        let plain = platform_client(platform(&["--plain-list"]));
+        let answer = plain.instances_since(version).await.unwrap();
+        assert!(matches!(answer, ListAnswer::Unfiltered(list) if list.version.is_none()));
+    });
+}
--- a/tests/members_list.rs
+++ b/tests/members_list.rs
@@ -45,6 +45,7 @@
 
 fn list(entries: Vec<ListedEntry>) -> InstanceList {
     InstanceList {
+        version: None,
         entries,
         targets: vec![],
     }
@@ -186,10 +187,12 @@
 fn two_watchers_of_the_list_agree() {
     let mut views = [KindView::default(), KindView::default()];
     let first = InstanceList {
+        version: None,
         entries: vec![listed("a", 5, "z1", LIVE)],
         targets: vec![target("w1"), target("w2")],
     };
     let second = InstanceList {
+        version: None,
         entries: vec![listed("a", 6, "z1", LIVE), listed("b", 7, "z1", LIVE)],
         targets: vec![target("w2")],
     };
