--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod lease;
 pub mod levels;
 pub mod limits;
+pub mod listing;
 pub mod loading;
 pub mod members;
 pub mod metrics;
