Give exports of the stand-in a version and faults

Cause: the state that the engine's stand-in exports does not name the version of its model, so an engine with another version takes it in, and a client can neither tell that nor be tested for it. The ledger does not tell tokens that came with a state from tokens that were generated.

Ruled out: faults of the gate alone. They refuse, delay or close a call and cannot give a wrong state or half of one.

Change: export and import have a module of their own. A state names its version, and an import of another version gets 409. The fault `export` cuts an answer off in the middle or gives the state from before the first token, of another stream or of another version. Runs in the ledger list `taken` tokens and `prefilled` prompt blocks.

Conclusion: faults at each step of a move can be tested.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     faults::{Bound, Gate, GateFaults, PathFault},
+    kv::ExportFault,
     line::Line,
     orders::{Loaded, OrderRecord},
     prefix::PrefixCache,
@@ -107,6 +108,8 @@
     pub refuse: Option<Bound>,
     /// Calls that take effect and get no answer, except for streams.
     pub lost: Option<PathFault>,
+    /// Exports whose answer is not the state that was asked for.
+    pub export: Option<ExportFault>,
     /// Tokens of all streams after which the process ends; 0 ends it at once.
     pub die_after_tokens: Option<u64>,
     /// Marks the engine as leaving; it stays so.
@@ -154,6 +157,10 @@
     pub resumes: u32,
     /// Whether the state came from another engine.
     pub imported: bool,
+    /// Tokens that came with the state of another engine; they were not generated here.
+    pub taken: u64,
+    /// Prompt blocks that were computed, because they were not cached.
+    pub prefilled: u64,
     /// Time of the start, in milliseconds since the engine started.
     pub started_ms: u64,
 }
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -1,6 +1,6 @@
 //! HTTP interface of the engine's stand-in.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use async_io::Timer;
 use serde::{Deserialize, Serialize};
@@ -43,17 +43,6 @@
     content: String,
 }
 
-/// State of a stream on its way to another engine.
-#[derive(Debug)]
-#[derive(Deserialize, Serialize)]
-struct Cache {
-    stream: Arc<str>,
-    model: Option<String>,
-    prompt: Arc<str>,
-    max_tokens: u64,
-    tokens: u64,
-}
-
 /// A stream that starts once the head of its answer is written.
 struct Start {
     hold: Hold,
@@ -119,6 +108,8 @@
             state: RunState::Running,
             resumes: 0,
             imported: false,
+            taken: 0,
+            prefilled: 0,
             started_ms: self.uptime_ms(),
         };
         let hold = state.begin(run);
@@ -206,53 +197,6 @@
         reply::json(conn, 200, &json!({ "next": next, "events": events }))
     }
 
-    fn export(&self, conn: Conn, id: &str) -> Conn {
-        let mut state = self.lock();
-        let model = state.loaded.model.clone();
-        let Some(run) = state.run_mut(id) else {
-            drop(state);
-            return reply::error(conn, 404, "no such stream");
-        };
-        let cache = Cache {
-            stream: run.request.clone(),
-            model,
-            prompt: run.prompt.clone(),
-            max_tokens: run.max_tokens,
-            tokens: run.tokens,
-        };
-        drop(state);
-        reply::json(conn, 200, &cache)
-    }
-
-    async fn import(&self, mut conn: Conn, id: &str) -> Conn {
-        let cache: Cache = match reply::body(&mut conn).await {
-            Ok(cache) => cache,
-            Err(e) => return reply::error(conn, 400, &e),
-        };
-        let status = self.take_in(id, cache);
-        self.acknowledge(conn, status).await
-    }
-
-    fn take_in(&self, id: &str, cache: Cache) -> u16 {
-        let mut state = self.lock();
-        if state.loaded.model != cache.model || state.run_mut(id).is_some() {
-            return 409;
-        }
-        let run = Run {
-            request: id.into(),
-            prompt: cache.prompt,
-            max_tokens: cache.max_tokens,
-            tokens: cache.tokens,
-            state: RunState::Stopped,
-            resumes: 0,
-            imported: true,
-            started_ms: self.uptime_ms(),
-        };
-        let hold = state.begin(run);
-        state.release(&hold);
-        200
-    }
-
     async fn order(&self, mut conn: Conn) -> Conn {
         let order: Order = match reply::body(&mut conn).await {
             Ok(order) => order,
@@ -285,7 +229,8 @@
         self.answer(conn, 200, &answer).await
     }
 
-    async fn acknowledge(&self, conn: Conn, status: u16) -> Conn {
+    /// Answers a call that took effect with nothing more than a status.
+    pub(crate) async fn acknowledge(&self, conn: Conn, status: u16) -> Conn {
         self.answer(conn, status, &json!({})).await
     }
 
--- a/standins/src/generate.rs
+++ b/standins/src/generate.rs
@@ -111,7 +111,12 @@
     }
 
     fn prefill_time(&self) -> Duration {
-        let missing = self.engine.lock().prefix.admit(&self.hold.prompt);
+        let mut state = self.engine.lock();
+        let missing = state.prefix.admit(&self.hold.prompt);
+        if let Some(run) = state.run_mut(&self.hold.id) {
+            run.prefilled += missing as u64;
+        }
+        drop(state);
         Duration::from_secs_f64(missing as f64 * self.engine.options.prefill_ms / 1000.0)
     }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod faults;
 pub mod generate;
 pub mod host;
+pub mod kv;
 pub mod ledger;
 pub mod line;
 pub mod orders;
