Move stopped batch items to another worker with their state

Cause: engines export and import the state of a stream, and the system does not use it. An item whose worker is leaving or stays full starts anew elsewhere, and its prompt and text are computed a second time.

Ruled out: putting the text so far into the prompt (an engine need not continue it as it would have; the way back stays the present one, a start with the prompt alone); moving at once at each yield (a short burst would cost a transfer); stopping items of a leaving worker at once (its streams still run, and when it ends is not told); the same id at the new worker (an item that comes back to its first worker is refused there); moving non-repeatable items (the answer to the cancel order may be lost, and the old worker would run on).

Change: `kv` decides and makes the transfer, `batch_moves` stops items that still run on a leaving worker after `leave_run_ms`, as many as others have room for, and keeps that room for them. A state is used when it is whole, of the stream, model and version, and as far as the received text. Until the new worker sends text the state at the old one stands; a lost answer to the import is settled by the resume. A failed transfer leaves the item where it was. Settings: `transfer_tokens` (16), `transfer_bytes`, `transfer_ms`, `leave_run_ms`.

The rates behind the threshold are stated, not measured.

--- a/src/batch.rs
+++ b/src/batch.rs
@@ -9,7 +9,10 @@
 };
 
 use futures::{StreamExt, stream::FuturesUnordered};
-use smol::channel::{Receiver, Sender};
+use smol::{
+    channel::{Receiver, Sender},
+    lock::Semaphore,
+};
 
 use crate::{
     backoff::Backoff,
@@ -20,6 +23,7 @@
     ids::{Map, Set, WorkerId},
     job_record::{Claim, GroupKey, LeaseRecord},
     jobs::Jobs,
+    kv::TRANSFERS,
     lease::{Observer, OwnLease},
     rate::Rate,
     schedule::Schedule,
@@ -107,6 +111,9 @@
     pub listing: Pacer,
     pub progress: Pacer,
     pub workers: Map<WorkerId, Pacer>,
+    /// Workers that are leaving, since when.
+    pub leaving: Map<WorkerId, Duration>,
+    pub transfers: Arc<Semaphore>,
     pub rate: Rate,
     pub infeasible: Set<Arc<str>>,
     pub stopping: Option<Duration>,
@@ -156,6 +163,8 @@
             listing: Pacer::new(interval, interval),
             progress: Pacer::new(interval, interval),
             workers: Map::default(),
+            leaving: Map::default(),
+            transfers: Arc::new(Semaphore::new(TRANSFERS)),
             rate: Rate::default(),
             infeasible: Set::default(),
             stopping: None,
--- a/src/batch_items.rs
+++ b/src/batch_items.rs
@@ -1,13 +1,14 @@
 //! Item runs of the batch driver: which item goes to which worker, and what their ends lead to.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     batch::{Driver, Pacer},
     batch_calls::Ended,
-    held::{Note, request_id},
+    held::{Held, Note, request_id},
     item_run::{self, Partial, Run},
     job_record::GroupKey,
+    kv::{Cause, Policy},
     view::WorkerInfo,
     workers::BatchGuard,
 };
@@ -21,6 +22,8 @@
 struct Pick {
     key: GroupKey,
     item: usize,
+    /// Address of the worker that the item's state is fetched from.
+    home: Option<SocketAddr>,
 }
 
 impl Driver {
@@ -33,6 +36,7 @@
     /// Starts items on owned workers with room, one a worker in turn, so that the load is even.
     pub(crate) fn dispatch(&mut self, now: Duration) {
         self.expire(now);
+        self.evacuate(now);
         let valid = self.lease.valid(now, self.ctx.settings.timeouts.lease);
         if self.stopping.is_some() || self.held.is_empty() || !valid {
             return;
@@ -62,18 +66,34 @@
         self.launch(&pick, worker, guard)
     }
 
-    /// Chooses a stopped item of this worker, or else the first that is ready.
+    /// Chooses an item that would be lost with a leaving worker, or else one that was stopped here,
+    /// or on a worker without room, or the first that is ready.
     fn pick(&self, order: &[GroupKey], worker: &WorkerInfo, now: Duration) -> Option<Pick> {
         let groups = || {
             let held = order.iter().filter_map(|k| self.held.get(k));
             held.filter(|h| h.starts() && worker.model.as_ref() == Some(h.model()))
         };
-        let paused = groups().find_map(|h| Some((h, h.paused_on(&worker.id, now)?)));
+        let policy = self.moves();
+        let moved = |cause| {
+            let movable = |h: &Held| h.movable_to(worker, now, &policy, cause);
+            groups().find_map(|h| Some((h, movable(h)?)))
+        };
+        let paused = || groups().find_map(|h| Some((h, h.paused_on(&worker.id, now)?)));
         let ready = || groups().find_map(|h| Some((h, h.next_ready(now)?)));
-        let (held, item) = paused.or_else(ready)?;
+        let other = || paused().or_else(|| moved(Cause::NoRoom)).or_else(ready);
+        let other = || {
+            if self.evacuating(worker) {
+                None
+            } else {
+                other()
+            }
+        };
+        let (held, item) = moved(Cause::Leaving).or_else(other)?;
+        let partial = held.partial(item).filter(|p| p.worker != worker.id);
         Some(Pick {
             key: held.key.clone(),
             item,
+            home: partial.and_then(|p| Some(policy.home(p)?.address)),
         })
     }
 
@@ -84,6 +104,9 @@
             text: String::new(),
             next: 0,
         };
+        let transfer = pick
+            .home
+            .map(|home| self.transfer(home, worker, &fresh.request));
         let Some(held) = self.held.get_mut(&pick.key) else {
             return false;
         };
@@ -102,6 +125,8 @@
             model: held.model().clone(),
             from: launch.from,
             resume: launch.resume,
+            transfer,
+            origin: None,
             stop: launch.stop,
         };
         let (key, epoch, item) = (pick.key.clone(), held.epoch, pick.item);
@@ -123,9 +148,13 @@
 
     /// Gives up stopped streams whose worker is gone or has had no room for long.
     fn expire(&mut self, now: Duration) {
-        let view = self.view.clone();
+        let policy = Policy {
+            workers: &self.view.workers,
+            targets: &self.owned,
+            tokens: self.ctx.settings.limits.transfer_tokens,
+        };
         for held in self.held.values_mut().filter(|h| h.holder.holds()) {
-            held.expire(now, |id| view.workers.iter().any(|w| w.id.as_ref() == id));
+            held.expire(now, &policy);
         }
     }
 
@@ -152,6 +181,13 @@
             Note::Doubt => {
                 crate::event!(Warn, ItemInDoubt, "group={key} item={item} worker={worker}");
             }
+            Note::Unmoved(step) => {
+                crate::event!(
+                    Info,
+                    ItemNotMoved,
+                    "group={key} item={item} worker={worker} step={step}"
+                );
+            }
             Note::WorkerFailed => self.worker_failed(&worker, now),
         }
     }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -101,6 +101,28 @@
     Failed,
 }
 
+/// Why a call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NoAnswer {
+    /// The call was not sent.
+    NotSent,
+    /// The call may have had its effect.
+    Lost,
+}
+
+/// What is known of an import after its call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Imported {
+    /// The engine has the state.
+    Done,
+    /// The state was not sent, because the engine cannot be reached.
+    NotSent,
+    /// The engine refused the state.
+    Refused,
+    /// The engine did not answer; it may have the state.
+    Unknown,
+}
+
 /// Cache events as an engine lists them.
 #[derive(Debug)]
 #[derive(Deserialize)]
@@ -247,6 +269,30 @@
         Some(listed.events.into_iter().map(CacheEvent::from).collect())
     }
 
+    /// Reads the state of a stream; nothing when the engine does not give it whole within the
+    /// deadline, or when it is over a number of bytes.
+    pub async fn export(&self, address: SocketAddr, id: &str, most: usize) -> Option<Vec<u8>> {
+        let conn = self.client.get(format!("http://{address}/kv/{id}"));
+        let answer = self.answer_within(conn, self.timeouts.transfer, Some(most));
+        match answer.await {
+            Ok((200, body)) => Some(body),
+            _ => None,
+        }
+    }
+
+    /// Gives an engine the state of a stream under an id that it does not have yet.
+    pub async fn import(&self, address: SocketAddr, id: &str, state: Vec<u8>) -> Imported {
+        let url = format!("http://{address}/kv/{id}");
+        let conn = self.client.put(url).with_body(state);
+        let answer = self.answer_within(conn, self.timeouts.transfer, None);
+        match answer.await {
+            Ok((200, _)) => Imported::Done,
+            Ok(_) => Imported::Refused,
+            Err(NoAnswer::NotSent) => Imported::NotSent,
+            Err(NoAnswer::Lost) => Imported::Unknown,
+        }
+    }
+
     /// Gives an order.
     ///
     /// # Errors
@@ -290,16 +336,31 @@
     }
 
     /// Sends a short call and reads its answer within the stall limit.
-    async fn answer(&self, mut conn: Conn) -> Option<(u16, Vec<u8>)> {
+    async fn answer(&self, conn: Conn) -> Option<(u16, Vec<u8>)> {
+        let answer = self.answer_within(conn, self.timeouts.stall, None);
+        answer.await.ok()
+    }
+
+    /// Sends a call and reads its answer, of `most` bytes at most, within a time limit.
+    async fn answer_within(
+        &self,
+        mut conn: Conn,
+        limit: Duration,
+        most: Option<usize>,
+    ) -> Result<(u16, Vec<u8>), NoAnswer> {
         let call = async {
-            (&mut conn).await.ok()?;
+            (&mut conn).await.map_err(no_answer)?;
             let status = conn.status().map_or(0, u16::from);
-            let body = conn.response_body().read_bytes().await.ok()?;
-            Some((status, body))
+            let mut body = conn.response_body();
+            if let Some(most) = most {
+                body = body.with_max_len(most as u64);
+            }
+            let body = body.read_bytes().await.map_err(|_| NoAnswer::Lost)?;
+            Ok((status, body))
         };
         let timeout = async {
-            async_io::Timer::after(self.timeouts.stall).await;
-            None
+            async_io::Timer::after(limit).await;
+            Err(NoAnswer::Lost)
         };
         smol::future::or(call, timeout).await
     }
@@ -343,6 +404,13 @@
     }
 }
 
+fn no_answer(error: trillium_client::Error) -> NoAnswer {
+    match dial::never_left(&error) {
+        true => NoAnswer::NotSent,
+        false => NoAnswer::Lost,
+    }
+}
+
 fn open_error(error: trillium_client::SseError) -> RequestError {
     let refused = error.response_headers().get_str(REFUSED_HEADER) == Some("not-run");
     match &error.kind {
--- a/src/events.rs
+++ b/src/events.rs
@@ -70,6 +70,10 @@
     LeaseLapsed = 2012, "lease-lapsed";
     /// A worker did not do its part in a batch run and is left alone for a while.
     WorkerBackedOff = 2013, "worker-backed-off";
+    /// The state of a stopped item was moved to another worker.
+    ItemMoved = 2020, "item-moved";
+    /// The state of a stopped item could not be moved to another worker.
+    ItemNotMoved = 2021, "item-not-moved";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
--- a/src/held.rs
+++ b/src/held.rs
@@ -7,9 +7,11 @@
 use crate::{
     backoff::Backoff,
     claim::Holder,
-    ids::{ModelId, RequestId},
+    ids::{ModelId, RequestId, WorkerId},
     item_run::{Partial, RunEnd},
     job_record::{Claim, GroupKey, InputRecord, JobRecord, Outcome, Repeat},
+    kv::{Cause, Failure, Policy},
+    view::WorkerInfo,
 };
 
 /// First span of the backoff between calls of the object service for a group.
@@ -26,19 +28,32 @@
 const RESUME_WAIT: Duration = Duration::from_secs(10);
 /// The same for an item that may not be repeated and would end in doubt.
 const RESUME_WAIT_NEVER: Duration = Duration::from_secs(120);
+/// The same for a stream that may also go on at another worker. Starting anew would wait for the
+/// same room; after so long the engine has hardly kept the state.
+const RESUME_WAIT_MOVABLE: Duration = Duration::from_secs(60);
+/// Moves of a stopped stream at most that end at a worker which does not go on with it. Without a
+/// limit, workers that take states and never resume them would keep the item from starting anew.
+const MOVES_MOST: u8 = 3;
 
 /// Where an item stands.
 #[derive(Debug)]
 enum Slot {
     /// May start after a time.
     Waiting(Duration),
-    /// Runs; closing the channel stops it.
-    Running(Option<Sender<()>>),
-    /// Was stopped and may be resumed on its worker.
+    /// Runs on a worker; closing the channel stops it. `since` and `moves` are those of the stop
+    /// that it goes on from.
+    Running {
+        worker: WorkerId,
+        stop: Option<Sender<()>>,
+        since: Duration,
+        moves: u8,
+    },
+    /// Was stopped and may be resumed on its worker, or on another one while moves are left.
     Paused {
         partial: Partial,
         since: Duration,
         after: Duration,
+        moves: u8,
     },
     /// Has its outcome.
     Done,
@@ -57,6 +72,8 @@
     Failed(Arc<str>),
     /// The item may not be repeated, and whether it ran is not known.
     Doubt,
+    /// The item could not be moved to the worker, which is not at fault.
+    Unmoved(Failure),
     /// The worker did not do its part.
     WorkerFailed,
 }
@@ -157,7 +174,8 @@
     /// Returns how many items run.
     pub fn running(&self) -> usize {
         let running = self.slots.iter();
-        running.filter(|s| matches!(s, Slot::Running(_))).count()
+        let runs = |s: &&Slot| matches!(s, Slot::Running { .. });
+        running.filter(runs).count()
     }
 
     /// Returns how many items could start now.
@@ -176,6 +194,81 @@
         })
     }
 
+    /// Returns an item that was stopped on another worker and may go on at this one for a cause.
+    pub fn movable_to(
+        &self,
+        target: &WorkerInfo,
+        now: Duration,
+        policy: &Policy,
+        cause: Cause,
+    ) -> Option<usize> {
+        if self.repeat() == Repeat::Never {
+            return None;
+        }
+        self.slots.iter().position(|s| match s {
+            Slot::Paused {
+                partial,
+                since,
+                after,
+                moves: 1..,
+            } if *after <= now => {
+                let waited = now.saturating_sub(*since);
+                policy.cause(partial, waited, target) == Some(cause)
+            }
+            _ => false,
+        })
+    }
+
+    /// Returns where the state of a stopped item is.
+    pub fn partial(&self, item: usize) -> Option<&Partial> {
+        match &self.slots[item] {
+            Slot::Paused { partial, .. } => Some(partial),
+            _ => None,
+        }
+    }
+
+    /// Returns how many items of a worker have stopped and may be moved.
+    pub fn stopped_on(&self, worker: &str) -> usize {
+        let stopped = |s: &&Slot| match s {
+            Slot::Paused { partial, moves, .. } => *moves > 0 && partial.worker.as_ref() == worker,
+            _ => false,
+        };
+        self.slots.iter().filter(stopped).count()
+    }
+
+    /// Returns how many items of a worker were told to stop and have not stopped yet.
+    pub fn stopping_on(&self, worker: &str) -> usize {
+        let stopping = |s: &&Slot| match s {
+            Slot::Running {
+                worker: at, stop, ..
+            } => stop.is_none() && at.as_ref() == worker,
+            _ => false,
+        };
+        self.slots.iter().filter(stopping).count()
+    }
+
+    /// Stops up to a number of repeatable items that run on a worker and are long enough to be
+    /// moved; returns how many.
+    pub fn stop_on(&mut self, worker: &str, most: usize, tokens: u64) -> usize {
+        let Some(input) = self
+            .input
+            .as_ref()
+            .filter(|_| self.repeat() == Repeat::Allowed)
+        else {
+            return 0;
+        };
+        let items = self.slots.iter_mut().zip(&input.items);
+        let long = items.filter(|(_, item)| u64::from(item.max_tokens) >= tokens);
+        let runs = long.filter_map(|(slot, _)| match slot {
+            Slot::Running {
+                worker: at, stop, ..
+            } if at.as_ref() == worker => Some(stop),
+            _ => None,
+        });
+        let stops = runs.filter(|stop| stop.is_some()).take(most);
+        stops.map(|stop| stop.take()).count()
+    }
+
     /// Returns an item that could start on any worker.
     pub fn next_ready(&self, now: Duration) -> Option<usize> {
         let ready = |s: &Slot| matches!(s, Slot::Waiting(after) if *after <= now);
@@ -189,7 +282,17 @@
             return None;
         }
         let (sender, stop) = smol::channel::bounded(1);
-        let slot = std::mem::replace(&mut self.slots[item], Slot::Running(Some(sender)));
+        let (since, moves) = match &self.slots[item] {
+            Slot::Paused { since, moves, .. } => (*since, *moves),
+            _ => (Duration::ZERO, MOVES_MOST),
+        };
+        let running = Slot::Running {
+            worker: fresh.worker.clone(),
+            stop: Some(sender),
+            since,
+            moves,
+        };
+        let slot = std::mem::replace(&mut self.slots[item], running);
         let from = match slot {
             Slot::Paused { partial, .. } => partial,
             _ => fresh,
@@ -234,30 +337,47 @@
                 self.close(item, now, Note::Quiet)
             }
             RunEnd::Stopped { partial, healthy } => self.pause(item, partial, healthy, now, rng),
+            RunEnd::Unmoved { partial, failure } => self.stay(item, partial, failure, now),
         }
     }
 
     /// Gives up stopped streams whose worker is gone, or has had no room for too long.
-    pub fn expire(&mut self, now: Duration, present: impl Fn(&str) -> bool) {
-        let wait = match self.repeat() {
-            Repeat::Allowed => RESUME_WAIT,
-            Repeat::Never => RESUME_WAIT_NEVER,
-        };
+    pub fn expire(&mut self, now: Duration, policy: &Policy) {
         for item in 0..self.slots.len() {
-            let Slot::Paused { partial, since, .. } = &self.slots[item] else {
+            let Slot::Paused {
+                partial,
+                since,
+                moves,
+                ..
+            } = &self.slots[item]
+            else {
                 continue;
             };
-            if now >= *since + wait || !present(&partial.worker) {
+            if now >= *since + self.resume_wait(partial, *moves > 0, policy) {
                 self.holder.unstart(item, true);
                 self.close(item, now, Note::Quiet);
             }
         }
     }
 
+    /// Returns how long a stopped stream waits before it starts anew.
+    fn resume_wait(&self, partial: &Partial, movable: bool, policy: &Policy) -> Duration {
+        let Some(home) = policy.home(partial) else {
+            return Duration::ZERO;
+        };
+        match self.repeat() {
+            Repeat::Never => RESUME_WAIT_NEVER,
+            Repeat::Allowed if movable && policy.has_target(partial) => RESUME_WAIT_MOVABLE,
+            // A leaving worker takes no resume.
+            Repeat::Allowed if home.leaving => Duration::ZERO,
+            Repeat::Allowed => RESUME_WAIT,
+        }
+    }
+
     /// Stops all runs. Their ends still arrive.
     pub fn stop_runs(&mut self) {
         for slot in &mut self.slots {
-            if let Slot::Running(stop) = slot {
+            if let Slot::Running { stop, .. } = slot {
                 stop.take();
             }
         }
@@ -281,6 +401,7 @@
             partial,
             since,
             after: now + wait,
+            moves: MOVES_MOST,
         };
         if healthy {
             Note::Yielded
@@ -289,6 +410,30 @@
         }
     }
 
+    /// Leaves an item where it was after a move that failed. Another worker may take it only when
+    /// the target was at fault.
+    fn stay(&mut self, item: usize, partial: Partial, failure: Failure, now: Duration) -> Note {
+        let (since, moves) = match &self.slots[item] {
+            Slot::Running { since, moves, .. } => (*since, *moves),
+            _ => (now, 0),
+        };
+        let moves = match failure {
+            Failure::Connect => moves,
+            Failure::Resume => moves.saturating_sub(1),
+            Failure::Export | Failure::Unfit | Failure::Import => 0,
+        };
+        self.slots[item] = Slot::Paused {
+            partial,
+            since,
+            after: now,
+            moves,
+        };
+        match failure {
+            Failure::Connect | Failure::Resume => Note::WorkerFailed,
+            failure => Note::Unmoved(failure),
+        }
+    }
+
     /// Puts an item back unless it has its outcome.
     fn close(&mut self, item: usize, after: Duration, note: Note) -> Note {
         let outcome = self.holder.record().items[item].outcome.as_ref();
--- a/src/item_run.rs
+++ b/src/item_run.rs
@@ -10,6 +10,7 @@
     group::escaped,
     ids::{ModelId, RequestId, WorkerId},
     job_record::{InputRecord, Item},
+    kv::{self, Failure, Transfer},
     stream::End,
     verdict::{Reason, RequestError, Verdict},
     workers::BatchGuard,
@@ -49,6 +50,13 @@
         /// Whether the stop was asked for.
         healthy: bool,
     },
+    /// The state could not be moved to this worker. It is where it was.
+    Unmoved {
+        /// Where to continue.
+        partial: Partial,
+        /// What failed.
+        failure: Failure,
+    },
     /// The request did not run.
     NotRun,
     /// The engine is gone or out of order; the item may have run.
@@ -76,6 +84,10 @@
     pub from: Partial,
     /// Whether the request was sent before, so that it is only resumed.
     pub resume: bool,
+    /// The transfer to make before the resume.
+    pub transfer: Option<Transfer>,
+    /// Where to continue when a move comes to nothing; none once the worker has sent text.
+    pub origin: Option<Partial>,
     /// Receives a message, or closes, when the run must stop.
     pub stop: Receiver<()>,
 }
@@ -91,14 +103,48 @@
 /// The place on the worker is given back only after the engine has answered the cancel order or
 /// has been silent for the stall limit, so that the worker's load is not underestimated.
 pub async fn run(mut run: Run) -> RunEnd {
-    let opened = if run.resume {
-        reopen(&mut run).await
-    } else {
-        open(&mut run).await
+    let opened = match (run.transfer.take(), run.resume) {
+        (Some(transfer), _) => take_over(&mut run, transfer).await,
+        (None, true) => reopen(&mut run).await,
+        (None, false) => open(&mut run).await,
     };
-    match opened {
+    let end = match opened {
         Ok(stream) => follow(&mut run, stream).await,
         Err(end) => end,
+    };
+    match run.origin.take() {
+        Some(origin) => undo_move(origin, end),
+        None => end,
+    }
+}
+
+/// Fetches the state of a stopped stream from its worker and goes on with it here.
+async fn take_over(run: &mut Run, transfer: Transfer) -> Result<EngineStream, RunEnd> {
+    let partial = run.from.clone();
+    run.origin = Some(partial.clone());
+    run.from.worker = transfer.target.clone();
+    run.from.request = transfer.request.clone();
+    let moved = kv::transfer(&run.engine, &transfer, &partial, run.address);
+    match run.wait(moved).await {
+        Waited::Ready(Ok(())) => reopen(run).await,
+        Waited::Ready(Err(failure)) => Err(RunEnd::Unmoved { partial, failure }),
+        Waited::Stopped => Err(stop(run).await),
+    }
+}
+
+/// Judges the end of a run at a worker that has sent no text after a move: the state at the earlier
+/// worker still stands.
+fn undo_move(origin: Partial, end: RunEnd) -> RunEnd {
+    match end {
+        RunEnd::Done(_) | RunEnd::Rejected(_) | RunEnd::Unmoved { .. } => end,
+        RunEnd::Stopped { healthy: true, .. } => RunEnd::Stopped {
+            partial: origin,
+            healthy: true,
+        },
+        _ => RunEnd::Unmoved {
+            partial: origin,
+            failure: Failure::Resume,
+        },
     }
 }
 
@@ -162,6 +208,7 @@
                 broken = 0;
                 if !std::mem::replace(&mut begun, true) {
                     run.guard.started();
+                    run.arrived();
                 }
                 length += escaped(&text);
                 run.from.text.push_str(&text);
@@ -218,6 +265,19 @@
 }
 
 impl Run {
+    /// Notes the first text of this worker. After a move the state here is the one that stands.
+    fn arrived(&mut self) {
+        if let Some(origin) = self.origin.take() {
+            let (from, to, tokens) = (origin.worker, &self.from.worker, origin.next);
+            crate::event!(
+                Info,
+                ItemMoved,
+                "request={} from={from} to={to} tokens={tokens}",
+                self.from.request
+            );
+        }
+    }
+
     fn stopped(&mut self, healthy: bool) -> RunEnd {
         RunEnd::Stopped {
             partial: self.from.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -42,6 +42,8 @@
     queued: usize,
     answer_bytes: usize,
     batch_body_bytes: usize,
+    transfer_bytes: usize,
+    transfer_tokens: usize,
 }
 
 impl Default for RawLimits {
@@ -54,6 +56,8 @@
             queued: 512,
             answer_bytes: 4 << 20,
             batch_body_bytes: 64 << 20,
+            transfer_bytes: 64 << 20,
+            transfer_tokens: 16,
         }
     }
 }
@@ -77,6 +81,8 @@
     lease_ms: u64,
     renew_ms: u64,
     progress_ms: u64,
+    transfer_ms: u64,
+    leave_run_ms: u64,
 }
 
 impl Default for RawTimeouts {
@@ -97,6 +103,8 @@
             lease_ms: 30_000,
             renew_ms: 10_000,
             progress_ms: 10_000,
+            transfer_ms: 1_000,
+            leave_run_ms: 5_000,
         }
     }
 }
@@ -153,6 +161,10 @@
     pub answer: usize,
     /// Largest body of a batch submission, in bytes.
     pub batch: usize,
+    /// Largest state of a stream that is moved to another worker, in bytes.
+    pub transfer: usize,
+    /// Generated tokens from which the state of a stream is moved.
+    pub transfer_tokens: u64,
 }
 
 /// Time limits and intervals.
@@ -188,6 +200,10 @@
     pub renew: Duration,
     /// Least interval between two progress writes of the instance.
     pub progress: Duration,
+    /// Deadline of an export and of an import of a stream's state.
+    pub transfer: Duration,
+    /// Time for which batch items run on at a leaving worker before they are moved.
+    pub leave_run: Duration,
 }
 
 impl Settings {
@@ -254,6 +270,14 @@
                 1 << 10,
                 1 << 30,
             )?,
+            transfer: count(
+                "limits.transfer_bytes",
+                raw.transfer_bytes,
+                1 << 10,
+                1 << 30,
+            )?,
+            transfer_tokens: count("limits.transfer_tokens", raw.transfer_tokens, 1, 1 << 20)?
+                as u64,
         })
     }
 }
@@ -278,6 +302,8 @@
             lease: millis("lease_ms", raw.lease_ms)?,
             renew: millis("renew_ms", raw.renew_ms)?,
             progress: millis("progress_ms", raw.progress_ms)?,
+            transfer: millis("transfer_ms", raw.transfer_ms)?,
+            leave_run: millis("leave_run_ms", raw.leave_run_ms)?,
         };
         if timeouts.renew * 2 > timeouts.lease {
             bail!(
