--- a/src/batch.rs
+++ b/src/batch.rs
@@ -9,7 +9,10 @@
 };
 
 use futures::{StreamExt, stream::FuturesUnordered};
-use smol::channel::{Receiver, Sender};
+use smol::{
+    channel::{Receiver, Sender},
+    lock::Semaphore,
+};
 
 use crate::{
     backoff::Backoff,
@@ -20,6 +23,7 @@
     ids::{Map, Set, WorkerId},
     job_record::{Claim, GroupKey, LeaseRecord},
     jobs::Jobs,
+    kv::TRANSFERS,
     lease::{Observer, OwnLease},
     loading::Loading,
     rate::Rate,
@@ -110,6 +114,9 @@
     pub closing: Pacer,
     pub loading: Loading,
     pub workers: Map<WorkerId, Pacer>,
+    /// Workers that are leaving, since when.
+    pub leaving: Map<WorkerId, Duration>,
+    pub transfers: Arc<Semaphore>,
     pub rate: Rate,
     pub infeasible: Set<Arc<str>>,
     pub stopping: Option<Duration>,
@@ -161,6 +168,8 @@
             closing: Pacer::new(interval, interval),
             loading: Loading::default(),
             workers: Map::default(),
+            leaving: Map::default(),
+            transfers: Arc::new(Semaphore::new(TRANSFERS)),
             rate: Rate::default(),
             infeasible: Set::default(),
             stopping: None,
--- a/src/events.rs
+++ b/src/events.rs
@@ -72,6 +72,10 @@
     WorkerBackedOff = 2013, "worker-backed-off";
     /// A job was closed because its submission stopped before all inputs were stored.
     JobAbandoned = 2014, "job-abandoned";
+    /// The state of a stopped item was moved to another worker.
+    ItemMoved = 2020, "item-moved";
+    /// The state of a stopped item could not be moved to another worker.
+    ItemNotMoved = 2021, "item-not-moved";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -42,6 +42,8 @@
     queued: usize,
     answer_bytes: usize,
     batch_body_bytes: usize,
+    transfer_bytes: usize,
+    transfer_tokens: usize,
 }
 
 impl Default for RawLimits {
@@ -54,6 +56,8 @@
             queued: 512,
             answer_bytes: 4 << 20,
             batch_body_bytes: 64 << 20,
+            transfer_bytes: 64 << 20,
+            transfer_tokens: 16,
         }
     }
 }
@@ -78,6 +82,8 @@
     renew_ms: u64,
     progress_ms: u64,
     loading_ms: u64,
+    transfer_ms: u64,
+    leave_run_ms: u64,
 }
 
 impl Default for RawTimeouts {
@@ -100,6 +106,8 @@
             progress_ms: 10_000,
             // The 1,797 inputs of the largest job, written two at once, take 90 s at 100 ms a write.
             loading_ms: 600_000,
+            transfer_ms: 1_000,
+            leave_run_ms: 5_000,
         }
     }
 }
@@ -156,6 +164,10 @@
     pub answer: usize,
     /// Largest body of a batch submission, in bytes.
     pub batch: usize,
+    /// Largest state of a stream that is moved to another worker, in bytes.
+    pub transfer: usize,
+    /// Generated tokens from which the state of a stream is moved.
+    pub transfer_tokens: u64,
 }
 
 /// Time limits and intervals.
@@ -193,6 +205,10 @@
     pub progress: Duration,
     /// Time without a change after which a job in state loading is closed.
     pub loading: Duration,
+    /// Deadline of an export and of an import of a stream's state.
+    pub transfer: Duration,
+    /// Time for which batch items run on at a leaving worker before they are moved.
+    pub leave_run: Duration,
 }
 
 impl Settings {
@@ -259,6 +275,14 @@
                 1 << 10,
                 1 << 30,
             )?,
+            transfer: count(
+                "limits.transfer_bytes",
+                raw.transfer_bytes,
+                1 << 10,
+                1 << 30,
+            )?,
+            transfer_tokens: count("limits.transfer_tokens", raw.transfer_tokens, 1, 1 << 20)?
+                as u64,
         })
     }
 }
@@ -284,6 +308,8 @@
             renew: millis("renew_ms", raw.renew_ms)?,
             progress: millis("progress_ms", raw.progress_ms)?,
             loading: millis("loading_ms", raw.loading_ms)?,
+            transfer: millis("transfer_ms", raw.transfer_ms)?,
+            leave_run: millis("leave_run_ms", raw.leave_run_ms)?,
         };
         if timeouts.renew * 2 > timeouts.lease {
             bail!(
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod generate;
 pub mod host;
 pub mod instances;
+pub mod kv;
 pub mod ledger;
 pub mod line;
 pub mod orders;
--- a/tests/held_losses.rs
+++ b/tests/held_losses.rs
@@ -10,6 +10,8 @@
         Claim, GroupKey, GroupRecord, JobRecord, JobState, LOSS_LIMIT, Outcome, Repeat,
         SUSPECT_LOSSES,
     },
+    kv::Policy,
+    view::WorkerInfo,
 };
 
 const ITEMS: usize = 3;
@@ -176,7 +178,13 @@
         let mut held = hold("a", Repeat::Allowed, None);
         stop(&mut held, fault);
         let mut rng = fastrand::Rng::with_seed(3);
-        assert_eq!(held.expire(LATER, &mut rng, |_| there).len(), 1);
+        let workers = if there { vec![worker("w")] } else { vec![] };
+        let policy = Policy {
+            workers: &workers,
+            targets: &[],
+            tokens: 1,
+        };
+        assert_eq!(held.expire(LATER, &mut rng, &policy).len(), 1);
         assert_eq!(losses(&held), expected, "{fault:?}, there: {there}");
 
         let mut held = hold("a", Repeat::Allowed, None);
@@ -188,6 +196,19 @@
     }
 }
 
+fn worker(id: &str) -> WorkerInfo {
+    WorkerInfo {
+        id: id.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        model: Some("m".into()),
+        version: "1".into(),
+        slots: 4,
+        leaving: false,
+        owner: None,
+    }
+}
+
 fn stop(held: &mut Held, fault: Fault) {
     let partial = Partial {
         fault,
