Note in the engine's ledger when a stream was stopped or ended

Cause: nothing outside an entry instance showed when a batch stream that yields leaves its engine, so the 50 ms were shown in the model only. Ruled out: the instance's own log, which tells when it meant to stop a stream, not when the engine got to know. Change: each run has `stopped_at_us` (cancel order or closed connection, whichever came first, each stop once) and `ended_at_us`, on the wall clock, so that a load program on the same machine can compare them. Measured: standins `streams` passes, with a check of one stop for a closed connection, for a cancel and across a resume. Conclusion: the measurement can be made at the engine.

--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use clap::Parser;
@@ -156,6 +156,29 @@
     pub imported: bool,
     /// Time of the start, in milliseconds since the engine started.
     pub started_ms: u64,
+    /// Times at which a cancel order or a closed connection stopped the stream, in microseconds
+    /// since 1970-01-01 UTC, so that a load program on the same machine can compare them.
+    #[serde(default)]
+    pub stopped_at_us: Vec<u64>,
+    /// Time at which the stream ended by itself, on the same clock.
+    #[serde(default)]
+    pub ended_at_us: Option<u64>,
+}
+
+impl Run {
+    /// Ends a stream with a state that is not stopped.
+    pub fn end(&mut self, state: RunState) {
+        self.ended_at_us = Some(unix_us());
+        self.state = state;
+    }
+
+    /// Stops a stream that runs.
+    fn stop(&mut self, state: RunState) {
+        if self.state == RunState::Running {
+            self.stopped_at_us.push(unix_us());
+            self.state = state;
+        }
+    }
 }
 
 /// A call of a plain service, as the ledger lists it.
@@ -425,10 +448,7 @@
             return;
         }
         stream.holder = None;
-        let run = &mut self.runs[stream.run];
-        if run.state == RunState::Running {
-            run.state = RunState::Stopped;
-        }
+        self.runs[stream.run].stop(RunState::Stopped);
         self.keep(hold.id.clone());
     }
 
@@ -438,7 +458,8 @@
             return false;
         };
         let run = &mut self.runs[stream.run];
-        if matches!(run.state, RunState::Running | RunState::Stopped) {
+        run.stop(RunState::Cancelled);
+        if run.state == RunState::Stopped {
             run.state = RunState::Cancelled;
         }
         stream.holder = None;
@@ -448,7 +469,7 @@
     /// Ends a stream with an error and drops its state.
     pub fn fail(&mut self, id: &str) {
         if let Some(stream) = self.streams.remove(id) {
-            self.runs[stream.run].state = RunState::Failed;
+            self.runs[stream.run].end(RunState::Failed);
         }
     }
 
@@ -458,7 +479,7 @@
         for stream in streams.into_values() {
             let run = &mut self.runs[stream.run];
             if run.state == RunState::Running {
-                run.state = RunState::Failed;
+                run.end(RunState::Failed);
             }
         }
     }
@@ -498,6 +519,11 @@
     }
 }
 
+fn unix_us() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_micros() as u64
+}
+
 /// Ends the process as a crash does: nothing is finished or reported.
 pub fn die() -> ! {
     const CRASH_CODE: i32 = 101;
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -120,6 +120,8 @@
             resumes: 0,
             imported: false,
             started_ms: self.uptime_ms(),
+            stopped_at_us: Vec::new(),
+            ended_at_us: None,
         };
         let hold = state.begin(run);
         let fault = state.pick_fault(&hold);
@@ -247,6 +249,8 @@
             resumes: 0,
             imported: true,
             started_ms: self.uptime_ms(),
+            stopped_at_us: Vec::new(),
+            ended_at_us: None,
         };
         let hold = state.begin(run);
         state.release(&hold);
--- a/standins/src/generate.rs
+++ b/standins/src/generate.rs
@@ -124,7 +124,7 @@
     fn finish(&mut self, end: RunState) {
         let mut state = self.engine.lock();
         if let Some(run) = state.run_mut(&self.hold.id) {
-            run.state = end;
+            run.end(end);
         }
     }
 }
--- a/standins/tests/streams.rs
+++ b/standins/tests/streams.rs
@@ -48,6 +48,12 @@
     });
 }
 
+/// Checks that the ledger has the time of one stop.
+fn assert_stopped_once(run: &Value) {
+    let stops = run["stopped_at_us"].as_array().map(Vec::len);
+    assert_eq!(stops, Some(1), "{run}");
+}
+
 /// Guards against an engine that runs on for nobody, and against lost state of a stopped stream.
 #[test]
 fn a_closed_connection_stops_the_stream_and_a_resume_completes_it() {
@@ -75,6 +81,7 @@
             (&run["state"], &run["resumes"], &run["tokens"]),
             (&json!("done"), &json!(1), &json!(200))
         );
+        assert_stopped_once(&run);
     });
 }
 
@@ -95,7 +102,9 @@
         second.next().await.unwrap();
         client.cancel(address, &"r".into()).await;
         assert_eq!(read(&mut second, &mut text).await, Err(Break::Closed));
-        assert_eq!(run(address, "r").await["state"], "cancelled");
+        let cancelled = run(address, "r").await;
+        assert_eq!(cancelled["state"], "cancelled");
+        assert_stopped_once(&cancelled);
         let unknown = client
             .resume(address, &"other".into(), 0)
             .await
