Compare the policies over processes

Cause: ours and the baselines were compared on virtual time only. Ruled out: settings or sheet fields for the baselines. The sheet has the weight and the slots of a worker; nothing turns yielding off or cancels all, and routing has no setting. The shipped program stays as it is; the batch work of these baselines and the two routings are done by a load program of the bench crate against the same stand-ins. Fleets take a weight, slots of the sheet and options of the workers.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,9 @@
 use std::{fs, path::PathBuf};
 
 use anyhow::Context;
-use bench::{capacity, decisions, overhead, sheet_cost, table, trace::Kind};
+use bench::{
+    capacity, decisions, overhead, process_policy, process_yields, sheet_cost, table, trace::Kind,
+};
 use clap::{Parser, Subcommand};
 
 /// Measures the decisions of gentianpath.
@@ -38,6 +40,15 @@
     Zone,
     /// Measure batch items and losses of instances only, over processes.
     Items,
+    /// Compare policies on a short seeded trace, over processes.
+    Processes {
+        /// Seed of the trace.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Measure how soon batch streams stop after a burst through another instance of the zone, over
+    /// processes.
+    Yields,
     /// Measure the cost of a sheet change against the length of the sheet.
     Sheet,
     /// Measure the cost of decisions at 10 to 12,000 workers.
@@ -63,6 +74,8 @@
         Command::Capacity => capacity::run()?,
         Command::Zone => capacity::run_zone()?,
         Command::Items => capacity::run_items()?,
+        Command::Processes { seed } => process_policy::run(seed)?,
+        Command::Yields => process_yields::run()?,
         Command::Sheet => sheet_cost::run()?,
         Command::Decisions { seed } => decisions::print(seed),
     }
--- a/bench/src/processes.rs
+++ b/bench/src/processes.rs
@@ -44,6 +44,27 @@
     pub token_ms: u64,
 }
 
+/// What a measurement sets beside the numbers of processes.
+#[derive(Debug, Clone)]
+pub struct Tuning {
+    /// Weight of batch throughput against online tail latency in the sheet.
+    pub weight: f64,
+    /// Slots of a worker in the sheet; those of the worker when left out.
+    pub sheet_slots: Option<u32>,
+    /// Further options of the workers.
+    pub worker_options: Vec<String>,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            weight: 0.5,
+            sheet_slots: None,
+            worker_options: Vec::new(),
+        }
+    }
+}
+
 /// An entry instance that runs.
 #[derive(Debug)]
 pub struct Entry {
@@ -97,6 +118,15 @@
     ///
     /// Returns an error when a process does not start.
     pub fn start(shape: Shape) -> anyhow::Result<Self> {
+        Self::start_tuned(shape, &Tuning::default())
+    }
+
+    /// Starts a fleet like [`Self::start`] with other settings than the default ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a process does not start.
+    pub fn start_tuned(shape: Shape, tuning: &Tuning) -> anyhow::Result<Self> {
         let bin = std::env::current_exe()?
             .parent()
             .context("no program folder")?
@@ -114,7 +144,8 @@
         let mut workers = Vec::new();
         for i in 0..shape.workers {
             let address = free_address()?;
-            processes.push(spawn(&mut engine(&bin, address, i, shape, platform))?);
+            let mut command = engine(&bin, address, i, shape, platform);
+            processes.push(spawn(command.args(&tuning.worker_options))?);
             workers.push(address);
         }
         let mut fleet = Self {
@@ -131,7 +162,8 @@
         }
         fleet.wait_answering()?;
         let first = &fleet.entries[0];
-        let answer = call(first.operators, "POST", "/sheet", &sheet(shape).to_string())?;
+        let sheet = sheet(shape, tuning).to_string();
+        let answer = call(first.operators, "POST", "/sheet", &sheet)?;
         ensure!(
             answer.contains("revision"),
             "the sheet was refused: {answer}"
@@ -319,11 +351,12 @@
     command
 }
 
-fn sheet(shape: Shape) -> Value {
+fn sheet(shape: Shape, tuning: &Tuning) -> Value {
+    let slots = tuning.sheet_slots.unwrap_or(shape.slots);
     json!({
         "deployment": "bench",
-        "throughput_weight": 0.5,
-        "models": [{"name": "m1", "version": "1", "slots": shape.slots}],
+        "throughput_weight": tuning.weight,
+        "models": [{"name": "m1", "version": "1", "slots": slots}],
         "services": [{"name": "s1", "model": "m1"}],
     })
 }
--- a/bench/src/trace.rs
+++ b/bench/src/trace.rs
@@ -180,7 +180,7 @@
     time as f64 / SECOND as f64
 }
 
-fn exponential(rng: &mut Rng) -> f64 {
+pub(crate) fn exponential(rng: &mut Rng) -> f64 {
     -(1.0 - rng.f64()).ln()
 }
 
@@ -190,7 +190,7 @@
     ((x * x * f64::from(PREFIXES)) as u32).min(PREFIXES - 1)
 }
 
-fn lognormal(rng: &mut Rng, median: f64, sigma: f64, most: u32) -> u32 {
+pub(crate) fn lognormal(rng: &mut Rng, median: f64, sigma: f64, most: u32) -> u32 {
     let angle = std::f64::consts::TAU * rng.f64();
     let normal = (2.0 * exponential(rng)).sqrt() * angle.cos();
     ((median * (sigma * normal).exp()) as u32).clamp(8, most)
