--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,10 @@
 use std::{fs, path::PathBuf};
 
 use anyhow::Context;
-use bench::{capacity, decisions, list_cost, overhead, sheet_cost, table, trace::Kind};
+use bench::{
+    capacity, decisions, list_cost, overhead, process_policy, process_yields, sheet_cost, table,
+    trace::Kind,
+};
 use clap::{Parser, Subcommand};
 
 /// Measures the decisions of gentianpath.
@@ -40,6 +43,15 @@
     Items,
     /// Measure the cost of the instance list against its length, over processes.
     List,
+    /// Compare policies on a short seeded trace, over processes.
+    Processes {
+        /// Seed of the trace.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Measure how soon batch streams stop after a burst through another instance of the zone, over
+    /// processes.
+    Yields,
     /// Measure the cost of a sheet change against the length of the sheet.
     Sheet,
     /// Measure the cost of decisions at 10 to 12,000 workers.
@@ -66,6 +78,8 @@
         Command::Zone => capacity::run_zone()?,
         Command::Items => capacity::run_items()?,
         Command::List => list_cost::run()?,
+        Command::Processes { seed } => process_policy::run(seed)?,
+        Command::Yields => process_yields::run()?,
         Command::Sheet => sheet_cost::run()?,
         Command::Decisions { seed } => decisions::print(seed),
     }
--- a/standins/src/engine_http.rs
+++ b/standins/src/engine_http.rs
@@ -111,6 +111,8 @@
             taken: 0,
             prefilled: 0,
             started_ms: self.uptime_ms(),
+            stopped_at_us: Vec::new(),
+            ended_at_us: None,
         };
         let hold = state.begin(run);
         let fault = state.pick_fault(&hold);
--- a/standins/src/kv.rs
+++ b/standins/src/kv.rs
@@ -158,6 +158,8 @@
             taken: cache.tokens,
             prefilled: 0,
             started_ms: self.uptime_ms(),
+            stopped_at_us: Vec::new(),
+            ended_at_us: None,
         };
         let hold = state.begin(run);
         state.release(&hold);
