Find workers with room in an index that all threads keep

Cause: when the sampled workers have no room, the router scanned the list. It was limited to once in 5 ms, so that a worker which became free could be missed for that time.

Change: free_index holds a bitmap in levels of 64. Each change of a worker's counts settles its bit without a lock: the state is read again after each write, so that an overtaken write is repaired. The search draws the same random place and goes on in the same order as the scan. The limit of 5 ms is gone. A pool's index belongs to the router that was built last; the counts of the worker decide, so that an index that is behind can only miss room, never choose a full worker.

Same choice: quickcheck over random begins, ends, first tokens, notices, digests, reports, settings and views compares the search with a scan.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod exit;
 pub mod fnv;
 pub mod forward;
+pub mod free_index;
 pub mod group;
 pub mod health;
 pub mod held;
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,15 +1,15 @@
 //! Choice of a worker for an online request.
 
 use std::{
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
+    iter,
+    ops::Range,
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use crate::{
     affinity::Affinity,
+    free_index::FreeIndex,
     ids::{InstanceId, Map, ModelId, WorkerId, Zone},
     view::{View, WorkerInfo},
     workers::{WorkerCell, WorkerTable},
@@ -30,10 +30,6 @@
 const AFFINITY_RATIO: f64 = 1.25;
 /// Requests over the mean load up to which affinity is followed.
 const AFFINITY_MARGIN: f64 = 1.0;
-/// Lists up to this length are always searched when the sample has no room.
-const SEARCH_ALWAYS: usize = 256;
-/// Least time between two searches of a longer list that found no room.
-const SEARCH_INTERVAL: Duration = Duration::from_millis(5);
 
 /// What an online request needs.
 #[derive(Debug, Clone, Copy)]
@@ -76,7 +72,7 @@
 }
 
 /// Workers of one model: own ones, then others of the zone, then those of other zones.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Pool {
     list: Vec<Candidate>,
     /// End of the own workers in the list.
@@ -84,8 +80,8 @@
     /// End of the workers of the own zone in the list.
     zone: usize,
     places: Map<WorkerId, usize>,
-    /// Time of the last search that found no room, in microseconds.
-    searched: AtomicU64,
+    /// Places of workers with room.
+    free: Arc<FreeIndex>,
 }
 
 /// Chooses workers; built for each view and read by all traffic threads.
@@ -107,20 +103,22 @@
 }
 
 impl Router {
-    /// Builds the router of a view, for an entry instance in `zone`.
+    /// Builds the router of a view, for an entry instance in `zone`. The counts of the table keep the
+    /// index of the router that was built last; earlier ones find room by their samples only.
     pub fn build(view: &View, table: &WorkerTable, me: &InstanceId, zone: &Zone) -> Self {
-        let mut models: Map<ModelId, Pool> = Map::default();
+        let mut lists: Map<ModelId, Vec<Candidate>> = Map::default();
         for info in view.workers.iter().filter(|w| !w.leaving) {
             let Some(model) = &info.model else { continue };
-            let pool = models.entry(model.clone()).or_default();
-            pool.list.push(Candidate {
+            let list = lists.entry(model.clone()).or_default();
+            list.push(Candidate {
                 info: info.clone(),
                 cell: table.cell(&info.id),
             });
         }
-        for pool in models.values_mut() {
-            pool.arrange(me, zone);
-        }
+        let pools = lists.into_iter();
+        let models = pools
+            .map(|(m, list)| (m, Pool::new(list, me, zone)))
+            .collect();
         Self {
             models,
             affinity: table.affinity(),
@@ -134,15 +132,20 @@
         self
     }
 
+    /// Searches all workers for one with room, those of the own zone first, from a random place on.
+    pub fn search(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng) -> Option<&Candidate> {
+        self.models.get(ask.model)?.search(ask, rng)
+    }
+
     /// Chooses a worker for a request. The cost does not grow with the number of workers, unless
-    /// the sampled ones have no room.
+    /// the sampled ones have no room; then it grows with its logarithm.
     pub fn choose(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Choice<'_> {
         self.place(ask, rng, now).choice
     }
 
     /// Chooses a worker for a request and tells how much of the prompt it has to compute.
     pub fn place(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Placement<'_> {
-        let choice = self.pick(ask, rng, now);
+        let choice = self.pick(ask, rng);
         let mut fresh = 0;
         if let Choice::Worker(chosen) = &choice
             && !ask.blocks.is_empty()
@@ -154,7 +157,7 @@
         Placement { choice, fresh }
     }
 
-    fn pick(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Choice<'_> {
+    fn pick(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng) -> Choice<'_> {
         let Some(pool) = self.models.get(ask.model) else {
             return Choice::NoWorker;
         };
@@ -165,7 +168,7 @@
         let chosen = self
             .holder(pool, ask, &sample)
             .or(sample.best)
-            .or_else(|| pool.search(ask, rng, now));
+            .or_else(|| pool.search(ask, rng));
         chosen.map_or(Choice::Full, Choice::Worker)
     }
 
@@ -211,21 +214,31 @@
 }
 
 impl Pool {
-    fn arrange(&mut self, me: &InstanceId, zone: &Zone) {
+    fn new(mut list: Vec<Candidate>, me: &InstanceId, zone: &Zone) -> Self {
         let rank = |c: &Candidate| match (&c.info.zone == zone, &c.info.owner) {
             (true, Some(owner)) if owner == me => 0,
             (true, _) => 1,
             (false, _) => 2,
         };
-        self.list.sort_by_key(rank);
-        self.own = self.list.partition_point(|c| rank(c) == 0);
-        self.zone = self.list.partition_point(|c| rank(c) <= 1);
-        for owned in &self.list[..self.own] {
+        list.sort_by_key(rank);
+        let own = list.partition_point(|c| rank(c) == 0);
+        for owned in &list[..own] {
             // The owner counts by notices; what an earlier owner announced is void.
             owned.cell.set_announced(0);
         }
-        let names = self.list.iter().map(|c| c.info.id.clone());
-        self.places = names.zip(0..).collect();
+        let free = Arc::new(FreeIndex::new(list.len()));
+        for (place, candidate) in list.iter().enumerate() {
+            let slots = candidate.info.slots;
+            candidate.cell.set_index(free.clone(), place, slots);
+        }
+        let names = list.iter().map(|c| c.info.id.clone());
+        Self {
+            own,
+            zone: list.partition_point(|c| rank(c) <= 1),
+            places: names.zip(0..).collect(),
+            free,
+            list,
+        }
     }
 
     /// Says whether all workers were tried.
@@ -235,21 +248,35 @@
         !self.list.iter().any(fresh)
     }
 
-    /// Searches the list for a worker with room, the own zone first. A search of a long list that
-    /// found none is not repeated at once, so that a full fleet does not cost a scan per request.
-    fn search(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng, now: Duration) -> Option<&Candidate> {
-        let now = now.as_micros() as u64 + 1;
-        let last = self.searched.load(Ordering::Relaxed);
-        let recent = last != 0 && now.saturating_sub(last) < SEARCH_INTERVAL.as_micros() as u64;
-        if recent && self.list.len() > SEARCH_ALWAYS {
+    /// Searches the list for a worker with room, the own zone first.
+    fn search(&self, ask: &Ask<'_>, rng: &mut fastrand::Rng) -> Option<&Candidate> {
+        let near = self.first_free(0..self.zone, ask, rng);
+        near.or_else(|| self.first_free(self.zone..self.list.len(), ask, rng))
+    }
+
+    /// Returns the first worker with room from a random place of a range on, round its end.
+    fn first_free(
+        &self,
+        range: Range<usize>,
+        ask: &Ask<'_>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<&Candidate> {
+        if range.is_empty() {
             return None;
         }
-        let (near, far) = self.list.split_at(self.zone);
-        let found = first_free(near, ask, rng).or_else(|| first_free(far, ask, rng));
-        if found.is_none() {
-            self.searched.store(now, Ordering::Relaxed);
-        }
-        found
+        let start = rng.usize(range.clone());
+        let tail = self.first_between(start, range.end, ask);
+        tail.or_else(|| self.first_between(range.start, start, ask))
+    }
+
+    /// Returns the first worker with room between two places. The index may be behind a change
+    /// that another thread makes, so that the counts of the worker decide.
+    fn first_between(&self, from: usize, end: usize, ask: &Ask<'_>) -> Option<&Candidate> {
+        let next = |&place: &usize| self.free.first(place + 1, end);
+        let places = iter::successors(self.free.first(from, end), next);
+        places
+            .map(|place| &self.list[place])
+            .find(|c| has_room(c, ask))
     }
 }
 
@@ -305,15 +332,3 @@
 fn has_room(candidate: &Candidate, ask: &Ask<'_>) -> bool {
     candidate.cell.load() < candidate.info.slots && !ask.tried.contains(&candidate.info.id)
 }
-
-fn first_free<'a>(
-    list: &'a [Candidate],
-    ask: &Ask<'_>,
-    rng: &mut fastrand::Rng,
-) -> Option<&'a Candidate> {
-    if list.is_empty() {
-        return None;
-    }
-    let (head, tail) = list.split_at(rng.usize(..list.len()));
-    tail.iter().chain(head).find(|c| has_room(c, ask))
-}
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -8,11 +8,13 @@
     time::{Duration, Instant},
 };
 
+use arc_swap::ArcSwapOption;
 use smol::channel::{Receiver, Sender};
 
 use crate::{
     admit::{self, Admission, Demand},
     affinity::Affinity,
+    free_index::FreeIndex,
     ids::{InstanceId, Map, WorkerId},
 };
 
@@ -46,9 +48,18 @@
     /// Online requests of other instances by the owner's last digest.
     announced: AtomicU32,
     slots: AtomicU32,
+    seat: ArcSwapOption<Seat>,
     state: Mutex<CellState>,
 }
 
+/// Place of a worker in the index of the latest router.
+#[derive(Debug)]
+struct Seat {
+    index: Arc<FreeIndex>,
+    place: usize,
+    slots: u32,
+}
+
 #[derive(Debug, Default)]
 struct CellState {
     admission: Admission,
@@ -127,6 +138,7 @@
             peers: AtomicU32::new(0),
             announced: AtomicU32::new(0),
             slots: AtomicU32::new(0),
+            seat: ArcSwapOption::empty(),
             state: Mutex::default(),
         }
     }
@@ -139,13 +151,14 @@
     /// Counts an online request like [`Self::begin_online`]. A long prompt, of which the worker has
     /// to compute `fresh` blocks, makes more batch streams yield until its first token.
     pub fn begin_prompt(self: &Arc<Self>, fresh: usize, now: Duration) -> OnlineGuard {
-        let slots = self.slots.load(Ordering::Relaxed);
+        let slots = self.slots.load(Ordering::SeqCst);
         let claim = match fresh {
             0 => 0,
             _ => self.lock().admission.claim(slots, fresh),
         };
-        self.online.fetch_add(1, Ordering::Relaxed);
-        self.claims.fetch_add(claim, Ordering::Relaxed);
+        self.online.fetch_add(1, Ordering::SeqCst);
+        self.claims.fetch_add(claim, Ordering::SeqCst);
+        self.index();
         self.rebalance(now, true);
         OnlineGuard {
             cell: self.clone(),
@@ -193,20 +206,22 @@
             _ => state.peers.insert(peer.clone(), level),
         };
         let total = state.peers.values().sum();
-        self.peers.store(total, Ordering::Relaxed);
+        self.peers.store(total, Ordering::SeqCst);
         drop(state);
+        self.index();
         self.rebalance(now, level > before.unwrap_or(0));
     }
 
     /// Takes over a load report of the engine.
     pub fn set_report(&self, report: Load, slots: u32, now: Duration) {
-        self.slots.store(slots, Ordering::Relaxed);
+        self.slots.store(slots, Ordering::SeqCst);
         let mut state = self.lock();
         let known = self.known_online() + state.batch.len() as u32;
         let changed = state.report != report;
         state.frozen.observe(changed, known);
         state.report = report;
         drop(state);
+        self.index();
         self.rebalance(now, false);
     }
 
@@ -214,33 +229,56 @@
     /// ones are part of it, as far as the owner knew them.
     pub fn set_announced(&self, online: u32) {
         let others = online.saturating_sub(self.online());
-        self.announced.store(others, Ordering::Relaxed);
+        self.announced.store(others, Ordering::SeqCst);
+        self.index();
     }
 
     /// Returns the online requests on the worker as far as this instance knows: its own exactly,
     /// those of others by notices to the owner or by the owner's digest. Takes no lock.
     pub fn load(&self) -> u32 {
-        let noticed = self.peers.load(Ordering::Relaxed);
-        let announced = self.announced.load(Ordering::Relaxed);
+        let noticed = self.peers.load(Ordering::SeqCst);
+        let announced = self.announced.load(Ordering::SeqCst);
         self.level() + noticed.max(announced)
     }
 
     /// Sets the weight of throughput against online tail, and the number of slots.
     pub fn configure(&self, weight: f64, slots: u32) {
-        self.slots.store(slots, Ordering::Relaxed);
+        self.slots.store(slots, Ordering::SeqCst);
         self.lock().admission.set_weight(weight);
+        self.index();
+    }
+
+    /// Keeps a place of an index up to date from now on, instead of an earlier one: it is in the
+    /// index while the worker has less online requests than `slots`.
+    pub fn set_index(&self, index: Arc<FreeIndex>, place: usize, slots: u32) {
+        let seat = Seat {
+            index,
+            place,
+            slots,
+        };
+        self.seat.store(Some(Arc::new(seat)));
+        self.index();
+    }
+
+    /// Follows a change of the load in the index. All counts of the load change by sequentially
+    /// consistent operations, as the index requires.
+    fn index(&self) {
+        if let Some(seat) = &*self.seat.load() {
+            let room = || self.load() < seat.slots;
+            seat.index.settle(seat.place, room);
+        }
     }
 
     /// Returns the number of online requests of this instance.
     pub fn online(&self) -> u32 {
-        self.online.load(Ordering::Relaxed)
+        self.online.load(Ordering::SeqCst)
     }
 
     /// Returns the level of online requests of this instance that the worker's owner is told: their
     /// number and the claims of long prompts.
     pub fn level(&self) -> u32 {
-        let slots = self.slots.load(Ordering::Relaxed);
-        let claims = self.claims.load(Ordering::Relaxed);
+        let slots = self.slots.load(Ordering::SeqCst);
+        let claims = self.claims.load(Ordering::SeqCst);
         admit::level(slots, self.online(), claims)
     }
 
@@ -268,7 +306,7 @@
     }
 
     fn known_online(&self) -> u32 {
-        self.level() + self.peers.load(Ordering::Relaxed)
+        self.level() + self.peers.load(Ordering::SeqCst)
     }
 
     fn demand(&self, state: &CellState, now: Duration) -> Demand {
@@ -278,7 +316,7 @@
         };
         let starting = state.batch.iter().filter(|s| s.starting(now)).count();
         Demand {
-            slots: self.slots.load(Ordering::Relaxed),
+            slots: self.slots.load(Ordering::SeqCst),
             online: self.known_online(),
             batch: state.batch.len() as u32,
             starting: starting as u32,
@@ -295,8 +333,11 @@
     /// Marks that the first token has arrived, so that the prompt claims no more slots. Says
     /// whether that changed the level, which the worker's owner is told then.
     pub fn first_token(&self) -> bool {
-        let claim = self.claim.swap(0, Ordering::Relaxed);
-        self.cell.claims.fetch_sub(claim, Ordering::Relaxed);
+        let claim = self.claim.swap(0, Ordering::SeqCst);
+        if claim > 0 {
+            self.cell.claims.fetch_sub(claim, Ordering::SeqCst);
+            self.cell.index();
+        }
         claim > 0
     }
 }
@@ -304,7 +345,8 @@
 impl Drop for OnlineGuard {
     fn drop(&mut self) {
         self.first_token();
-        self.cell.online.fetch_sub(1, Ordering::Relaxed);
+        self.cell.online.fetch_sub(1, Ordering::SeqCst);
+        self.cell.index();
     }
 }
 
