Run the policy of the system long enough for its p99 over processes

Two runs that started together failed, because both found the same ports free. Ruled out: longer traces for all policies; a run may take four minutes. Each run of the bench takes its ports from another place of the range.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -45,6 +45,9 @@
         /// Seed of the trace.
         #[arg(long, default_value_t = 1)]
         seed: u64,
+        /// Only the policy of the system, on a trace long enough for the bound of its p99.
+        #[arg(long)]
+        bounds: bool,
     },
     /// Measure how soon batch streams stop after a burst through another instance of the zone, over
     /// processes.
@@ -74,7 +77,7 @@
         Command::Capacity => capacity::run()?,
         Command::Zone => capacity::run_zone()?,
         Command::Items => capacity::run_items()?,
-        Command::Processes { seed } => process_policy::run(seed)?,
+        Command::Processes { seed, bounds } => process_policy::run(seed, bounds)?,
         Command::Yields => process_yields::run()?,
         Command::Sheet => sheet_cost::run()?,
         Command::Decisions { seed } => decisions::print(seed),
--- a/bench/src/process_policy.rs
+++ b/bench/src/process_policy.rs
@@ -38,12 +38,14 @@
 const CACHE_BLOCKS: &str = "512";
 /// Stopped streams that a worker keeps.
 const KEPT_STREAMS: &str = "1024";
-/// Length of the trace.
+/// Length of the trace on which all policies run.
 const LENGTH: Duration = Duration::from_secs(18);
+/// Length of the trace for the bound of the p99, which needs more requests.
+const LONG_LENGTH: Duration = Duration::from_secs(60);
 /// Time in which batch work fills the workers before the trace starts.
 const FILL_TIME: Duration = Duration::from_secs(5);
 /// Items of the batch job; more than a run can do.
-const ITEMS: usize = 1500;
+const ITEMS: usize = 3000;
 /// Weight of the deployment whose bound is the lowest.
 const WEIGHT: f64 = 0.0;
 /// Path of the batch submission.
@@ -61,18 +63,20 @@
 /// Batch work that runs until it is dropped.
 type Batch = Vec<smol::Task<()>>;
 
-/// Runs each policy on the trace of a seed and prints a table.
+/// Runs each policy on the trace of a seed and prints a table. With `bounds` only the policy of the
+/// system runs, on a longer trace.
 ///
 /// # Errors
 ///
 /// Returns an error when a process does not start or answer.
-pub fn run(seed: u64) -> anyhow::Result<()> {
-    let trace = Arc::new(Trace::new(SHAPE.workers, SHAPE.entries, LENGTH, seed));
+pub fn run(seed: u64, bounds: bool) -> anyhow::Result<()> {
+    let length = if bounds { LONG_LENGTH } else { LENGTH };
+    let trace = Arc::new(Trace::new(SHAPE.workers, SHAPE.entries, length, seed));
     let items = items(ITEMS, seed);
     println!(
         "{} online requests in {} s, {} bursts of {:.1} times the mean rate\n",
         trace.requests.len(),
-        LENGTH.as_secs(),
+        length.as_secs(),
         trace.bursts,
         trace.peak
     );
@@ -80,10 +84,11 @@
         "| policy | idle filled | TTFT p50 / p95 / p99 ms | ratio p50 / p95 / p99 | yields | work thrown away | refused | broken |"
     );
     println!("|---|---|---|---|---|---|---|---|");
-    let reference = measure(Policy::REFERENCE, &trace, &items, seed)?;
+    let measure = |policy| measure(policy, &trace, length, &items, seed);
+    let reference = measure(Policy::REFERENCE)?;
     print_row(Policy::REFERENCE, &reference, &reference);
-    for policy in policies() {
-        let figures = measure(policy, &trace, &items, seed)?;
+    for policy in policies().into_iter().filter(|p| !bounds || is_own(*p)) {
+        let figures = measure(policy)?;
         print_row(policy, &figures, &reference);
     }
     Ok(())
@@ -97,6 +102,7 @@
 fn measure(
     policy: Policy,
     trace: &Arc<Trace>,
+    length: Duration,
     items: &[Item],
     seed: u64,
 ) -> anyhow::Result<Figures> {
@@ -109,7 +115,7 @@
     let start = Instant::now();
     let trace = trace.clone();
     let sent = async_global_executor::spawn(async move { send_trace(&way, &trace).await });
-    thread::sleep(LENGTH);
+    thread::sleep(length);
     let work = totals(&fleet.workers)?.since(before);
     let seconds = start.elapsed().as_secs_f64();
     let outcomes = smol::block_on(sent);
--- a/bench/src/processes.rs
+++ b/bench/src/processes.rs
@@ -24,6 +24,8 @@
 const FIRST_PORT: u16 = 12_000;
 /// Port after the last that is given to a process.
 const LAST_PORT: u16 = 32_000;
+/// Distance between the first ports of two runs that started one after the other.
+const PORTS_OF_RUN: u32 = 499;
 /// Clock ticks a second in `/proc`, fixed on Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
 /// Bytes of a memory page in `/proc`.
@@ -372,15 +374,16 @@
 }
 
 /// Returns a loopback address that is free. Its port is below those that the kernel gives to
-/// outgoing connections, so that no connection takes it before the process listens.
+/// outgoing connections, so that no connection takes it before the process listens. Runs at the
+/// same time start at different ports, because a port is free until its process listens.
 fn free_address() -> anyhow::Result<SocketAddr> {
-    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    static TAKEN: AtomicU16 = AtomicU16::new(0);
+    const SPAN: u32 = (LAST_PORT - FIRST_PORT) as u32;
+    let start = std::process::id().wrapping_mul(PORTS_OF_RUN) % SPAN;
     loop {
-        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        ensure!(
-            (FIRST_PORT..LAST_PORT).contains(&port),
-            "no free port is left"
-        );
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        ensure!(u32::from(taken) < SPAN, "no free port is left");
+        let port = FIRST_PORT + ((start + u32::from(taken)) % SPAN) as u16;
         let address = SocketAddr::from(([127, 0, 0, 1], port));
         if TcpListener::bind(address).is_ok() {
             return Ok(address);
