Pack the messages between entry instances

Cause: peer traffic at the target was projected at 7.1 KB/s against the bound of 7. Messages went over the wire as they are in memory, and 45% of their bytes were zeros.

Change: connections carry packed messages, by the streams of capnp-futures, which capnp-rpc already brings. A server tells the form from the first byte; a client whose first call on a packed connection fails takes the plain form on the next.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -57,12 +57,22 @@
     idle_table(&WORKER_STEPS.map(|n| shape(4, n)))?;
     println!();
     run_zone()?;
-    println!("\n## Spread of a sheet change against instances (4 zones)\n");
-    spread_table()?;
+    println!();
+    run_spread()?;
     println!();
     run_items()
 }
 
+/// Measures and prints the spread of a sheet change only.
+///
+/// # Errors
+///
+/// Returns an error when a process does not start or does not answer.
+pub fn run_spread() -> anyhow::Result<()> {
+    println!("## Spread of a sheet change against instances (4 zones)\n");
+    spread_table()
+}
+
 /// Measures and prints the cost of batch items and of losses only.
 ///
 /// # Errors
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -36,6 +36,8 @@
     Capacity,
     /// Measure one zone of the target size only, over processes.
     Zone,
+    /// Measure the spread of a sheet change only, over processes.
+    Spread,
     /// Measure batch items and losses of instances only, over processes.
     Items,
     /// Measure the cost of the instance list against its length, over processes.
@@ -64,6 +66,7 @@
         Command::Overhead => overhead::run()?,
         Command::Capacity => capacity::run()?,
         Command::Zone => capacity::run_zone()?,
+        Command::Spread => capacity::run_spread()?,
         Command::Items => capacity::run_items()?,
         Command::List => list_cost::run()?,
         Command::Sheet => sheet_cost::run()?,
--- a/src/peer_client.rs
+++ b/src/peer_client.rs
@@ -10,7 +10,6 @@
 
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
-use futures::AsyncReadExt;
 use smol::{LocalExecutor, Task, net::TcpStream};
 
 use crate::{
@@ -19,7 +18,7 @@
     metrics::{self, PeerCall},
     peer::{Digest, read_changes, read_digest, write_digest},
     peer_capnp::peer,
-    peer_stream::Counted,
+    peer_stream::{self, Form, Halves},
     spread::{Delta, Watched},
 };
 
@@ -64,6 +63,7 @@
     executor: Weak<LocalExecutor<'static>>,
     connection: RefCell<Option<Connection>>,
     opened: Cell<u64>,
+    form: Cell<Form>,
     backoff: RefCell<Backoff>,
     not_before: Cell<Option<Instant>>,
 }
@@ -72,6 +72,7 @@
 struct Connection {
     number: u64,
     client: peer::Client,
+    answered: Cell<bool>,
     _system: Task<()>,
 }
 
@@ -88,6 +89,7 @@
             executor,
             connection: RefCell::default(),
             opened: Cell::default(),
+            form: Cell::default(),
             backoff: RefCell::new(Backoff::new(RETRY_BASE, RETRY_CAP)),
             not_before: Cell::default(),
         }
@@ -177,7 +179,7 @@
         let result = smol::future::or(work, timeout).await;
         metrics::peer_call(kind, result.is_ok());
         match &result {
-            Ok(_) => self.backoff.borrow_mut().succeed(),
+            Ok(_) => self.succeed(),
             Err(_) => self.close(used.get()),
         }
         result
@@ -193,7 +195,7 @@
         let Some(executor) = self.executor.upgrade() else {
             return Err(PeerError::Failed("the instance stops".into()));
         };
-        let (reader, writer) = Counted(stream).split();
+        let Halves { reader, writer } = peer_stream::opened(stream, self.form.get());
         let network = VatNetwork::new(reader, writer, Side::Client, ReaderOptions::new());
         let mut system = RpcSystem::new(Box::new(network), None);
         let client: peer::Client = system.bootstrap(Side::Server);
@@ -205,18 +207,30 @@
         *self.connection.borrow_mut() = Some(Connection {
             number,
             client: client.clone(),
+            answered: Cell::new(false),
             _system: run,
         });
         Ok((number, client))
     }
 
-    /// Drops the connection on which a call failed, unless another call replaced it already.
+    fn succeed(&self) {
+        self.backoff.borrow_mut().succeed();
+        if let Some(connection) = &*self.connection.borrow() {
+            connection.answered.set(true);
+        }
+    }
+
+    /// Drops the connection on which a call failed, unless another call replaced it already. When
+    /// no call on it was answered, the peer may be of a release that reads the other form only.
     fn close(&self, number: u64) {
         let wait = self.backoff.borrow_mut().fail(&mut fastrand::Rng::new());
         self.not_before.set(Some(Instant::now() + wait));
         let mut connection = self.connection.borrow_mut();
-        if connection.as_ref().is_some_and(|c| c.number == number) {
-            *connection = None;
+        if let Some(old) = connection.take_if(|c| c.number == number) {
+            self.form.set(match (old.answered.get(), self.form.get()) {
+                (false, Form::Packed) => Form::Plain,
+                _ => Form::Packed,
+            });
         }
     }
 }
--- a/src/peer_server.rs
+++ b/src/peer_server.rs
@@ -9,7 +9,6 @@
 use async_io::Timer;
 use capnp::{Error, message::ReaderOptions};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
-use futures::AsyncReadExt;
 use smol::net::{TcpListener, TcpStream};
 
 use crate::{
@@ -18,7 +17,7 @@
     ids::{InstanceId, WorkerId},
     peer::{read_digest, write_changes, write_digest},
     peer_capnp::peer,
-    peer_stream::Counted,
+    peer_stream::{self, Halves},
     spread::Watched,
 };
 
@@ -54,11 +53,13 @@
         control,
         last: last.clone(),
     };
-    let (reader, writer) = Counted(stream).split();
-    let network = VatNetwork::new(reader, writer, Side::Server, ReaderOptions::new());
     let client: peer::Client = capnp_rpc::new_client(session);
-    let system = RpcSystem::new(Box::new(network), Some(client.client));
     let work = async {
+        let Ok(Halves { reader, writer }) = peer_stream::accepted(stream).await else {
+            return;
+        };
+        let network = VatNetwork::new(reader, writer, Side::Server, ReaderOptions::new());
+        let system = RpcSystem::new(Box::new(network), Some(client.client));
         let _ = system.await;
     };
     smol::future::or(work, wait_idle(last)).await;
--- a/src/peer_stream.rs
+++ b/src/peer_stream.rs
@@ -1,4 +1,7 @@
-//! A peer connection that counts its bytes.
+//! A peer connection that counts its bytes and packs its messages.
+//!
+//! Packed messages leave out zero bytes, of which a digest has many. Releases before this form
+//! read and write messages as they are; a server takes both.
 
 use std::{
     io,
@@ -6,11 +9,82 @@
     task::{Context, Poll, ready},
 };
 
-use futures::{AsyncRead, AsyncWrite};
+use capnp_futures::serialize_packed::{PackedRead, PackedWrite};
+use futures::{
+    AsyncBufReadExt, AsyncRead, AsyncReadExt, AsyncWrite,
+    io::{BufReader, BufWriter},
+};
 use smol::net::TcpStream;
 
 use crate::metrics::{self, Direction};
 
+/// Bytes of each buffer of a connection. A digest fits; an instance has connections to and from
+/// hundreds of others, so that buffers of the usual 8 KB would take megabytes.
+const BUFFER_BYTES: usize = 1 << 10;
+
+/// Form of the messages on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Form {
+    /// Without zero bytes.
+    #[default]
+    Packed,
+    /// As they are.
+    Plain,
+}
+
+/// The two directions of a connection.
+pub struct Halves {
+    /// Messages of the peer.
+    pub reader: Box<dyn AsyncRead + Unpin>,
+    /// Messages to the peer.
+    pub writer: Box<dyn AsyncWrite + Unpin>,
+}
+
+/// Takes a connection that was opened by this instance, in a form.
+pub fn opened(stream: TcpStream, form: Form) -> Halves {
+    let (reader, writer) = Counted(stream).split();
+    halves(buffered(reader), writer, form)
+}
+
+/// Takes a connection that was accepted, in the form of its first message. A message begins with
+/// the number of its segments less one, which is 0 for the first one; a packed message begins
+/// with the places of bytes that are not 0.
+///
+/// # Errors
+///
+/// Returns an error when the connection breaks before its first byte.
+pub async fn accepted(stream: TcpStream) -> io::Result<Halves> {
+    let (reader, writer) = Counted(stream).split();
+    let mut reader = buffered(reader);
+    let form = match reader.fill_buf().await?.first() {
+        Some(0) => Form::Plain,
+        _ => Form::Packed,
+    };
+    Ok(halves(reader, writer, form))
+}
+
+fn buffered<R: AsyncRead>(reader: R) -> BufReader<R> {
+    BufReader::with_capacity(BUFFER_BYTES, reader)
+}
+
+fn halves(
+    reader: impl AsyncRead + Unpin + 'static,
+    writer: impl AsyncWrite + Unpin + 'static,
+    form: Form,
+) -> Halves {
+    let writer = BufWriter::with_capacity(BUFFER_BYTES, writer);
+    match form {
+        Form::Packed => Halves {
+            reader: Box::new(PackedRead::new(reader)),
+            writer: Box::new(PackedWrite::new(writer)),
+        },
+        Form::Plain => Halves {
+            reader: Box::new(reader),
+            writer: Box::new(writer),
+        },
+    }
+}
+
 /// A TCP stream whose bytes are counted.
 #[derive(Debug)]
 pub struct Counted(pub TcpStream);
--- a/tests/control_peers.rs
+++ b/tests/control_peers.rs
@@ -3,8 +3,8 @@
 mod control_support;
 
 use std::{
-    io::Read,
-    net::TcpListener,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
     rc::Rc,
     sync::{
         Arc,
@@ -76,6 +76,50 @@
     });
 }
 
+/// Forwards connections whose first message is not packed, and closes the others, as a peer of an
+/// earlier release does.
+fn plain_only(to: SocketAddr) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let forwarded = Arc::new(AtomicUsize::new(0));
+    let counter = forwarded.clone();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut first = [0];
+            if stream.read_exact(&mut first).is_err() || first != [0] {
+                continue;
+            }
+            counter.fetch_add(1, Ordering::Relaxed);
+            let mut peer = TcpStream::connect(to).unwrap();
+            peer.write_all(&first).unwrap();
+            let (mut from, mut back) = (peer.try_clone().unwrap(), stream.try_clone().unwrap());
+            thread::spawn(move || std::io::copy(&mut from, &mut back));
+            thread::spawn(move || std::io::copy(&mut stream, &mut peer));
+        }
+    });
+    (address, forwarded)
+}
+
+/// Guards against peers of two releases that cannot talk: one packs its messages, the other reads
+/// and writes them as they are only.
+#[test]
+fn messages_to_an_earlier_release_are_not_packed() {
+    let platform = Process::platform();
+    let a = Instance::simple(platform.address, "a", "tas-south-a");
+    assert_eq!(a.push(sheet(MODEL, "v1", 1), None), Ok(1));
+    let (relay, forwarded) = plain_only(a.peer());
+    let plan = Plan {
+        name: "b",
+        zone: "tas-south-a",
+        session: 2,
+        peers: vec![relay],
+        ..Plan::default()
+    };
+    let b = Instance::start(free_address(), &plan);
+    b.wait_revision(1);
+    assert!(forwarded.load(Ordering::Relaxed) > 0);
+}
+
 /// Guards against a zone that does not learn of a sheet because its instances cannot reach the
 /// platform, and against a watch that ends when the platform has forgotten its history.
 #[test]
