--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -39,6 +39,8 @@
     Capacity,
     /// Measure one zone of the target size only, over processes.
     Zone,
+    /// Measure the spread of a sheet change only, over processes.
+    Spread,
     /// Measure batch items and losses of instances only, over processes.
     Items,
     /// Measure the cost of the instance list against its length, over processes.
@@ -79,6 +81,7 @@
         Command::Overhead => overhead::run()?,
         Command::Capacity => capacity::run()?,
         Command::Zone => capacity::run_zone()?,
+        Command::Spread => capacity::run_spread()?,
         Command::Items => capacity::run_items()?,
         Command::List => list_cost::run()?,
         Command::Processes { seed, bounds } => process_policy::run(seed, bounds)?,
