Measure the load on the platform after an outage

Cause: the load right after an outage, with held claims and watches, was never measured.

Ruled out: a rush at once.

No change of the product.

A bound on the group calls after an outage is open.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod jobs;
 pub mod list_cost;
 pub mod online;
+pub mod outage;
 pub mod overhead;
 pub mod plot;
 pub mod policy;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::PathBuf};
 
 use anyhow::Context;
-use bench::{capacity, decisions, list_cost, overhead, sheet_cost, table, trace::Kind};
+use bench::{capacity, decisions, list_cost, outage, overhead, sheet_cost, table, trace::Kind};
 use clap::{Parser, Subcommand};
 
 /// Measures the decisions of gentianpath.
@@ -42,6 +42,8 @@
     Items,
     /// Measure the cost of the instance list against its length, over processes.
     List,
+    /// Measure the load on the platform after an outage, over processes.
+    Outage,
     /// Measure the cost of a sheet change against the length of the sheet.
     Sheet,
     /// Measure the cost of decisions at 10 to 12,000 workers.
@@ -69,6 +71,7 @@
         Command::Spread => capacity::run_spread()?,
         Command::Items => capacity::run_items()?,
         Command::List => list_cost::run()?,
+        Command::Outage => outage::run()?,
         Command::Sheet => sheet_cost::run()?,
         Command::Decisions { seed } => decisions::print(seed),
     }
