--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod jobs;
 pub mod list_cost;
 pub mod online;
+pub mod outage;
 pub mod overhead;
 pub mod plot;
 pub mod policy;
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,8 +4,8 @@
 
 use anyhow::Context;
 use bench::{
-    capacity, decisions, list_cost, overhead, process_policy, process_yields, sheet_cost, table,
-    trace::Kind,
+    capacity, decisions, list_cost, outage, overhead, process_policy, process_yields, sheet_cost,
+    table, trace::Kind,
 };
 use clap::{Parser, Subcommand};
 
@@ -57,6 +57,8 @@
     /// Measure how soon batch streams stop after a burst through another instance of the zone, over
     /// processes.
     Yields,
+    /// Measure the load on the platform after an outage, over processes.
+    Outage,
     /// Measure the cost of a sheet change against the length of the sheet.
     Sheet,
     /// Measure the cost of decisions at 10 to 12,000 workers.
@@ -86,6 +88,7 @@
         Command::List => list_cost::run()?,
         Command::Processes { seed, bounds } => process_policy::run(seed, bounds)?,
         Command::Yields => process_yields::run()?,
+        Command::Outage => outage::run()?,
         Command::Sheet => sheet_cost::run()?,
         Command::Decisions { seed } => decisions::print(seed),
     }
