Inject faults into yields, planned stops, cancels and takeovers of batch work

Cause: 13 cells of the batch rows of the fault matrix were open: yield and resume under kill, pause, silence and death of the engine; claims given back under a cut, an outage, silence and death of the engine; cancel under pause and silence; a submission acknowledged under pause and silence; takeover while cut from the platform.

Ruled out: one process test for each cell.

Conclusion: open in the batch rows are the cuts from the zone and reads of results while cut off.

--- a/tests/batch_jobs.rs
+++ b/tests/batch_jobs.rs
@@ -4,51 +4,10 @@
 
 use std::collections::HashSet;
 
-use batch_support::{Instance, MODEL, Owned, Process, WAITS, items, wait_for};
+use batch_support::{Fleet, MODEL, Process, WAITS, fleet, items, owned_fleet, wait_for};
 use gentianpath::{group, job_record::LOSS_LIMIT};
 use serde_json::{Value, json};
 
-struct Fleet {
-    platform: Process,
-    engines: Vec<Process>,
-    instances: Vec<Instance>,
-}
-
-/// Starts two instances, `a` and `b`, each the owner of one engine.
-fn fleet(token_ms: &str) -> Fleet {
-    owned_fleet(token_ms, ["a", "b"])
-}
-
-/// Starts two instances and two engines with the given owners.
-fn owned_fleet(token_ms: &str, owners: [&str; 2]) -> Fleet {
-    let platform = Process::platform();
-    let engines = vec![
-        Process::engine("w1", token_ms),
-        Process::engine("w2", token_ms),
-    ];
-    let workers = [
-        Owned {
-            id: "w1",
-            engine: &engines[0],
-            owner: owners[0],
-        },
-        Owned {
-            id: "w2",
-            engine: &engines[1],
-            owner: owners[1],
-        },
-    ];
-    let instances = vec![
-        Instance::start("a", 1, &platform, &workers),
-        Instance::start("b", 2, &platform, &workers),
-    ];
-    Fleet {
-        platform,
-        engines,
-        instances,
-    }
-}
-
 fn ids(results: &[Value]) -> Vec<&str> {
     results.iter().map(|r| r["id"].as_str().unwrap()).collect()
 }
--- a/tests/batch_support/mod.rs
+++ b/tests/batch_support/mod.rs
@@ -265,6 +265,48 @@
     }
 }
 
+/// Platform, two engines and two instances.
+pub struct Fleet {
+    pub platform: Process,
+    pub engines: Vec<Process>,
+    pub instances: Vec<Instance>,
+}
+
+/// Starts two instances, `a` and `b`, each the owner of one engine.
+pub fn fleet(token_ms: &str) -> Fleet {
+    owned_fleet(token_ms, ["a", "b"])
+}
+
+/// Starts two instances and two engines with the given owners.
+pub fn owned_fleet(token_ms: &str, owners: [&str; 2]) -> Fleet {
+    let platform = Process::platform();
+    let engines = vec![
+        Process::engine("w1", token_ms),
+        Process::engine("w2", token_ms),
+    ];
+    let workers = [
+        Owned {
+            id: "w1",
+            engine: &engines[0],
+            owner: owners[0],
+        },
+        Owned {
+            id: "w2",
+            engine: &engines[1],
+            owner: owners[1],
+        },
+    ];
+    let instances = vec![
+        Instance::start("a", 1, &platform, &workers),
+        Instance::start("b", 2, &platform, &workers),
+    ];
+    Fleet {
+        platform,
+        engines,
+        instances,
+    }
+}
+
 /// Waits for a condition.
 pub fn wait_for(done: impl Fn() -> bool, state: impl Fn() -> String) {
     for _ in 0..WAITS {
@@ -276,6 +318,12 @@
     panic!("the condition never held: {}", state());
 }
 
+/// Builds items that may not be repeated and ask for a number of tokens.
+pub fn once(prefix: &str, count: usize, tokens: u32) -> String {
+    let mark = |line: &str| line.replace('}', ",\"repeat\":\"never\"}") + "\n";
+    items(prefix, count, tokens).lines().map(mark).collect()
+}
+
 /// Builds items that ask for a number of tokens.
 pub fn items(prefix: &str, count: usize, tokens: u32) -> String {
     let lines = (0..count).map(|i| {
--- a/tests/process_batch.rs
+++ b/tests/process_batch.rs
@@ -8,6 +8,8 @@
 
 /// Deadline of all jobs, in seconds since 1970.
 const DEADLINE: u64 = 4_000_000_000;
+/// Slots of two engines.
+const SLOTS: usize = 8;
 /// Tokens of an item.
 const TOKENS: u64 = 12;
 
@@ -153,6 +155,80 @@
     }
 }
 
+/// Guards against an acknowledged job that waits for the paused instance which acknowledged it, and
+/// against a holder that wakes after a cancel and goes on with the job.
+#[test]
+fn an_instance_that_is_paused_after_its_answer_holds_up_neither_job_nor_cancel() {
+    let fleet = fleet(2, 2, "10");
+    let (kept, ended) = (items(40, false), items(120, false));
+    let answer = fleet.entries[0].submit("ended", DEADLINE, &ended).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    until("items run", || all_runs(&fleet) > 0);
+    let claimed = |entry: &Entry| entry.process_log().contains("claimed group=ended.0");
+    let holder = usize::from(!claimed(&fleet.entries[0]));
+    let (paused, other) = (&fleet.entries[holder], &fleet.entries[1 - holder]);
+    let answer = paused.submit("kept", DEADLINE - 1, &kept).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    paused.process.pause();
+    let path = "/v1/batches/ended/cancel";
+    let answer = support::http::call(other.callers, "POST", path, &[], "").unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    wait_finished(other, "kept");
+    assert_whole(other, "kept", &kept);
+    // The only group is settled, so that the woken holder has nothing left to claim.
+    until("all items have a result", || {
+        other.results("ended").len() == ended.len()
+    });
+    let results = other.results("ended");
+    assert!(results.iter().any(|r| r["status"] == "cancelled"));
+    until("no worker runs an item", || running(&fleet) == 0);
+    let before = all_runs(&fleet);
+    paused.process.resume();
+    until("the woken instance answers", || {
+        state(paused, "ended").as_deref() == Some("cancelled")
+    });
+    until("no worker runs an item", || running(&fleet) == 0);
+    // Runs that were begun before the pause may only now reach their engines.
+    let late = all_runs(&fleet) - before;
+    assert!(late <= SLOTS, "{late} items ran after the cancel");
+    assert_whole(paused, "kept", &kept);
+}
+
+/// Guards against a holder that is paused while its streams have yielded, wakes after another
+/// instance has ended its items, and resumes them.
+#[test]
+fn a_holder_that_is_paused_after_a_yield_does_not_resume_its_streams() {
+    let fleet = fleet(2, 2, "10");
+    let once = items(32, true);
+    let answer = fleet.entries[0].submit("once", DEADLINE, &once).unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    until("items run", || running(&fleet) >= 4);
+    let yielded = |entry: &Entry| entry.process_log().contains("item-yielded");
+    let (holder, other) = std::thread::scope(|scope| {
+        for i in 0..8 {
+            let entry = &fleet.entries[i % 2];
+            scope.spawn(move || entry.chat(&format!("burst {i}"), 40));
+        }
+        until("streams yield", || fleet.entries.iter().any(yielded));
+        let holder = usize::from(!yielded(&fleet.entries[0]));
+        fleet.entries[holder].process.pause();
+        let (holder, other) = (&fleet.entries[holder], &fleet.entries[1 - holder]);
+        wait_finished(other, "once");
+        let settled = other.results("once");
+        holder.process.resume();
+        until("the woken instance answers", || {
+            state(holder, "once").as_deref() == Some("finished")
+        });
+        assert_eq!(holder.results("once"), settled);
+        (holder, other)
+    });
+    until("no worker runs an item", || running(&fleet) == 0);
+    for item in &once {
+        assert!(runs(&fleet, &item.prompt) <= 1, "{} ran twice", item.id);
+    }
+    assert_eq!(holder.results("once"), other.results("once"));
+}
+
 /// Guards against items that are lost or never finish because the object service was down while
 /// they ran.
 #[test]
