Read the state of an item before it stops on a leaving worker

A stand-in engine in a planned stop ends with its last stream. The driver stopped the streams first, so the engine was gone before the export, and the items started anew.

Ruled out: leaving one stream running (the last item has the same race) and a change of the stand-in (an engine that ends with its last stream is allowed by the protocol).

Change: a stop for a leaving worker is a message on the stop channel; the run reads the state while its stream is open, then cancels. The state goes with the item, so a second move also works when the old worker is gone. A yield to online requests reads nothing.

Conclusion: the state of a stopping engine is kept. An export that is refused there still means a start anew.

--- a/src/batch_items.rs
+++ b/src/batch_items.rs
@@ -103,6 +103,7 @@
             request: request_id(&pick.key, pick.item, &mut self.rng),
             text: String::new(),
             next: 0,
+            state: None,
         };
         let transfer = pick
             .home
@@ -127,6 +128,7 @@
             resume: launch.resume,
             transfer,
             origin: None,
+            most: self.ctx.settings.limits.transfer,
             stop: launch.stop,
         };
         let (key, epoch, item) = (pick.key.clone(), held.epoch, pick.item);
--- a/src/held.rs
+++ b/src/held.rs
@@ -266,7 +266,8 @@
             _ => None,
         });
         let stops = runs.filter(|stop| stop.is_some()).take(most);
-        stops.map(|stop| stop.take()).count()
+        let stops = stops.filter_map(|stop| stop.take());
+        stops.filter(|stop| stop.try_send(()).is_ok()).count()
     }
 
     /// Returns an item that could start on any worker.
--- a/src/item_run.rs
+++ b/src/item_run.rs
@@ -32,6 +32,8 @@
     pub text: String,
     /// Number of the next event.
     pub next: u64,
+    /// State that a leaving worker gave before the stop: an engine may end with its last stream.
+    pub state: Option<Arc<Vec<u8>>>,
 }
 
 /// How a run ended.
@@ -88,7 +90,10 @@
     pub transfer: Option<Transfer>,
     /// Where to continue when a move comes to nothing; none once the worker has sent text.
     pub origin: Option<Partial>,
-    /// Receives a message, or closes, when the run must stop.
+    /// Bytes of a state at most.
+    pub most: usize,
+    /// Receives a message when the run must stop because its worker is leaving, and closes when it
+    /// must stop for another reason.
     pub stop: Receiver<()>,
 }
 
@@ -96,6 +101,7 @@
 enum Waited<T> {
     Ready(T),
     Stopped,
+    Leaving,
 }
 
 /// Runs an item until it ends or must stop.
@@ -124,11 +130,12 @@
     run.origin = Some(partial.clone());
     run.from.worker = transfer.target.clone();
     run.from.request = transfer.request.clone();
+    run.from.state = None;
     let moved = kv::transfer(&run.engine, &transfer, &partial, run.address);
     match run.wait(moved).await {
         Waited::Ready(Ok(())) => reopen(run).await,
         Waited::Ready(Err(failure)) => Err(RunEnd::Unmoved { partial, failure }),
-        Waited::Stopped => Err(stop(run).await),
+        Waited::Stopped | Waited::Leaving => Err(stop(run).await),
     }
 }
 
@@ -157,7 +164,7 @@
     match run.wait(run.engine.open(run.address, &request)).await {
         Waited::Ready(Ok(stream)) => Ok(stream),
         Waited::Ready(Err(error)) => refused(run, error).await,
-        Waited::Stopped => Err(stop(run).await),
+        Waited::Stopped | Waited::Leaving => Err(stop(run).await),
     }
 }
 
@@ -169,7 +176,7 @@
         Waited::Ready(Ok(stream)) => Ok(stream),
         Waited::Ready(Err(e)) if e.reason == Reason::NotFound => Err(RunEnd::Gone),
         Waited::Ready(Err(_)) => Err(run.stopped(false)),
-        Waited::Stopped => Err(stop(run).await),
+        Waited::Stopped | Waited::Leaving => Err(stop(run).await),
     }
 }
 
@@ -235,6 +242,12 @@
                     Err(end) => return end,
                 };
             }
+            Waited::Leaving => {
+                let state = run.engine.export(run.address, &run.from.request, run.most);
+                run.from.state = state.await.map(Arc::new);
+                drop(stream);
+                return stop(run).await;
+            }
             Waited::Stopped => {
                 drop(stream);
                 return stop(run).await;
@@ -294,8 +307,10 @@
             Waited::Stopped
         };
         let stopped = async {
-            let _ = self.stop.recv().await;
-            Waited::Stopped
+            match self.stop.recv().await {
+                Ok(()) => Waited::Leaving,
+                Err(_) => Waited::Stopped,
+            }
         };
         let work = async { Waited::Ready(work.await) };
         smol::future::or(smol::future::or(yielded, stopped), work).await
--- a/src/kv.rs
+++ b/src/kv.rs
@@ -156,8 +156,13 @@
     target: SocketAddr,
 ) -> Result<(), Failure> {
     let _permit = transfer.permits.acquire().await;
-    let exported = engine.export(transfer.home, &partial.request, transfer.most);
-    let state = exported.await.ok_or(Failure::Export)?;
+    let state = match &partial.state {
+        Some(state) => state.to_vec(),
+        None => {
+            let exported = engine.export(transfer.home, &partial.request, transfer.most);
+            exported.await.ok_or(Failure::Export)?
+        }
+    };
     if !is_fit(&state, partial, &transfer.model, &transfer.version) {
         return Err(Failure::Unfit);
     }
