--- a/src/batch_items.rs
+++ b/src/batch_items.rs
@@ -106,6 +106,7 @@
             text: String::new(),
             next: 0,
             fault: Fault::None,
+            state: None,
         };
         let transfer = pick
             .home
@@ -130,6 +131,7 @@
             resume: launch.resume,
             transfer,
             origin: None,
+            most: self.ctx.settings.limits.transfer,
             stop: launch.stop,
         };
         let (key, epoch, item) = (pick.key.clone(), held.epoch, pick.item);
--- a/tests/held_losses.rs
+++ b/tests/held_losses.rs
@@ -60,6 +60,7 @@
         request: request_id(&held.key, item, &mut fastrand::Rng::with_seed(1)),
         text: String::new(),
         next: 0,
+        state: None,
         fault: Fault::None,
     }
 }
