Check a long sheet less often, and choose the stalest workers without a sort

Cause: control at the target was projected at 3.9% of a core against 2.2%. Two parts are 0.78% for a check of the whole sheet at each change and 1.8% for 12,000 listed workers, all of which were sorted at each look for loads to read.

Ruled out: a check of the changed parts only. It needs a second form of each rule of the sheet; the checks together cost little once they are rarer.

Change: after a check of the sheet the next one waits 400 times as long as the check took, 4 s at most, and takes all changes since. The log for operators is published with each check. The eight workers whose loads are read are selected instead of sorted.

The wait between checks makes them at most 0.25% of a core by its definition. The new test fails without the wait: revision 2 is in force at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -228,7 +228,7 @@
             return;
         }
         published.status = now;
-        if published.log.head().revision != state.log.head().revision {
+        if published.log.checked() != state.log.checked() {
             published.log = Arc::new(state.log.clone());
         }
         let status = Status {
--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -83,8 +83,10 @@
     /// When the sheet was known first.
     sheet_known: Option<Duration>,
     informed: bool,
+    /// When the sheet may be checked next.
+    pub(crate) check_due: Duration,
     list_held: Option<Duration>,
-    dirty: bool,
+    pub(crate) dirty: bool,
 }
 
 impl State {
@@ -111,6 +113,7 @@
             watching: false,
             sheet_known: None,
             informed: false,
+            check_due: Duration::ZERO,
             list_held: None,
             dirty: true,
         }
@@ -148,7 +151,7 @@
     fn follow(&mut self, kind: Watched, now: Duration) {
         self.dirty = true;
         match kind {
-            Watched::Sheet => self.follow_sheet(),
+            Watched::Sheet => self.follow_sheet(now),
             Watched::Job => {}
             Watched::Instances => {
                 let list = members::list_of(self.view(kind).objects());
@@ -337,6 +340,7 @@
 
     /// Builds the next view; nothing when it cannot differ from the last one.
     pub fn build(&mut self, ctx: &Context, now: Duration) -> Option<View> {
+        self.check_sheet(now);
         let live = self.members.live(now);
         if live != self.live {
             self.log_members(&live);
--- a/src/reconcile.rs
+++ b/src/reconcile.rs
@@ -110,12 +110,18 @@
         .filter(|t| t.kind == TargetKind::Engine);
     let (owned, others): (Vec<_>, Vec<_>) = engines.partition(|t| state.owns(&t.id));
     let read = |t: &ListedTarget| state.loads.get(&t.id).map(|known| known.at);
-    let mut stale: Vec<_> = others
+    let is_stale = |at: Option<Duration>| at.is_none_or(|at| now.saturating_sub(at) >= LOAD_FRESH);
+    let mut stale: Vec<(Option<Duration>, &ListedTarget)> = others
         .into_iter()
-        .filter(|t| read(t).is_none_or(|at| now.saturating_sub(at) >= LOAD_FRESH))
+        .map(|t| (read(t), t))
+        .filter(|(at, _)| is_stale(*at))
         .collect();
-    stale.sort_by_key(|t| (read(t), &t.id));
-    let chosen = owned.into_iter().chain(stale.into_iter().take(STALE_READS));
+    // Only the oldest are wanted; a sort of 12,000 workers took 1.5% of a core.
+    if stale.len() > STALE_READS {
+        stale.select_nth_unstable_by(STALE_READS, |(a, s), (b, t)| (a, &s.id).cmp(&(b, &t.id)));
+        stale.truncate(STALE_READS);
+    }
+    let chosen = owned.into_iter().chain(stale.into_iter().map(|(_, t)| t));
     chosen.cloned().collect()
 }
 
--- a/src/sheet_log.rs
+++ b/src/sheet_log.rs
@@ -243,6 +243,11 @@
         }
     }
 
+    /// Returns the last revision that was checked as a whole.
+    pub fn checked(&self) -> Revision {
+        self.checked
+    }
+
     /// Returns the last revision that was applied, with all its parts.
     pub fn head(&self) -> &Snapshot {
         &self.head
--- a/src/sheet_state.rs
+++ b/src/sheet_state.rs
@@ -1,6 +1,9 @@
 //! How control follows the sheet log, and keeps it short.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use crate::{
     control_state::State,
@@ -13,6 +16,13 @@
     store::SavedSheet,
 };
 
+/// Time between two checks of the sheet, in times of what a check took. A check is linear in the
+/// sheet, so that at one change a second each of them would cost 0.8% of a core with 8,900 teams.
+const CHECK_SHARE: u32 = 400;
+/// Longest time between two checks while the sheet changes, a quarter of the time within which a
+/// change must be in force.
+const CHECK_DELAY: Duration = Duration::from_secs(4);
+
 impl State {
     /// Takes over a sheet from the data folder.
     pub fn restore(&mut self, saved: SavedSheet, now: Duration) {
@@ -40,7 +50,7 @@
     }
 
     /// Takes over what the view of the sheet log holds.
-    pub(crate) fn follow_sheet(&mut self) {
+    pub(crate) fn follow_sheet(&mut self, now: Duration) {
         let view = &self.views[&Watched::Sheet];
         let mut names: Vec<&Arc<str>> = view.objects().keys().collect();
         // Snapshots come last in this order and are applied first.
@@ -54,8 +64,19 @@
                 self.log.offer_object(name, &view.objects()[name].value);
             }
         }
+        self.check_sheet(now);
+        self.compact();
+    }
+
+    /// Checks the sheet at the head of the log, unless the last check was too short ago.
+    pub(crate) fn check_sheet(&mut self, now: Duration) {
+        if self.log.checked() == self.log.head().revision || now < self.check_due {
+            return;
+        }
+        let begun = Instant::now();
         let before = self.log.fault().cloned();
         if self.log.settle() {
+            self.dirty = true;
             let revision = self.log.in_force().revision;
             event!(Info, SheetInForce, "revision={revision}");
             metrics::sheet_revision(revision);
@@ -67,7 +88,8 @@
                 self.log.head().revision
             );
         }
-        self.compact();
+        let pause = begun.elapsed() * CHECK_SHARE;
+        self.check_due = now + pause.min(CHECK_DELAY);
     }
 
     /// Replaces old entries of the sheet log by a snapshot, so that the view stays bounded.
--- a/tests/sheet_log.rs
+++ b/tests/sheet_log.rs
@@ -395,19 +395,37 @@
     State::new(me, 1)
 }
 
+/// Returns the entries of three revisions as the platform has them.
+fn objects(first: u64) -> Vec<Object> {
+    let object = |(i, entry): (usize, &Entry)| Object {
+        name: entry_name(i as u64 + 1).into(),
+        version: first + i as u64,
+        value: serde_json::to_value(entry).unwrap(),
+    };
+    entries(3).iter().enumerate().map(object).collect()
+}
+
+/// Guards against a check of the whole sheet for each of many changes, and against a change that
+/// waits longer for its check than a quarter of the 16 s within which it must be in force.
+#[test]
+fn changes_in_quick_succession_are_checked_together() {
+    const LATEST: Duration = Duration::from_secs(4);
+    let mut state = state();
+    let mut in_force = Vec::new();
+    for (object, now) in objects(1).into_iter().zip([0, 0, 1]) {
+        state.learn(Watched::Sheet, vec![object], LATEST * now);
+        in_force.push((state.log.head().revision, state.log.in_force().revision));
+    }
+    assert_eq!(in_force, [(1, 1), (2, 1), (3, 3)]);
+}
+
 /// Guards against a saved sheet that a restart ignores: the revisions came from a read after a
 /// push, before the first watch, and the sheet was saved with version 0.
 #[test]
 fn a_sheet_that_was_read_before_the_first_watch_is_restored() {
     const FIRST_VERSION: u64 = 40;
-    let object = |(i, entry): (usize, &Entry)| Object {
-        name: entry_name(i as u64 + 1).into(),
-        version: FIRST_VERSION + i as u64,
-        value: serde_json::to_value(entry).unwrap(),
-    };
-    let objects = entries(3).iter().enumerate().map(object).collect();
     let mut before = state();
-    before.learn(Watched::Sheet, objects, Duration::ZERO);
+    before.learn(Watched::Sheet, objects(FIRST_VERSION), Duration::ZERO);
     let saved = before.saved();
     assert_eq!(
         (saved.version, saved.snapshot.revision),
