--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod held;
 pub mod http;
 pub mod ids;
+pub mod instance_list;
 pub mod item_run;
 pub mod job_queue;
 pub mod job_record;
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     ids::{Map, Version},
+    instance_list::{InstanceList, ListAnswer, ListEvent},
     members::{entry_name, list_changes, target_name},
-    platform::{Change, InstanceList, ListAnswer, ListEvent},
+    platform::Change,
     spread::{Delta, KindView},
 };
 
--- a/src/members.rs
+++ b/src/members.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     ids::{InstanceId, Map, SessionId, Set, TargetId, Version, Zone},
+    instance_list::{InstanceList, ListState, ListedEntry, ListedTarget},
     ownership,
-    platform::{Change, InstanceList, ListState, ListedEntry, ListedTarget, Object},
+    platform::{Change, Object},
 };
 
 /// Time without a heartbeat after which an instance is not live. With an exchange every second the
--- a/src/reconcile.rs
+++ b/src/reconcile.rs
@@ -11,10 +11,11 @@
     engine::{LoadReport, Order, OrderError},
     event,
     ids::{Map, Set, Version, WorkerId},
+    instance_list::ListedTarget,
     orders::{Step, WorkerOrders, loads_weights},
     peer::WorkerLoad,
     placement::{Placement, Record},
-    platform::{Kind, ListedTarget, ReadError, WriteError},
+    platform::{Kind, ReadError, WriteError},
     weights::{SLOTS_NAME, Slots},
     workers::Load,
 };
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -11,8 +11,9 @@
     backoff::Backoff,
     control::{Control, unix_ms},
     drain::Phase,
+    instance_list::{ListAnswer, ListState, ListedEntry},
     listing, members,
-    platform::{Kind, ListAnswer, ListState, ListedEntry, Listing, Object, Platform, ReadError},
+    platform::{Kind, Listing, Object, Platform, ReadError},
     sheet_log::{self, Snapshot},
     spread::{Delta, Watched},
 };
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -4,9 +4,8 @@
 
 use std::time::Duration;
 
-use gentianpath::platform::{
-    Kind, ListAnswer, ListEvent, ListState, ListedEntry, ReadError, WriteError,
-};
+use gentianpath::instance_list::{ListAnswer, ListEvent, ListState, ListedEntry};
+use gentianpath::platform::{Kind, ReadError, WriteError};
 use serde_json::json;
 use standins::host::block_on;
 use support::{call, faults, get, platform, platform_client, platform_client_with};
--- a/tests/listing_answers.rs
+++ b/tests/listing_answers.rs
@@ -1,9 +1,9 @@
 //! Answers of the instance list: lost, stale, late, repeated, incomplete, without versions.
 
 use gentianpath::{
+    instance_list::{InstanceList, ListAnswer, ListEvent, ListState, ListedTarget, TargetKind},
     listing::{delta_of, service_version},
     members::list_of,
-    platform::{InstanceList, ListAnswer, ListEvent, ListState, ListedTarget, TargetKind},
     spread::KindView,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
--- a/tests/members_list.rs
+++ b/tests/members_list.rs
@@ -4,10 +4,11 @@
 
 use gentianpath::{
     ids::Map,
+    instance_list::{InstanceList, ListState, ListedEntry, ListedTarget, TargetKind},
     members::{HEARTBEAT_LIMIT, Identity, Members, list_changes, list_of, run_hash},
     ownership::{owner, position, rank},
     peer_levels::{Notice, PeerRuns},
-    platform::{InstanceList, ListState, ListedEntry, ListedTarget, Object, TargetKind},
+    platform::Object,
     spread::{Delta, KindView},
 };
 
