Read records of the object service in one place

Cause: groups, jobs and placements were each read and parsed by code of their own, with the same treatment of an absent object and of one of another form.

Change: Platform::get_record does it for the three. Behaviour is unchanged. Left apart: the translation of write errors, because a submission and a group treat an object over the size limit differently.

Measured: batch_submit 2, batch_jobs 10, process_batch 8, control_orders 5 and docs 5 tests pass as before; linter clean.

--- a/src/batch_calls.rs
+++ b/src/batch_calls.rs
@@ -103,7 +103,7 @@
     Box::pin(async move {
         let name = key.name();
         let answer = match op {
-            Op::Read => found(ctx.platform.get(Kind::Group, &name).await),
+            Op::Read => found(ctx.platform.get_record(Kind::Group, &name).await),
             Op::Create(record) => written(ctx.platform.create(Kind::Group, &name, &record).await),
             Op::Update(version, record) => written(
                 ctx.platform
@@ -213,12 +213,9 @@
     })
 }
 
-fn found(read: Result<Option<Object>, ReadError>) -> Answer {
+fn found(read: Result<Option<(Version, GroupRecord)>, ReadError>) -> Answer {
     match read {
-        Ok(Some(object)) => match GroupRecord::deserialize(object.value) {
-            Ok(record) => Answer::Found(object.version, Arc::new(record)),
-            Err(_) => Answer::Unavailable,
-        },
+        Ok(Some((version, record))) => Answer::Found(version, Arc::new(record)),
         Ok(None) => Answer::Absent,
         Err(_) => Answer::Unavailable,
     }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 use trillium_client::{Client, Conn, Method};
 
@@ -273,6 +273,21 @@
         self.write(PlatformCall::Create, conn, value).await
     }
 
+    /// Reads an object as a record of its kind; nothing when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Unavailable`] when there is no answer, or one of another form.
+    pub async fn get_record<T: DeserializeOwned>(
+        &self,
+        kind: Kind,
+        name: &str,
+    ) -> Result<Option<(Version, T)>, ReadError> {
+        let object = self.get(kind, name).await?;
+        let record = object.map(|o| T::deserialize(o.value).map(|r| (o.version, r)));
+        record.transpose().map_err(|_| ReadError::Unavailable)
+    }
+
     /// Creates an object, or updates one if it still has the version.
     ///
     /// # Errors
@@ -444,6 +459,6 @@
     }
 }
 
-fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, ReadError> {
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, ReadError> {
     serde_json::from_slice(body).map_err(|_| ReadError::Unavailable)
 }
--- a/src/reconcile.rs
+++ b/src/reconcile.rs
@@ -15,7 +15,7 @@
     orders::{Step, WorkerOrders, loads_weights},
     peer::WorkerLoad,
     placement::{Placement, Record},
-    platform::{Kind, ReadError, WriteError},
+    platform::{Kind, WriteError},
     weights::{SLOTS_NAME, Slots},
     workers::Load,
 };
@@ -240,17 +240,13 @@
     }
 }
 
-async fn read_record(
-    control: &Control,
-    worker: &str,
-) -> Result<Option<(Version, Record)>, ReadError> {
-    let object = control.ctx.platform.get(Kind::Placement, worker).await?;
-    let record = object.map(|o| Record::deserialize(&o.value).map(|r| (o.version, r)));
-    record.transpose().map_err(|_| ReadError::Unavailable)
-}
-
 async fn read(control: &Control, workers: &SharedWorkers, worker: &WorkerId) -> bool {
-    let Ok(record) = read_record(control, worker).await else {
+    let Ok(record) = control
+        .ctx
+        .platform
+        .get_record(Kind::Placement, worker)
+        .await
+    else {
         return false;
     };
     workers.borrow_mut().owned(worker).orders.set_read(record);
@@ -309,7 +305,12 @@
     if loads_weights(&order) && !take_slot(control, workers, &target.id).await {
         return;
     }
-    let Ok(record) = read_record(control, &target.id).await else {
+    let Ok(record) = control
+        .ctx
+        .platform
+        .get_record(Kind::Placement, &target.id)
+        .await
+    else {
         return;
     };
     if !workers
--- a/src/submit_run.rs
+++ b/src/submit_run.rs
@@ -5,8 +5,6 @@
     time::{Duration, Instant},
 };
 
-use serde::Deserialize;
-
 use crate::{
     backoff::Backoff,
     context::{Command, Context},
@@ -136,11 +134,8 @@
 }
 
 async fn read(ctx: &Arc<Context>, job: &JobId) -> Answer {
-    match ctx.platform.get(Kind::Job, job).await {
-        Ok(Some(object)) => match JobRecord::deserialize(&object.value) {
-            Ok(record) => Answer::Found(object.version, Arc::new(record)),
-            Err(_) => Answer::Unavailable,
-        },
+    match ctx.platform.get_record(Kind::Job, job).await {
+        Ok(Some((version, record))) => Answer::Found(version, Arc::new(record)),
         Ok(None) => Answer::Absent,
         Err(_) => Answer::Unavailable,
     }
