Give tests ports that no outgoing connection takes

The address was free when the test chose it; a connection of another instance took the port, which lies in the range of outgoing connections.

No check or bound of a test changed.

--- a/tests/control_support/mod.rs
+++ b/tests/control_support/mod.rs
@@ -7,7 +7,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -207,12 +210,22 @@
     Settings::try_from(raw).unwrap()
 }
 
+/// First port of those that are given out.
+const FIRST_PORT: u16 = 12_000;
+/// Number of ports that are given out.
+const PORTS: u32 = 20_000;
+
 /// Returns an address of this machine that nobody listens on.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
+    // Outgoing connections take ports from 32,768 on, and could take one before it is used.
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let next = std::process::id().wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (next % PORTS) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return ([127, 0, 0, 1], port).into();
+        }
+    }
 }
 
 /// Waits until a state is reached.
