--- a/src/cli.rs
+++ b/src/cli.rs
@@ -24,6 +24,18 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Run one entry instance on a platform with its own registry of routes and workers.
+    Gateway {
+        /// Settings file (JSON).
+        #[arg(long, value_name = "FILE", env = "GENTIANPATH_SETTINGS")]
+        settings: PathBuf,
+    },
+    /// Answer the operator's requests to empty a machine with a disk.
+    Keeper {
+        /// Settings file (JSON).
+        #[arg(long, value_name = "FILE", env = "GENTIANPATH_SETTINGS")]
+        settings: PathBuf,
+    },
     /// Work with settings files.
     #[command(subcommand)]
     Settings(SettingsCommand),
--- a/src/events.rs
+++ b/src/events.rs
@@ -42,6 +42,22 @@
     RequestRetried = 1004, "request-retried";
     /// A target is ejected for a while after consecutive failures.
     TargetEjected = 1005, "target-ejected";
+    /// A routed call was refused or failed.
+    CallFailed = 1006, "call-failed";
+    /// A worker broke off or fell silent on a routed call.
+    AttemptBroken = 1007, "attempt-broken";
+    /// A worker accepted no connection.
+    WorkerUnreachable = 1008, "worker-unreachable";
+    /// A worker refused a routed call without running it.
+    WorkerRefused = 1009, "worker-refused";
+    /// A routed stream goes on at another worker.
+    StreamMoved = 1010, "stream-moved";
+    /// A routed stream was broken off.
+    StreamBroken = 1011, "stream-broken";
+    /// No route matches a call.
+    NoRoute = 1012, "no-route";
+    /// The body of a call could not be read.
+    BodyUnread = 1013, "body-unread";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
@@ -76,6 +92,18 @@
     ItemMoved = 2020, "item-moved";
     /// The state of a stopped item could not be moved to another worker.
     ItemNotMoved = 2021, "item-not-moved";
+    /// A batch job did not fit the quota of its route.
+    JobRefused = 2030, "job-refused";
+    /// A stored batch job is run by this instance now.
+    JobAdopted = 2031, "job-adopted";
+    /// A stored batch job cannot be read.
+    JobInvalid = 2032, "job-invalid";
+    /// A page of results was stored.
+    PageCommitted = 2033, "page-committed";
+    /// Another instance stored the page of results first.
+    PageTaken = 2034, "page-taken";
+    /// A worker broke off or fell silent on an item.
+    ItemBroken = 2035, "item-broken";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
@@ -96,6 +124,22 @@
     PlatformLost = 3008, "platform-lost";
     /// The platform answers again.
     PlatformBack = 3009, "platform-back";
+    /// A configuration of routes and services came into force.
+    ConfigInForce = 3010, "config-in-force";
+    /// A configuration cannot be read; the earlier one stays in force.
+    ConfigInvalid = 3011, "config-invalid";
+    /// An entry in the list of workers cannot be read and names no worker.
+    WorkerInvalid = 3012, "worker-invalid";
+    /// A call of the object store failed.
+    StoreCallFailed = 3013, "store-call-failed";
+    /// Configuration and workers were read from a peer.
+    SnapshotPulled = 3014, "snapshot-pulled";
+    /// A call of another instance failed.
+    PeerCallFailed = 3015, "peer-call-failed";
+    /// A message between instances cannot be read or written.
+    MessageInvalid = 3016, "message-invalid";
+    /// The operator was told that a machine holds nothing any more.
+    MachineEmptied = 3017, "machine-emptied";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
@@ -114,6 +158,10 @@
     StopBegan = 5002, "stop-began";
     /// The process ends.
     StopEnded = 5003, "stop-ended";
+    /// A signal to read the settings again was ignored.
+    ReloadIgnored = 5004, "reload-ignored";
+    /// A connection could not be accepted.
+    AcceptFailed = 5005, "accept-failed";
 }
 
 /// Logs an event at a level: `event!(Info, RouteChosen, "worker={}", id)`.
--- /dev/null
+++ b/src/gateway/gossip.rs
@@ -0,0 +1,136 @@
+//! Sends the state of this instance to the others and takes theirs.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_io::Timer;
+use smol::{channel::Sender, net::UdpSocket};
+
+use crate::{drain::Phase, event, ids::Set};
+
+use super::{fleet::Level, gateway::Gateway, peers::{Beat, News}};
+
+/// Interval of messages when nothing changes.
+const IDLE_INTERVAL: Duration = Duration::from_millis(400);
+/// Shortest interval of messages; changes in between are sent together.
+const BUSY_INTERVAL: Duration = Duration::from_millis(30);
+/// Size of a received message at most.
+const MESSAGE_BYTES: usize = 16 << 10;
+
+/// Channels that say that a peer knows more than this instance.
+#[derive(Debug, Clone)]
+pub struct NewsSenders {
+    /// A newer configuration or list of workers, at the peer of the address.
+    pub behind: Sender<SocketAddr>,
+    /// An instance came or went, so that jobs may have another home.
+    pub members: Sender<()>,
+}
+
+/// Exchanges state with the other instances for ever.
+pub async fn run(gateway: Arc<Gateway>, socket: UdpSocket, news: NewsSenders) {
+    let receive = receive(&gateway, &socket, &news);
+    smol::future::or(send(&gateway, &socket, &news), receive).await;
+}
+
+async fn send(gateway: &Gateway, socket: &UdpSocket, news: &NewsSenders) {
+    let mut number = 0;
+    let mut looked = Duration::ZERO;
+    loop {
+        number += 1;
+        let beat = beat(gateway, number);
+        match postcard::to_stdvec(&beat) {
+            Ok(bytes) => {
+                for address in targets(gateway) {
+                    if let Err(e) = socket.send_to(&bytes, address).await {
+                        log::debug!("cannot send to {address}: {e}");
+                    }
+                }
+            }
+            Err(e) => event!(Warn, MessageInvalid, "reason={e}"),
+        }
+        let now = gateway.now();
+        let silent = gateway.peers().silent(now, looked);
+        looked = now;
+        for peer in silent {
+            event!(Info, MemberLeft, "instance={peer}");
+            gateway.dispatch.set_peer(&peer, Default::default());
+            let _ = news.members.try_send(());
+        }
+        Timer::after(BUSY_INTERVAL).await;
+        let idle = async {
+            Timer::after(IDLE_INTERVAL - BUSY_INTERVAL).await;
+        };
+        smol::future::or(gateway.dispatch.changed(), idle).await;
+    }
+}
+
+/// Returns the addresses of the other instances, as far as they are known.
+fn targets(gateway: &Gateway) -> Set<SocketAddr> {
+    let mut targets: Set<SocketAddr> = gateway.peers().addresses().into_iter().collect();
+    targets.extend(gateway.jobs.registered());
+    targets.extend(&gateway.settings.seeds);
+    targets.remove(&gateway.settings.peers);
+    targets
+}
+
+fn beat(gateway: &Gateway, number: u64) -> Beat {
+    let level = |(worker, level): (u32, Level)| {
+        let count = |n: u32| u8::try_from(n).unwrap_or(u8::MAX);
+        (worker, count(level.online), count(level.batch))
+    };
+    let levels = gateway.dispatch.own_levels();
+    let workers = gateway.workers_newest.load(std::sync::atomic::Ordering::Relaxed);
+    Beat {
+        instance: gateway.settings.instance.clone(),
+        session: gateway.session,
+        number,
+        address: gateway.settings.peers,
+        config: gateway.config_version(),
+        workers,
+        leaving: gateway.drain.phase() != Phase::Running,
+        store: gateway.reaches_store(),
+        levels: levels.into_iter().map(level).collect(),
+        waiting: gateway.jobs.waiting(),
+        ended: gateway.jobs.ended(gateway.now()),
+    }
+}
+
+async fn receive(gateway: &Gateway, socket: &UdpSocket, news: &NewsSenders) {
+    let mut buffer = vec![0; MESSAGE_BYTES];
+    loop {
+        let count = match socket.recv_from(&mut buffer).await {
+            Ok((count, _)) => count,
+            Err(e) => {
+                log::debug!("cannot receive: {e}");
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Beat>(&buffer[..count]) {
+            Ok(beat) if beat.instance != gateway.settings.instance => take(gateway, beat, news),
+            Ok(_) => {}
+            Err(e) => event!(Warn, MessageInvalid, "reason={e}"),
+        }
+    }
+}
+
+fn take(gateway: &Gateway, beat: Beat, news: &NewsSenders) {
+    let instance = beat.instance.clone();
+    let levels = beat.levels();
+    let ended = beat.ended.clone();
+    let address = beat.address;
+    let result = gateway.peers().take(beat, gateway.now());
+    if result == News::Old {
+        return;
+    }
+    if gateway.is_behind() {
+        let _ = news.behind.try_send(address);
+    }
+    gateway.dispatch.set_peer(&instance, levels);
+    for job in ended {
+        gateway.jobs.note_ended(&job, gateway.now());
+    }
+    gateway.jobs.wake();
+    if result == News::Joined {
+        event!(Info, MemberJoined, "instance={instance}");
+        let _ = news.members.try_send(());
+    }
+}
--- /dev/null
+++ b/src/gateway/job_api.rs
@@ -0,0 +1,410 @@
+//! Calls for batch jobs: submit, read, body of an item, end.
+//!
+//! Any instance can serve any call from the object store. The one that runs a job knows its state,
+//! so calls go there first.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use async_io::Timer;
+use bytes::Bytes;
+use hyper::{Response, StatusCode, header};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    adapter::{
+        job_calls::{self, JobCall},
+        store::StoreError,
+    },
+    event,
+    ids::{ItemId, JobId},
+};
+
+use super::{
+    connection::SendError,
+    config::Route,
+    forward::{self, CallerBody, plain, whole},
+    gateway::Gateway,
+    job::{self, Job, Mark, Outcome, Record},
+    jobs::{self, SharedJob, lock},
+    peer_call,
+};
+
+/// Kind of the records of jobs.
+pub const JOBS: &str = "batch-jobs";
+/// Kind of the pages of results.
+pub const PAGES: &str = "batch-pages";
+/// Time that a caller is asked to wait when the quota is used up or the store is away.
+const RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Interval at which a waiting read looks for results.
+const READ_POLL: Duration = Duration::from_millis(200);
+/// Time in which an unclear write of a job is settled.
+const SETTLE_LIMIT: Duration = Duration::from_millis(2500);
+/// Pause before an unclear write is tried again.
+const SETTLE_PAUSE: Duration = Duration::from_millis(150);
+
+/// A call for a job, as instances pass it on to each other.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+pub struct JobRequest {
+    /// What is asked.
+    pub action: Action,
+    /// The job.
+    pub job: JobId,
+    /// Host of the call.
+    pub host: Arc<str>,
+    /// Path of the call.
+    pub path: Arc<str>,
+    /// Body of the call.
+    pub body: Vec<u8>,
+    /// Time that a read may wait for results.
+    pub wait: Duration,
+}
+
+/// What a call for a job asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum Action {
+    /// Submits the job.
+    Submit,
+    /// Reads results from a position on.
+    Results(usize),
+    /// Reads the body of an item.
+    Item(ItemId),
+    /// Ends the job.
+    End,
+}
+
+impl JobRequest {
+    /// Builds a request from a caller's call.
+    pub fn new(call: Option<JobCall>, call_id: JobId, host: &str, path: &str, body: &Bytes) -> Self {
+        let (action, job) = match call {
+            None => (Action::Submit, call_id),
+            Some(JobCall::Results { job, after }) => (Action::Results(after), job),
+            Some(JobCall::Item { job, item }) => (Action::Item(item), job),
+            Some(JobCall::End { job }) => (Action::End, job),
+        };
+        Self {
+            action,
+            job,
+            host: host.into(),
+            path: path.into(),
+            body: body.to_vec(),
+            wait: Duration::ZERO,
+        }
+    }
+}
+
+/// Serves a caller's call: at the instance that runs the job, else here.
+pub async fn answer_caller(gateway: Arc<Gateway>, request: JobRequest) -> Response<CallerBody> {
+    let started = Instant::now();
+    if let Some(home) = gateway.home(&request.job) {
+        match peer_call::job(home.address, &request).await {
+            Ok(answer) if answer.status() != StatusCode::SERVICE_UNAVAILABLE => {
+                let (head, body) = answer.into_parts();
+                return Response::from_parts(head, whole(body));
+            }
+            Ok(_) if request.action == Action::Submit => {
+                // The other instance promises that it has not accepted the job.
+            }
+            Ok(_) => {}
+            Err(SendError::NotSent(e)) => log_peer(&request, &home.instance, &e),
+            Err(SendError::Sent(e)) => {
+                log_peer(&request, &home.instance, &e);
+                if request.action == Action::Submit {
+                    let answer = answer_here(&gateway, &request).await;
+                    // The first instance may have accepted the job, so this one cannot promise that
+                    // it will not run.
+                    if promises_not_run(answer.status()) {
+                        return plain(StatusCode::GATEWAY_TIMEOUT, "the outcome is unknown", None);
+                    }
+                    return answer;
+                }
+            }
+        }
+    }
+    let mut request = request;
+    request.wait = request.wait.saturating_sub(started.elapsed());
+    answer_here(&gateway, &request).await
+}
+
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
+}
+
+fn log_peer(request: &JobRequest, peer: &str, reason: &str) {
+    event!(
+        Info,
+        PeerCallFailed,
+        "job={} peer={peer} call={:?} reason={reason:?}",
+        request.job,
+        request.action
+    );
+}
+
+/// Serves a call at this instance.
+pub async fn answer_here(gateway: &Arc<Gateway>, request: &JobRequest) -> Response<CallerBody> {
+    match &request.action {
+        Action::Submit => submit(gateway, request).await,
+        Action::Results(after) => read(gateway, request, *after).await,
+        Action::Item(item) => read_item(gateway, request, item).await,
+        Action::End => end(gateway, request).await,
+    }
+}
+
+fn unsure(reason: &str) -> Response<CallerBody> {
+    plain(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_AFTER))
+}
+
+async fn submit(gateway: &Arc<Gateway>, request: &JobRequest) -> Response<CallerBody> {
+    if gateway.jobs.get(&request.job).is_some() {
+        return plain(StatusCode::ACCEPTED, "accepted", None);
+    }
+    let Some(config) = gateway.config.load_full() else {
+        return unsure("no configuration is known yet");
+    };
+    let Some(route) = config.route(&request.host, &request.path).cloned() else {
+        return plain(StatusCode::NOT_FOUND, "no such route", None);
+    };
+    let items = match job_calls::decode_job(&request.body) {
+        Ok(items) => items,
+        Err(e) => return plain(StatusCode::BAD_REQUEST, &format!("{e:#}"), None),
+    };
+    let tokens: u64 = items.iter().map(|i| i.tokens).sum();
+    let record = Record {
+        host: request.host.clone(),
+        path: request.path.clone(),
+        submitted: unix_millis(),
+        items,
+    };
+    if !fits(gateway, &route, tokens) {
+        // A job that was accepted before fits in any case.
+        return match gateway.store.get(JOBS, &request.job).await {
+            Ok(None) => {
+                event!(Info, JobRefused, "job={} tokens={tokens} route={}", request.job, route.name);
+                plain(StatusCode::TOO_MANY_REQUESTS, "too many tokens wait", Some(RETRY_AFTER))
+            }
+            Ok(Some(_)) => adopt(gateway, &request.job).await.map_or_else(
+                |e| plain(StatusCode::GATEWAY_TIMEOUT, &e.to_string(), None),
+                |_| plain(StatusCode::ACCEPTED, "accepted", None),
+            ),
+            Err(e) => plain(StatusCode::GATEWAY_TIMEOUT, &e.to_string(), None),
+        };
+    }
+    match store_record(gateway, &request.job, &record).await {
+        Ok(true) => {
+            event!(
+                Info,
+                JobAccepted,
+                "job={} items={} tokens={tokens}",
+                request.job,
+                record.items.len()
+            );
+            let job = Job::new(Arc::new(record), false);
+            activate(gateway, &gateway.jobs.add(&request.job, job));
+            plain(StatusCode::ACCEPTED, "accepted", None)
+        }
+        Ok(false) => match adopt(gateway, &request.job).await {
+            Ok(_) => plain(StatusCode::ACCEPTED, "accepted", None),
+            // It is stored, so it will run, whoever reads it next.
+            Err(_) => plain(StatusCode::ACCEPTED, "accepted", None),
+        },
+        Err(StoreError::Unavailable(e)) => unsure(&e),
+        Err(e) => plain(StatusCode::GATEWAY_TIMEOUT, &e.to_string(), None),
+    }
+}
+
+fn activate(gateway: &Gateway, job: &SharedJob) {
+    lock(job).active = true;
+    gateway.jobs.wake();
+}
+
+fn fits(gateway: &Gateway, route: &Route, tokens: u64) -> bool {
+    let Some(quota) = route.batch().and_then(|t| t.quota) else {
+        return true;
+    };
+    let key = jobs::route_key(route);
+    let own: u64 = gateway
+        .jobs
+        .all()
+        .iter()
+        .map(|(_, job)| lock(job))
+        .filter(|job| job.active)
+        .map(|job| job.waiting_tokens())
+        .sum();
+    let others = gateway.peers().waiting(key, gateway.now());
+    own + others + tokens <= quota
+}
+
+/// Stores a record; says whether it was new. A write whose outcome is unknown is tried until it is
+/// known, since it may still take effect.
+async fn store_record(
+    gateway: &Gateway,
+    id: &JobId,
+    record: &Record,
+) -> Result<bool, StoreError> {
+    let started = Instant::now();
+    let mut unclear = false;
+    loop {
+        match gateway.store.create(JOBS, id, record).await {
+            Ok(()) => return Ok(true),
+            Err(StoreError::Conflict) => return Ok(false),
+            Err(StoreError::Unavailable(e)) if !unclear => return Err(StoreError::Unavailable(e)),
+            Err(e) => {
+                unclear = true;
+                event!(Info, StoreCallFailed, "job={id} call=create reason={e}");
+                if started.elapsed() > SETTLE_LIMIT {
+                    return Err(StoreError::Unknown(e.to_string()));
+                }
+            }
+        }
+        Timer::after(SETTLE_PAUSE).await;
+    }
+}
+
+/// Returns a job, read from the store when it is not known here; nothing when there is none.
+async fn load(gateway: &Arc<Gateway>, id: &JobId) -> Result<Option<SharedJob>, StoreError> {
+    let known = gateway.jobs.get(id);
+    if let Some(job) = known {
+        if !lock(&job).active {
+            read_pages(gateway, id, &job).await?;
+        }
+        return Ok(Some(job));
+    }
+    let Some(object) = gateway.store.get(JOBS, id).await? else {
+        return Ok(None);
+    };
+    let record: Record =
+        serde_json::from_str(&object.spec).map_err(|e| StoreError::Unknown(e.to_string()))?;
+    let mark: Option<Mark> = serde_json::from_str(&object.status).unwrap_or_default();
+    let ended = mark.unwrap_or_default().ended;
+    let job = Arc::new(std::sync::Mutex::new(Job::new(Arc::new(record), ended)));
+    read_pages(gateway, id, &job).await?;
+    let job = Arc::into_inner(job).map(|m| m.into_inner().unwrap_or_else(|e| e.into_inner()));
+    Ok(job.map(|job| gateway.jobs.add(id, job)))
+}
+
+/// Reads the pages of results that are not known here.
+pub async fn read_pages(
+    gateway: &Gateway,
+    id: &JobId,
+    job: &SharedJob,
+) -> Result<(), StoreError> {
+    loop {
+        let page = {
+            let job = lock(job);
+            if job.is_complete() {
+                return Ok(());
+            }
+            job.next_page()
+        };
+        let name = job::page_name(id, page);
+        let Some(object) = gateway.store.get(PAGES, &name).await? else {
+            return Ok(());
+        };
+        let outcomes: Vec<Outcome> =
+            serde_json::from_str(&object.spec).map_err(|e| StoreError::Unknown(e.to_string()))?;
+        let mut job = lock(job);
+        if job.next_page() == page {
+            job.absorb(&outcomes);
+        }
+    }
+}
+
+/// Takes over a job that is stored.
+pub async fn adopt(gateway: &Arc<Gateway>, id: &JobId) -> Result<Option<SharedJob>, StoreError> {
+    let Some(job) = load(gateway, id).await? else {
+        return Ok(None);
+    };
+    let fresh = !lock(&job).active;
+    if fresh {
+        event!(Info, JobAdopted, "job={id} open={}", lock(&job).open_items().len());
+        activate(gateway, &job);
+    }
+    Ok(Some(job))
+}
+
+/// Returns a job for a read, and takes it over when this instance is to run it.
+async fn job_for_read(
+    gateway: &Arc<Gateway>,
+    id: &JobId,
+) -> Result<SharedJob, Response<CallerBody>> {
+    let found = if gateway.home(id).is_none() {
+        adopt(gateway, id).await
+    } else {
+        load(gateway, id).await
+    };
+    match found {
+        Ok(Some(job)) => Ok(job),
+        Ok(None) => Err(plain(StatusCode::NOT_FOUND, "no such job", None)),
+        Err(e) => Err(unsure(&e.to_string())),
+    }
+}
+
+async fn read(gateway: &Arc<Gateway>, request: &JobRequest, after: usize) -> Response<CallerBody> {
+    let started = Instant::now();
+    let job = match job_for_read(gateway, &request.job).await {
+        Ok(job) => job,
+        Err(answer) => return answer,
+    };
+    loop {
+        {
+            let job = lock(&job);
+            let page = job.read(after);
+            let last = job.is_complete() || job.ended;
+            if !page.results.is_empty() || last || started.elapsed() >= request.wait {
+                return json(job_calls::encode_page(&page));
+            }
+        }
+        Timer::after(READ_POLL).await;
+    }
+}
+
+async fn read_item(
+    gateway: &Arc<Gateway>,
+    request: &JobRequest,
+    item: &ItemId,
+) -> Response<CallerBody> {
+    let job = match job_for_read(gateway, &request.job).await {
+        Ok(job) => job,
+        Err(answer) => return answer,
+    };
+    let job = lock(&job);
+    let found = job.record.items.iter().find(|i| i.id == *item);
+    match found {
+        Some(item) if !job.ended => Response::new(whole(item.body.clone())),
+        _ => plain(StatusCode::NOT_FOUND, "no such item", None),
+    }
+}
+
+async fn end(gateway: &Arc<Gateway>, request: &JobRequest) -> Response<CallerBody> {
+    let mark = Mark { ended: true };
+    match gateway.store.set_status(JOBS, &request.job, &mark).await {
+        Ok(()) => {
+            event!(Info, JobCancelled, "job={}", request.job);
+            gateway.jobs.note_ended(&request.job, gateway.now());
+            gateway.jobs.wake();
+            plain(StatusCode::OK, "ended", None)
+        }
+        Err(StoreError::Missing) => plain(StatusCode::NOT_FOUND, "no such job", None),
+        Err(e) => {
+            event!(Info, StoreCallFailed, "job={} call=end reason={e}", request.job);
+            unsure(&e.to_string())
+        }
+    }
+}
+
+fn json(body: Vec<u8>) -> Response<CallerBody> {
+    let mut answer = Response::new(forward::whole(body));
+    let kind = header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// Returns the time of day in milliseconds since 1970.
+pub fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| d.as_millis() as u64)
+}
--- /dev/null
+++ b/src/gateway/job_run.rs
@@ -0,0 +1,522 @@
+//! Runs the items of the jobs of this instance and commits their results.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode, header};
+use smol::channel::Receiver;
+
+use crate::{
+    adapter::{
+        headers::{self, Attempt},
+        store::{Freshness, StoreError},
+    },
+    event,
+    ids::{JobId, ServiceId},
+};
+
+use super::{
+    config::{Configuration, Route},
+    connection::{self, SendError},
+    dispatch::Placement,
+    fleet::Ask,
+    gateway::Gateway,
+    job::{self, Item, Mark, Record, Verdict},
+    job_api::{self, JOBS, PAGES},
+    jobs::{self, SharedJob, lock},
+    sse::Splitter,
+};
+
+/// Interval at which the runner looks for room while items wait.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without an event after which an item goes on elsewhere.
+const STALL_LIMIT: Duration = Duration::from_millis(1500);
+/// Pause before an item is started again after a worker refused or broke it.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before an item is started again after a worker's error.
+const ERROR_PAUSE: Duration = Duration::from_millis(300);
+/// Pause after a commit that failed.
+const COMMIT_PAUSE: Duration = Duration::from_millis(300);
+/// Time from a change of the members to the look for jobs that have a new home.
+const SWEEP_DELAY: Duration = Duration::from_millis(1500);
+/// Time after its retention for which a job is kept.
+const REMOVE_AFTER: Duration = Duration::from_secs(60);
+/// Attempts of an item where the route names none.
+const DEFAULT_ATTEMPTS: u32 = 3;
+/// Size of a worker's answer that is an error.
+const ERROR_BYTES: usize = 64 << 10;
+
+/// How a run of an item ended.
+enum RunEnd {
+    /// Its output is whole.
+    Whole,
+    /// It gave its place to online requests.
+    Yielded,
+    /// The worker did not run it.
+    Refused,
+    /// The worker broke off or fell silent.
+    Broken(String),
+    /// The worker failed on the item.
+    Failed(StatusCode),
+    /// The item can never be done.
+    Impossible,
+}
+
+/// A run of an item.
+struct Run {
+    gateway: Arc<Gateway>,
+    job: JobId,
+    shared: SharedJob,
+    item: Item,
+    host: Arc<str>,
+    attempts: u32,
+}
+
+/// Starts items and commits results for ever.
+pub async fn run(gateway: Arc<Gateway>) {
+    loop {
+        let waiting = look(&gateway);
+        let pause = async {
+            if waiting {
+                Timer::after(LOOK_INTERVAL).await;
+            } else {
+                std::future::pending::<()>().await;
+            }
+        };
+        smol::future::or(gateway.jobs.woken(), pause).await;
+    }
+}
+
+/// Starts what can start; says whether something is left to do.
+fn look(gateway: &Arc<Gateway>) -> bool {
+    let Some(config) = gateway.config.load_full() else {
+        return true;
+    };
+    let now = gateway.now();
+    let mut jobs = gateway.jobs.all();
+    jobs.retain(|(_, job)| lock(job).active);
+    jobs.sort_by_cached_key(|(_, job)| lock(job).record.submitted);
+    let mut left = false;
+    let mut full = false;
+    let mut waiting: Vec<(u32, u64)> = Vec::new();
+    for (id, shared) in &jobs {
+        let route = route_of(&config, &lock(shared).record);
+        if let Some(route) = route {
+            let key = jobs::route_key(&route);
+            let tokens = lock(shared).waiting_tokens();
+            match waiting.iter_mut().find(|(k, _)| *k == key) {
+                Some((_, sum)) => *sum += tokens,
+                None => waiting.push((key, tokens)),
+            }
+            while !full && start_one(gateway, id, shared, &route, now, &mut full) {}
+        }
+        give_up_late(gateway, &config, id, shared, now);
+        commit(gateway, id, shared);
+        left |= !lock(shared).is_complete() && !lock(shared).ended;
+    }
+    gateway.jobs.set_waiting(waiting);
+    left
+}
+
+fn route_of(config: &Configuration, record: &Record) -> Option<Arc<Route>> {
+    config.route(&record.host, &record.path).cloned()
+}
+
+/// Starts an item of a job; says whether one was started.
+fn start_one(
+    gateway: &Arc<Gateway>,
+    id: &JobId,
+    shared: &SharedJob,
+    route: &Route,
+    now: Duration,
+    full: &mut bool,
+) -> bool {
+    let Some(item) = lock(shared).startable(now).cloned() else {
+        return false;
+    };
+    let Some(service) = item_service(gateway, &item, shared) else {
+        return false;
+    };
+    let ask = Ask {
+        service: &service,
+        tried: &[],
+    };
+    let Some((placement, yields)) = gateway.dispatch.place_batch(&ask) else {
+        *full = true;
+        return false;
+    };
+    let mut job = lock(shared);
+    let Some(progress) = job.progress(&item.id) else {
+        return false;
+    };
+    progress.running = true;
+    let after = progress.last;
+    let run = Run {
+        gateway: gateway.clone(),
+        job: id.clone(),
+        shared: shared.clone(),
+        host: job.record.host.clone(),
+        item,
+        attempts: if route.attempts > 0 { route.attempts } else { DEFAULT_ATTEMPTS },
+    };
+    drop(job);
+    smol::spawn(run.run(placement, yields, after)).detach();
+    true
+}
+
+/// Returns the service that the configuration names for an item now.
+fn item_service(gateway: &Gateway, item: &Item, shared: &SharedJob) -> Option<ServiceId> {
+    let config = gateway.config.load_full()?;
+    let host = lock(shared).record.host.clone();
+    let route = config.route(&host, &item.path)?;
+    route.service(fastrand::f64()).cloned()
+}
+
+/// Gives up the items of a job whose time is over.
+fn give_up_late(
+    gateway: &Gateway,
+    config: &Configuration,
+    id: &JobId,
+    shared: &SharedJob,
+    now: Duration,
+) {
+    let mut job = lock(shared);
+    let Some(route) = route_of(config, &job.record) else {
+        return;
+    };
+    let Some(terms) = route.batch() else {
+        return;
+    };
+    let age = Duration::from_millis(job_api::unix_millis().saturating_sub(job.record.submitted));
+    if age < terms.item_ttl {
+        return;
+    }
+    for item in job.open_items() {
+        event!(Info, ItemFailed, "job={id} item={item} reason=time-over age_s={}", age.as_secs());
+        job.finish(&item, Verdict::GivenUp, "".into(), now);
+    }
+    drop(job);
+    gateway.jobs.wake();
+}
+
+/// Commits the finished items of a job when it is time.
+fn commit(gateway: &Arc<Gateway>, id: &JobId, shared: &SharedJob) {
+    let mut job = lock(shared);
+    let Some(outcomes) = job.page_to_commit(gateway.now()) else {
+        return;
+    };
+    job.committing = true;
+    let page = job.next_page();
+    drop(job);
+    let (gateway, id, shared) = (gateway.clone(), id.clone(), shared.clone());
+    smol::spawn(async move {
+        commit_page(&gateway, &id, &shared, page, &outcomes).await;
+        lock(&shared).committing = false;
+        gateway.jobs.wake();
+    })
+    .detach();
+}
+
+/// Creates a page of results. When the page is there already, what it holds counts.
+async fn commit_page(
+    gateway: &Gateway,
+    id: &JobId,
+    shared: &SharedJob,
+    page: u32,
+    outcomes: &[job::Outcome],
+) {
+    let name = job::page_name(id, page);
+    match gateway.store.create(PAGES, &name, &outcomes).await {
+        Ok(()) => {
+            let mut job = lock(shared);
+            if job.next_page() == page {
+                job.absorb(outcomes);
+            }
+            event!(Info, PageCommitted, "job={id} page={page} results={}", outcomes.len());
+        }
+        Err(StoreError::Conflict) => {
+            event!(Info, PageTaken, "job={id} page={page}");
+            if let Err(e) = job_api::read_pages(gateway, id, shared).await {
+                event!(Info, StoreCallFailed, "job={id} call=read-page reason={e}");
+                Timer::after(COMMIT_PAUSE).await;
+            }
+        }
+        Err(e) => {
+            event!(Info, StoreCallFailed, "job={id} call=create-page reason={e}");
+            Timer::after(COMMIT_PAUSE).await;
+        }
+    }
+}
+
+impl Run {
+    async fn run(self, placement: Placement, yields: Receiver<()>, after: Option<u64>) {
+        let mut text = Vec::new();
+        let mut last = after;
+        let yielded = async {
+            let _ = yields.recv().await;
+            RunEnd::Yielded
+        };
+        let work = self.stream(&placement, after, &mut text, &mut last);
+        let end = smol::future::or(work, yielded).await;
+        let worker = placement.worker.id.clone();
+        drop(placement);
+        self.settle(end, text, last, &worker);
+        self.gateway.jobs.wake();
+    }
+
+    /// Runs the item at a worker and collects its events.
+    async fn stream(
+        &self,
+        placement: &Placement,
+        after: Option<u64>,
+        text: &mut Vec<Arc<str>>,
+        last: &mut Option<u64>,
+    ) -> RunEnd {
+        let dispatch = &self.gateway.dispatch;
+        let worker = &placement.worker;
+        let mut connection = match self.gateway.upstream.connect(worker, true).await {
+            Ok(connection) => connection,
+            Err(e) => {
+                dispatch.failed(&worker.id);
+                return RunEnd::Broken(e.to_string());
+            }
+        };
+        let request = match self.request(&worker.id, after) {
+            Ok(request) => request,
+            Err(e) => return RunEnd::Broken(e.to_string()),
+        };
+        let send = smol::future::or(connection.send(request), async {
+            Timer::after(STALL_LIMIT).await;
+            Err(SendError::Sent("no answer in time".into()))
+        });
+        let answer = match send.await {
+            Ok(answer) => answer,
+            Err(SendError::NotSent(_)) => return RunEnd::Refused,
+            Err(SendError::Sent(e)) => {
+                dispatch.failed(&worker.id);
+                return RunEnd::Broken(e);
+            }
+        };
+        let terms = headers::decode_answer(&answer);
+        if terms.id.as_ref().is_some_and(|id| *id != self.item.id) {
+            return RunEnd::Broken("the worker answered another request".into());
+        }
+        if terms.not_run {
+            return RunEnd::Refused;
+        }
+        let status = answer.status();
+        if status == StatusCode::UNPROCESSABLE_ENTITY {
+            return RunEnd::Impossible;
+        }
+        if !status.is_success() {
+            let read = connection::read_body(answer.into_body(), ERROR_BYTES);
+            if connection::within(STALL_LIMIT, read).await.is_ok() {
+                self.gateway.upstream.keep(&worker.id, connection);
+            }
+            return RunEnd::Failed(status);
+        }
+        if !terms.sealed {
+            return RunEnd::Broken("the answer has no signature".into());
+        }
+        dispatch.worked(&worker.id);
+        let mut body = answer.into_body();
+        let mut splitter = Splitter::default();
+        loop {
+            let frame = async {
+                match body.frame().await {
+                    None => Ok(None),
+                    Some(Ok(frame)) => Ok(Some(frame)),
+                    Some(Err(e)) => Err(std::io::Error::other(e)),
+                }
+            };
+            match connection::within(STALL_LIMIT, frame).await {
+                Ok(Some(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        splitter.push(data);
+                    }
+                }
+                Ok(None) if splitter.is_empty() => {
+                    self.gateway.upstream.keep(&worker.id, connection);
+                    return RunEnd::Whole;
+                }
+                Ok(None) => return RunEnd::Broken("the stream ended inside an event".into()),
+                Err(e) => {
+                    dispatch.failed(&worker.id);
+                    return RunEnd::Broken(e.to_string());
+                }
+            }
+            while let Some(event) = splitter.pop() {
+                if event.id.is_some() && event.id <= *last {
+                    continue;
+                }
+                *last = event.id.or(*last);
+                text.push(String::from_utf8_lossy(&event.data()).into());
+            }
+            if lock(&self.shared).ended {
+                return RunEnd::Yielded;
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        worker: &Arc<str>,
+        after: Option<u64>,
+    ) -> hyper::http::Result<Request<Full<Bytes>>> {
+        let mut call = HeaderMap::new();
+        for (name, value) in &self.item.headers {
+            if let (Ok(name), Ok(value)) = (
+                header::HeaderName::try_from(name),
+                header::HeaderValue::try_from(value),
+            ) {
+                call.append(name, value);
+            }
+        }
+        if let Ok(host) = header::HeaderValue::from_str(&self.host) {
+            call.insert(header::HOST, host);
+        }
+        headers::set_request_id(&mut call, &self.item.id);
+        let attempt = Attempt {
+            worker,
+            remaining: None,
+            after,
+        };
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(&*self.item.path)
+            .body(Full::new(self.item.body.clone()))?;
+        *request.headers_mut() = headers::encode_attempt(&call, &attempt);
+        Ok(request)
+    }
+
+    /// Takes the end of the run into the state of the job.
+    fn settle(&self, end: RunEnd, text: Vec<Arc<str>>, last: Option<u64>, worker: &str) {
+        let now = self.gateway.now();
+        let mut job = lock(&self.shared);
+        let Some(progress) = job.progress(&self.item.id) else {
+            return;
+        };
+        progress.running = false;
+        progress.text.extend(text);
+        progress.last = last;
+        let id = &self.item.id;
+        match end {
+            RunEnd::Whole => {
+                let output = progress.text.join("\n");
+                job.finish(id, Verdict::Done, output.into(), now);
+            }
+            RunEnd::Yielded => {
+                event!(Info, ItemYielded, "item={id} worker={worker} last={last:?}");
+            }
+            RunEnd::Refused => progress.not_before = now + RETRY_PAUSE,
+            RunEnd::Broken(reason) => {
+                event!(Info, ItemBroken, "item={id} worker={worker} last={last:?} reason={reason:?}");
+                progress.not_before = now + RETRY_PAUSE;
+            }
+            RunEnd::Failed(status) => {
+                progress.failures += 1;
+                progress.not_before = now + ERROR_PAUSE;
+                let failures = progress.failures;
+                if failures >= self.attempts {
+                    let job_id = &self.job;
+                    event!(
+                        Info,
+                        ItemFailed,
+                        "job={job_id} item={id} reason=errors count={failures} status={}",
+                        status.as_u16()
+                    );
+                    job.finish(id, Verdict::GivenUp, "".into(), now);
+                }
+            }
+            RunEnd::Impossible => {
+                event!(Info, ItemFailed, "job={} item={id} reason=impossible", self.job);
+                job.finish(id, Verdict::GivenUp, "".into(), now);
+            }
+        }
+    }
+}
+
+/// Looks for jobs that have this instance as a new home, after each change of the members.
+pub async fn sweep(gateway: Arc<Gateway>, members: Receiver<()>) {
+    loop {
+        Timer::after(SWEEP_DELAY).await;
+        while members.try_recv().is_ok() {}
+        match gateway.store.list(JOBS, Freshness::Latest).await {
+            Ok((objects, _)) => {
+                for object in objects {
+                    sweep_one(&gateway, &object).await;
+                }
+                release(&gateway);
+            }
+            Err(e) => {
+                event!(Info, StoreCallFailed, "call=sweep reason={e}");
+                continue;
+            }
+        }
+        if members.recv().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn sweep_one(gateway: &Arc<Gateway>, object: &crate::adapter::store::Object) {
+    let id: JobId = object.name.as_str().into();
+    if gateway.home(&id).is_some() {
+        return;
+    }
+    let mark: Option<Mark> = serde_json::from_str(&object.status).unwrap_or_default();
+    let record: Record = match serde_json::from_str(&object.spec) {
+        Ok(record) => record,
+        Err(e) => {
+            event!(Warn, JobInvalid, "job={id} reason={e}");
+            return;
+        }
+    };
+    let age = Duration::from_millis(job_api::unix_millis().saturating_sub(record.submitted));
+    if age > gateway.settings.retention + REMOVE_AFTER && is_over(gateway, &id).await {
+        remove(gateway, &id).await;
+        return;
+    }
+    let ended = mark.unwrap_or_default().ended;
+    if ended {
+        gateway.jobs.note_ended(&id, gateway.now());
+        return;
+    }
+    if let Err(e) = job_api::adopt(gateway, &id).await {
+        event!(Info, StoreCallFailed, "job={id} call=adopt reason={e}");
+    }
+}
+
+async fn is_over(gateway: &Arc<Gateway>, id: &JobId) -> bool {
+    match job_api::adopt(gateway, id).await {
+        Ok(Some(job)) => lock(&job).is_complete() || lock(&job).ended,
+        Ok(None) | Err(_) => false,
+    }
+}
+
+/// Removes a job and its results from the store. The pages go first, so that a removal that stops
+/// half way is found again by the job.
+async fn remove(gateway: &Gateway, id: &JobId) {
+    let pages = gateway.jobs.get(id).map_or(0, |job| lock(&job).next_page());
+    for page in 0..pages {
+        let name = job::page_name(id, page);
+        if let Err(e) = gateway.store.delete(PAGES, &name).await {
+            event!(Info, StoreCallFailed, "job={id} call=delete-page reason={e}");
+        }
+    }
+    match gateway.store.delete(JOBS, id).await {
+        Ok(()) | Err(StoreError::Missing) => gateway.jobs.remove(id),
+        Err(e) => event!(Info, StoreCallFailed, "job={id} call=delete reason={e}"),
+    }
+}
+
+/// Stops running jobs whose home is another instance now.
+fn release(gateway: &Gateway) {
+    for (id, job) in gateway.jobs.all() {
+        if gateway.home(&id).is_some() && lock(&job).active && lock(&job).is_complete() {
+            gateway.jobs.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/jobs.rs
@@ -0,0 +1,125 @@
+//! The batch jobs that an instance knows, shared by all threads.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use smol::channel::{Receiver, Sender, bounded};
+
+use crate::{
+    fnv,
+    ids::{JobId, Map},
+};
+
+use super::{job::Job, config::Route};
+
+/// Time for which the end of a job is told to the other instances.
+const ENDED_FOR: Duration = Duration::from_secs(10);
+
+/// A job that is shared between the tasks that work on it.
+pub type SharedJob = Arc<Mutex<Job>>;
+
+/// Jobs at an instance.
+#[derive(Debug)]
+pub struct Jobs {
+    jobs: Mutex<Map<JobId, SharedJob>>,
+    ended: Mutex<Map<JobId, Duration>>,
+    waiting: Mutex<Vec<(u32, u64)>>,
+    registered: Mutex<Vec<SocketAddr>>,
+    wake: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Jobs {
+    fn default() -> Self {
+        Self {
+            jobs: Mutex::default(),
+            ended: Mutex::default(),
+            waiting: Mutex::default(),
+            registered: Mutex::default(),
+            wake: bounded(1),
+        }
+    }
+}
+
+/// Locks a mutex; the state behind it is whole between calls, also after a panic.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns the short form of a route's name in messages between instances.
+pub fn route_key(route: &Route) -> u32 {
+    let hash = fnv::extend(fnv::OFFSET, route.name.bytes());
+    (hash ^ (hash >> 32)) as u32
+}
+
+impl Jobs {
+    /// Returns a job.
+    pub fn get(&self, id: &JobId) -> Option<SharedJob> {
+        lock(&self.jobs).get(id).cloned()
+    }
+
+    /// Adds a job unless it is known, and returns it as it is known.
+    pub fn add(&self, id: &JobId, job: Job) -> SharedJob {
+        let mut jobs = lock(&self.jobs);
+        let shared = jobs.entry(id.clone()).or_insert_with(|| Arc::new(Mutex::new(job)));
+        shared.clone()
+    }
+
+    /// Forgets a job.
+    pub fn remove(&self, id: &JobId) {
+        lock(&self.jobs).remove(id);
+    }
+
+    /// Returns all jobs.
+    pub fn all(&self) -> Vec<(JobId, SharedJob)> {
+        let jobs = lock(&self.jobs);
+        jobs.iter().map(|(id, job)| (id.clone(), job.clone())).collect()
+    }
+
+    /// Notes that a job was ended by its owner. Its runs stop.
+    pub fn note_ended(&self, id: &JobId, now: Duration) {
+        lock(&self.ended).entry(id.clone()).or_insert(now);
+        if let Some(job) = self.get(id) {
+            lock(&job).ended = true;
+        }
+    }
+
+    /// Returns the jobs that were ended lately.
+    pub fn ended(&self, now: Duration) -> Vec<JobId> {
+        let mut ended = lock(&self.ended);
+        ended.retain(|_, at| now < *at + ENDED_FOR);
+        ended.keys().cloned().collect()
+    }
+
+    /// Sets the tokens that wait at this instance, by route.
+    pub fn set_waiting(&self, waiting: Vec<(u32, u64)>) {
+        *lock(&self.waiting) = waiting;
+    }
+
+    /// Returns the tokens that wait at this instance, by route.
+    pub fn waiting(&self) -> Vec<(u32, u64)> {
+        lock(&self.waiting).clone()
+    }
+
+    /// Sets the addresses of instances that are registered in the object store.
+    pub fn set_registered(&self, addresses: Vec<SocketAddr>) {
+        *lock(&self.registered) = addresses;
+    }
+
+    /// Returns the addresses of instances that are registered in the object store.
+    pub fn registered(&self) -> Vec<SocketAddr> {
+        lock(&self.registered).clone()
+    }
+
+    /// Has the runner look for items that can start and results to commit.
+    pub fn wake(&self) {
+        let _ = self.wake.0.try_send(());
+    }
+
+    /// Returns when the runner is to look.
+    pub async fn woken(&self) {
+        let _ = self.wake.1.recv().await;
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,27 @@
+//! Serves routed calls and batch jobs on a platform that has its own registry of routes and
+//! workers.
+//!
+//! docs/platform.md describes the parts. `config`, `dispatch`, `fleet`, `job`, `peers`, `sse` and
+//! `view` decide; the others do input and output.
+
+pub mod config;
+pub mod connection;
+pub mod dispatch;
+pub mod fleet;
+pub mod forward;
+#[allow(clippy::module_inception)]
+pub mod gateway;
+pub mod gossip;
+pub mod job;
+pub mod job_api;
+pub mod job_run;
+pub mod jobs;
+pub mod peer_call;
+pub mod peers;
+pub mod serve;
+pub mod server;
+pub mod settings;
+pub mod sse;
+pub mod sync;
+pub mod upstream;
+pub mod view;
--- /dev/null
+++ b/src/gateway/peer_call.rs
@@ -0,0 +1,97 @@
+//! Calls between instances. Each is one request over HTTP whose body is a postcard message.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::{Context, bail};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode, body::Incoming, header};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    connection::{self, Connection, SendError},
+    forward::{self, CallerBody},
+    gateway::Gateway,
+    job_api::{self, JobRequest},
+    sync::Snapshot,
+};
+
+/// Time in which an instance accepts a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Time in which an instance answers, beside the time that a read may wait.
+const CALL_LIMIT: Duration = Duration::from_millis(1500);
+/// Size of a call at most: a job with its bodies.
+const CALL_BYTES: usize = 16 << 20;
+
+/// A call.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+pub enum PeerCall {
+    /// A call of a caller for a job that the receiver runs.
+    Job(JobRequest),
+    /// Asks for configuration and workers.
+    Snapshot,
+}
+
+/// Forwards a caller's call for a job.
+///
+/// # Errors
+///
+/// Says whether the call may have been received.
+pub async fn job(address: SocketAddr, request: &JobRequest) -> Result<Response<Bytes>, SendError> {
+    let limit = CALL_LIMIT + request.wait;
+    call(address, &PeerCall::Job(request.clone()), limit).await
+}
+
+/// Reads what an instance knows of configuration and workers.
+///
+/// # Errors
+///
+/// Returns an error when the instance does not answer.
+pub async fn snapshot(address: SocketAddr) -> anyhow::Result<Snapshot> {
+    match call(address, &PeerCall::Snapshot, CALL_LIMIT).await {
+        Ok(answer) if answer.status() == StatusCode::OK => {
+            postcard::from_bytes(answer.body()).context("the snapshot cannot be read")
+        }
+        Ok(answer) => bail!("status {}", answer.status()),
+        Err(SendError::NotSent(e) | SendError::Sent(e)) => bail!(e),
+    }
+}
+
+async fn call(
+    address: SocketAddr,
+    call: &PeerCall,
+    limit: Duration,
+) -> Result<Response<Bytes>, SendError> {
+    let not_sent = |e: String| SendError::NotSent(e);
+    let body = postcard::to_stdvec(call).map_err(|e| not_sent(e.to_string()))?;
+    let request = Request::post("/")
+        .header(header::HOST, address.to_string())
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|e| not_sent(e.to_string()))?;
+    let opened = Connection::open(address, CONNECT_LIMIT).await;
+    let mut connection = opened.map_err(|e| not_sent(e.to_string()))?;
+    connection.exchange(request, limit).await
+}
+
+/// Answers a call of another instance.
+pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
+    let body = connection::read_body(request.into_body(), CALL_BYTES);
+    let body = match connection::within(CALL_LIMIT, body).await {
+        Ok(body) => body,
+        Err(e) => return forward::plain(StatusCode::BAD_REQUEST, &e.to_string(), None),
+    };
+    match postcard::from_bytes(&body) {
+        Ok(PeerCall::Job(request)) => job_api::answer_here(&gateway, &request).await,
+        Ok(PeerCall::Snapshot) => {
+            let snapshot = Snapshot::of(&gateway.views());
+            match postcard::to_stdvec(&snapshot) {
+                Ok(bytes) => Response::new(forward::whole(bytes)),
+                Err(e) => {
+                    forward::plain(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string(), None)
+                }
+            }
+        }
+        Err(e) => forward::plain(StatusCode::BAD_REQUEST, &e.to_string(), None),
+    }
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,135 @@
+//! What instances tell each other, and what one knows of the others (pure).
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{InstanceId, JobId, Map, SessionId},
+    ownership,
+};
+
+use super::fleet::{Level, WorkerKey};
+
+/// Silence after which an instance counts as gone.
+const LIVE_FOR: Duration = Duration::from_millis(1600);
+/// Silence after which an instance is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// State of an instance, sent to the others whole, so that a lost message is made up by the next.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender.
+    pub instance: InstanceId,
+    /// Run of the sender.
+    pub session: SessionId,
+    /// Number of the message in its run.
+    pub number: u64,
+    /// Address for messages and calls of instances.
+    pub address: SocketAddr,
+    /// Version of its configuration.
+    pub config: u64,
+    /// Revision of its list of workers.
+    pub workers: u64,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Whether it reaches the object store.
+    pub store: bool,
+    /// Requests on workers: online and batch.
+    pub levels: Vec<(WorkerKey, u8, u8)>,
+    /// Tokens that wait at it, by route.
+    pub waiting: Vec<(u32, u64)>,
+    /// Jobs that were ended lately.
+    pub ended: Vec<JobId>,
+}
+
+impl Beat {
+    /// Returns the requests on workers.
+    pub fn levels(&self) -> Map<WorkerKey, Level> {
+        let level = |(online, batch): (u8, u8)| Level {
+            online: online.into(),
+            batch: batch.into(),
+        };
+        self.levels
+            .iter()
+            .map(|(w, online, batch)| (*w, level((*online, *batch))))
+            .collect()
+    }
+}
+
+#[derive(Debug)]
+struct Peer {
+    beat: Beat,
+    heard: Duration,
+}
+
+/// Other instances as one instance knows them.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: Map<InstanceId, Peer>,
+}
+
+/// What a message changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// It is older than one that was taken.
+    Old,
+    /// The sender was known.
+    Known,
+    /// The sender is new, or new in this run.
+    Joined,
+}
+
+impl Peers {
+    /// Takes a message.
+    pub fn take(&mut self, beat: Beat, now: Duration) -> News {
+        let known = self.known.get(&beat.instance);
+        let last = known.map(|p| (p.beat.session, p.beat.number));
+        if last >= Some((beat.session, beat.number)) {
+            return News::Old;
+        }
+        let joined = known.is_none_or(|p| p.beat.session != beat.session || now > p.heard + LIVE_FOR);
+        self.known.insert(beat.instance.clone(), Peer { beat, heard: now });
+        if joined { News::Joined } else { News::Known }
+    }
+
+    /// Returns the instances that fell silent since the last look, and forgets old ones.
+    pub fn silent(&mut self, now: Duration, before: Duration) -> Vec<InstanceId> {
+        self.known.retain(|_, p| now < p.heard + FORGET_AFTER);
+        let gone = |p: &&Peer| now > p.heard + LIVE_FOR && before <= p.heard + LIVE_FOR;
+        let peers = self.known.values().filter(gone);
+        peers.map(|p| p.beat.instance.clone()).collect()
+    }
+
+    /// Returns the instances that live.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &Beat> {
+        let live = move |p: &&Peer| now <= p.heard + LIVE_FOR;
+        self.known.values().filter(live).map(|p| &p.beat)
+    }
+
+    /// Returns the addresses of all known instances.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.known.values().map(|p| p.beat.address).collect()
+    }
+
+    /// Returns the instance that runs a job; nothing when it is this one.
+    ///
+    /// Instances that are about to stop or do not reach the store run a job only when there is no
+    /// other.
+    pub fn home(&self, job: &JobId, me: &InstanceId, able: bool, now: Duration) -> Option<Beat> {
+        let fit = |b: &&Beat| !b.leaving && b.store;
+        let mut names: Vec<Arc<str>> = self.live(now).filter(fit).map(|b| b.instance.clone()).collect();
+        if able || names.is_empty() {
+            names.push(me.clone());
+        }
+        let home = ownership::owner(job, &names)?;
+        self.known.get(home).map(|p| p.beat.clone())
+    }
+
+    /// Returns the tokens that wait at other instances on a route.
+    pub fn waiting(&self, route: u32, now: Duration) -> u64 {
+        let waiting = self.live(now).flat_map(|b| &b.waiting);
+        waiting.filter(|(r, _)| *r == route).map(|(_, t)| t).sum()
+    }
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,167 @@
+//! Builds and runs an instance until a planned stop.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context as _;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures::StreamExt;
+use serde::{Deserialize, Serialize};
+use smol::{channel::bounded, net::UdpSocket};
+
+use crate::{
+    adapter::store::{Freshness, Store, StoreError},
+    drain::Phase,
+    event,
+    exit::Exit,
+    ids::SessionId,
+};
+
+use super::{
+    gateway::Gateway,
+    gossip::{self, NewsSenders},
+    job_run,
+    server::{Server, Side},
+    settings::{KeeperSettings, Settings},
+    sync::{self, Kind},
+};
+
+/// Kind of the entries with which instances find each other.
+const INSTANCES: &str = "entry-instances";
+/// Time from the stop signal to the last accepted connection. The balancer notices within two
+/// questions, one a second.
+const LEAVE_NOTICE: Duration = Duration::from_millis(3200);
+/// Part of the grace that the end of the process may take.
+const END_SHARE: f64 = 0.94;
+/// Pause between attempts to register.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+/// Interval at which the list of instances is read again.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Entry of an instance in the object store.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    address: SocketAddr,
+}
+
+/// Runs an instance until a planned stop has ended.
+///
+/// # Errors
+///
+/// Returns one line when an address cannot be bound.
+pub fn serve(settings: Settings, session: SessionId) -> anyhow::Result<Exit> {
+    let gateway = Gateway::new(settings, session);
+    smol::block_on(run(gateway))
+}
+
+async fn run(gateway: Arc<Gateway>) -> anyhow::Result<Exit> {
+    let settings = &gateway.settings;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+    let socket = UdpSocket::bind(settings.peers).await;
+    let socket = socket.with_context(|| format!("cannot listen on {}", settings.peers))?;
+    let callers = Server::start(gateway.clone(), settings.callers, Side::Callers)?;
+    let peers = Server::start(gateway.clone(), settings.peers, Side::Peers)?;
+    let _balancer = Server::start(gateway.clone(), settings.ready, Side::Balancer)?;
+    event!(
+        Info,
+        InstanceReady,
+        "instance={} zone={} callers={} session={}",
+        settings.instance,
+        settings.zone,
+        settings.callers,
+        gateway.session
+    );
+    let control = smol::LocalExecutor::new();
+    let (behind, pulls) = bounded(1);
+    let (members, changed) = bounded(1);
+    let news = NewsSenders { behind, members };
+    control.spawn(sync::follow(gateway.clone(), Kind::Config)).detach();
+    control.spawn(sync::follow(gateway.clone(), Kind::Workers)).detach();
+    control.spawn(sync::pull(gateway.clone(), pulls)).detach();
+    control.spawn(gossip::run(gateway.clone(), socket, news)).detach();
+    control.spawn(register(gateway.clone())).detach();
+    control.spawn(job_run::run(gateway.clone())).detach();
+    control.spawn(job_run::sweep(gateway.clone(), changed)).detach();
+    let stop = async {
+        loop {
+            match signals.next().await {
+                // The settings name only addresses, which do not change while a process runs.
+                Some(Ok(Signal::Hup)) => event!(Info, ReloadIgnored, "signal=HUP"),
+                Some(Ok(_)) | None => return,
+                Some(Err(e)) => log::debug!("a signal was lost: {e}"),
+            }
+        }
+    };
+    control.run(stop).await;
+    control.run(leave(&gateway, callers)).await;
+    drop(peers);
+    event!(Info, StopEnded, "instance={}", settings.instance);
+    Ok(Exit::Success)
+}
+
+/// Finishes what callers have begun, for as long as the grace lasts.
+async fn leave(gateway: &Arc<Gateway>, callers: Server) {
+    let grace = gateway.settings.grace.mul_f64(END_SHARE);
+    event!(Info, StopBegan, "grace_ms={}", grace.as_millis());
+    gateway.drain.advance(Phase::Leaving);
+    let notice = LEAVE_NOTICE.min(grace / 2);
+    Timer::after(notice).await;
+    gateway.drain.advance(Phase::Draining);
+    let limit = async {
+        Timer::after(grace - notice).await;
+    };
+    smol::future::or(callers.stop(), limit).await;
+}
+
+/// Registers this instance and reads the list of the others from time to time.
+async fn register(gateway: Arc<Gateway>) {
+    let me = &gateway.settings.instance;
+    let entry = Entry {
+        address: gateway.settings.peers,
+    };
+    loop {
+        let created = match gateway.store.create(INSTANCES, me, &entry).await {
+            Err(StoreError::Conflict) => gateway.store.replace(INSTANCES, me, &entry).await,
+            other => other,
+        };
+        match created {
+            Ok(()) => break,
+            Err(e) => event!(Info, StoreCallFailed, "call=register reason={e}"),
+        }
+        Timer::after(REGISTER_PAUSE).await;
+    }
+    loop {
+        // Others that start at the same time are on the list after a moment.
+        Timer::after(REGISTER_PAUSE).await;
+        match gateway.store.list(INSTANCES, Freshness::Stale).await {
+            Ok((objects, _)) => {
+                let entry = |spec: &str| serde_json::from_str::<Entry>(spec).ok();
+                let addresses = objects.iter().filter_map(|o| entry(&o.spec));
+                gateway.jobs.set_registered(addresses.map(|e| e.address).collect());
+            }
+            Err(e) => event!(Info, StoreCallFailed, "call=members reason={e}"),
+        }
+        Timer::after(MEMBERS_INTERVAL).await;
+    }
+}
+
+/// Runs a keeper: it answers the operator's requests to empty a machine with a disk.
+///
+/// # Errors
+///
+/// Returns one line when signals cannot be received.
+pub fn keep(settings: &KeeperSettings) -> anyhow::Result<Exit> {
+    smol::block_on(async {
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let store = Store::new(settings.store);
+        event!(Info, InstanceReady, "instance={} role=keeper", settings.instance);
+        let stop = async {
+            signals.next().await;
+        };
+        smol::future::or(sync::follow_retirements(&store), stop).await;
+        event!(Info, StopEnded, "instance={}", settings.instance);
+        Ok(Exit::Success)
+    })
+}
+
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,204 @@
+//! Servers of an instance: callers, the balancer's question and other instances.
+
+use std::{net::SocketAddr, sync::Arc, time::{Duration, Instant}};
+
+use anyhow::Context as _;
+use hyper::{Request, Response, StatusCode, body::Incoming, header, server::conn::http1, service::service_fn};
+use smol::{channel::{Receiver, Sender}, net::{TcpListener, TcpStream}};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::{adapter::{headers, job_calls}, event};
+
+use super::{
+    connection,
+    forward::{self, Call, CallerBody},
+    gateway::Gateway,
+    job_api, peer_call,
+};
+
+/// Pause after a connection could not be accepted, as when descriptors ran out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time that a caller is asked to wait when the instance knows no configuration.
+const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+
+/// Who calls a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// Callers.
+    Callers,
+    /// The balancer.
+    Balancer,
+    /// Other instances.
+    Peers,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    _accepting: smol::Task<()>,
+    stop: Sender<()>,
+    ended: Receiver<()>,
+}
+
+impl Server {
+    /// Starts a server.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn start(gateway: Arc<Gateway>, address: SocketAddr, side: Side) -> anyhow::Result<Self> {
+        let listener = std::net::TcpListener::bind(address)
+            .with_context(|| format!("cannot listen on {address}; is the address in use?"))?;
+        let listener = TcpListener::try_from(listener)?;
+        let (stop, stopping) = smol::channel::bounded(1);
+        let (alive, ended) = smol::channel::bounded(1);
+        let accepting = smol::spawn(accept(gateway, listener, side, stopping, alive));
+        Ok(Self {
+            _accepting: accepting,
+            stop,
+            ended,
+        })
+    }
+
+    /// Takes no more connections, closes idle ones and returns when the last answer has ended.
+    pub async fn stop(self) {
+        self.stop.close();
+        drop(self._accepting);
+        let _ = self.ended.recv().await;
+    }
+}
+
+async fn accept(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    side: Side,
+    stopping: Receiver<()>,
+    alive: Sender<()>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let serving = serve(gateway.clone(), stream, side, stopping.clone(), alive.clone());
+                smol::spawn(serving).detach();
+            }
+            Err(e) => {
+                event!(Warn, AcceptFailed, "reason={e}");
+                async_io::Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    side: Side,
+    stopping: Receiver<()>,
+    _alive: Sender<()>,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("a caller's connection is gone: {e}");
+        return;
+    }
+    let idle = gateway.config.load().as_ref().map_or_else(
+        || super::config::CallerLimits::default().idle,
+        |c| c.limits.idle,
+    );
+    let service = service_fn(|request| {
+        let gateway = gateway.clone();
+        async move {
+            let answer = match side {
+                Side::Callers => answer_caller(gateway, request).await,
+                Side::Balancer => answer_balancer(&gateway),
+                Side::Peers => peer_call::answer(gateway, request).await,
+            };
+            Ok::<_, std::convert::Infallible>(answer)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(idle)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let stop = async {
+        let _ = stopping.recv().await;
+        None
+    };
+    let ended = async { Some(connection.as_mut().await) };
+    let result = match smol::future::or(ended, stop).await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = result {
+        log::debug!("a connection ended: {e}");
+    }
+}
+
+fn answer_balancer(gateway: &Gateway) -> Response<CallerBody> {
+    let status = if gateway.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    forward::plain(status, status.canonical_reason().unwrap_or(""), None)
+}
+
+async fn answer_caller(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
+    let received = Instant::now();
+    let Some(config) = gateway.config.load_full() else {
+        let reason = "no configuration is known yet";
+        return forward::plain(StatusCode::SERVICE_UNAVAILABLE, reason, Some(UNCONFIGURED_RETRY));
+    };
+    let host = request
+        .headers()
+        .get(header::HOST)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let terms = headers::decode_call(request.headers());
+    let job_call = job_calls::decode_path(request.method(), request.uri());
+    let route = match &job_call {
+        Some(_) => config.batch_route(&host),
+        None => config.route(&host, request.uri().path()),
+    };
+    let Some(route) = route.cloned() else {
+        event!(Info, NoRoute, "host={host} path={} config={}", request.uri().path(), config.version);
+        return forward::plain(StatusCode::NOT_FOUND, "no such route", None);
+    };
+    let Some(id) = terms.id.clone() else {
+        return forward::plain(StatusCode::BAD_REQUEST, "the request has no id", None);
+    };
+    let (head, body) = request.into_parts();
+    let limit = terms.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let read = connection::read_body(body, config.limits.body);
+    let body = match connection::within(limit, read).await {
+        Ok(body) => body,
+        Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
+            return forward::plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly", None);
+        }
+        Err(e) => {
+            event!(Info, BodyUnread, "request={id} reason={e}");
+            return forward::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body cannot be read", None);
+        }
+    };
+    let call = Call {
+        id,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
+        body,
+        received,
+        deadline: terms.deadline,
+        after: terms.after,
+    };
+    if route.batch().is_some() {
+        let path = call.uri.path();
+        let mut request = job_api::JobRequest::new(job_call, call.id, &host, path, &call.body);
+        request.wait = terms.wait.unwrap_or_default();
+        return job_api::answer_caller(gateway, request).await;
+    }
+    forward::forward(gateway, route, call).await
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,106 @@
+//! Settings of an instance on a platform that has its own registry of routes and workers: raw
+//! JSON to checked values.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use anyhow::{Context, ensure};
+use serde::Deserialize;
+
+use crate::ids::{InstanceId, Zone};
+
+/// Settings as they stand in the file, unchecked. Every field is described in docs/settings.md.
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RawSettings {
+    instance: String,
+    zone: String,
+    #[serde(default)]
+    caller_address: Option<SocketAddr>,
+    #[serde(default)]
+    ready_address: Option<SocketAddr>,
+    #[serde(default)]
+    peer_address: Option<SocketAddr>,
+    store_address: SocketAddr,
+    #[serde(default)]
+    seeds: Vec<SocketAddr>,
+    grace_s: f64,
+    status_s: f64,
+}
+
+/// Checked settings of an entry instance.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the balancer.
+    pub ready: SocketAddr,
+    /// Address for other instances.
+    pub peers: SocketAddr,
+    /// Address of the object store.
+    pub store: SocketAddr,
+    /// Addresses of some other instances; they may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Time from the stop signal to the end of the process.
+    pub grace: Duration,
+    /// Time that a finished job stays readable.
+    pub retention: Duration,
+}
+
+/// Checked settings of a keeper, which runs on machines with disks.
+#[derive(Debug, Clone)]
+pub struct KeeperSettings {
+    /// Name of the machine.
+    pub instance: InstanceId,
+    /// Address of the object store.
+    pub store: SocketAddr,
+}
+
+impl RawSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns one line that names the file and the field.
+    pub fn load(file: &Path) -> anyhow::Result<Self> {
+        let text = fs::read_to_string(file)
+            .with_context(|| format!("cannot read settings file {}", file.display()))?;
+        let mut reader = serde_json::Deserializer::from_str(&text);
+        serde_path_to_error::deserialize(&mut reader)
+            .with_context(|| format!("settings file {} is not valid", file.display()))
+    }
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = anyhow::Error;
+
+    fn try_from(raw: RawSettings) -> anyhow::Result<Self> {
+        ensure!(!raw.instance.is_empty(), "instance: must not be empty");
+        ensure!(raw.grace_s > 0.0, "grace_s: must be above 0");
+        ensure!(raw.status_s > 0.0, "status_s: must be above 0");
+        Ok(Self {
+            instance: raw.instance.into(),
+            zone: raw.zone.into(),
+            callers: raw.caller_address.context("caller_address: is missing")?,
+            ready: raw.ready_address.context("ready_address: is missing")?,
+            peers: raw.peer_address.context("peer_address: is missing")?,
+            store: raw.store_address,
+            seeds: raw.seeds,
+            grace: Duration::from_secs_f64(raw.grace_s),
+            retention: Duration::from_secs_f64(raw.status_s),
+        })
+    }
+}
+
+impl From<RawSettings> for KeeperSettings {
+    fn from(raw: RawSettings) -> Self {
+        Self {
+            instance: raw.instance.into(),
+            store: raw.store_address,
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/sse.rs
@@ -0,0 +1,71 @@
+//! Splits the bytes of an event stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Bytes of an event stream that do not yet make a whole event.
+#[derive(Debug, Default)]
+pub struct Splitter {
+    partial: BytesMut,
+}
+
+/// A whole event with the blank line that ends it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The event as it was received.
+    pub bytes: Bytes,
+    /// Number of the event, where it has one.
+    pub id: Option<u64>,
+}
+
+impl Splitter {
+    /// Takes received bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.partial.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event.
+    pub fn pop(&mut self) -> Option<Event> {
+        let end = find_end(&self.partial)?;
+        let bytes = self.partial.split_to(end).freeze();
+        let id = field(&bytes, b"id:").and_then(|v| std::str::from_utf8(v).ok()?.parse().ok());
+        Some(Event { bytes, id })
+    }
+
+    /// Says whether the stream stands at the end of an event.
+    pub fn is_empty(&self) -> bool {
+        self.partial.is_empty()
+    }
+}
+
+impl Event {
+    /// Returns the data of the event; several lines are joined by line feeds.
+    pub fn data(&self) -> Vec<u8> {
+        let lines = lines(&self.bytes).filter_map(|l| l.strip_prefix(b"data:"));
+        let values: Vec<&[u8]> = lines.map(|v| v.strip_prefix(b" ").unwrap_or(v)).collect();
+        values.join(&b'\n')
+    }
+}
+
+fn field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
+    let value = lines(event).find_map(|l| l.strip_prefix(name))?;
+    Some(value.trim_ascii())
+}
+
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|b| *b == b'\n');
+    lines.map(|l| l.strip_suffix(b"\r").unwrap_or(l))
+}
+
+/// Returns the length of the first event with its blank line.
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(at) = bytes[start..].iter().position(|b| *b == b'\n') {
+        let next = start + at + 1;
+        match bytes.get(next..) {
+            Some([b'\n', ..]) => return Some(next + 1),
+            Some([b'\r', b'\n', ..]) => return Some(next + 2),
+            _ => start = next,
+        }
+    }
+    None
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! docs/design.md describes the modules, the state and its owners, and the messages.
 
+#[path = "../platform/mod.rs"]
+pub mod adapter;
 pub mod admin;
 pub mod admit;
 pub mod affinity;
@@ -31,6 +33,7 @@
 pub mod fnv;
 pub mod forward;
 pub mod free_index;
+pub mod gateway;
 pub mod group;
 pub mod health;
 pub mod held;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,10 @@
 use gentianpath::{
     cli::{Command, Options, SettingsCommand, SheetCommand},
     exit::Exit,
+    gateway::{
+        self,
+        settings::{KeeperSettings, RawSettings},
+    },
     remote,
     replay::{self, Plan},
     serve,
@@ -26,6 +30,8 @@
 fn run(command: Command) -> anyhow::Result<Exit> {
     match command {
         Command::Serve { settings } => run_serve(&settings),
+        Command::Gateway { settings } => run_gateway(&settings),
+        Command::Keeper { settings } => run_keeper(&settings),
         Command::Settings(SettingsCommand::Check { file }) => {
             Settings::load(&file)?;
             println!("{}: settings are valid", file.display());
@@ -70,3 +76,16 @@
         Ok(Exit::Failure)
     })
 }
+
+fn run_gateway(file: &Path) -> anyhow::Result<Exit> {
+    let settings = RawSettings::load(file)?.try_into()?;
+    gateway::serve::serve(settings, serve::new_session()).or_else(|e| {
+        eprintln!("gentianpath: {e:#}");
+        Ok(Exit::Failure)
+    })
+}
+
+fn run_keeper(file: &Path) -> anyhow::Result<Exit> {
+    let settings = KeeperSettings::from(RawSettings::load(file)?);
+    gateway::serve::keep(&settings)
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -68,7 +68,7 @@
 }
 
 /// Makes a session id that is higher than those of earlier runs, as far as the clock is right.
-fn new_session() -> u64 {
+pub fn new_session() -> u64 {
     const RANDOM_BITS: u32 = 10;
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = since.map_or(0, |d| d.as_millis() as u64);
