Serve calls for a job that carry no request id

Cause: reads of results, item bodies and ends name the job in the path only and were refused as invalid. Change: an id is required for submits and routed calls only.

--- a/src/events.rs
+++ b/src/events.rs
@@ -58,6 +58,8 @@
     NoRoute = 1012, "no-route";
     /// The body of a call could not be read.
     BodyUnread = 1013, "body-unread";
+    /// A call lacks what the protocol requires.
+    CallInvalid = 1014, "call-invalid";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -168,7 +168,10 @@
         event!(Info, NoRoute, "host={host} path={} config={}", request.uri().path(), config.version);
         return forward::plain(StatusCode::NOT_FOUND, "no such route", None);
     };
-    let Some(id) = terms.id.clone() else {
+    // Calls for a job that exists name it in the path.
+    let id = terms.id.clone().or_else(|| job_call.as_ref().map(|_| "".into()));
+    let Some(id) = id else {
+        event!(Info, CallInvalid, "route={} reason=no-id", route.name);
         return forward::plain(StatusCode::BAD_REQUEST, "the request has no id", None);
     };
     let (head, body) = request.into_parts();
