Keep a batch job at the instance that runs it, and look only at jobs with work

Cause: after a restart of all processes each instance took over each job it was asked about, before it had heard the others; each message of a peer then had the runner scan all jobs, also finished ones. Control used up the processor share, messages stopped, more instances took jobs over. Ruled out: a full socket towards a cut peer (sends never failed), size of messages (126 to 192 bytes). Change: a job stays with the instance that announces it; a job that a peer runs too goes to one of both; pages that a peer announces are read before an answer; no takeover in the first 1.3 s; the runner skips finished jobs and looks at most each 25 ms. The keeper ignores SIGHUP, which ended it.

--- a/src/events.rs
+++ b/src/events.rs
@@ -106,6 +106,8 @@
     PageTaken = 2034, "page-taken";
     /// A worker broke off or fell silent on an item.
     ItemBroken = 2035, "item-broken";
+    /// A batch job is left to another instance that runs it too.
+    JobReleased = 2036, "job-released";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -18,10 +18,14 @@
 };
 
 use super::{
-    config::Configuration, dispatch::Dispatch, jobs::Jobs, peers::{Beat, Peers}, settings::Settings,
+    config::Configuration, dispatch::Dispatch, jobs::Jobs, peers::{Beat, Candidate, Peers}, settings::Settings,
     sync::Views, upstream::Upstream,
 };
 
+/// Time from its start after which an instance has heard the others, which send several messages in
+/// it. Before, it takes over no job, since another one may run it.
+const SETTLE_TIME: Duration = Duration::from_millis(1300);
+
 /// State of an instance.
 #[derive(Debug)]
 pub struct Gateway {
@@ -109,6 +113,11 @@
         true
     }
 
+    /// Says whether this instance has heard the others since its start.
+    pub fn is_settled(&self) -> bool {
+        self.now() >= SETTLE_TIME
+    }
+
     /// Returns the version of the configuration in force, 0 for none.
     pub fn config_version(&self) -> u64 {
         self.config.load().as_ref().map_or(0, |c| c.version)
@@ -125,9 +134,12 @@
 
     /// Returns the instance that runs a job; nothing when it is this one.
     pub fn home(&self, job: &JobId) -> Option<Beat> {
-        let able = self.drain.phase() == Phase::Running && self.reaches_store();
-        self.peers()
-            .home(job, &self.settings.instance, able, self.now())
+        let me = Candidate {
+            instance: &self.settings.instance,
+            able: self.drain.phase() == Phase::Running && self.reaches_store() && self.is_settled(),
+            holds: self.jobs.is_active(job),
+        };
+        self.peers().home(job, &me, self.now())
     }
 
     /// Takes a configuration unless it is older than the one in force; says whether it is new.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,13 +1,21 @@
 //! Sends the state of this instance to the others and takes theirs.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
 
-use async_io::Timer;
-use smol::{channel::Sender, net::UdpSocket};
+use async_io::{Async, Timer};
+use smol::channel::Sender;
 
-use crate::{drain::Phase, event, ids::Set};
+use crate::{drain::Phase, event, ids::{JobId, Set}};
 
-use super::{fleet::Level, gateway::Gateway, peers::{Beat, News}};
+use super::{
+    fleet::Level, gateway::Gateway,
+    jobs::{SharedJob, lock},
+    peers::{Beat, News},
+};
 
 /// Interval of messages when nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_millis(400);
@@ -26,12 +34,12 @@
 }
 
 /// Exchanges state with the other instances for ever.
-pub async fn run(gateway: Arc<Gateway>, socket: UdpSocket, news: NewsSenders) {
+pub async fn run(gateway: Arc<Gateway>, socket: Async<UdpSocket>, news: NewsSenders) {
     let receive = receive(&gateway, &socket, &news);
     smol::future::or(send(&gateway, &socket, &news), receive).await;
 }
 
-async fn send(gateway: &Gateway, socket: &UdpSocket, news: &NewsSenders) {
+async fn send(gateway: &Gateway, socket: &Async<UdpSocket>, news: &NewsSenders) {
     let mut number = 0;
     let mut looked = Duration::ZERO;
     loop {
@@ -40,7 +48,9 @@
         match postcard::to_stdvec(&beat) {
             Ok(bytes) => {
                 for address in targets(gateway) {
-                    if let Err(e) = socket.send_to(&bytes, address).await {
+                    // A peer behind a cut can fill the socket; waiting for it would silence this
+                    // instance for all others.
+                    if let Err(e) = socket.get_ref().send_to(&bytes, address) {
                         log::debug!("cannot send to {address}: {e}");
                     }
                 }
@@ -90,11 +100,12 @@
         store: gateway.reaches_store(),
         levels: levels.into_iter().map(level).collect(),
         waiting: gateway.jobs.waiting(),
+        jobs: gateway.jobs.held(),
         ended: gateway.jobs.ended(gateway.now()),
     }
 }
 
-async fn receive(gateway: &Gateway, socket: &UdpSocket, news: &NewsSenders) {
+async fn receive(gateway: &Gateway, socket: &Async<UdpSocket>, news: &NewsSenders) {
     let mut buffer = vec![0; MESSAGE_BYTES];
     loop {
         let count = match socket.recv_from(&mut buffer).await {
@@ -116,6 +127,7 @@
     let instance = beat.instance.clone();
     let levels = beat.levels();
     let ended = beat.ended.clone();
+    let held = if beat.leaving { Vec::new() } else { beat.jobs.clone() };
     let address = beat.address;
     let result = gateway.peers().take(beat, gateway.now());
     if result == News::Old {
@@ -128,9 +140,35 @@
     for job in ended {
         gateway.jobs.note_ended(&job, gateway.now());
     }
+    for (key, pages) in held {
+        if let Some((id, job)) = gateway.jobs.by_key(key) {
+            compare_job(gateway, &id, &job, pages);
+        }
+    }
     gateway.jobs.wake();
     if result == News::Joined {
         event!(Info, MemberJoined, "instance={instance}");
         let _ = news.members.try_send(());
     }
 }
+
+/// Compares a job with what a peer that runs it says.
+fn compare_job(gateway: &Gateway, id: &JobId, shared: &SharedJob, pages: u32) {
+    let (active, known) = {
+        let mut job = lock(shared);
+        job.stored = job.stored.max(pages);
+        (job.active, job.next_page())
+    };
+    if !active {
+        return;
+    }
+    if let Some(home) = gateway.home(id) {
+        event!(
+            Info,
+            JobReleased,
+            "job={id} home={} pages={known} home_pages={pages}",
+            home.instance
+        );
+        lock(shared).active = false;
+    }
+}
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -118,6 +118,8 @@
     pub active: bool,
     /// Whether a page is being committed.
     pub committing: bool,
+    /// Pages that are stored, as far as another instance told.
+    pub stored: u32,
     outcomes: Vec<Outcome>,
     pages: u32,
     open: Map<ItemId, Progress>,
@@ -135,6 +137,7 @@
             ended,
             active: false,
             committing: false,
+            stored: 0,
             outcomes: Vec::new(),
             pages: 0,
             finished: Vec::new(),
@@ -147,6 +150,11 @@
         self.pages
     }
 
+    /// Says whether pages may be stored that are not known here.
+    pub fn is_stale(&self) -> bool {
+        !self.active || self.stored > self.pages
+    }
+
     /// Takes the next page as it is stored, whoever wrote it.
     pub fn absorb(&mut self, page: &[Outcome]) {
         self.pages += 1;
@@ -231,6 +239,11 @@
         }
     }
 
+    /// Says whether this instance has work to do on the job.
+    pub fn is_running(&self) -> bool {
+        self.active && !self.ended && !self.is_complete()
+    }
+
     /// Says whether all items have a result.
     pub fn is_complete(&self) -> bool {
         self.open.is_empty() && self.finished.is_empty()
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -268,7 +268,8 @@
 async fn load(gateway: &Arc<Gateway>, id: &JobId) -> Result<Option<SharedJob>, StoreError> {
     let known = gateway.jobs.get(id);
     if let Some(job) = known {
-        if !lock(&job).active {
+        let stale = lock(&job).is_stale();
+        if stale {
             read_pages(gateway, id, &job).await?;
         }
         return Ok(Some(job));
@@ -331,6 +332,9 @@
     gateway: &Arc<Gateway>,
     id: &JobId,
 ) -> Result<SharedJob, Response<CallerBody>> {
+    if !gateway.is_settled() && !gateway.jobs.is_active(id) {
+        return Err(unsure("the instance has just started"));
+    }
     let found = if gateway.home(id).is_none() {
         adopt(gateway, id).await
     } else {
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -31,6 +31,8 @@
 
 /// Interval at which the runner looks for room while items wait.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest pause between two looks. Each message of a peer asks for one.
+const LOOK_PAUSE: Duration = Duration::from_millis(25);
 /// Time without an event after which an item goes on elsewhere.
 const STALL_LIMIT: Duration = Duration::from_millis(1500);
 /// Pause before an item is started again after a worker refused or broke it.
@@ -86,6 +88,7 @@
             }
         };
         smol::future::or(gateway.jobs.woken(), pause).await;
+        Timer::after(LOOK_PAUSE).await;
     }
 }
 
@@ -96,7 +99,8 @@
     };
     let now = gateway.now();
     let mut jobs = gateway.jobs.all();
-    jobs.retain(|(_, job)| lock(job).active);
+    // Jobs that are over outnumber the others after a while.
+    jobs.retain(|(_, job)| lock(job).is_running());
     jobs.sort_by_cached_key(|(_, job)| lock(job).record.submitted);
     let mut left = false;
     let mut full = false;
@@ -114,7 +118,7 @@
         }
         give_up_late(gateway, &config, id, shared, now);
         commit(gateway, id, shared);
-        left |= !lock(shared).is_complete() && !lock(shared).ended;
+        left |= lock(shared).is_running();
     }
     gateway.jobs.set_waiting(waiting);
     left
@@ -354,7 +358,11 @@
                 *last = event.id.or(*last);
                 text.push(String::from_utf8_lossy(&event.data()).into());
             }
-            if lock(&self.shared).ended {
+            let wanted = {
+                let job = lock(&self.shared);
+                job.active && !job.ended
+            };
+            if !wanted {
                 return RunEnd::Yielded;
             }
         }
@@ -443,12 +451,11 @@
     loop {
         Timer::after(SWEEP_DELAY).await;
         while members.try_recv().is_ok() {}
-        match gateway.store.list(JOBS, Freshness::Latest).await {
+        match gateway.store.list(JOBS, Freshness::Stale).await {
             Ok((objects, _)) => {
                 for object in objects {
                     sweep_one(&gateway, &object).await;
                 }
-                release(&gateway);
             }
             Err(e) => {
                 event!(Info, StoreCallFailed, "call=sweep reason={e}");
@@ -511,12 +518,3 @@
         Err(e) => event!(Info, StoreCallFailed, "job={id} call=delete reason={e}"),
     }
 }
-
-/// Stops running jobs whose home is another instance now.
-fn release(gateway: &Gateway) {
-    for (id, job) in gateway.jobs.all() {
-        if gateway.home(&id).is_some() && lock(&job).active && lock(&job).is_complete() {
-            gateway.jobs.remove(&id);
-        }
-    }
-}
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -13,7 +13,11 @@
     ids::{JobId, Map},
 };
 
-use super::{job::Job, config::Route};
+use super::{
+    config::Route,
+    job::Job,
+    peers::{self, JobKey},
+};
 
 /// Time for which the end of a job is told to the other instances.
 const ENDED_FOR: Duration = Duration::from_secs(10);
@@ -25,6 +29,7 @@
 #[derive(Debug)]
 pub struct Jobs {
     jobs: Mutex<Map<JobId, SharedJob>>,
+    keys: Mutex<Map<JobKey, JobId>>,
     ended: Mutex<Map<JobId, Duration>>,
     waiting: Mutex<Vec<(u32, u64)>>,
     registered: Mutex<Vec<SocketAddr>>,
@@ -35,6 +40,7 @@
     fn default() -> Self {
         Self {
             jobs: Mutex::default(),
+            keys: Mutex::default(),
             ended: Mutex::default(),
             waiting: Mutex::default(),
             registered: Mutex::default(),
@@ -62,6 +68,7 @@
 
     /// Adds a job unless it is known, and returns it as it is known.
     pub fn add(&self, id: &JobId, job: Job) -> SharedJob {
+        lock(&self.keys).insert(peers::job_key(id), id.clone());
         let mut jobs = lock(&self.jobs);
         let shared = jobs.entry(id.clone()).or_insert_with(|| Arc::new(Mutex::new(job)));
         shared.clone()
@@ -69,6 +76,7 @@
 
     /// Forgets a job.
     pub fn remove(&self, id: &JobId) {
+        lock(&self.keys).remove(&peers::job_key(id));
         lock(&self.jobs).remove(id);
     }
 
@@ -78,6 +86,28 @@
         jobs.iter().map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
+    /// Returns a job by its short form.
+    pub fn by_key(&self, key: JobKey) -> Option<(JobId, SharedJob)> {
+        let id = lock(&self.keys).get(&key).cloned()?;
+        let job = self.get(&id)?;
+        Some((id, job))
+    }
+
+    /// Says whether this instance runs a job.
+    pub fn is_active(&self, id: &JobId) -> bool {
+        self.get(id).is_some_and(|job| lock(&job).active)
+    }
+
+    /// Returns the jobs that this instance runs, with the number of their pages of results.
+    pub fn held(&self) -> Vec<(JobKey, u32)> {
+        let jobs = lock(&self.jobs);
+        let held = jobs.iter().filter_map(|(id, job)| {
+            let job = lock(job);
+            job.active.then(|| (peers::job_key(id), job.next_page()))
+        });
+        held.collect()
+    }
+
     /// Notes that a job was ended by its owner. Its runs stop.
     pub fn note_ended(&self, id: &JobId, now: Duration) {
         lock(&self.ended).entry(id.clone()).or_insert(now);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    fnv,
     ids::{InstanceId, JobId, Map, SessionId},
     ownership,
 };
@@ -16,6 +17,15 @@
 /// Silence after which an instance is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// Short form of a job's id in messages between instances.
+pub type JobKey = u32;
+
+/// Returns the short form of a job's id.
+pub fn job_key(job: &str) -> JobKey {
+    let hash = fnv::extend(fnv::OFFSET, job.bytes());
+    (hash ^ (hash >> 32)) as JobKey
+}
+
 /// State of an instance, sent to the others whole, so that a lost message is made up by the next.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -40,6 +50,8 @@
     pub levels: Vec<(WorkerKey, u8, u8)>,
     /// Tokens that wait at it, by route.
     pub waiting: Vec<(u32, u64)>,
+    /// Jobs that it runs, by their short form, with the number of their pages of results.
+    pub jobs: Vec<(JobKey, u32)>,
     /// Jobs that were ended lately.
     pub ended: Vec<JobId>,
 }
@@ -70,6 +82,17 @@
     known: Map<InstanceId, Peer>,
 }
 
+/// This instance as a candidate to run a job.
+#[derive(Debug, Clone, Copy)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub instance: &'a InstanceId,
+    /// Whether it runs on and reaches the object store.
+    pub able: bool,
+    /// Whether it runs the job already.
+    pub holds: bool,
+}
+
 /// What a message changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum News {
@@ -115,13 +138,27 @@
 
     /// Returns the instance that runs a job; nothing when it is this one.
     ///
-    /// Instances that are about to stop or do not reach the store run a job only when there is no
-    /// other.
-    pub fn home(&self, job: &JobId, me: &InstanceId, able: bool, now: Duration) -> Option<Beat> {
+    /// An instance that runs the job already keeps it, so that a change of the members moves no
+    /// job whose instance is well. Instances that are about to stop or do not reach the store run
+    /// a job only when there is no other.
+    pub fn home(&self, job: &JobId, me: &Candidate<'_>, now: Duration) -> Option<Beat> {
+        let key = job_key(job);
         let fit = |b: &&Beat| !b.leaving && b.store;
-        let mut names: Vec<Arc<str>> = self.live(now).filter(fit).map(|b| b.instance.clone()).collect();
-        if able || names.is_empty() {
-            names.push(me.clone());
+        let holds = |b: &&Beat| b.jobs.iter().any(|(k, _)| *k == key);
+        let mut names: Vec<Arc<str>> = self
+            .live(now)
+            .filter(fit)
+            .filter(holds)
+            .map(|b| b.instance.clone())
+            .collect();
+        if me.able && me.holds {
+            names.push(me.instance.clone());
+        }
+        if names.is_empty() {
+            names.extend(self.live(now).filter(fit).map(|b| b.instance.clone()));
+            if me.able || names.is_empty() {
+                names.push(me.instance.clone());
+            }
         }
         let home = ownership::owner(job, &names)?;
         self.known.get(home).map(|p| p.beat.clone())
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,13 +1,17 @@
 //! Builds and runs an instance until a planned stop.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::Arc,
+    time::Duration,
+};
 
 use anyhow::Context as _;
-use async_io::Timer;
+use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
-use smol::{channel::bounded, net::UdpSocket};
+use smol::channel::bounded;
 
 use crate::{
     adapter::store::{Freshness, Store, StoreError},
@@ -58,7 +62,7 @@
 async fn run(gateway: Arc<Gateway>) -> anyhow::Result<Exit> {
     let settings = &gateway.settings;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-    let socket = UdpSocket::bind(settings.peers).await;
+    let socket = Async::<UdpSocket>::bind(settings.peers);
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.peers))?;
     let callers = Server::start(gateway.clone(), settings.callers, Side::Callers)?;
     let peers = Server::start(gateway.clone(), settings.peers, Side::Peers)?;
@@ -153,11 +157,15 @@
 /// Returns one line when signals cannot be received.
 pub fn keep(settings: &KeeperSettings) -> anyhow::Result<Exit> {
     smol::block_on(async {
-        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        // The settings name only addresses, which do not change while a process runs; without a
+        // handler the signal to read them again would end the process.
+        let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         let store = Store::new(settings.store);
         event!(Info, InstanceReady, "instance={} role=keeper", settings.instance);
         let stop = async {
-            signals.next().await;
+            while let Some(Ok(Signal::Hup)) = signals.next().await {
+                event!(Info, ReloadIgnored, "signal=HUP");
+            }
         };
         smol::future::or(sync::follow_retirements(&store), stop).await;
         event!(Info, StopEnded, "instance={}", settings.instance);
