Hand batch jobs over at a planned stop and tell pages that were learned lately

Ruled out: a lost or reverted page; the store had it. Change: instances tell the pages of jobs that they learned in the last 5 s, also when leaving; a read from a position that is not known reads the store first; a planned stop hands partial texts and results over instead of dropping them.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,7 +14,7 @@
 use super::{
     fleet::Level, gateway::Gateway,
     jobs::{SharedJob, lock},
-    peers::{Beat, News},
+    peers::{Beat, JobState, News},
 };
 
 /// Interval of messages when nothing changes.
@@ -100,7 +100,7 @@
         store: gateway.reaches_store(),
         levels: levels.into_iter().map(level).collect(),
         waiting: gateway.jobs.waiting(),
-        jobs: gateway.jobs.held(),
+        jobs: gateway.jobs.states(gateway.now()),
         ended: gateway.jobs.ended(gateway.now()),
     }
 }
@@ -127,7 +127,7 @@
     let instance = beat.instance.clone();
     let levels = beat.levels();
     let ended = beat.ended.clone();
-    let held = if beat.leaving { Vec::new() } else { beat.jobs.clone() };
+    let states = beat.jobs.clone();
     let address = beat.address;
     let result = gateway.peers().take(beat, gateway.now());
     if result == News::Old {
@@ -140,9 +140,9 @@
     for job in ended {
         gateway.jobs.note_ended(&job, gateway.now());
     }
-    for (key, pages) in held {
-        if let Some((id, job)) = gateway.jobs.by_key(key) {
-            compare_job(gateway, &id, &job, pages);
+    for state in states {
+        if let Some((id, job)) = gateway.jobs.by_key(state.key) {
+            compare_job(gateway, &id, &job, state);
         }
     }
     gateway.jobs.wake();
@@ -152,22 +152,23 @@
     }
 }
 
-/// Compares a job with what a peer that runs it says.
-fn compare_job(gateway: &Gateway, id: &JobId, shared: &SharedJob, pages: u32) {
+/// Compares a job with what a peer says of it.
+fn compare_job(gateway: &Gateway, id: &JobId, shared: &SharedJob, state: JobState) {
     let (active, known) = {
         let mut job = lock(shared);
-        job.stored = job.stored.max(pages);
+        job.stored = job.stored.max(state.pages);
         (job.active, job.next_page())
     };
-    if !active {
+    if !active || !state.active {
         return;
     }
     if let Some(home) = gateway.home(id) {
         event!(
             Info,
             JobReleased,
-            "job={id} home={} pages={known} home_pages={pages}",
-            home.instance
+            "job={id} home={} pages={known} home_pages={}",
+            home.instance,
+            state.pages
         );
         lock(shared).active = false;
     }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -92,6 +92,22 @@
     pub results: &'a [Outcome],
 }
 
+/// What an instance has done of an item, as it is handed over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Part {
+    /// The item.
+    pub item: ItemId,
+    /// Data of the events so far.
+    pub text: Arc<str>,
+    /// Number of the last event.
+    pub last: Option<u64>,
+    /// Runs that ended with an error of the worker.
+    pub failures: u32,
+    /// How the item ended, when it has.
+    pub verdict: Option<Verdict>,
+}
+
 /// How far an unfinished item is.
 #[derive(Debug, Clone, Default)]
 pub struct Progress {
@@ -120,6 +136,8 @@
     pub committing: bool,
     /// Pages that are stored, as far as another instance told.
     pub stored: u32,
+    /// Time at which the last page became known.
+    pub learned: Duration,
     outcomes: Vec<Outcome>,
     pages: u32,
     open: Map<ItemId, Progress>,
@@ -138,6 +156,7 @@
             active: false,
             committing: false,
             stored: 0,
+            learned: Duration::ZERO,
             outcomes: Vec::new(),
             pages: 0,
             finished: Vec::new(),
@@ -156,8 +175,9 @@
     }
 
     /// Takes the next page as it is stored, whoever wrote it.
-    pub fn absorb(&mut self, page: &[Outcome]) {
+    pub fn absorb(&mut self, page: &[Outcome], now: Duration) {
         self.pages += 1;
+        self.learned = now;
         let listed: Set<&ItemId> = page.iter().map(|o| &o.item).collect();
         self.finished.retain(|o| !listed.contains(&o.item));
         if self.finished.is_empty() {
@@ -249,6 +269,50 @@
         self.open.is_empty() && self.finished.is_empty()
     }
 
+    /// Returns the number of results whose position is known.
+    pub fn positions(&self) -> usize {
+        self.outcomes.len()
+    }
+
+    /// Returns what another instance needs to go on with the job, and stops it here.
+    pub fn hand_over(&mut self) -> Vec<Part> {
+        self.active = false;
+        let done = self.finished.iter().map(|o| Part {
+            item: o.item.clone(),
+            text: o.output.clone(),
+            last: None,
+            failures: 0,
+            verdict: Some(o.verdict),
+        });
+        let open = self.open.iter().filter(|(_, p)| p.last.is_some() || p.failures > 0);
+        let open = open.map(|(item, p)| Part {
+            item: item.clone(),
+            text: p.text.join("\n").into(),
+            last: p.last,
+            failures: p.failures,
+            verdict: None,
+        });
+        done.chain(open).collect()
+    }
+
+    /// Takes what another instance had done of the job, where it is further than this one.
+    pub fn take_over(&mut self, parts: Vec<Part>, now: Duration) {
+        for part in parts {
+            if let Some(verdict) = part.verdict {
+                self.finish(&part.item, verdict, part.text, now);
+                continue;
+            }
+            let Some(progress) = self.open.get_mut(&part.item) else {
+                continue;
+            };
+            progress.failures = progress.failures.max(part.failures);
+            if !progress.running && progress.last < part.last {
+                progress.last = part.last;
+                progress.text = vec![part.text];
+            }
+        }
+    }
+
     /// Returns the tokens of the items that have no result.
     pub fn waiting_tokens(&self) -> u64 {
         if self.ended {
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -27,7 +27,7 @@
     config::Route,
     forward::{self, CallerBody, plain, whole},
     gateway::Gateway,
-    job::{self, Job, Mark, Outcome, Record},
+    job::{self, Job, Mark, Outcome, Part, Record},
     jobs::{self, SharedJob, lock},
     peer_call,
 };
@@ -38,6 +38,8 @@
 pub const PAGES: &str = "batch-pages";
 /// Time that a caller is asked to wait when the quota is used up or the store is away.
 const RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Time in which runs of a stopping instance end: events are at most some tens of milliseconds apart.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which a waiting read looks for results.
 const READ_POLL: Duration = Duration::from_millis(200);
 /// Time in which an unclear write of a job is settled.
@@ -309,7 +311,7 @@
             serde_json::from_str(&object.spec).map_err(|e| StoreError::Unknown(e.to_string()))?;
         let mut job = lock(job);
         if job.next_page() == page {
-            job.absorb(&outcomes);
+            job.absorb(&outcomes, gateway.now());
         }
     }
 }
@@ -327,6 +329,52 @@
     Ok(Some(job))
 }
 
+/// Goes on with a job that another instance hands over.
+///
+/// # Errors
+///
+/// Returns an error when the job cannot be read from the store.
+pub async fn take_over(
+    gateway: &Arc<Gateway>,
+    id: &JobId,
+    parts: Vec<Part>,
+) -> Result<(), StoreError> {
+    let Some(job) = load(gateway, id).await? else {
+        return Err(StoreError::Missing);
+    };
+    event!(Info, JobAdopted, "job={id} parts={}", parts.len());
+    lock(&job).take_over(parts, gateway.now());
+    activate(gateway, &job);
+    Ok(())
+}
+
+/// Hands the jobs of this instance over to the others.
+pub async fn hand_over(gateway: &Arc<Gateway>) {
+    let held = gateway.jobs.all();
+    let running: Vec<_> = held.into_iter().filter(|(_, job)| lock(job).is_running()).collect();
+    for (_, job) in &running {
+        lock(job).active = false;
+    }
+    // Runs notice at their next event that they are not wanted any more.
+    Timer::after(HAND_OVER_PAUSE).await;
+    for (id, job) in running {
+        let parts = lock(&job).hand_over();
+        let Some(home) = gateway.home(&id) else {
+            continue;
+        };
+        let count = parts.len();
+        match peer_call::hand_over(home.address, &id, parts).await {
+            Ok(()) => event!(Info, JobReleased, "job={id} home={} parts={count}", home.instance),
+            Err(e) => event!(
+                Info,
+                PeerCallFailed,
+                "job={id} peer={} call=hand-over reason={e:#}",
+                home.instance
+            ),
+        }
+    }
+}
+
 /// Returns a job for a read, and takes it over when this instance is to run it.
 async fn job_for_read(
     gateway: &Arc<Gateway>,
@@ -353,6 +401,11 @@
         Ok(job) => job,
         Err(answer) => return answer,
     };
+    // A caller that is ahead of this instance has read further elsewhere.
+    let behind = after > lock(&job).positions();
+    if behind && let Err(e) = read_pages(gateway, &request.job, &job).await {
+        return unsure(&e.to_string());
+    }
     loop {
         {
             let job = lock(&job);
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -236,7 +236,7 @@
         Ok(()) => {
             let mut job = lock(shared);
             if job.next_page() == page {
-                job.absorb(outcomes);
+                job.absorb(outcomes, gateway.now());
             }
             event!(Info, PageCommitted, "job={id} page={page} results={}", outcomes.len());
         }
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -16,12 +16,16 @@
 use super::{
     config::Route,
     job::Job,
-    peers::{self, JobKey},
+    peers::{self, JobKey, JobState},
 };
 
 /// Time for which the end of a job is told to the other instances.
 const ENDED_FOR: Duration = Duration::from_secs(10);
 
+/// Time for which an instance that does not run a job tells how many of its pages it knows: a caller
+/// may have read the last one here.
+const LEARNED_FOR: Duration = Duration::from_secs(5);
+
 /// A job that is shared between the tasks that work on it.
 pub type SharedJob = Arc<Mutex<Job>>;
 
@@ -98,14 +102,19 @@
         self.get(id).is_some_and(|job| lock(&job).active)
     }
 
-    /// Returns the jobs that this instance runs, with the number of their pages of results.
-    pub fn held(&self) -> Vec<(JobKey, u32)> {
+    /// Returns the jobs that this instance runs, and those whose pages it learned lately.
+    pub fn states(&self, now: Duration) -> Vec<JobState> {
         let jobs = lock(&self.jobs);
-        let held = jobs.iter().filter_map(|(id, job)| {
+        let states = jobs.iter().filter_map(|(id, job)| {
             let job = lock(job);
-            job.active.then(|| (peers::job_key(id), job.next_page()))
+            let told = job.active || now < job.learned + LEARNED_FOR;
+            told.then(|| JobState {
+                key: peers::job_key(id),
+                pages: job.next_page(),
+                active: job.active,
+            })
         });
-        held.collect()
+        states.collect()
     }
 
     /// Notes that a job was ended by its owner. Its runs stop.
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -8,10 +8,13 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use serde::{Deserialize, Serialize};
 
+use crate::ids::JobId;
+
 use super::{
     connection::{self, Connection, SendError},
     forward::{self, CallerBody},
     gateway::Gateway,
+    job::Part,
     job_api::{self, JobRequest},
     sync::Snapshot,
 };
@@ -31,6 +34,8 @@
     Job(JobRequest),
     /// Asks for configuration and workers.
     Snapshot,
+    /// Hands a job over to the receiver.
+    HandOver(JobId, Vec<Part>),
 }
 
 /// Forwards a caller's call for a job.
@@ -58,6 +63,19 @@
     }
 }
 
+/// Hands a job over to another instance.
+///
+/// # Errors
+///
+/// Returns an error when the instance does not take it.
+pub async fn hand_over(address: SocketAddr, job: &JobId, parts: Vec<Part>) -> anyhow::Result<()> {
+    match call(address, &PeerCall::HandOver(job.clone(), parts), CALL_LIMIT).await {
+        Ok(answer) if answer.status() == StatusCode::OK => Ok(()),
+        Ok(answer) => bail!("status {}", answer.status()),
+        Err(SendError::NotSent(e) | SendError::Sent(e)) => bail!(e),
+    }
+}
+
 async fn call(
     address: SocketAddr,
     call: &PeerCall,
@@ -83,6 +101,12 @@
     };
     match postcard::from_bytes(&body) {
         Ok(PeerCall::Job(request)) => job_api::answer_here(&gateway, &request).await,
+        Ok(PeerCall::HandOver(job, parts)) => {
+            match job_api::take_over(&gateway, &job, parts).await {
+                Ok(()) => forward::plain(StatusCode::OK, "taken over", None),
+                Err(e) => forward::plain(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
+            }
+        }
         Ok(PeerCall::Snapshot) => {
             let snapshot = Snapshot::of(&gateway.views());
             match postcard::to_stdvec(&snapshot) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -26,6 +26,18 @@
     (hash ^ (hash >> 32)) as JobKey
 }
 
+/// A job at an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct JobState {
+    /// The job.
+    pub key: JobKey,
+    /// Number of its pages of results that the instance knows.
+    pub pages: u32,
+    /// Whether the instance runs it.
+    pub active: bool,
+}
+
 /// State of an instance, sent to the others whole, so that a lost message is made up by the next.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -50,8 +62,8 @@
     pub levels: Vec<(WorkerKey, u8, u8)>,
     /// Tokens that wait at it, by route.
     pub waiting: Vec<(u32, u64)>,
-    /// Jobs that it runs, by their short form, with the number of their pages of results.
-    pub jobs: Vec<(JobKey, u32)>,
+    /// Jobs that it runs or has touched lately.
+    pub jobs: Vec<JobState>,
     /// Jobs that were ended lately.
     pub ended: Vec<JobId>,
 }
@@ -144,7 +156,7 @@
     pub fn home(&self, job: &JobId, me: &Candidate<'_>, now: Duration) -> Option<Beat> {
         let key = job_key(job);
         let fit = |b: &&Beat| !b.leaving && b.store;
-        let holds = |b: &&Beat| b.jobs.iter().any(|(k, _)| *k == key);
+        let holds = |b: &&Beat| b.jobs.iter().any(|j| j.active && j.key == key);
         let mut names: Vec<Arc<str>> = self
             .live(now)
             .filter(fit)
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,7 +24,7 @@
 use super::{
     gateway::Gateway,
     gossip::{self, NewsSenders},
-    job_run,
+    job_api, job_run,
     server::{Server, Side},
     settings::{KeeperSettings, Settings},
     sync::{self, Kind},
@@ -110,7 +110,9 @@
     event!(Info, StopBegan, "grace_ms={}", grace.as_millis());
     gateway.drain.advance(Phase::Leaving);
     let notice = LEAVE_NOTICE.min(grace / 2);
-    Timer::after(notice).await;
+    let noticed = Timer::after(notice);
+    job_api::hand_over(gateway).await;
+    noticed.await;
     gateway.drain.advance(Phase::Draining);
     let limit = async {
         Timer::after(grace - notice).await;
