--- a/src/events.rs
+++ b/src/events.rs
@@ -144,6 +144,8 @@
     MessageInvalid = 3016, "message-invalid";
     /// The operator was told that a machine holds nothing any more.
     MachineEmptied = 3017, "machine-emptied";
+    /// No instance of a zone is heard any more.
+    ZoneSilent = 3018, "zone-silent";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -58,6 +58,8 @@
     pub timeout: Duration,
     /// Time within which the first part of an answer is on time.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time.
+    pub pause: Option<Duration>,
     /// Workers that one call may run on at most.
     pub attempts: u32,
     /// Services of the route with their weights.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -43,7 +43,14 @@
     number: u64,
     service: ServiceId,
     tried: Vec<WorkerId>,
-    grant: Sender<Arc<Worker>>,
+    grant: Sender<Grant>,
+}
+
+/// A worker for an online request.
+#[derive(Debug)]
+struct Grant {
+    worker: Arc<Worker>,
+    free: bool,
 }
 
 /// Why a request has no worker. It has not run.
@@ -59,6 +66,8 @@
     dispatch: Arc<Dispatch>,
     /// The worker.
     pub worker: Arc<Worker>,
+    /// Whether a slot was free, as far as this instance knew.
+    pub free: bool,
     class: Class,
     run: Option<u64>,
 }
@@ -67,7 +76,7 @@
 struct Turn<'a> {
     dispatch: &'a Arc<Dispatch>,
     number: u64,
-    granted: Receiver<Arc<Worker>>,
+    granted: Receiver<Grant>,
 }
 
 impl Dispatch {
@@ -130,8 +139,25 @@
         self.lock().fleet.failed(worker, now)
     }
 
+    /// Notes that a worker accepted no connection in time; says whether its zone counts as cut off.
+    pub fn unreachable(&self, worker: &Worker) -> bool {
+        let now = self.now();
+        self.lock().fleet.unreachable(worker, now)
+    }
+
+    /// Notes that no instance of a zone is heard any more.
+    pub fn zone_silent(&self, zone: &Zone) {
+        let now = self.now();
+        self.lock().fleet.zone_silent(zone, now);
+    }
+
+    /// Notes that an instance of a zone is heard.
+    pub fn zone_heard(&self, zone: &Zone) {
+        self.lock().fleet.zone_heard(zone);
+    }
+
     /// Notes that a worker answers.
-    pub fn worked(&self, worker: &WorkerId) {
+    pub fn worked(&self, worker: &Worker) {
         self.lock().fleet.worked(worker);
     }
 
@@ -148,10 +174,10 @@
         let turn = {
             let mut state = self.lock();
             if state.waiting.is_empty()
-                && let Some(worker) = self.choose(&mut state, ask)
+                && let Some(grant) = self.choose(&mut state, ask)
             {
                 drop(state);
-                return Ok(self.placement(worker));
+                return Ok(self.placement(grant));
             }
             let (grant, granted) = bounded(1);
             let number = state.next;
@@ -174,7 +200,7 @@
             None
         };
         match smol::future::or(granted, timeout).await {
-            Some(worker) => Ok(self.placement(worker)),
+            Some(grant) => Ok(self.placement(grant)),
             None => Err(self.busy()),
         }
     }
@@ -197,6 +223,7 @@
         let placement = Placement {
             dispatch: self.clone(),
             worker,
+            free: true,
             class: Class::Batch,
             run: Some(number),
         };
@@ -211,23 +238,26 @@
         }
     }
 
-    fn placement(self: &Arc<Self>, worker: Arc<Worker>) -> Placement {
+    fn placement(self: &Arc<Self>, grant: Grant) -> Placement {
         Placement {
             dispatch: self.clone(),
-            worker,
+            worker: grant.worker,
+            free: grant.free,
             class: Class::Online,
             run: None,
         }
     }
 
     /// Chooses a worker for an online request and counts it there.
-    fn choose(&self, state: &mut State, ask: &Ask<'_>) -> Option<Arc<Worker>> {
+    fn choose(&self, state: &mut State, ask: &Ask<'_>) -> Option<Grant> {
         let State { fleet, rng, .. } = state;
         let worker = fleet.choose_online(ask, rng, self.now())?;
-        fleet.begin(fleet::key(&worker.id), Class::Online);
+        let key = fleet::key(&worker.id);
+        let free = fleet.level(key).total() < worker.slots;
+        fleet.begin(key, Class::Online);
         self.settle_runs(state);
         self.notify();
-        Some(worker)
+        Some(Grant { worker, free })
     }
 
     /// Gives free places to the queue and asks batch items to yield.
@@ -238,12 +268,12 @@
                 service: &waiter.service,
                 tried: &waiter.tried,
             };
-            let Some(worker) = self.choose(state, &ask) else {
+            let Some(grant) = self.choose(state, &ask) else {
                 passed.push_back(waiter);
                 continue;
             };
-            let key = fleet::key(&worker.id);
-            if waiter.grant.try_send(worker).is_err() {
+            let key = fleet::key(&grant.worker.id);
+            if waiter.grant.try_send(grant).is_err() {
                 state.fleet.end(key, Class::Online);
             }
         }
@@ -292,8 +322,8 @@
         let mut state = self.dispatch.lock();
         state.waiting.retain(|w| w.number != self.number);
         // A grant that crossed the end of the wait is given back.
-        if let Ok(worker) = self.granted.try_recv() {
-            state.fleet.end(fleet::key(&worker.id), Class::Online);
+        if let Ok(grant) = self.granted.try_recv() {
+            state.fleet.end(fleet::key(&grant.worker.id), Class::Online);
             self.dispatch.settle(&mut state);
         }
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -5,7 +5,7 @@
 use crate::{
     fnv,
     health::Health,
-    ids::{InstanceId, Map, ServiceId, WorkerId, Zone},
+    ids::{InstanceId, Map, ServiceId, Set, WorkerId, Zone},
 };
 
 /// Requests more than its slots that a worker is given when all are full: as they wait there for
@@ -17,6 +17,11 @@
 /// have a price.
 const ZONE_BIAS: u32 = 2;
 
+/// Workers of a zone that accept no connection before the zone counts as cut off.
+const CUT_AFTER: usize = 2;
+/// Time for which a zone counts as cut off when no instance is heard from it.
+const CUT_FOR: Duration = Duration::from_secs(6);
+
 /// Short form of a worker's id in messages between instances.
 pub type WorkerKey = u32;
 
@@ -90,6 +95,14 @@
     peers: Map<InstanceId, Map<WorkerKey, Level>>,
     sums: Map<WorkerKey, Level>,
     health: Health,
+    cuts: Map<Zone, Cut>,
+}
+
+/// What speaks for a cut between this instance and a zone.
+#[derive(Debug, Default)]
+struct Cut {
+    unreached: Set<WorkerId>,
+    until: Duration,
 }
 
 /// Returns the short form of a worker's id.
@@ -109,6 +122,7 @@
             peers: Map::default(),
             sums: Map::default(),
             health: Health::default(),
+            cuts: Map::default(),
         }
     }
 
@@ -188,8 +202,32 @@
     }
 
     /// Notes that a worker answers.
-    pub fn worked(&mut self, worker: &WorkerId) {
-        self.health.worked(worker);
+    pub fn worked(&mut self, worker: &Worker) {
+        self.health.worked(&worker.id);
+        self.cuts.remove(&worker.zone);
+    }
+
+    /// Notes that a worker accepted no connection in time. When several of its zone do not, the
+    /// whole zone counts as cut off, so that requests do not try its workers one after the other.
+    /// Says whether it does.
+    pub fn unreachable(&mut self, worker: &Worker, now: Duration) -> bool {
+        self.health.unreachable(&worker.id, now);
+        let cut = self.cuts.entry(worker.zone.clone()).or_default();
+        cut.unreached.insert(worker.id.clone());
+        if cut.unreached.len() >= CUT_AFTER {
+            cut.until = now + CUT_FOR;
+        }
+        now < cut.until
+    }
+
+    /// Notes that no instance of a zone is heard any more.
+    pub fn zone_silent(&mut self, zone: &Zone, now: Duration) {
+        self.cuts.entry(zone.clone()).or_default().until = now + CUT_FOR;
+    }
+
+    /// Notes that an instance of a zone is heard.
+    pub fn zone_heard(&mut self, zone: &Zone) {
+        self.cuts.remove(zone);
     }
 
     /// Chooses a worker for an online request; nothing when all are full.
@@ -257,7 +295,9 @@
         let marked = candidates.filter_map(|(key, worker)| {
             let score = score(worker, self.level(*key))?;
             // With all others full an ejected worker is better than none.
-            Some((ejected.contains(&worker.id), score, rng.u32(..), worker))
+            let cut = self.cuts.get(&worker.zone).is_some_and(|c| now < c.until);
+            let out = cut || ejected.contains(&worker.id);
+            Some((out, score, rng.u32(..), worker))
         });
         let best = marked.min_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)));
         best.map(|(.., worker)| worker.clone())
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -39,11 +39,18 @@
 const WAIT_SHARE: f64 = 0.22;
 /// Time that a stream which was forwarded in part waits for another worker.
 const RESUME_WAIT: Duration = Duration::from_millis(800);
-/// Time without an event after which a resumable stream goes on elsewhere. Callers give up after
-/// 2 s.
+/// Part of the longest pause that is on time after which a resumable stream goes on elsewhere: what is
+/// left is enough for another worker to read the prompt and make the next event.
+const STALL_SHARE: f64 = 0.55;
+/// Time without an event after which a resumable stream goes on elsewhere where the route names no
+/// pause. Callers give up after 2 s.
 const STALL_LIMIT: Duration = Duration::from_millis(600);
-/// Time without a first event after which a repeatable request goes to another worker.
-const FIRST_LIMIT: Duration = Duration::from_millis(900);
+/// Part of the objective without a first event after which a repeatable request leaves a worker that
+/// had a free slot; another one is still in time then.
+const FIRST_SHARE: f64 = 0.55;
+/// Part of the objective without a first event after which a repeatable request leaves a worker at
+/// which it had to wait.
+const QUEUED_SHARE: f64 = 3.0;
 /// Workers that a call is sent to at most when each one refuses it.
 const TRIES: usize = 6;
 /// Size of a worker's whole answer at most.
@@ -248,13 +255,14 @@
         let mut connection = match upstream.connect(&worker, repeatable).await {
             Ok(connection) => connection,
             Err(e) => {
-                let ejected = dispatch.failed(&worker.id);
+                let cut = dispatch.unreachable(&worker);
                 event!(
                     Info,
                     WorkerUnreachable,
-                    "request={} worker={} ejected={ejected} reason={e}",
+                    "request={} worker={} zone={} cut={cut} reason={e}",
                     self.call.id,
-                    worker.id
+                    worker.id,
+                    worker.zone
                 );
                 self.tried.push(worker.id.clone());
                 return Ok(None);
@@ -264,7 +272,7 @@
             Ok(request) => request,
             Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
         };
-        let sent = match self.send(&mut connection, request).await {
+        let sent = match self.send(&mut connection, request, placement.free).await {
             Ok(answer) => answer,
             Err(SendError::NotSent(_)) if connection.kept => return Ok(None),
             Err(SendError::NotSent(_)) => {
@@ -295,7 +303,7 @@
         if let Some(reason) = self.fault(&sent, &terms) {
             return Ok(Some((placement, Err(reason))));
         }
-        dispatch.worked(&worker.id);
+        dispatch.worked(&worker);
         if sent.status().is_success() {
             return Ok(Some((placement, Ok((connection, sent)))));
         }
@@ -382,10 +390,12 @@
         &self,
         connection: &mut Connection,
         request: Request<Full<Bytes>>,
+        free: bool,
     ) -> Result<Response<Incoming>, SendError> {
         let remaining = self.end.saturating_duration_since(Instant::now());
         let limit = if self.route.is_repeatable() && self.runs + 1 < self.route.attempts {
-            remaining.min(FIRST_LIMIT)
+            let share = if free { FIRST_SHARE } else { QUEUED_SHARE };
+            remaining.min(self.route.objective.mul_f64(share))
         } else {
             remaining
         };
@@ -562,7 +572,8 @@
     fn stall_limit(&self) -> Duration {
         let remaining = self.end.saturating_duration_since(Instant::now());
         if self.may_run_again() {
-            remaining.min(STALL_LIMIT)
+            let limit = self.route.pause.map(|p| p.mul_f64(STALL_SHARE));
+            remaining.min(limit.unwrap_or(STALL_LIMIT))
         } else {
             remaining
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -65,6 +65,13 @@
         let now = gateway.now();
         let silent = gateway.peers().silent(now, looked);
         looked = now;
+        if !silent.is_empty() {
+            let zones = gateway.peers().silent_zones(now);
+            for zone in zones {
+                event!(Warn, ZoneSilent, "zone={zone}");
+                gateway.dispatch.zone_silent(&zone);
+            }
+        }
         for peer in silent {
             event!(Info, MemberLeft, "instance={peer}");
             gateway.dispatch.set_peer(&peer, Default::default());
@@ -99,6 +106,7 @@
     Beat {
         instance: gateway.settings.instance.clone(),
         session: gateway.session,
+        zone: gateway.settings.zone.clone(),
         number,
         address: gateway.settings.peers,
         config: gateway.config_version(),
@@ -135,7 +143,7 @@
     let levels = beat.levels();
     let ended = beat.ended.clone();
     let states = beat.jobs.clone();
-    let address = beat.address;
+    let (address, zone) = (beat.address, beat.zone.clone());
     let result = gateway.peers().take(beat, gateway.now());
     if result == News::Old {
         return;
@@ -143,6 +151,7 @@
     if gateway.is_behind() {
         let _ = news.behind.try_send(address);
     }
+    gateway.dispatch.zone_heard(&zone);
     gateway.dispatch.set_peer(&instance, levels);
     for job in ended {
         gateway.jobs.note_ended(&job, gateway.now());
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -301,7 +301,7 @@
         let mut connection = match self.gateway.upstream.connect(worker, true).await {
             Ok(connection) => connection,
             Err(e) => {
-                dispatch.failed(&worker.id);
+                dispatch.unreachable(worker);
                 return RunEnd::Broken(e.to_string());
             }
         };
@@ -342,7 +342,7 @@
         if !terms.sealed {
             return RunEnd::Broken("the answer has no signature".into());
         }
-        dispatch.worked(&worker.id);
+        dispatch.worked(worker);
         let mut body = answer.into_body();
         let mut splitter = Splitter::default();
         loop {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     fnv,
-    ids::{InstanceId, JobId, Map, SessionId},
+    ids::{InstanceId, JobId, Map, SessionId, Set, Zone},
     ownership,
 };
 
@@ -46,6 +46,8 @@
     pub instance: InstanceId,
     /// Run of the sender.
     pub session: SessionId,
+    /// Availability zone of the sender.
+    pub zone: Zone,
     /// Number of the message in its run.
     pub number: u64,
     /// Address for messages and calls of instances.
@@ -139,6 +141,15 @@
         peers.map(|p| p.beat.instance.clone()).collect()
     }
 
+    /// Returns the zones from which instances are known and none is heard.
+    pub fn silent_zones(&self, now: Duration) -> Set<Zone> {
+        let mut zones: Set<Zone> = self.known.values().map(|p| p.beat.zone.clone()).collect();
+        for beat in self.live(now) {
+            zones.remove(&beat.zone);
+        }
+        zones
+    }
+
     /// Returns the instances that live.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &Beat> {
         let live = move |p: &&Peer| now <= p.heard + LIVE_FOR;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -10,8 +10,9 @@
 
 use super::{connection::Connection, fleet::Worker};
 
-/// Time in which a worker accepts a connection; across zones it takes a few milliseconds.
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Time in which a worker accepts a connection; across zones it takes a few milliseconds. A request
+/// that meets an unreachable worker is still in time for its objective after it.
+const CONNECT_LIMIT: Duration = Duration::from_millis(120);
 /// Time that an idle connection is kept for requests that may be sent again.
 const KEPT_FOR: Duration = Duration::from_secs(4);
 /// Time that an idle connection is kept for requests that run at most once. A worker that closes
--- a/src/health.rs
+++ b/src/health.rs
@@ -39,6 +39,14 @@
         true
     }
 
+    /// Takes a target that accepted no connection; it is ejected at once, since each try of it costs
+    /// a request the whole limit of a connection.
+    pub fn unreachable(&mut self, target: &TargetId, now: Duration) {
+        let state = self.targets.entry(target.clone()).or_default();
+        state.failures = state.failures.max(EJECT_AFTER - 1);
+        self.failed(target, now);
+    }
+
     /// Takes a success of a target.
     pub fn worked(&mut self, target: &TargetId) {
         self.targets.remove(target);
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -107,3 +107,18 @@
     assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("good"));
     assert_eq!(choose(&mut fleet, &["good".into()]).as_deref(), Some("bad"));
 }
+
+/// Guards against requests that each wait for a connection to a zone that is cut off.
+#[test]
+fn a_zone_whose_workers_accept_no_connection_is_tried_last() {
+    let near = worker("near", "a");
+    let far = ["f1", "f2", "f3"].map(|id| worker(id, "b"));
+    let mut fleet = fleet(&[near, far[0].clone(), far[1].clone(), far[2].clone()]);
+    fleet.set_peer(&"two".into(), levels("near", 2, 0));
+    assert!(!fleet.unreachable(&far[0], NOW));
+    assert_eq!(choose(&mut fleet, &["f2".into()]).as_deref(), Some("f3"));
+    assert!(fleet.unreachable(&far[1], NOW));
+    assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("near"));
+    fleet.zone_heard(&"b".into());
+    assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("f3"));
+}
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -15,6 +15,7 @@
     Beat {
         instance: instance.into(),
         session: 1,
+        zone: "a".into(),
         number,
         address: "127.0.0.1:1".parse().unwrap(),
         config: 1,
@@ -122,3 +123,16 @@
     assert_eq!(peers.waiting(8, at(1001)), 0);
     assert_eq!(peers.silent(at(2000), at(1001)), ["a".into()]);
 }
+
+/// Guards against requests that try the workers of a cut zone one after the other.
+#[test]
+fn a_zone_is_silent_when_none_of_its_instances_is_heard() {
+    let mut peers = Peers::default();
+    let mut far = beat("b", 1);
+    far.zone = "b".into();
+    peers.take(far, at(0));
+    peers.take(beat("a", 1), at(1000));
+    assert!(peers.silent_zones(at(1500)).is_empty());
+    let silent: Vec<_> = peers.silent_zones(at(2000)).into_iter().collect();
+    assert_eq!(silent, ["b".into()]);
+}
