Start batch items in an agreed order, timely ones first, and commit given-up ones at once

All instances with waiting items started one in the same free place at once; all but one stopped again, often before the worker had begun. Under overload the oldest jobs came first, late ones included, so that each job came late in turn. Ruled out: refusals by the workers; a log line for them stayed empty. Change: instances tell how many items wait; for each worker they rank each other alike and only as many start as there are places. Items that cannot be in time come after all others and yield first. A page with an item that was given up is committed at once.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -12,7 +12,7 @@
 
 use crate::ids::{InstanceId, Map, ServiceId, WorkerId, Zone};
 
-use super::fleet::{self, Ask, Class, Fleet, Level, Worker, WorkerKey};
+use super::fleet::{self, Ask, Backlog, Class, Fleet, Level, Urgency, Worker, WorkerKey};
 
 /// Shortest time after which a refused caller is asked to come back; a slot of a full fleet frees
 /// well within it.
@@ -33,11 +33,19 @@
 struct State {
     fleet: Fleet,
     waiting: VecDeque<Waiter>,
-    runs: Map<WorkerKey, Vec<(u64, Sender<()>)>>,
+    runs: Map<WorkerKey, Vec<BatchRun>>,
     rng: fastrand::Rng,
     next: u64,
 }
 
+/// A batch item that runs.
+#[derive(Debug)]
+struct BatchRun {
+    number: u64,
+    urgency: Urgency,
+    yields: Sender<()>,
+}
+
 #[derive(Debug)]
 struct Waiter {
     number: u64,
@@ -111,10 +119,11 @@
         self.settle(&mut state);
     }
 
-    /// Replaces what a peer has on the workers.
-    pub fn set_peer(&self, peer: &InstanceId, levels: Map<WorkerKey, Level>) {
+    /// Replaces what a peer has on the workers and what waits there.
+    pub fn set_peer(&self, peer: &InstanceId, levels: Map<WorkerKey, Level>, backlog: Backlog) {
         let mut state = self.lock();
         state.fleet.set_peer(peer, levels);
+        state.fleet.set_backlog(peer, backlog);
         self.settle(&mut state);
     }
 
@@ -207,17 +216,26 @@
 
     /// Finds room for a batch item beside online requests. The receiver gets a message when the
     /// item has to yield.
-    pub fn place_batch(self: &Arc<Self>, ask: &Ask<'_>) -> Option<(Placement, Receiver<()>)> {
+    pub fn place_batch(
+        self: &Arc<Self>,
+        ask: &Ask<'_>,
+        urgency: Urgency,
+    ) -> Option<(Placement, Receiver<()>)> {
         let now = self.now();
         let mut state = self.lock();
         let State { fleet, rng, .. } = &mut *state;
-        let worker = fleet.choose_batch(ask, rng, now)?;
+        let worker = fleet.choose_batch(ask, urgency, rng, now)?;
         let key = fleet::key(&worker.id);
         state.fleet.begin(key, Class::Batch);
         let (sender, receiver) = bounded(1);
         let number = state.next;
         state.next += 1;
-        state.runs.entry(key).or_default().push((number, sender));
+        let run = BatchRun {
+            number,
+            urgency,
+            yields: sender,
+        };
+        state.runs.entry(key).or_default().push(run);
         drop(state);
         self.notify();
         let placement = Placement {
@@ -283,17 +301,19 @@
 
     fn settle_runs(&self, state: &mut State) {
         for (worker, count) in state.fleet.yields() {
-            let Some(runs) = state.runs.get(&worker) else {
+            let Some(runs) = state.runs.get_mut(&worker) else {
                 continue;
             };
-            // The youngest run has the least to read again.
-            for (_, sender) in runs.iter().rev().take(count as usize) {
-                let _ = sender.try_send(());
+            // Late items first; of the others the youngest, which has the least to read again.
+            runs.sort_by_key(|r| (r.urgency, r.number));
+            for run in runs.iter().rev().take(count as usize) {
+                let _ = run.yields.try_send(());
             }
         }
     }
 
-    fn notify(&self) {
+    /// Has the levels and the backlog told to the other instances.
+    pub fn notify(&self) {
         let _ = self.changed.0.try_send(());
     }
 }
@@ -306,7 +326,7 @@
         if let Some(run) = self.run
             && let Some(runs) = state.runs.get_mut(&key)
         {
-            runs.retain(|(number, _)| *number != run);
+            runs.retain(|r| r.number != run);
             if runs.is_empty() {
                 state.runs.remove(&key);
             }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     fnv,
     health::Health,
@@ -76,6 +78,25 @@
     }
 }
 
+/// Batch items that wait for room at an instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Backlog {
+    /// Items that can still be in time.
+    pub timely: u32,
+    /// Items that will be late in any case.
+    pub late: u32,
+}
+
+/// Whether a batch item can still be in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Urgency {
+    /// It can.
+    Timely,
+    /// It will be late in any case.
+    Late,
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy)]
 pub struct Ask<'a> {
@@ -93,6 +114,7 @@
     workers: Map<WorkerKey, Arc<Worker>>,
     own: Map<WorkerKey, Level>,
     peers: Map<InstanceId, Map<WorkerKey, Level>>,
+    backlogs: Map<InstanceId, Backlog>,
     sums: Map<WorkerKey, Level>,
     health: Health,
     cuts: Map<Zone, Cut>,
@@ -120,6 +142,7 @@
             workers: Map::default(),
             own: Map::default(),
             peers: Map::default(),
+            backlogs: Map::default(),
             sums: Map::default(),
             health: Health::default(),
             cuts: Map::default(),
@@ -180,6 +203,15 @@
         self.sums.retain(|_, l| l.total() > 0);
     }
 
+    /// Sets the batch items that wait at a peer.
+    pub fn set_backlog(&mut self, peer: &InstanceId, backlog: Backlog) {
+        if backlog == Backlog::default() {
+            self.backlogs.remove(peer);
+        } else {
+            self.backlogs.insert(peer.clone(), backlog);
+        }
+    }
+
     /// Counts a request of this instance on a worker.
     pub fn begin(&mut self, worker: WorkerKey, class: Class) {
         *self.own.entry(worker).or_default().count(class) += 1;
@@ -262,9 +294,14 @@
     }
 
     /// Chooses a worker for a batch item; nothing when none has room beside online requests.
+    ///
+    /// Instances with waiting items rank each other alike for each worker, and only as many as there
+    /// are free places start an item there. Without that all of them take the same place at once
+    /// and all but one stop again. Items that will be late in any case come after all others.
     pub fn choose_batch(
         &mut self,
         ask: &Ask<'_>,
+        urgency: Urgency,
         rng: &mut fastrand::Rng,
         now: Duration,
     ) -> Option<Arc<Worker>> {
@@ -275,13 +312,27 @@
             } else {
                 ZONE_BIAS
             };
-            (level.total() < room).then_some(level.total() + bias)
+            let before = self.contenders_before(key(&worker.id), urgency);
+            (level.total() + before < room).then_some(level.total() + bias)
         };
         let chosen = self.best(ask, rng, now, score)?;
         self.health.chosen(&chosen.id, now);
         Some(chosen)
     }
 
+    /// Returns the number of instances that start a waiting item on a worker before this one.
+    fn contenders_before(&self, worker: WorkerKey, urgency: Urgency) -> u32 {
+        let mine = rank(&self.me, worker);
+        let before = self.backlogs.iter().filter(|(peer, backlog)| {
+            let ahead = rank(peer, worker) < mine;
+            match urgency {
+                Urgency::Timely => backlog.timely > 0 && ahead,
+                Urgency::Late => backlog.timely > 0 || ahead,
+            }
+        });
+        before.count() as u32
+    }
+
     fn best<S: Ord>(
         &self,
         ask: &Ask<'_>,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -12,11 +12,11 @@
 use crate::{
     drain::Phase,
     event,
-    ids::{JobId, Set},
+    ids::{JobId, Map, Set},
 };
 
 use super::{
-    fleet::Level,
+    fleet::{Backlog, Level},
     gateway::Gateway,
     jobs::{SharedJob, lock},
     peers::{Beat, JobState, News},
@@ -74,7 +74,8 @@
         }
         for peer in silent {
             event!(Info, MemberLeft, "instance={peer}");
-            gateway.dispatch.set_peer(&peer, Default::default());
+            let nothing = Backlog::default();
+            gateway.dispatch.set_peer(&peer, Map::default(), nothing);
             let _ = news.members.try_send(());
         }
         Timer::after(BUSY_INTERVAL).await;
@@ -114,6 +115,7 @@
         leaving: gateway.drain.phase() != Phase::Running,
         store: gateway.reaches_store(),
         levels: levels.into_iter().map(level).collect(),
+        backlog: gateway.jobs.backlog(),
         waiting: gateway.jobs.waiting(),
         jobs: gateway.jobs.states(gateway.now()),
         ended: gateway.jobs.ended(gateway.now()),
@@ -140,7 +142,7 @@
 
 fn take(gateway: &Gateway, beat: Beat, news: &NewsSenders) {
     let instance = beat.instance.clone();
-    let levels = beat.levels();
+    let (levels, backlog) = (beat.levels(), beat.backlog);
     let ended = beat.ended.clone();
     let states = beat.jobs.clone();
     let (address, zone) = (beat.address, beat.zone.clone());
@@ -152,7 +154,7 @@
         let _ = news.behind.try_send(address);
     }
     gateway.dispatch.zone_heard(&zone);
-    gateway.dispatch.set_peer(&instance, levels);
+    gateway.dispatch.set_peer(&instance, levels, backlog);
     for job in ended {
         gateway.jobs.note_ended(&job, gateway.now());
     }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -12,6 +12,8 @@
 
 use crate::ids::{ItemId, JobId, Map, Set};
 
+use super::fleet::Urgency;
+
 /// Time that a finished item waits for others to be committed with it.
 const COMMIT_DELAY: Duration = Duration::from_millis(1500);
 /// Size of a page from which it is committed at once. The store takes values of 1 MB, and texts
@@ -203,6 +205,15 @@
         })
     }
 
+    /// Returns the number of items that can start.
+    pub fn startable_count(&self, now: Duration) -> u32 {
+        if self.ended || !self.active {
+            return 0;
+        }
+        let can = |p: &&Progress| !p.running && p.not_before <= now;
+        self.open.values().filter(can).count() as u32
+    }
+
     /// Returns how far an unfinished item is.
     pub fn progress(&mut self, item: &str) -> Option<&mut Progress> {
         self.open.get_mut(item)
@@ -227,6 +238,9 @@
             return None;
         }
         let waited = self.oldest.is_some_and(|t| now >= t + COMMIT_DELAY);
+        // An item that was given up would fail again at the next instance if this one were lost.
+        let given_up = |o: &Outcome| o.verdict == Verdict::GivenUp;
+        let waited = waited || self.finished.iter().any(given_up);
         let bytes: usize = self.finished.iter().map(|o| o.output.len()).sum();
         if !waited && !self.open.is_empty() && bytes < PAGE_BYTES {
             return None;
@@ -338,6 +352,18 @@
     }
 }
 
+/// Says whether the items of a job of a given age can still be in time. Under overload those that
+/// cannot are left for later: in order of submission alone, each job would wait for jobs that are
+/// late already, and come late itself.
+pub fn urgency(age: Duration, due: Duration, run_time: Option<Duration>) -> Urgency {
+    let run_time = run_time.unwrap_or(due / 4);
+    if age + run_time < due {
+        Urgency::Timely
+    } else {
+        Urgency::Late
+    }
+}
+
 /// Returns the name of a page of results.
 pub fn page_name(job: &JobId, page: u32) -> String {
     format!("{job}.{page}")
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -21,7 +21,7 @@
     config::{Configuration, Route},
     connection::{self, SendError},
     dispatch::Placement,
-    fleet::Ask,
+    fleet::{Ask, Backlog, Urgency},
     gateway::Gateway,
     job::{self, Item, Mark, Record, Verdict},
     job_api::{self, JOBS, PAGES},
@@ -45,8 +45,6 @@
 const SWEEP_DELAY: Duration = Duration::from_millis(1500);
 /// Time after its retention for which a job is kept.
 const REMOVE_AFTER: Duration = Duration::from_secs(60);
-/// Attempts of an item where the route names none.
-const DEFAULT_ATTEMPTS: u32 = 3;
 /// Size of a worker's answer that is an error.
 const ERROR_BYTES: usize = 64 << 10;
 
@@ -57,7 +55,7 @@
     /// It gave its place to online requests.
     Yielded,
     /// The worker did not run it.
-    Refused,
+    Refused(StatusCode),
     /// The worker broke off or fell silent.
     Broken(String),
     /// The worker failed on the item.
@@ -98,45 +96,86 @@
         return true;
     };
     let now = gateway.now();
-    let mut jobs = gateway.jobs.all();
-    // Jobs that are over outnumber the others after a while.
-    jobs.retain(|(_, job)| lock(job).is_running());
-    jobs.sort_by_cached_key(|(_, job)| lock(job).record.submitted);
+    let mut jobs = due_jobs(gateway, &config);
+    jobs.sort_by_key(|j| (j.urgency, j.submitted));
     let mut left = false;
     let mut full = false;
     let mut waiting: Vec<(u32, u64)> = Vec::new();
-    for (id, shared) in &jobs {
-        let route = route_of(&config, &lock(shared).record);
-        if let Some(route) = route {
-            let key = jobs::route_key(&route);
-            let tokens = lock(shared).waiting_tokens();
-            match waiting.iter_mut().find(|(k, _)| *k == key) {
-                Some((_, sum)) => *sum += tokens,
-                None => waiting.push((key, tokens)),
-            }
-            while !full && start_one(gateway, id, shared, &route, now, &mut full) {}
+    let mut backlog = Backlog::default();
+    for due in &jobs {
+        let key = jobs::route_key(&due.route);
+        let tokens = lock(&due.job).waiting_tokens();
+        match waiting.iter_mut().find(|(k, _)| *k == key) {
+            Some((_, sum)) => *sum += tokens,
+            None => waiting.push((key, tokens)),
+        }
+        while !full && start_one(gateway, due, now, &mut full) {}
+        let count = lock(&due.job).startable_count(now);
+        match due.urgency {
+            Urgency::Timely => backlog.timely += count,
+            Urgency::Late => backlog.late += count,
         }
-        give_up_late(gateway, &config, id, shared, now);
-        commit(gateway, id, shared);
-        left |= lock(shared).is_running();
+    }
+    for (id, shared) in gateway.jobs.all() {
+        if !lock(&shared).is_running() {
+            continue;
+        }
+        give_up_late(gateway, &config, &id, &shared, now);
+        commit(gateway, &id, &shared);
+        left |= lock(&shared).is_running();
     }
     gateway.jobs.set_waiting(waiting);
+    if gateway.jobs.set_backlog(backlog) {
+        gateway.dispatch.notify();
+    }
     left
 }
 
+/// A job with work to do.
+struct DueJob {
+    id: JobId,
+    job: SharedJob,
+    route: Arc<Route>,
+    submitted: u64,
+    urgency: Urgency,
+}
+
+/// Returns the jobs of this instance that have work to do and a route. Jobs that are over outnumber
+/// them after a while.
+fn due_jobs(gateway: &Gateway, config: &Configuration) -> Vec<DueJob> {
+    let run_time = gateway.jobs.run_time();
+    let jobs = gateway.jobs.all().into_iter();
+    let due = jobs.filter_map(|(id, shared)| {
+        let job = lock(&shared);
+        if !job.is_running() {
+            return None;
+        }
+        let route = route_of(config, &job.record)?;
+        let submitted = job.record.submitted;
+        drop(job);
+        let age = Duration::from_millis(job_api::unix_millis().saturating_sub(submitted));
+        let urgency = match route.batch() {
+            Some(terms) => job::urgency(age, terms.due, run_time),
+            None => Urgency::Timely,
+        };
+        Some(DueJob {
+            id,
+            job: shared,
+            route,
+            submitted,
+            urgency,
+        })
+    });
+    due.collect()
+}
+
 fn route_of(config: &Configuration, record: &Record) -> Option<Arc<Route>> {
     config.route(&record.host, &record.path).cloned()
 }
 
 /// Starts an item of a job; says whether one was started.
-fn start_one(
-    gateway: &Arc<Gateway>,
-    id: &JobId,
-    shared: &SharedJob,
-    route: &Route,
-    now: Duration,
-    full: &mut bool,
-) -> bool {
+fn start_one(gateway: &Arc<Gateway>, due: &DueJob, now: Duration, full: &mut bool) -> bool {
+    let shared = &due.job;
     let Some(item) = lock(shared).startable(now).cloned() else {
         return false;
     };
@@ -147,7 +186,7 @@
         service: &service,
         tried: &[],
     };
-    let Some((placement, yields)) = gateway.dispatch.place_batch(&ask) else {
+    let Some((placement, yields)) = gateway.dispatch.place_batch(&ask, due.urgency) else {
         *full = true;
         return false;
     };
@@ -159,15 +198,11 @@
     let after = progress.last;
     let run = Run {
         gateway: gateway.clone(),
-        job: id.clone(),
+        job: due.id.clone(),
         shared: shared.clone(),
         host: job.record.host.clone(),
         item,
-        attempts: if route.attempts > 0 {
-            route.attempts
-        } else {
-            DEFAULT_ATTEMPTS
-        },
+        attempts: due.route.attempts,
     };
     drop(job);
     smol::spawn(run.run(placement, yields, after)).detach();
@@ -274,6 +309,7 @@
 
 impl Run {
     async fn run(self, placement: Placement, yields: Receiver<()>, after: Option<u64>) {
+        let started = self.gateway.now();
         let mut text = Vec::new();
         let mut last = after;
         let yielded = async {
@@ -282,6 +318,10 @@
         };
         let work = self.stream(&placement, after, &mut text, &mut last);
         let end = smol::future::or(work, yielded).await;
+        if after.is_none() && matches!(end, RunEnd::Whole) {
+            let time = self.gateway.now().saturating_sub(started);
+            self.gateway.jobs.note_run_time(time);
+        }
         let worker = placement.worker.id.clone();
         drop(placement);
         self.settle(end, text, last, &worker);
@@ -315,7 +355,7 @@
         });
         let answer = match send.await {
             Ok(answer) => answer,
-            Err(SendError::NotSent(_)) => return RunEnd::Refused,
+            Err(SendError::NotSent(e)) => return RunEnd::Broken(e),
             Err(SendError::Sent(e)) => {
                 dispatch.failed(&worker.id);
                 return RunEnd::Broken(e);
@@ -326,7 +366,7 @@
             return RunEnd::Broken("the worker answered another request".into());
         }
         if terms.not_run {
-            return RunEnd::Refused;
+            return RunEnd::Refused(answer.status());
         }
         let status = answer.status();
         if status == StatusCode::UNPROCESSABLE_ENTITY {
@@ -436,7 +476,15 @@
             RunEnd::Yielded => {
                 event!(Info, ItemYielded, "item={id} worker={worker} last={last:?}");
             }
-            RunEnd::Refused => progress.not_before = now + RETRY_PAUSE,
+            RunEnd::Refused(status) => {
+                event!(
+                    Info,
+                    WorkerRefused,
+                    "item={id} worker={worker} status={}",
+                    status.as_u16()
+                );
+                progress.not_before = now + RETRY_PAUSE;
+            }
             RunEnd::Broken(reason) => {
                 event!(
                     Info,
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -15,6 +15,7 @@
 
 use super::{
     config::Route,
+    fleet::Backlog,
     job::Job,
     peers::{self, JobKey, JobState},
 };
@@ -26,6 +27,9 @@
 /// may have read the last one here.
 const LEARNED_FOR: Duration = Duration::from_secs(5);
 
+/// Weight of the newest run in the mean time of an item; about the last ten count.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+
 /// A job that is shared between the tasks that work on it.
 pub type SharedJob = Arc<Mutex<Job>>;
 
@@ -36,6 +40,8 @@
     keys: Mutex<Map<JobKey, JobId>>,
     ended: Mutex<Map<JobId, Duration>>,
     waiting: Mutex<Vec<(u32, u64)>>,
+    backlog: Mutex<Backlog>,
+    run_time: Mutex<Option<Duration>>,
     registered: Mutex<Vec<SocketAddr>>,
     wake: (Sender<()>, Receiver<()>),
 }
@@ -47,6 +53,8 @@
             keys: Mutex::default(),
             ended: Mutex::default(),
             waiting: Mutex::default(),
+            backlog: Mutex::default(),
+            run_time: Mutex::default(),
             registered: Mutex::default(),
             wake: bounded(1),
         }
@@ -146,6 +154,31 @@
         lock(&self.waiting).clone()
     }
 
+    /// Sets the items that wait for room; says whether that is news for the other instances.
+    pub fn set_backlog(&self, backlog: Backlog) -> bool {
+        let before = std::mem::replace(&mut *lock(&self.backlog), backlog);
+        let kinds = |b: Backlog| (b.timely > 0, b.late > 0);
+        kinds(before) != kinds(backlog)
+    }
+
+    /// Returns the items that wait for room.
+    pub fn backlog(&self) -> Backlog {
+        *lock(&self.backlog)
+    }
+
+    /// Takes the time of an item that ran without a break.
+    pub fn note_run_time(&self, time: Duration) {
+        let mut mean = lock(&self.run_time);
+        *mean = Some(mean.map_or(time, |m| {
+            m.mul_f64(1.0 - RUN_TIME_WEIGHT) + time.mul_f64(RUN_TIME_WEIGHT)
+        }));
+    }
+
+    /// Returns the mean time of an item that runs without a break, as far as it is known.
+    pub fn run_time(&self) -> Option<Duration> {
+        *lock(&self.run_time)
+    }
+
     /// Sets the addresses of instances that are registered in the object store.
     pub fn set_registered(&self, addresses: Vec<SocketAddr>) {
         *lock(&self.registered) = addresses;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -10,7 +10,7 @@
     ownership,
 };
 
-use super::fleet::{Level, WorkerKey};
+use super::fleet::{Backlog, Level, WorkerKey};
 
 /// Silence after which an instance counts as gone.
 const LIVE_FOR: Duration = Duration::from_millis(1600);
@@ -62,6 +62,8 @@
     pub store: bool,
     /// Requests on workers: online and batch.
     pub levels: Vec<(WorkerKey, u8, u8)>,
+    /// Batch items that wait for room at it.
+    pub backlog: Backlog,
     /// Tokens that wait at it, by route.
     pub waiting: Vec<(u32, u64)>,
     /// Jobs that it runs or has touched lately.
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use gentianpath::{
-    gateway::fleet::{Ask, Class, Fleet, Level, Worker, key},
+    gateway::fleet::{Ask, Backlog, Class, Fleet, Level, Urgency, Worker, key},
     ids::{Map, ServiceId},
 };
 
@@ -122,3 +122,40 @@
     fleet.zone_heard(&"b".into());
     assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("f3"));
 }
+
+/// Guards against instances that all start an item in the same free place and stop it again.
+#[test]
+fn as_many_instances_start_an_item_as_there_are_places() {
+    let names = ["one", "two", "three", "four"];
+    let backlog = Backlog { timely: 5, late: 0 };
+    let starting = names.iter().filter(|me| {
+        let mut fleet = Fleet::new((**me).into(), "a".into());
+        fleet.set_workers([worker("w", "a")]);
+        for peer in names.iter().filter(|p| p != me) {
+            fleet.set_backlog(&(*peer).into(), backlog);
+        }
+        choose_batch(&mut fleet, Urgency::Timely)
+    });
+    assert_eq!(starting.count(), 1);
+}
+
+/// Guards against late items that take places from those that can be in time elsewhere.
+#[test]
+fn late_items_come_after_timely_ones_of_other_instances() {
+    let mut fleet = fleet(&[worker("w", "a")]);
+    assert!(choose_batch(&mut fleet, Urgency::Late));
+    fleet.set_backlog(&"two".into(), Backlog { timely: 1, late: 0 });
+    assert!(!choose_batch(&mut fleet, Urgency::Late));
+    fleet.set_backlog(&"two".into(), Backlog::default());
+    assert!(choose_batch(&mut fleet, Urgency::Late));
+}
+
+fn choose_batch(fleet: &mut Fleet, urgency: Urgency) -> bool {
+    let service: ServiceId = "lm".into();
+    let ask = Ask {
+        service: &service,
+        tried: &[],
+    };
+    let rng = &mut fastrand::Rng::with_seed(1);
+    fleet.choose_batch(&ask, urgency, rng, NOW).is_some()
+}
--- a/tests/gateway_jobs.rs
+++ b/tests/gateway_jobs.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use gentianpath::gateway::job::{Item, Job, Outcome, Record, Verdict};
+use gentianpath::gateway::{
+    fleet::Urgency,
+    job::{Item, Job, Outcome, Record, Verdict, urgency},
+};
 
 fn record(items: usize) -> Arc<Record> {
     let item = |i: usize| Item {
@@ -92,6 +95,23 @@
     assert_eq!(job.page_to_commit(at(100)).unwrap().len(), 2);
 }
 
+/// Guards against an item that fails again at each instance that the job moves to.
+#[test]
+fn an_item_that_was_given_up_is_committed_at_once() {
+    let mut job = job(2);
+    job.finish(&"i0".into(), Verdict::GivenUp, "".into(), at(0));
+    assert_eq!(job.page_to_commit(at(1)).unwrap().len(), 1);
+}
+
+/// Guards against jobs that all come late because each one waits for those that are late already.
+#[test]
+fn an_item_that_cannot_be_in_time_is_late() {
+    let due = at(18_000);
+    assert_eq!(urgency(at(1000), due, Some(at(5000))), Urgency::Timely);
+    assert_eq!(urgency(at(14_000), due, Some(at(5000))), Urgency::Late);
+    assert_eq!(urgency(at(14_000), due, None), Urgency::Late);
+}
+
 /// Guards against work that is lost in a planned stop, and against a text that loses its first part.
 #[test]
 fn a_handed_over_item_goes_on_after_its_last_event() {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gentianpath::{
+    gateway::fleet::Backlog,
     gateway::peers::{Beat, Candidate, JobState, News, Peers, job_key},
     ids::{InstanceId, JobId},
 };
@@ -23,6 +24,7 @@
         leaving: false,
         store: true,
         levels: Vec::new(),
+        backlog: Backlog::default(),
         waiting: vec![(7, 100)],
         jobs: Vec::new(),
         ended: Vec::new(),
