Give stand-ins in tests another port when theirs is still held by a starting process

The socket of that look is copied into a process that another test forks at the moment, until it executes its program. Ruled out: two tests with one port (one counter gives them out), outgoing connections (other range). Change: stand-ins take the next port; an instance that ends at once since it cannot bind is started on other ports, as the harness of the other process tests does. No check changed.

--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -53,7 +53,13 @@
 where
     H: Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
 {
-    let listener = TcpListener::bind(free_address()).unwrap();
+    // A process that another test starts at this moment holds a copy of the socket with which
+    // `free_address` tried the port, until it executes its program.
+    let listener = loop {
+        if let Ok(listener) = TcpListener::bind(free_address()) {
+            break listener;
+        }
+    };
     let address = listener.local_addr().unwrap();
     let handler = Arc::new(handler);
     thread::spawn(move || {
@@ -466,9 +472,17 @@
 
 impl Instance {
     /// Starts an instance and waits until the balancer may use it.
+    ///
+    /// An instance whose port was taken meanwhile ends at once and is started again on others.
     pub fn start(name: &str, store: &Store, seeds: &[SocketAddr]) -> Self {
-        let instance = Self::spawn(name, store, seeds);
-        until("the instance is ready", || instance.is_ready());
+        let mut instance = Self::spawn(name, store, seeds);
+        until("the instance is ready", || {
+            let ended = instance.process.try_wait().unwrap();
+            if ended.is_some_and(|status| status.code() == Some(1)) {
+                instance = Self::spawn(name, store, seeds);
+            }
+            instance.is_ready()
+        });
         instance
     }
 
