--- a/src/cli.rs
+++ b/src/cli.rs
@@ -29,6 +29,9 @@
         /// Settings file (JSON).
         #[arg(long, value_name = "FILE", env = "GENTIANPATH_SETTINGS")]
         settings: PathBuf,
+        /// Only check the settings.
+        #[arg(long)]
+        check: bool,
     },
     /// Answer the operator's requests to empty a machine with a disk.
     Keeper {
@@ -36,6 +39,15 @@
         #[arg(long, value_name = "FILE", env = "GENTIANPATH_SETTINGS")]
         settings: PathBuf,
     },
+    /// Tell the life of a request, item or job from the logs of all processes.
+    Explain {
+        /// Id of the request, item or job.
+        #[arg(value_name = "ID")]
+        id: String,
+        /// Log files; standard input when none is named.
+        #[arg(value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
     /// Work with settings files.
     #[command(subcommand)]
     Settings(SettingsCommand),
--- a/src/events.rs
+++ b/src/events.rs
@@ -60,6 +60,12 @@
     BodyUnread = 1013, "body-unread";
     /// A call lacks what the protocol requires.
     CallInvalid = 1014, "call-invalid";
+    /// A routed call is sent to a worker.
+    WorkerChosen = 1015, "worker-chosen";
+    /// A routed call was answered by a worker to its end.
+    CallAnswered = 1016, "call-answered";
+    /// A caller left before the end of its answer.
+    CallerLeft = 1017, "caller-left";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
@@ -108,6 +114,10 @@
     ItemBroken = 2035, "item-broken";
     /// A batch job is left to another instance that runs it too.
     JobReleased = 2036, "job-released";
+    /// An item of a routed batch job is sent to a worker.
+    ItemStarted = 2037, "item-started";
+    /// An item of a routed batch job has its whole output.
+    ItemDone = 2038, "item-done";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
@@ -146,6 +156,8 @@
     MachineEmptied = 3017, "machine-emptied";
     /// No instance of a zone is heard any more.
     ZoneSilent = 3018, "zone-silent";
+    /// The list of workers changed.
+    WorkersChanged = 3019, "workers-changed";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
@@ -168,17 +180,54 @@
     ReloadIgnored = 5004, "reload-ignored";
     /// A connection could not be accepted.
     AcceptFailed = 5005, "accept-failed";
+    /// Log lines were left out.
+    LinesOmitted = 5006, "lines-omitted";
 }
 
+impl Event {
+    /// Says whether the event tells only that a request or an item goes its usual way. Under load
+    /// such lines are left out first.
+    pub fn is_routine(self) -> bool {
+        matches!(
+            self,
+            Event::RouteChosen
+                | Event::WorkerChosen
+                | Event::CallAnswered
+                | Event::CallerLeft
+                | Event::GroupClaimed
+                | Event::GroupCommitted
+                | Event::ItemYielded
+                | Event::ItemStarted
+                | Event::ItemDone
+                | Event::PageCommitted
+        )
+    }
+
+    /// Returns the target of the event's log lines.
+    pub fn target(self) -> &'static str {
+        if self.is_routine() {
+            ROUTINE_TARGET
+        } else {
+            EVENT_TARGET
+        }
+    }
+}
+
+/// Target of the lines of routine events.
+pub const ROUTINE_TARGET: &str = "event.routine";
+/// Target of the lines of other events.
+pub const EVENT_TARGET: &str = "event";
+
 /// Logs an event at a level: `event!(Info, RouteChosen, "worker={}", id)`.
 #[macro_export]
 macro_rules! event {
     ($level:ident, $event:ident, $($arg:tt)+) => {
         log::log!(
+            target: $crate::events::Event::$event.target(),
             log::Level::$level,
-            "[{}] {} {}",
-            $crate::events::Event::$event.number(),
+            "event={} code={} {}",
             $crate::events::Event::$event.name(),
+            $crate::events::Event::$event.number(),
             format_args!($($arg)+)
         )
     };
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,177 @@
+//! Tells the life of one request, item or job from the log lines of several processes.
+
+use std::{
+    collections::BTreeSet,
+    fs::File,
+    io::{self, BufRead, BufReader, Read, Write},
+    path::{Path, PathBuf},
+};
+
+use anyhow::Context;
+use jiff::{SignedDuration, Timestamp};
+
+use crate::exit::Exit;
+
+/// Keys whose values are ids.
+const ID_KEYS: [&str; 3] = ["request", "item", "job"];
+/// Events that change what a process believes and may be the reason of a decision.
+const CONTEXT: [&str; 9] = [
+    "config-in-force",
+    "member-left",
+    "platform-back",
+    "platform-lost",
+    "stop-began",
+    "instance-ready",
+    "workers-changed",
+    "zone-silent",
+    "lines-omitted",
+];
+/// Time before the first line of an id from which changes of belief are shown.
+const CONTEXT_BEFORE: SignedDuration = SignedDuration::from_secs(3);
+
+/// A line of a log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Line {
+    /// Time of the line.
+    pub time: Timestamp,
+    /// Process that wrote it.
+    pub instance: String,
+    /// Name of its event; empty for other messages.
+    pub event: String,
+    /// All keys and values after the instance, as they were written.
+    pub text: String,
+    ids: Vec<(&'static str, String)>,
+}
+
+impl Line {
+    /// Reads a line; nothing for one that no process of this program wrote. Whatever stands before
+    /// the time, as a collector of logs adds it, is ignored.
+    pub fn parse(line: &str) -> Option<Self> {
+        let start = line.find("time=")?;
+        let mut fields = fields(&line[start..]);
+        let (_, time) = fields.next()?;
+        let time = time.parse().ok()?;
+        let mut instance = String::new();
+        let mut event = String::new();
+        let mut ids = Vec::new();
+        for (key, value) in fields {
+            match key {
+                "instance" if instance.is_empty() => instance = value.to_owned(),
+                "event" => event = value.to_owned(),
+                key => {
+                    if let Some(known) = ID_KEYS.iter().find(|k| **k == key) {
+                        ids.push((*known, value.to_owned()));
+                    }
+                }
+            }
+        }
+        let after = line[start..].split_once(&format!("instance={instance} "));
+        Some(Self {
+            time,
+            text: after.map_or(&line[start..], |(_, t)| t).trim_end().into(),
+            instance,
+            event,
+            ids,
+        })
+    }
+
+    fn names(&self, id: &str) -> bool {
+        self.ids.iter().any(|(_, v)| v == id)
+    }
+
+    fn job(&self) -> Option<&str> {
+        let job = self.ids.iter().find(|(key, _)| *key == "job");
+        job.map(|(_, id)| id.as_str())
+    }
+
+    /// Says whether the line concerns a job as a whole.
+    fn concerns_job(&self, job: &str) -> bool {
+        self.job() == Some(job) && self.ids.len() == 1
+    }
+}
+
+/// Splits `key=value` fields; a value may stand in double quotes.
+fn fields(line: &str) -> impl Iterator<Item = (&str, &str)> {
+    let mut rest = line;
+    std::iter::from_fn(move || {
+        let (key, after) = rest.trim_start().split_once('=')?;
+        let key = key.rsplit(' ').next().unwrap_or(key);
+        let end = match after.strip_prefix('"') {
+            Some(quoted) => quoted.find('"').map_or(after.len(), |at| at + 2),
+            None => after.find(' ').unwrap_or(after.len()),
+        };
+        let (value, next) = after.split_at(end);
+        rest = next;
+        Some((key, value.trim_matches('"')))
+    })
+}
+
+/// Returns the lines that tell the life of an id in the order of time: those that name it, for an
+/// item also those of its job, and what the processes that had to do with it learned meanwhile.
+pub fn select(lines: &[Line], id: &str) -> Vec<Line> {
+    let own = lines.iter().filter(|l| l.names(id));
+    let jobs: BTreeSet<&str> = own.clone().filter_map(Line::job).collect();
+    let concerns = |l: &Line| l.names(id) || jobs.iter().any(|j| l.concerns_job(j));
+    let instances: BTreeSet<&str> = lines
+        .iter()
+        .filter(|l| concerns(l))
+        .map(|l| l.instance.as_str())
+        .collect();
+    let times = lines.iter().filter(|l| concerns(l)).map(|l| l.time);
+    let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
+        return Vec::new();
+    };
+    let near = |l: &Line| l.time + CONTEXT_BEFORE >= first && l.time <= last;
+    let context = |l: &Line| {
+        let known = CONTEXT.contains(&l.event.as_str());
+        known && near(l) && instances.contains(l.instance.as_str())
+    };
+    let chosen = lines.iter().filter(|l| concerns(l) || context(l));
+    let mut chosen: Vec<Line> = chosen.cloned().collect();
+    chosen.sort_by(|a, b| (a.time, &a.instance).cmp(&(b.time, &b.instance)));
+    chosen
+}
+
+/// Reads log files, or standard input when none is named, and prints what they tell of an id.
+///
+/// # Errors
+///
+/// Returns an error when a file cannot be read.
+pub fn explain(id: &str, files: &[PathBuf]) -> anyhow::Result<Exit> {
+    let mut lines = Vec::new();
+    if files.is_empty() {
+        read(io::stdin().lock(), &mut lines).context("cannot read standard input")?;
+    }
+    for file in files {
+        read_file(file, &mut lines).with_context(|| format!("cannot read {}", file.display()))?;
+    }
+    let count = lines.len();
+    let chosen = select(&lines, id);
+    let Some(first) = chosen.first() else {
+        let omitted = lines.iter().filter(|l| l.event == "lines-omitted").count();
+        eprintln!(
+            "gentianpath: none of {count} lines names {id}; {omitted} lines tell of omitted ones"
+        );
+        return Ok(Exit::Failure);
+    };
+    let mut out = io::stdout().lock();
+    for line in &chosen {
+        let passed = line.time.duration_since(first.time).as_secs_f64();
+        writeln!(out, "{passed:9.3} s  {}  {}", line.instance, line.text)?;
+    }
+    Ok(Exit::Success)
+}
+
+fn read_file(file: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
+    read(BufReader::new(File::open(file)?), lines)
+}
+
+fn read(input: impl Read, lines: &mut Vec<Line>) -> io::Result<()> {
+    let mut input = BufReader::new(input);
+    let mut bytes = Vec::new();
+    while input.read_until(b'\n', &mut bytes)? > 0 {
+        lines.extend(Line::parse(&String::from_utf8_lossy(&bytes)));
+        bytes.clear();
+    }
+    Ok(())
+}
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 struct Grant {
     worker: Arc<Worker>,
-    free: bool,
+    load: u32,
 }
 
 /// Why a request has no worker. It has not run.
@@ -74,8 +74,8 @@
     dispatch: Arc<Dispatch>,
     /// The worker.
     pub worker: Arc<Worker>,
-    /// Whether a slot was free, as far as this instance knew.
-    pub free: bool,
+    /// Requests that were on the worker before, as far as this instance knew.
+    pub load: u32,
     class: Class,
     run: Option<u64>,
 }
@@ -87,6 +87,13 @@
     granted: Receiver<Grant>,
 }
 
+impl Placement {
+    /// Says whether a slot was free, as far as this instance knew.
+    pub fn is_free(&self) -> bool {
+        self.load < self.worker.slots
+    }
+}
+
 impl Dispatch {
     /// Builds the state of an instance.
     pub fn new(me: InstanceId, zone: Zone) -> Arc<Self> {
@@ -132,6 +139,17 @@
         self.lock().fleet.own().clone()
     }
 
+    /// Returns the number of workers that take requests.
+    pub fn workers(&self) -> usize {
+        let state = self.lock();
+        state.fleet.workers().filter(|w| w.ready).count()
+    }
+
+    /// Returns the number of requests that wait for a worker.
+    pub fn queue(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
     /// Says whether a worker of a service is known that takes requests.
     pub fn serves(&self, service: &ServiceId) -> bool {
         self.lock().fleet.serves(service)
@@ -226,6 +244,7 @@
         let State { fleet, rng, .. } = &mut *state;
         let worker = fleet.choose_batch(ask, urgency, rng, now)?;
         let key = fleet::key(&worker.id);
+        let load = fleet.level(key).total();
         state.fleet.begin(key, Class::Batch);
         let (sender, receiver) = bounded(1);
         let number = state.next;
@@ -241,7 +260,7 @@
         let placement = Placement {
             dispatch: self.clone(),
             worker,
-            free: true,
+            load,
             class: Class::Batch,
             run: Some(number),
         };
@@ -260,7 +279,7 @@
         Placement {
             dispatch: self.clone(),
             worker: grant.worker,
-            free: grant.free,
+            load: grant.load,
             class: Class::Online,
             run: None,
         }
@@ -271,11 +290,11 @@
         let State { fleet, rng, .. } = state;
         let worker = fleet.choose_online(ask, rng, self.now())?;
         let key = fleet::key(&worker.id);
-        let free = fleet.level(key).total() < worker.slots;
+        let load = fleet.level(key).total();
         fleet.begin(key, Class::Online);
         self.settle_runs(state);
         self.notify();
-        Some(Grant { worker, free })
+        Some(Grant { worker, load })
     }
 
     /// Gives free places to the queue and asks batch items to yield.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -42,8 +42,6 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub ready: bool,
-    /// Start of this run of the worker, in milliseconds of its clock.
-    pub born: u64,
 }
 
 /// Kind of a request, as the placement sees it.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,50 +1,37 @@
-//! Forwards a call to workers of its service: attempts, resumes and the answer to the caller.
+//! Forwards a call to workers of its service, one after the other, until one answers.
 
 use std::{
-    io,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use async_io::Timer;
 use bytes::Bytes;
-use futures::{StreamExt, stream};
-use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
-use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::{Frame, Incoming},
-    header,
-};
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
 
 use crate::{
     adapter::headers::{self, AnswerTerms, Attempt},
     event,
     ids::{RequestId, ServiceId, WorkerId},
+    metrics::{self, CallEnd},
 };
 
 use super::{
+    answer::{CallerBody, refuse, whole},
     config::{Route, RouteKind},
     connection::{self, Connection, SendError},
     dispatch::{Busy, Placement},
     fleet::Ask,
     gateway::Gateway,
-    sse::Splitter,
+    relay,
 };
 
-/// Body of an answer to a caller.
-pub type CallerBody = UnsyncBoxBody<Bytes, io::Error>;
-
 /// Part of the objective that a request waits for a worker before it is refused: a refusal that
 /// comes sooner leaves the caller time to succeed elsewhere.
 const WAIT_SHARE: f64 = 0.22;
 /// Time that a stream which was forwarded in part waits for another worker.
-const RESUME_WAIT: Duration = Duration::from_millis(800);
-/// Part of the longest pause that is on time after which a resumable stream goes on elsewhere: what is
-/// left is enough for another worker to read the prompt and make the next event.
-const STALL_SHARE: f64 = 0.55;
-/// Time without an event after which a resumable stream goes on elsewhere where the route names no
-/// pause. Callers give up after 2 s.
-const STALL_LIMIT: Duration = Duration::from_millis(600);
+pub const RESUME_WAIT: Duration = Duration::from_millis(800);
 /// Part of the objective without a first event after which a repeatable request leaves a worker that
 /// had a free slot; another one is still in time then.
 const FIRST_SHARE: f64 = 0.55;
@@ -80,14 +67,18 @@
 }
 
 /// A worker's answer whose head was received.
-struct Live {
-    placement: Placement,
-    connection: Connection,
-    answer: Response<Incoming>,
+pub struct Live {
+    /// The worker.
+    pub placement: Placement,
+    /// Connection to it.
+    pub connection: Connection,
+    /// Its answer.
+    pub answer: Response<Incoming>,
 }
 
 /// Why a call has no answer of a worker.
-enum Failure {
+#[derive(Debug)]
+pub enum Failure {
     /// It has not run and will not.
     NotRun(Busy),
     /// It may have run.
@@ -98,22 +89,36 @@
     Answered(Response<Bytes>),
 }
 
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NotRun(_) => f.write_str("no worker is free"),
+            Self::MayHaveRun(reason) => f.write_str(reason),
+            Self::TimedOut => f.write_str("the time is over"),
+            Self::Answered(answer) => write!(f, "a worker answered {}", answer.status()),
+        }
+    }
+}
+
 /// Attempts of one call.
-struct Session {
+pub struct Session {
+    /// Route of the call.
+    pub route: Arc<Route>,
+    /// The call.
+    pub call: Call,
     gateway: Arc<Gateway>,
-    route: Arc<Route>,
     service: ServiceId,
-    call: Call,
     tried: Vec<WorkerId>,
     runs: u32,
     end: Instant,
+    ended: bool,
 }
 
 /// Forwards a call and returns the answer for the caller.
 pub async fn forward(gateway: Arc<Gateway>, route: Arc<Route>, call: Call) -> Response<CallerBody> {
     let Some(service) = route.service(fastrand::f64()).cloned() else {
         return refuse(
-            &call,
+            &call.id,
             StatusCode::SERVICE_UNAVAILABLE,
             "the route has no service",
             None,
@@ -128,6 +133,7 @@
         call,
         tried: Vec::new(),
         runs: 0,
+        ended: false,
     };
     session.run().await
 }
@@ -138,7 +144,7 @@
         let patience = patience.saturating_sub(self.call.received.elapsed());
         let failure = match self.attempt(self.call.after, patience).await {
             Ok(live) if matches!(self.route.kind, RouteKind::Stream { .. }) => {
-                return self.relay(live);
+                return relay::relay(self, live);
             }
             Ok(live) => match self.read_whole(live).await {
                 Ok(answer) => return answer,
@@ -149,42 +155,89 @@
         self.fail(failure)
     }
 
-    fn fail(&self, failure: Failure) -> Response<CallerBody> {
-        let (status, reason, retry) = match failure {
-            Failure::NotRun(busy) => (
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no worker is free".to_owned(),
-                Some(busy.retry_after),
-            ),
-            Failure::MayHaveRun(reason) => (StatusCode::BAD_GATEWAY, reason, None),
-            Failure::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "the time is over".into(), None),
-            Failure::Answered(answer) => {
-                let (mut head, body) = answer.into_parts();
-                head.headers = headers::forwarded(&head.headers);
-                return Response::from_parts(head, whole(body));
-            }
+    fn fail(&mut self, failure: Failure) -> Response<CallerBody> {
+        let reason = failure.to_string();
+        let (status, end) = match &failure {
+            Failure::NotRun(_) => (StatusCode::SERVICE_UNAVAILABLE, CallEnd::NotRun),
+            Failure::MayHaveRun(_) => (StatusCode::BAD_GATEWAY, CallEnd::MayHaveRun),
+            Failure::TimedOut => (StatusCode::GATEWAY_TIMEOUT, CallEnd::TimedOut),
+            Failure::Answered(answer) => (answer.status(), CallEnd::WorkerFailed),
         };
+        self.end(end);
         event!(
-            Info,
+            Warn,
             CallFailed,
-            "request={} route={} status={} runs={} tried={} age_ms={} reason={reason:?}",
+            "request={} route={} status={} runs={} tried={} age_ms={} config={} workers={} \
+             store={} reason={reason:?}",
             self.call.id,
             self.route.name,
             status.as_u16(),
             self.runs,
             self.tried.len(),
+            self.call.received.elapsed().as_millis(),
+            self.gateway.config_version(),
+            self.gateway.dispatch.workers(),
+            self.gateway.reaches_store()
+        );
+        match failure {
+            Failure::Answered(answer) => {
+                let (mut head, body) = answer.into_parts();
+                head.headers = headers::forwarded(&head.headers);
+                Response::from_parts(head, whole(body))
+            }
+            Failure::NotRun(busy) => refuse(&self.call.id, status, &reason, Some(busy.retry_after)),
+            Failure::MayHaveRun(_) | Failure::TimedOut => {
+                refuse(&self.call.id, status, &reason, None)
+            }
+        }
+    }
+
+    /// Notes how the call ended.
+    pub fn end(&mut self, end: CallEnd) {
+        self.ended = true;
+        metrics::call(end, self.call.received.elapsed());
+    }
+
+    /// Notes that a worker's answer was forwarded to its end.
+    pub fn answered(&mut self) {
+        self.end(CallEnd::Answered);
+        event!(
+            Info,
+            CallAnswered,
+            "request={} route={} runs={} age_ms={}",
+            self.call.id,
+            self.route.name,
+            self.runs + 1,
             self.call.received.elapsed().as_millis()
         );
-        refuse(&self.call, status, &reason, retry)
+    }
+
+    /// Returns the time that is left for the call.
+    pub fn remaining(&self) -> Duration {
+        self.end.saturating_duration_since(Instant::now())
+    }
+
+    /// Keeps a connection to a worker whose answer was read to its end.
+    pub fn keep(&self, placement: &Placement, connection: Connection) {
+        self.gateway.keep(&placement.worker, connection);
     }
 
     /// Says whether the call may be sent once more after it may have run.
-    fn may_run_again(&self) -> bool {
-        self.route.is_repeatable() && self.runs < self.route.attempts && Instant::now() < self.end
+    pub fn may_run_again(&self) -> bool {
+        let left = self.runs < self.route.attempts && !self.remaining().is_zero();
+        self.route.is_repeatable() && left
     }
 
     /// Sends the call to one worker after another until one of them answers.
-    async fn attempt(&mut self, after: Option<u64>, patience: Duration) -> Result<Live, Failure> {
+    ///
+    /// # Errors
+    ///
+    /// Returns why no worker answers.
+    pub async fn attempt(
+        &mut self,
+        after: Option<u64>,
+        patience: Duration,
+    ) -> Result<Live, Failure> {
         loop {
             let live = self.attempt_once(after, patience).await?;
             let Some((placement, outcome)) = live else {
@@ -209,12 +262,13 @@
         }
     }
 
-    fn note_broken(&mut self, placement: &Placement, reason: &str) {
+    /// Notes that a worker broke off or fell silent on the call.
+    pub fn note_broken(&mut self, placement: &Placement, reason: &str) {
         self.runs += 1;
         self.tried.push(placement.worker.id.clone());
         let ejected = self.gateway.dispatch.failed(&placement.worker.id);
         event!(
-            Info,
+            Warn,
             AttemptBroken,
             "request={} worker={} runs={} ejected={ejected} reason={reason:?}",
             self.call.id,
@@ -232,7 +286,7 @@
         patience: Duration,
     ) -> Result<Option<(Placement, Result<(Connection, Response<Incoming>), String>)>, Failure>
     {
-        let remaining = self.end.saturating_duration_since(Instant::now());
+        let remaining = self.remaining();
         if remaining.is_zero() {
             return Err(self.out_of_time());
         }
@@ -245,11 +299,29 @@
             tried: &self.tried,
         };
         let patience = patience.min(remaining);
-        let placement = match dispatch.place(&ask, patience).await {
+        let asked = Instant::now();
+        let placed = dispatch.place(&ask, patience).await;
+        metrics::queue_time(asked.elapsed());
+        let placement = match placed {
             Ok(placement) => placement,
             Err(busy) => return Err(self.no_worker(busy)),
         };
         let worker = placement.worker.clone();
+        event!(
+            Info,
+            WorkerChosen,
+            "request={} route={} worker={} zone={} load={} slots={} waited_ms={} config={} \
+             workers_at={}",
+            self.call.id,
+            self.route.name,
+            worker.id,
+            worker.zone,
+            placement.load,
+            worker.slots,
+            asked.elapsed().as_millis(),
+            self.gateway.config_version(),
+            self.gateway.views().edition.newest
+        );
         let repeatable = self.route.is_repeatable();
         let upstream = &self.gateway.upstream;
         let mut connection = match upstream.connect(&worker, repeatable).await {
@@ -257,9 +329,9 @@
             Err(e) => {
                 let cut = dispatch.unreachable(&worker);
                 event!(
-                    Info,
+                    Warn,
                     WorkerUnreachable,
-                    "request={} worker={} zone={} cut={cut} reason={e}",
+                    "request={} worker={} zone={} cut={cut} reason=\"{e}\"",
                     self.call.id,
                     worker.id,
                     worker.zone
@@ -272,7 +344,10 @@
             Ok(request) => request,
             Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
         };
-        let sent = match self.send(&mut connection, request, placement.free).await {
+        let sent = match self
+            .send(&mut connection, request, placement.is_free())
+            .await
+        {
             Ok(answer) => answer,
             Err(SendError::NotSent(_)) if connection.kept => return Ok(None),
             Err(SendError::NotSent(_)) => {
@@ -280,7 +355,7 @@
                 self.tried.push(worker.id.clone());
                 return Ok(None);
             }
-            Err(SendError::Sent(_)) if Instant::now() >= self.end => {
+            Err(SendError::Sent(_)) if self.remaining().is_zero() => {
                 self.runs += 1;
                 dispatch.failed(&worker.id);
                 return Err(Failure::TimedOut);
@@ -337,8 +412,8 @@
 
     async fn read_failure(&self, answer: Response<Incoming>) -> Failure {
         let (head, body) = answer.into_parts();
-        let limit = self.end.saturating_duration_since(Instant::now());
-        match connection::within(limit, connection::read_body(body, ANSWER_LIMIT)).await {
+        let read = connection::read_body(body, ANSWER_LIMIT);
+        match connection::within(self.remaining(), read).await {
             Ok(body) => Failure::Answered(Response::from_parts(head, body)),
             Err(e) => Failure::MayHaveRun(e.to_string()),
         }
@@ -371,10 +446,9 @@
         worker: &WorkerId,
         after: Option<u64>,
     ) -> hyper::http::Result<Request<Full<Bytes>>> {
-        let remaining = self.end.saturating_duration_since(Instant::now());
         let attempt = Attempt {
             worker,
-            remaining: Some(remaining),
+            remaining: Some(self.remaining()),
             after,
         };
         let mut request = Request::builder()
@@ -392,7 +466,7 @@
         request: Request<Full<Bytes>>,
         free: bool,
     ) -> Result<Response<Incoming>, SendError> {
-        let remaining = self.end.saturating_duration_since(Instant::now());
+        let remaining = self.remaining();
         let limit = if self.route.is_repeatable() && self.runs + 1 < self.route.attempts {
             let share = if free { FIRST_SHARE } else { QUEUED_SHARE };
             remaining.min(self.route.objective.mul_f64(share))
@@ -410,13 +484,12 @@
     async fn read_whole(&mut self, live: Live) -> Result<Response<CallerBody>, Failure> {
         let mut live = live;
         loop {
-            let worker = live.placement.worker.id.clone();
             let (mut head, body) = live.answer.into_parts();
-            let limit = self.end.saturating_duration_since(Instant::now());
             let read = connection::read_body(body, ANSWER_LIMIT);
-            match connection::within(limit, read).await {
+            match connection::within(self.remaining(), read).await {
                 Ok(body) => {
-                    self.gateway.upstream.keep(&worker, live.connection);
+                    self.keep(&live.placement, live.connection);
+                    self.answered();
                     head.headers = headers::forwarded(&head.headers);
                     return Ok(Response::from_parts(head, whole(body)));
                 }
@@ -429,196 +502,26 @@
                 }
             }
             drop(live.placement);
-            let remaining = self.end.saturating_duration_since(Instant::now());
-            live = self.attempt(None, remaining.min(RESUME_WAIT)).await?;
+            let patience = self.remaining().min(RESUME_WAIT);
+            live = self.attempt(None, patience).await?;
         }
     }
-
-    /// Forwards a stream event by event as it arrives.
-    fn relay(self, live: Live) -> Response<CallerBody> {
-        let Live {
-            placement,
-            connection,
-            answer,
-        } = live;
-        let (mut head, body) = answer.into_parts();
-        head.headers = headers::forwarded(&head.headers);
-        let relay = Relay {
-            last: self.call.after,
-            session: self,
-            source: Some(Source {
-                placement,
-                connection,
-                body,
-            }),
-            splitter: Splitter::default(),
-        };
-        let frames = stream::unfold(Some(relay), |relay| async {
-            let mut relay = relay?;
-            match relay.next().await {
-                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(relay))),
-                Ok(None) => None,
-                Err(e) => Some((Err(e), None)),
-            }
-        });
-        Response::from_parts(head, StreamBody::new(frames.boxed()).boxed_unsync())
-    }
 }
 
-/// A worker whose stream is being forwarded.
-struct Source {
-    placement: Placement,
-    connection: Connection,
-    body: Incoming,
-}
-
-/// A stream on its way to a caller. Dropping it closes the connection to the worker.
-struct Relay {
-    session: Session,
-    source: Option<Source>,
-    splitter: Splitter,
-    last: Option<u64>,
-}
-
-impl Relay {
-    /// Returns the next bytes for the caller; nothing at the end of the stream.
-    async fn next(&mut self) -> io::Result<Option<Bytes>> {
-        loop {
-            while let Some(event) = self.splitter.pop() {
-                let repeated = event.id.is_some() && event.id <= self.last;
-                if !repeated {
-                    self.last = event.id.or(self.last);
-                    return Ok(Some(event.bytes));
-                }
-            }
-            let Some(source) = &mut self.source else {
-                return Ok(None);
-            };
-            match next_frame(&mut source.body, self.session.stall_limit()).await {
-                Ok(Some(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.push(data);
-                    }
-                }
-                Ok(None) if self.splitter.is_empty() => {
-                    if let Some(source) = self.source.take() {
-                        let worker = &source.placement.worker.id;
-                        self.session
-                            .gateway
-                            .upstream
-                            .keep(worker, source.connection);
-                    }
-                }
-                Ok(None) => {
-                    self.resume("the stream ended inside an event".into())
-                        .await?
-                }
-                Err(e) => self.resume(e.to_string()).await?,
-            }
+impl Drop for Session {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
         }
-    }
-
-    /// Goes on at another worker after the last event that was forwarded.
-    async fn resume(&mut self, reason: String) -> io::Result<()> {
-        if let Some(source) = self.source.take() {
-            self.session.note_broken(&source.placement, &reason);
-        }
-        self.splitter = Splitter::default();
-        if !self.session.may_run_again() {
-            return Err(self.broken(&reason));
-        }
-        let remaining = self.session.end.saturating_duration_since(Instant::now());
-        match self
-            .session
-            .attempt(self.last, remaining.min(RESUME_WAIT))
-            .await
-        {
-            Ok(live) => {
-                event!(
-                    Info,
-                    StreamMoved,
-                    "request={} worker={} after={:?}",
-                    self.session.call.id,
-                    live.placement.worker.id,
-                    self.last
-                );
-                self.source = Some(Source {
-                    placement: live.placement,
-                    connection: live.connection,
-                    body: live.answer.into_body(),
-                });
-                Ok(())
-            }
-            Err(_) => Err(self.broken(&reason)),
-        }
-    }
-
-    fn broken(&self, reason: &str) -> io::Error {
+        self.end(CallEnd::CallerLeft);
         event!(
             Info,
-            StreamBroken,
-            "request={} route={} last={:?} age_ms={} reason={reason:?}",
-            self.session.call.id,
-            self.session.route.name,
-            self.last,
-            self.session.call.received.elapsed().as_millis()
+            CallerLeft,
+            "request={} route={} runs={} age_ms={}",
+            self.call.id,
+            self.route.name,
+            self.runs,
+            self.call.received.elapsed().as_millis()
         );
-        io::Error::other(reason.to_owned())
-    }
-}
-
-impl Session {
-    /// Returns how long the next event of a stream may take.
-    fn stall_limit(&self) -> Duration {
-        let remaining = self.end.saturating_duration_since(Instant::now());
-        if self.may_run_again() {
-            let limit = self.route.pause.map(|p| p.mul_f64(STALL_SHARE));
-            remaining.min(limit.unwrap_or(STALL_LIMIT))
-        } else {
-            remaining
-        }
-    }
-}
-
-async fn next_frame(body: &mut Incoming, limit: Duration) -> io::Result<Option<Frame<Bytes>>> {
-    let frame = async {
-        match body.frame().await {
-            None => Ok(None),
-            Some(Ok(frame)) => Ok(Some(frame)),
-            Some(Err(e)) => Err(io::Error::other(e)),
-        }
-    };
-    connection::within(limit, frame).await
-}
-
-/// Makes a body of bytes that are known as a whole.
-pub fn whole(bytes: impl Into<Bytes>) -> CallerBody {
-    Full::new(bytes.into())
-        .map_err(|e: std::convert::Infallible| match e {})
-        .boxed_unsync()
-}
-
-/// Makes the answer to a call that no worker answered.
-pub fn refuse(
-    call: &Call,
-    status: StatusCode,
-    reason: &str,
-    retry: Option<Duration>,
-) -> Response<CallerBody> {
-    let mut answer = plain(status, reason, retry);
-    headers::set_request_id(answer.headers_mut(), &call.id);
-    answer
-}
-
-/// Makes an answer of one line of text.
-pub fn plain(status: StatusCode, reason: &str, retry: Option<Duration>) -> Response<CallerBody> {
-    let mut answer = Response::new(whole(format!("{reason}\n")));
-    *answer.status_mut() = status;
-    if let Some(retry) = retry {
-        let value = format!("{:.2}", retry.as_secs_f64());
-        if let Ok(value) = value.parse() {
-            answer.headers_mut().insert(header::RETRY_AFTER, value);
-        }
     }
-    answer
 }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -1,9 +1,10 @@
 //! State that all parts of an instance share.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -15,12 +16,15 @@
     drain::{Drain, Phase},
     event,
     ids::{JobId, SessionId},
+    metrics::Beliefs,
 };
 
 use super::{
     config::Configuration,
+    connection::Connection,
     dispatch::Dispatch,
-    jobs::Jobs,
+    fleet::Worker,
+    jobs::{Jobs, lock},
     peers::{Beat, Candidate, Peers},
     settings::Settings,
     sync::Views,
@@ -52,8 +56,6 @@
     pub jobs: Jobs,
     /// Objects of the configuration and of the workers as the store gave them.
     pub views: Mutex<Views>,
-    /// Revision of the newest change of the workers that is known.
-    pub workers_newest: AtomicU64,
     peers: Mutex<Peers>,
     store_reached: AtomicBool,
     start: Instant,
@@ -72,7 +74,6 @@
             drain: Drain::default(),
             jobs: Jobs::default(),
             views: Mutex::default(),
-            workers_newest: AtomicU64::new(0),
             peers: Mutex::default(),
             store_reached: AtomicBool::new(true),
             start: Instant::now(),
@@ -111,7 +112,9 @@
             return false;
         }
         if reached {
-            event!(Info, PlatformBack, "at_ms={}", self.now().as_millis());
+            let now = self.now();
+            self.views().store_returned(now);
+            event!(Info, PlatformBack, "at_ms={}", now.as_millis());
         } else {
             event!(Warn, PlatformLost, "at_ms={}", self.now().as_millis());
         }
@@ -128,13 +131,34 @@
         self.config.load().as_ref().map_or(0, |c| c.version)
     }
 
-    /// Says whether a peer knows a newer configuration or list of workers.
-    pub fn is_behind(&self) -> bool {
-        let workers = self.workers_newest.load(Ordering::Relaxed);
-        let config = self.config_version();
-        self.peers()
-            .live(self.now())
-            .any(|b| b.config > config || b.workers > workers)
+    /// Says whether this instance watches the object store for its zone. Until it has had the time
+    /// to hear all others it leaves that to those that it hears.
+    pub fn is_watcher(&self) -> bool {
+        let Settings { instance, zone, .. } = &self.settings;
+        let (peers, now) = (self.peers(), self.now());
+        if self.is_settled() {
+            peers.is_watcher(instance, zone, now)
+        } else {
+            peers.live(now).next().is_none()
+        }
+    }
+
+    /// Says whether a peer knows of the configuration or the workers what this instance does not.
+    pub fn is_behind(&self, peer: &Beat) -> bool {
+        let workers = self.views().edition;
+        peer.config > self.config_version() || workers.lacks(&peer.workers, self.is_watcher())
+    }
+
+    /// Returns the address of a peer that knows more than this instance, one of its zone if there
+    /// is one.
+    pub fn ahead(&self) -> Option<SocketAddr> {
+        let (config, workers) = (self.config_version(), self.views().edition);
+        let watches = self.is_watcher();
+        let peers = self.peers();
+        let ahead = |b: &&Beat| b.config > config || workers.lacks(&b.workers, watches);
+        let ahead = peers.live(self.now()).filter(ahead);
+        let other_zone = |b: &&Beat| b.zone != self.settings.zone;
+        ahead.min_by_key(other_zone).map(|b| b.address)
     }
 
     /// Returns the instance that runs a job; nothing when it is this one.
@@ -147,6 +171,35 @@
         self.peers().home(job, &me, self.now())
     }
 
+    /// Returns what this instance believes and has to do.
+    pub fn beliefs(&self) -> Beliefs {
+        let running = self.jobs.running();
+        let waiting = running.iter().map(|(_, job)| lock(job).waiting_tokens());
+        let peers = self.peers().live(self.now()).count();
+        Beliefs {
+            config: self.config_version(),
+            workers_revision: self.views().edition.newest,
+            workers: self.dispatch.workers() as u64,
+            peers: peers as u64,
+            store: self.reaches_store(),
+            watcher: self.is_watcher(),
+            queue: self.dispatch.queue() as u64,
+            jobs: running.len() as u64,
+            waiting: waiting.sum(),
+        }
+    }
+
+    /// Keeps a connection to a worker whose answer was read to its end.
+    pub fn keep(&self, worker: &Worker, connection: Connection) {
+        let config = self.config.load();
+        let service = config
+            .as_ref()
+            .and_then(|c| c.services.get(&worker.service));
+        let instances = 1 + self.peers().live(self.now()).count();
+        self.upstream
+            .keep(&worker.id, connection, service, instances);
+    }
+
     /// Takes a configuration unless it is older than the one in force; says whether it is new.
     pub fn set_config(&self, config: Configuration) -> bool {
         let current = self.config.load();
@@ -156,6 +209,8 @@
         {
             return false;
         }
+        // The instances that do not watch the store learn of it by the next message.
+        self.dispatch.notify();
         event!(
             Info,
             ConfigInForce,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -32,8 +32,8 @@
 /// Channels that say that a peer knows more than this instance.
 #[derive(Debug, Clone)]
 pub struct NewsSenders {
-    /// A newer configuration or list of workers, at the peer of the address.
-    pub behind: Sender<SocketAddr>,
+    /// A peer has another configuration or list of workers.
+    pub behind: Sender<()>,
     /// An instance came or went, so that jobs may have another home.
     pub members: Sender<()>,
 }
@@ -60,7 +60,7 @@
                     }
                 }
             }
-            Err(e) => event!(Warn, MessageInvalid, "reason={e}"),
+            Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
         }
         let now = gateway.now();
         let silent = gateway.peers().silent(now, looked);
@@ -88,8 +88,7 @@
 
 /// Returns the addresses of the other instances, as far as they are known.
 fn targets(gateway: &Gateway) -> Set<SocketAddr> {
-    let mut targets: Set<SocketAddr> = gateway.peers().addresses().into_iter().collect();
-    targets.extend(gateway.jobs.registered());
+    let mut targets = gateway.peers().addresses();
     targets.extend(&gateway.settings.seeds);
     targets.remove(&gateway.settings.peers);
     targets
@@ -101,9 +100,6 @@
         (worker, count(level.online), count(level.batch))
     };
     let levels = gateway.dispatch.own_levels();
-    let workers = gateway
-        .workers_newest
-        .load(std::sync::atomic::Ordering::Relaxed);
     Beat {
         instance: gateway.settings.instance.clone(),
         session: gateway.session,
@@ -111,7 +107,8 @@
         number,
         address: gateway.settings.peers,
         config: gateway.config_version(),
-        workers,
+        workers: gateway.views().edition,
+        watches: gateway.is_watcher(),
         leaving: gateway.drain.phase() != Phase::Running,
         store: gateway.reaches_store(),
         levels: levels.into_iter().map(level).collect(),
@@ -135,7 +132,7 @@
         match postcard::from_bytes::<Beat>(&buffer[..count]) {
             Ok(beat) if beat.instance != gateway.settings.instance => take(gateway, beat, news),
             Ok(_) => {}
-            Err(e) => event!(Warn, MessageInvalid, "reason={e}"),
+            Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
         }
     }
 }
@@ -145,13 +142,14 @@
     let (levels, backlog) = (beat.levels(), beat.backlog);
     let ended = beat.ended.clone();
     let states = beat.jobs.clone();
-    let (address, zone) = (beat.address, beat.zone.clone());
+    let zone = beat.zone.clone();
+    let behind = gateway.is_behind(&beat);
     let result = gateway.peers().take(beat, gateway.now());
     if result == News::Old {
         return;
     }
-    if gateway.is_behind() {
-        let _ = news.behind.try_send(address);
+    if behind {
+        let _ = news.behind.try_send(());
     }
     gateway.dispatch.zone_heard(&zone);
     gateway.dispatch.set_peer(&instance, levels, backlog);
--- /dev/null
+++ b/src/gateway/item_run.rs
@@ -0,0 +1,294 @@
+//! Runs an item of a batch job at a worker.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Method, Request, StatusCode, header};
+use smol::channel::Receiver;
+
+use crate::{
+    adapter::headers::{self, Attempt},
+    event,
+    ids::JobId,
+    metrics::{self, ItemStatus},
+};
+
+use super::{
+    connection::{self, SendError},
+    dispatch::Placement,
+    gateway::Gateway,
+    job::{Item, Verdict},
+    jobs::{SharedJob, lock},
+    sse::Events,
+};
+
+/// Time without an event after which an item goes on elsewhere.
+const STALL_LIMIT: Duration = Duration::from_millis(1500);
+/// Pause before an item is started again after a worker refused or broke it.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Pause before an item is started again after a worker's error.
+const ERROR_PAUSE: Duration = Duration::from_millis(300);
+/// Size of a worker's answer that is an error.
+const ERROR_BYTES: usize = 64 << 10;
+
+/// How a run of an item ended.
+enum RunEnd {
+    /// Its output is whole.
+    Whole,
+    /// It gave its place to online requests.
+    Yielded,
+    /// The worker did not run it.
+    Refused(StatusCode),
+    /// The worker broke off or fell silent.
+    Broken(String),
+    /// The worker failed on the item.
+    Failed(StatusCode),
+    /// The item can never be done.
+    Impossible,
+}
+
+/// A run of an item.
+pub struct Run {
+    /// State of the instance.
+    pub gateway: Arc<Gateway>,
+    /// Id of the job.
+    pub job: JobId,
+    /// The job.
+    pub shared: SharedJob,
+    /// The item.
+    pub item: Item,
+    /// Host of the requests.
+    pub host: Arc<str>,
+    /// Errors of workers after which the item is given up.
+    pub attempts: u32,
+}
+
+impl Run {
+    /// Runs the item at a worker until it ends, breaks or yields.
+    pub async fn run(self, placement: Placement, yields: Receiver<()>, after: Option<u64>) {
+        let started = self.gateway.now();
+        event!(
+            Info,
+            ItemStarted,
+            "job={} item={} worker={} zone={} load={} slots={} after={after:?}",
+            self.job,
+            self.item.id,
+            placement.worker.id,
+            placement.worker.zone,
+            placement.load,
+            placement.worker.slots
+        );
+        let mut text = Vec::new();
+        let mut last = after;
+        let yielded = async {
+            let _ = yields.recv().await;
+            RunEnd::Yielded
+        };
+        let work = self.stream(&placement, after, &mut text, &mut last);
+        let end = smol::future::or(work, yielded).await;
+        if after.is_none() && matches!(end, RunEnd::Whole) {
+            let time = self.gateway.now().saturating_sub(started);
+            self.gateway.jobs.note_run_time(time);
+        }
+        let worker = placement.worker.id.clone();
+        drop(placement);
+        self.settle(end, text, last, &worker);
+        self.gateway.jobs.wake();
+    }
+
+    /// Runs the item at a worker and collects its events.
+    async fn stream(
+        &self,
+        placement: &Placement,
+        after: Option<u64>,
+        text: &mut Vec<Arc<str>>,
+        last: &mut Option<u64>,
+    ) -> RunEnd {
+        let dispatch = &self.gateway.dispatch;
+        let worker = &placement.worker;
+        let mut connection = match self.gateway.upstream.connect(worker, true).await {
+            Ok(connection) => connection,
+            Err(e) => {
+                dispatch.unreachable(worker);
+                return RunEnd::Broken(e.to_string());
+            }
+        };
+        let request = match self.request(&worker.id, after) {
+            Ok(request) => request,
+            Err(e) => return RunEnd::Broken(e.to_string()),
+        };
+        let send = smol::future::or(connection.send(request), async {
+            Timer::after(STALL_LIMIT).await;
+            Err(SendError::Sent("no answer in time".into()))
+        });
+        let answer = match send.await {
+            Ok(answer) => answer,
+            Err(SendError::NotSent(e)) => return RunEnd::Broken(e),
+            Err(SendError::Sent(e)) => {
+                dispatch.failed(&worker.id);
+                return RunEnd::Broken(e);
+            }
+        };
+        let terms = headers::decode_answer(&answer);
+        if terms.id.as_ref().is_some_and(|id| *id != self.item.id) {
+            return RunEnd::Broken("the worker answered another request".into());
+        }
+        if terms.not_run {
+            return RunEnd::Refused(answer.status());
+        }
+        let status = answer.status();
+        if status == StatusCode::UNPROCESSABLE_ENTITY {
+            return RunEnd::Impossible;
+        }
+        if !status.is_success() {
+            let read = connection::read_body(answer.into_body(), ERROR_BYTES);
+            if connection::within(STALL_LIMIT, read).await.is_ok() {
+                self.gateway.keep(worker, connection);
+            }
+            return RunEnd::Failed(status);
+        }
+        if !terms.sealed {
+            return RunEnd::Broken("the answer has no signature".into());
+        }
+        dispatch.worked(worker);
+        let mut events = Events::new(answer.into_body());
+        loop {
+            match events.next(STALL_LIMIT).await {
+                Ok(Some(event)) if event.id.is_some() && event.id <= *last => {}
+                Ok(Some(event)) => {
+                    *last = event.id.or(*last);
+                    text.push(String::from_utf8_lossy(&event.data()).into());
+                }
+                Ok(None) => {
+                    self.gateway.keep(worker, connection);
+                    return RunEnd::Whole;
+                }
+                Err(e) => {
+                    dispatch.failed(&worker.id);
+                    return RunEnd::Broken(e.to_string());
+                }
+            }
+            if !self.is_wanted() {
+                return RunEnd::Yielded;
+            }
+        }
+    }
+
+    fn is_wanted(&self) -> bool {
+        let job = lock(&self.shared);
+        job.active && !job.ended
+    }
+
+    fn request(
+        &self,
+        worker: &Arc<str>,
+        after: Option<u64>,
+    ) -> hyper::http::Result<Request<Full<Bytes>>> {
+        let mut call = HeaderMap::new();
+        for (name, value) in &self.item.headers {
+            if let (Ok(name), Ok(value)) = (
+                header::HeaderName::try_from(name),
+                header::HeaderValue::try_from(value),
+            ) {
+                call.append(name, value);
+            }
+        }
+        if let Ok(host) = header::HeaderValue::from_str(&self.host) {
+            call.insert(header::HOST, host);
+        }
+        headers::set_request_id(&mut call, &self.item.id);
+        let attempt = Attempt {
+            worker,
+            remaining: None,
+            after,
+        };
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(&*self.item.path)
+            .body(Full::new(self.item.body.clone()))?;
+        *request.headers_mut() = headers::encode_attempt(&call, &attempt);
+        Ok(request)
+    }
+
+    /// Takes the end of the run into the state of the job.
+    fn settle(&self, end: RunEnd, text: Vec<Arc<str>>, last: Option<u64>, worker: &str) {
+        let now = self.gateway.now();
+        let mut job = lock(&self.shared);
+        let Some(progress) = job.progress(&self.item.id) else {
+            return;
+        };
+        progress.running = false;
+        progress.text.extend(text);
+        progress.last = last;
+        let id = &self.item.id;
+        match end {
+            RunEnd::Whole => {
+                let output = progress.text.join("\n");
+                event!(
+                    Info,
+                    ItemDone,
+                    "job={} item={id} worker={worker} bytes={}",
+                    self.job,
+                    output.len()
+                );
+                metrics::items(ItemStatus::Completed, 1);
+                job.finish(id, Verdict::Done, output.into(), now);
+            }
+            RunEnd::Yielded => {
+                event!(
+                    Info,
+                    ItemYielded,
+                    "job={} item={id} worker={worker} last={last:?}",
+                    self.job
+                );
+            }
+            RunEnd::Refused(status) => {
+                event!(
+                    Info,
+                    WorkerRefused,
+                    "job={} item={id} worker={worker} status={}",
+                    self.job,
+                    status.as_u16()
+                );
+                progress.not_before = now + RETRY_PAUSE;
+            }
+            RunEnd::Broken(reason) => {
+                event!(
+                    Warn,
+                    ItemBroken,
+                    "job={} item={id} worker={worker} last={last:?} reason={reason:?}",
+                    self.job
+                );
+                progress.not_before = now + RETRY_PAUSE;
+            }
+            RunEnd::Failed(status) => {
+                progress.failures += 1;
+                progress.not_before = now + ERROR_PAUSE;
+                let failures = progress.failures;
+                if failures >= self.attempts {
+                    let job_id = &self.job;
+                    event!(
+                        Warn,
+                        ItemFailed,
+                        "job={job_id} item={id} reason=errors count={failures} status={}",
+                        status.as_u16()
+                    );
+                    metrics::items(ItemStatus::Failed, 1);
+                    job.finish(id, Verdict::GivenUp, "".into(), now);
+                }
+            }
+            RunEnd::Impossible => {
+                event!(
+                    Warn,
+                    ItemFailed,
+                    "job={} item={id} reason=impossible",
+                    self.job
+                );
+                metrics::items(ItemStatus::Failed, 1);
+                job.finish(id, Verdict::GivenUp, "".into(), now);
+            }
+        }
+    }
+}
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -16,16 +16,16 @@
 use crate::{
     adapter::{
         job_calls::{self, JobCall},
-        store::StoreError,
+        store::{Freshness, StoreError},
     },
     event,
     ids::{ItemId, JobId},
 };
 
 use super::{
+    answer::{CallerBody, plain, whole},
     config::Route,
     connection::SendError,
-    forward::{self, CallerBody, plain, whole},
     gateway::Gateway,
     job::{self, Job, Mark, Outcome, Part, Record},
     jobs::{self, SharedJob, lock},
@@ -192,10 +192,14 @@
     };
     if !fits(gateway, &route, tokens) {
         // A job that was accepted before fits in any case.
-        return match gateway.store.get(JOBS, &request.job).await {
+        return match gateway
+            .store
+            .get(JOBS, &request.job, Freshness::Latest)
+            .await
+        {
             Ok(None) => {
                 event!(
-                    Info,
+                    Warn,
                     JobRefused,
                     "job={} tokens={tokens} route={}",
                     request.job,
@@ -227,11 +231,18 @@
             activate(gateway, &gateway.jobs.add(&request.job, job));
             plain(StatusCode::ACCEPTED, "accepted", None)
         }
-        Ok(false) => match adopt(gateway, &request.job).await {
-            Ok(_) => plain(StatusCode::ACCEPTED, "accepted", None),
+        Ok(false) => {
             // It is stored, so it will run, whoever reads it next.
-            Err(_) => plain(StatusCode::ACCEPTED, "accepted", None),
-        },
+            if let Err(e) = adopt(gateway, &request.job).await {
+                event!(
+                    Warn,
+                    StoreCallFailed,
+                    "job={} call=adopt reason=\"{e}\"",
+                    request.job
+                );
+            }
+            plain(StatusCode::ACCEPTED, "accepted", None)
+        }
         Err(StoreError::Unavailable(e)) => unsure(&e),
         Err(e) => plain(StatusCode::GATEWAY_TIMEOUT, &e.to_string(), None),
     }
@@ -271,7 +282,7 @@
             Err(StoreError::Unavailable(e)) if !unclear => return Err(StoreError::Unavailable(e)),
             Err(e) => {
                 unclear = true;
-                event!(Info, StoreCallFailed, "job={id} call=create reason={e}");
+                event!(Info, StoreCallFailed, "job={id} call=create reason=\"{e}\"");
                 if started.elapsed() > SETTLE_LIMIT {
                     return Err(StoreError::Unknown(e.to_string()));
                 }
@@ -291,7 +302,7 @@
         }
         return Ok(Some(job));
     }
-    let Some(object) = gateway.store.get(JOBS, id).await? else {
+    let Some(object) = gateway.store.get(JOBS, id, Freshness::Latest).await? else {
         return Ok(None);
     };
     let record: Record =
@@ -315,7 +326,7 @@
             job.next_page()
         };
         let name = job::page_name(id, page);
-        let Some(object) = gateway.store.get(PAGES, &name).await? else {
+        let Some(object) = gateway.store.get(PAGES, &name, Freshness::Latest).await? else {
             return Ok(());
         };
         let outcomes: Vec<Outcome> =
@@ -392,7 +403,7 @@
             Err(e) => event!(
                 Info,
                 PeerCallFailed,
-                "job={id} peer={} call=hand-over reason={e:#}",
+                "job={id} peer={} call=hand-over reason=\"{e:#}\"",
                 home.instance
             ),
         }
@@ -474,7 +485,7 @@
             event!(
                 Info,
                 StoreCallFailed,
-                "job={} call=end reason={e}",
+                "job={} call=end reason=\"{e}\"",
                 request.job
             );
             unsure(&e.to_string())
@@ -483,7 +494,7 @@
 }
 
 fn json(body: Vec<u8>) -> Response<CallerBody> {
-    let mut answer = Response::new(forward::whole(body));
+    let mut answer = Response::new(whole(body));
     let kind = header::HeaderValue::from_static("application/json");
     answer.headers_mut().insert(header::CONTENT_TYPE, kind);
     answer
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -1,7 +1,6 @@
 //! The batch jobs that an instance knows, shared by all threads.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -42,7 +41,6 @@
     waiting: Mutex<Vec<(u32, u64)>>,
     backlog: Mutex<Backlog>,
     run_time: Mutex<Option<Duration>>,
-    registered: Mutex<Vec<SocketAddr>>,
     wake: (Sender<()>, Receiver<()>),
 }
 
@@ -55,7 +53,6 @@
             waiting: Mutex::default(),
             backlog: Mutex::default(),
             run_time: Mutex::default(),
-            registered: Mutex::default(),
             wake: bounded(1),
         }
     }
@@ -102,6 +99,14 @@
             .collect()
     }
 
+    /// Returns the jobs that this instance has work to do on. Jobs that are over outnumber them after
+    /// a while.
+    pub fn running(&self) -> Vec<(JobId, SharedJob)> {
+        let jobs = lock(&self.jobs);
+        let running = jobs.iter().filter(|(_, job)| lock(job).is_running());
+        running.map(|(id, job)| (id.clone(), job.clone())).collect()
+    }
+
     /// Returns a job by its short form.
     pub fn by_key(&self, key: JobKey) -> Option<(JobId, SharedJob)> {
         let id = lock(&self.keys).get(&key).cloned()?;
@@ -179,16 +184,6 @@
         *lock(&self.run_time)
     }
 
-    /// Sets the addresses of instances that are registered in the object store.
-    pub fn set_registered(&self, addresses: Vec<SocketAddr>) {
-        *lock(&self.registered) = addresses;
-    }
-
-    /// Returns the addresses of instances that are registered in the object store.
-    pub fn registered(&self) -> Vec<SocketAddr> {
-        lock(&self.registered).clone()
-    }
-
     /// Has the runner look for items that can start and results to commit.
     pub fn wake(&self) {
         let _ = self.wake.0.try_send(());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! docs/platform.md describes the parts. `config`, `dispatch`, `fleet`, `job`, `peers`, `sse` and
 //! `view` decide; the others do input and output.
 
+pub mod answer;
 pub mod config;
 pub mod connection;
 pub mod dispatch;
@@ -12,16 +13,19 @@
 #[allow(clippy::module_inception)]
 pub mod gateway;
 pub mod gossip;
+pub mod item_run;
 pub mod job;
 pub mod job_api;
 pub mod job_run;
 pub mod jobs;
 pub mod peer_call;
 pub mod peers;
+pub mod relay;
 pub mod serve;
 pub mod server;
 pub mod settings;
 pub mod sse;
+pub mod sweep;
 pub mod sync;
 pub mod upstream;
 pub mod view;
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -8,11 +8,11 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use serde::{Deserialize, Serialize};
 
-use crate::ids::JobId;
+use crate::{ids::JobId, metrics};
 
 use super::{
+    answer::{CallerBody, plain, whole},
     connection::{self, Connection, SendError},
-    forward::{self, CallerBody},
     gateway::Gateway,
     job::Part,
     job_api::{self, JobRequest},
@@ -45,7 +45,9 @@
 /// Says whether the call may have been received.
 pub async fn job(address: SocketAddr, request: &JobRequest) -> Result<Response<Bytes>, SendError> {
     let limit = CALL_LIMIT + request.wait;
-    call(address, &PeerCall::Job(request.clone()), limit).await
+    let answer = call(address, &PeerCall::Job(request.clone()), limit).await;
+    metrics::peer_call(metrics::PeerCall::Job, answer.is_ok());
+    answer
 }
 
 /// Reads what an instance knows of configuration and workers.
@@ -54,7 +56,9 @@
 ///
 /// Returns an error when the instance does not answer.
 pub async fn snapshot(address: SocketAddr) -> anyhow::Result<Snapshot> {
-    match call(address, &PeerCall::Snapshot, CALL_LIMIT).await {
+    let answer = call(address, &PeerCall::Snapshot, CALL_LIMIT).await;
+    metrics::peer_call(metrics::PeerCall::Snapshot, answer.is_ok());
+    match answer {
         Ok(answer) if answer.status() == StatusCode::OK => {
             postcard::from_bytes(answer.body()).context("the snapshot cannot be read")
         }
@@ -69,7 +73,9 @@
 ///
 /// Returns an error when the instance does not take it.
 pub async fn hand_over(address: SocketAddr, job: &JobId, parts: Vec<Part>) -> anyhow::Result<()> {
-    match call(address, &PeerCall::HandOver(job.clone(), parts), CALL_LIMIT).await {
+    let answer = call(address, &PeerCall::HandOver(job.clone(), parts), CALL_LIMIT).await;
+    metrics::peer_call(metrics::PeerCall::HandOver, answer.is_ok());
+    match answer {
         Ok(answer) if answer.status() == StatusCode::OK => Ok(()),
         Ok(answer) => bail!("status {}", answer.status()),
         Err(SendError::NotSent(e) | SendError::Sent(e)) => bail!(e),
@@ -97,23 +103,23 @@
     let body = connection::read_body(request.into_body(), CALL_BYTES);
     let body = match connection::within(CALL_LIMIT, body).await {
         Ok(body) => body,
-        Err(e) => return forward::plain(StatusCode::BAD_REQUEST, &e.to_string(), None),
+        Err(e) => return plain(StatusCode::BAD_REQUEST, &e.to_string(), None),
     };
     match postcard::from_bytes(&body) {
         Ok(PeerCall::Job(request)) => job_api::answer_here(&gateway, &request).await,
         Ok(PeerCall::HandOver(job, parts)) => {
             match job_api::take_over(&gateway, &job, parts).await {
-                Ok(()) => forward::plain(StatusCode::OK, "taken over", None),
-                Err(e) => forward::plain(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
+                Ok(()) => plain(StatusCode::OK, "taken over", None),
+                Err(e) => plain(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
             }
         }
         Ok(PeerCall::Snapshot) => {
             let snapshot = Snapshot::of(&gateway.views());
             match postcard::to_stdvec(&snapshot) {
-                Ok(bytes) => Response::new(forward::whole(bytes)),
-                Err(e) => forward::plain(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string(), None),
+                Ok(bytes) => Response::new(whole(bytes)),
+                Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string(), None),
             }
         }
-        Err(e) => forward::plain(StatusCode::BAD_REQUEST, &e.to_string(), None),
+        Err(e) => plain(StatusCode::BAD_REQUEST, &e.to_string(), None),
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,6 +16,8 @@
 const LIVE_FOR: Duration = Duration::from_millis(1600);
 /// Silence after which an instance is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
+/// Instances of a zone that watch the object store for the others: two may fail at once.
+const WATCHERS: usize = 3;
 
 /// Short form of a job's id in messages between instances.
 pub type JobKey = u32;
@@ -38,6 +40,28 @@
     pub active: bool,
 }
 
+/// Edition of the list of workers at an instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Edition {
+    /// Revision of the store that it shows.
+    pub at: u64,
+    /// Revision of the newest change in it.
+    pub newest: u64,
+    /// Hash of its entries.
+    pub digest: u32,
+}
+
+impl Edition {
+    /// Says whether an instance that has this edition lacks something that `other` shows.
+    /// Entries that are dropped without a change in the store show in the digest only, which an
+    /// instance that watches the store itself need not follow.
+    pub fn lacks(&self, other: &Edition, watches: bool) -> bool {
+        let differs = self.digest != other.digest && self.at <= other.at;
+        other.newest > self.newest || (!watches && differs)
+    }
+}
+
 /// State of an instance, sent to the others whole, so that a lost message is made up by the next.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -54,8 +78,10 @@
     pub address: SocketAddr,
     /// Version of its configuration.
     pub config: u64,
-    /// Revision of its list of workers.
-    pub workers: u64,
+    /// Its list of workers.
+    pub workers: Edition,
+    /// Whether it watches the object store.
+    pub watches: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Whether it reaches the object store.
@@ -96,6 +122,7 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     known: Map<InstanceId, Peer>,
+    registered: Vec<SocketAddr>,
 }
 
 /// This instance as a candidate to run a job.
@@ -158,9 +185,23 @@
         self.known.values().filter(live).map(|p| &p.beat)
     }
 
+    /// Says whether an instance is one of those that watch the object store for its zone.
+    pub fn is_watcher(&self, me: &InstanceId, zone: &Zone, now: Duration) -> bool {
+        let able = |b: &&Beat| b.zone == *zone && b.store && !b.leaving;
+        let live = self.live(now).filter(able);
+        let names: Vec<_> = live.map(|b| b.instance.clone()).collect();
+        ownership::position(zone, me, &names) < WATCHERS
+    }
+
+    /// Sets the addresses of instances that are registered in the object store.
+    pub fn set_registered(&mut self, addresses: Vec<SocketAddr>) {
+        self.registered = addresses;
+    }
+
     /// Returns the addresses of all known instances.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.known.values().map(|p| p.beat.address).collect()
+    pub fn addresses(&self) -> Set<SocketAddr> {
+        let heard = self.known.values().map(|p| p.beat.address);
+        heard.chain(self.registered.iter().copied()).collect()
     }
 
     /// Returns the instance that runs a job; nothing when it is this one.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,6 +27,7 @@
     job_api, job_run,
     server::{Server, Side},
     settings::{KeeperSettings, Settings},
+    sweep,
     sync::{self, Kind},
 };
 
@@ -66,6 +67,10 @@
     let socket = socket.with_context(|| format!("cannot listen on {}", settings.peers))?;
     let callers = Server::start(gateway.clone(), settings.callers, Side::Callers)?;
     let peers = Server::start(gateway.clone(), settings.peers, Side::Peers)?;
+    let _metrics = match settings.metrics {
+        Some(address) => Some(Server::start(gateway.clone(), address, Side::Metrics)?),
+        None => None,
+    };
     let _balancer = Server::start(gateway.clone(), settings.ready, Side::Balancer)?;
     event!(
         Info,
@@ -92,9 +97,7 @@
         .detach();
     control.spawn(register(gateway.clone())).detach();
     control.spawn(job_run::run(gateway.clone())).detach();
-    control
-        .spawn(job_run::sweep(gateway.clone(), changed))
-        .detach();
+    control.spawn(sweep::run(gateway.clone(), changed)).detach();
     let stop = async {
         loop {
             match signals.next().await {
@@ -141,7 +144,7 @@
         };
         match created {
             Ok(()) => break,
-            Err(e) => event!(Info, StoreCallFailed, "call=register reason={e}"),
+            Err(e) => event!(Info, StoreCallFailed, "call=register reason=\"{e}\""),
         }
         Timer::after(REGISTER_PAUSE).await;
     }
@@ -152,11 +155,10 @@
             Ok((objects, _)) => {
                 let entry = |spec: &str| serde_json::from_str::<Entry>(spec).ok();
                 let addresses = objects.iter().filter_map(|o| entry(&o.spec));
-                gateway
-                    .jobs
-                    .set_registered(addresses.map(|e| e.address).collect());
+                let addresses = addresses.map(|e| e.address).collect();
+                gateway.peers().set_registered(addresses);
             }
-            Err(e) => event!(Info, StoreCallFailed, "call=members reason={e}"),
+            Err(e) => event!(Info, StoreCallFailed, "call=members reason=\"{e}\""),
         }
         Timer::after(MEMBERS_INTERVAL).await;
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -18,12 +18,13 @@
 
 use crate::{
     adapter::{headers, job_calls},
-    event,
+    event, metrics,
 };
 
 use super::{
+    answer::{CallerBody, plain, whole},
     connection,
-    forward::{self, Call, CallerBody},
+    forward::{self, Call},
     gateway::Gateway,
     job_api, peer_call,
 };
@@ -42,6 +43,8 @@
     Balancer,
     /// Other instances.
     Peers,
+    /// The operator's collector of metrics.
+    Metrics,
 }
 
 /// A running server.
@@ -100,7 +103,7 @@
                 smol::spawn(serving).detach();
             }
             Err(e) => {
-                event!(Warn, AcceptFailed, "reason={e}");
+                event!(Warn, AcceptFailed, "reason=\"{e}\"");
                 async_io::Timer::after(ACCEPT_PAUSE).await;
             }
         }
@@ -129,6 +132,7 @@
                 Side::Callers => answer_caller(gateway, request).await,
                 Side::Balancer => answer_balancer(&gateway),
                 Side::Peers => peer_call::answer(gateway, request).await,
+                Side::Metrics => answer_metrics(&gateway),
             };
             Ok::<_, std::convert::Infallible>(answer)
         }
@@ -161,14 +165,19 @@
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     };
-    forward::plain(status, status.canonical_reason().unwrap_or(""), None)
+    plain(status, status.canonical_reason().unwrap_or(""), None)
+}
+
+fn answer_metrics(gateway: &Gateway) -> Response<CallerBody> {
+    metrics::beliefs(&gateway.beliefs());
+    Response::new(whole(metrics::text()))
 }
 
 async fn answer_caller(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
     let received = Instant::now();
     let Some(config) = gateway.config.load_full() else {
         let reason = "no configuration is known yet";
-        return forward::plain(
+        return plain(
             StatusCode::SERVICE_UNAVAILABLE,
             reason,
             Some(UNCONFIGURED_RETRY),
@@ -188,13 +197,13 @@
     };
     let Some(route) = route.cloned() else {
         event!(
-            Info,
+            Warn,
             NoRoute,
-            "host={host} path={} config={}",
+            "host={host:?} path={} config={}",
             request.uri().path(),
             config.version
         );
-        return forward::plain(StatusCode::NOT_FOUND, "no such route", None);
+        return plain(StatusCode::NOT_FOUND, "no such route", None);
     };
     // Calls for a job that exists name it in the path.
     let id = terms
@@ -202,8 +211,8 @@
         .clone()
         .or_else(|| job_call.as_ref().map(|_| "".into()));
     let Some(id) = id else {
-        event!(Info, CallInvalid, "route={} reason=no-id", route.name);
-        return forward::plain(StatusCode::BAD_REQUEST, "the request has no id", None);
+        event!(Warn, CallInvalid, "route={} reason=no-id", route.name);
+        return plain(StatusCode::BAD_REQUEST, "the request has no id", None);
     };
     let (head, body) = request.into_parts();
     let limit = terms.deadline.unwrap_or(route.timeout).min(route.timeout);
@@ -211,15 +220,15 @@
     let body = match connection::within(limit, read).await {
         Ok(body) => body,
         Err(e) if e.kind() == std::io::ErrorKind::TimedOut => {
-            return forward::plain(
+            return plain(
                 StatusCode::REQUEST_TIMEOUT,
                 "the body came too slowly",
                 None,
             );
         }
         Err(e) => {
-            event!(Info, BodyUnread, "request={id} reason={e}");
-            return forward::plain(
+            event!(Warn, BodyUnread, "request={id} reason=\"{e}\"");
+            return plain(
                 StatusCode::PAYLOAD_TOO_LARGE,
                 "the body cannot be read",
                 None,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an instance on a platform that has its own registry of routes and workers: raw
 //! JSON to checked values.
 
-use std::{fs, net::SocketAddr, path::Path, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use anyhow::{Context, ensure};
 use serde::Deserialize;
@@ -21,6 +21,8 @@
     ready_address: Option<SocketAddr>,
     #[serde(default)]
     peer_address: Option<SocketAddr>,
+    #[serde(default)]
+    metrics_address: Option<SocketAddr>,
     store_address: SocketAddr,
     #[serde(default)]
     seeds: Vec<SocketAddr>,
@@ -41,6 +43,8 @@
     pub ready: SocketAddr,
     /// Address for other instances.
     pub peers: SocketAddr,
+    /// Address for the collector of metrics.
+    pub metrics: Option<SocketAddr>,
     /// Address of the object store.
     pub store: SocketAddr,
     /// Addresses of some other instances; they may be out of date.
@@ -60,21 +64,6 @@
     pub store: SocketAddr,
 }
 
-impl RawSettings {
-    /// Reads a settings file.
-    ///
-    /// # Errors
-    ///
-    /// Returns one line that names the file and the field.
-    pub fn load(file: &Path) -> anyhow::Result<Self> {
-        let text = fs::read_to_string(file)
-            .with_context(|| format!("cannot read settings file {}", file.display()))?;
-        let mut reader = serde_json::Deserializer::from_str(&text);
-        serde_path_to_error::deserialize(&mut reader)
-            .with_context(|| format!("settings file {} is not valid", file.display()))
-    }
-}
-
 impl TryFrom<RawSettings> for Settings {
     type Error = anyhow::Error;
 
@@ -88,6 +77,7 @@
             callers: raw.caller_address.context("caller_address: is missing")?,
             ready: raw.ready_address.context("ready_address: is missing")?,
             peers: raw.peer_address.context("peer_address: is missing")?,
+            metrics: raw.metrics_address,
             store: raw.store_address,
             seeds: raw.seeds,
             grace: Duration::from_secs_f64(raw.grace_s),
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -1,6 +1,12 @@
-//! Splits the bytes of an event stream into whole events.
+//! Event streams of workers as whole events.
+
+use std::{io, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::connection;
 
 /// Bytes of an event stream that do not yet make a whole event.
 #[derive(Debug, Default)]
@@ -17,6 +23,52 @@
     pub id: Option<u64>,
 }
 
+/// Events of a worker's answer.
+#[derive(Debug)]
+pub struct Events {
+    body: Incoming,
+    splitter: Splitter,
+}
+
+impl Events {
+    /// Reads the events of a body.
+    pub fn new(body: Incoming) -> Self {
+        Self {
+            body,
+            splitter: Splitter::default(),
+        }
+    }
+
+    /// Returns the next event; nothing at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the stream breaks off, ends inside an event or is silent for `limit`.
+    pub async fn next(&mut self, limit: Duration) -> io::Result<Option<Event>> {
+        loop {
+            if let Some(event) = self.splitter.pop() {
+                return Ok(Some(event));
+            }
+            let frame = async {
+                self.body
+                    .frame()
+                    .await
+                    .transpose()
+                    .map_err(io::Error::other)
+            };
+            match connection::within(limit, frame).await? {
+                Some(frame) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.splitter.push(data);
+                    }
+                }
+                None if self.splitter.is_empty() => return Ok(None),
+                None => return Err(io::Error::other("the stream ended inside an event")),
+            }
+        }
+    }
+}
+
 impl Splitter {
     /// Takes received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
--- /dev/null
+++ b/src/gateway/sweep.rs
@@ -0,0 +1,101 @@
+//! Finds stored jobs that this instance is to run, and removes old ones.
+
+use std::{sync::Arc, time::Duration};
+
+use async_io::Timer;
+use smol::channel::Receiver;
+
+use crate::{
+    adapter::store::{Freshness, Object, StoreError},
+    event,
+    ids::JobId,
+};
+
+use super::{
+    gateway::Gateway,
+    job::{self, Mark, Record},
+    job_api::{self, JOBS, PAGES},
+    jobs::lock,
+};
+
+/// Time from a change of the members to the look for jobs that have a new home.
+const SWEEP_DELAY: Duration = Duration::from_millis(1500);
+/// Time after its retention for which a job is kept.
+const REMOVE_AFTER: Duration = Duration::from_secs(60);
+
+/// Looks for jobs that have this instance as a new home, after each change of the members.
+pub async fn run(gateway: Arc<Gateway>, members: Receiver<()>) {
+    loop {
+        Timer::after(SWEEP_DELAY).await;
+        while members.try_recv().is_ok() {}
+        match gateway.store.list(JOBS, Freshness::Stale).await {
+            Ok((objects, _)) => {
+                for object in objects {
+                    sweep_one(&gateway, &object).await;
+                }
+            }
+            Err(e) => {
+                event!(Info, StoreCallFailed, "call=sweep reason=\"{e}\"");
+                continue;
+            }
+        }
+        if members.recv().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn sweep_one(gateway: &Arc<Gateway>, object: &Object) {
+    let id: JobId = object.name.as_str().into();
+    if gateway.home(&id).is_some() {
+        return;
+    }
+    let mark: Option<Mark> = serde_json::from_str(&object.status).unwrap_or_default();
+    let record: Record = match serde_json::from_str(&object.spec) {
+        Ok(record) => record,
+        Err(e) => {
+            event!(Warn, JobInvalid, "job={id} reason=\"{e}\"");
+            return;
+        }
+    };
+    let age = Duration::from_millis(job_api::unix_millis().saturating_sub(record.submitted));
+    if age > gateway.settings.retention + REMOVE_AFTER && is_over(gateway, &id).await {
+        remove(gateway, &id).await;
+        return;
+    }
+    let ended = mark.unwrap_or_default().ended;
+    if ended {
+        gateway.jobs.note_ended(&id, gateway.now());
+        return;
+    }
+    if let Err(e) = job_api::adopt(gateway, &id).await {
+        event!(Info, StoreCallFailed, "job={id} call=adopt reason=\"{e}\"");
+    }
+}
+
+async fn is_over(gateway: &Arc<Gateway>, id: &JobId) -> bool {
+    match job_api::adopt(gateway, id).await {
+        Ok(Some(job)) => lock(&job).is_complete() || lock(&job).ended,
+        Ok(None) | Err(_) => false,
+    }
+}
+
+/// Removes a job and its results from the store. The pages go first, so that a removal that stops
+/// half way is found again by the job.
+async fn remove(gateway: &Gateway, id: &JobId) {
+    let pages = gateway.jobs.get(id).map_or(0, |job| lock(&job).next_page());
+    for page in 0..pages {
+        let name = job::page_name(id, page);
+        if let Err(e) = gateway.store.delete(PAGES, &name).await {
+            event!(
+                Info,
+                StoreCallFailed,
+                "job={id} call=delete-page reason=\"{e}\""
+            );
+        }
+    }
+    match gateway.store.delete(JOBS, id).await {
+        Ok(()) | Err(StoreError::Missing) => gateway.jobs.remove(id),
+        Err(e) => event!(Info, StoreCallFailed, "job={id} call=delete reason=\"{e}\""),
+    }
+}
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,10 +1,6 @@
 //! Follows the configuration and the list of workers in the object store.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use async_io::Timer;
 use serde::{Deserialize, Serialize};
@@ -19,7 +15,7 @@
     event,
 };
 
-use super::{fleet::Worker, gateway::Gateway, peer_call, view::View};
+use super::{fleet::Worker, gateway::Gateway, peer_call, peers::Edition, view::View};
 
 /// Longest time that a watch waits at the store. A watch that went silent is noticed after it at
 /// the latest; peers tell earlier that there is news.
@@ -29,8 +25,13 @@
 /// Longest wait between failed calls. The store has to be found within a second of its return.
 const RETRY_LONGEST: Duration = Duration::from_millis(900);
 
+/// Interval at which an instance that does not watch the store asks it for the configuration, which
+/// shows that the store is there as well.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1500);
 /// Time in which an instance learns by its own watch what its peers know already.
-const PULL_DELAY: Duration = Duration::from_millis(250);
+const WATCHER_PULL_DELAY: Duration = Duration::from_millis(250);
+/// Time for which changes are gathered before an instance without a watch pulls them.
+const PULL_DELAY: Duration = Duration::from_millis(60);
 
 /// Views of the store.
 #[derive(Debug, Default)]
@@ -39,6 +40,16 @@
     pub config: View,
     /// The workers.
     pub workers: View,
+    /// Edition of the workers that is in force.
+    pub edition: Edition,
+}
+
+impl Views {
+    /// Notes that the store is back after an outage.
+    pub fn store_returned(&mut self, now: Duration) {
+        self.config.store_returned(now);
+        self.workers.store_returned(now);
+    }
 }
 
 /// A kind of objects that instances follow.
@@ -84,25 +95,25 @@
 pub async fn follow(gateway: Arc<Gateway>, kind: Kind) {
     let mut backoff = Backoff::new(RETRY_FIRST, RETRY_LONGEST);
     let mut rng = fastrand::Rng::new();
-    let mut listed = false;
+    let mut follower = Follower {
+        gateway: gateway.clone(),
+        kind,
+        listed: false,
+        watches: false,
+    };
     loop {
-        let step = step(&gateway, kind, &mut listed).await;
-        let pause = match step {
+        let pause = match follower.step().await {
             Ok(()) => {
                 backoff.succeed();
-                if gateway.note_store(true) {
-                    let now = gateway.now();
-                    kind.view(&mut gateway.views()).store_returned(now);
-                    listed = false;
-                }
                 Duration::ZERO
             }
             Err(StoreError::Compacted) => {
-                listed = false;
+                follower.listed = false;
                 Duration::ZERO
             }
             Err(e) => {
-                event!(Warn, StoreCallFailed, "kind={} reason={e}", kind.name());
+                follower.listed = false;
+                event!(Warn, StoreCallFailed, "kind={} reason=\"{e}\"", kind.name());
                 gateway.note_store(false);
                 backoff.fail(&mut rng)
             }
@@ -114,37 +125,102 @@
     }
 }
 
-async fn step(gateway: &Gateway, kind: Kind, listed: &mut bool) -> Result<(), StoreError> {
-    let now = gateway.now();
-    if !*listed {
-        let (objects, at) = gateway.store.list(kind.name(), Freshness::Latest).await?;
-        kind.view(&mut gateway.views()).replace(objects, at, now);
-        *listed = true;
-        return Ok(());
+/// Follows a kind.
+struct Follower {
+    gateway: Arc<Gateway>,
+    kind: Kind,
+    listed: bool,
+    watches: bool,
+}
+
+impl Follower {
+    async fn step(&mut self) -> Result<(), StoreError> {
+        if !self.listed {
+            return self.list().await;
+        }
+        let watches = self.gateway.is_watcher();
+        if watches != self.watches {
+            self.watches = watches;
+            event!(
+                Info,
+                WatcherChanged,
+                "kind={} watches={watches}",
+                self.kind.name()
+            );
+        }
+        if watches {
+            self.watch().await
+        } else {
+            self.check().await
+        }
+    }
+
+    async fn list(&mut self) -> Result<(), StoreError> {
+        let store = &self.gateway.store;
+        let (objects, at) = store.list(self.kind.name(), Freshness::Latest).await?;
+        let now = self.gateway.now();
+        self.gateway.note_store(true);
+        self.kind
+            .view(&mut self.gateway.views())
+            .replace(objects, at, now);
+        self.listed = true;
+        Ok(())
+    }
+
+    async fn watch(&self) -> Result<(), StoreError> {
+        let gateway = &self.gateway;
+        let (since, expires) = {
+            let mut views = gateway.views();
+            let view = self.kind.view(&mut views);
+            (view.at, view.expires())
+        };
+        let wait = expires.map_or(WATCH_WAIT, |t| {
+            t.saturating_sub(gateway.now()) + Duration::from_millis(50)
+        });
+        let wait = wait.min(WATCH_WAIT.mul_f64(fastrand::f64().mul_add(0.3, 0.7)));
+        let (changes, at) = gateway.store.watch(self.kind.name(), since, wait).await?;
+        let now = gateway.now();
+        gateway.note_store(true);
+        self.kind.view(&mut gateway.views()).apply(changes, at, now);
+        Ok(())
     }
-    let (since, expires) = {
+
+    /// Leaves watching to others of the zone, which tell what changes, and only looks whether the
+    /// store is there and the configuration is still the newest.
+    async fn check(&self) -> Result<(), StoreError> {
+        Timer::after(CHECK_INTERVAL).await;
+        if self.kind != Kind::Config {
+            return Ok(());
+        }
+        let gateway = &self.gateway;
+        let (kind, name) = objects::CONFIG;
+        let config = gateway.store.get(kind, name, Freshness::Stale).await?;
+        let now = gateway.now();
+        gateway.note_store(true);
         let mut views = gateway.views();
-        let view = kind.view(&mut views);
-        (view.at, view.expires())
-    };
-    let wait = expires.map_or(WATCH_WAIT, |t| {
-        t.saturating_sub(now) + Duration::from_millis(50)
-    });
-    let wait = wait.min(WATCH_WAIT.mul_f64(fastrand::f64().mul_add(0.3, 0.7)));
-    let (changes, at) = gateway.store.watch(kind.name(), since, wait).await?;
-    kind.view(&mut gateway.views())
-        .apply(changes, at, gateway.now());
-    Ok(())
+        if let Some(config) = config
+            && config.revision > views.config.at
+        {
+            let at = config.revision;
+            views.config.replace(vec![config], at, now);
+        }
+        Ok(())
+    }
 }
 
-/// Pulls what peers know when this instance stays behind them, for ever: its watches may have gone
-/// silent, or the store may be away.
-pub async fn pull(gateway: Arc<Gateway>, behind: Receiver<SocketAddr>) {
-    while let Ok(address) = behind.recv().await {
-        Timer::after(PULL_DELAY).await;
-        if !gateway.is_behind() {
+/// Pulls what peers know when this instance stays behind them, for ever: it does not watch the
+/// store, its watches have gone silent, or the store is away.
+pub async fn pull(gateway: Arc<Gateway>, behind: Receiver<()>) {
+    while behind.recv().await.is_ok() {
+        let delay = if gateway.is_watcher() {
+            WATCHER_PULL_DELAY
+        } else {
+            PULL_DELAY
+        };
+        Timer::after(delay).await;
+        let Some(address) = gateway.ahead() else {
             continue;
-        }
+        };
         match peer_call::snapshot(address).await {
             Ok(snapshot) => {
                 event!(
@@ -158,7 +234,7 @@
             Err(e) => event!(
                 Warn,
                 PeerCallFailed,
-                "peer={address} call=snapshot reason={e:#}"
+                "peer={address} call=snapshot reason=\"{e:#}\""
             ),
         }
     }
@@ -176,15 +252,26 @@
         }
         Kind::Workers => {
             views.workers.expire(gateway.now());
-            gateway
-                .workers_newest
-                .store(views.workers.newest, Ordering::Relaxed);
+            let edition = views.workers.edition();
+            let changed = views.edition.digest != edition.digest;
+            views.edition = edition;
             let workers: Vec<Arc<Worker>> =
                 views.workers.objects().filter_map(decode_worker).collect();
             gateway
                 .upstream
                 .retain(|id| workers.iter().any(|w| w.id == *id));
             gateway.dispatch.set_workers(workers);
+            if changed {
+                event!(
+                    Info,
+                    WorkersChanged,
+                    "at={} newest={} workers={}",
+                    edition.at,
+                    edition.newest,
+                    gateway.dispatch.workers()
+                );
+                gateway.dispatch.notify();
+            }
         }
     }
 }
@@ -197,7 +284,7 @@
         Err(e) => event!(
             Warn,
             ConfigInvalid,
-            "revision={} reason={e:#}",
+            "revision={} reason=\"{e:#}\"",
             object.revision
         ),
     }
@@ -207,7 +294,12 @@
     match objects::decode_worker(&object.name, &object.spec) {
         Ok(worker) => Some(Arc::new(worker)),
         Err(e) => {
-            event!(Warn, WorkerInvalid, "entry={} reason={e:#}", object.name);
+            event!(
+                Warn,
+                WorkerInvalid,
+                "entry={} reason=\"{e:#}\"",
+                object.name
+            );
             None
         }
     }
@@ -238,7 +330,7 @@
         {
             let mut views = gateway.views();
             let workers = self.workers.into_iter().map(object).collect();
-            if self.at > views.workers.at {
+            if self.at >= views.workers.at {
                 views.workers.replace(workers, self.at, now);
             }
             views.workers.newest = views.workers.newest.max(self.newest);
@@ -268,7 +360,7 @@
             event!(
                 Warn,
                 StoreCallFailed,
-                "kind={} reason={e}",
+                "kind={} reason=\"{e}\"",
                 objects::DRAIN_REQUESTS
             );
             Timer::after(backoff.fail(&mut rng)).await;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -8,7 +8,7 @@
 
 use crate::ids::{Map, WorkerId};
 
-use super::{connection::Connection, fleet::Worker};
+use super::{config::Service, connection::Connection, fleet::Worker};
 
 /// Time in which a worker accepts a connection; across zones it takes a few milliseconds. A request
 /// that meets an unreachable worker is still in time for its objective after it.
@@ -18,8 +18,10 @@
 /// Time that an idle connection is kept for requests that run at most once. A worker that closes
 /// the connection at the same moment would lose the request.
 const KEPT_FOR_ONCE: Duration = Duration::from_millis(700);
-/// Idle connections to one worker.
+/// Idle connections to one worker at most.
 const KEPT: usize = 12;
+/// Part of the connections that a worker accepts that idle ones of all instances may take.
+const KEPT_SHARE: f64 = 0.5;
 
 /// Idle connections by worker.
 #[derive(Debug, Default)]
@@ -59,13 +61,24 @@
         None
     }
 
-    /// Keeps a connection whose answer was read to its end.
-    pub fn keep(&self, worker: &WorkerId, mut connection: Connection) {
+    /// Keeps a connection whose answer was read to its end, as far as the worker has room for idle
+    /// connections of `instances` instances.
+    pub fn keep(
+        &self,
+        worker: &WorkerId,
+        mut connection: Connection,
+        service: Option<&Service>,
+        instances: usize,
+    ) {
+        let share = service.map_or(KEPT, |s| {
+            (s.connections as f64 * KEPT_SHARE) as usize / instances.max(1)
+        });
+        let most = share.clamp(1, KEPT);
         connection.used = std::time::Instant::now();
         connection.kept = true;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let kept = idle.entry(worker.clone()).or_default();
-        if kept.len() < KEPT {
+        if kept.len() < most {
             kept.push(connection);
         }
     }
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -4,9 +4,12 @@
 
 use crate::{
     adapter::store::{Change, Object},
+    fnv,
     ids::Map,
 };
 
+use super::peers::Edition;
+
 /// Time in which entries that lapsed while the store was away come back after its return. It is
 /// the platform's bound.
 const LAPSED_FOR: Duration = Duration::from_millis(2500);
@@ -94,6 +97,20 @@
         self.objects.values().chain(self.lapsed.values())
     }
 
+    /// Returns the edition of the objects, with those that may come back.
+    pub fn edition(&self) -> Edition {
+        let hash = |o: &Object| {
+            let hash = fnv::extend(fnv::OFFSET, o.name.bytes());
+            let hash = fnv::extend(hash, o.revision.to_le_bytes());
+            (hash ^ (hash >> 32)) as u32
+        };
+        Edition {
+            at: self.at,
+            newest: self.newest,
+            digest: self.objects().map(hash).fold(0, |sum, h| sum ^ h),
+        }
+    }
+
     /// Returns an object.
     pub fn get(&self, name: &str) -> Option<&Object> {
         self.objects.get(name)
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,20 +6,27 @@
 use gentianpath::{
     cli::{Command, Options, SettingsCommand, SheetCommand},
     exit::Exit,
+    explain,
     gateway::{
         self,
         settings::{KeeperSettings, RawSettings},
     },
-    remote,
+    logging, remote,
     replay::{self, Plan},
     serve,
-    settings::Settings,
+    settings::{self, Settings},
     sheet::Sheet,
 };
 
 fn main() -> ExitCode {
     let options = Options::parse();
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let serves = matches!(
+        options.command,
+        Command::Serve { .. } | Command::Gateway { .. } | Command::Keeper { .. }
+    );
+    if !serves {
+        logging::start_command();
+    }
     let exit = run(options.command).unwrap_or_else(|e| {
         eprintln!("gentianpath: {e:#}");
         Exit::Usage
@@ -30,8 +37,9 @@
 fn run(command: Command) -> anyhow::Result<Exit> {
     match command {
         Command::Serve { settings } => run_serve(&settings),
-        Command::Gateway { settings } => run_gateway(&settings),
+        Command::Gateway { settings, check } => run_gateway(&settings, check),
         Command::Keeper { settings } => run_keeper(&settings),
+        Command::Explain { id, files } => explain::explain(&id, &files),
         Command::Settings(SettingsCommand::Check { file }) => {
             Settings::load(&file)?;
             println!("{}: settings are valid", file.display());
@@ -71,14 +79,20 @@
 
 fn run_serve(file: &Path) -> anyhow::Result<Exit> {
     let settings = Settings::load(file)?;
+    let _writer = logging::start(&settings.instance)?;
     serve::serve(settings).or_else(|e| {
         eprintln!("gentianpath: {e:#}");
         Ok(Exit::Failure)
     })
 }
 
-fn run_gateway(file: &Path) -> anyhow::Result<Exit> {
-    let settings = RawSettings::load(file)?.try_into()?;
+fn run_gateway(file: &Path, check: bool) -> anyhow::Result<Exit> {
+    let settings: gateway::settings::Settings = settings::read::<RawSettings>(file)?.try_into()?;
+    if check {
+        println!("{}: settings are valid", file.display());
+        return Ok(Exit::Success);
+    }
+    let _writer = logging::start(&settings.instance)?;
     gateway::serve::serve(settings, serve::new_session()).or_else(|e| {
         eprintln!("gentianpath: {e:#}");
         Ok(Exit::Failure)
@@ -86,6 +100,7 @@
 }
 
 fn run_keeper(file: &Path) -> anyhow::Result<Exit> {
-    let settings = KeeperSettings::from(RawSettings::load(file)?);
+    let settings = KeeperSettings::from(settings::read::<RawSettings>(file)?);
+    let _writer = logging::start(&settings.instance)?;
     gateway::serve::keep(&settings)
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -75,9 +75,57 @@
     Unknown,
 }
 
+/// How a routed call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// A worker's answer was forwarded to its end.
+    Answered,
+    /// A worker answered with a failure.
+    WorkerFailed,
+    /// It was refused and has not run.
+    NotRun,
+    /// It may have run and has no answer.
+    MayHaveRun,
+    /// Its time was over.
+    TimedOut,
+    /// Its answer was broken off.
+    Broken,
+    /// The caller left.
+    CallerLeft,
+}
+
+/// What an instance believes and has to do.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Beliefs {
+    /// Version of the configuration in force.
+    pub config: u64,
+    /// Revision of the newest change of the workers.
+    pub workers_revision: u64,
+    /// Workers that take requests.
+    pub workers: u64,
+    /// Other instances that are heard.
+    pub peers: u64,
+    /// Whether the object store answers.
+    pub store: bool,
+    /// Whether this instance watches the object store for its zone.
+    pub watcher: bool,
+    /// Calls that wait for a worker.
+    pub queue: u64,
+    /// Batch jobs with work to do.
+    pub jobs: u64,
+    /// Tokens of batch items without a result.
+    pub waiting: u64,
+}
+
 /// A call of another entry instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerCall {
+    /// Call of a caller for a batch job.
+    Job,
+    /// Read of configuration and workers.
+    Snapshot,
+    /// Handover of a batch job.
+    HandOver,
     /// Swap of digests.
     Exchange,
     /// Pull of changes.
@@ -110,9 +158,26 @@
     }
 }
 
+impl CallEnd {
+    fn as_str(self) -> &'static str {
+        match self {
+            CallEnd::Answered => "answered",
+            CallEnd::WorkerFailed => "worker-failed",
+            CallEnd::NotRun => "not-run",
+            CallEnd::MayHaveRun => "may-have-run",
+            CallEnd::TimedOut => "timed-out",
+            CallEnd::Broken => "broken",
+            CallEnd::CallerLeft => "caller-left",
+        }
+    }
+}
+
 impl PeerCall {
     fn as_str(self) -> &'static str {
         match self {
+            PeerCall::Job => "job",
+            PeerCall::Snapshot => "snapshot",
+            PeerCall::HandOver => "hand-over",
             PeerCall::Exchange => "exchange",
             PeerCall::Changes => "changes",
             PeerCall::Online => "online",
@@ -130,8 +195,26 @@
     peer_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
     revision: Gauge<u64>,
+    calls: Counter<u64>,
+    call_time: Histogram<f64>,
+    queue_time: Histogram<f64>,
+    platform_time: Histogram<f64>,
+    beliefs: [Gauge<u64>; 9],
 }
 
+/// Names of the gauges of [`Beliefs`], in the order of its fields.
+const BELIEFS: [&str; 9] = [
+    "gentianpath_config_version",
+    "gentianpath_workers_revision",
+    "gentianpath_workers",
+    "gentianpath_peers",
+    "gentianpath_store_reached",
+    "gentianpath_watcher",
+    "gentianpath_queue",
+    "gentianpath_jobs",
+    "gentianpath_waiting_tokens",
+];
+
 fn instruments() -> &'static Instruments {
     static INSTRUMENTS: OnceLock<Instruments> = OnceLock::new();
     INSTRUMENTS.get_or_init(build)
@@ -150,13 +233,20 @@
     }
     let provider = provider.build();
     let meter = provider.meter("gentianpath");
+    let seconds = |name: &'static str| {
+        let histogram = meter.f64_histogram(name).with_unit("s");
+        histogram
+            .with_boundaries(FIRST_TOKEN_BOUNDS.to_vec())
+            .build()
+    };
     Instruments {
         requests: meter.u64_counter("gentianpath_requests").build(),
-        first_token: meter
-            .f64_histogram("gentianpath_first_token")
-            .with_unit("s")
-            .with_boundaries(FIRST_TOKEN_BOUNDS.to_vec())
-            .build(),
+        first_token: seconds("gentianpath_first_token"),
+        calls: meter.u64_counter("gentianpath_calls").build(),
+        call_time: seconds("gentianpath_call_time"),
+        queue_time: seconds("gentianpath_queue_time"),
+        platform_time: seconds("gentianpath_platform_time"),
+        beliefs: BELIEFS.map(|name| meter.u64_gauge(name).build()),
         items: meter.u64_counter("gentianpath_batch_items").build(),
         platform: meter.u64_counter("gentianpath_platform_calls").build(),
         peer_calls: meter.u64_counter("gentianpath_peer_calls").build(),
@@ -213,6 +303,44 @@
     instruments().platform.add(1, &labels);
 }
 
+/// Counts a routed call that took a time from its arrival to its end.
+pub fn call(end: CallEnd, time: Duration) {
+    let labels = [KeyValue::new("end", end.as_str())];
+    instruments().calls.add(1, &labels);
+    instruments().call_time.record(time.as_secs_f64(), &labels);
+}
+
+/// Records how long a call waited for a worker.
+pub fn queue_time(time: Duration) {
+    instruments().queue_time.record(time.as_secs_f64(), &[]);
+}
+
+/// Records how long the platform took to answer a call.
+pub fn platform_time(call: PlatformCall, time: Duration) {
+    let labels = [KeyValue::new("call", call.as_str())];
+    instruments()
+        .platform_time
+        .record(time.as_secs_f64(), &labels);
+}
+
+/// Sets what the instance believes and has to do.
+pub fn beliefs(beliefs: &Beliefs) {
+    let values = [
+        beliefs.config,
+        beliefs.workers_revision,
+        beliefs.workers,
+        beliefs.peers,
+        beliefs.store.into(),
+        beliefs.watcher.into(),
+        beliefs.queue,
+        beliefs.jobs,
+        beliefs.waiting,
+    ];
+    for (gauge, value) in instruments().beliefs.iter().zip(values) {
+        gauge.record(value, &[]);
+    }
+}
+
 /// Counts a call of another entry instance.
 pub fn peer_call(call: PeerCall, answered: bool) {
     let outcome = if answered { "answered" } else { "failed" };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, path::PathBuf, sync::Arc, time::Duration};
 
 use anyhow::{Context, anyhow, bail};
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
 
 use crate::ids::{InstanceId, Zone};
 
@@ -218,15 +218,23 @@
     ///
     /// Returns one line that names the field, the value and the remedy.
     pub fn load(path: &Path) -> anyhow::Result<Self> {
-        let text = fs::read_to_string(path)
-            .with_context(|| format!("cannot read settings file {}", path.display()))?;
-        let mut reader = serde_json::Deserializer::from_str(&text);
-        let raw: RawSettings = serde_path_to_error::deserialize(&mut reader)
-            .map_err(|e| anyhow!("settings field '{}': {}", e.path(), e.inner()))?;
-        Self::try_from(raw)
+        read::<RawSettings>(path)?.try_into()
     }
 }
 
+/// Reads raw settings from a file.
+///
+/// # Errors
+///
+/// Returns one line that names the field, the value and the remedy.
+pub fn read<T: DeserializeOwned>(path: &Path) -> anyhow::Result<T> {
+    let text = fs::read_to_string(path)
+        .with_context(|| format!("cannot read settings file {}", path.display()))?;
+    let mut reader = serde_json::Deserializer::from_str(&text);
+    serde_path_to_error::deserialize(&mut reader)
+        .map_err(|e| anyhow!("settings field '{}': {}", e.path(), e.inner()))
+}
+
 impl TryFrom<RawSettings> for Settings {
     type Error = anyhow::Error;
 
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -3,13 +3,20 @@
 mod gateway_support;
 mod support;
 
-use std::{io::Read, net::TcpStream, thread, time::Duration};
+use std::{
+    io::Read,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
 use gateway_support::{Behaviour, Instance, Store, StoreFaults, config, platform};
 use serde_json::json;
 use support::until;
 
 const PAUSE: Duration = Duration::from_millis(2);
+/// Time in which a configuration is in force at all instances; it is the platform's bound.
+const CONFIG_BOUND: Duration = Duration::from_secs(2);
 
 fn whole(events: u64) -> String {
     (0..events)
@@ -184,6 +191,71 @@
     assert_eq!(two.stream("/resumable/x", "r1").unwrap().text(), whole(3));
 }
 
+/// Guards against an instance without a watch of its own that keeps an old configuration or sends
+/// work to a worker that leaves.
+#[test]
+fn an_instance_that_does_not_watch_the_store_learns_from_those_that_do() {
+    let (store, workers) = platform(1, PAUSE);
+    let mut instances = vec![Instance::start("one", &store, &[])];
+    let seeds = [instances[0].peers];
+    for name in ["two", "three", "four", "five"] {
+        instances.push(Instance::start(name, &store, &seeds));
+    }
+    until("three instances watch and no more", || {
+        (0..25).all(|_| {
+            thread::sleep(Duration::from_millis(20));
+            store.watches("config") == 3
+        })
+    });
+    store.put("servers", &workers[0].id, workers[0].entry("draining"));
+    let mut newer = config(5);
+    newer["routes"].as_array_mut().unwrap().remove(0);
+    store.put("config", "main", newer);
+    let changed = Instant::now();
+    for instance in &instances {
+        until("the route is gone", || {
+            let answer = instance.stream("/resumable/x", "r1");
+            answer.is_some_and(|a| a.status == 404)
+        });
+    }
+    assert!(changed.elapsed() < CONFIG_BOUND, "{:?}", changed.elapsed());
+    thread::sleep(CONFIG_BOUND.saturating_sub(changed.elapsed()));
+    let before = workers[0].runs().len();
+    for instance in &instances {
+        assert_eq!(instance.stream("/single/x", "r2").unwrap().status, 200);
+    }
+    assert_eq!(workers[0].runs().len(), before);
+}
+
+/// Guards against a fleet that is empty after an outage of the store, in which the entries of workers
+/// lapsed: they come back within two seconds.
+#[test]
+fn workers_whose_entries_lapsed_in_an_outage_stay_in_use() {
+    let (store, workers) = platform(1, PAUSE);
+    let instance = Instance::start("one", &store, &[]);
+    thread::sleep(Duration::from_millis(1500));
+    for round in 0..4 {
+        store.set_faults(StoreFaults {
+            down: true,
+            lost_jobs: 0,
+        });
+        thread::sleep(Duration::from_millis(400));
+        for worker in &workers {
+            store.remove("servers", &worker.id);
+        }
+        store.set_faults(StoreFaults::default());
+        let back = Instant::now();
+        while back.elapsed() < Duration::from_millis(1300) {
+            let answer = instance.stream("/resumable/x", &format!("r{round}"));
+            assert_eq!(answer.unwrap().status, 200, "round {round}");
+        }
+        for worker in &workers {
+            store.put("servers", &worker.id, worker.entry("ready"));
+        }
+        thread::sleep(Duration::from_millis(300));
+    }
+}
+
 /// Guards against a configuration that comes late, and against one that goes back to an older one.
 #[test]
 fn a_newer_configuration_comes_into_force_and_an_older_one_does_not() {
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -17,7 +17,6 @@
         zone: zone.into(),
         slots: 2,
         ready: true,
-        born: 0,
     })
 }
 
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -4,7 +4,7 @@
 
 use gentianpath::{
     gateway::fleet::Backlog,
-    gateway::peers::{Beat, Candidate, JobState, News, Peers, job_key},
+    gateway::peers::{Beat, Candidate, Edition, JobState, News, Peers, job_key},
     ids::{InstanceId, JobId},
 };
 
@@ -20,7 +20,8 @@
         number,
         address: "127.0.0.1:1".parse().unwrap(),
         config: 1,
-        workers: 1,
+        workers: Edition::default(),
+        watches: false,
         leaving: false,
         store: true,
         levels: Vec::new(),
@@ -138,3 +139,50 @@
     let silent: Vec<_> = peers.silent_zones(at(2000)).into_iter().collect();
     assert_eq!(silent, ["b".into()]);
 }
+
+/// Guards against a store that is asked by every instance of a large zone, and against a zone whose
+/// watchers are all gone.
+#[test]
+fn three_instances_of_a_zone_watch_the_store_and_others_follow_when_they_are_gone() {
+    let names: Vec<String> = (0..12).map(|n| format!("i{n}")).collect();
+    let watchers = |lost: &[String], now: Duration| -> Vec<String> {
+        let watches = |me: &&String| {
+            let mut peers = Peers::default();
+            for other in names.iter().filter(|n| n != me) {
+                peers.take(beat(other, 1), at(0));
+                let unable = Beat {
+                    store: false,
+                    ..beat(other, 2)
+                };
+                if lost.contains(other) {
+                    peers.take(unable, at(1));
+                }
+            }
+            peers.is_watcher(&me.as_str().into(), &"a".into(), now)
+        };
+        let able = names.iter().filter(|n| !lost.contains(n));
+        able.filter(watches).cloned().collect()
+    };
+    let first = watchers(&[], at(100));
+    assert_eq!(first.len(), 3);
+    let second = watchers(&first, at(100));
+    assert_eq!(second.len(), 3);
+    assert!(second.iter().all(|w| !first.contains(w)));
+    // Silence has the same effect.
+    assert_eq!(watchers(&[], at(5000)).len(), 12);
+}
+
+/// Guards against instances that pull the same list for ever, and against one that keeps workers
+/// that the watchers of its zone have dropped.
+#[test]
+fn an_instance_lacks_what_is_newer_and_without_a_watch_also_what_was_dropped() {
+    let edition = |at, newest, digest| Edition { at, newest, digest };
+    let mine = edition(10, 7, 1);
+    for watches in [false, true] {
+        assert!(mine.lacks(&edition(9, 8, 2), watches));
+        assert!(!mine.lacks(&edition(12, 7, 1), watches));
+        assert!(!mine.lacks(&edition(9, 7, 2), watches));
+    }
+    assert!(mine.lacks(&edition(12, 7, 2), false));
+    assert!(!mine.lacks(&edition(12, 7, 2), true));
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -7,6 +7,7 @@
     collections::BTreeMap,
     io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, MutexGuard},
     thread,
@@ -135,6 +136,7 @@
     objects: BTreeMap<(String, String), Value>,
     events: Vec<(u64, String, Value, bool)>,
     faults: StoreFaults,
+    watches: BTreeMap<String, usize>,
 }
 
 /// An object store.
@@ -169,6 +171,11 @@
         self.lock().remove(kind, name);
     }
 
+    /// Returns the number of watches of a kind that wait.
+    pub fn watches(&self, kind: &str) -> usize {
+        self.lock().watches.get(kind).copied().unwrap_or_default()
+    }
+
     /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.lock();
@@ -294,20 +301,28 @@
         .and_then(|v| v.parse().ok())
         .unwrap_or(0);
     let end = Instant::now() + Duration::from_millis(wait);
-    loop {
+    let count = |change: isize| {
+        let mut objects = state.lock().unwrap();
+        let watches = objects.watches.entry(kind.to_owned()).or_default();
+        *watches = watches.saturating_add_signed(change);
+    };
+    count(1);
+    let (status, body) = loop {
         {
             let objects = state.lock().unwrap();
             if objects.faults.down {
-                return answer(stream, 503, "", "");
+                break (503, String::new());
             }
             let events = objects.events_since(kind, since);
             if !events.is_empty() || Instant::now() >= end {
                 let batch = json!({ "events": events, "at": objects.revision });
-                return answer(stream, 200, "", &batch.to_string());
+                break (200, batch.to_string());
             }
         }
         thread::sleep(Duration::from_millis(5));
-    }
+    };
+    count(-1);
+    answer(stream, status, "", &body)
 }
 
 /// What a worker does with the next request that it runs.
@@ -466,6 +481,8 @@
     pub callers: SocketAddr,
     pub ready: SocketAddr,
     pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+    pub log: PathBuf,
     process: Child,
     _folder: tempfile::TempDir,
 }
@@ -488,27 +505,45 @@
 
     /// Starts an instance.
     pub fn spawn(name: &str, store: &Store, seeds: &[SocketAddr]) -> Self {
+        let file = |path: &Path| Stdio::from(std::fs::File::create(path).unwrap());
+        Self::spawn_with(name, store, seeds, file)
+    }
+
+    /// Starts an instance whose log nobody reads.
+    pub fn spawn_unread(name: &str, store: &Store) -> Self {
+        Self::spawn_with(name, store, &[], |_| Stdio::piped())
+    }
+
+    fn spawn_with(
+        name: &str,
+        store: &Store,
+        seeds: &[SocketAddr],
+        log: impl Fn(&Path) -> Stdio,
+    ) -> Self {
         let (callers, ready, peers) = (free_address(), free_address(), free_address());
+        let metrics = free_address();
         let folder = tempfile::tempdir().unwrap();
         let file = folder.path().join("settings.json");
         let settings = json!({
             "instance": name, "zone": "a", "caller_address": callers, "ready_address": ready,
-            "peer_address": peers, "store_address": store.address, "seeds": seeds,
-            "grace_s": 8, "status_s": 120,
+            "peer_address": peers, "metrics_address": metrics, "store_address": store.address,
+            "seeds": seeds, "grace_s": 8, "status_s": 120,
         });
         std::fs::write(&file, settings.to_string()).unwrap();
-        let log = std::fs::File::create(folder.path().join("log")).unwrap();
+        let path = folder.path().join("log");
         let process = Command::new(env!("CARGO_BIN_EXE_gentianpath"))
             .arg("gateway")
             .env("GENTIANPATH_SETTINGS", &file)
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdout(log(&path))
+            .stderr(Stdio::null())
             .spawn()
             .unwrap();
         Self {
             callers,
             ready,
             peers,
+            metrics,
+            log: path,
             process,
             _folder: folder,
         }
@@ -619,28 +654,35 @@
 }
 
 /// A process that is killed with its test.
-pub struct Process(Child);
+pub struct Process {
+    child: Child,
+    _folder: tempfile::TempDir,
+}
 
 impl Drop for Process {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 }
 
 /// Starts a keeper.
 pub fn keeper(name: &str, store: &Store) -> Process {
-    let folder = tempfile::tempdir().unwrap().keep();
-    let file = folder.join("settings.json");
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("settings.json");
     let settings = json!({
         "instance": name, "zone": "a", "store_address": store.address, "grace_s": 8, "status_s": 120,
     });
     std::fs::write(&file, settings.to_string()).unwrap();
-    let process = Command::new(env!("CARGO_BIN_EXE_gentianpath"))
+    let child = Command::new(env!("CARGO_BIN_EXE_gentianpath"))
         .arg("keeper")
         .env("GENTIANPATH_SETTINGS", &file)
+        .stdout(Stdio::null())
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
-    Process(process)
+    Process {
+        child,
+        _folder: folder,
+    }
 }
--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -75,15 +75,15 @@
 /// Guards against an entry of another writer that ends up as a worker or breaks the list.
 #[test]
 fn an_unreadable_entry_names_no_worker() {
-    let good = r#"{"service":"s","addr":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"}"#;
+    let good = r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","slots":8,"state":"ready"}"#;
     assert!(decode_worker("i", good).unwrap().ready);
     for bad in [
         "null",
         "[1]",
         r#"{"service":"s"}"#,
         r#"{"service":"s","addr":"nowhere","zone":"z","slots":8,"state":"ready"}"#,
-        r#"{"service":"s","addr":"10.0.0.1:80","zone":"z","slots":"8","state":"ready"}"#,
-        r#"{"service":"s","addr":"10.0.0.1:80","zone":"z","slots":8,"state":"asleep"}"#,
+        r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","slots":"8","state":"ready"}"#,
+        r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","slots":8,"state":"asleep"}"#,
     ] {
         assert!(decode_worker("i", bad).is_err(), "{bad}");
     }
