Send messages to other zones less often in large fleets

Requests go to workers of the own zone first, so the levels of other zones matter less: they get a message each 3 ms for each instance there, 240 ms at most.

Also: a message of a peer wakes the job runner only while items wait.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,13 +19,19 @@
     fleet::{Backlog, Level},
     gateway::Gateway,
     jobs::{SharedJob, lock},
-    peers::{Beat, JobState, News},
+    peers::{Beat, JobState, News, Targets},
+    settings::Settings,
 };
 
 /// Interval of messages when nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_millis(400);
 /// Shortest interval of messages; changes in between are sent together.
 const BUSY_INTERVAL: Duration = Duration::from_millis(30);
+/// Interval of messages to other zones for each instance there. Bytes between zones have a price, and
+/// requests go to workers of the own zone first.
+const FAR_INTERVAL: Duration = Duration::from_millis(3);
+/// Longest interval of messages to other zones.
+const FAR_LONGEST: Duration = Duration::from_millis(240);
 /// Size of a received message at most.
 const MESSAGE_BYTES: usize = 16 << 10;
 
@@ -47,50 +53,82 @@
 async fn send(gateway: &Gateway, socket: &Async<UdpSocket>, news: &NewsSenders) {
     let mut number = 0;
     let mut looked = Duration::ZERO;
+    let mut far_sent = Duration::ZERO;
     loop {
         number += 1;
-        let beat = beat(gateway, number);
-        match postcard::to_stdvec(&beat) {
-            Ok(bytes) => {
-                for address in targets(gateway) {
-                    // A peer behind a cut can fill the socket; waiting for it would silence this
-                    // instance for all others.
-                    if let Err(e) = socket.get_ref().send_to(&bytes, address) {
-                        log::debug!("cannot send to {address}: {e}");
-                    }
+        let now = gateway.now();
+        let targets = targets(gateway);
+        let far_due = far_sent + far_interval(targets.far.len());
+        let sends_far = number == 1 || now >= far_due;
+        match postcard::to_stdvec(&beat(gateway, number)) {
+            Ok(message) => {
+                send_all(socket, &message, &targets.near);
+                if sends_far {
+                    far_sent = now;
+                    send_all(socket, &message, &targets.far);
                 }
             }
             Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
         }
-        let now = gateway.now();
-        let silent = gateway.peers().silent(now, looked);
+        note_silent(gateway, news, looked, now);
         looked = now;
-        if !silent.is_empty() {
-            let zones = gateway.peers().silent_zones(now);
-            for zone in zones {
-                event!(Warn, ZoneSilent, "zone={zone}");
-                gateway.dispatch.zone_silent(&zone);
-            }
-        }
-        for peer in silent {
-            event!(Info, MemberLeft, "instance={peer}");
-            let nothing = Backlog::default();
-            gateway.dispatch.set_peer(&peer, Map::default(), nothing);
-            let _ = news.members.try_send(());
-        }
         Timer::after(BUSY_INTERVAL).await;
-        let idle = async {
-            Timer::after(IDLE_INTERVAL - BUSY_INTERVAL).await;
+        let next = if sends_far {
+            now + IDLE_INTERVAL
+        } else {
+            far_due
         };
-        smol::future::or(gateway.dispatch.changed(), idle).await;
+        let due = async {
+            Timer::after(next.saturating_sub(gateway.now())).await;
+        };
+        smol::future::or(gateway.dispatch.changed(), due).await;
+    }
+}
+
+fn far_interval(instances: usize) -> Duration {
+    let count = u32::try_from(instances).unwrap_or(u32::MAX);
+    FAR_INTERVAL.saturating_mul(count).min(FAR_LONGEST)
+}
+
+fn send_all(socket: &Async<UdpSocket>, message: &[u8], targets: &Set<SocketAddr>) {
+    for address in targets {
+        // A peer behind a cut can fill the socket; waiting for it would silence this instance for
+        // all others.
+        if let Err(e) = socket.get_ref().send_to(message, address) {
+            log::debug!("cannot send to {address}: {e}");
+        }
+    }
+}
+
+/// Takes the instances that fell silent since the last look out of all sums.
+fn note_silent(gateway: &Gateway, news: &NewsSenders, looked: Duration, now: Duration) {
+    let silent = gateway.peers().silent(now, looked);
+    if silent.is_empty() {
+        return;
+    }
+    let zones = gateway.peers().silent_zones(now);
+    for zone in zones {
+        event!(Warn, ZoneSilent, "zone={zone}");
+        gateway.dispatch.zone_silent(&zone);
+    }
+    for peer in silent {
+        event!(Info, MemberLeft, "instance={peer}");
+        let nothing = Backlog::default();
+        gateway.dispatch.set_peer(&peer, Map::default(), nothing);
+        // A full channel holds the same news already.
+        let _ = news.members.try_send(());
     }
 }
 
 /// Returns the addresses of the other instances, as far as they are known.
-fn targets(gateway: &Gateway) -> Set<SocketAddr> {
-    let mut targets = gateway.peers().addresses();
-    targets.extend(&gateway.settings.seeds);
-    targets.remove(&gateway.settings.peers);
+fn targets(gateway: &Gateway) -> Targets {
+    let Settings {
+        zone, seeds, peers, ..
+    } = &gateway.settings;
+    let mut targets = gateway.peers().targets(zone);
+    let unknown = seeds.iter().filter(|a| !targets.near.contains(*a));
+    targets.far.extend(unknown);
+    targets.far.remove(peers);
     targets
 }
 
@@ -161,7 +199,10 @@
             compare_job(gateway, &id, &job, state);
         }
     }
-    gateway.jobs.wake();
+    // Room at a worker matters only while items wait for it.
+    if gateway.jobs.backlog() != Backlog::default() {
+        gateway.jobs.wake();
+    }
     if result == News::Joined {
         event!(Info, MemberJoined, "instance={instance}");
         let _ = news.members.try_send(());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -125,6 +125,15 @@
     registered: Vec<SocketAddr>,
 }
 
+/// Addresses of the other instances.
+#[derive(Debug, Default)]
+pub struct Targets {
+    /// Instances of the own zone.
+    pub near: Set<SocketAddr>,
+    /// Instances of other zones, and those that were not heard yet.
+    pub far: Set<SocketAddr>,
+}
+
 /// This instance as a candidate to run a job.
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate<'a> {
@@ -198,10 +207,15 @@
         self.registered = addresses;
     }
 
-    /// Returns the addresses of all known instances.
-    pub fn addresses(&self) -> Set<SocketAddr> {
-        let heard = self.known.values().map(|p| p.beat.address);
-        heard.chain(self.registered.iter().copied()).collect()
+    /// Returns the addresses of all known instances, as seen from a zone.
+    pub fn targets(&self, zone: &Zone) -> Targets {
+        let beats = self.known.values().map(|p| &p.beat);
+        let (near, far): (Vec<&Beat>, Vec<&Beat>) = beats.partition(|b| b.zone == *zone);
+        let near: Set<SocketAddr> = near.iter().map(|b| b.address).collect();
+        let registered = self.registered.iter().copied();
+        let mut far: Set<SocketAddr> = far.iter().map(|b| b.address).collect();
+        far.extend(registered.filter(|a| !near.contains(a)));
+        Targets { near, far }
     }
 
     /// Returns the instance that runs a job; nothing when it is this one.
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -186,3 +186,25 @@
     assert!(mine.lacks(&edition(12, 7, 2), false));
     assert!(!mine.lacks(&edition(12, 7, 2), true));
 }
+
+/// Guards against instances of another zone that get as many messages as those of the own, and
+/// against registered ones that get none before they were heard.
+#[test]
+fn messages_to_other_zones_are_told_apart() {
+    let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    let mut peers = Peers::default();
+    for (instance, zone, port) in [("n", "a", 1), ("f", "b", 2)] {
+        let beat = Beat {
+            zone: zone.into(),
+            address: address(port),
+            ..beat(instance, 1)
+        };
+        peers.take(beat, at(0));
+    }
+    peers.set_registered(vec![address(1), address(2), address(3)]);
+    let targets = peers.targets(&"a".into());
+    assert!(targets.near.iter().eq([&address(1)]));
+    let mut far: Vec<_> = targets.far.into_iter().collect();
+    far.sort();
+    assert_eq!(far, [address(2), address(3)]);
+}
