Leave claims at a planned stop once the own lease has lapsed

Not the cause: load and the new log writer, since the same happens on an idle machine when the first instance claims.

--- a/src/batch_claims.rs
+++ b/src/batch_claims.rs
@@ -69,6 +69,11 @@
     }
 
     fn need(&self, held: &Held, now: Duration) -> Need {
+        let valid = self.lease.valid(now, self.ctx.settings.timeouts.lease);
+        // Without a lease others take the group over, so a stop need not wait to give it back.
+        if self.stopping.is_some() && !valid && held.running() == 0 {
+            return Need::Drop;
+        }
         let unclaimed = matches!(
             held.holder.phase(),
             Phase::Look | Phase::Free | Phase::Busy(_)
@@ -84,10 +89,8 @@
             // An unclaimed group of a cancelled job needs no record.
             Phase::Free if held.settle => Need::Drop,
             Phase::Free | Phase::Busy(_) if held.input.is_none() => Need::Input,
-            Phase::Free | Phase::Busy(_) => {
-                let valid = self.lease.valid(now, self.ctx.settings.timeouts.lease);
-                if valid { Need::Claim } else { Need::Nothing }
-            }
+            Phase::Free | Phase::Busy(_) if valid => Need::Claim,
+            Phase::Free | Phase::Busy(_) => Need::Nothing,
             Phase::Finished if held.input.is_none() => Need::Input,
             Phase::Finished | Phase::Released | Phase::Lost if held.running() == 0 => Need::Drop,
             _ if held.holder.op().is_some() => Need::Call,
--- a/tests/process_stop.rs
+++ b/tests/process_stop.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use gentianpath::ownership::position;
 use serde_json::json;
 use standins::text;
 use support::{
@@ -31,12 +32,31 @@
 struct Stop {
     fleet: Fleet,
     link: Link,
+    job: String,
     items: Vec<Item>,
 }
 
 impl Stop {
-    /// Starts the fleet and a job of which the first entry instance holds a part.
+    /// Starts the fleet and a job.
     fn new() -> Self {
+        Self::with_job("j", 1)
+    }
+
+    /// Starts the fleet and a job that the first entry instance claims first, and waits until it
+    /// does.
+    fn with_claim() -> Self {
+        let others = ["entry-1".into()];
+        let first = |job: &String| position(&format!("{job}.0"), "entry-0", &others) == 0;
+        let job = (0..).map(|n| format!("j{n}")).find(first).unwrap();
+        let stop = Self::with_job(&job, 0);
+        until("the first instance claims", || {
+            let log = stop.fleet.entries[0].process_log();
+            log.contains("event=group-claimed")
+        });
+        stop
+    }
+
+    fn with_job(job: &str, entry: usize) -> Self {
         let mut fleet = Fleet::new(&[]);
         for i in 0..4 {
             let options = ["--slots", "4", "--token-ms", "8"];
@@ -66,9 +86,10 @@
         let stop = Self {
             fleet,
             link,
+            job: job.to_owned(),
             items: (0..ITEMS).map(item).collect(),
         };
-        let answer = stop.fleet.entries[1].submit("j", DEADLINE, &stop.items);
+        let answer = stop.fleet.entries[entry].submit(job, DEADLINE, &stop.items);
         assert_eq!(answer.map(|a| a.status), Some(200));
         until("items run", || !stop.fleet.runs("item 0").is_empty());
         stop
@@ -112,10 +133,10 @@
     fn assert_job_whole(&self) {
         let entry = &self.fleet.entries[1];
         until("the job is finished", || {
-            let answer = entry.job("j").filter(|a| a.status == 200);
+            let answer = entry.job(&self.job).filter(|a| a.status == 200);
             answer.is_some_and(|a| a.json()["state"] == "finished")
         });
-        let results = entry.results("j");
+        let results = entry.results(&self.job);
         assert_eq!(results.len(), ITEMS);
         for (result, item) in results.iter().zip(&self.items) {
             assert_eq!(result["id"], item.id.as_str());
@@ -152,6 +173,17 @@
     stop.assert_job_whole();
 }
 
+/// Guards against a planned stop that waits until its deadline to give back a claim: the platform
+/// cannot be reached, and the lease has lapsed, so that others take the claim over.
+#[test]
+fn a_planned_stop_leaves_claims_that_it_cannot_give_back() {
+    let mut stop = Stop::with_claim();
+    let answer = stop.under(|_, link| link.set(State::Cut));
+    assert_whole(&answer);
+    stop.assert_clean_end();
+    stop.assert_job_whole();
+}
+
 /// Guards against claims that are lost when the platform refuses all calls during a planned stop,
 /// for the other instances as well.
 #[test]
