--- a/src/explain.rs
+++ b/src/explain.rs
@@ -26,8 +26,8 @@
     "zone-silent",
     "lines-omitted",
 ];
-/// Time before the first line of an id from which changes of belief are shown.
-const CONTEXT_BEFORE: SignedDuration = SignedDuration::from_secs(3);
+/// Time before the first and after the last line of an id in which changes of belief are shown.
+const CONTEXT_SPAN: SignedDuration = SignedDuration::from_secs(3);
 
 /// A line of a log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -121,7 +121,7 @@
     let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
         return Vec::new();
     };
-    let near = |l: &Line| l.time + CONTEXT_BEFORE >= first && l.time <= last;
+    let near = |l: &Line| l.time + CONTEXT_SPAN >= first && l.time <= last + CONTEXT_SPAN;
     let context = |l: &Line| {
         let known = CONTEXT.contains(&l.event.as_str());
         known && near(l) && instances.contains(l.instance.as_str())
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -112,7 +112,7 @@
         gateway.dispatch.zone_silent(&zone);
     }
     for peer in silent {
-        event!(Info, MemberLeft, "instance={peer}");
+        event!(Info, MemberLeft, "peer={peer}");
         let nothing = Backlog::default();
         gateway.dispatch.set_peer(&peer, Map::default(), nothing);
         // A full channel holds the same news already.
@@ -204,7 +204,7 @@
         gateway.jobs.wake();
     }
     if result == News::Joined {
-        event!(Info, MemberJoined, "instance={instance}");
+        event!(Info, MemberJoined, "peer={instance}");
         let _ = news.members.try_send(());
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -75,8 +75,7 @@
     event!(
         Info,
         InstanceReady,
-        "instance={} zone={} callers={} session={}",
-        settings.instance,
+        "zone={} callers={} session={}",
         settings.zone,
         settings.callers,
         gateway.session
@@ -111,7 +110,7 @@
     control.run(stop).await;
     control.run(leave(&gateway, callers)).await;
     drop(peers);
-    event!(Info, StopEnded, "instance={}", settings.instance);
+    event!(Info, StopEnded, "role=entry");
     Ok(Exit::Success)
 }
 
@@ -175,19 +174,14 @@
         // handler the signal to read them again would end the process.
         let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         let store = Store::new(settings.store);
-        event!(
-            Info,
-            InstanceReady,
-            "instance={} role=keeper",
-            settings.instance
-        );
+        event!(Info, InstanceReady, "role=keeper");
         let stop = async {
             while let Some(Ok(Signal::Hup)) = signals.next().await {
                 event!(Info, ReloadIgnored, "signal=HUP");
             }
         };
         smol::future::or(sync::follow_drain_requests(&store), stop).await;
-        event!(Info, StopEnded, "instance={}", settings.instance);
+        event!(Info, StopEnded, "role=keeper");
         Ok(Exit::Success)
     })
 }
