--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -76,6 +76,16 @@
     pub answer: Response<Incoming>,
 }
 
+/// How an attempt at one worker went.
+enum Attempted {
+    /// The worker answers.
+    Answered(Live),
+    /// The worker has not run the call, or failed on it in a way that another one may make good.
+    Elsewhere,
+    /// The worker may have run the call.
+    Broken(Placement, String),
+}
+
 /// Why a call has no answer of a worker.
 #[derive(Debug)]
 pub enum Failure {
@@ -239,19 +249,10 @@
         patience: Duration,
     ) -> Result<Live, Failure> {
         loop {
-            let live = self.attempt_once(after, patience).await?;
-            let Some((placement, outcome)) = live else {
-                continue;
-            };
-            match outcome {
-                Ok((connection, answer)) => {
-                    return Ok(Live {
-                        placement,
-                        connection,
-                        answer,
-                    });
-                }
-                Err(reason) => {
+            match self.attempt_once(after, patience).await? {
+                Attempted::Answered(live) => return Ok(live),
+                Attempted::Elsewhere => {}
+                Attempted::Broken(placement, reason) => {
                     self.note_broken(&placement, &reason);
                     drop(placement);
                     if !self.may_run_again() {
@@ -277,15 +278,12 @@
         );
     }
 
-    /// Sends the call to one worker. Nothing is returned when that worker has not run it and the
-    /// call can go to another one; the inner error says that it may have run.
-    #[allow(clippy::type_complexity)]
+    /// Sends the call to one worker.
     async fn attempt_once(
         &mut self,
         after: Option<u64>,
         patience: Duration,
-    ) -> Result<Option<(Placement, Result<(Connection, Response<Incoming>), String>)>, Failure>
-    {
+    ) -> Result<Attempted, Failure> {
         let remaining = self.remaining();
         if remaining.is_zero() {
             return Err(self.out_of_time());
@@ -337,7 +335,7 @@
                     worker.zone
                 );
                 self.tried.push(worker.id.clone());
-                return Ok(None);
+                return Ok(Attempted::Elsewhere);
             }
         };
         let request = match self.request(&worker.id, after) {
@@ -349,44 +347,68 @@
             .await
         {
             Ok(answer) => answer,
-            Err(SendError::NotSent(_)) if connection.kept => return Ok(None),
-            Err(SendError::NotSent(_)) => {
-                dispatch.failed(&worker.id);
-                self.tried.push(worker.id.clone());
-                return Ok(None);
+            Err(SendError::NotSent(reason)) => {
+                event!(
+                    Warn,
+                    WorkerUnreachable,
+                    "request={} worker={} zone={} kept={} reason={reason:?}",
+                    self.call.id,
+                    worker.id,
+                    worker.zone,
+                    connection.kept
+                );
+                // A worker may close an idle connection at any time; a new one may still work.
+                if !connection.kept {
+                    dispatch.failed(&worker.id);
+                    self.tried.push(worker.id.clone());
+                }
+                return Ok(Attempted::Elsewhere);
             }
             Err(SendError::Sent(_)) if self.remaining().is_zero() => {
                 self.runs += 1;
                 dispatch.failed(&worker.id);
                 return Err(Failure::TimedOut);
             }
-            Err(SendError::Sent(reason)) => return Ok(Some((placement, Err(reason)))),
+            Err(SendError::Sent(reason)) => return Ok(Attempted::Broken(placement, reason)),
         };
         let terms = headers::decode_answer(&sent);
+        let status = sent.status();
         if terms.not_run && self.is_own(&terms) {
             event!(
-                Info,
+                Warn,
                 WorkerRefused,
                 "request={} worker={} status={}",
                 self.call.id,
                 worker.id,
-                sent.status().as_u16()
+                status.as_u16()
             );
             self.tried.push(worker.id.clone());
-            return Ok(None);
+            return Ok(Attempted::Elsewhere);
         }
         if let Some(reason) = self.fault(&sent, &terms) {
-            return Ok(Some((placement, Err(reason))));
+            return Ok(Attempted::Broken(placement, reason));
         }
         dispatch.worked(&worker);
-        if sent.status().is_success() {
-            return Ok(Some((placement, Ok((connection, sent)))));
+        if status.is_success() {
+            return Ok(Attempted::Answered(Live {
+                placement,
+                connection,
+                answer: sent,
+            }));
         }
         self.runs += 1;
         self.tried.push(worker.id.clone());
-        let retry = sent.status().is_server_error() && self.may_run_again();
-        if retry {
-            return Ok(None);
+        if status.is_server_error() && self.may_run_again() {
+            event!(
+                Warn,
+                AttemptBroken,
+                "request={} worker={} runs={} ejected=false reason=\"status {}\"",
+                self.call.id,
+                worker.id,
+                self.runs,
+                status.as_u16()
+            );
+            return Ok(Attempted::Elsewhere);
         }
         Err(self.read_failure(sent).await)
     }
