--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -146,7 +146,6 @@
         address: gateway.settings.peers,
         config: gateway.config_version(),
         workers: gateway.views().edition,
-        watches: gateway.is_watcher(),
         leaving: gateway.drain.phase() != Phase::Running,
         store: gateway.reaches_store(),
         levels: levels.into_iter().map(level).collect(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -80,8 +80,6 @@
     pub config: u64,
     /// Its list of workers.
     pub workers: Edition,
-    /// Whether it watches the object store.
-    pub watches: bool,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Whether it reaches the object store.
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -21,7 +21,6 @@
         address: "127.0.0.1:1".parse().unwrap(),
         config: 1,
         workers: Edition::default(),
-        watches: false,
         leaving: false,
         store: true,
         levels: Vec::new(),
