--- a/src/batch.rs
+++ b/src/batch.rs
@@ -3,10 +3,7 @@
 //! One task on the control thread owns all state. Calls of the object service are futures of that
 //! task; runs of items are tasks of the traffic threads that report their end over a channel.
 
-use std::{
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{sync::Arc, time::Duration};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use smol::{
@@ -364,10 +361,3 @@
         }
     }
 }
-
-/// Returns the time since 1970-01-01 UTC.
-pub(crate) fn today() -> Duration {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
--- a/src/batch_claims.rs
+++ b/src/batch_claims.rs
@@ -3,10 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    batch::{Driver, HELD_MOST, today},
+    batch::{Driver, HELD_MOST},
     batch_calls::{self, ProgressRead, Purpose, SeenLease},
     batch_state::FinishedGroup,
     claim::{Answer, Pace, Phase},
+    clock,
     held::Held,
     ids::{JobId, Map, ModelId, Set},
     job_record::{Claim, GroupKey, InputRecord, JobState, Repeat},
@@ -319,7 +320,10 @@
             return;
         }
         self.jobs.update(&mut self.schedule, now);
-        let Some(job) = self.schedule.choose(today(), |m| wanted.contains(m)) else {
+        let Some(job) = self
+            .schedule
+            .choose(clock::unix_time(), |m| wanted.contains(m))
+        else {
             return;
         };
         if !self.jobs.loaded(&job) {
@@ -441,7 +445,7 @@
 
     /// Publishes which jobs cannot meet their deadline, and logs those that are new.
     fn judge(&mut self) {
-        let pending = self.jobs.open(today());
+        let pending = self.jobs.open(clock::unix_time());
         let fleet = self.view.peers.len() as f64 + 1.0;
         let late: Vec<usize> = match self.rate.get() {
             Some(rate) => self.schedule.infeasible(&pending, rate * fleet),
--- a/src/batch_state.rs
+++ b/src/batch_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -11,6 +11,7 @@
 use crate::{
     ids::{GroupIndex, JobId, Map, Set},
     job_record::{Counts, GroupKey, GroupRecord, InputRecord, Outcome},
+    mutex::lock,
     platform::Object,
 };
 
@@ -198,7 +199,3 @@
     });
     prompts.sum::<usize>() + results.sum::<usize>() + group.record.items.len() * ITEM_BYTES
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/chat.rs
+++ b/src/chat.rs
@@ -1,14 +1,11 @@
 //! The chat completions protocol: requests of callers, and answers to them.
 
-use std::{
-    sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::sync::Arc;
 
 use serde_json::{Value, json};
 
 use crate::{
-    affinity,
+    affinity, clock,
     ids::{ModelId, RequestId},
     refusal,
     sheet::{Service, Sheet},
@@ -128,11 +125,10 @@
 impl Answer {
     /// Builds the writer for a request that begins now.
     pub fn new(id: RequestId, model: ModelId) -> Self {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
             id,
             model,
-            created: now.map_or(0, |d| d.as_secs()),
+            created: clock::unix_time().as_secs(),
         }
     }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     rc::{Rc, Weak},
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use anyhow::Context as _;
@@ -90,12 +90,6 @@
     Ok(())
 }
 
-/// Returns the time since 1970 in milliseconds.
-pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as u64
-}
-
 impl Control {
     fn new(ctx: Arc<Context>, executor: Weak<LocalExecutor<'static>>) -> Self {
         let settings = &ctx.settings;
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -163,7 +163,7 @@
 }
 
 fn read_file(file: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
-    read(BufReader::new(File::open(file)?), lines)
+    read(File::open(file)?, lines)
 }
 
 fn read(input: impl Read, lines: &mut Vec<Line>) -> io::Result<()> {
--- a/src/fnv.rs
+++ b/src/fnv.rs
@@ -4,6 +4,12 @@
 pub const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const PRIME: u64 = 0x0000_0100_0000_01b3;
 
+/// Returns a short hash of some bytes.
+pub fn short(bytes: impl IntoIterator<Item = u8>) -> u32 {
+    let hash = extend(OFFSET, bytes);
+    (hash ^ (hash >> 32)) as u32
+}
+
 /// Continues a hash with more bytes.
 pub fn extend(hash: u64, bytes: impl IntoIterator<Item = u8>) -> u64 {
     let step = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(PRIME);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -87,6 +87,19 @@
         }
     }
 
+    /// Sends a request and returns the head of its answer within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the request may have been received.
+    pub async fn send_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, SendError> {
+        answered_within(limit, self.send(request)).await
+    }
+
     /// Sends a request and reads its whole answer within `limit`.
     ///
     /// # Errors
@@ -106,14 +119,21 @@
             self.kept = true;
             Ok(Response::from_parts(head, body))
         };
-        let timeout = async {
-            Timer::after(limit).await;
-            Err(SendError::Sent(format!("no answer within {limit:?}")))
-        };
-        smol::future::or(work, timeout).await
+        answered_within(limit, work).await
     }
 }
 
+async fn answered_within<T>(
+    limit: Duration,
+    work: impl Future<Output = Result<T, SendError>>,
+) -> Result<T, SendError> {
+    smol::future::or(work, async {
+        Timer::after(limit).await;
+        Err(SendError::Sent(format!("no answer within {limit:?}")))
+    })
+    .await
+}
+
 /// Reads a body of at most `limit` bytes.
 ///
 /// # Errors
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -3,14 +3,17 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
 use async_io::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 
-use crate::ids::{InstanceId, Map, ServiceId, WorkerId, Zone};
+use crate::{
+    ids::{InstanceId, Map, ServiceId, WorkerId, Zone},
+    mutex::lock,
+};
 
 use super::fleet::{self, Ask, Backlog, Class, Fleet, Level, Urgency, Worker, WorkerKey};
 
@@ -111,7 +114,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 
     /// Returns the time since the start of the instance.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -127,8 +127,7 @@
 
 /// Returns the short form of a worker's id.
 pub fn key(id: &str) -> WorkerKey {
-    let hash = fnv::extend(fnv::OFFSET, id.bytes());
-    (hash ^ (hash >> 32)) as WorkerKey
+    fnv::short(id.bytes())
 }
 
 impl Fleet {
@@ -271,11 +270,7 @@
         now: Duration,
     ) -> Option<Arc<Worker>> {
         let score = |worker: &Worker, level: Level| {
-            let bias = if worker.zone == self.zone {
-                0
-            } else {
-                ZONE_BIAS
-            };
+            let bias = self.bias(worker);
             if level.total() < worker.slots {
                 Some((0, level.total() + bias))
             } else if level.online < worker.slots {
@@ -305,11 +300,7 @@
     ) -> Option<Arc<Worker>> {
         let score = |worker: &Worker, level: Level| {
             let room = worker.slots.saturating_sub(BATCH_RESERVE);
-            let bias = if worker.zone == self.zone {
-                0
-            } else {
-                ZONE_BIAS
-            };
+            let bias = self.bias(worker);
             let before = self.contenders_before(key(&worker.id), urgency);
             (level.total() + before < room).then_some(level.total() + bias)
         };
@@ -331,6 +322,14 @@
         before.count() as u32
     }
 
+    fn bias(&self, worker: &Worker) -> u32 {
+        if worker.zone == self.zone {
+            0
+        } else {
+            ZONE_BIAS
+        }
+    }
+
     fn best<S: Ord>(
         &self,
         ask: &Ask<'_>,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,7 +5,6 @@
     time::{Duration, Instant},
 };
 
-use async_io::Timer;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
@@ -373,7 +372,7 @@
         };
         let terms = headers::decode_answer(&sent);
         let status = sent.status();
-        if terms.not_run && self.is_own(&terms) {
+        if terms.not_run && terms.is_for(&self.call.id) {
             event!(
                 Warn,
                 WorkerRefused,
@@ -413,13 +412,9 @@
         Err(self.read_failure(sent).await)
     }
 
-    fn is_own(&self, terms: &AnswerTerms) -> bool {
-        terms.id.as_ref().is_none_or(|id| *id == self.call.id)
-    }
-
     /// Says why an answer is not the worker's answer to this call.
     fn fault(&self, answer: &Response<Incoming>, terms: &AnswerTerms) -> Option<String> {
-        if !self.is_own(terms) {
+        if !terms.is_for(&self.call.id) {
             return Some("the worker answered another request".into());
         }
         if answer.headers().contains_key(header::CONTENT_ENCODING) {
@@ -495,11 +490,7 @@
         } else {
             remaining
         };
-        smol::future::or(connection.send(request), async {
-            Timer::after(limit).await;
-            Err(SendError::Sent(format!("no answer within {limit:?}")))
-        })
-        .await
+        connection.send_within(request, limit).await
     }
 
     /// Reads an answer that is forwarded as a whole.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -17,6 +17,7 @@
     event,
     ids::{JobId, SessionId},
     metrics::Beliefs,
+    mutex::lock,
 };
 
 use super::{
@@ -24,7 +25,7 @@
     connection::Connection,
     dispatch::Dispatch,
     fleet::Worker,
-    jobs::{Jobs, lock},
+    jobs::Jobs,
     peers::{Beat, Candidate, Peers},
     settings::Settings,
     sync::Views,
@@ -87,12 +88,12 @@
 
     /// Returns the other instances.
     pub fn peers(&self) -> MutexGuard<'_, Peers> {
-        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.peers)
     }
 
     /// Returns the views of the store.
     pub fn views(&self) -> MutexGuard<'_, Views> {
-        self.views.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.views)
     }
 
     /// Says whether the balancer may send connections.
@@ -146,7 +147,10 @@
     /// Says whether a peer knows of the configuration or the workers what this instance does not.
     pub fn is_behind(&self, peer: &Beat) -> bool {
         let workers = self.views().edition;
-        peer.config > self.config_version() || workers.lacks(&peer.workers, self.is_watcher())
+        // Each message is compared, so who watches is worked out only when it matters.
+        peer.config > self.config_version()
+            || workers.is_older(&peer.workers)
+            || (workers.differs(&peer.workers) && !self.is_watcher())
     }
 
     /// Returns the address of a peer that knows more than this instance, one of its zone if there
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -13,12 +13,13 @@
     drain::Phase,
     event,
     ids::{JobId, Map, Set},
+    mutex::lock,
 };
 
 use super::{
     fleet::{Backlog, Level},
     gateway::Gateway,
-    jobs::{SharedJob, lock},
+    jobs::SharedJob,
     peers::{Beat, JobState, News, Targets},
     settings::Settings,
 };
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_io::Timer;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, StatusCode, header};
@@ -11,16 +10,17 @@
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::JobId,
+    ids::{ItemId, JobId},
     metrics::{self, ItemStatus},
+    mutex::lock,
 };
 
 use super::{
     connection::{self, SendError},
     dispatch::Placement,
     gateway::Gateway,
-    job::{Item, Verdict},
-    jobs::{SharedJob, lock},
+    job::{Item, Job, Verdict},
+    jobs::SharedJob,
     sse::Events,
 };
 
@@ -119,11 +119,7 @@
             Ok(request) => request,
             Err(e) => return RunEnd::Broken(e.to_string()),
         };
-        let send = smol::future::or(connection.send(request), async {
-            Timer::after(STALL_LIMIT).await;
-            Err(SendError::Sent("no answer in time".into()))
-        });
-        let answer = match send.await {
+        let answer = match connection.send_within(request, STALL_LIMIT).await {
             Ok(answer) => answer,
             Err(SendError::NotSent(e)) => return RunEnd::Broken(e),
             Err(SendError::Sent(e)) => {
@@ -132,7 +128,7 @@
             }
         };
         let terms = headers::decode_answer(&answer);
-        if terms.id.as_ref().is_some_and(|id| *id != self.item.id) {
+        if !terms.is_for(&self.item.id) {
             return RunEnd::Broken("the worker answered another request".into());
         }
         if terms.not_run {
@@ -268,27 +264,19 @@
                 progress.not_before = now + ERROR_PAUSE;
                 let failures = progress.failures;
                 if failures >= self.attempts {
-                    let job_id = &self.job;
-                    event!(
-                        Warn,
-                        ItemFailed,
-                        "job={job_id} item={id} reason=errors count={failures} status={}",
-                        status.as_u16()
-                    );
-                    metrics::items(ItemStatus::Failed, 1);
-                    job.finish(id, Verdict::GivenUp, "".into(), now);
+                    let status = status.as_u16();
+                    let reason = format!("errors count={failures} status={status}");
+                    give_up(&mut job, &self.job, id, &reason, now);
                 }
             }
-            RunEnd::Impossible => {
-                event!(
-                    Warn,
-                    ItemFailed,
-                    "job={} item={id} reason=impossible",
-                    self.job
-                );
-                metrics::items(ItemStatus::Failed, 1);
-                job.finish(id, Verdict::GivenUp, "".into(), now);
-            }
+            RunEnd::Impossible => give_up(&mut job, &self.job, id, "impossible", now),
         }
     }
 }
+
+/// Ends an item without an output.
+pub fn give_up(job: &mut Job, job_id: &JobId, item: &ItemId, reason: &str, now: Duration) {
+    event!(Warn, ItemFailed, "job={job_id} item={item} reason={reason}");
+    metrics::items(ItemStatus::Failed, 1);
+    job.finish(item, Verdict::GivenUp, "".into(), now);
+}
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -5,7 +5,7 @@
 
 use std::{
     sync::Arc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use async_io::Timer;
@@ -18,8 +18,9 @@
         job_calls::{self, JobCall},
         store::{Freshness, StoreError},
     },
-    event,
+    clock, event,
     ids::{ItemId, JobId},
+    mutex::lock,
 };
 
 use super::{
@@ -28,7 +29,7 @@
     connection::SendError,
     gateway::Gateway,
     job::{self, Job, Mark, Outcome, Part, Record},
-    jobs::{self, SharedJob, lock},
+    jobs::{self, SharedJob},
     peer_call,
 };
 
@@ -114,9 +115,7 @@
                 let (head, body) = answer.into_parts();
                 return Response::from_parts(head, whole(body));
             }
-            Ok(_) if request.action == Action::Submit => {
-                // The other instance promises that it has not accepted the job.
-            }
+            // The other instance promises that it has not accepted a job.
             Ok(_) => {}
             Err(SendError::NotSent(e)) => log_peer(&request, &home.instance, &e),
             Err(SendError::Sent(e)) => {
@@ -187,7 +186,7 @@
     let record = Record {
         host: request.host.clone(),
         path: request.path.clone(),
-        submitted: unix_millis(),
+        submitted: clock::unix_millis(),
         items,
     };
     if !fits(gateway, &route, tokens) {
@@ -500,8 +499,7 @@
     answer
 }
 
-/// Returns the time of day in milliseconds since 1970.
-pub fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |d| d.as_millis() as u64)
+/// Returns the time since the submission of a job.
+pub fn age(record: &Record) -> Duration {
+    Duration::from_millis(clock::unix_millis().saturating_sub(record.submitted))
 }
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -8,17 +8,17 @@
     adapter::store::StoreError,
     event,
     ids::{JobId, ServiceId},
-    metrics::{self, ItemStatus},
+    mutex::lock,
 };
 
 use super::{
     config::{Configuration, Route},
     fleet::{Ask, Backlog, Urgency},
     gateway::Gateway,
-    item_run::Run,
-    job::{self, Item, Record, Verdict},
+    item_run::{self, Run},
+    job::{self, Item, Record},
     job_api::{self, PAGES},
-    jobs::{self, SharedJob, lock},
+    jobs::{self, SharedJob},
 };
 
 /// Interval at which the runner looks for room while items wait.
@@ -102,18 +102,15 @@
     let due = running.iter().filter_map(|(id, shared)| {
         let job = lock(shared);
         let route = route_of(config, &job.record)?;
-        let submitted = job.record.submitted;
-        drop(job);
-        let age = Duration::from_millis(job_api::unix_millis().saturating_sub(submitted));
         let urgency = match route.batch() {
-            Some(terms) => job::urgency(age, terms.due, run_time),
+            Some(terms) => job::urgency(job_api::age(&job.record), terms.due, run_time),
             None => Urgency::Timely,
         };
         Some(DueJob {
             id: id.clone(),
             job: shared.clone(),
             route,
-            submitted,
+            submitted: job.record.submitted,
             urgency,
         })
     });
@@ -183,19 +180,13 @@
     let Some(terms) = route.batch() else {
         return;
     };
-    let age = Duration::from_millis(job_api::unix_millis().saturating_sub(job.record.submitted));
+    let age = job_api::age(&job.record);
     if age < terms.item_ttl {
         return;
     }
+    let reason = format!("time-over age_s={}", age.as_secs());
     for item in job.open_items() {
-        event!(
-            Warn,
-            ItemFailed,
-            "job={id} item={item} reason=time-over age_s={}",
-            age.as_secs()
-        );
-        metrics::items(ItemStatus::Failed, 1);
-        job.finish(&item, Verdict::GivenUp, "".into(), now);
+        item_run::give_up(&mut job, id, &item, &reason, now);
     }
     drop(job);
     gateway.jobs.wake();
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -1,7 +1,7 @@
 //! The batch jobs that an instance knows, shared by all threads.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -10,6 +10,7 @@
 use crate::{
     fnv,
     ids::{JobId, Map},
+    mutex::lock,
 };
 
 use super::{
@@ -58,15 +59,9 @@
     }
 }
 
-/// Locks a mutex; the state behind it is whole between calls, also after a panic.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Returns the short form of a route's name in messages between instances.
 pub fn route_key(route: &Route) -> u32 {
-    let hash = fnv::extend(fnv::OFFSET, route.name.bytes());
-    (hash ^ (hash >> 32)) as u32
+    fnv::short(route.name.bytes())
 }
 
 impl Jobs {
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -45,9 +45,7 @@
 /// Says whether the call may have been received.
 pub async fn job(address: SocketAddr, request: &JobRequest) -> Result<Response<Bytes>, SendError> {
     let limit = CALL_LIMIT + request.wait;
-    let answer = call(address, &PeerCall::Job(request.clone()), limit).await;
-    metrics::peer_call(metrics::PeerCall::Job, answer.is_ok());
-    answer
+    call(address, &PeerCall::Job(request.clone()), limit).await
 }
 
 /// Reads what an instance knows of configuration and workers.
@@ -56,15 +54,8 @@
 ///
 /// Returns an error when the instance does not answer.
 pub async fn snapshot(address: SocketAddr) -> anyhow::Result<Snapshot> {
-    let answer = call(address, &PeerCall::Snapshot, CALL_LIMIT).await;
-    metrics::peer_call(metrics::PeerCall::Snapshot, answer.is_ok());
-    match answer {
-        Ok(answer) if answer.status() == StatusCode::OK => {
-            postcard::from_bytes(answer.body()).context("the snapshot cannot be read")
-        }
-        Ok(answer) => bail!("status {}", answer.status()),
-        Err(SendError::NotSent(e) | SendError::Sent(e)) => bail!(e),
-    }
+    let body = call_ok(address, &PeerCall::Snapshot).await?;
+    postcard::from_bytes(&body).context("the snapshot cannot be read")
 }
 
 /// Hands a job over to another instance.
@@ -73,10 +64,13 @@
 ///
 /// Returns an error when the instance does not take it.
 pub async fn hand_over(address: SocketAddr, job: &JobId, parts: Vec<Part>) -> anyhow::Result<()> {
-    let answer = call(address, &PeerCall::HandOver(job.clone(), parts), CALL_LIMIT).await;
-    metrics::peer_call(metrics::PeerCall::HandOver, answer.is_ok());
-    match answer {
-        Ok(answer) if answer.status() == StatusCode::OK => Ok(()),
+    call_ok(address, &PeerCall::HandOver(job.clone(), parts)).await?;
+    Ok(())
+}
+
+async fn call_ok(address: SocketAddr, peer_call: &PeerCall) -> anyhow::Result<Bytes> {
+    match call(address, peer_call, CALL_LIMIT).await {
+        Ok(answer) if answer.status() == StatusCode::OK => Ok(answer.into_body()),
         Ok(answer) => bail!("status {}", answer.status()),
         Err(SendError::NotSent(e) | SendError::Sent(e)) => bail!(e),
     }
@@ -86,6 +80,21 @@
     address: SocketAddr,
     call: &PeerCall,
     limit: Duration,
+) -> Result<Response<Bytes>, SendError> {
+    let answer = exchange(address, call, limit).await;
+    let kind = match call {
+        PeerCall::Job(_) => metrics::PeerCall::Job,
+        PeerCall::Snapshot => metrics::PeerCall::Snapshot,
+        PeerCall::HandOver(..) => metrics::PeerCall::HandOver,
+    };
+    metrics::peer_call(kind, answer.is_ok());
+    answer
+}
+
+async fn exchange(
+    address: SocketAddr,
+    call: &PeerCall,
+    limit: Duration,
 ) -> Result<Response<Bytes>, SendError> {
     let not_sent = |e: String| SendError::NotSent(e);
     let body = postcard::to_stdvec(call).map_err(|e| not_sent(e.to_string()))?;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -24,8 +24,7 @@
 
 /// Returns the short form of a job's id.
 pub fn job_key(job: &str) -> JobKey {
-    let hash = fnv::extend(fnv::OFFSET, job.bytes());
-    (hash ^ (hash >> 32)) as JobKey
+    fnv::short(job.bytes())
 }
 
 /// A job at an instance.
@@ -57,8 +56,17 @@
     /// Entries that are dropped without a change in the store show in the digest only, which an
     /// instance that watches the store itself need not follow.
     pub fn lacks(&self, other: &Edition, watches: bool) -> bool {
-        let differs = self.digest != other.digest && self.at <= other.at;
-        other.newest > self.newest || (!watches && differs)
+        self.is_older(other) || (!watches && self.differs(other))
+    }
+
+    /// Says whether `other` shows a newer change.
+    pub fn is_older(&self, other: &Edition) -> bool {
+        other.newest > self.newest
+    }
+
+    /// Says whether `other` has other entries and is not behind.
+    pub fn differs(&self, other: &Edition) -> bool {
+        self.digest != other.digest && self.at <= other.at
     }
 }
 
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -9,13 +9,13 @@
     adapter::store::{Freshness, Object, StoreError},
     event,
     ids::JobId,
+    mutex::lock,
 };
 
 use super::{
     gateway::Gateway,
     job::{self, Mark, Record},
     job_api::{self, JOBS, PAGES},
-    jobs::lock,
 };
 
 /// Time from a change of the members to the look for jobs that have a new home.
@@ -58,8 +58,9 @@
             return;
         }
     };
-    let age = Duration::from_millis(job_api::unix_millis().saturating_sub(record.submitted));
-    if age > gateway.settings.retention + REMOVE_AFTER && is_over(gateway, &id).await {
+    if job_api::age(&record) > gateway.settings.retention + REMOVE_AFTER
+        && is_over(gateway, &id).await
+    {
         remove(gateway, &id).await;
         return;
     }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,12 +1,11 @@
 //! Connections to workers, kept between requests.
 
-use std::{
-    io,
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::{io, sync::Mutex, time::Duration};
 
-use crate::ids::{Map, WorkerId};
+use crate::{
+    ids::{Map, WorkerId},
+    mutex::lock,
+};
 
 use super::{config::Service, connection::Connection, fleet::Worker};
 
@@ -46,7 +45,7 @@
     }
 
     fn take(&self, worker: &WorkerId, limit: Duration) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         let kept = idle.get_mut(worker)?;
         let connection = kept.pop()?;
         if connection.used.elapsed() < limit {
@@ -76,7 +75,7 @@
         let most = share.clamp(1, KEPT);
         connection.used = std::time::Instant::now();
         connection.kept = true;
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         let kept = idle.entry(worker.clone()).or_default();
         if kept.len() < most {
             kept.push(connection);
@@ -86,7 +85,7 @@
     /// Closes the idle connections of workers that `keep` does not name, and those that are too
     /// old to be used again.
     pub fn retain(&self, keep: impl Fn(&WorkerId) -> bool) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = lock(&self.idle);
         idle.retain(|worker, _| keep(worker));
         for kept in idle.values_mut() {
             kept.retain(|c| c.used.elapsed() < KEPT_FOR);
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -99,11 +99,7 @@
 
     /// Returns the edition of the objects, with those that may come back.
     pub fn edition(&self) -> Edition {
-        let hash = |o: &Object| {
-            let hash = fnv::extend(fnv::OFFSET, o.name.bytes());
-            let hash = fnv::extend(hash, o.revision.to_le_bytes());
-            (hash ^ (hash >> 32)) as u32
-        };
+        let hash = |o: &Object| fnv::short(o.name.bytes().chain(o.revision.to_le_bytes()));
         Edition {
             at: self.at,
             newest: self.newest,
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,7 +4,7 @@
 use std::{
     fmt::Write as _,
     io::{self, Write},
-    sync::{Mutex, PoisonError, mpsc},
+    sync::{Mutex, mpsc},
     thread,
     time::{Duration, Instant},
 };
@@ -17,6 +17,7 @@
 use crate::{
     event,
     events::{EVENT_TARGET, ROUTINE_TARGET},
+    mutex::lock,
     volume::{Volume, Weight},
 };
 
@@ -126,10 +127,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn weight(record: &Record<'_>) -> Weight {
     if record.target() == ROUTINE_TARGET {
         Weight::Routine
--- a/src/main.rs
+++ b/src/main.rs
@@ -80,10 +80,7 @@
 fn run_serve(file: &Path) -> anyhow::Result<Exit> {
     let settings = Settings::load(file)?;
     let _writer = logging::start(&settings.instance)?;
-    serve::serve(settings).or_else(|e| {
-        eprintln!("gentianpath: {e:#}");
-        Ok(Exit::Failure)
-    })
+    Ok(exit_of(serve::serve(settings)))
 }
 
 fn run_gateway(file: &Path, check: bool) -> anyhow::Result<Exit> {
@@ -93,10 +90,8 @@
         return Ok(Exit::Success);
     }
     let _writer = logging::start(&settings.instance)?;
-    gateway::serve::serve(settings, serve::new_session()).or_else(|e| {
-        eprintln!("gentianpath: {e:#}");
-        Ok(Exit::Failure)
-    })
+    let session = serve::new_session();
+    Ok(exit_of(gateway::serve::serve(settings, session)))
 }
 
 fn run_keeper(file: &Path) -> anyhow::Result<Exit> {
@@ -104,3 +99,11 @@
     let _writer = logging::start(&settings.instance)?;
     gateway::serve::keep(&settings)
 }
+
+/// Returns the exit code of a process that served; an error there is not one of usage.
+fn exit_of(served: anyhow::Result<Exit>) -> Exit {
+    served.unwrap_or_else(|e| {
+        eprintln!("gentianpath: {e:#}");
+        Exit::Failure
+    })
+}
--- a/src/online.rs
+++ b/src/online.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -17,6 +17,7 @@
     health::Health,
     ids::{Map, ModelId, RequestId, TargetId, TeamId, WorkerId},
     limits::{Budget, Queue, Teams, Ticket, Turned},
+    mutex::lock,
     route::{Ask, Candidate, Choice},
     verdict::{Reason, RequestError},
     view::WorkerInfo,
@@ -351,7 +352,3 @@
 fn busy(message: &str, wait: Duration) -> RequestError {
     RequestError::not_run(Reason::Overloaded, message).with_retry_after(wait)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/reconcile.rs
+++ b/src/reconcile.rs
@@ -1,17 +1,19 @@
 //! Reads load reports of workers, records placements and gives orders for owned workers.
 
-use std::{cell::RefCell, rc::Rc, sync::PoisonError, time::Duration};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use serde::Deserialize;
 
 use crate::{
     backoff::Backoff,
-    control::{Control, unix_ms},
+    clock,
+    control::Control,
     control_state::LOAD_FRESH,
     engine::{LoadReport, Order, OrderError},
     event,
     ids::{Map, Set, Version, WorkerId},
     instance_list::ListedTarget,
+    mutex::lock,
     orders::{Step, WorkerOrders, loads_weights},
     peer::WorkerLoad,
     placement::{Placement, Record},
@@ -162,7 +164,7 @@
     };
     let events = control.ctx.engine.events(target.address, since).await;
     let affinity = control.ctx.workers.affinity();
-    let mut affinity = affinity.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut affinity = lock(&affinity);
     for event in events.into_iter().flatten() {
         affinity.event(&target.id, &event, now);
         workers.borrow_mut().owned(&target.id).event = event.number;
@@ -175,10 +177,7 @@
         owned.event = 0;
     }
     let affinity = control.ctx.workers.affinity();
-    affinity
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .clear(worker);
+    lock(&affinity).clear(worker);
 }
 
 fn take_report(control: &Control, worker: &WorkerId, report: &LoadReport) {
@@ -348,7 +347,7 @@
     if workers.borrow_mut().owned(worker).not_before > now {
         return false;
     }
-    let taken = change_slots(control, |slots| slots.take(worker, unix_ms())).await;
+    let taken = change_slots(control, |slots| slots.take(worker, clock::unix_millis())).await;
     let mut workers = workers.borrow_mut();
     let owned = workers.owned(worker);
     owned.has_slot = taken;
--- a/src/replay_run.rs
+++ b/src/replay_run.rs
@@ -4,10 +4,10 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Mutex, PoisonError,
+        Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use async_io::Timer;
@@ -17,7 +17,9 @@
 use trillium_client::{EventStream, Method, SseErrorKind};
 
 use crate::{
-    dial, remote,
+    clock, dial,
+    mutex::lock,
+    remote,
     replay::{Line, LineKind, Plan, Repeat},
     verdict::{VERDICT_HEADER, Verdict},
 };
@@ -161,7 +163,7 @@
     }
 
     fn with_tally<T>(&self, act: impl FnOnce(&mut Tally) -> T) -> T {
-        act(&mut self.tally.lock().unwrap_or_else(PoisonError::into_inner))
+        act(&mut lock(&self.tally))
     }
 
     /// Takes a number for a request and the address whose turn it is.
@@ -287,8 +289,7 @@
 
     /// Submits a job; tells whether it was refused when it was not accepted.
     async fn submit(&self, job: &Job, name: &str, limit: Duration) -> Result<(), bool> {
-        let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        let deadline = (now.unwrap_or_default() + limit).as_secs();
+        let deadline = (clock::unix_time() + limit).as_secs();
         let model = &self.plan.model;
         let path = format!("/v1/batches?name={name}&model={model}&deadline={deadline}");
         let body = job.body();
--- a/src/route.rs
+++ b/src/route.rs
@@ -3,7 +3,7 @@
 use std::{
     iter,
     ops::Range,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -11,6 +11,7 @@
     affinity::Affinity,
     free_index::FreeIndex,
     ids::{InstanceId, Map, ModelId, WorkerId, Zone},
+    mutex::lock,
     view::{View, WorkerInfo},
     workers::{WorkerCell, WorkerTable},
 };
@@ -209,7 +210,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Affinity> {
-        self.affinity.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.affinity)
     }
 }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::Arc,
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use anyhow::Context as _;
@@ -19,6 +19,7 @@
 use crate::{
     admin, batch, batch_http,
     caller::CallerBounds,
+    clock,
     context::{Command, Context},
     control,
     drain::Phase,
@@ -70,9 +71,7 @@
 /// Makes a session id that is higher than those of earlier runs, as far as the clock is right.
 pub fn new_session() -> u64 {
     const RANDOM_BITS: u32 = 10;
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let millis = since.map_or(0, |d| d.as_millis() as u64);
-    (millis << RANDOM_BITS) | fastrand::u64(..1 << RANDOM_BITS)
+    (clock::unix_millis() << RANDOM_BITS) | fastrand::u64(..1 << RANDOM_BITS)
 }
 
 /// Starts the control thread; the receiver gets its result when it ends.
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     backoff::Backoff,
-    control::{Control, unix_ms},
+    clock,
+    control::Control,
     drain::Phase,
     instance_list::{ListAnswer, ListState, ListedEntry},
     listing, members,
@@ -186,7 +187,11 @@
 }
 
 fn take_list(control: &Control, answer: &ListAnswer) {
-    let delta = listing::delta_of(control.state().view(Watched::Instances), answer, unix_ms());
+    let delta = listing::delta_of(
+        control.state().view(Watched::Instances),
+        answer,
+        clock::unix_millis(),
+    );
     if let Some(delta) = delta {
         if delta.full {
             control.state().hold_list(control.now());
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -16,6 +16,7 @@
     affinity::Affinity,
     free_index::FreeIndex,
     ids::{InstanceId, Map, WorkerId},
+    mutex::lock,
 };
 
 /// Time for which a batch stream without a first token counts as starting at most, so that a
@@ -325,7 +326,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, CellState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/tests/control_support/mod.rs
+++ b/tests/control_support/mod.rs
@@ -2,15 +2,15 @@
 
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+#[path = "../support/ports.rs"]
+mod ports;
+
 use std::{
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    sync::Arc,
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -26,6 +26,8 @@
 use serde_json::{Value, json};
 use smol::channel::Sender;
 
+pub use ports::free_address;
+
 /// Bound on a wait for a state. It ends a test that hangs; no test is decided by how long a wait
 /// took.
 const WAIT_LIMIT: Duration = Duration::from_secs(30);
@@ -210,24 +212,6 @@
     Settings::try_from(raw).unwrap()
 }
 
-/// First port of those that are given out.
-const FIRST_PORT: u16 = 12_000;
-/// Number of ports that are given out.
-const PORTS: u32 = 20_000;
-
-/// Returns an address of this machine that nobody listens on.
-pub fn free_address() -> SocketAddr {
-    // Outgoing connections take ports from 32,768 on, and could take one before it is used.
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let next = std::process::id().wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST_PORT + (next % PORTS) as u16;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return ([127, 0, 0, 1], port).into();
-        }
-    }
-}
-
 /// Waits until a state is reached.
 pub fn wait(what: &str, mut reached: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/tests/gateway_batch.rs
+++ b/tests/gateway_batch.rs
@@ -76,8 +76,7 @@
             Behaviour::Foreign,
         ]);
     }
-    let instance = Instance::start("one", &store, &[]);
-    thread::sleep(Duration::from_millis(1500));
+    let instance = Instance::start_settled("one", &store);
     instance.submit("j1", &["a"]).unwrap();
     let results = instance.wait_results("j1", 1);
     assert_eq!(results[0]["output"], output(6));
@@ -96,8 +95,7 @@
     for worker in &workers {
         worker.behave(&[Behaviour::Fail(500); 3]);
     }
-    let instance = Instance::start("one", &store, &[]);
-    thread::sleep(Duration::from_millis(1500));
+    let instance = Instance::start_settled("one", &store);
     instance.submit("j1", &["bad"]).unwrap();
     let results = instance.wait_results("j1", 1);
     assert_eq!(results[0]["state"], "dead");
@@ -109,8 +107,7 @@
 #[test]
 fn a_lost_answer_to_the_creation_is_settled() {
     let (store, _workers) = platform(2, PAUSE);
-    let instance = Instance::start("one", &store, &[]);
-    thread::sleep(Duration::from_millis(1500));
+    let instance = Instance::start_settled("one", &store);
     store.set_faults(StoreFaults {
         down: false,
         lost_jobs: 1,
@@ -124,12 +121,8 @@
 #[test]
 fn nothing_is_accepted_or_denied_while_the_store_is_away() {
     let (store, _workers) = platform(2, PAUSE);
-    let instance = Instance::start("one", &store, &[]);
-    thread::sleep(Duration::from_millis(1500));
-    store.set_faults(StoreFaults {
-        down: true,
-        lost_jobs: 0,
-    });
+    let instance = Instance::start_settled("one", &store);
+    store.set_faults(StoreFaults::DOWN);
     assert_eq!(instance.submit("j1", &["a"]).unwrap().status, 503);
     assert_eq!(instance.results("j0", 0).unwrap().status, 503);
     assert!(store.names("batch-jobs").is_empty());
@@ -160,8 +153,7 @@
 #[test]
 fn a_job_over_the_quota_is_refused() {
     let (store, _workers) = platform(400, Duration::from_millis(20));
-    let one = Instance::start("one", &store, &[]);
-    thread::sleep(Duration::from_millis(1500));
+    let one = Instance::start_settled("one", &store);
     let items: Vec<String> = (0..60).map(|n| format!("i{n}")).collect();
     let items: Vec<&str> = items.iter().map(String::as_str).collect();
     assert_eq!(one.submit("j1", &items).unwrap().status, 202);
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -183,10 +183,7 @@
 fn an_instance_that_starts_in_an_outage_learns_from_its_peers() {
     let (store, _workers) = platform(3, PAUSE);
     let one = Instance::start("one", &store, &[]);
-    store.set_faults(StoreFaults {
-        down: true,
-        lost_jobs: 0,
-    });
+    store.set_faults(StoreFaults::DOWN);
     let two = Instance::start("two", &store, &[one.peers]);
     assert_eq!(two.stream("/resumable/x", "r1").unwrap().text(), whole(3));
 }
@@ -232,13 +229,9 @@
 #[test]
 fn workers_whose_entries_lapsed_in_an_outage_stay_in_use() {
     let (store, workers) = platform(1, PAUSE);
-    let instance = Instance::start("one", &store, &[]);
-    thread::sleep(Duration::from_millis(1500));
+    let instance = Instance::start_settled("one", &store);
     for round in 0..4 {
-        store.set_faults(StoreFaults {
-            down: true,
-            lost_jobs: 0,
-        });
+        store.set_faults(StoreFaults::DOWN);
         thread::sleep(Duration::from_millis(400));
         for worker in &workers {
             store.remove("servers", &worker.id);
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -22,6 +22,9 @@
     until,
 };
 
+/// Time after which an instance has had the time to hear others.
+const SETTLED: Duration = Duration::from_millis(1500);
+
 /// Host of all routes; the client of the tests names no other.
 pub const HOST: &str = "127.0.0.1";
 
@@ -130,6 +133,14 @@
     pub lost_jobs: u32,
 }
 
+impl StoreFaults {
+    /// A store that refuses all calls.
+    pub const DOWN: Self = Self {
+        down: true,
+        lost_jobs: 0,
+    };
+}
+
 #[derive(Debug, Default)]
 struct Objects {
     revision: u64,
@@ -503,6 +514,13 @@
         instance
     }
 
+    /// Starts an instance and waits until it has had the time to hear others, so that it runs jobs.
+    pub fn start_settled(name: &str, store: &Store) -> Self {
+        let instance = Self::start(name, store, &[]);
+        thread::sleep(SETTLED);
+        instance
+    }
+
     /// Starts an instance.
     pub fn spawn(name: &str, store: &Store, seeds: &[SocketAddr]) -> Self {
         let file = |path: &Path| Stdio::from(std::fs::File::create(path).unwrap());
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,12 +7,12 @@
 
 pub mod http;
 pub mod link;
+pub mod ports;
 pub mod process;
 
 use std::{
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
-    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -20,6 +20,7 @@
 use serde_json::{Value, json};
 
 use http::{Answer, call};
+pub use ports::free_address;
 use process::Process;
 
 /// Bound on a wait for a state.
@@ -42,24 +43,6 @@
     }
 }
 
-/// First port of those that are given out.
-const FIRST_PORT: u16 = 12_000;
-/// Number of ports that are given out.
-const PORTS: u32 = 20_000;
-
-/// Returns a loopback address whose port is free at this moment.
-pub fn free_address() -> SocketAddr {
-    // Outgoing connections take ports from 32,768 on, and could take one before it is used.
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let next = std::process::id().wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST_PORT + (next % PORTS) as u16;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return ([127, 0, 0, 1], port).into();
-        }
-    }
-}
-
 /// Returns a sheet with the model of the engines and a plain service `till`, whose receipts may
 /// not be repeated.
 pub fn sheet() -> Value {
--- /dev/null
+++ b/tests/support/ports.rs
@@ -0,0 +1,24 @@
+//! Ports of this machine for processes and servers of tests.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+/// First port of those that are given out.
+const FIRST_PORT: u16 = 12_000;
+/// Number of ports that are given out.
+const PORTS: u32 = 20_000;
+
+/// Returns a loopback address whose port is free at this moment.
+pub fn free_address() -> SocketAddr {
+    // Outgoing connections take ports from 32,768 on, and could take one before it is used.
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let next = std::process::id().wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + (next % PORTS) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return ([127, 0, 0, 1], port).into();
+        }
+    }
+}
