Keep stored jobs in a file of their own

Cause: job_api.rs answered the calls of callers and also stored, read, adopted and handed over jobs; record and end of a stored job were decoded in two places, both of which took an unreadable end for none without a line. The second half is job_store.rs now, moved as it was, with one decoder that logs it. Nothing else changes; 40 tests of the gateway's jobs, calls and documents passed.

--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -28,25 +28,16 @@
     config::Route,
     connection::SendError,
     gateway::Gateway,
-    job::{self, Job, Mark, Outcome, Part, Record},
+    job::{Job, Mark, Record},
+    job_store::{self, JOBS},
     jobs::{self, SharedJob},
     peer_call,
 };
 
-/// Kind of the records of jobs.
-pub const JOBS: &str = "batch-jobs";
-/// Kind of the pages of results.
-pub const PAGES: &str = "batch-pages";
 /// Time that a caller is asked to wait when the quota is used up or the store is away.
 const RETRY_AFTER: Duration = Duration::from_millis(1000);
-/// Time in which runs of a stopping instance end: events are at most some tens of milliseconds apart.
-const HAND_OVER_PAUSE: Duration = Duration::from_millis(150);
 /// Interval at which a waiting read looks for results.
 const READ_POLL: Duration = Duration::from_millis(200);
-/// Time in which an unclear write of a job is settled.
-const SETTLE_LIMIT: Duration = Duration::from_millis(2500);
-/// Pause before an unclear write is tried again.
-const SETTLE_PAUSE: Duration = Duration::from_millis(150);
 
 /// A call for a job, as instances pass it on to each other.
 #[derive(Debug, Clone)]
@@ -210,14 +201,14 @@
                     Some(RETRY_AFTER),
                 )
             }
-            Ok(Some(_)) => adopt(gateway, &request.job).await.map_or_else(
+            Ok(Some(_)) => job_store::adopt(gateway, &request.job).await.map_or_else(
                 |e| plain(StatusCode::GATEWAY_TIMEOUT, &e.to_string(), None),
                 |_| plain(StatusCode::ACCEPTED, "accepted", None),
             ),
             Err(e) => plain(StatusCode::GATEWAY_TIMEOUT, &e.to_string(), None),
         };
     }
-    match store_record(gateway, &request.job, &record).await {
+    match job_store::store_record(gateway, &request.job, &record).await {
         Ok(true) => {
             event!(
                 Info,
@@ -227,12 +218,12 @@
                 record.items.len()
             );
             let job = Job::new(Arc::new(record), false);
-            activate(gateway, &gateway.jobs.add(&request.job, job));
+            job_store::activate(gateway, &gateway.jobs.add(&request.job, job));
             plain(StatusCode::ACCEPTED, "accepted", None)
         }
         Ok(false) => {
             // It is stored, so it will run, whoever reads it next.
-            if let Err(e) = adopt(gateway, &request.job).await {
+            if let Err(e) = job_store::adopt(gateway, &request.job).await {
                 event!(
                     Warn,
                     StoreCallFailed,
@@ -247,11 +238,6 @@
     }
 }
 
-fn activate(gateway: &Gateway, job: &SharedJob) {
-    lock(job).active = true;
-    gateway.jobs.wake();
-}
-
 fn fits(gateway: &Gateway, route: &Route, tokens: u64) -> bool {
     let Some(quota) = route.batch().and_then(|t| t.quota) else {
         return true;
@@ -269,146 +255,6 @@
     own + others + tokens <= quota
 }
 
-/// Stores a record; says whether it was new. A write whose outcome is unknown is tried until it is
-/// known, since it may still take effect.
-async fn store_record(gateway: &Gateway, id: &JobId, record: &Record) -> Result<bool, StoreError> {
-    let started = Instant::now();
-    let mut unclear = false;
-    loop {
-        match gateway.store.create(JOBS, id, record).await {
-            Ok(()) => return Ok(true),
-            Err(StoreError::Conflict) => return Ok(false),
-            Err(StoreError::Unavailable(e)) if !unclear => return Err(StoreError::Unavailable(e)),
-            Err(e) => {
-                unclear = true;
-                event!(Info, StoreCallFailed, "job={id} call=create reason=\"{e}\"");
-                if started.elapsed() > SETTLE_LIMIT {
-                    return Err(StoreError::Unknown(e.to_string()));
-                }
-            }
-        }
-        Timer::after(SETTLE_PAUSE).await;
-    }
-}
-
-/// Returns a job, read from the store when it is not known here; nothing when there is none.
-async fn load(gateway: &Arc<Gateway>, id: &JobId) -> Result<Option<SharedJob>, StoreError> {
-    let known = gateway.jobs.get(id);
-    if let Some(job) = known {
-        let stale = lock(&job).is_stale();
-        if stale {
-            read_pages(gateway, id, &job).await?;
-        }
-        return Ok(Some(job));
-    }
-    let Some(object) = gateway.store.get(JOBS, id, Freshness::Latest).await? else {
-        return Ok(None);
-    };
-    let record: Record =
-        serde_json::from_str(&object.spec).map_err(|e| StoreError::Unknown(e.to_string()))?;
-    let mark: Option<Mark> = serde_json::from_str(&object.status).unwrap_or_default();
-    let ended = mark.unwrap_or_default().ended;
-    let job = Arc::new(std::sync::Mutex::new(Job::new(Arc::new(record), ended)));
-    read_pages(gateway, id, &job).await?;
-    let job = Arc::into_inner(job).map(|m| m.into_inner().unwrap_or_else(|e| e.into_inner()));
-    Ok(job.map(|job| gateway.jobs.add(id, job)))
-}
-
-/// Reads the pages of results that are not known here.
-pub async fn read_pages(gateway: &Gateway, id: &JobId, job: &SharedJob) -> Result<(), StoreError> {
-    loop {
-        let page = {
-            let job = lock(job);
-            if job.is_complete() {
-                return Ok(());
-            }
-            job.next_page()
-        };
-        let name = job::page_name(id, page);
-        let Some(object) = gateway.store.get(PAGES, &name, Freshness::Latest).await? else {
-            return Ok(());
-        };
-        let outcomes: Vec<Outcome> =
-            serde_json::from_str(&object.spec).map_err(|e| StoreError::Unknown(e.to_string()))?;
-        let mut job = lock(job);
-        if job.next_page() == page {
-            job.absorb(&outcomes, gateway.now());
-        }
-    }
-}
-
-/// Takes over a job that is stored.
-pub async fn adopt(gateway: &Arc<Gateway>, id: &JobId) -> Result<Option<SharedJob>, StoreError> {
-    let Some(job) = load(gateway, id).await? else {
-        return Ok(None);
-    };
-    let fresh = !lock(&job).active;
-    if fresh {
-        event!(
-            Info,
-            JobAdopted,
-            "job={id} open={}",
-            lock(&job).open_items().len()
-        );
-        activate(gateway, &job);
-    }
-    Ok(Some(job))
-}
-
-/// Goes on with a job that another instance hands over.
-///
-/// # Errors
-///
-/// Returns an error when the job cannot be read from the store.
-pub async fn take_over(
-    gateway: &Arc<Gateway>,
-    id: &JobId,
-    parts: Vec<Part>,
-) -> Result<(), StoreError> {
-    let Some(job) = load(gateway, id).await? else {
-        return Err(StoreError::Missing);
-    };
-    event!(Info, JobAdopted, "job={id} parts={}", parts.len());
-    lock(&job).take_over(parts, gateway.now());
-    activate(gateway, &job);
-    Ok(())
-}
-
-/// Hands the jobs of this instance over to the others.
-pub async fn hand_over(gateway: &Arc<Gateway>) {
-    let held = gateway.jobs.all();
-    let running: Vec<_> = held
-        .into_iter()
-        .filter(|(_, job)| lock(job).is_running())
-        .collect();
-    for (_, job) in &running {
-        lock(job).active = false;
-    }
-    // Runs notice at their next event that they are not wanted any more.
-    Timer::after(HAND_OVER_PAUSE).await;
-    for (id, job) in running {
-        let parts = lock(&job).hand_over();
-        let Some(home) = gateway.home(&id) else {
-            continue;
-        };
-        let count = parts.len();
-        match peer_call::hand_over(home.address, &id, parts).await {
-            Ok(()) => event!(
-                Info,
-                JobReleased,
-                "job={id} home={} parts={count}",
-                home.instance
-            ),
-            Err(e) => event!(
-                Info,
-                PeerCallFailed,
-                "job={id} peer={} call=hand-over reason=\"{e:#}\"",
-                home.instance
-            ),
-        }
-    }
-}
-
 /// Returns a job for a read, and takes it over when this instance is to run it.
 async fn job_for_read(
     gateway: &Arc<Gateway>,
@@ -418,9 +264,9 @@
         return Err(unsure("the instance has just started"));
     }
     let found = if gateway.home(id).is_none() {
-        adopt(gateway, id).await
+        job_store::adopt(gateway, id).await
     } else {
-        load(gateway, id).await
+        job_store::load(gateway, id).await
     };
     match found {
         Ok(Some(job)) => Ok(job),
@@ -437,7 +283,7 @@
     };
     // A caller that is ahead of this instance has read further elsewhere.
     let behind = after > lock(&job).positions();
-    if behind && let Err(e) = read_pages(gateway, &request.job, &job).await {
+    if behind && let Err(e) = job_store::read_pages(gateway, &request.job, &job).await {
         return unsure(&e.to_string());
     }
     loop {
@@ -498,8 +344,3 @@
     answer.headers_mut().insert(header::CONTENT_TYPE, kind);
     answer
 }
-
-/// Returns the time since the submission of a job.
-pub fn age(record: &Record) -> Duration {
-    Duration::from_millis(clock::unix_millis().saturating_sub(record.submitted))
-}
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -17,7 +17,7 @@
     gateway::Gateway,
     item_run::{self, Run},
     job::{self, Item, Record},
-    job_api::{self, PAGES},
+    job_store::{self, PAGES},
     jobs::{self, SharedJob},
 };
 
@@ -103,7 +103,7 @@
         let job = lock(shared);
         let route = route_of(config, &job.record)?;
         let urgency = match route.batch() {
-            Some(terms) => job::urgency(job_api::age(&job.record), terms.due, run_time),
+            Some(terms) => job::urgency(job_store::age(&job.record), terms.due, run_time),
             None => Urgency::Timely,
         };
         Some(DueJob {
@@ -180,7 +180,7 @@
     let Some(terms) = route.batch() else {
         return;
     };
-    let age = job_api::age(&job.record);
+    let age = job_store::age(&job.record);
     if age < terms.item_ttl {
         return;
     }
@@ -234,7 +234,7 @@
         }
         Err(StoreError::Conflict) => {
             event!(Info, PageTaken, "job={id} page={page}");
-            if let Err(e) = job_api::read_pages(gateway, id, shared).await {
+            if let Err(e) = job_store::read_pages(gateway, id, shared).await {
                 event!(
                     Info,
                     StoreCallFailed,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod job;
 pub mod job_api;
 pub mod job_run;
+pub mod job_store;
 pub mod jobs;
 pub mod peer_call;
 pub mod peers;
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -16,6 +16,7 @@
     gateway::Gateway,
     job::Part,
     job_api::{self, JobRequest},
+    job_store,
     sync::Snapshot,
 };
 
@@ -117,7 +118,7 @@
     match postcard::from_bytes(&body) {
         Ok(PeerCall::Job(request)) => job_api::answer_here(&gateway, &request).await,
         Ok(PeerCall::HandOver(job, parts)) => {
-            match job_api::take_over(&gateway, &job, parts).await {
+            match job_store::take_over(&gateway, &job, parts).await {
                 Ok(()) => plain(StatusCode::OK, "taken over", None),
                 Err(e) => plain(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
             }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -24,7 +24,7 @@
 use super::{
     gateway::Gateway,
     gossip::{self, NewsSenders},
-    job_api, job_run,
+    job_run, job_store,
     server::{Server, Side},
     settings::{KeeperSettings, Settings},
     sweep,
@@ -121,7 +121,7 @@
     gateway.drain.advance(Phase::Leaving);
     let notice = LEAVE_NOTICE.min(grace / 2);
     let noticed = Timer::after(notice);
-    job_api::hand_over(gateway).await;
+    job_store::hand_over(gateway).await;
     noticed.await;
     gateway.drain.advance(Phase::Draining);
     let limit = async {
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -14,8 +14,8 @@
 
 use super::{
     gateway::Gateway,
-    job::{self, Mark, Record},
-    job_api::{self, JOBS, PAGES},
+    job,
+    job_store::{self, JOBS, PAGES},
 };
 
 /// Time from a change of the members to the look for jobs that have a new home.
@@ -50,32 +50,30 @@
     if gateway.home(&id).is_some() {
         return;
     }
-    let mark: Option<Mark> = serde_json::from_str(&object.status).unwrap_or_default();
-    let record: Record = match serde_json::from_str(&object.spec) {
-        Ok(record) => record,
+    let (record, ended) = match job_store::decode(object) {
+        Ok(decoded) => decoded,
         Err(e) => {
             event!(Warn, JobInvalid, "job={id} reason=\"{e}\"");
             return;
         }
     };
-    if job_api::age(&record) > gateway.settings.retention + REMOVE_AFTER
+    if job_store::age(&record) > gateway.settings.retention + REMOVE_AFTER
         && is_over(gateway, &id).await
     {
         remove(gateway, &id).await;
         return;
     }
-    let ended = mark.unwrap_or_default().ended;
     if ended {
         gateway.jobs.note_ended(&id, gateway.now());
         return;
     }
-    if let Err(e) = job_api::adopt(gateway, &id).await {
+    if let Err(e) = job_store::adopt(gateway, &id).await {
         event!(Info, StoreCallFailed, "job={id} call=adopt reason=\"{e}\"");
     }
 }
 
 async fn is_over(gateway: &Arc<Gateway>, id: &JobId) -> bool {
-    match job_api::adopt(gateway, id).await {
+    match job_store::adopt(gateway, id).await {
         Ok(Some(job)) => lock(&job).is_complete() || lock(&job).ended,
         Ok(None) | Err(_) => false,
     }
