Let batch items wait rather than start on workers out of reach

An unreachable worker has no requests, so it ranked first once no other worker had a free slot; for an online request that is better than a refusal, but an item can wait.

Ruled out: slow detection. The zone was known to be cut; the ranking used it all the same.

Change: items never start on ejected workers or in a zone that is cut off. When a zone that sent no heartbeats is heard again, its workers that could not be reached count as healthy at once, so that items do not wait for the ends of ejections.

The three new tests fail on the code before.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -117,11 +117,21 @@
     partitions: Map<Zone, Partition>,
 }
 
+/// Use of ejected workers and of workers in zones that are cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Avoided {
+    /// They are used when there is no other, which is better than refusing a request.
+    Last,
+    /// They are not used.
+    Never,
+}
+
 /// Evidence of a network partition between this instance and a zone.
 #[derive(Debug, Default)]
 struct Partition {
     unreachable: Set<WorkerId>,
     until: Duration,
+    silent: bool,
 }
 
 /// Returns the hash of a worker's id that messages between instances use.
@@ -251,12 +261,22 @@
 
     /// Records that no instance of a zone sends heartbeats any more.
     pub fn mark_zone_unreachable(&mut self, zone: &Zone, now: Duration) {
-        self.partitions.entry(zone.clone()).or_default().until = now + PARTITION_DURATION;
+        let partition = self.partitions.entry(zone.clone()).or_default();
+        partition.until = now + PARTITION_DURATION;
+        partition.silent = true;
     }
 
-    /// Records that a heartbeat from a zone arrived.
+    /// Records that a heartbeat from a zone arrived. If the zone was silent, its workers that could
+    /// not be reached are used again: the partition explains the failures.
     pub fn mark_zone_reachable(&mut self, zone: &Zone) {
-        self.partitions.remove(zone);
+        let Some(partition) = self.partitions.remove(zone) else {
+            return;
+        };
+        if partition.silent {
+            for worker in &partition.unreachable {
+                self.health.record_success(worker);
+            }
+        }
     }
 
     /// Chooses a worker for an online request, or returns `None` when all are full.
@@ -281,7 +301,7 @@
                 None
             }
         };
-        let chosen = self.choose_best(requirements, rng, now, score)?;
+        let chosen = self.choose_best(requirements, Avoided::Last, rng, now, score)?;
         self.health.record_request(&chosen.id, now);
         Some(chosen)
     }
@@ -289,6 +309,9 @@
     /// Chooses a worker for a batch item, or returns `None` when none has capacity beside online
     /// requests.
     ///
+    /// An item waits rather than start on a worker that is ejected or in a zone that is cut off.
+    /// There, it would find a free slot again and again, and fail each time.
+    ///
     /// All instances with waiting items compute the same ranking per worker, and only as many of
     /// them as there are free slots start an item there. Without the ranking all of them would take
     /// the same slot at once and all but one would have to yield. Items that can no longer meet
@@ -306,7 +329,7 @@
             let before = self.higher_ranked(key(&worker.id), urgency);
             (level.total() + before < capacity).then_some(level.total() + zone_penalty)
         };
-        let chosen = self.choose_best(requirements, rng, now, score)?;
+        let chosen = self.choose_best(requirements, Avoided::Never, rng, now, score)?;
         self.health.record_request(&chosen.id, now);
         Some(chosen)
     }
@@ -335,6 +358,7 @@
     fn choose_best<S: Ord>(
         &self,
         requirements: &Requirements<'_>,
+        avoided: Avoided,
         rng: &mut fastrand::Rng,
         now: Duration,
         score: impl Fn(&Worker, Level) -> Option<S>,
@@ -346,14 +370,15 @@
         let candidates = self.workers.iter().filter(|(_, w)| eligible(w));
         let ranked = candidates.filter_map(|(key, worker)| {
             let score = score(worker, self.level(*key))?;
-            // Ejected workers and cut-off zones come last, but are still better than refusing the
-            // request.
             let partitioned = self
                 .partitions
                 .get(&worker.zone)
                 .is_some_and(|p| now < p.until);
-            let avoided = partitioned || ejected.contains(&worker.id);
-            Some((avoided, score, rng.u32(..), worker))
+            let comes_last = partitioned || ejected.contains(&worker.id);
+            if comes_last && avoided == Avoided::Never {
+                return None;
+            }
+            Some((comes_last, score, rng.u32(..), worker))
         });
         let best = ranked.min_by(|a, b| (a.0, &a.1, a.2).cmp(&(b.0, &b.1, b.2)));
         best.map(|(.., worker)| worker.clone())
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -124,6 +124,46 @@
     assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("f3"));
 }
 
+/// Guards against items that take the free slots of workers out of reach, where each start costs a
+/// connect timeout: unlike a request, an item can wait.
+#[test]
+fn an_item_waits_rather_than_start_on_a_worker_out_of_reach() {
+    let (near, far) = (worker("near", "a"), worker("far", "b"));
+    let mut fleet = fleet(&[near, far.clone()]);
+    fleet.set_peer(&"two".into(), levels("near", 2, 0));
+    fleet.record_unreachable(&far, NOW);
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+    fleet.record_success(&far);
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+    fleet.mark_zone_unreachable(&"b".into(), NOW);
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+}
+
+/// Guards against workers that stay ejected after a partition has ended, one ejection time after
+/// another, while items wait.
+#[test]
+fn workers_of_a_zone_are_used_again_as_soon_as_the_zone_is_heard() {
+    let far = worker("far", "b");
+    let mut fleet = fleet(std::slice::from_ref(&far));
+    fleet.mark_zone_unreachable(&"b".into(), NOW);
+    for _ in 0..6 {
+        fleet.record_unreachable(&far, NOW);
+    }
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+    fleet.mark_zone_reachable(&"b".into());
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+}
+
+/// Guards against a crashed worker that is tried again with each heartbeat from its zone.
+#[test]
+fn a_worker_out_of_reach_stays_ejected_while_its_zone_is_heard() {
+    let far = worker("far", "b");
+    let mut fleet = fleet(std::slice::from_ref(&far));
+    fleet.record_unreachable(&far, NOW);
+    fleet.mark_zone_reachable(&"b".into());
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+}
+
 /// Guards against instances that all start an item on the same free slot, so that all but one have
 /// to yield.
 #[test]
