Spend less on the store and between zones in a large fleet

Change: a heartbeat goes to two relays in each other zone, others in each round, which pass it on with their next message. Instances that do not watch go on with a stale read of the configuration after a failure; one that does not reach the store leaves the watch to neighbours that do; while none does, three of a zone try. One instance searches for jobs that nobody runs and has their homes take them over.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -133,12 +133,14 @@
     }
 
     /// Returns whether this instance watches the object store for its zone. Until it has discovered
-    /// its peers, it watches only if no peer is live.
+    /// its peers, it watches only if no peer is live. It leaves the watch to its neighbours while
+    /// they reach the store and it does not.
     pub fn is_watcher(&self) -> bool {
         let Settings { instance, zone, .. } = &self.settings;
         let (peers, now) = (self.peers(), self.now());
         if self.has_discovered_peers() {
-            peers.is_watcher(instance, zone, now)
+            let able = self.reaches_store() || !peers.reaches_store(zone, now);
+            able && peers.is_watcher(instance, zone, now)
         } else {
             peers.live(now).next().is_none()
         }
@@ -166,13 +168,26 @@
         ahead.min_by_key(other_zone).map(|h| h.address)
     }
 
+    /// Returns whether this instance searches the store for jobs that nobody runs.
+    pub fn is_sweeper(&self) -> bool {
+        self.may_adopt() && self.peers().is_sweeper(&self.settings.instance, self.now())
+    }
+
+    /// Returns whether a live instance runs a job.
+    pub fn is_run(&self, job: &JobId) -> bool {
+        self.jobs.is_active(job) || self.peers().is_run(job, self.now())
+    }
+
+    /// Returns whether this instance may take over jobs.
+    fn may_adopt(&self) -> bool {
+        self.drain.phase() == Phase::Running && self.reaches_store() && self.has_discovered_peers()
+    }
+
     /// Returns the last heartbeat of the instance that runs a job, or `None` when it is this one.
     pub fn home(&self, job: &JobId) -> Option<Heartbeat> {
         let local = Candidate {
             instance: &self.settings.instance,
-            eligible: self.drain.phase() == Phase::Running
-                && self.reaches_store()
-                && self.has_discovered_peers(),
+            eligible: self.may_adopt(),
             active: self.jobs.is_active(job),
         };
         self.peers().home(job, &local, self.now())
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,8 +1,11 @@
 //! Exchanges heartbeats with the other instances over UDP.
+//!
+//! A message is the heartbeat of its sender, followed by heartbeats of other zones that the sender
+//! passes on to its neighbours.
 
 use std::{
     net::{SocketAddr, UdpSocket},
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -11,8 +14,8 @@
 
 use crate::{
     drain::Phase,
-    event,
-    ids::{JobId, Map, Set},
+    event, fnv,
+    ids::{InstanceId, JobId, Map, Set},
     mutex::lock,
 };
 
@@ -33,8 +36,15 @@
 const FAR_INTERVAL_PER_PEER: Duration = Duration::from_millis(3);
 /// Maximum heartbeat interval to other zones.
 const MAX_FAR_INTERVAL: Duration = Duration::from_millis(240);
+/// Maximum time that a heartbeat of another zone waits to be passed on with the next message.
+const RELAY_INTERVAL: Duration = Duration::from_millis(100);
+/// Size of a message from which on further heartbeats go into another one.
+const FULL_MESSAGE_BYTES: usize = 8 << 10;
 /// Maximum size of a received message.
-const MAX_MESSAGE_BYTES: usize = 16 << 10;
+const MAX_MESSAGE_BYTES: usize = 64 << 10;
+
+/// Heartbeats of other zones that wait to be passed on, the last one of each instance.
+type Relayed = Mutex<Map<InstanceId, Vec<u8>>>;
 
 /// Channels that signal changes seen in heartbeats.
 #[derive(Debug, Clone)]
@@ -47,38 +57,55 @@
 
 /// Exchanges heartbeats with the other instances forever.
 pub async fn run(gateway: Arc<Gateway>, socket: Async<UdpSocket>, updates: UpdateSenders) {
-    let receive = receive(&gateway, &socket, &updates);
-    smol::future::or(send(&gateway, &socket, &updates), receive).await;
+    let relayed = Relayed::default();
+    let receive = receive(&gateway, &socket, &updates, &relayed);
+    smol::future::or(send(&gateway, &socket, &updates, &relayed), receive).await;
 }
 
-async fn send(gateway: &Gateway, socket: &Async<UdpSocket>, updates: &UpdateSenders) {
+async fn send(
+    gateway: &Gateway,
+    socket: &Async<UdpSocket>,
+    updates: &UpdateSenders,
+    relayed: &Relayed,
+) {
     let mut number = 0;
     let mut last_check = Duration::ZERO;
     let mut far_sent = Duration::ZERO;
+    // Instances that start together begin with different relays.
+    let mut round = u64::from(fnv::hash32(gateway.settings.instance.bytes()));
     loop {
         number += 1;
         let now = gateway.now();
-        let targets = targets(gateway);
-        let far_due = far_sent + far_interval(targets.far.len());
+        let targets = targets(gateway, round, now);
+        let far_due = far_sent + far_interval(targets.outside);
         let sends_far = number == 1 || now >= far_due;
         match postcard::to_stdvec(&heartbeat(gateway, number)) {
             Ok(message) => {
-                send_all(socket, &message, &targets.near);
                 if sends_far {
                     far_sent = now;
+                    round = round.wrapping_add(1);
                     send_all(socket, &message, &targets.far);
                 }
+                let relayed = std::mem::take(&mut *lock(relayed));
+                for message in messages(&message, relayed.into_values()) {
+                    send_all(socket, &message, &targets.near);
+                }
             }
             Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
         }
         remove_silent(gateway, updates, last_check, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
-        let next = if sends_far {
+        let far_next = if sends_far {
             now + IDLE_INTERVAL
         } else {
             far_due
         };
+        let next = if targets.outside > 0 {
+            far_next.min(now + RELAY_INTERVAL)
+        } else {
+            far_next
+        };
         let due = async {
             Timer::after(next.saturating_sub(gateway.now())).await;
         };
@@ -86,6 +113,20 @@
     }
 }
 
+/// Packs heartbeats to pass on into messages, each of which begins with the own heartbeat.
+fn messages(own: &[u8], relayed: impl Iterator<Item = Vec<u8>>) -> Vec<Vec<u8>> {
+    let mut messages = vec![own.to_vec()];
+    for heartbeat in relayed {
+        match messages.last_mut() {
+            Some(last) if last.len() + heartbeat.len() <= FULL_MESSAGE_BYTES => {
+                last.extend(heartbeat);
+            }
+            _ => messages.push([own, &heartbeat].concat()),
+        }
+    }
+    messages
+}
+
 fn far_interval(instances: usize) -> Duration {
     let count = u32::try_from(instances).unwrap_or(u32::MAX);
     FAR_INTERVAL_PER_PEER
@@ -123,13 +164,14 @@
     }
 }
 
-/// Returns the known addresses of the other instances, including the seeds.
-fn targets(gateway: &Gateway) -> Targets {
+/// Returns the addresses for the heartbeat of a round, including the seeds that were not heard yet.
+fn targets(gateway: &Gateway, round: u64, now: Duration) -> Targets {
     let Settings {
         zone, seeds, peers, ..
     } = &gateway.settings;
-    let mut targets = gateway.peers().targets(zone);
-    let unknown = seeds.iter().filter(|a| !targets.near.contains(*a));
+    let known = gateway.peers();
+    let mut targets = known.targets(zone, round, now);
+    let unknown = seeds.iter().filter(|a| !known.knows_address(a));
     targets.far.extend(unknown);
     targets.far.remove(peers);
     targets
@@ -159,7 +201,12 @@
     }
 }
 
-async fn receive(gateway: &Gateway, socket: &Async<UdpSocket>, updates: &UpdateSenders) {
+async fn receive(
+    gateway: &Gateway,
+    socket: &Async<UdpSocket>,
+    updates: &UpdateSenders,
+    relayed: &Relayed,
+) {
     let mut buffer = vec![0; MAX_MESSAGE_BYTES];
     loop {
         let count = match socket.recv_from(&mut buffer).await {
@@ -169,17 +216,38 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Heartbeat>(&buffer[..count]) {
-            Ok(heartbeat) if heartbeat.instance != gateway.settings.instance => {
-                handle(gateway, heartbeat, updates)
+        read_message(gateway, &buffer[..count], updates, relayed);
+    }
+}
+
+/// Records the heartbeats of a message. The first one is of the sender itself and is passed on to
+/// the neighbours if it comes from another zone.
+fn read_message(gateway: &Gateway, message: &[u8], updates: &UpdateSenders, relayed: &Relayed) {
+    let Settings { instance, zone, .. } = &gateway.settings;
+    let mut rest = message;
+    while !rest.is_empty() {
+        let (heartbeat, after) = match postcard::take_from_bytes::<Heartbeat>(rest) {
+            Ok(decoded) => decoded,
+            Err(e) => {
+                event!(Warn, MessageInvalid, "reason=\"{e}\"");
+                return;
             }
-            Ok(_) => {}
-            Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
+        };
+        let bytes = &rest[..rest.len() - after.len()];
+        let is_first = rest.len() == message.len();
+        rest = after;
+        if heartbeat.instance == *instance {
+            continue;
+        }
+        let (sender, is_outside) = (heartbeat.instance.clone(), heartbeat.zone != *zone);
+        let change = handle(gateway, heartbeat, updates);
+        if is_first && is_outside && change != PeerChange::Stale {
+            lock(relayed).insert(sender, bytes.to_vec());
         }
     }
 }
 
-fn handle(gateway: &Gateway, heartbeat: Heartbeat, updates: &UpdateSenders) {
+fn handle(gateway: &Gateway, heartbeat: Heartbeat, updates: &UpdateSenders) -> PeerChange {
     let instance = heartbeat.instance.clone();
     let (levels, backlog) = (heartbeat.levels(), heartbeat.backlog);
     let ended = heartbeat.ended.clone();
@@ -188,7 +256,7 @@
     let behind = gateway.is_behind(&heartbeat);
     let result = gateway.peers().record(heartbeat, gateway.now());
     if result == PeerChange::Stale {
-        return;
+        return result;
     }
     if behind {
         let _ = updates.behind.try_send(());
@@ -211,6 +279,7 @@
         event!(Info, MemberJoined, "peer={instance}");
         let _ = updates.members.try_send(());
     }
+    result
 }
 
 /// Merges a peer's state of a job, and releases the job if another instance should run it.
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -16,7 +16,7 @@
     gateway::Gateway,
     job::ItemHandover,
     job_api::{self, JobRequest},
-    job_store,
+    job_store, sweep,
     sync::Snapshot,
 };
 
@@ -37,6 +37,8 @@
     Snapshot,
     /// Hands a job over to the receiver.
     HandOver(JobId, Vec<ItemHandover>),
+    /// Asks the receiver to take over a job that no instance runs, or to remove one that expired.
+    Check(JobId),
 }
 
 /// Forwards a caller's call for a job.
@@ -73,6 +75,16 @@
     Ok(())
 }
 
+/// Asks an instance to take over a job that no instance runs, or to remove one that expired.
+///
+/// # Errors
+///
+/// Returns an error when the instance does not answer.
+pub async fn check(address: SocketAddr, job: &JobId) -> anyhow::Result<()> {
+    call_ok(address, &PeerCall::Check(job.clone())).await?;
+    Ok(())
+}
+
 async fn call_ok(address: SocketAddr, peer_call: &PeerCall) -> anyhow::Result<Bytes> {
     match call(address, peer_call, CALL_LIMIT).await {
         Ok(answer) if answer.status() == StatusCode::OK => Ok(answer.into_body()),
@@ -91,6 +103,7 @@
         PeerCall::Job(_) => metrics::PeerCall::Job,
         PeerCall::Snapshot => metrics::PeerCall::Snapshot,
         PeerCall::HandOver(..) => metrics::PeerCall::HandOver,
+        PeerCall::Check(_) => metrics::PeerCall::Check,
     };
     metrics::peer_call(kind, answer.is_ok());
     answer
@@ -127,6 +140,10 @@
                 Err(e) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
             }
         }
+        Ok(PeerCall::Check(job)) => {
+            sweep::check(&gateway, &job).await;
+            text_answer(StatusCode::OK, "checked", None)
+        }
         Ok(PeerCall::Snapshot) => {
             let snapshot = Snapshot::of(&gateway.views());
             match postcard::to_stdvec(&snapshot) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,6 +19,11 @@
 /// Instances of a zone that watch the object store on behalf of the others. Two of them may fail at
 /// the same time.
 const MAX_WATCHERS: usize = 3;
+/// Instances of another zone that receive a heartbeat and pass it on in their zone. With two, one of
+/// them may fail before it counts as gone.
+const RELAYS: usize = 2;
+/// Key of the rendezvous order in which instances search the store for jobs that nobody runs.
+const SWEEP_KEY: &str = "sweep";
 
 /// Hash of a job's id, used in messages between instances.
 pub type JobKey = u32;
@@ -138,8 +143,10 @@
 pub struct Targets {
     /// Instances of the local zone.
     pub near: Set<SocketAddr>,
-    /// Instances of other zones, and those that have not sent a heartbeat yet.
+    /// Relays of the other zones, and instances that have not sent a heartbeat yet.
     pub far: Set<SocketAddr>,
+    /// Number of instances outside the local zone.
+    pub outside: usize,
 }
 
 /// This instance as a candidate to run a job.
@@ -219,29 +226,61 @@
         self.known.values().filter(live).map(|p| &p.heartbeat)
     }
 
-    /// Returns whether an instance is among those that watch the object store for its zone.
+    /// Returns whether an instance is among those that watch the object store for its zone. While no
+    /// peer in the zone reaches the store, as many instances as usual wait for its return.
     pub fn is_watcher(&self, instance: &InstanceId, zone: &Zone, now: Duration) -> bool {
-        let eligible = |h: &&Heartbeat| h.zone == *zone && h.store && !h.leaving;
-        let live = self.live(now).filter(eligible);
-        let names: Vec<_> = live.map(|h| h.instance.clone()).collect();
+        let neighbours = self.live(now).filter(|h| h.zone == *zone && !h.leaving);
+        let (with_store, without): (Vec<&Heartbeat>, Vec<&Heartbeat>) =
+            neighbours.partition(|h| h.store);
+        let candidates = if with_store.is_empty() {
+            without
+        } else {
+            with_store
+        };
+        let names: Vec<_> = candidates.iter().map(|h| h.instance.clone()).collect();
         ownership::position(zone, instance, &names) < MAX_WATCHERS
     }
 
+    /// Returns whether an instance of a zone reaches the object store and is not about to stop.
+    pub fn reaches_store(&self, zone: &Zone, now: Duration) -> bool {
+        let mut live = self.live(now);
+        live.any(|h| h.zone == *zone && h.store && !h.leaving)
+    }
+
+    /// Returns whether an instance with an address has sent a heartbeat.
+    pub fn knows_address(&self, address: &SocketAddr) -> bool {
+        let mut known = self.known.values();
+        known.any(|p| p.heartbeat.address == *address)
+    }
+
     /// Sets the addresses of instances that are registered in the object store.
     pub fn set_registered(&mut self, addresses: Vec<SocketAddr>) {
         self.registered = addresses;
     }
 
-    /// Returns the addresses of all known instances, as seen from a zone.
-    pub fn targets(&self, zone: &Zone) -> Targets {
-        let heartbeats = self.known.values().map(|p| &p.heartbeat);
-        let (near, far): (Vec<&Heartbeat>, Vec<&Heartbeat>) =
-            heartbeats.partition(|h| h.zone == *zone);
-        let near: Set<SocketAddr> = near.iter().map(|h| h.address).collect();
-        let registered = self.registered.iter().copied();
-        let mut far: Set<SocketAddr> = far.iter().map(|h| h.address).collect();
-        far.extend(registered.filter(|a| !near.contains(a)));
-        Targets { near, far }
+    /// Returns the addresses that the heartbeat of a round goes to, as seen from a zone.
+    ///
+    /// Traffic between zones is charged, so each other zone gets a heartbeat at a few relays, which
+    /// pass it on to their neighbours. Each round uses the next relays, so that a failed one loses
+    /// only some of the heartbeats until it counts as gone.
+    pub fn targets(&self, zone: &Zone, round: u64, now: Duration) -> Targets {
+        let mut near = Set::default();
+        let mut zones: Map<&Zone, Vec<&Peer>> = Map::default();
+        for peer in self.known.values() {
+            if peer.heartbeat.zone == *zone {
+                near.insert(peer.heartbeat.address);
+            } else {
+                zones.entry(&peer.heartbeat.zone).or_default().push(peer);
+            }
+        }
+        let known: Set<SocketAddr> = self.known.values().map(|p| p.heartbeat.address).collect();
+        let unknown = self.registered.iter().filter(|a| !known.contains(*a));
+        let mut far: Set<SocketAddr> = unknown.copied().collect();
+        let outside = far.len() + zones.values().map(Vec::len).sum::<usize>();
+        for peers in zones.into_values() {
+            far.extend(relays(peers, round, now));
+        }
+        Targets { near, far, outside }
     }
 
     /// Returns the last heartbeat of the instance that runs a job, or `None` when it is the local
@@ -273,9 +312,39 @@
         self.known.get(home).map(|p| p.heartbeat.clone())
     }
 
+    /// Returns whether a live instance announces that it runs a job.
+    pub fn is_run(&self, job: &JobId, now: Duration) -> bool {
+        let key = job_key(job);
+        let mut live = self.live(now);
+        live.any(|h| h.jobs.iter().any(|j| j.active && j.key == key))
+    }
+
+    /// Returns whether an instance is the one that searches the store for jobs that nobody runs. In
+    /// a partition each side has one.
+    pub fn is_sweeper(&self, local: &InstanceId, now: Duration) -> bool {
+        let eligible = |h: &&Heartbeat| !h.leaving && h.store;
+        let live = self.live(now).filter(eligible);
+        let names: Vec<_> = live.map(|h| h.instance.clone()).collect();
+        ownership::position(SWEEP_KEY, local, &names) == 0
+    }
+
     /// Returns the tokens of unfinished batch items at other instances on a route.
     pub fn waiting(&self, route: u32, now: Duration) -> u64 {
         let waiting = self.live(now).flat_map(|h| &h.waiting);
         waiting.filter(|(r, _)| *r == route).map(|(_, t)| t).sum()
     }
 }
+
+/// Returns the addresses of the instances of a zone that pass on the heartbeats of a round.
+fn relays(mut peers: Vec<&Peer>, round: u64, now: Duration) -> impl Iterator<Item = SocketAddr> {
+    let usable = |p: &&Peer| now <= p.received + LIVENESS_TIMEOUT && !p.heartbeat.leaving;
+    // A zone that is silent as a whole is cut off. Any of its instances may be back first.
+    if peers.iter().any(usable) {
+        peers.retain(usable);
+    }
+    let mut addresses: Vec<SocketAddr> = peers.iter().map(|p| p.heartbeat.address).collect();
+    addresses.sort_unstable();
+    let start = round.wrapping_mul(RELAYS as u64) % addresses.len().max(1) as u64;
+    addresses.rotate_left(start as usize);
+    addresses.into_iter().take(RELAYS)
+}
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -1,4 +1,4 @@
-//! Finds stored jobs that this instance should run, and removes expired ones.
+//! Finds stored jobs that no instance runs, and removes expired ones.
 
 use std::{sync::Arc, time::Duration};
 
@@ -14,30 +14,30 @@
 
 use super::{
     gateway::Gateway,
-    job,
+    job::{self, Record},
     job_store::{self, JOBS, PAGES},
+    peer_call,
 };
 
-/// Delay between a membership change and the search for jobs that this instance should run now.
+/// Delay between a membership change and the search for jobs that nobody runs any more.
 const SWEEP_DELAY: Duration = Duration::from_millis(1500);
 /// Time for which a job is kept after its retention period.
 const REMOVAL_DELAY: Duration = Duration::from_secs(60);
 
-/// Searches for jobs that this instance should run, after each membership change.
+/// Searches for jobs that no instance runs, after each membership change.
+///
+/// The list holds all items of all jobs, so one instance reads it for all. The others remember that
+/// a search is due, in case that instance fails or loses the store.
 pub async fn run(gateway: Arc<Gateway>, members: Receiver<()>) {
     loop {
         Timer::after(SWEEP_DELAY).await;
+        if !gateway.is_sweeper() {
+            continue;
+        }
         while members.try_recv().is_ok() {}
-        match gateway.store.list(JOBS, Freshness::Stale).await {
-            Ok((objects, _)) => {
-                for object in objects {
-                    sweep_one(&gateway, &object).await;
-                }
-            }
-            Err(e) => {
-                event!(Info, StoreCallFailed, "call=sweep reason=\"{e}\"");
-                continue;
-            }
+        if let Err(e) = sweep(&gateway).await {
+            event!(Info, StoreCallFailed, "call=sweep reason=\"{e}\"");
+            continue;
         }
         if members.recv().await.is_err() {
             return;
@@ -45,11 +45,26 @@
     }
 }
 
+async fn sweep(gateway: &Arc<Gateway>) -> Result<(), StoreError> {
+    let mut after: Option<String> = None;
+    loop {
+        let page = gateway
+            .store
+            .list_page(JOBS, after.as_deref(), Freshness::Stale)
+            .await?;
+        for object in &page.objects {
+            sweep_one(gateway, object).await;
+        }
+        after = page.next;
+        if after.is_none() {
+            return Ok(());
+        }
+    }
+}
+
+/// Has a listed job checked by the instance that should run it, unless an instance runs it.
 async fn sweep_one(gateway: &Arc<Gateway>, object: &Object) {
     let id: JobId = object.name.as_str().into();
-    if gateway.home(&id).is_some() {
-        return;
-    }
     let (record, ended) = match job_store::decode(object) {
         Ok(decoded) => decoded,
         Err(e) => {
@@ -57,28 +72,49 @@
             return;
         }
     };
-    if job_store::age(&record) > gateway.settings.retention + REMOVAL_DELAY
-        && is_over(gateway, &id).await
-    {
-        remove(gateway, &id).await;
+    if !is_expired(gateway, &record) && (ended || gateway.is_run(&id)) {
         return;
     }
-    if ended {
-        gateway.jobs.mark_ended(&id, gateway.now());
+    let Some(home) = gateway.home(&id) else {
+        check(gateway, &id).await;
         return;
-    }
-    if let Err(e) = job_store::adopt(gateway, &id).await {
-        event!(Info, StoreCallFailed, "job={id} call=adopt reason=\"{e}\"");
+    };
+    if let Err(e) = peer_call::check(home.address, &id).await {
+        event!(
+            Info,
+            PeerCallFailed,
+            "job={id} peer={} call=check reason=\"{e:#}\"",
+            home.instance
+        );
     }
 }
 
-async fn is_over(gateway: &Arc<Gateway>, id: &JobId) -> bool {
-    match job_store::adopt(gateway, id).await {
-        Ok(Some(job)) => lock(&job).is_complete() || lock(&job).ended,
-        Ok(None) | Err(_) => false,
+/// Removes a job that has expired, and takes over one that no instance runs.
+pub async fn check(gateway: &Arc<Gateway>, id: &JobId) {
+    if gateway.home(id).is_some() {
+        return;
+    }
+    let job = match job_store::adopt(gateway, id).await {
+        Ok(Some(job)) => job,
+        Ok(None) => return,
+        Err(e) => {
+            event!(Info, StoreCallFailed, "job={id} call=adopt reason=\"{e}\"");
+            return;
+        }
+    };
+    let removable = {
+        let job = lock(&job);
+        is_expired(gateway, &job.record) && (job.is_complete() || job.ended)
+    };
+    if removable {
+        remove(gateway, id).await;
     }
 }
 
+fn is_expired(gateway: &Gateway, record: &Record) -> bool {
+    job_store::age(record) > gateway.settings.retention + REMOVAL_DELAY
+}
+
 /// Removes a job and its results from the store. The pages are removed first, so that an
 /// interrupted removal is continued when the job is found again.
 async fn remove(gateway: &Gateway, id: &JobId) {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -113,7 +113,7 @@
                 Duration::ZERO
             }
             Err(e) => {
-                follower.listed = false;
+                follower.fail();
                 event!(Warn, StoreCallFailed, "kind={} reason=\"{e}\"", kind.name());
                 gateway.set_store_reached(false);
                 backoff.fail(&mut rng)
@@ -136,10 +136,10 @@
 
 impl Follower {
     async fn step(&mut self) -> Result<(), StoreError> {
-        if !self.listed {
+        let watches = self.gateway.is_watcher();
+        if !self.listed && (watches || !self.has_pulled()) {
             return self.list().await;
         }
-        let watches = self.gateway.is_watcher();
         if watches != self.watches {
             self.watches = watches;
             event!(
@@ -156,6 +156,21 @@
         }
     }
 
+    /// Returns whether this instance has objects of the kind from a peer.
+    fn has_pulled(&self) -> bool {
+        let mut views = self.gateway.views();
+        self.kind.view(&mut views).revision > 0
+    }
+
+    /// Forgets a watch that failed. An instance that does not watch goes on with what it has learned
+    /// from its peers: in a large fleet, lists of all instances would use up the calls of a store
+    /// that is just back.
+    fn fail(&mut self) {
+        if self.watches {
+            self.listed = false;
+        }
+    }
+
     async fn list(&mut self) -> Result<(), StoreError> {
         let store = &self.gateway.store;
         let (objects, revision) = store.list(self.kind.name(), Freshness::Latest).await?;
@@ -191,11 +206,14 @@
     /// Checks only that the store is reachable and the configuration is current. Changes arrive
     /// from the instances that watch the store for this zone.
     async fn check(&self) -> Result<(), StoreError> {
-        Timer::after(CHECK_INTERVAL).await;
+        let gateway = &self.gateway;
+        // After a failed call the next one follows after the pause for failures alone.
+        if self.kind != Kind::Config || gateway.reaches_store() {
+            Timer::after(CHECK_INTERVAL).await;
+        }
         if self.kind != Kind::Config {
             return Ok(());
         }
-        let gateway = &self.gateway;
         let (kind, name) = objects::CONFIG;
         let config = gateway.store.get(kind, name, Freshness::Stale).await?;
         let now = gateway.now();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -126,6 +126,8 @@
     Snapshot,
     /// Handover of a batch job.
     HandOver,
+    /// Check of a batch job that no instance runs.
+    Check,
     /// Exchange of digests.
     Exchange,
     /// Pull of changes.
@@ -178,6 +180,7 @@
             PeerCall::Job => "job",
             PeerCall::Snapshot => "snapshot",
             PeerCall::HandOver => "hand-over",
+            PeerCall::Check => "check",
             PeerCall::Exchange => "exchange",
             PeerCall::Changes => "changes",
             PeerCall::Online => "online",
--- a/tests/gateway_batch.rs
+++ b/tests/gateway_batch.rs
@@ -64,6 +64,29 @@
     }
 }
 
+/// Guards against an accepted job that nobody finishes, since its instance is lost and no caller
+/// reads it, and against a list of all jobs that each instance reads.
+#[test]
+fn a_job_that_nobody_reads_survives_the_instance_that_runs_it() {
+    let (store, _workers) = platform(30, Duration::from_millis(40));
+    let mut one = Instance::start("one", &store, &[]);
+    let others = ["two", "three", "four"].map(|n| Instance::start(n, &store, &[one.peers]));
+    thread::sleep(Duration::from_secs(2));
+    for job in ["j1", "j2", "j3", "j4"] {
+        assert_eq!(one.submit(job, &["a"]).unwrap().status, 202);
+    }
+    let lists = store.lists("batch-jobs");
+    one.kill();
+    until("all jobs have results", || {
+        let pages = store.names("batch-pages");
+        ["j1.0", "j2.0", "j3.0", "j4.0"]
+            .iter()
+            .all(|p| pages.iter().any(|n| n == p))
+    });
+    assert_eq!(store.lists("batch-jobs") - lists, 1);
+    drop(others);
+}
+
 /// Guards against missing or duplicate events in an output after a worker broke the connection, and
 /// against an item that fails because of its worker.
 #[test]
--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -310,3 +310,39 @@
     assert_eq!(running.join().unwrap().unwrap().text(), whole(20));
     instance.wait_end();
 }
+
+/// Guards against a change that is missed for good, since it happened while a list of several pages
+/// was read.
+#[test]
+fn a_worker_that_leaves_while_the_list_is_read_gets_no_requests() {
+    let (store, workers) = platform(2, PAUSE);
+    let [leaving, other] = &workers;
+    store.write_between_pages("servers", &leaving.id, leaving.entry("draining"));
+    let instance = Instance::start("one", &store, &[]);
+    thread::sleep(Duration::from_millis(500));
+    for n in 0..6 {
+        let answer = instance.stream("/resumable/x", &format!("r{n}")).unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    assert_eq!((leaving.runs().len(), other.runs().len()), (0, 6));
+}
+
+/// Guards against a store that is back from an outage and gets a list call from every instance.
+#[test]
+fn only_the_watchers_of_a_zone_list_again_after_an_outage() {
+    let (store, _workers) = platform(2, PAUSE);
+    let first = Instance::start("i0", &store, &[]);
+    let others: Vec<Instance> = (1..7)
+        .map(|n| Instance::start(&format!("i{n}"), &store, &[first.peers]))
+        .collect();
+    let instances = || others.iter().chain([&first]);
+    until("three instances watch", || store.watches("servers") == 3);
+    let before = store.lists("servers");
+    store.set_faults(StoreFaults::DOWN);
+    thread::sleep(Duration::from_secs(3));
+    store.set_faults(StoreFaults::default());
+    until("three instances watch", || store.watches("servers") == 3);
+    thread::sleep(Duration::from_secs(2));
+    assert_eq!(store.lists("servers") - before, 3);
+    assert!(instances().all(Instance::is_ready));
+}
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -175,6 +175,52 @@
     assert_eq!(watchers(&[], at(5000)).len(), 12);
 }
 
+/// Guards against a store that all instances of a zone call again and again while it is away.
+#[test]
+fn three_instances_wait_for_a_store_that_none_of_the_zone_reaches() {
+    let names: Vec<String> = (0..12).map(|n| format!("i{n}")).collect();
+    let watches = |name: &&String| {
+        let mut peers = Peers::default();
+        for other in names.iter().filter(|n| n != name) {
+            let without_store = Heartbeat {
+                store: false,
+                ..heartbeat(other, 1)
+            };
+            peers.record(without_store, at(0));
+        }
+        assert!(!peers.reaches_store(&"a".into(), at(100)));
+        peers.is_watcher(&name.as_str().into(), &"a".into(), at(100))
+    };
+    assert_eq!(names.iter().filter(watches).count(), 3);
+}
+
+/// Guards against a list of all jobs that every instance reads after each membership change, and
+/// against a search that nobody does since the chosen instance has lost the store.
+#[test]
+fn one_instance_searches_for_jobs_that_nobody_runs() {
+    let names: Vec<String> = (0..12).map(|n| format!("i{n}")).collect();
+    let sweepers = |without_store: &[String]| -> Vec<String> {
+        let sweeps = |name: &&String| {
+            let mut peers = Peers::default();
+            for other in names.iter().filter(|n| n != name) {
+                let heartbeat = Heartbeat {
+                    store: !without_store.contains(other),
+                    ..heartbeat(other, 1)
+                };
+                peers.record(heartbeat, at(0));
+            }
+            peers.is_sweeper(&name.as_str().into(), at(100))
+        };
+        let able = names.iter().filter(|n| !without_store.contains(n));
+        able.filter(sweeps).cloned().collect()
+    };
+    let first = sweepers(&[]);
+    assert_eq!(first.len(), 1);
+    let second = sweepers(&first);
+    assert_eq!(second.len(), 1);
+    assert_ne!(first, second);
+}
+
 /// Guards against instances that pull the same list over and over, and against one that keeps
 /// workers that the watchers of its zone have dropped.
 #[test]
@@ -205,9 +251,69 @@
         peers.record(heartbeat, at(0));
     }
     peers.set_registered(vec![address(1), address(2), address(3)]);
-    let targets = peers.targets(&"a".into());
+    let targets = peers.targets(&"a".into(), 0, at(0));
     assert!(targets.near.iter().eq([&address(1)]));
     let mut far: Vec<_> = targets.far.into_iter().collect();
     far.sort();
     assert_eq!(far, [address(2), address(3)]);
 }
+
+fn zone_of(count: u16) -> Vec<Heartbeat> {
+    let instance = |n: u16| Heartbeat {
+        zone: "b".into(),
+        address: std::net::SocketAddr::from(([127, 0, 0, 2], n + 1)),
+        ..heartbeat(&format!("f{n}"), 1)
+    };
+    (0..count).map(instance).collect()
+}
+
+/// Guards against heartbeats between zones that grow with the square of the fleet, against a relay
+/// that gets more of them than others, and against heartbeats that are lost with a failed relay.
+#[test]
+fn a_zone_gets_a_heartbeat_at_two_relays_in_turn() {
+    let mut peers = Peers::default();
+    for heartbeat in zone_of(9) {
+        peers.record(heartbeat, at(0));
+    }
+    let mut counts: std::collections::BTreeMap<_, u32> = std::collections::BTreeMap::new();
+    for round in 0..9 {
+        let targets = peers.targets(&"a".into(), round, at(100));
+        assert_eq!((targets.far.len(), targets.outside), (2, 9));
+        for address in targets.far {
+            *counts.entry(address).or_default() += 1;
+        }
+    }
+    assert!(counts.values().eq([2; 9].iter()), "{counts:?}");
+}
+
+/// Guards against a zone that misses heartbeats, since they go to relays that are gone or about to
+/// stop, and against a zone that is back after a partition and gets none.
+#[test]
+fn relays_are_live_unless_the_whole_zone_is_silent() {
+    let mut peers = Peers::default();
+    let zone = zone_of(6);
+    for heartbeat in &zone {
+        peers.record(heartbeat.clone(), at(0));
+    }
+    let usable = [1, 4].map(|n: usize| {
+        let heard = Heartbeat {
+            number: 2,
+            ..zone[n].clone()
+        };
+        peers.record(heard, at(2000));
+        zone[n].address
+    });
+    let leaving = Heartbeat {
+        number: 2,
+        leaving: true,
+        ..zone[2].clone()
+    };
+    peers.record(leaving, at(2000));
+    for round in 0..6 {
+        let targets = peers.targets(&"a".into(), round, at(2000));
+        assert!(usable.iter().all(|a| targets.far.contains(a)));
+        assert_eq!(targets.far.len(), 2);
+    }
+    let tried = (0..3).flat_map(|round| peers.targets(&"a".into(), round, at(9000)).far);
+    assert_eq!(tried.collect::<std::collections::BTreeSet<_>>().len(), 6);
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -149,6 +149,9 @@
     events: Vec<(u64, String, Value, bool)>,
     faults: StoreFaults,
     watches: BTreeMap<String, usize>,
+    lists: BTreeMap<String, usize>,
+    page: Option<usize>,
+    between_pages: Option<(String, String, Value)>,
 }
 
 /// Stand-in for the object store.
@@ -188,6 +191,19 @@
         self.lock().watches.get(kind).copied().unwrap_or_default()
     }
 
+    /// Returns the number of pages of lists of a kind that were read.
+    pub fn lists(&self, kind: &str) -> usize {
+        self.lock().lists.get(kind).copied().unwrap_or_default()
+    }
+
+    /// Gives lists one object a page, and writes an object after the first page of the next list of
+    /// its kind.
+    pub fn write_between_pages(&self, kind: &str, name: &str, spec: Value) {
+        let mut state = self.lock();
+        state.page = Some(1);
+        state.between_pages = Some((kind.to_owned(), name.to_owned(), spec));
+    }
+
     /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.lock();
@@ -260,10 +276,23 @@
     let key = |name: &str| (kind.clone(), name.to_owned());
     match (request.method.as_str(), name) {
         ("GET", None) => {
+            *objects.lists.entry(kind.clone()).or_default() += 1;
+            let after = request.query("after").unwrap_or_default();
             let items = objects.objects.iter().filter(|((k, _), _)| *k == kind);
-            let items: Vec<&Value> = items.map(|(_, o)| o).collect();
-            let list = json!({ "items": items, "truncated": false, "at": objects.revision });
-            answer(stream, 200, "", &list.to_string())
+            let items = items.filter(|((_, n), _)| n.as_str() > after);
+            let mut items: Vec<&Value> = items.map(|(_, o)| o).collect();
+            let count = objects.page.unwrap_or(items.len()).min(items.len());
+            let truncated = count < items.len();
+            items.truncate(count);
+            let list = json!({ "items": items, "truncated": truncated, "at": objects.revision });
+            let list = list.to_string();
+            let write = objects
+                .between_pages
+                .take_if(|(k, ..)| truncated && *k == kind);
+            if let Some((kind, name, spec)) = write {
+                objects.put(&kind, &name, Some(spec), None);
+            }
+            answer(stream, 200, "", &list)
         }
         ("GET", Some(name)) => match objects.objects.get(&key(&name)) {
             Some(object) => answer(stream, 200, "", &object.to_string()),
