Watch the store with six instances of the fleet instead of three of each zone

Change: ceil(6 / zones) watchers a zone, three at most. A zone that is cut off hears no other one and has three of its own, as before.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,9 +16,12 @@
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Time without a heartbeat after which an instance is removed.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
-/// Instances of a zone that watch the object store on behalf of the others. Two of them may fail at
-/// the same time.
+/// Maximum number of instances of a zone that watch the object store on behalf of the others. Two
+/// of them may fail at the same time.
 const MAX_WATCHERS: usize = 3;
+/// Instances that watch the object store in all zones together, if no zone needs more. A zone whose
+/// watchers fail or stall learns of changes from the heartbeats of others.
+const FLEET_WATCHERS: usize = 6;
 /// Instances of another zone that receive a heartbeat and pass it on in their zone. With two, one of
 /// them may fail before it counts as gone.
 const RELAYS: usize = 2;
@@ -227,7 +230,8 @@
     }
 
     /// Returns whether an instance is among those that watch the object store for its zone. While no
-    /// peer in the zone reaches the store, as many instances as usual wait for its return.
+    /// peer in the zone reaches the store, as many instances as usual wait for its return. A zone
+    /// that is cut off hears no other one, and so has watchers of its own as if it were alone.
     pub fn is_watcher(&self, instance: &InstanceId, zone: &Zone, now: Duration) -> bool {
         let neighbours = self.live(now).filter(|h| h.zone == *zone && !h.leaving);
         let (with_store, without): (Vec<&Heartbeat>, Vec<&Heartbeat>) =
@@ -238,7 +242,10 @@
             with_store
         };
         let names: Vec<_> = candidates.iter().map(|h| h.instance.clone()).collect();
-        ownership::position(zone, instance, &names) < MAX_WATCHERS
+        let other_zones: Set<&Zone> = self.live(now).map(|h| &h.zone).collect();
+        let zones = other_zones.iter().filter(|z| **z != zone).count() + 1;
+        let count = FLEET_WATCHERS.div_ceil(zones).min(MAX_WATCHERS);
+        ownership::position(zone, instance, &names) < count
     }
 
     /// Returns whether an instance of a zone reaches the object store and is not about to stop.
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -175,6 +175,36 @@
     assert_eq!(watchers(&[], at(5000)).len(), 12);
 }
 
+/// Guards against a number of watches that grows with the zones, and against a zone that is cut off
+/// with few watchers of its own.
+#[test]
+fn six_instances_of_many_zones_watch_and_three_of_a_zone_that_is_alone() {
+    let instances: Vec<(String, String)> = (0..6)
+        .flat_map(|zone| (0..5).map(move |n| (format!("z{zone}"), format!("i{zone}{n}"))))
+        .collect();
+    let watchers = |visible: &dyn Fn(&str, &str) -> bool| -> Vec<&str> {
+        let watches = |(zone, name): &&(String, String)| {
+            let mut peers = Peers::default();
+            for (other_zone, other) in instances.iter().filter(|(_, n)| n != name) {
+                if visible(zone, other_zone) {
+                    let heartbeat = Heartbeat {
+                        zone: other_zone.as_str().into(),
+                        ..heartbeat(other, 1)
+                    };
+                    peers.record(heartbeat, at(0));
+                }
+            }
+            peers.is_watcher(&name.as_str().into(), &zone.as_str().into(), at(100))
+        };
+        let watching = instances.iter().filter(watches);
+        watching.map(|(zone, _)| zone.as_str()).collect()
+    };
+    assert_eq!(watchers(&|_, _| true), ["z0", "z1", "z2", "z3", "z4", "z5"]);
+    let cut_off = watchers(&|a, b| (a == "z3") == (b == "z3"));
+    assert_eq!(cut_off.iter().filter(|z| **z == "z3").count(), 3);
+    assert_eq!(cut_off.len(), 13);
+}
+
 /// Guards against a store that all instances of a zone call again and again while it is away.
 #[test]
 fn three_instances_wait_for_a_store_that_none_of_the_zone_reaches() {
