--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -4,7 +4,7 @@
 
 use gentianpath::{
     gateway::fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
-    ids::{Map, ServiceId},
+    ids::{InstanceId, Map, ServiceId},
 };
 
 const NOW: Duration = Duration::from_secs(1);
@@ -124,6 +124,104 @@
     assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("f3"));
 }
 
+/// Guards against items that take the free slots of workers out of reach, where each start costs a
+/// connect timeout: unlike a request, an item can wait.
+#[test]
+fn an_item_waits_rather_than_start_on_a_worker_out_of_reach() {
+    let (near, far) = (worker("near", "a"), worker("far", "b"));
+    let mut fleet = fleet(&[near, far.clone()]);
+    fleet.set_peer(&"two".into(), levels("near", 2, 0));
+    fleet.record_unreachable(&far, NOW);
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+    fleet.record_success(&far);
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+    fleet.mark_zone_unreachable(&"b".into(), NOW);
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+}
+
+/// Guards against workers that stay ejected after a partition has ended, one ejection time after
+/// another, while items wait.
+#[test]
+fn workers_of_a_zone_are_used_again_as_soon_as_the_zone_is_heard() {
+    let far = worker("far", "b");
+    let mut fleet = fleet(std::slice::from_ref(&far));
+    fleet.mark_zone_unreachable(&"b".into(), NOW);
+    for _ in 0..6 {
+        fleet.record_unreachable(&far, NOW);
+    }
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+    fleet.mark_zone_reachable(&"b".into());
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+}
+
+/// Guards against a crashed worker that is tried again with each heartbeat from its zone.
+#[test]
+fn a_worker_out_of_reach_stays_ejected_while_its_zone_is_heard() {
+    let far = worker("far", "b");
+    let mut fleet = fleet(std::slice::from_ref(&far));
+    fleet.record_unreachable(&far, NOW);
+    fleet.mark_zone_reachable(&"b".into());
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+}
+
+/// A fleet in zone "a" whose levels of other zones are as old as half a request takes.
+fn fleet_with_old_levels(workers: &[Arc<Worker>]) -> Fleet {
+    let mut fleet = fleet(workers);
+    fleet.set_far_age(Duration::from_millis(350));
+    fleet.record_online_time(Duration::from_millis(700));
+    fleet
+}
+
+fn worker_with_slots(id: &str, zone: &str, slots: u32) -> Arc<Worker> {
+    let worker = Worker::clone(&worker(id, zone));
+    Arc::new(Worker { slots, ..worker })
+}
+
+/// Guards against requests of many instances that meet at the last slots of a worker in another
+/// zone, as their levels are old, while a slot is free in the local zone or could be yielded there.
+#[test]
+fn the_last_slots_of_another_zone_come_after_the_local_zone() {
+    let (near, far) = (
+        worker_with_slots("near", "a", 8),
+        worker_with_slots("far", "b", 8),
+    );
+    let mut fleet = fleet_with_old_levels(&[near, far]);
+    let peers = ["p1", "p2"].map(InstanceId::from);
+    fleet.set_peer(&peers[0], levels("near", 4, 4));
+    fleet.set_peer(&peers[1], levels("far", 4, 2));
+    assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("near"));
+    fleet.set_peer(&peers[0], levels("near", 8, 0));
+    assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("far"));
+    fleet.set_peer(&peers[0], levels("near", 4, 4));
+    fleet.set_peer(&peers[1], levels("far", 4, 1));
+    assert_eq!(choose(&mut fleet, &[]).as_deref(), Some("far"));
+}
+
+/// Guards against items that start on the last slots of another zone and yield at once.
+#[test]
+fn items_leave_slots_of_another_zone_for_requests_that_are_not_known_yet() {
+    let far = worker_with_slots("far", "f", 8);
+    let mut fleet = fleet_with_old_levels(&[far]);
+    let peer: InstanceId = "two".into();
+    fleet.set_peer(&peer, levels("far", 4, 1));
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+    fleet.set_peer(&peer, levels("far", 4, 0));
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+}
+
+/// Guards against items of another zone that yield only with the next periodic heartbeat.
+#[test]
+fn instances_with_items_on_an_overloaded_worker_are_told_at_once() {
+    let mut fleet = fleet(&[worker("w", "a")]);
+    let peer: InstanceId = "two".into();
+    fleet.set_peer(&peer, levels("w", 0, 2));
+    assert!(fleet.peers_to_yield().is_empty());
+    fleet.start_request(key("w"), Class::Online);
+    assert!(fleet.peers_to_yield().into_iter().eq([peer.clone()]));
+    fleet.set_peer(&peer, levels("w", 0, 1));
+    assert!(fleet.peers_to_yield().is_empty());
+}
+
 /// Guards against instances that all start an item on the same free slot, so that all but one have
 /// to yield.
 #[test]
