Count only whole new events of a worker as progress

A worker that sent one byte each 50 ms, or one event again and again, held a stream until its deadline and a batch item for ever. An event without end was buffered without a bound. Answers of the store and of peers were read without one as well.

Ruled out: a head without end. hyper refuses it at its buffer size; the test covers it.

Change: the limit covers everything up to the next whole event with a new number. An event and the output of a run have at most 1 MB, an answer of the store or a peer 16 MB. The connection is closed and the worker counts as failing. A slow but sound stream is not affected: each of its events is progress.

The two tests fail on the code before: the stream lasted past its deadline, the item never ended.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -16,6 +16,10 @@
 /// Time for a connection to become ready for the next request after its last answer.
 const READY_WAIT: Duration = Duration::from_millis(5);
 
+/// Maximum size of an answer that is read as a whole from the store or another instance. Both send a
+/// few MB at most.
+const MAX_EXCHANGE_BYTES: usize = 16 << 20;
+
 /// An open HTTP/1.1 connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -100,7 +104,7 @@
         answered_within(limit, self.send(request)).await
     }
 
-    /// Sends a request and reads the whole answer within `limit`.
+    /// Sends a request and reads the whole answer, of limited size, within `limit`.
     ///
     /// # Errors
     ///
@@ -113,7 +117,7 @@
         let work = async {
             let answer = self.send(request).await?;
             let (head, body) = answer.into_parts();
-            let body = read_body(body, usize::MAX).await;
+            let body = read_body(body, MAX_EXCHANGE_BYTES).await;
             let body = body.map_err(|e| SendError::Sent(e.to_string()))?;
             self.last_used = Instant::now();
             self.reused = true;
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -30,6 +30,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Delay before an item is started again after an error from a worker.
 const ERROR_PAUSE: Duration = Duration::from_millis(300);
+/// Maximum size of the events of a run; a longer output would fit no object of the store.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
 /// Maximum size of an error answer from a worker.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
@@ -150,12 +152,20 @@
         }
         dispatch.record_success(worker);
         let mut events = Events::new(answer.into_body());
+        let mut bytes = 0;
         loop {
-            match events.next(STALL_LIMIT).await {
-                Ok(Some(event)) if event.id.is_some() && event.id <= *last => {}
+            match events.next(*last, STALL_LIMIT).await {
                 Ok(Some(event)) => {
                     *last = event.id.or(*last);
+                    bytes += event.bytes.len();
                     text.push(String::from_utf8_lossy(&event.data()).into());
+                    if bytes > MAX_OUTPUT_BYTES {
+                        dispatch.record_failure(&worker.id);
+                        // An endless output is no part of the item's result.
+                        text.clear();
+                        *last = after;
+                        return RunEnd::Broken("the output is too long".into());
+                    }
                 }
                 Ok(None) => {
                     self.gateway.keep_connection(worker, connection);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -77,8 +77,7 @@
             let Some(source) = &mut self.source else {
                 return Ok(None);
             };
-            match source.events.next(limit).await {
-                Ok(Some(event)) if event.id.is_some() && event.id <= self.last_id => {}
+            match source.events.next(self.last_id, limit).await {
                 Ok(Some(event)) => {
                     if !self.first_sent {
                         self.first_sent = true;
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -8,6 +8,10 @@
 
 use super::connection;
 
+/// Maximum size of an event; the output of an item with a longer one would fit no object of the
+/// store.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Buffers bytes of an event stream and splits them into events.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -39,31 +43,38 @@
         }
     }
 
-    /// Returns the next event, or `None` at the end of the stream.
+    /// Returns the next event after the one with a number, or `None` at the end of the stream.
+    ///
+    /// Only a whole new event counts as progress. Single bytes or repeated events do not extend
+    /// `limit`.
     ///
     /// # Errors
     ///
-    /// Returns an error when the stream breaks, ends inside an event or sends nothing for `limit`.
-    pub async fn next(&mut self, limit: Duration) -> io::Result<Option<Event>> {
+    /// Returns an error when the stream breaks, ends inside an event, sends an event that is too
+    /// long or has no further event within `limit`.
+    pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Option<Event>> {
+        connection::within(limit, self.read_next(after)).await
+    }
+
+    async fn read_next(&mut self, after: Option<u64>) -> io::Result<Option<Event>> {
         loop {
-            if let Some(event) = self.splitter.pop() {
-                return Ok(Some(event));
+            while let Some(event) = self.splitter.pop() {
+                if event.id.is_none() || event.id > after {
+                    return Ok(Some(event));
+                }
+            }
+            if self.splitter.len() > MAX_EVENT_BYTES {
+                return Err(io::Error::other("an event is too long"));
             }
-            let frame = async {
-                self.body
-                    .frame()
-                    .await
-                    .transpose()
-                    .map_err(io::Error::other)
-            };
-            match connection::within(limit, frame).await? {
-                Some(frame) => {
+            match self.body.frame().await.transpose() {
+                Ok(Some(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
                 }
-                None if self.splitter.is_empty() => return Ok(None),
-                None => return Err(io::Error::other("the stream ended inside an event")),
+                Ok(None) if self.splitter.is_empty() => return Ok(None),
+                Ok(None) => return Err(io::Error::other("the stream ended inside an event")),
+                Err(e) => return Err(io::Error::other(e)),
             }
         }
     }
@@ -83,6 +94,11 @@
         Some(Event { bytes, id })
     }
 
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns whether no partial event is buffered.
     pub fn is_empty(&self) -> bool {
         self.partial.is_empty()
--- /dev/null
+++ b/tests/gateway_endless.rs
@@ -0,0 +1,70 @@
+//! Answers of workers that never end, and streams without progress.
+
+mod gateway_support;
+mod support;
+
+use std::time::{Duration, Instant};
+
+use gateway_support::{Behaviour, Instance, platform};
+use support::until;
+
+const PAUSE: Duration = Duration::from_millis(2);
+/// Time in which a caller gives up a request, as its header tells.
+const DEADLINE: Duration = Duration::from_secs(5);
+
+const FAULTS: [Behaviour; 4] = [
+    Behaviour::TrickleAfter(2),
+    Behaviour::RepeatAfter(2),
+    Behaviour::EndlessEventAfter(2),
+    Behaviour::EndlessHead,
+];
+
+fn whole(events: u64) -> String {
+    (0..events)
+        .map(|n| format!("id: {n}\ndata: t{n}\n\n"))
+        .collect()
+}
+
+/// Guards against a stream that is kept open by bytes that are no progress, and against memory that
+/// grows with them.
+#[test]
+fn a_stream_without_progress_goes_on_elsewhere() {
+    for fault in FAULTS {
+        let (store, workers) = platform(5, PAUSE);
+        let instance = Instance::start("one", &store, &[]);
+        let [faulty, _] = &workers;
+        faulty.behave(&[fault]);
+        for number in 0.. {
+            let started = Instant::now();
+            let answer = instance.stream("/resumable/x", &format!("r{number}"));
+            assert!(started.elapsed() < DEADLINE, "{fault:?}");
+            assert_eq!(answer.unwrap().body, whole(5).into_bytes(), "{fault:?}");
+            // The first worker of a request is chosen at random.
+            if !faulty.runs().is_empty() {
+                break;
+            }
+        }
+        until("the answer is closed", || faulty.closed() == 1);
+    }
+}
+
+/// Guards against an item that never ends, since its worker sends bytes that are no progress, and
+/// against memory that grows with them.
+#[test]
+fn an_item_without_progress_goes_on_elsewhere() {
+    let faults = FAULTS.into_iter().chain([Behaviour::EndlessEvents]);
+    for fault in faults {
+        let (store, workers) = platform(5, PAUSE);
+        for worker in &workers {
+            worker.behave(&[fault]);
+        }
+        let instance = Instance::start_for_jobs("one", &store);
+        instance.submit("j1", &["a"]).unwrap();
+        let results = instance.wait_results("j1", 1);
+        assert_eq!(results[0]["state"], "done", "{fault:?}");
+        assert_eq!(results[0]["output"], "t0\nt1\nt2\nt3\nt4", "{fault:?}");
+        until("the answers are closed", || {
+            workers.iter().map(|w| w.closed()).sum::<u32>() >= 1
+        });
+    }
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -385,8 +385,23 @@
     StallAfter(u64),
     /// Sends an unsolicited second answer.
     Extra,
+    /// Sends a byte of an event now and then after this many events, until the caller closes.
+    TrickleAfter(u64),
+    /// Repeats the first event after this many events, until the caller closes.
+    RepeatAfter(u64),
+    /// Sends an event without end after this many events, until the caller closes.
+    EndlessEventAfter(u64),
+    /// Sends further events without end, until the caller closes.
+    EndlessEvents,
+    /// Sends a head without end, until the caller closes.
+    EndlessHead,
 }
 
+/// Bytes after which a stand-in ends an answer without end; a caller must close long before.
+const ENDLESS_BYTES: u64 = 64 << 20;
+/// Time after which a stand-in ends an answer that makes no progress.
+const ENDLESS_TIME: Duration = Duration::from_secs(8);
+
 /// Stand-in for a model worker.
 #[derive(Clone)]
 pub struct Worker {
@@ -402,6 +417,7 @@
     next: Vec<Behaviour>,
     runs: Vec<Request>,
     sent: u64,
+    closed: u32,
 }
 
 impl Worker {
@@ -413,6 +429,7 @@
             next: Vec::new(),
             runs: Vec::new(),
             sent: 0,
+            closed: 0,
         }));
         let (shared, name) = (state.clone(), id.to_owned());
         let address = serve(move |request, stream| answer_worker(&name, &shared, request, stream));
@@ -438,6 +455,11 @@
         self.state.lock().unwrap().sent
     }
 
+    /// Returns how many answers without end the callers closed.
+    pub fn closed(&self) -> u32 {
+        self.state.lock().unwrap().closed
+    }
+
     /// Returns the worker's entry in the worker list.
     pub fn entry(&self, state: &str) -> Value {
         json!({
@@ -480,6 +502,12 @@
             return answer(stream, status, "x-response-seal: s\r\n", "failed");
         }
         Behaviour::Foreign => echoed = "another".into(),
+        Behaviour::EndlessHead => {
+            write!(stream, "HTTP/1.1 200 OK\r\n")?;
+            return endless(state, stream, |_| {
+                ("x-filler: no answer\r\n".repeat(400), PAUSELESS)
+            });
+        }
         _ => {}
     }
     write!(
@@ -499,6 +527,24 @@
             Behaviour::StallAfter(count) if number == count => {
                 thread::sleep(Duration::from_secs(2));
             }
+            Behaviour::TrickleAfter(count) if number == count => {
+                let trickle = |_| (chunk("d"), Duration::from_millis(50));
+                return endless(state, stream, trickle);
+            }
+            Behaviour::RepeatAfter(count) if number == count => {
+                let repeat = |_| (chunk("id: 0\ndata: t0\n\n"), Duration::from_millis(50));
+                return endless(state, stream, repeat);
+            }
+            Behaviour::EndlessEventAfter(count) if number == count => {
+                return endless(state, stream, |_| {
+                    (chunk(&"data: x\n".repeat(1000)), PAUSELESS)
+                });
+            }
+            Behaviour::EndlessEvents => {
+                let line = "x".repeat(8000);
+                let event = |n| (chunk(&format!("id: {n}\ndata: {line}\n\n")), PAUSELESS);
+                return endless(state, stream, event);
+            }
             _ => {}
         }
         write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
@@ -517,6 +563,35 @@
     Ok(true)
 }
 
+const PAUSELESS: Duration = Duration::ZERO;
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Sends parts without end until the caller closes, and counts whether it did.
+fn endless(
+    state: &Mutex<WorkerState>,
+    stream: &mut TcpStream,
+    part: impl Fn(u64) -> (String, Duration),
+) -> io::Result<bool> {
+    let start = Instant::now();
+    let mut sent = 0;
+    for number in 0.. {
+        let (text, pause) = part(number);
+        if stream.write_all(text.as_bytes()).is_err() {
+            state.lock().unwrap().closed += 1;
+            break;
+        }
+        sent += text.len() as u64;
+        if sent > ENDLESS_BYTES || start.elapsed() > ENDLESS_TIME {
+            break;
+        }
+        thread::sleep(pause);
+    }
+    Ok(false)
+}
+
 /// An instance of the program.
 pub struct Instance {
     pub callers: SocketAddr,
