--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -122,6 +122,21 @@
     online_time: Option<Duration>,
 }
 
+/// What an online request takes at a worker, best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Place {
+    /// A slot that is free.
+    Free,
+    /// A slot of the local zone from which a batch item is displaced.
+    LocalItem,
+    /// A slot of another zone that may have been taken since its level was sent.
+    MaybeFree,
+    /// A slot of another zone from which a batch item is displaced.
+    FarItem,
+    /// A position in the queue of the worker.
+    Queue,
+}
+
 /// Use of ejected workers and of workers in zones that are cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Avoided {
@@ -136,9 +151,15 @@
 struct Partition {
     unreachable: Set<WorkerId>,
     until: Duration,
+    /// Whether the zone sends no heartbeats, and not only some of its workers are out of reach.
     silent: bool,
 }
 
+/// Returns a moving average after one more value, which counts with a weight.
+pub fn moving_average(mean: Option<Duration>, newest: Duration, weight: f64) -> Duration {
+    mean.map_or(newest, |m| m.mul_f64(1.0 - weight) + newest.mul_f64(weight))
+}
+
 /// Returns the hash of a worker's id that messages between instances use.
 pub fn key(id: &str) -> WorkerKey {
     fnv::hash32(id.bytes())
@@ -169,9 +190,7 @@
 
     /// Adds the time that an online request ran to the average.
     pub fn record_online_time(&mut self, time: Duration) {
-        self.online_time = Some(self.online_time.map_or(time, |mean| {
-            mean.mul_f64(1.0 - ONLINE_TIME_WEIGHT) + time.mul_f64(ONLINE_TIME_WEIGHT)
-        }));
+        self.online_time = Some(moving_average(self.online_time, time, ONLINE_TIME_WEIGHT));
     }
 
     /// Returns the peers that run batch items on a worker that has more requests than slots, with
@@ -332,19 +351,12 @@
     ) -> Option<Arc<Worker>> {
         let score = |worker: &Worker, level: Level| {
             let zone_penalty = self.zone_penalty(worker);
-            let total = level.total();
-            if total + self.uncertain_slots(worker, level) < worker.slots {
-                Some((0, total + zone_penalty))
-            } else if total < worker.slots {
-                Some((2, total + zone_penalty))
-            } else if level.online < worker.slots {
-                let rank = if zone_penalty == 0 { 1 } else { 3 };
-                Some((rank, total + zone_penalty))
-            } else if level.online < worker.slots + QUEUE_DEPTH {
-                Some((4, level.online + zone_penalty))
-            } else {
-                None
-            }
+            let place = self.online_place(worker, level)?;
+            let load = match place {
+                Place::Queue => level.online,
+                _ => level.total(),
+            };
+            Some((place, load + zone_penalty))
         };
         let chosen = self.choose_best(requirements, Avoided::Last, rng, now, score)?;
         self.health.record_request(&chosen.id, now);
@@ -395,6 +407,25 @@
         before.count() as u32
     }
 
+    /// Returns what an online request would take at a worker, or `None` when it is full.
+    fn online_place(&self, worker: &Worker, level: Level) -> Option<Place> {
+        let is_local = worker.zone == self.zone;
+        let total = level.total();
+        if total + self.uncertain_slots(worker, level) < worker.slots {
+            Some(Place::Free)
+        } else if total < worker.slots {
+            Some(Place::MaybeFree)
+        } else if level.online < worker.slots && is_local {
+            Some(Place::LocalItem)
+        } else if level.online < worker.slots {
+            Some(Place::FarItem)
+        } else if level.online < worker.slots + QUEUE_DEPTH {
+            Some(Place::Queue)
+        } else {
+            None
+        }
+    }
+
     /// Returns the number of slots of a worker that online requests may have taken since its level
     /// was sent: as many as ended in that time at a steady load. In the local zone levels are new.
     fn uncertain_slots(&self, worker: &Worker, level: Level) -> u32 {
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -15,7 +15,7 @@
 
 use super::{
     config::Route,
-    fleet::Backlog,
+    fleet::{self, Backlog},
     job::Job,
     peers::{self, JobKey, JobState},
 };
@@ -172,9 +172,7 @@
     /// Adds the run time of an item that ran without interruption to the average.
     pub fn record_run_time(&self, time: Duration) {
         let mut mean = lock(&self.run_time);
-        *mean = Some(mean.map_or(time, |m| {
-            m.mul_f64(1.0 - RUN_TIME_WEIGHT) + time.mul_f64(RUN_TIME_WEIGHT)
-        }));
+        *mean = Some(fleet::moving_average(*mean, time, RUN_TIME_WEIGHT));
     }
 
     /// Returns the average run time of an item that runs without interruption, or `None` before the
