Log the digest of the worker list and the workers kept without an entry

The lines of workers-changed did not tell whether an instance uses a worker that the store does not list, nor whether two lists of the same revision differ. The line now has the digest and the number of kept workers, and worker-kept names each one.

--- a/src/events.rs
+++ b/src/events.rs
@@ -158,6 +158,8 @@
     ZoneSilent = 3018, "zone-silent";
     /// The list of workers changed.
     WorkersChanged = 3019, "workers-changed";
+    /// A worker whose entry is missing stays in use in case the entry comes back.
+    WorkerKept = 3020, "worker-kept";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -15,7 +15,7 @@
 /// Keys whose values are ids.
 const ID_KEYS: [&str; 3] = ["request", "item", "job"];
 /// Events that change the state of a process and may be the reason for a decision.
-const CONTEXT_EVENTS: [&str; 9] = [
+const CONTEXT_EVENTS: [&str; 10] = [
     "config-in-force",
     "member-left",
     "platform-back",
@@ -23,6 +23,7 @@
     "stop-began",
     "instance-ready",
     "workers-changed",
+    "worker-kept",
     "zone-silent",
     "lines-omitted",
 ];
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,6 +13,7 @@
     },
     backoff::Backoff,
     event,
+    ids::Set,
 };
 
 use super::{fleet::Worker, gateway::Gateway, peer_call, peers::ListVersion, view::View};
@@ -43,6 +44,8 @@
     pub workers: View,
     /// Version of the worker list in use.
     pub workers_version: ListVersion,
+    /// Workers without an entry that were logged as kept.
+    kept: Set<String>,
 }
 
 impl Views {
@@ -51,6 +54,21 @@
         self.config.store_returned(now);
         self.workers.store_returned(now);
     }
+
+    /// Logs the workers that are newly kept without an entry, and returns how many are kept.
+    fn log_kept(&mut self) -> usize {
+        let kept: Set<String> = self.workers.kept().cloned().collect();
+        for worker in kept.difference(&self.kept) {
+            event!(
+                Info,
+                WorkerKept,
+                "worker={worker} at={}",
+                self.workers.revision
+            );
+        }
+        self.kept = kept;
+        self.kept.len()
+    }
 }
 
 /// A kind of object that instances follow.
@@ -276,6 +294,7 @@
             let version = views.workers.version();
             let changed = views.workers_version.digest != version.digest;
             views.workers_version = version;
+            let kept = views.log_kept();
             let workers: Vec<Arc<Worker>> =
                 views.workers.objects().filter_map(decode_worker).collect();
             gateway
@@ -286,9 +305,10 @@
                 event!(
                     Info,
                     WorkersChanged,
-                    "at={} newest={} workers={}",
+                    "at={} newest={} digest={:08x} workers={} kept={kept}",
                     version.at,
                     version.newest,
+                    version.digest,
                     gateway.dispatch.ready_workers()
                 );
                 gateway.dispatch.notify();
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -98,6 +98,11 @@
         self.objects.values().chain(self.lapsed.values())
     }
 
+    /// Returns the names of the objects that are missing in the store and may come back.
+    pub fn kept(&self) -> impl Iterator<Item = &String> {
+        self.lapsed.keys()
+    }
+
     /// Returns the version of the objects, including those that may come back.
     pub fn version(&self) -> ListVersion {
         let hash = |o: &Object| fnv::hash32(o.name.bytes().chain(o.revision.to_le_bytes()));
