--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -7,7 +7,12 @@
         objects::{decode_config, decode_worker},
         store::{Change, Object},
     },
-    gateway::{config::RouteKind, sse::Splitter, view::View},
+    gateway::{
+        config::RouteKind,
+        sse::Splitter,
+        sync::{Snapshot, Views},
+        view::View,
+    },
 };
 use quickcheck::quickcheck;
 
@@ -59,6 +64,41 @@
     assert_eq!(names(&view), ["a"]);
 }
 
+/// Guards against a kept entry that other instances take for one of the store, which never ends.
+#[test]
+fn a_kept_entry_is_not_passed_on() {
+    let mut views = Views::default();
+    views
+        .workers
+        .replace(vec![object("a", 1), object("b", 2)], 5, at(0));
+    let mut without = View::default();
+    without.replace(vec![object("a", 1)], 6, at(0));
+    views.store_returned(at(1000));
+    views.workers.replace(vec![object("a", 1)], 6, at(1001));
+    let passed: Vec<String> = Snapshot::of(&views)
+        .workers
+        .into_iter()
+        .map(|(name, ..)| name)
+        .collect();
+    assert_eq!(passed, ["a"]);
+    assert_eq!(views.workers.version().digest, without.version().digest);
+}
+
+/// Guards against a late answer of a watch that brings back an entry whose removal is known from a
+/// newer list.
+#[test]
+fn an_event_older_than_the_list_brings_no_entry_back() {
+    let mut view = View::default();
+    view.replace(vec![object("a", 1), object("b", 2)], 5, at(0));
+    view.replace(vec![object("a", 1)], 8, at(1));
+    let change = Change {
+        object: object("b", 6),
+        removed: false,
+    };
+    view.apply(vec![change], 7, at(2));
+    assert_eq!(names(&view), ["a"]);
+}
+
 /// Guards against requests to a worker that is gone: outside an outage, a removal takes effect at
 /// once.
 #[test]
