End the use of workers without an entry two seconds after the last failed call

Change: the time begins with the start of the last call that failed, since the store cannot have been back before, and is the 2 s of the platform. It is fixed for each entry when it disappears, so that a later failure does not extend it. The worker carries its end, which the selection checks for online requests and batch items alike, whatever publishes the list.

The calls of entries_that_lapsed_in_an_outage are renamed, its bound is the new one to the millisecond.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -155,8 +155,9 @@
 
     /// Returns the number of workers that take requests.
     pub fn ready_workers(&self) -> usize {
+        let now = self.now();
         let state = self.lock();
-        state.fleet.workers().filter(|w| w.ready).count()
+        state.fleet.workers().filter(|w| w.is_ready(now)).count()
     }
 
     /// Returns the number of queued requests.
@@ -166,7 +167,7 @@
 
     /// Returns whether any worker of a service takes requests.
     pub fn has_ready_worker(&self, service: &ServiceId) -> bool {
-        self.lock().fleet.has_ready_worker(service)
+        self.lock().fleet.has_ready_worker(service, self.now())
     }
 
     /// Waits until the levels or the backlog of this instance change.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -44,6 +44,15 @@
     pub slots: u32,
     /// Whether the worker takes new requests.
     pub ready: bool,
+    /// Time from which on the worker counts as gone, if the store has no entry of it.
+    pub until: Option<Duration>,
+}
+
+impl Worker {
+    /// Returns whether the worker takes new requests at a time.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        self.ready && self.until.is_none_or(|t| now < t)
+    }
 }
 
 /// Class of a request, which decides how it is placed.
@@ -223,10 +232,9 @@
     }
 
     /// Returns whether any worker of a service takes requests.
-    pub fn has_ready_worker(&self, service: &ServiceId) -> bool {
-        self.workers
-            .values()
-            .any(|w| w.ready && w.service == *service)
+    pub fn has_ready_worker(&self, service: &ServiceId, now: Duration) -> bool {
+        let mut workers = self.workers.values();
+        workers.any(|w| w.is_ready(now) && w.service == *service)
     }
 
     /// Returns the requests in flight from this instance, by worker.
@@ -457,7 +465,8 @@
     ) -> Option<Arc<Worker>> {
         let ejected = self.health.ejected(now);
         let eligible = |w: &Worker| {
-            w.ready && w.service == *requirements.service && !requirements.tried.contains(&w.id)
+            let serves = w.is_ready(now) && w.service == *requirements.service;
+            serves && !requirements.tried.contains(&w.id)
         };
         let candidates = self.workers.iter().filter(|(_, w)| eligible(w));
         let ranked = candidates.filter_map(|(key, worker)| {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use arc_swap::ArcSwapOption;
@@ -59,7 +59,6 @@
     pub views: Mutex<Views>,
     peers: Mutex<Peers>,
     store_reached: AtomicBool,
-    start: Instant,
 }
 
 impl Gateway {
@@ -77,13 +76,12 @@
             views: Mutex::default(),
             peers: Mutex::default(),
             store_reached: AtomicBool::new(true),
-            start: Instant::now(),
         })
     }
 
     /// Returns the time since the start of the instance.
     pub fn now(&self) -> Duration {
-        self.start.elapsed()
+        self.dispatch.now()
     }
 
     /// Returns the state of the other instances.
@@ -113,9 +111,7 @@
             return false;
         }
         if reached {
-            let now = self.now();
-            self.views().store_returned(now);
-            event!(Info, PlatformBack, "at_ms={}", now.as_millis());
+            event!(Info, PlatformBack, "at_ms={}", self.now().as_millis());
         } else {
             event!(Warn, PlatformLost, "at_ms={}", self.now().as_millis());
         }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -49,12 +49,6 @@
 }
 
 impl Views {
-    /// Records that the store is back after an outage.
-    pub fn store_returned(&mut self, now: Duration) {
-        self.config.store_returned(now);
-        self.workers.store_returned(now);
-    }
-
     /// Logs the workers that are newly kept without an entry, and returns how many are kept.
     fn log_kept(&mut self) -> usize {
         let kept: Set<String> = self.workers.kept().cloned().collect();
@@ -119,6 +113,7 @@
         kind,
         listed: false,
         watches: false,
+        called: Duration::ZERO,
     };
     loop {
         let pause = match follower.step().await {
@@ -133,6 +128,7 @@
             Err(e) => {
                 follower.fail();
                 event!(Warn, StoreCallFailed, "kind={} reason=\"{e}\"", kind.name());
+                gateway.views().workers.store_failed(follower.called);
                 gateway.set_store_reached(false);
                 backoff.fail(&mut rng)
             }
@@ -150,6 +146,8 @@
     kind: Kind,
     listed: bool,
     watches: bool,
+    /// Time when the last call began.
+    called: Duration,
 }
 
 impl Follower {
@@ -190,6 +188,7 @@
     }
 
     async fn list(&mut self) -> Result<(), StoreError> {
+        self.called = self.gateway.now();
         let store = &self.gateway.store;
         let (objects, revision) = store.list(self.kind.name(), Freshness::Latest).await?;
         let now = self.gateway.now();
@@ -201,17 +200,11 @@
         Ok(())
     }
 
-    async fn watch(&self) -> Result<(), StoreError> {
+    async fn watch(&mut self) -> Result<(), StoreError> {
         let gateway = &self.gateway;
-        let (since, expires) = {
-            let mut views = gateway.views();
-            let view = self.kind.view(&mut views);
-            (view.revision, view.expires())
-        };
-        let wait = expires.map_or(MAX_WATCH_WAIT, |t| {
-            t.saturating_sub(gateway.now()) + Duration::from_millis(50)
-        });
-        let wait = wait.min(MAX_WATCH_WAIT.mul_f64(fastrand::f64().mul_add(0.3, 0.7)));
+        self.called = gateway.now();
+        let since = self.kind.view(&mut gateway.views()).revision;
+        let wait = MAX_WATCH_WAIT.mul_f64(fastrand::f64().mul_add(0.3, 0.7));
         let (changes, revision) = gateway.store.watch(self.kind.name(), since, wait).await?;
         let now = gateway.now();
         gateway.set_store_reached(true);
@@ -223,7 +216,7 @@
 
     /// Checks only that the store is reachable and the configuration is current. Changes arrive
     /// from the instances that watch the store for this zone.
-    async fn check(&self) -> Result<(), StoreError> {
+    async fn check(&mut self) -> Result<(), StoreError> {
         let gateway = &self.gateway;
         // After a failed call the next one follows after the pause for failures alone.
         if self.kind != Kind::Config || gateway.reaches_store() {
@@ -232,6 +225,7 @@
         if self.kind != Kind::Config {
             return Ok(());
         }
+        self.called = gateway.now();
         let (kind, name) = objects::CONFIG;
         let config = gateway.store.get(kind, name, Freshness::Stale).await?;
         let now = gateway.now();
@@ -292,11 +286,16 @@
         Kind::Workers => {
             views.workers.expire(gateway.now());
             let version = views.workers.version();
-            let changed = views.workers_version.digest != version.digest;
+            let before = (views.workers_version.digest, views.kept.len());
             views.workers_version = version;
             let kept = views.log_kept();
-            let workers: Vec<Arc<Worker>> =
-                views.workers.objects().filter_map(decode_worker).collect();
+            let changed = before != (version.digest, kept);
+            let worker = |object: &Object| {
+                let mut worker = decode_worker(object)?;
+                worker.until = views.workers.kept_until(&object.name);
+                Some(Arc::new(worker))
+            };
+            let workers: Vec<Arc<Worker>> = views.workers.objects().filter_map(worker).collect();
             gateway
                 .upstream
                 .retain(|id| workers.iter().any(|w| w.id == *id));
@@ -331,9 +330,9 @@
     }
 }
 
-fn decode_worker(object: &Object) -> Option<Arc<Worker>> {
+fn decode_worker(object: &Object) -> Option<Worker> {
     match objects::decode_worker(&object.name, &object.spec) {
-        Ok(worker) => Some(Arc::new(worker)),
+        Ok(worker) => Some(worker),
         Err(e) => {
             event!(
                 Warn,
--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -12,7 +12,7 @@
 
 /// Time after an outage of the store within which entries that expired during the outage are
 /// written again. The platform guarantees this bound.
-const REAPPEAR_TIMEOUT: Duration = Duration::from_millis(2500);
+const REAPPEAR_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Objects of a kind at a store revision.
 #[derive(Debug, Default)]
@@ -22,8 +22,16 @@
     /// Revision of the newest change in the view.
     pub newest: u64,
     objects: Map<String, Object>,
-    lapsed: Map<String, Object>,
-    lapsed_until: Duration,
+    kept: Map<String, Kept>,
+    /// Time until which an entry that disappears may come back.
+    keep_until: Duration,
+}
+
+/// An entry that the store does not have but that may come back.
+#[derive(Debug)]
+struct Kept {
+    object: Object,
+    until: Duration,
 }
 
 impl View {
@@ -40,13 +48,12 @@
             .fold(self.newest, u64::max);
         let fresh = objects.into_iter().map(|o| (o.name.clone(), o)).collect();
         let old = std::mem::replace(&mut self.objects, fresh);
-        if now < self.lapsed_until {
-            let gone = old
-                .into_iter()
-                .filter(|(n, _)| !self.objects.contains_key(n));
-            self.lapsed.extend(gone);
+        for (name, object) in old {
+            if !self.objects.contains_key(&name) {
+                self.keep(name, object, now);
+            }
         }
-        self.lapsed.retain(|n, _| !self.objects.contains_key(n));
+        self.kept.retain(|n, _| !self.objects.contains_key(n));
     }
 
     /// Applies changes up to a store revision.
@@ -59,38 +66,41 @@
                 continue;
             }
             if change.removed {
-                let old = self.objects.remove(&name);
-                if let Some(old) = old
-                    && now < self.lapsed_until
-                {
-                    self.lapsed.insert(name, old);
+                if let Some(old) = self.objects.remove(&name) {
+                    self.keep(name, old, now);
                 }
             } else {
-                self.lapsed.remove(&name);
+                self.kept.remove(&name);
                 self.objects.insert(name, change.object);
             }
         }
         self.revision = self.revision.max(revision);
     }
 
-    /// Records that the store is back after an outage. Entries that disappear now are kept for a
-    /// while, since they may come back.
-    pub fn store_returned(&mut self, now: Duration) {
-        self.lapsed_until = now + REAPPEAR_TIMEOUT;
+    /// Keeps an entry that disappeared if it may have expired in an outage.
+    fn keep(&mut self, name: String, object: Object, now: Duration) {
+        let until = self.keep_until;
+        if now < until {
+            self.kept.insert(name, Kept { object, until });
+        }
     }
 
-    /// Drops entries that did not come back in time, and returns whether there were any.
-    pub fn expire(&mut self, now: Duration) -> bool {
-        if self.lapsed.is_empty() || now < self.lapsed_until {
-            return false;
-        }
-        self.lapsed.clear();
-        true
+    /// Records that a call to the store failed that began at a time.
+    ///
+    /// The store may be back since then, but not earlier. The time to keep entries begins here and
+    /// not with the first call that succeeds, which can be long after the return.
+    pub fn store_failed(&mut self, began: Duration) {
+        self.keep_until = self.keep_until.max(began + REAPPEAR_TIMEOUT);
+    }
+
+    /// Drops entries that did not come back in time.
+    pub fn expire(&mut self, now: Duration) {
+        self.kept.retain(|_, k| now < k.until);
     }
 
-    /// Returns when the kept entries expire, or `None` when there are none.
-    pub fn expires(&self) -> Option<Duration> {
-        (!self.lapsed.is_empty()).then_some(self.lapsed_until)
+    /// Returns until when an object may come back, or `None` when the store has it.
+    pub fn kept_until(&self, name: &str) -> Option<Duration> {
+        self.kept.get(name).map(|k| k.until)
     }
 
     /// Returns the objects that the store has at the revision of the view.
@@ -100,12 +110,13 @@
 
     /// Returns the objects in use: those of the store and those that may come back.
     pub fn objects(&self) -> impl Iterator<Item = &Object> {
-        self.objects.values().chain(self.lapsed.values())
+        let kept = self.kept.values().map(|k| &k.object);
+        self.objects.values().chain(kept)
     }
 
     /// Returns the names of the objects that are missing in the store and may come back.
     pub fn kept(&self) -> impl Iterator<Item = &String> {
-        self.lapsed.keys()
+        self.kept.keys()
     }
 
     /// Returns the version of the objects that the store has.
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -17,6 +17,7 @@
         zone: zone.into(),
         slots: 2,
         ready: true,
+        until: None,
     })
 }
 
@@ -42,6 +43,36 @@
     chosen.map(|w| w.id.to_string())
 }
 
+/// Guards against requests to a worker without an entry from the time on at which it counts as gone,
+/// even if nothing updates the list of workers then.
+#[test]
+fn a_worker_without_an_entry_is_used_until_it_counts_as_gone() {
+    let service: ServiceId = "lm".into();
+    let requirements = Requirements {
+        service: &service,
+        tried: &[],
+    };
+    let mut rng = fastrand::Rng::with_seed(1);
+    let kept = Worker {
+        until: Some(NOW),
+        ..(*worker("w", "a")).clone()
+    };
+    let mut fleet = fleet(&[Arc::new(kept)]);
+    let before = NOW - Duration::from_millis(1);
+    assert!(fleet.has_ready_worker(&service, before));
+    assert!(
+        fleet
+            .choose_online(&requirements, &mut rng, before)
+            .is_some()
+    );
+    let mut item =
+        |fleet: &mut Fleet, now| fleet.choose_batch(&requirements, Urgency::Timely, &mut rng, now);
+    assert!(item(&mut fleet, before).is_some());
+    assert!(item(&mut fleet, NOW).is_none());
+    assert!(!fleet.has_ready_worker(&service, NOW));
+    assert!(choose(&mut fleet, &[]).is_none());
+}
+
 /// Guards against requests that queue while a slot is free elsewhere.
 #[test]
 fn a_free_slot_is_preferred_to_displacing_a_batch_item() {
--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -29,6 +29,13 @@
     }
 }
 
+fn removal(name: &str, revision: u64) -> Change {
+    Change {
+        object: object(name, revision),
+        removed: true,
+    }
+}
+
 fn names(view: &View) -> Vec<String> {
     let mut names: Vec<String> = view.objects().map(|o| o.name.clone()).collect();
     names.sort();
@@ -56,14 +63,33 @@
 fn entries_that_lapsed_in_an_outage_stay_until_they_could_be_back() {
     let mut view = View::default();
     view.replace(vec![object("a", 1), object("b", 2)], 5, at(0));
-    view.store_returned(at(1000));
+    view.store_failed(at(1000));
     view.replace(vec![object("a", 9)], 10, at(1001));
     assert_eq!(names(&view), ["a", "b"]);
-    assert!(!view.expire(at(2000)));
-    assert!(view.expire(at(4000)));
+    view.expire(at(2999));
+    assert_eq!(names(&view), ["a", "b"]);
+    view.expire(at(3000));
     assert_eq!(names(&view), ["a"]);
 }
 
+/// Guards against requests to a worker that left, for seconds after the two that its entry may take
+/// to come back: by an instance that notices late that the store is back, or that fails again.
+#[test]
+fn a_kept_entry_ends_two_seconds_after_the_last_failed_call() {
+    let mut view = View::default();
+    view.replace(vec![object("a", 1), object("b", 2)], 5, at(0));
+    view.store_failed(at(1000));
+    view.replace(vec![object("a", 1)], 10, at(2400));
+    assert_eq!(view.kept_until("b"), Some(at(3000)));
+    assert_eq!(view.kept_until("a"), None);
+    view.store_failed(at(2500));
+    view.replace(vec![object("a", 1)], 11, at(2600));
+    assert_eq!(view.kept_until("b"), Some(at(3000)));
+    view.apply(vec![removal("a", 12)], 12, at(4500));
+    view.expire(at(4500));
+    assert!(names(&view).is_empty());
+}
+
 /// Guards against a kept entry that other instances take for one of the store, which never ends.
 #[test]
 fn a_kept_entry_is_not_passed_on() {
@@ -73,7 +99,7 @@
         .replace(vec![object("a", 1), object("b", 2)], 5, at(0));
     let mut without = View::default();
     without.replace(vec![object("a", 1)], 6, at(0));
-    views.store_returned(at(1000));
+    views.workers.store_failed(at(1000));
     views.workers.replace(vec![object("a", 1)], 6, at(1001));
     let passed: Vec<String> = Snapshot::of(&views)
         .workers
@@ -105,11 +131,7 @@
 fn a_removed_entry_is_gone_at_once() {
     let mut view = View::default();
     view.replace(vec![object("a", 1)], 5, at(0));
-    let change = Change {
-        object: object("a", 6),
-        removed: true,
-    };
-    view.apply(vec![change], 6, at(1));
+    view.apply(vec![removal("a", 6)], 6, at(1));
     assert!(names(&view).is_empty());
 }
 
