Ignore events of a watch that are older than the list of workers

A worker that has left could come back into use, without an end: a watch that answers late carries an event of an entry whose removal the instance already knows from a list that it pulled from a peer meanwhile. The entry was added again, and the next watch begins after its removal.

Cause: events were compared with the revision of a known entry only. An entry that is unknown because it was removed has none.

Events of the store after a list of several pages are newer than its revision and still count.

--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -61,8 +61,13 @@
         for change in changes {
             let name = change.object.name.clone();
             self.newest = self.newest.max(change.object.revision);
-            let known = self.objects.get(&name);
-            if known.is_some_and(|o| o.revision > change.object.revision) {
+            // A list that came in the meantime already reflects the change, and may lack the entry
+            // since it was removed later.
+            let known = self
+                .objects
+                .get(&name)
+                .map_or(self.revision, |o| o.revision);
+            if known > change.object.revision {
                 continue;
             }
             if change.removed {
