Repeat a failed pull of the worker list at another instance

An instance without a watch pulled from the first peer with a newer list, again after each failure, so a peer whose heartbeats arrive but which answers no call (a path that is cut one way) could hold back the list beyond the time within which a leaving worker must get no more requests.

Change: after each failure in a row the next peer is asked, those of the own zone first. a_failed_pull_is_repeated_at_another_instance calls a function that the old code lacks.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -148,15 +148,13 @@
         peer.config > self.config_version() || workers.is_missing_changes(&peer.workers)
     }
 
-    /// Returns the address of a peer with a newer configuration or worker list, preferably in the
-    /// same zone.
-    pub fn peer_ahead(&self) -> Option<SocketAddr> {
+    /// Returns the address of a peer with a newer configuration or worker list, after some pulls
+    /// that failed in a row.
+    pub fn peer_ahead(&self, failures: usize) -> Option<SocketAddr> {
         let (config, workers) = (self.config_version(), self.views().workers_version);
-        let peers = self.peers();
-        let ahead = |h: &&Heartbeat| h.config > config || workers.is_missing_changes(&h.workers);
-        let ahead = peers.live(self.now()).filter(ahead);
-        let other_zone = |h: &&Heartbeat| h.zone != self.settings.zone;
-        ahead.min_by_key(other_zone).map(|h| h.address)
+        let zone = &self.settings.zone;
+        let now = self.now();
+        self.peers().source(zone, config, &workers, failures, now)
     }
 
     /// Returns whether this instance searches the store for jobs that nobody runs.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -243,6 +243,26 @@
         live.any(|h| h.zone == *zone && h.store && !h.leaving)
     }
 
+    /// Returns the address of an instance to pull the configuration and the worker list from, which
+    /// has a newer version of either, or `None` when no live one has.
+    ///
+    /// Instances of the given zone come first. After some pulls that failed in a row the next one is
+    /// chosen, since heartbeats of an instance may arrive although calls to it fail.
+    pub fn source(
+        &self,
+        zone: &Zone,
+        config: u64,
+        workers: &ListVersion,
+        failures: usize,
+        now: Duration,
+    ) -> Option<SocketAddr> {
+        let is_ahead = |h: &&Heartbeat| h.config > config || workers.is_missing_changes(&h.workers);
+        let mut ahead: Vec<&Heartbeat> = self.live(now).filter(is_ahead).collect();
+        ahead.sort_by_key(|h| h.zone != *zone);
+        let next = failures % ahead.len().max(1);
+        ahead.get(next).map(|h| h.address)
+    }
+
     /// Returns whether an instance with an address has sent a heartbeat.
     pub fn knows_address(&self, address: &SocketAddr) -> bool {
         let mut known = self.known.values();
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -244,6 +244,7 @@
 /// Pulls the configuration and worker list from a peer when this instance falls behind, forever.
 /// That happens when it does not watch the store, its watches stall, or the store is unreachable.
 pub async fn pull(gateway: Arc<Gateway>, behind: Receiver<()>) {
+    let mut failures = 0;
     while behind.recv().await.is_ok() {
         let delay = if gateway.is_watcher() {
             WATCHER_PULL_DELAY
@@ -251,11 +252,12 @@
             PULL_DELAY
         };
         Timer::after(delay).await;
-        let Some(address) = gateway.peer_ahead() else {
+        let Some(address) = gateway.peer_ahead(failures) else {
             continue;
         };
         match peer_call::snapshot(address).await {
             Ok(snapshot) => {
+                failures = 0;
                 event!(
                     Info,
                     SnapshotPulled,
@@ -264,11 +266,14 @@
                 );
                 snapshot.merge(&gateway);
             }
-            Err(e) => event!(
-                Warn,
-                PeerCallFailed,
-                "peer={address} call=snapshot reason=\"{e:#}\""
-            ),
+            Err(e) => {
+                failures += 1;
+                event!(
+                    Warn,
+                    PeerCallFailed,
+                    "peer={address} call=snapshot reason=\"{e:#}\""
+                );
+            }
         }
     }
 }
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -267,6 +267,41 @@
     }
 }
 
+/// Guards against an instance that pulls again and again from a peer whose heartbeats arrive but
+/// which answers no call, and so keeps workers that have left.
+#[test]
+fn a_failed_pull_is_repeated_at_another_instance() {
+    let address = |port: u16| std::net::SocketAddr::from(([127, 0, 0, 1], port));
+    let version = |at, digest| ListVersion {
+        at,
+        newest: at,
+        digest,
+    };
+    let mut peers = Peers::default();
+    let instances = [
+        ("one", "a", 1, 11),
+        ("two", "a", 2, 12),
+        ("far", "b", 3, 12),
+        ("old", "a", 4, 10),
+    ];
+    for (instance, zone, port, revision) in instances {
+        let heartbeat = Heartbeat {
+            zone: zone.into(),
+            address: address(port),
+            workers: version(revision, 2),
+            ..heartbeat(instance, 1)
+        };
+        peers.record(heartbeat, at(0));
+    }
+    let local = version(10, 1);
+    let source = |failures| peers.source(&"a".into(), 1, &local, failures, at(100));
+    let mut tried: Vec<_> = (0..3).map(source).collect();
+    assert_eq!(tried[2], Some(address(3)));
+    tried.sort();
+    assert_eq!(tried, [1, 2, 3].map(|port| Some(address(port))));
+    assert_eq!(source(3), source(0));
+}
+
 /// Guards against instances of another zone that get as many heartbeats as those of the local zone,
 /// and against registered ones that get none until they have sent one.
 #[test]
