Bound the use of workers without an entry by when it was missed, too

Change: entries get 0.5 s more to arrive, a failing call that was waiting when an entry disappeared counts, and no entry is kept longer than 2 s after it was missed. The last bound also holds for a removal that is news soon after a single failed call, which the tests did not cover.

--- a/src/gateway/view.rs
+++ b/src/gateway/view.rs
@@ -13,6 +13,9 @@
 /// Time after an outage of the store within which entries that expired during the outage are
 /// written again. The platform guarantees this bound.
 const REAPPEAR_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that such an entry may take to arrive here. With it, a worker that left unseen in the outage
+/// is out of use before the 3 s have passed after which the platform counts all calls as undisturbed.
+const ARRIVAL_SLACK: Duration = Duration::from_millis(500);
 
 /// Objects of a kind at a store revision.
 #[derive(Debug, Default)]
@@ -31,9 +34,17 @@
 #[derive(Debug)]
 struct Kept {
     object: Object,
+    missed: Duration,
     until: Duration,
 }
 
+impl Kept {
+    /// Keeps the entry longer, though not beyond the time that one may take to come back.
+    fn prolong(&mut self, until: Duration) {
+        self.until = self.until.max(until.min(self.missed + REAPPEAR_TIMEOUT));
+    }
+}
+
 impl View {
     /// Replaces the view with a full list. A list older than the view is ignored, since it would
     /// bring back an earlier state.
@@ -84,18 +95,27 @@
 
     /// Keeps an entry that disappeared if it may have expired in an outage.
     fn keep(&mut self, name: String, object: Object, now: Duration) {
-        let until = self.keep_until;
-        if now < until {
-            self.kept.insert(name, Kept { object, until });
+        let mut kept = Kept {
+            object,
+            missed: now,
+            until: now,
+        };
+        kept.prolong(self.keep_until);
+        if now < kept.until {
+            self.kept.insert(name, kept);
         }
     }
 
     /// Records that a call to the store failed that began at a time.
     ///
     /// The store may be back since then, but not earlier. The time to keep entries begins here and
-    /// not with the first call that succeeds, which can be long after the return.
+    /// not with the first call that succeeds, which can be long after the return. An entry that a
+    /// peer's list lacks can be missed while the call still waits.
     pub fn store_failed(&mut self, began: Duration) {
-        self.keep_until = self.keep_until.max(began + REAPPEAR_TIMEOUT);
+        let until = began + REAPPEAR_TIMEOUT + ARRIVAL_SLACK;
+        self.keep_until = self.keep_until.max(until);
+        let missed_since = self.kept.values_mut().filter(|k| began <= k.missed);
+        missed_since.for_each(|k| k.prolong(until));
     }
 
     /// Drops entries that did not come back in time.
