Log how far a broken attempt came and the shared parts of its prompt

The lines of broken attempts and items did not tell whether the worker had begun to write the answer, nor what the prompts of requests that break have in common. They now have begun= and parts=. The outcome of a send distinguishes a timeout from a connection that the worker closed. Behaviour is unchanged.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -36,8 +36,55 @@
 pub enum SendError {
     /// The request was never written.
     NotSent(String),
-    /// The request may have been received.
+    /// The request may have been received; the connection ended without an answer.
     Sent(String),
+    /// The request may have been received; there was no answer in time.
+    TimedOut(String),
+}
+
+/// How an attempt at a worker broke.
+#[derive(Debug)]
+pub struct Break {
+    /// Reason for the log.
+    pub reason: String,
+    /// Whether the worker closed the connection, and did not time out or answer wrongly.
+    pub closed: bool,
+    /// Whether the worker had begun to write the answer.
+    pub begun: bool,
+}
+
+impl Break {
+    /// Builds a break for a worker that stalled or answered wrongly.
+    pub fn fault(reason: impl Into<String>) -> Self {
+        Self {
+            reason: reason.into(),
+            closed: false,
+            begun: false,
+        }
+    }
+
+    /// Builds a break for a connection that the worker closed before the head of the answer.
+    pub fn closed(reason: String) -> Self {
+        Self {
+            reason,
+            closed: true,
+            begun: false,
+        }
+    }
+
+    /// Builds a break from an error while the answer was read.
+    pub fn reading(error: &io::Error, begun: bool) -> Self {
+        Self {
+            reason: error.to_string(),
+            closed: error.kind() != io::ErrorKind::TimedOut,
+            begun,
+        }
+    }
+
+    /// Returns whether the worker may have crashed as it began to write the answer.
+    pub fn is_crash(&self) -> bool {
+        self.closed && !self.begun
+    }
 }
 
 impl Connection {
@@ -133,7 +180,7 @@
 ) -> Result<T, SendError> {
     smol::future::or(work, async {
         Timer::after(limit).await;
-        Err(SendError::Sent(format!("no answer within {limit:?}")))
+        Err(SendError::TimedOut(format!("no answer within {limit:?}")))
     })
     .await
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,14 +12,14 @@
 use crate::{
     adapter::headers::{self, AnswerTerms, Attempt},
     event,
-    ids::{RequestId, ServiceId, WorkerId},
+    ids::{PartId, RequestId, ServiceId, WorkerId},
     metrics::{self, CallEnd},
 };
 
 use super::{
     answer::{CallerBody, full_body, refuse},
     config::{Route, RouteKind},
-    connection::{self, Connection, SendError},
+    connection::{self, Break, Connection, SendError},
     dispatch::{Busy, Placement},
     fleet::Requirements,
     gateway::Gateway,
@@ -82,7 +82,7 @@
     /// The worker has not run the call, or failed on it in a way that another worker may not.
     TryNext,
     /// The worker may have run the call.
-    Broken(Placement, String),
+    Broken(Placement, Break),
 }
 
 /// Reason why no worker's answer can be forwarded.
@@ -118,6 +118,7 @@
     pub call: Call,
     gateway: Arc<Gateway>,
     service: ServiceId,
+    parts: Vec<PartId>,
     tried: Vec<WorkerId>,
     runs: u32,
     deadline: Instant,
@@ -140,6 +141,7 @@
         gateway,
         route,
         service,
+        parts: headers::decode_parts(&call.headers),
         call,
         tried: Vec::new(),
         runs: 0,
@@ -252,11 +254,11 @@
             match self.attempt_once(after, max_wait).await? {
                 AttemptResult::Answered(started) => return Ok(started),
                 AttemptResult::TryNext => {}
-                AttemptResult::Broken(placement, reason) => {
-                    self.record_broken(&placement, &reason);
+                AttemptResult::Broken(placement, broken) => {
+                    self.record_broken(&placement, &broken);
                     drop(placement);
                     if !self.may_run_again() {
-                        return Err(Failure::MayHaveRun(reason));
+                        return Err(Failure::MayHaveRun(broken.reason));
                     }
                 }
             }
@@ -264,17 +266,20 @@
     }
 
     /// Records that a worker broke the connection or timed out on the call.
-    pub fn record_broken(&mut self, placement: &Placement, reason: &str) {
+    pub fn record_broken(&mut self, placement: &Placement, broken: &Break) {
         self.runs += 1;
         self.tried.push(placement.worker.id.clone());
         let ejected = self.gateway.dispatch.record_failure(&placement.worker.id);
         event!(
             Warn,
             AttemptBroken,
-            "request={} worker={} runs={} ejected={ejected} reason={reason:?}",
+            "request={} worker={} runs={} ejected={ejected} begun={} parts={:x?} reason={:?}",
             self.call.id,
             placement.worker.id,
-            self.runs
+            self.runs,
+            broken.begun,
+            self.parts,
+            broken.reason
         );
     }
 
@@ -365,12 +370,17 @@
                 }
                 return Ok(AttemptResult::TryNext);
             }
-            Err(SendError::Sent(_)) if self.remaining().is_zero() => {
+            Err(SendError::Sent(_) | SendError::TimedOut(_)) if self.remaining().is_zero() => {
                 self.runs += 1;
                 dispatch.record_failure(&worker.id);
                 return Err(Failure::TimedOut);
             }
-            Err(SendError::Sent(reason)) => return Ok(AttemptResult::Broken(placement, reason)),
+            Err(SendError::Sent(reason)) => {
+                return Ok(AttemptResult::Broken(placement, Break::closed(reason)));
+            }
+            Err(SendError::TimedOut(reason)) => {
+                return Ok(AttemptResult::Broken(placement, Break::fault(reason)));
+            }
         };
         let terms = headers::decode_answer(&response);
         let status = response.status();
@@ -387,7 +397,7 @@
             return Ok(AttemptResult::TryNext);
         }
         if let Some(reason) = self.invalid_reason(&response, &terms) {
-            return Ok(AttemptResult::Broken(placement, reason));
+            return Ok(AttemptResult::Broken(placement, Break::fault(reason)));
         }
         dispatch.record_success(&worker);
         if status.is_success() {
@@ -516,10 +526,10 @@
                     return Ok(Response::from_parts(head, full_body(body)));
                 }
                 Err(e) => {
-                    let reason = e.to_string();
-                    self.record_broken(&started.placement, &reason);
+                    let broken = Break::reading(&e, false);
+                    self.record_broken(&started.placement, &broken);
                     if !self.may_run_again() {
-                        return Err(Failure::MayHaveRun(reason));
+                        return Err(Failure::MayHaveRun(broken.reason));
                     }
                 }
             }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    connection::{self, SendError},
+    connection::{self, Break, SendError},
     dispatch::Placement,
     gateway::Gateway,
     job::{Item, Job, Verdict},
@@ -44,7 +44,7 @@
     /// The worker refused the item without running it.
     Refused(StatusCode),
     /// The connection broke, the worker timed out or its answer was invalid.
-    Broken(String),
+    Broken(Break),
     /// The worker answered with an error status.
     Failed(StatusCode),
     /// The worker reported that the item can never succeed.
@@ -114,24 +114,28 @@
             Ok(connection) => connection,
             Err(e) => {
                 dispatch.record_unreachable(worker);
-                return RunEnd::Broken(e.to_string());
+                return RunEnd::Broken(Break::fault(e.to_string()));
             }
         };
         let request = match self.request(&worker.id, after) {
             Ok(request) => request,
-            Err(e) => return RunEnd::Broken(e.to_string()),
+            Err(e) => return RunEnd::Broken(Break::fault(e.to_string())),
         };
         let answer = match connection.send_within(request, STALL_LIMIT).await {
             Ok(answer) => answer,
-            Err(SendError::NotSent(e)) => return RunEnd::Broken(e),
-            Err(SendError::Sent(e)) => {
+            Err(SendError::NotSent(e)) => return RunEnd::Broken(Break::fault(e)),
+            Err(SendError::Sent(reason)) => {
                 dispatch.record_failure(&worker.id);
-                return RunEnd::Broken(e);
+                return RunEnd::Broken(Break::closed(reason));
+            }
+            Err(SendError::TimedOut(reason)) => {
+                dispatch.record_failure(&worker.id);
+                return RunEnd::Broken(Break::fault(reason));
             }
         };
         let terms = headers::decode_answer(&answer);
         if !terms.is_for(&self.item.id) {
-            return RunEnd::Broken("the worker answered another request".into());
+            return RunEnd::Broken(Break::fault("the worker answered another request"));
         }
         if terms.not_run {
             return RunEnd::Refused(answer.status());
@@ -148,7 +152,7 @@
             return RunEnd::Failed(status);
         }
         if !terms.sealed {
-            return RunEnd::Broken("the answer has no signature".into());
+            return RunEnd::Broken(Break::fault("the answer has no signature"));
         }
         dispatch.record_success(worker);
         let mut events = Events::new(answer.into_body());
@@ -164,7 +168,7 @@
                         // An endless output is no part of the item's result.
                         text.clear();
                         *last = after;
-                        return RunEnd::Broken("the output is too long".into());
+                        return RunEnd::Broken(Break::fault("the output is too long"));
                     }
                 }
                 Ok(None) => {
@@ -173,7 +177,7 @@
                 }
                 Err(e) => {
                     dispatch.record_failure(&worker.id);
-                    return RunEnd::Broken(e.to_string());
+                    return RunEnd::Broken(Break::reading(&e, !text.is_empty()));
                 }
             }
             if !self.should_continue() {
@@ -260,12 +264,16 @@
                 );
                 progress.not_before = now + RETRY_PAUSE;
             }
-            RunEnd::Broken(reason) => {
+            RunEnd::Broken(broken) => {
                 event!(
                     Warn,
                     ItemBroken,
-                    "job={} item={id} worker={worker} last={last:?} reason={reason:?}",
-                    self.job
+                    "job={} item={id} worker={worker} last={last:?} begun={} parts={:x?} \
+                     reason={:?}",
+                    self.job,
+                    broken.begun,
+                    headers::decode_item_parts(&self.item.headers),
+                    broken.reason
                 );
                 progress.not_before = now + RETRY_PAUSE;
             }
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -89,7 +89,7 @@
     match call(address, peer_call, CALL_LIMIT).await {
         Ok(answer) if answer.status() == StatusCode::OK => Ok(answer.into_body()),
         Ok(answer) => bail!("status {}", answer.status()),
-        Err(SendError::NotSent(e) | SendError::Sent(e)) => bail!(e),
+        Err(SendError::NotSent(e) | SendError::Sent(e) | SendError::TimedOut(e)) => bail!(e),
     }
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 
 use super::{
     answer::CallerBody,
-    connection::Connection,
+    connection::{Break, Connection},
     dispatch::Placement,
     forward::{RESUME_WAIT, Session, StartedAnswer},
     sse::Events,
@@ -34,6 +34,8 @@
     placement: Placement,
     connection: Connection,
     events: Events,
+    /// Whether the worker has sent an event.
+    begun: bool,
 }
 
 /// A stream that is being forwarded to a caller. Dropping it closes the connection to the worker.
@@ -56,6 +58,7 @@
             placement: started.placement,
             connection: started.connection,
             events: Events::new(body),
+            begun: false,
         }),
     };
     let frames = stream::unfold(Some(relay), |relay| async {
@@ -79,6 +82,7 @@
             };
             match source.events.next(self.last_id, limit).await {
                 Ok(Some(event)) => {
+                    source.begun = true;
                     if !self.first_sent {
                         self.first_sent = true;
                         metrics::first_token(self.session.call.received.elapsed());
@@ -94,16 +98,20 @@
                     }
                     return Ok(None);
                 }
-                Err(e) => self.resume(e.to_string()).await?,
+                Err(e) => {
+                    let broken = Break::reading(&e, source.begun);
+                    self.resume(broken).await?;
+                }
             }
         }
     }
 
     /// Resumes at another worker after the last forwarded event.
-    async fn resume(&mut self, reason: String) -> io::Result<()> {
+    async fn resume(&mut self, broken: Break) -> io::Result<()> {
         if let Some(source) = self.source.take() {
-            self.session.record_broken(&source.placement, &reason);
+            self.session.record_broken(&source.placement, &broken);
         }
+        let reason = broken.reason;
         if !self.session.may_run_again() {
             return Err(self.broken(&reason));
         }
@@ -124,6 +132,7 @@
             placement: started.placement,
             connection: started.connection,
             events: Events::new(started.answer.into_body()),
+            begun: false,
         });
         Ok(())
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -27,6 +27,8 @@
 pub type RequestId = Arc<str>;
 /// Number of a sheet revision.
 pub type Revision = u64;
+/// Id of a part of a prompt, which requests may share.
+pub type PartId = u64;
 /// Version of an object in the object service, from one counter for all objects.
 pub type Version = u64;
 /// Number of a group of items inside its job, from 0.
