--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -418,6 +418,7 @@
     runs: Vec<Request>,
     sent: u64,
     closed: u32,
+    deadly: Option<String>,
 }
 
 impl Worker {
@@ -430,6 +431,7 @@
             runs: Vec::new(),
             sent: 0,
             closed: 0,
+            deadly: None,
         }));
         let (shared, name) = (state.clone(), id.to_owned());
         let address = serve(move |request, stream| answer_worker(&name, &shared, request, stream));
@@ -445,6 +447,11 @@
         self.state.lock().unwrap().next = next.to_vec();
     }
 
+    /// Makes the worker break each answer to a prompt with a part as it begins to write it.
+    pub fn set_deadly(&self, part: &str) {
+        self.state.lock().unwrap().deadly = Some(part.to_owned());
+    }
+
     /// Returns the requests that the worker began to run.
     pub fn runs(&self) -> Vec<Request> {
         self.state.lock().unwrap().runs.clone()
@@ -492,6 +499,13 @@
         if behaviour != Behaviour::Refuse {
             state.runs.push(request.clone());
         }
+        let prompt = request.header("x-prompt-prefix").unwrap_or_default();
+        let is_deadly = state.deadly.as_ref().is_some_and(|p| prompt.contains(p));
+        let behaviour = if is_deadly {
+            Behaviour::BreakAfter(0)
+        } else {
+            behaviour
+        };
         (behaviour, state.events, state.pause)
     };
     let mut echoed = named.clone();
@@ -684,10 +698,27 @@
         http::call(self.callers, "POST", path, &headers, "prompt")
     }
 
+    /// Sends a request for a stream with the parts of its prompt.
+    pub fn stream_with(&self, path: &str, id: &str, prompt: &str) -> Option<Answer> {
+        let headers = [
+            ("x-request-id", id),
+            ("x-deadline-ms", "5000"),
+            ("x-prompt-prefix", prompt),
+        ];
+        http::call(self.callers, "POST", path, &headers, "prompt")
+    }
+
     /// Submits a job with items of the given ids.
     pub fn submit(&self, job: &str, items: &[&str]) -> Option<Answer> {
-        let item = |id: &&str| {
-            json!({ "id": id, "path": format!("/jobs/{id}"), "headers": { "X-Model": "m" },
+        let items: Vec<(&str, &str)> = items.iter().map(|id| (*id, "")).collect();
+        self.submit_with(job, &items)
+    }
+
+    /// Submits a job with items of the given ids and parts of their prompts.
+    pub fn submit_with(&self, job: &str, items: &[(&str, &str)]) -> Option<Answer> {
+        let item = |(id, prompt): &(&str, &str)| {
+            json!({ "id": id, "path": format!("/jobs/{id}"),
+                    "headers": { "X-Model": "m", "X-Prompt-Prefix": prompt },
                     "body": "AP8=", "tokens": 10 })
         };
         let items: Vec<Value> = items.iter().map(item).collect();
