Keep requests with a part that crashes workers from the workers

Cause: an attempt that breaks before its first event was a failure of its worker only. Nothing remembered what the requests had in common, so each of them, each retry and each run of an item went to one more worker.

Change: a pure module keeps records of broken attempts with the shared parts of their prompts. An event of an answer proves its parts sound. Parts that are in the records of three crashes, at different moments and unproved 350 ms later, are kept from the workers as long as they come together; when they come apart it shows which one is to blame. Instances send each other records and proofs at once, and all of them to two others each second. Calls that have not run get 503 with the time after which to come back, others 502; items wait. One instance probes after 5 s, then three times as long after each crash, up to 300 s. Records are forgotten 60 s after the last request that needed them, and are 128 at most. Checked before each attempt, also retries and resumes, again after a wait in the queue, and before each run of an item.

--- a/src/events.rs
+++ b/src/events.rs
@@ -66,6 +66,12 @@
     CallAnswered = 1016, "call-answered";
     /// A caller closed the connection before the end of its answer.
     CallerLeft = 1017, "caller-left";
+    /// Parts of a prompt are suspected of crashing workers.
+    PartsSuspected = 1018, "parts-suspected";
+    /// Requests with certain parts are kept from the workers.
+    PartsBlocked = 1019, "parts-blocked";
+    /// A request with blocked parts is sent to show whether they still crash workers.
+    PartsProbed = 1020, "parts-probed";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -24,6 +24,7 @@
     fleet::Requirements,
     gateway::Gateway,
     relay,
+    suspects::Admission,
 };
 
 /// Share of the objective that a request may wait for a worker before it is refused. An early
@@ -90,6 +91,8 @@
 pub enum Failure {
     /// The call has not run and will not.
     NotRun(Busy),
+    /// The prompt holds parts that crash workers. The call is sent to no more of them.
+    Blocked(Busy),
     /// The call may have run.
     MayHaveRun(String),
     /// The timeout of the route or the deadline of the caller has passed.
@@ -102,6 +105,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotRun(_) => f.write_str("no worker is free"),
+            Self::Blocked(_) => f.write_str("workers crash on a part of the prompt"),
             Self::MayHaveRun(reason) => f.write_str(reason),
             Self::TimedOut => f.write_str("the time is over"),
             Self::Answered(answer) => write!(f, "a worker answered {}", answer.status()),
@@ -171,6 +175,10 @@
         let reason = failure.to_string();
         let (status, end) = match &failure {
             Failure::NotRun(_) => (StatusCode::SERVICE_UNAVAILABLE, CallEnd::NotRun),
+            Failure::Blocked(_) if self.runs == 0 => {
+                (StatusCode::SERVICE_UNAVAILABLE, CallEnd::NotRun)
+            }
+            Failure::Blocked(_) => (StatusCode::BAD_GATEWAY, CallEnd::MayHaveRun),
             Failure::MayHaveRun(_) => (StatusCode::BAD_GATEWAY, CallEnd::MayHaveRun),
             Failure::TimedOut => (StatusCode::GATEWAY_TIMEOUT, CallEnd::TimedOut),
             Failure::Answered(answer) => (answer.status(), CallEnd::WorkerFailed),
@@ -197,7 +205,9 @@
                 head.headers = headers::forwarded(&head.headers);
                 Response::from_parts(head, full_body(body))
             }
-            Failure::NotRun(busy) => refuse(&self.call.id, status, &reason, Some(busy.retry_after)),
+            Failure::NotRun(busy) | Failure::Blocked(busy) => {
+                refuse(&self.call.id, status, &reason, Some(busy.retry_after))
+            }
             Failure::MayHaveRun(_) | Failure::TimedOut => {
                 refuse(&self.call.id, status, &reason, None)
             }
@@ -265,8 +275,26 @@
         }
     }
 
+    /// Records that a worker sent the first event of its answer, or the whole of it.
+    pub fn record_begun(&self) {
+        self.gateway.record_proof(&self.parts);
+    }
+
+    /// Returns an error when the prompt holds parts that crash workers.
+    fn check_parts(&self) -> Result<Admission, Busy> {
+        match self.gateway.admit(&self.parts, &self.call.id) {
+            Admission::Refused(retry_after) => Err(Busy { retry_after }),
+            admission => Ok(admission),
+        }
+    }
+
     /// Records that a worker broke the connection or timed out on the call.
     pub fn record_broken(&mut self, placement: &Placement, broken: &Break) {
+        if broken.is_crash() {
+            let worker = &placement.worker.id;
+            self.gateway
+                .record_crash(&self.parts, &self.call.id, worker);
+        }
         self.runs += 1;
         self.tried.push(placement.worker.id.clone());
         let ejected = self.gateway.dispatch.record_failure(&placement.worker.id);
@@ -297,6 +325,7 @@
         if self.tried.len() >= MAX_TRIED {
             return Err(self.no_worker(dispatch.busy()));
         }
+        let admission = self.check_parts().map_err(Failure::Blocked)?;
         let requirements = Requirements {
             service: &self.service,
             tried: &self.tried,
@@ -309,6 +338,10 @@
             Ok(placement) => placement,
             Err(busy) => return Err(self.no_worker(busy)),
         };
+        // The parts may have been blocked while the call was queued.
+        if admission == Admission::Free {
+            self.check_parts().map_err(Failure::Blocked)?;
+        }
         let worker = placement.worker.clone();
         event!(
             Info,
@@ -520,6 +553,7 @@
             let read = connection::read_body(body, MAX_ANSWER_BYTES);
             match connection::within(self.remaining(), read).await {
                 Ok(body) => {
+                    self.record_begun();
                     self.keep_connection(&started.placement, started.connection);
                     self.record_answered();
                     head.headers = headers::forwarded(&head.headers);
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -14,20 +14,22 @@
 use crate::{
     adapter::store::Store,
     drain::{Drain, Phase},
-    event,
-    ids::{JobId, SessionId},
+    event, fnv,
+    ids::{JobId, PartId, SessionId, WorkerId},
     metrics::InstanceState,
     mutex::lock,
+    ownership,
 };
 
 use super::{
     config::Configuration,
     connection::Connection,
     dispatch::Dispatch,
-    fleet::Worker,
+    fleet::{self, Worker},
     jobs::Jobs,
     peers::{Candidate, Heartbeat, Peers},
     settings::Settings,
+    suspects::{Admission, Block, Suspects},
     sync::Views,
     upstream::Upstream,
 };
@@ -58,6 +60,7 @@
     /// Configuration and worker entries as read from the store.
     pub views: Mutex<Views>,
     peers: Mutex<Peers>,
+    suspects: Mutex<Suspects>,
     store_reached: AtomicBool,
 }
 
@@ -75,6 +78,7 @@
             jobs: Jobs::default(),
             views: Mutex::default(),
             peers: Mutex::default(),
+            suspects: Mutex::default(),
             store_reached: AtomicBool::new(true),
         })
     }
@@ -94,6 +98,53 @@
         lock(&self.views)
     }
 
+    /// Returns what is known of parts of prompts that crash workers.
+    pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
+        lock(&self.suspects)
+    }
+
+    /// Records that the connection of an attempt ended before its first event.
+    pub fn record_crash(&self, parts: &[PartId], request: &str, worker: &WorkerId) {
+        let attempt = (fleet::key(worker), fnv::hash32(request.bytes()));
+        let now = self.now();
+        if self.suspects().record_crash(parts, attempt, now) {
+            event!(
+                Info,
+                PartsSuspected,
+                "request={request} worker={worker} parts={parts:x?}"
+            );
+            // Other instances learn of it with the next heartbeat.
+            self.dispatch.notify();
+        }
+    }
+
+    /// Records that a worker sent an event of an answer to a prompt with these parts.
+    pub fn record_proof(&self, parts: &[PartId]) {
+        let now = self.now();
+        if self.suspects().record_proof(parts, now) {
+            self.dispatch.notify();
+        }
+    }
+
+    /// Decides whether a request or an item may be sent to a worker.
+    pub fn admit(&self, parts: &[PartId], request: &str) -> Admission {
+        let now = self.now();
+        let admission = self.suspects().admit(parts, now, |b| self.is_prober(b));
+        if admission == Admission::Probe {
+            event!(Info, PartsProbed, "request={request} parts={parts:x?}");
+        }
+        admission
+    }
+
+    /// Returns whether this is the instance that probes a block.
+    fn is_prober(&self, block: &Block) -> bool {
+        let peers = self.peers();
+        let live = peers.live(self.now()).filter(|h| !h.leaving);
+        let names: Vec<_> = live.map(|h| h.instance.clone()).collect();
+        let key = format!("{:x?}", block.parts);
+        ownership::position(&key, &self.settings.instance, &names) == 0
+    }
+
     /// Returns whether the load balancer may send connections.
     pub fn is_ready(&self) -> bool {
         self.drain.phase() == Phase::Running && self.config.load().is_some()
@@ -197,6 +248,7 @@
             queue: self.dispatch.queue_length() as u64,
             jobs: running.len() as u64,
             waiting: waiting.sum(),
+            blocks: self.suspects().block_count() as u64,
         }
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,7 +1,8 @@
 //! Exchanges heartbeats with the other instances over UDP.
 //!
 //! A message is the heartbeat of its sender, followed by heartbeats of other zones that the sender
-//! passes on to its neighbours.
+//! passes on to its neighbours. A report of parts of prompts that crash workers is a message of its
+//! own, which exists only after crashes.
 
 use std::{
     net::{SocketAddr, UdpSocket},
@@ -25,6 +26,7 @@
     jobs::SharedJob,
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
+    suspects::Report,
 };
 
 /// Heartbeat interval while nothing changes.
@@ -43,6 +45,15 @@
 /// Maximum size of a received message.
 const MAX_MESSAGE_BYTES: usize = 64 << 10;
 
+/// First bytes of a report. No heartbeat begins so: its sender would have no name, and a session that
+/// is no number.
+const REPORT_MARK: [u8; 11] = [0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255];
+/// Interval at which an instance sends all that it knows of crashes to some others, for those that
+/// were started or out of reach meanwhile.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Instances that get such a report.
+const REPORT_TARGETS: usize = 2;
+
 /// Heartbeats of other zones that wait to be passed on, the last one of each instance.
 type Relayed = Mutex<Map<InstanceId, Vec<u8>>>;
 
@@ -71,6 +82,7 @@
     let mut number = 0;
     let mut last_check = Duration::ZERO;
     let mut far_sent = Duration::ZERO;
+    let mut report_due = Duration::ZERO;
     // Instances that start together begin with different relays.
     let mut round = u64::from(fnv::hash32(gateway.settings.instance.bytes()));
     loop {
@@ -98,6 +110,7 @@
             }
             Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
         }
+        send_reports(gateway, socket, &mut report_due);
         remove_silent(gateway, updates, last_check, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
@@ -118,6 +131,40 @@
     }
 }
 
+/// Sends what happened here to all instances, and from time to time all that is known to a few.
+fn send_reports(gateway: &Gateway, socket: &Async<UdpSocket>, due: &mut Duration) {
+    let now = gateway.now();
+    let (news, blocks) = {
+        let mut suspects = gateway.suspects();
+        (suspects.take_news(now), suspects.take_blocks())
+    };
+    for block in blocks {
+        let (parts, crashes) = (&block.parts, block.crashes);
+        event!(Warn, PartsBlocked, "parts={parts:x?} crashes={crashes}");
+    }
+    let peers = gateway.peers();
+    let live: Vec<SocketAddr> = peers.live(now).map(|h| h.address).collect();
+    drop(peers);
+    if !news.is_empty() {
+        send_report(socket, &news, live.iter().copied().collect());
+    }
+    if now >= *due {
+        *due = now + REPORT_INTERVAL;
+        let report = gateway.suspects().report(now);
+        if !report.is_empty() {
+            let some = fastrand::choose_multiple(live, REPORT_TARGETS);
+            send_report(socket, &report, some.into_iter().collect());
+        }
+    }
+}
+
+fn send_report(socket: &Async<UdpSocket>, report: &Report, targets: Set<SocketAddr>) {
+    match postcard::to_extend(report, REPORT_MARK.to_vec()) {
+        Ok(message) => send_all(socket, &message, &targets),
+        Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
+    }
+}
+
 /// Packs heartbeats to pass on into messages, each of which begins with the own heartbeat.
 fn messages(own: &[u8], relayed: impl Iterator<Item = Vec<u8>>) -> Vec<Vec<u8>> {
     let mut messages = vec![own.to_vec()];
@@ -236,7 +283,18 @@
                 continue;
             }
         };
-        read_message(gateway, &buffer[..count], updates, relayed);
+        let message = &buffer[..count];
+        match message.strip_prefix(&REPORT_MARK) {
+            Some(report) => read_report(gateway, report),
+            None => read_message(gateway, message, updates, relayed),
+        }
+    }
+}
+
+fn read_report(gateway: &Gateway, report: &[u8]) {
+    match postcard::from_bytes(report) {
+        Ok(report) => gateway.suspects().merge(report, gateway.now()),
+        Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
     }
 }
 
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -10,7 +10,7 @@
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::{ItemId, JobId},
+    ids::{ItemId, JobId, PartId},
     metrics::{self, ItemStatus},
     mutex::lock,
 };
@@ -95,6 +95,12 @@
             self.gateway.jobs.record_run_time(time);
         }
         let worker = placement.worker.id.clone();
+        if let RunEnd::Broken(broken) = &end
+            && broken.is_crash()
+        {
+            self.gateway
+                .record_crash(&self.parts(), &self.item.id, &worker);
+        }
         drop(placement);
         self.record_end(end, text, last, &worker);
         self.gateway.jobs.notify_runner();
@@ -160,6 +166,9 @@
         loop {
             match events.next(*last, STALL_LIMIT).await {
                 Ok(Some(event)) => {
+                    if text.is_empty() {
+                        self.gateway.record_proof(&self.parts());
+                    }
                     *last = event.id.or(*last);
                     bytes += event.bytes.len();
                     text.push(String::from_utf8_lossy(&event.data()).into());
@@ -186,6 +195,11 @@
         }
     }
 
+    /// Returns the parts of the item's prompt that requests may share.
+    fn parts(&self) -> Vec<PartId> {
+        headers::decode_item_parts(&self.item.headers)
+    }
+
     fn should_continue(&self) -> bool {
         let job = lock(&self.shared);
         job.active && !job.ended
@@ -272,7 +286,7 @@
                      reason={:?}",
                     self.job,
                     broken.begun,
-                    headers::decode_item_parts(&self.item.headers),
+                    self.parts(),
                     broken.reason
                 );
                 progress.not_before = now + RETRY_PAUSE;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -194,24 +194,14 @@
         self.outcomes.extend_from_slice(page);
     }
 
-    /// Returns an item that can start now.
-    pub fn startable(&self, now: Duration) -> Option<&Item> {
-        if self.ended || !self.active {
-            return None;
-        }
-        self.record.items.iter().find(|i| {
+    /// Returns the items that can start now.
+    pub fn startable(&self, now: Duration) -> impl Iterator<Item = &Item> {
+        let runs = self.active && !self.ended;
+        let can_start = move |i: &&Item| {
             let progress = self.unfinished.get(&i.id);
-            progress.is_some_and(|p| !p.running && p.not_before <= now)
-        })
-    }
-
-    /// Returns the number of items that can start now.
-    pub fn startable_count(&self, now: Duration) -> u32 {
-        if self.ended || !self.active {
-            return 0;
-        }
-        let can = |p: &&Progress| !p.running && p.not_before <= now;
-        self.unfinished.values().filter(can).count() as u32
+            runs && progress.is_some_and(|p| !p.running && p.not_before <= now)
+        };
+        self.record.items.iter().filter(can_start)
     }
 
     /// Returns the progress of an unfinished item.
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 
 use crate::{
-    adapter::store::StoreError,
+    adapter::{headers, store::StoreError},
     event,
     ids::{JobId, ServiceId},
     mutex::lock,
@@ -19,6 +19,7 @@
     job::{self, Item, Record},
     job_store::{self, PAGES},
     jobs::{self, SharedJob},
+    suspects::Admission,
 };
 
 /// Interval at which the runner looks for free slots while items wait.
@@ -66,7 +67,7 @@
             None => waiting.push((key, tokens)),
         }
         while !full && start_item(gateway, runnable, now, &mut full) {}
-        let count = lock(&runnable.job).startable_count(now);
+        let count = waiting_items(gateway, runnable, now);
         match runnable.urgency {
             Urgency::Timely => backlog.timely += count,
             Urgency::Late => backlog.late += count,
@@ -130,7 +131,7 @@
     full: &mut bool,
 ) -> bool {
     let shared = &runnable.job;
-    let Some(item) = lock(shared).startable(now).cloned() else {
+    let Some(item) = admitted_item(gateway, shared, now) else {
         return false;
     };
     let Some(service) = item_service(gateway, &item, shared) else {
@@ -166,6 +167,27 @@
     true
 }
 
+/// Returns the first item of a job that can start now and may be sent to a worker.
+fn admitted_item(gateway: &Gateway, shared: &SharedJob, now: Duration) -> Option<Item> {
+    let job = lock(shared);
+    let is_admitted = |i: &&Item| {
+        let parts = headers::decode_item_parts(&i.headers);
+        !matches!(gateway.admit(&parts, &i.id), Admission::Refused(_))
+    };
+    job.startable(now).find(is_admitted).cloned()
+}
+
+/// Returns the number of items of a job that only wait for a free slot. Items that are kept from the
+/// workers claim none.
+fn waiting_items(gateway: &Gateway, runnable: &RunnableJob, now: Duration) -> u32 {
+    let job = lock(&runnable.job);
+    let is_free = |i: &&Item| {
+        let parts = headers::decode_item_parts(&i.headers);
+        !gateway.suspects().is_blocked(&parts, now)
+    };
+    job.startable(now).filter(is_free).count() as u32
+}
+
 /// Chooses the service for an item by the current configuration.
 fn item_service(gateway: &Gateway, item: &Item, shared: &SharedJob) -> Option<ServiceId> {
     let config = gateway.config.load_full()?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `job`, `peers`, `sse` and
-//! `view` hold the logic; the other modules do the I/O.
+//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `job`, `peers`, `sse`,
+//! `suspects` and `view` hold the logic; the other modules do the I/O.
 
 pub mod answer;
 pub mod config;
@@ -25,6 +25,7 @@
 pub mod server;
 pub mod settings;
 pub mod sse;
+pub mod suspects;
 pub mod sweep;
 pub mod sync;
 pub mod upstream;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -82,7 +82,10 @@
             };
             match source.events.next(self.last_id, limit).await {
                 Ok(Some(event)) => {
-                    source.begun = true;
+                    if !source.begun {
+                        source.begun = true;
+                        self.session.record_begun();
+                    }
                     if !self.first_sent {
                         self.first_sent = true;
                         metrics::first_token(self.session.call.received.elapsed());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -115,6 +115,8 @@
     pub jobs: u64,
     /// Tokens of batch items without a result.
     pub waiting: u64,
+    /// Groups of parts of prompts that are kept from the workers.
+    pub blocks: u64,
 }
 
 /// A call to another entry instance.
@@ -202,11 +204,11 @@
     call_time: Histogram<f64>,
     queue_time: Histogram<f64>,
     platform_time: Histogram<f64>,
-    state: [Gauge<u64>; 9],
+    state: [Gauge<u64>; 10],
 }
 
 /// Names of the gauges of [`InstanceState`], in the order of its fields.
-const STATE_GAUGES: [&str; 9] = [
+const STATE_GAUGES: [&str; 10] = [
     "gentianpath_config_version",
     "gentianpath_workers_revision",
     "gentianpath_workers",
@@ -216,6 +218,7 @@
     "gentianpath_queue",
     "gentianpath_jobs",
     "gentianpath_waiting_tokens",
+    "gentianpath_blocked_parts",
 ];
 
 fn instruments() -> &'static Instruments {
@@ -336,6 +339,7 @@
         state.queue,
         state.jobs,
         state.waiting,
+        state.blocks,
     ];
     for (gauge, value) in instruments().state.iter().zip(values) {
         gauge.record(value, &[]);
--- a/tests/gateway_jobs.rs
+++ b/tests/gateway_jobs.rs
@@ -149,10 +149,10 @@
 #[test]
 fn nothing_starts_in_an_ended_job() {
     let mut job = job(1);
-    assert!(job.startable(at(0)).is_some());
+    assert!(job.startable(at(0)).next().is_some());
     assert_eq!(job.waiting_tokens(), 10);
     job.ended = true;
-    assert!(job.startable(at(0)).is_none());
+    assert!(job.startable(at(0)).next().is_none());
     assert_eq!(job.waiting_tokens(), 0);
     assert!(!job.is_running());
 }
--- /dev/null
+++ b/tests/gateway_suspects.rs
@@ -0,0 +1,182 @@
+//! Parts of prompts that crash workers.
+
+use std::time::Duration;
+
+use gentianpath::{
+    adapter::headers::{decode_item_parts, decode_parts},
+    gateway::suspects::{Admission, Suspects},
+    ids::PartId,
+};
+
+const CALLER: PartId = 1;
+const DEADLY: PartId = 2;
+const OTHER: PartId = 3;
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Records crashes of workers 1, 2 and so on, one each 100 ms from a time on.
+fn crash(suspects: &mut Suspects, parts: &[PartId], count: u32, from: u64) {
+    for n in 0..count {
+        let now = at(from + 100 * u64::from(n));
+        suspects.record_crash(parts, (n, n), now);
+    }
+}
+
+fn admits(suspects: &mut Suspects, parts: &[PartId], millis: u64) -> bool {
+    suspects.admit(parts, at(millis), |_| false) == Admission::Free
+}
+
+fn probes(suspects: &mut Suspects, parts: &[PartId], millis: u64) -> bool {
+    suspects.admit(parts, at(millis), |_| true) == Admission::Probe
+}
+
+/// Guards against requests that crash one worker after the other, and against sound ones of the same
+/// caller that are refused beside them.
+#[test]
+fn requests_with_the_part_that_all_crashes_share_are_refused() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, &[CALLER, DEADLY, OTHER], 2, 0);
+    assert!(admits(&mut suspects, &[CALLER, DEADLY, OTHER], 900));
+    crash(&mut suspects, &[CALLER, DEADLY], 3, 1000);
+    suspects.record_proof(&[CALLER, OTHER], at(1300));
+    assert!(!admits(&mut suspects, &[CALLER, DEADLY], 1700));
+    assert!(!admits(&mut suspects, &[DEADLY, 77], 1700));
+    assert!(admits(&mut suspects, &[CALLER, OTHER], 1700));
+    assert!(admits(&mut suspects, &[], 1700));
+    assert_eq!(suspects.take_blocks()[0].parts, [DEADLY]);
+}
+
+/// Guards against a sound part that is refused because it came along with the deadly one so far.
+#[test]
+fn parts_that_never_came_apart_are_refused_only_together() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, &[CALLER, DEADLY], 3, 0);
+    assert!(!admits(&mut suspects, &[CALLER, DEADLY], 1000));
+    assert!(admits(&mut suspects, &[CALLER, OTHER], 1000));
+    suspects.record_proof(&[CALLER, OTHER], at(1100));
+    assert!(!admits(&mut suspects, &[DEADLY], 1200));
+}
+
+/// Guards against refusals after the loss of a rack or a zone, at which requests with any parts
+/// break at the same moment.
+#[test]
+fn workers_lost_at_one_moment_count_as_one_crash() {
+    let mut suspects = Suspects::default();
+    for worker in 0..9 {
+        suspects.record_crash(&[CALLER], (worker, worker), at(100 + u64::from(worker)));
+    }
+    assert!(admits(&mut suspects, &[CALLER], 2000));
+    // Several requests break with one worker.
+    for request in 0..9 {
+        let now = at(3000 + 50 * u64::from(request));
+        suspects.record_crash(&[CALLER], (1, request), now);
+    }
+    assert!(admits(&mut suspects, &[CALLER], 5000));
+}
+
+/// Guards against a part that is refused because of crashes by others, though it is used all the time.
+#[test]
+fn a_part_that_answers_in_between_is_never_refused() {
+    let mut suspects = Suspects::default();
+    for n in 0..30 {
+        suspects.record_crash(
+            &[CALLER, u64::from(n) + 100],
+            (n, n),
+            at(u64::from(n) * 100),
+        );
+        suspects.record_proof(&[CALLER, OTHER], at(u64::from(n) * 100 + 90));
+        assert!(admits(
+            &mut suspects,
+            &[CALLER, OTHER],
+            u64::from(n) * 100 + 95
+        ));
+    }
+}
+
+/// Guards against instances that each saw too few crashes, and against one that was started later.
+#[test]
+fn instances_add_up_the_crashes_that_each_of_them_saw() {
+    let mut instances: Vec<Suspects> = (0..4).map(|_| Suspects::default()).collect();
+    for (n, instance) in instances.iter_mut().take(3).enumerate() {
+        let (worker, now) = (n as u32, at(100 * n as u64));
+        assert!(instance.record_crash(&[CALLER, DEADLY], (worker, worker), now));
+        assert!(admits(instance, &[CALLER, DEADLY], 900));
+    }
+    let news: Vec<_> = instances
+        .iter_mut()
+        .map(|i| i.take_news(at(1000)))
+        .collect();
+    // Messages arrive more than once and out of order.
+    for report in news.iter().chain(news.iter().rev()) {
+        for instance in &mut instances[..3] {
+            instance.merge(report.clone(), at(1000));
+        }
+    }
+    let all = instances[0].report(at(2000));
+    // The clock of an instance counts from its start.
+    instances[3].merge(all, at(5));
+    for (instance, now) in instances.iter_mut().zip([2000, 2000, 2000, 5]) {
+        assert!(!admits(instance, &[CALLER, DEADLY], now));
+        assert_eq!(instance.take_blocks()[0].crashes, 3);
+    }
+    // A proof at one instance ends the refusals at the others.
+    instances[0].record_proof(&[CALLER, DEADLY], at(2100));
+    let news = instances[0].take_news(at(2100));
+    instances[1].merge(news, at(2100));
+    assert!(admits(&mut instances[1], &[CALLER, DEADLY], 2200));
+}
+
+/// Guards against a part that is refused for ever although its workers were repaired, and against
+/// more than a few crashes by requests that find out.
+#[test]
+fn probes_become_rare_while_they_fail_and_end_the_refusals_when_they_succeed() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, &[DEADLY], 3, 0);
+    assert!(!probes(&mut suspects, &[DEADLY], 5100));
+    let mut times = Vec::new();
+    for millis in (5200..120_000).step_by(100) {
+        if probes(&mut suspects, &[DEADLY], millis) {
+            times.push(millis);
+            suspects.record_crash(&[DEADLY], (millis as u32, 0), at(millis));
+        }
+    }
+    assert_eq!(times, [5200, 20_200, 65_200]);
+    suspects.record_proof(&[DEADLY], at(120_000));
+    assert!(admits(&mut suspects, &[DEADLY], 120_000));
+}
+
+/// Guards against memory that grows with each crash, and against refusals long after the requests
+/// have ended.
+#[test]
+fn crashes_are_forgotten_when_no_request_needs_them() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, &[DEADLY], 3, 0);
+    for minute in 1..=5 {
+        assert!(!admits(&mut suspects, &[DEADLY], minute * 59_000));
+    }
+    assert!(admits(&mut suspects, &[DEADLY], 5 * 59_000 + 60_000));
+    for n in 0..10_000_u32 {
+        suspects.record_crash(&[u64::from(n) + 10], (n, n), at(400_000 + u64::from(n)));
+        suspects.take_news(at(400_000 + u64::from(n)));
+    }
+    let size = postcard::to_stdvec(&suspects.report(at(410_000)))
+        .unwrap()
+        .len();
+    assert!(size < 16 << 10, "{size} bytes");
+}
+
+/// Guards against a refused request that is blamed for its own part, which no other one shares.
+#[test]
+fn the_last_part_of_a_prompt_is_its_own() {
+    let mut headers = hyper::HeaderMap::new();
+    let prompt = "5c1e07a2:800, 91bd3f06:410,e4402b7d:250";
+    assert!(decode_parts(&headers).is_empty());
+    headers.insert("x-prompt-prefix", prompt.parse().unwrap());
+    assert_eq!(decode_parts(&headers), [0x5c1e_07a2, 0x91bd_3f06]);
+    let item = [("X-Prompt-Prefix".to_owned(), prompt.to_owned())];
+    assert_eq!(decode_item_parts(&item), decode_parts(&headers));
+    headers.insert("x-prompt-prefix", "5c1e07a2:800".parse().unwrap());
+    assert!(decode_parts(&headers).is_empty());
+}
