Name the error of an attempt, and write parts in the log without spaces

Reading the diff as a newcomer: Break read like a keyword and is AttemptError; parts in the log lines had spaces and now are one word; a call that is refused after it has run is the usual failure that may have run, so that Blocked means not run; items are not decoded while no part is suspected.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -42,9 +42,9 @@
     TimedOut(String),
 }
 
-/// How an attempt at a worker broke.
+/// Reason why an attempt at a worker has no whole answer.
 #[derive(Debug)]
-pub struct Break {
+pub struct AttemptError {
     /// Reason for the log.
     pub reason: String,
     /// Whether the worker closed the connection, and did not time out or answer wrongly.
@@ -53,8 +53,8 @@
     pub begun: bool,
 }
 
-impl Break {
-    /// Builds a break for a worker that stalled or answered wrongly.
+impl AttemptError {
+    /// Builds the error for a worker that stalled or answered wrongly.
     pub fn fault(reason: impl Into<String>) -> Self {
         Self {
             reason: reason.into(),
@@ -63,7 +63,7 @@
         }
     }
 
-    /// Builds a break for a connection that the worker closed before the head of the answer.
+    /// Builds the error for a connection that the worker closed before the head of the answer.
     pub fn closed(reason: String) -> Self {
         Self {
             reason,
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Builds a break from an error while the answer was read.
+    /// Builds the error for an answer that could not be read to its end.
     pub fn reading(error: &io::Error, begun: bool) -> Self {
         Self {
             reason: error.to_string(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,12 +19,12 @@
 use super::{
     answer::{CallerBody, full_body, refuse},
     config::{Route, RouteKind},
-    connection::{self, Break, Connection, SendError},
+    connection::{self, AttemptError, Connection, SendError},
     dispatch::{Busy, Placement},
     fleet::Requirements,
     gateway::Gateway,
     relay,
-    suspects::Admission,
+    suspects::{self, Admission},
 };
 
 /// Share of the objective that a request may wait for a worker before it is refused. An early
@@ -45,6 +45,9 @@
 /// `Retry-After` when no worker of the service is known.
 const NO_WORKER_RETRY: Duration = Duration::from_millis(500);
 
+/// Reason of a failure for the log and the caller.
+const CRASHING_PART: &str = "workers crash on a part of the prompt";
+
 /// A caller's call with its body.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -83,7 +86,7 @@
     /// The worker has not run the call, or failed on it in a way that another worker may not.
     TryNext,
     /// The worker may have run the call.
-    Broken(Placement, Break),
+    Broken(Placement, AttemptError),
 }
 
 /// Reason why no worker's answer can be forwarded.
@@ -91,7 +94,7 @@
 pub enum Failure {
     /// The call has not run and will not.
     NotRun(Busy),
-    /// The prompt holds parts that crash workers. The call is sent to no more of them.
+    /// The call has not run and will not, as its prompt holds parts that crash workers.
     Blocked(Busy),
     /// The call may have run.
     MayHaveRun(String),
@@ -105,7 +108,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotRun(_) => f.write_str("no worker is free"),
-            Self::Blocked(_) => f.write_str("workers crash on a part of the prompt"),
+            Self::Blocked(_) => f.write_str(CRASHING_PART),
             Self::MayHaveRun(reason) => f.write_str(reason),
             Self::TimedOut => f.write_str("the time is over"),
             Self::Answered(answer) => write!(f, "a worker answered {}", answer.status()),
@@ -174,11 +177,9 @@
     fn fail(&mut self, failure: Failure) -> Response<CallerBody> {
         let reason = failure.to_string();
         let (status, end) = match &failure {
-            Failure::NotRun(_) => (StatusCode::SERVICE_UNAVAILABLE, CallEnd::NotRun),
-            Failure::Blocked(_) if self.runs == 0 => {
+            Failure::NotRun(_) | Failure::Blocked(_) => {
                 (StatusCode::SERVICE_UNAVAILABLE, CallEnd::NotRun)
             }
-            Failure::Blocked(_) => (StatusCode::BAD_GATEWAY, CallEnd::MayHaveRun),
             Failure::MayHaveRun(_) => (StatusCode::BAD_GATEWAY, CallEnd::MayHaveRun),
             Failure::TimedOut => (StatusCode::GATEWAY_TIMEOUT, CallEnd::TimedOut),
             Failure::Answered(answer) => (answer.status(), CallEnd::WorkerFailed),
@@ -280,16 +281,17 @@
         self.gateway.record_proof(&self.parts);
     }
 
-    /// Returns an error when the prompt holds parts that crash workers.
-    fn check_parts(&self) -> Result<Admission, Busy> {
-        match self.gateway.admit(&self.parts, &self.call.id) {
-            Admission::Refused(retry_after) => Err(Busy { retry_after }),
-            admission => Ok(admission),
+    /// Returns the failure of a call whose prompt holds parts that crash workers.
+    fn blocked(&self, retry_after: Duration) -> Failure {
+        if self.runs == 0 {
+            Failure::Blocked(Busy { retry_after })
+        } else {
+            Failure::MayHaveRun(CRASHING_PART.into())
         }
     }
 
     /// Records that a worker broke the connection or timed out on the call.
-    pub fn record_broken(&mut self, placement: &Placement, broken: &Break) {
+    pub fn record_broken(&mut self, placement: &Placement, broken: &AttemptError) {
         if broken.is_crash() {
             let worker = &placement.worker.id;
             self.gateway
@@ -301,12 +303,12 @@
         event!(
             Warn,
             AttemptBroken,
-            "request={} worker={} runs={} ejected={ejected} begun={} parts={:x?} reason={:?}",
+            "request={} worker={} runs={} ejected={ejected} begun={} parts={} reason={:?}",
             self.call.id,
             placement.worker.id,
             self.runs,
             broken.begun,
-            self.parts,
+            suspects::names(&self.parts),
             broken.reason
         );
     }
@@ -325,7 +327,10 @@
         if self.tried.len() >= MAX_TRIED {
             return Err(self.no_worker(dispatch.busy()));
         }
-        let admission = self.check_parts().map_err(Failure::Blocked)?;
+        let admission = self.gateway.admit(&self.parts, &self.call.id);
+        if let Admission::Refused(retry_after) = admission {
+            return Err(self.blocked(retry_after));
+        }
         let requirements = Requirements {
             service: &self.service,
             tried: &self.tried,
@@ -339,8 +344,10 @@
             Err(busy) => return Err(self.no_worker(busy)),
         };
         // The parts may have been blocked while the call was queued.
-        if admission == Admission::Free {
-            self.check_parts().map_err(Failure::Blocked)?;
+        if admission == Admission::Free
+            && let Admission::Refused(retry_after) = self.gateway.admit(&self.parts, &self.call.id)
+        {
+            return Err(self.blocked(retry_after));
         }
         let worker = placement.worker.clone();
         event!(
@@ -409,10 +416,16 @@
                 return Err(Failure::TimedOut);
             }
             Err(SendError::Sent(reason)) => {
-                return Ok(AttemptResult::Broken(placement, Break::closed(reason)));
+                return Ok(AttemptResult::Broken(
+                    placement,
+                    AttemptError::closed(reason),
+                ));
             }
             Err(SendError::TimedOut(reason)) => {
-                return Ok(AttemptResult::Broken(placement, Break::fault(reason)));
+                return Ok(AttemptResult::Broken(
+                    placement,
+                    AttemptError::fault(reason),
+                ));
             }
         };
         let terms = headers::decode_answer(&response);
@@ -430,7 +443,10 @@
             return Ok(AttemptResult::TryNext);
         }
         if let Some(reason) = self.invalid_reason(&response, &terms) {
-            return Ok(AttemptResult::Broken(placement, Break::fault(reason)));
+            return Ok(AttemptResult::Broken(
+                placement,
+                AttemptError::fault(reason),
+            ));
         }
         dispatch.record_success(&worker);
         if status.is_success() {
@@ -560,7 +576,7 @@
                     return Ok(Response::from_parts(head, full_body(body)));
                 }
                 Err(e) => {
-                    let broken = Break::reading(&e, false);
+                    let broken = AttemptError::reading(&e, false);
                     self.record_broken(&started.placement, &broken);
                     if !self.may_run_again() {
                         return Err(Failure::MayHaveRun(broken.reason));
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -29,7 +29,7 @@
     jobs::Jobs,
     peers::{Candidate, Heartbeat, Peers},
     settings::Settings,
-    suspects::{Admission, Block, Suspects},
+    suspects::{self, Admission, Block, Suspects},
     sync::Views,
     upstream::Upstream,
 };
@@ -111,7 +111,8 @@
             event!(
                 Info,
                 PartsSuspected,
-                "request={request} worker={worker} parts={parts:x?}"
+                "request={request} worker={worker} parts={}",
+                suspects::names(parts)
             );
             // Other instances learn of it with the next heartbeat.
             self.dispatch.notify();
@@ -131,7 +132,8 @@
         let now = self.now();
         let admission = self.suspects().admit(parts, now, |b| self.is_prober(b));
         if admission == Admission::Probe {
-            event!(Info, PartsProbed, "request={request} parts={parts:x?}");
+            let parts = suspects::names(parts);
+            event!(Info, PartsProbed, "request={request} parts={parts}");
         }
         admission
     }
@@ -141,7 +143,7 @@
         let peers = self.peers();
         let live = peers.live(self.now()).filter(|h| !h.leaving);
         let names: Vec<_> = live.map(|h| h.instance.clone()).collect();
-        let key = format!("{:x?}", block.parts);
+        let key = suspects::names(&block.parts);
         ownership::position(&key, &self.settings.instance, &names) == 0
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -26,7 +26,7 @@
     jobs::SharedJob,
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
-    suspects::Report,
+    suspects::{self, Report},
 };
 
 /// Heartbeat interval while nothing changes.
@@ -134,13 +134,11 @@
 /// Sends what happened here to all instances, and from time to time all that is known to a few.
 fn send_reports(gateway: &Gateway, socket: &Async<UdpSocket>, due: &mut Duration) {
     let now = gateway.now();
-    let (news, blocks) = {
-        let mut suspects = gateway.suspects();
-        (suspects.take_news(now), suspects.take_blocks())
-    };
+    let news = gateway.suspects().take_news(now);
+    let blocks = gateway.suspects().take_blocks();
     for block in blocks {
-        let (parts, crashes) = (&block.parts, block.crashes);
-        event!(Warn, PartsBlocked, "parts={parts:x?} crashes={crashes}");
+        let (parts, crashes) = (suspects::names(&block.parts), block.crashes);
+        event!(Warn, PartsBlocked, "parts={parts} crashes={crashes}");
     }
     let peers = gateway.peers();
     let live: Vec<SocketAddr> = peers.live(now).map(|h| h.address).collect();
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -16,12 +16,13 @@
 };
 
 use super::{
-    connection::{self, Break, SendError},
+    connection::{self, AttemptError, SendError},
     dispatch::Placement,
     gateway::Gateway,
     job::{Item, Job, Verdict},
     jobs::SharedJob,
     sse::Events,
+    suspects,
 };
 
 /// Time without an event after which an item moves to another worker.
@@ -44,7 +45,7 @@
     /// The worker refused the item without running it.
     Refused(StatusCode),
     /// The connection broke, the worker timed out or its answer was invalid.
-    Broken(Break),
+    Broken(AttemptError),
     /// The worker answered with an error status.
     Failed(StatusCode),
     /// The worker reported that the item can never succeed.
@@ -120,28 +121,28 @@
             Ok(connection) => connection,
             Err(e) => {
                 dispatch.record_unreachable(worker);
-                return RunEnd::Broken(Break::fault(e.to_string()));
+                return RunEnd::Broken(AttemptError::fault(e.to_string()));
             }
         };
         let request = match self.request(&worker.id, after) {
             Ok(request) => request,
-            Err(e) => return RunEnd::Broken(Break::fault(e.to_string())),
+            Err(e) => return RunEnd::Broken(AttemptError::fault(e.to_string())),
         };
         let answer = match connection.send_within(request, STALL_LIMIT).await {
             Ok(answer) => answer,
-            Err(SendError::NotSent(e)) => return RunEnd::Broken(Break::fault(e)),
+            Err(SendError::NotSent(e)) => return RunEnd::Broken(AttemptError::fault(e)),
             Err(SendError::Sent(reason)) => {
                 dispatch.record_failure(&worker.id);
-                return RunEnd::Broken(Break::closed(reason));
+                return RunEnd::Broken(AttemptError::closed(reason));
             }
             Err(SendError::TimedOut(reason)) => {
                 dispatch.record_failure(&worker.id);
-                return RunEnd::Broken(Break::fault(reason));
+                return RunEnd::Broken(AttemptError::fault(reason));
             }
         };
         let terms = headers::decode_answer(&answer);
         if !terms.is_for(&self.item.id) {
-            return RunEnd::Broken(Break::fault("the worker answered another request"));
+            return RunEnd::Broken(AttemptError::fault("the worker answered another request"));
         }
         if terms.not_run {
             return RunEnd::Refused(answer.status());
@@ -158,7 +159,7 @@
             return RunEnd::Failed(status);
         }
         if !terms.sealed {
-            return RunEnd::Broken(Break::fault("the answer has no signature"));
+            return RunEnd::Broken(AttemptError::fault("the answer has no signature"));
         }
         dispatch.record_success(worker);
         let mut events = Events::new(answer.into_body());
@@ -177,7 +178,7 @@
                         // An endless output is no part of the item's result.
                         text.clear();
                         *last = after;
-                        return RunEnd::Broken(Break::fault("the output is too long"));
+                        return RunEnd::Broken(AttemptError::fault("the output is too long"));
                     }
                 }
                 Ok(None) => {
@@ -186,7 +187,7 @@
                 }
                 Err(e) => {
                     dispatch.record_failure(&worker.id);
-                    return RunEnd::Broken(Break::reading(&e, !text.is_empty()));
+                    return RunEnd::Broken(AttemptError::reading(&e, !text.is_empty()));
                 }
             }
             if !self.should_continue() {
@@ -282,11 +283,11 @@
                 event!(
                     Warn,
                     ItemBroken,
-                    "job={} item={id} worker={worker} last={last:?} begun={} parts={:x?} \
+                    "job={} item={id} worker={worker} last={last:?} begun={} parts={} \
                      reason={:?}",
                     self.job,
                     broken.begun,
-                    self.parts(),
+                    suspects::names(&self.parts()),
                     broken.reason
                 );
                 progress.not_before = now + RETRY_PAUSE;
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -181,6 +181,9 @@
 /// workers claim none.
 fn waiting_items(gateway: &Gateway, runnable: &RunnableJob, now: Duration) -> u32 {
     let job = lock(&runnable.job);
+    if gateway.suspects().is_empty() {
+        return job.startable(now).count() as u32;
+    }
     let is_free = |i: &&Item| {
         let parts = headers::decode_item_parts(&i.headers);
         !gateway.suspects().is_blocked(&parts, now)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,7 +16,7 @@
 
 use super::{
     answer::CallerBody,
-    connection::{Break, Connection},
+    connection::{AttemptError, Connection},
     dispatch::Placement,
     forward::{RESUME_WAIT, Session, StartedAnswer},
     sse::Events,
@@ -102,7 +102,7 @@
                     return Ok(None);
                 }
                 Err(e) => {
-                    let broken = Break::reading(&e, source.begun);
+                    let broken = AttemptError::reading(&e, source.begun);
                     self.resume(broken).await?;
                 }
             }
@@ -110,7 +110,7 @@
     }
 
     /// Resumes at another worker after the last forwarded event.
-    async fn resume(&mut self, broken: Break) -> io::Result<()> {
+    async fn resume(&mut self, broken: AttemptError) -> io::Result<()> {
         if let Some(source) = self.source.take() {
             self.session.record_broken(&source.placement, &broken);
         }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -101,6 +101,12 @@
     parts: Vec<PartId>,
 }
 
+/// Returns the ids of parts in the form of the log.
+pub fn names(parts: &[PartId]) -> String {
+    let names: Vec<String> = parts.iter().map(|p| format!("{p:x}")).collect();
+    names.join(",")
+}
+
 impl Report {
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
@@ -193,6 +199,11 @@
         self.blocks_in(parts).next().is_some()
     }
 
+    /// Returns whether no part is suspected.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
     /// Returns the number of blocks.
     pub fn block_count(&self) -> usize {
         self.blocks.len()
