Keep reading an item whose worker leaves until its state has arrived

Callers' jobs had an item run twice: its worker was asked for the state of the item, sent it slowly, and the item came to its end meanwhile. The run had stopped reading the stream, so it did not see the end, and the item was started anew at another worker.

The stream is now read on while the state is exported.

--- a/src/item_run.rs
+++ b/src/item_run.rs
@@ -118,6 +118,14 @@
     Leaving,
 }
 
+/// How a stream of a leaving worker was left.
+enum Left {
+    /// The stream ended, with this text after the last one that was read.
+    Ended(String, End),
+    /// The engine sent the state, or failed to.
+    Exported(Option<Vec<u8>>),
+}
+
 /// Runs an item until it ends or must stop.
 ///
 /// The slot on the worker is released only after the engine has answered the cancel order or has
@@ -266,14 +274,7 @@
                     Err(end) => return end,
                 };
             }
-            Waited::Leaving => {
-                let state = run
-                    .engine
-                    .export(run.address, &run.from.request, run.state_limit);
-                run.from.state = state.await.map(Arc::new);
-                drop(stream);
-                return stop(run).await;
-            }
+            Waited::Leaving => return leave(run, stream, limit.saturating_sub(length)).await,
             Waited::Stopped => {
                 drop(stream);
                 return stop(run).await;
@@ -282,6 +283,47 @@
     }
 }
 
+/// Exports the state of a stream and stops it, unless it ends before the engine has sent the state.
+///
+/// Text that arrives meanwhile counts only if the stream ends: the state may lack it.
+async fn leave(run: &mut Run, mut stream: EngineStream, room: usize) -> RunEnd {
+    let exported = run
+        .engine
+        .export(run.address, &run.from.request, run.state_limit);
+    let exported = async { Left::Exported(exported.await) };
+    let ended = async {
+        match read_rest(&mut stream, room).await {
+            Some((text, end)) => Left::Ended(text, end),
+            None => std::future::pending().await,
+        }
+    };
+    match smol::future::or(ended, exported).await {
+        Left::Ended(text, end) => {
+            run.from.text.push_str(&text);
+            self::ended(run, end)
+        }
+        Left::Exported(state) => {
+            run.from.state = state.map(Arc::new);
+            drop(stream);
+            stop(run).await
+        }
+    }
+}
+
+/// Reads a stream to its end, or returns `None` when it breaks or sends more than `room` bytes.
+async fn read_rest(stream: &mut EngineStream, room: usize) -> Option<(String, End)> {
+    let mut rest = String::new();
+    loop {
+        match stream.next().await.ok()? {
+            Piece::Text(text) => rest.push_str(&text),
+            Piece::End(end) => return Some((rest, end)),
+        }
+        if escaped_len(&rest) > room {
+            return None;
+        }
+    }
+}
+
 fn fault(cause: StreamError) -> Fault {
     match cause {
         StreamError::Stalled => Fault::Silent,
