--- a/tests/process_stop.rs
+++ b/tests/process_stop.rs
@@ -39,7 +39,9 @@
 impl Stop {
     /// Starts the fleet and a job.
     fn new() -> Self {
-        Self::with_job("j", 1)
+        let mut stop = Self::without_job("j");
+        stop.submit(1);
+        stop
     }
 
     /// Starts the fleet and a job that the first entry instance is the first to claim, and waits
@@ -48,15 +50,19 @@
         let others = ["entry-1".into()];
         let is_first = |job: &String| position(&format!("{job}.0"), "entry-0", &others) == 0;
         let job = (0..).map(|n| format!("j{n}")).find(is_first).unwrap();
-        let stop = Self::with_job(&job, 0);
+        let mut stop = Self::without_job(&job);
+        // On a slow machine the other instance could be faster.
+        stop.fleet.entries[1].process.pause();
+        stop.submit(0);
         until("the first instance claims", || {
             let log = stop.fleet.entries[0].process_log();
             log.contains("event=group-claimed")
         });
+        stop.fleet.entries[1].process.resume();
         stop
     }
 
-    fn with_job(job: &str, entry: usize) -> Self {
+    fn without_job(job: &str) -> Self {
         let mut fleet = Fleet::new(&[]);
         for i in 0..4 {
             let options = ["--slots", "4", "--token-ms", "8"];
@@ -83,16 +89,19 @@
             });
         }
         let item = |i: usize| Item::new(&format!("i{i}"), &format!("item {i}"), 12);
-        let stop = Self {
+        Self {
             fleet,
             link,
             job: job.to_owned(),
             items: (0..ITEMS).map(item).collect(),
-        };
-        let answer = stop.fleet.entries[entry].submit(job, DEADLINE, &stop.items);
+        }
+    }
+
+    /// Submits the job at an entry instance and waits until items run.
+    fn submit(&mut self, entry: usize) {
+        let answer = self.fleet.entries[entry].submit(&self.job, DEADLINE, &self.items);
         assert_eq!(answer.map(|a| a.status), Some(200));
-        until("items run", || !stop.fleet.runs("item 0").is_empty());
-        stop
+        until("items run", || !self.fleet.runs("item 0").is_empty());
     }
 
     /// Requests a stream from the first entry instance and waits until it runs.
