Keep a silent worker on the last attempt of a stream

Callers saw a resumable stream break off although its worker was sound: after one worker had failed or been given up, the second and last one was given up as well when it paused for 0.55 of the allowed pause (or 0.6 s), and no attempt was left to resume the stream with.

Cause: Relay::stall_limit asked whether the route allows one more attempt without counting the current one, unlike Session::send. So a stream on its last attempt, and each stream of a route with one attempt, had a timeout whose only effect was to end it.

Both places now ask may_run_beside, which counts the current attempt.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -251,6 +251,13 @@
         self.route.is_repeatable() && can_retry
     }
 
+    /// Returns whether the call may be sent to another worker beside one that has it.
+    pub fn may_run_beside(&self) -> bool {
+        self.route.is_repeatable()
+            && self.runs + 1 < self.route.attempts
+            && !self.remaining().is_zero()
+    }
+
     /// Sends the call to one worker after another until one of them answers.
     ///
     /// # Errors
@@ -545,7 +552,7 @@
         free: bool,
     ) -> Result<Response<Incoming>, SendError> {
         let remaining = self.remaining();
-        let limit = if self.route.is_repeatable() && self.runs + 1 < self.route.attempts {
+        let limit = if self.may_run_beside() {
             let share = if free {
                 FIRST_EVENT_SHARE
             } else {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -158,7 +158,7 @@
     /// Returns the timeout of the next event.
     fn stall_limit(&self) -> Duration {
         let remaining = self.session.remaining();
-        if self.session.may_run_again() {
+        if self.session.may_run_beside() {
             let limit = self.session.route.pause.map(|p| p.mul_f64(STALL_SHARE));
             remaining.min(limit.unwrap_or(STALL_LIMIT))
         } else {
