Keep a silent worker until another one has taken over

Callers saw streams break off, and got 502 "no other worker is free", although their worker was sound and only slow: it had paused for 0.55 of the allowed pause (0.6 s without one), or had not sent the head of its answer within 0.55 of the objective. In a full fleet no other worker was free then, or the other one refused.

Cause: a timeout that is meant to start a second attempt also ended the first one. The worker's connection was closed before it was known whether any other worker would take the call.

Now the connection stays open and read while another worker with a free slot is sought (takeover.rs). It is closed when the other worker has answered with success. If the earlier worker goes on first, the other attempt is dropped and counts against the attempts of the route if a worker had got it. Events are never joined: the stream is read from one source at a time, and the other one resumes after the last forwarded event. Requests that may not be repeated are never sent beside another attempt.

Evidence: the tests failed before with (502, "no other worker is free"), and with streams that were cut ("the answer is complete" panicked).

Ruled out: a longer wait for another worker (RESUME_WAIT). In a full fleet it ends after the caller has left.

--- a/src/events.rs
+++ b/src/events.rs
@@ -72,6 +72,8 @@
     PartsBlocked = 1019, "parts-blocked";
     /// A request with blocked parts is sent to show whether they still crash workers.
     PartsProbed = 1020, "parts-probed";
+    /// A worker sends nothing for a while; another one is sought while it is kept.
+    WorkerSilent = 1021, "worker-silent";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -22,6 +22,8 @@
 /// Maximum `Retry-After` of a refused request. Callers that are refused together come back spread
 /// over the interval between the two bounds.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1100);
+/// Interval at which a request that already runs looks for a free slot.
+const SPARE_POLL: Duration = Duration::from_millis(20);
 
 /// Fleet and request queue of an instance, shared by all threads.
 #[derive(Debug)]
@@ -249,6 +251,42 @@
         }
     }
 
+    /// Places an online request on a worker with a free slot, waiting up to `max_wait` for one. It
+    /// comes after all queued requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Busy` when there is no free slot in time.
+    pub async fn place_spare(
+        self: &Arc<Self>,
+        requirements: &Requirements<'_>,
+        max_wait: Duration,
+    ) -> Result<Placement, Busy> {
+        let deadline = Instant::now() + max_wait;
+        loop {
+            if let Some(placement) = self.try_spare(requirements) {
+                return Ok(placement);
+            }
+            if Instant::now() >= deadline {
+                return Err(self.busy());
+            }
+            Timer::after(SPARE_POLL).await;
+        }
+    }
+
+    fn try_spare(self: &Arc<Self>, requirements: &Requirements<'_>) -> Option<Placement> {
+        let mut state = self.lock();
+        if !state.queue.is_empty() {
+            return None;
+        }
+        let now = self.now();
+        let State { fleet, rng, .. } = &mut *state;
+        let worker = fleet.choose_spare(requirements, rng, now)?;
+        let grant = self.start_online(&mut state, worker);
+        drop(state);
+        Some(self.placement(grant))
+    }
+
     /// Places a batch item on a worker that has capacity beside online requests. The receiver gets
     /// a message when the item has to yield.
     pub fn place_batch(
@@ -308,12 +346,16 @@
     fn choose(&self, state: &mut State, requirements: &Requirements<'_>) -> Option<Grant> {
         let State { fleet, rng, .. } = state;
         let worker = fleet.choose_online(requirements, rng, self.now())?;
+        Some(self.start_online(state, worker))
+    }
+
+    fn start_online(&self, state: &mut State, worker: Arc<Worker>) -> Grant {
         let key = fleet::key(&worker.id);
-        let load = fleet.level(key).total();
-        fleet.start_request(key, Class::Online);
+        let load = state.fleet.level(key).total();
+        state.fleet.start_request(key, Class::Online);
         self.signal_yields(state);
         self.notify();
-        Some(Grant { worker, load })
+        Grant { worker, load }
     }
 
     /// Assigns free slots to queued requests and tells batch items to yield.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -371,6 +371,24 @@
         Some(chosen)
     }
 
+    /// Chooses a worker with a free slot for an online request that already runs at another worker,
+    /// or returns `None` when there is none.
+    pub fn choose_spare(
+        &mut self,
+        requirements: &Requirements<'_>,
+        rng: &mut fastrand::Rng,
+        now: Duration,
+    ) -> Option<Arc<Worker>> {
+        let score = |worker: &Worker, level: Level| {
+            let place = self.online_place(worker, level)?;
+            let load = level.total() + self.zone_penalty(worker);
+            (place != Place::Queue).then_some((place, load))
+        };
+        let chosen = self.choose_best(requirements, Avoided::Never, rng, now, score)?;
+        self.health.record_request(&chosen.id, now);
+        Some(chosen)
+    }
+
     /// Chooses a worker for a batch item, or returns `None` when none has capacity beside online
     /// requests.
     ///
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
+use smol::channel::Sender;
 
 use crate::{
     adapter::headers::{self, AnswerTerms, Attempt},
@@ -21,10 +22,10 @@
     config::{Route, RouteKind},
     connection::{self, AttemptError, Connection, SendError},
     dispatch::{Busy, Placement},
-    fleet::Requirements,
     gateway::Gateway,
     relay,
     suspects::{self, Admission},
+    takeover::Head,
 };
 
 /// Share of the objective that a request may wait for a worker before it is refused. An early
@@ -32,12 +33,6 @@
 const QUEUE_WAIT_SHARE: f64 = 0.22;
 /// Time that a partly forwarded stream may wait for another worker.
 pub const RESUME_WAIT: Duration = Duration::from_millis(800);
-/// Share of the objective within which a worker that had a free slot must send the head of its
-/// answer. After it, a repeatable request is sent to another worker, which can still meet the
-/// objective.
-const FIRST_EVENT_SHARE: f64 = 0.55;
-/// Like `FIRST_EVENT_SHARE`, for a worker at which the request had to queue.
-const QUEUED_EVENT_SHARE: f64 = 3.0;
 /// Maximum number of workers that a call is tried at.
 const MAX_TRIED: usize = 6;
 /// Maximum size of an answer that is forwarded as a whole.
@@ -123,13 +118,19 @@
     pub route: Arc<Route>,
     /// The call.
     pub call: Call,
-    gateway: Arc<Gateway>,
-    service: ServiceId,
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) service: ServiceId,
     parts: Vec<PartId>,
-    tried: Vec<WorkerId>,
-    runs: u32,
+    /// Workers that the call is not sent to any more.
+    pub(super) tried: Vec<WorkerId>,
+    /// Number of workers that may have run the call and whose answer is not used.
+    pub(super) runs: u32,
     deadline: Instant,
     end_recorded: bool,
+    /// Whether a worker has the call and has not answered.
+    pub(super) sent: bool,
+    /// Receives the changes of `sent` while an earlier worker may still answer.
+    pub(super) takeover: Option<Sender<bool>>,
 }
 
 /// Forwards a call and returns the answer for the caller.
@@ -153,6 +154,8 @@
         tried: Vec::new(),
         runs: 0,
         end_recorded: false,
+        sent: false,
+        takeover: None,
     };
     session.run().await
 }
@@ -251,6 +254,13 @@
         self.route.is_repeatable() && can_retry
     }
 
+    /// Keeps later attempts from a worker.
+    pub(super) fn leave_out(&mut self, worker: &WorkerId) {
+        if !self.tried.contains(worker) {
+            self.tried.push(worker.clone());
+        }
+    }
+
     /// Returns whether the call may be sent to another worker beside one that has it.
     pub fn may_run_beside(&self) -> bool {
         self.route.is_repeatable()
@@ -305,7 +315,7 @@
                 .record_crash(&self.parts, &self.call.id, worker);
         }
         self.runs += 1;
-        self.tried.push(placement.worker.id.clone());
+        self.leave_out(&placement.worker.id);
         let ejected = self.gateway.dispatch.record_failure(&placement.worker.id);
         event!(
             Warn,
@@ -338,13 +348,8 @@
         if let Admission::Refused(retry_after) = admission {
             return Err(self.blocked(retry_after));
         }
-        let requirements = Requirements {
-            service: &self.service,
-            tried: &self.tried,
-        };
-        let max_wait = max_wait.min(remaining);
         let queued_at = Instant::now();
-        let placed = dispatch.place_online(&requirements, max_wait).await;
+        let placed = self.place(max_wait.min(remaining)).await;
         metrics::queue_time(queued_at.elapsed());
         let placement = match placed {
             Ok(placement) => placement,
@@ -374,7 +379,7 @@
         );
         let repeatable = self.route.is_repeatable();
         let upstream = &self.gateway.upstream;
-        let mut connection = match upstream.connect(&worker, repeatable).await {
+        let connection = match upstream.connect(&worker, repeatable).await {
             Ok(connection) => connection,
             Err(e) => {
                 let cut = dispatch.record_unreachable(&worker);
@@ -394,11 +399,10 @@
             Ok(request) => request,
             Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
         };
-        let response = match self
-            .send(&mut connection, request, placement.had_free_slot())
-            .await
-        {
-            Ok(answer) => answer,
+        let reused = connection.reused;
+        let (connection, response) = match self.send(connection, request, &placement, after).await {
+            Ok(Head::Received(connection, response)) => (connection, response),
+            Ok(Head::TakenOver(started)) => return Ok(AttemptResult::Answered(started)),
             Err(SendError::NotSent(reason)) => {
                 event!(
                     Warn,
@@ -407,11 +411,11 @@
                     self.call.id,
                     worker.id,
                     worker.zone,
-                    connection.reused
+                    reused
                 );
                 // A worker may close an idle connection at any time; a new connection may still
                 // work.
-                if !connection.reused {
+                if !reused {
                     dispatch.record_failure(&worker.id);
                     self.tried.push(worker.id.clone());
                 }
@@ -544,27 +548,6 @@
         Ok(request)
     }
 
-    /// Sends a request and waits for the head of the answer.
-    async fn send(
-        &self,
-        connection: &mut Connection,
-        request: Request<Full<Bytes>>,
-        free: bool,
-    ) -> Result<Response<Incoming>, SendError> {
-        let remaining = self.remaining();
-        let limit = if self.may_run_beside() {
-            let share = if free {
-                FIRST_EVENT_SHARE
-            } else {
-                QUEUED_EVENT_SHARE
-            };
-            remaining.min(self.route.objective.mul_f64(share))
-        } else {
-            remaining
-        };
-        connection.send_within(request, limit).await
-    }
-
     /// Reads an answer that is forwarded as a whole.
     async fn read_whole(
         &mut self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,5 +28,6 @@
 pub mod suspects;
 pub mod sweep;
 pub mod sync;
+pub mod takeover;
 pub mod upstream;
 pub mod view;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 use std::{io, time::Duration};
 
 use bytes::Bytes;
-use futures::{StreamExt, stream};
+use futures::{FutureExt, StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{Response, body::Frame};
 
@@ -19,7 +19,8 @@
     connection::{AttemptError, Connection},
     dispatch::Placement,
     forward::{RESUME_WAIT, Session, StartedAnswer},
-    sse::Events,
+    sse::{Event, Events},
+    takeover::{self, Takeover},
 };
 
 /// Share of the longest allowed pause after which a resumable stream moves to another worker. The
@@ -76,30 +77,16 @@
     /// Returns the next bytes for the caller, or `None` at the end of the stream.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
-            let limit = self.stall_limit();
+            let (limit, may_move) = self.stall_limit();
             let Some(source) = &mut self.source else {
                 return Ok(None);
             };
             match source.events.next(self.last_id, limit).await {
-                Ok(Some(event)) => {
-                    if !source.begun {
-                        source.begun = true;
-                        self.session.record_begun();
+                Ok(event) => return Ok(self.forward(event)),
+                Err(e) if may_move && e.kind() == io::ErrorKind::TimedOut => {
+                    if let Some(event) = self.seek_other().await? {
+                        return Ok(self.forward(event));
                     }
-                    if !self.first_sent {
-                        self.first_sent = true;
-                        metrics::first_token(self.session.call.received.elapsed());
-                    }
-                    self.last_id = event.id.or(self.last_id);
-                    return Ok(Some(event.bytes));
-                }
-                Ok(None) => {
-                    self.session.record_answered();
-                    if let Some(source) = self.source.take() {
-                        self.session
-                            .keep_connection(&source.placement, source.connection);
-                    }
-                    return Ok(None);
                 }
                 Err(e) => {
                     let broken = AttemptError::reading(&e, source.begun);
@@ -109,11 +96,79 @@
         }
     }
 
+    /// Records an event of the source, or its end, and returns the bytes for the caller.
+    fn forward(&mut self, event: Option<Event>) -> Option<Bytes> {
+        let Some(event) = event else {
+            self.session.record_answered();
+            if let Some(source) = self.source.take() {
+                self.session
+                    .keep_connection(&source.placement, source.connection);
+            }
+            return None;
+        };
+        if let Some(source) = self.source.as_mut().filter(|s| !s.begun) {
+            source.begun = true;
+            self.session.record_begun();
+        }
+        if !self.first_sent {
+            self.first_sent = true;
+            metrics::first_token(self.session.call.received.elapsed());
+        }
+        self.last_id = event.id.or(self.last_id);
+        Some(event.bytes)
+    }
+
+    /// Seeks another worker while the source is silent. Returns the next event of the source or its
+    /// end, or `None` when another worker has taken over.
+    async fn seek_other(&mut self) -> io::Result<Option<Option<Event>>> {
+        let Some(source) = self.source.take() else {
+            return Ok(None);
+        };
+        let Source {
+            placement,
+            connection,
+            mut events,
+            begun,
+        } = source;
+        let (after, remaining) = (self.last_id, self.session.remaining());
+        let reading = async move {
+            let event = events.next(after, remaining).await?;
+            Ok((connection, events, event))
+        };
+        let silent = &placement.worker.id;
+        let takeover = takeover::take_over(&mut self.session, silent, after, reading.boxed()).await;
+        let Takeover { earlier, other } = takeover;
+        let broken = match earlier {
+            Some(Ok((connection, events, event))) => {
+                self.source = Some(Source {
+                    placement,
+                    connection,
+                    events,
+                    begun,
+                });
+                return Ok(Some(event));
+            }
+            Some(Err(e)) => AttemptError::reading(&e, begun),
+            None => AttemptError::reading(&io::ErrorKind::TimedOut.into(), begun),
+        };
+        self.session.record_broken(&placement, &broken);
+        drop(placement);
+        match other {
+            Some(started) => self.start_source(*started),
+            None => self.move_on(broken).await?,
+        }
+        Ok(None)
+    }
+
     /// Resumes at another worker after the last forwarded event.
     async fn resume(&mut self, broken: AttemptError) -> io::Result<()> {
         if let Some(source) = self.source.take() {
             self.session.record_broken(&source.placement, &broken);
         }
+        self.move_on(broken).await
+    }
+
+    async fn move_on(&mut self, broken: AttemptError) -> io::Result<()> {
         let reason = broken.reason;
         if !self.session.may_run_again() {
             return Err(self.broken(&reason));
@@ -123,6 +178,11 @@
             Ok(started) => started,
             Err(failure) => return Err(self.broken(&format!("{reason}, then {failure}"))),
         };
+        self.start_source(started);
+        Ok(())
+    }
+
+    fn start_source(&mut self, started: StartedAnswer) {
         event!(
             Info,
             StreamMoved,
@@ -137,7 +197,6 @@
             events: Events::new(started.answer.into_body()),
             begun: false,
         });
-        Ok(())
     }
 
     fn broken(&mut self, reason: &str) -> io::Error {
@@ -155,14 +214,13 @@
         io::Error::other(reason.to_owned())
     }
 
-    /// Returns the timeout of the next event.
-    fn stall_limit(&self) -> Duration {
+    /// Returns the timeout of the next event, and whether the stream may then move to another worker.
+    fn stall_limit(&self) -> (Duration, bool) {
         let remaining = self.session.remaining();
-        if self.session.may_run_beside() {
-            let limit = self.session.route.pause.map(|p| p.mul_f64(STALL_SHARE));
-            remaining.min(limit.unwrap_or(STALL_LIMIT))
-        } else {
-            remaining
+        if !self.session.may_run_beside() {
+            return (remaining, false);
         }
+        let limit = self.session.route.pause.map(|p| p.mul_f64(STALL_SHARE));
+        (remaining.min(limit.unwrap_or(STALL_LIMIT)), true)
     }
 }
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -383,6 +383,8 @@
     Foreign,
     /// Sends nothing for two seconds after this many events.
     StallAfter(u64),
+    /// Sends nothing for a second before the head of the answer.
+    LateHead,
     /// Sends all events with neither a length nor chunks, and closes the connection.
     Unframed,
     /// Like `Unframed`, but closes inside an event after this many whole events.
@@ -520,6 +522,7 @@
             return answer(stream, status, "x-response-seal: s\r\n", "failed");
         }
         Behaviour::Foreign => echoed = "another".into(),
+        Behaviour::LateHead => thread::sleep(Duration::from_secs(1)),
         Behaviour::EndlessHead => {
             write!(stream, "HTTP/1.1 200 OK\r\n")?;
             return endless(state, stream, |_| {
