Repeat the takeover of a batch job until an instance announces it

Callers saw an accepted job whose items were never finished (LOST), unless one of them happened to read the job: only a read or the next membership change made an instance take it over.

Cause: a takeover was one call without a check of its effect. The search of the store asks the home of a job once; a store that refused the home, a home that had just died or one that took another instance for the home left the job to nobody. Two instances that release the same job to each other, since each one's view of the other is a heartbeat old, left it to nobody without any search at all.

Ruled out: a release by a join alone. The search that follows the join found such jobs, so the test lets that search end first.

Each instance now watches that the jobs that it knows, and those that its search found, are announced by a live instance, and has their home check them again every 3.2 s while none is. No call of the store is made for that except by the home. The new event job-orphaned shows such jobs.

--- a/src/events.rs
+++ b/src/events.rs
@@ -124,6 +124,8 @@
     ItemStarted = 2037, "item-started";
     /// An item of a routed batch job has its complete output.
     ItemDone = 2038, "item-done";
+    /// No instance runs a batch job that is known here; its home is asked to take it over.
+    JobOrphaned = 2039, "job-orphaned";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -103,6 +103,17 @@
         running.map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
+    /// Returns the jobs with work left that this instance does not run.
+    pub fn idle(&self) -> Vec<JobId> {
+        let jobs = lock(&self.jobs);
+        let is_idle = |job: &SharedJob| {
+            let job = lock(job);
+            !job.active && !job.ended && !job.is_complete()
+        };
+        let idle = jobs.iter().filter(|(_, job)| is_idle(job));
+        idle.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns a job by the hash of its id.
     pub fn by_key(&self, key: JobKey) -> Option<(JobId, SharedJob)> {
         let id = lock(&self.keys).get(&key).cloned()?;
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -75,18 +75,25 @@
     Ok(())
 }
 
-/// Asks an instance to take over a job that no instance runs, or to remove one that expired.
+/// Asks an instance to take over a job that no instance runs, or to remove one that expired, and
+/// returns whether the job still exists.
 ///
 /// # Errors
 ///
-/// Returns an error when the instance does not answer.
-pub async fn check(address: SocketAddr, job: &JobId) -> anyhow::Result<()> {
-    call_ok(address, &PeerCall::Check(job.clone())).await?;
-    Ok(())
+/// Returns an error when the instance does not answer or cannot read the job.
+pub async fn check(address: SocketAddr, job: &JobId) -> anyhow::Result<bool> {
+    match call(address, &PeerCall::Check(job.clone()), CALL_LIMIT).await {
+        Ok(answer) if answer.status() == StatusCode::NOT_FOUND => Ok(false),
+        answer => into_body(answer).map(|_| true),
+    }
 }
 
 async fn call_ok(address: SocketAddr, peer_call: &PeerCall) -> anyhow::Result<Bytes> {
-    match call(address, peer_call, CALL_LIMIT).await {
+    into_body(call(address, peer_call, CALL_LIMIT).await)
+}
+
+fn into_body(answer: Result<Response<Bytes>, SendError>) -> anyhow::Result<Bytes> {
+    match answer {
         Ok(answer) if answer.status() == StatusCode::OK => Ok(answer.into_body()),
         Ok(answer) => bail!("status {}", answer.status()),
         Err(SendError::NotSent(e) | SendError::Sent(e) | SendError::TimedOut(e)) => bail!(e),
@@ -140,10 +147,11 @@
                 Err(e) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
             }
         }
-        Ok(PeerCall::Check(job)) => {
-            sweep::check(&gateway, &job).await;
-            text_answer(StatusCode::OK, "checked", None)
-        }
+        Ok(PeerCall::Check(job)) => match sweep::check(&gateway, &job).await {
+            Ok(true) => text_answer(StatusCode::OK, "checked", None),
+            Ok(false) => text_answer(StatusCode::NOT_FOUND, "no such job", None),
+            Err(e) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
+        },
         Ok(PeerCall::Snapshot) => {
             let snapshot = Snapshot::of(&gateway.views());
             match postcard::to_stdvec(&snapshot) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 use super::fleet::{Backlog, Level, WorkerKey};
 
 /// Time without a heartbeat after which an instance counts as gone.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1600);
+pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Time without a heartbeat after which an instance is removed.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 /// Maximum number of instances of a zone that watch the object store on behalf of the others. Two
@@ -335,6 +335,12 @@
         live.any(|h| h.jobs.iter().any(|j| j.active && j.key == key))
     }
 
+    /// Returns the keys of the jobs that live instances announce to run.
+    pub fn announced(&self, now: Duration) -> Set<JobKey> {
+        let states = self.live(now).flat_map(|h| &h.jobs);
+        states.filter(|j| j.active).map(|j| j.key).collect()
+    }
+
     /// Returns whether an instance is the one that searches the store for jobs that nobody runs. In
     /// a partition each side has one.
     pub fn is_sweeper(&self, local: &InstanceId, now: Duration) -> bool {
--- /dev/null
+++ b/tests/gateway_lost_jobs.rs
@@ -0,0 +1,137 @@
+//! Accepted batch jobs while instances fail, are cut off or lose the route of a job.
+
+mod gateway_support;
+mod support;
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use gateway_support::{Instance, Store, platform};
+use gentianpath::gateway::{
+    fleet::Backlog,
+    orphans::Orphans,
+    peers::{self, Heartbeat, JobState, ListVersion},
+};
+use support::until;
+
+const JOBS: [&str; 4] = ["j1", "j2", "j3", "j4"];
+
+/// Submits jobs that run for a while, and waits until they run.
+fn submit_all(instance: &Instance) {
+    for job in JOBS {
+        assert_eq!(instance.submit(job, &["a"]).unwrap().status, 202);
+    }
+    thread::sleep(Duration::from_millis(500));
+}
+
+/// Waits until all jobs have results, without a read of theirs.
+fn until_all_are_done(store: &Store) {
+    until("all jobs have results", || {
+        let pages = store.names("batch-pages");
+        let mut names = JOBS.iter().map(|job| format!("{job}.0"));
+        names.all(|page| pages.contains(&page))
+    });
+}
+
+/// Guards against a job that nobody runs after its takeover failed once.
+#[test]
+fn a_takeover_that_fails_is_repeated() {
+    let (store, _workers) = platform(30, Duration::from_millis(40));
+    let mut one = Instance::start("one", &store, &[]);
+    let _two = Instance::start("two", &store, &[one.peers]);
+    thread::sleep(Duration::from_secs(2));
+    submit_all(&one);
+    store.refuse_reads("batch-jobs", JOBS.len());
+    one.kill();
+    until_all_are_done(&store);
+}
+
+/// An instance that only sends heartbeats.
+struct Peer {
+    socket: UdpSocket,
+    target: SocketAddr,
+    number: u64,
+}
+
+impl Peer {
+    fn send(&mut self, jobs: Vec<JobState>, reaches_store: bool) {
+        self.number += 1;
+        let heartbeat = Heartbeat {
+            instance: "peer".into(),
+            session: 1,
+            zone: "a".into(),
+            number: self.number,
+            address: self.socket.local_addr().unwrap(),
+            config: 0,
+            workers: ListVersion::default(),
+            leaving: false,
+            store: reaches_store,
+            levels: Vec::new(),
+            backlog: Backlog::default(),
+            waiting: Vec::new(),
+            jobs,
+            ended: Vec::new(),
+        };
+        let message = postcard::to_stdvec(&heartbeat).unwrap();
+        self.socket.send_to(&message, self.target).unwrap();
+    }
+}
+
+/// Guards against a job that nobody runs because two instances released it to each other.
+#[test]
+fn a_job_that_two_instances_release_to_each_other_is_taken_over() {
+    let (store, _workers) = platform(30, Duration::from_millis(40));
+    let one = Instance::start_for_jobs("one", &store);
+    let mut peer = Peer {
+        socket: UdpSocket::bind("127.0.0.1:0").unwrap(),
+        target: one.peers,
+        number: 0,
+    };
+    // The search of the store that follows a join is over before the jobs are accepted.
+    for _ in 0..20 {
+        peer.send(Vec::new(), false);
+        thread::sleep(Duration::from_millis(200));
+    }
+    submit_all(&one);
+    let state = |job: &&str| JobState {
+        key: peers::job_key(job),
+        pages: 0,
+        active: true,
+    };
+    peer.send(JOBS.iter().map(state).collect(), true);
+    let ended = Arc::new(AtomicBool::new(false));
+    let stop = ended.clone();
+    let sender = thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            peer.send(Vec::new(), false);
+            thread::sleep(Duration::from_millis(200));
+        }
+    });
+    let log = || std::fs::read_to_string(&one.log).unwrap();
+    until("a job is released", || log().contains("job-released"));
+    until_all_are_done(&store);
+    ended.store(true, Ordering::Relaxed);
+    sender.join().unwrap();
+}
+
+/// Guards against a job that is taken over from an instance that only announced it late.
+#[test]
+fn a_job_counts_as_orphaned_while_nobody_announces_it() {
+    let mut orphans = Orphans::default();
+    let job = || vec!["j1".into()];
+    let at = Duration::from_millis;
+    assert!(orphans.update(job(), at(0)).is_empty());
+    assert!(orphans.update(Vec::new(), at(2000)).is_empty());
+    assert!(orphans.update(job(), at(3000)).is_empty());
+    assert!(orphans.update(job(), at(4000)).is_empty());
+    assert_eq!(orphans.update(job(), at(6300)), job());
+    assert!(orphans.update(job(), at(6800)).is_empty());
+    assert_eq!(orphans.update(job(), at(9600)), job());
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -152,6 +152,8 @@
     lists: BTreeMap<String, usize>,
     page: Option<usize>,
     between_pages: Option<(String, String, Value)>,
+    refused_reads: BTreeMap<String, usize>,
+    stale_lists: Option<String>,
 }
 
 /// Stand-in for the object store.
@@ -204,6 +206,16 @@
         state.between_pages = Some((kind.to_owned(), name.to_owned(), spec));
     }
 
+    /// Refuses the next reads of single objects of a kind.
+    pub fn refuse_reads(&self, kind: &str, count: usize) {
+        self.lock().refused_reads.insert(kind.to_owned(), count);
+    }
+
+    /// Gives lists of a kind that may be stale no objects.
+    pub fn set_stale_lists(&self, kind: &str) {
+        self.lock().stale_lists = Some(kind.to_owned());
+    }
+
     /// Returns the names of the objects of a kind.
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.lock();
@@ -277,6 +289,10 @@
     match (request.method.as_str(), name) {
         ("GET", None) => {
             *objects.lists.entry(kind.clone()).or_default() += 1;
+            if request.query("stale_ok").is_some() && objects.stale_lists.as_ref() == Some(&kind) {
+                let list = json!({ "items": [], "truncated": false, "at": 1 });
+                return answer(stream, 200, "", &list.to_string());
+            }
             let after = request.query("after").unwrap_or_default();
             let items = objects.objects.iter().filter(|((k, _), _)| *k == kind);
             let items = items.filter(|((_, n), _)| n.as_str() > after);
@@ -294,10 +310,16 @@
             }
             answer(stream, 200, "", &list)
         }
-        ("GET", Some(name)) => match objects.objects.get(&key(&name)) {
-            Some(object) => answer(stream, 200, "", &object.to_string()),
-            None => answer(stream, 404, "", ""),
-        },
+        ("GET", Some(name)) => {
+            if let Some(count) = objects.refused_reads.get_mut(&kind).filter(|c| **c > 0) {
+                *count -= 1;
+                return answer(stream, 503, "", "");
+            }
+            match objects.objects.get(&key(&name)) {
+                Some(object) => answer(stream, 200, "", &object.to_string()),
+                None => answer(stream, 404, "", ""),
+            }
+        }
         ("POST", None) => {
             let name = body["metadata"]["name"].as_str().unwrap_or_default();
             if objects.objects.contains_key(&key(name)) {
