Search the latest list of batch jobs for those that nobody runs

Callers saw an accepted job that nobody ran (LOST), if its instance was lost right after it had accepted it and no caller read it.

Cause: the search after a membership change read a list that may be seconds old, so it lacked the newest jobs, and the next search comes only with the next membership change.

Evidence: with lists of that age the test failed before with "all jobs have results: did not hold in time" (60 s). One instance reads the list for all, once a membership change, so the latest list is a few calls more at full price.

--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -31,7 +31,8 @@
 /// runs the jobs known here.
 ///
 /// The list holds all items of all jobs, so one instance reads it for all. The others remember that
-/// a search is due, in case that instance fails or loses the store.
+/// a search is due, in case that instance fails or loses the store. An older list would lack the jobs
+/// that a lost instance had just accepted.
 pub async fn run(gateway: Arc<Gateway>, members: Receiver<()>) {
     let mut orphans = Orphans::default();
     let mut found = Set::default();
@@ -83,7 +84,7 @@
     loop {
         let page = gateway
             .store
-            .list_page(JOBS, after.as_deref(), Freshness::Stale)
+            .list_page(JOBS, after.as_deref(), Freshness::Latest)
             .await?;
         for object in &page.objects {
             sweep_one(gateway, object, found).await;
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -53,6 +53,19 @@
     until_all_are_done(&store);
 }
 
+/// Guards against a job that nobody runs because a list of the store did not have it yet.
+#[test]
+fn a_job_that_stale_lists_lack_is_taken_over() {
+    let (store, _workers) = platform(30, Duration::from_millis(40));
+    store.set_stale_lists("batch-jobs");
+    let mut one = Instance::start("one", &store, &[]);
+    let _two = Instance::start("two", &store, &[one.peers]);
+    thread::sleep(Duration::from_secs(2));
+    submit_all(&one);
+    one.kill();
+    until_all_are_done(&store);
+}
+
 /// An instance that only sends heartbeats.
 struct Peer {
     socket: UdpSocket,
