Search the store before a read of a job is answered with nothing during a cut

Callers read a result of a job at one instance and more than a second later nothing at its position at another one (LOST), while the two were cut from each other but not from the store: each ran the job, and one that runs a job took its own state for the latest.

Evidence: the test failed before with "left: [], right: [..]": one side listed the result of the only item, the other one nothing, until its own run of that item had ended.

While a known instance is silent, or a registered one was never heard, an empty answer is given only after the next page was looked for in the store, at most once in 500 ms for a job. An instance that hears all others reads nothing more than before.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -220,6 +220,11 @@
         self.jobs.is_active(job) || self.peers().is_run(job, self.now())
     }
 
+    /// Returns whether an instance that is not heard here may run jobs.
+    pub fn may_be_cut(&self) -> bool {
+        self.peers().may_be_cut(self.settings.peers, self.now())
+    }
+
     /// Returns whether this instance may take over jobs.
     fn may_adopt(&self) -> bool {
         self.drain.phase() == Phase::Running && self.reaches_store() && self.has_discovered_peers()
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -22,6 +22,10 @@
 /// Maximum size of one read of results; callers accept 1 MB.
 const MAX_READ_BYTES: usize = 700 << 10;
 
+/// Minimum interval between searches of the store for pages of instances that are not heard. Callers
+/// expect a result that they read elsewhere after 1 s.
+const PAGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// An item as submitted.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -140,6 +144,8 @@
     pub stored_pages: u32,
     /// Time when the last page was added.
     pub page_time: Duration,
+    /// Time when the store was last searched for pages of instances that are not heard.
+    pub page_check: Duration,
     outcomes: Vec<Outcome>,
     pages: u32,
     unfinished: Map<ItemId, Progress>,
@@ -162,6 +168,7 @@
             committing: false,
             stored_pages: 0,
             page_time: Duration::ZERO,
+            page_check: Duration::ZERO,
             outcomes: Vec::new(),
             pages: 0,
             finished: Vec::new(),
@@ -179,6 +186,16 @@
         !self.active || self.stored_pages > self.pages
     }
 
+    /// Returns whether the store has to be searched for pages of instances that are not heard, and
+    /// records that it is.
+    pub fn begin_page_check(&mut self, now: Duration) -> bool {
+        if now < self.page_check + PAGE_CHECK_INTERVAL {
+            return false;
+        }
+        self.page_check = now;
+        true
+    }
+
     /// Adds the next page as stored, whichever instance wrote it.
     pub fn apply_page(&mut self, page: &[Outcome], now: Duration) {
         self.pages += 1;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -335,6 +335,15 @@
         live.any(|h| h.jobs.iter().any(|j| j.active && j.key == key))
     }
 
+    /// Returns whether an instance other than the local one may run jobs without being heard here: one
+    /// that fell silent without a stop, or a registered one that was never heard.
+    pub fn may_be_cut(&self, local: SocketAddr, now: Duration) -> bool {
+        let is_silent = |p: &Peer| now > p.received + LIVENESS_TIMEOUT && !p.heartbeat.leaving;
+        let mut registered = self.registered.iter();
+        self.known.values().any(is_silent)
+            || registered.any(|a| *a != local && !self.knows_address(a))
+    }
+
     /// Returns the keys of the jobs that live instances announce to run.
     pub fn announced(&self, now: Duration) -> Set<JobKey> {
         let states = self.live(now).flat_map(|h| &h.jobs);
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -19,6 +19,7 @@
     orphans::Orphans,
     peers::{self, Heartbeat, JobState, ListVersion},
 };
+use serde_json::{Value, json};
 use support::until;
 
 const JOBS: [&str; 4] = ["j1", "j2", "j3", "j4"];
@@ -148,3 +149,32 @@
     assert!(orphans.update(job(), at(6800)).is_empty());
     assert_eq!(orphans.update(job(), at(9600)), job());
 }
+
+fn listed(instance: &Instance, job: &str) -> Vec<Value> {
+    let answer = instance.results(job, 0).unwrap();
+    assert_eq!(answer.status, 200);
+    answer.json()["results"].as_array().cloned().unwrap()
+}
+
+/// Guards against a result that one side of a cut between instances lists and the other denies.
+#[test]
+fn a_result_is_read_on_both_sides_of_a_cut() {
+    let (store, _workers) = platform(60, Duration::from_millis(50));
+    let one = Instance::start_for_jobs("one", &store);
+    // Neither instance learns where the other one is.
+    store.put(
+        "entry-instances",
+        "one",
+        json!({ "address": "127.0.0.1:9" }),
+    );
+    let two = Instance::start_for_jobs("two", &store);
+    assert_eq!(one.submit("j1", &["a"]).unwrap().status, 202);
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(two.submit("j1", &["a"]).unwrap().status, 202);
+    let mut results = Vec::new();
+    until("one side lists the result", || {
+        results = listed(&one, "j1");
+        !results.is_empty()
+    });
+    assert_eq!(listed(&two, "j1"), results);
+}
