Serve calls for accepted batch jobs after the end of their route

Callers got 404 for accepted jobs, their results and bodies of their items (LOST), and could not cancel them, once a configuration no longer had a batch route for their host.

Cause: the server looked for a batch route of the host before it looked for the job, which is found by its id alone.

Unknown jobs still get 404, from the store.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -138,11 +138,4 @@
             .filter(matches)
             .max_by_key(|r| r.prefix.len())
     }
-
-    /// Returns the route for batch jobs of a host.
-    pub fn batch_route(&self, host: &str) -> Option<&Arc<Route>> {
-        let host = host.split(':').next().unwrap_or(host);
-        let matches = |r: &&Arc<Route>| r.batch().is_some() && r.host.eq_ignore_ascii_case(host);
-        self.routes.iter().find(matches)
-    }
 }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -8,6 +8,7 @@
 };
 
 use anyhow::Context as _;
+use bytes::Bytes;
 use hyper::{
     Request, Response, StatusCode, body::Incoming, header, server::conn::http1, service::service_fn,
 };
@@ -27,7 +28,8 @@
     connection,
     forward::{self, Call},
     gateway::Gateway,
-    job_api, peer_call,
+    job_api::{self, JobRequest},
+    peer_call,
 };
 
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -195,12 +197,14 @@
         .unwrap_or_default()
         .to_owned();
     let terms = headers::decode_call(request.headers());
-    let job_call = job_calls::decode_path(request.method(), request.uri());
-    let route = match &job_call {
-        Some(_) => config.batch_route(&host),
-        None => config.route(&host, request.uri().path()),
-    };
-    let Some(route) = route.cloned() else {
+    let path = request.uri().path();
+    if let Some(call) = job_calls::decode_path(request.method(), request.uri()) {
+        // Accepted jobs outlive their route.
+        let mut request = JobRequest::new(Some(call), "".into(), &host, path, &Bytes::new());
+        request.wait = terms.wait.unwrap_or_default();
+        return job_api::answer_caller(gateway, request).await;
+    }
+    let Some(route) = config.route(&host, path).cloned() else {
         event!(
             Warn,
             NoRoute,
@@ -210,12 +214,7 @@
         );
         return text_answer(StatusCode::NOT_FOUND, "no such route", None);
     };
-    // Calls for an existing job have its id in the path instead.
-    let id = terms
-        .id
-        .clone()
-        .or_else(|| job_call.as_ref().map(|_| "".into()));
-    let Some(id) = id else {
+    let Some(id) = terms.id.clone() else {
         event!(Warn, CallInvalid, "route={} reason=no-id", route.name);
         return text_answer(StatusCode::BAD_REQUEST, "the request has no id", None);
     };
@@ -252,8 +251,7 @@
     };
     if route.batch().is_some() {
         let path = call.uri.path();
-        let mut request = job_api::JobRequest::new(job_call, call.id, &host, path, &call.body);
-        request.wait = terms.wait.unwrap_or_default();
+        let request = JobRequest::new(None, call.id, &host, path, &call.body);
         return job_api::answer_caller(gateway, request).await;
     }
     forward::forward(gateway, route, call).await
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -13,14 +13,14 @@
     time::Duration,
 };
 
-use gateway_support::{Instance, Store, platform};
+use gateway_support::{Instance, Store, config, platform};
 use gentianpath::gateway::{
     fleet::Backlog,
     orphans::Orphans,
     peers::{self, Heartbeat, JobState, ListVersion},
 };
 use serde_json::{Value, json};
-use support::until;
+use support::{http, until};
 
 const JOBS: [&str; 4] = ["j1", "j2", "j3", "j4"];
 
@@ -178,3 +178,29 @@
     });
     assert_eq!(listed(&two, "j1"), results);
 }
+
+/// Returns the configuration without the route for batch jobs.
+fn config_without_jobs(version: u64) -> Value {
+    let mut config = config(version);
+    let routes = config["routes"].as_array_mut().unwrap();
+    routes.retain(|r| r["name"] != "jobs");
+    config
+}
+
+/// Guards against accepted jobs that cannot be read any more once their route is gone.
+#[test]
+fn a_job_is_read_after_the_end_of_its_route() {
+    let (store, _workers) = platform(3, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    one.submit("j1", &["a"]).unwrap();
+    one.submit("j2", &["b"]).unwrap();
+    let results = one.wait_results("j1", 1);
+    store.put("config", "main", config_without_jobs(2));
+    let submit = |job| one.submit(job, &["c"]).unwrap().status;
+    until("the route is gone", || submit("j3") == 404);
+    assert_eq!(listed(&one, "j1"), results);
+    let call = |method, path| http::call(one.callers, method, path, &[], "").unwrap();
+    assert_eq!(call("GET", "/items/j2?id=b").body, [0, 255]);
+    assert_eq!(call("DELETE", "/lots/j2").status, 200);
+    assert_eq!(one.results("j9", 0).unwrap().status, 404);
+}
