Give up batch items when their route has ended

Callers saw accepted items that were listed neither as done nor as given up (LOST) once a configuration had no batch route for the path of their job: the runner passed over such jobs, and their maximum age was that of the missing route.

Evidence: the test failed before with "the item is given up: did not hold in time" (60 s).

The end of a route gives its items up, except those that a worker runs at that moment. A path that only another kind of route serves has no batch route any more, so its items don't go to the service of that one.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -359,6 +359,12 @@
         unfinished.map(|i| i.tokens).sum()
     }
 
+    /// Returns the ids of the unfinished items that do not run.
+    pub fn waiting_items(&self) -> Vec<ItemId> {
+        let waiting = self.unfinished.iter().filter(|(_, p)| !p.running);
+        waiting.map(|(item, _)| item.clone()).collect()
+    }
+
     /// Returns the ids of the unfinished items.
     pub fn unfinished_items(&self) -> Vec<ItemId> {
         self.unfinished.keys().cloned().collect()
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -94,7 +94,7 @@
     urgency: Urgency,
 }
 
-/// Returns the running jobs that have a route.
+/// Returns the running jobs that have a route for batch jobs.
 fn runnable_jobs(
     gateway: &Gateway,
     config: &Configuration,
@@ -120,7 +120,8 @@
 }
 
 fn route_of(config: &Configuration, record: &Record) -> Option<Arc<Route>> {
-    config.route(&record.host, &record.path).cloned()
+    let route = config.route(&record.host, &record.path);
+    route.filter(|r| r.batch().is_some()).cloned()
 }
 
 /// Starts an item of a job, and returns whether one was started.
@@ -199,7 +200,8 @@
     route.service(fastrand::f64()).cloned()
 }
 
-/// Fails the unfinished items of a job that has exceeded its maximum age.
+/// Fails the unfinished items of a job that has exceeded its maximum age, and those that do not run
+/// when its route has ended.
 fn fail_expired(
     gateway: &Gateway,
     config: &Configuration,
@@ -208,18 +210,18 @@
     now: Duration,
 ) {
     let mut job = lock(shared);
-    let Some(route) = route_of(config, &job.record) else {
-        return;
-    };
-    let Some(terms) = route.batch() else {
-        return;
-    };
     let age = job_store::age(&job.record);
-    if age < terms.item_ttl {
+    let route = route_of(config, &job.record);
+    let (items, reason) = match route.as_ref().and_then(|r| r.batch()) {
+        Some(terms) if age < terms.item_ttl => return,
+        Some(_) => (job.unfinished_items(), "time-over"),
+        None => (job.waiting_items(), "no-route"),
+    };
+    if items.is_empty() {
         return;
     }
-    let reason = format!("time-over age_s={}", age.as_secs());
-    for item in job.unfinished_items() {
+    let reason = format!("{reason} age_s={}", age.as_secs());
+    for item in items {
         item_run::fail_item(&mut job, id, &item, &reason, now);
     }
     drop(job);
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -204,3 +204,19 @@
     assert_eq!(call("DELETE", "/lots/j2").status, 200);
     assert_eq!(one.results("j9", 0).unwrap().status, 404);
 }
+
+/// Guards against items that neither run nor fail once their route is gone.
+#[test]
+fn items_are_given_up_at_the_end_of_their_route() {
+    let (store, workers) = platform(1, Duration::ZERO);
+    for worker in &workers {
+        worker.behave(&[gateway_support::Behaviour::Refuse; 1000]);
+    }
+    let one = Instance::start_for_jobs("one", &store);
+    one.submit("j1", &["a"]).unwrap();
+    store.put("config", "main", config_without_jobs(2));
+    until("the item is given up", || {
+        let page = store.get("batch-pages", "j1.0");
+        page.is_some_and(|p| p["spec"][0]["verdict"] == "GivenUp")
+    });
+}
