--- /dev/null
+++ b/tests/gateway_lost_jobs.rs
@@ -0,0 +1,222 @@
+//! Accepted batch jobs while instances fail, are cut off or lose the route of a job.
+
+mod gateway_support;
+mod support;
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use gateway_support::{Instance, Store, config, platform};
+use gentianpath::gateway::{
+    fleet::Backlog,
+    orphans::Orphans,
+    peers::{self, Heartbeat, JobState, ListVersion},
+};
+use serde_json::{Value, json};
+use support::{http, until};
+
+const JOBS: [&str; 4] = ["j1", "j2", "j3", "j4"];
+
+/// Submits jobs that run for a while, and waits until they run.
+fn submit_all(instance: &Instance) {
+    for job in JOBS {
+        assert_eq!(instance.submit(job, &["a"]).unwrap().status, 202);
+    }
+    thread::sleep(Duration::from_millis(500));
+}
+
+/// Waits until all jobs have results, without a read of theirs.
+fn until_all_are_done(store: &Store) {
+    until("all jobs have results", || {
+        let pages = store.names("batch-pages");
+        let mut names = JOBS.iter().map(|job| format!("{job}.0"));
+        names.all(|page| pages.contains(&page))
+    });
+}
+
+/// Guards against a job that nobody runs after its takeover failed once.
+#[test]
+fn a_takeover_that_fails_is_repeated() {
+    let (store, _workers) = platform(30, Duration::from_millis(40));
+    let mut one = Instance::start("one", &store, &[]);
+    let _two = Instance::start("two", &store, &[one.peers]);
+    thread::sleep(Duration::from_secs(2));
+    submit_all(&one);
+    store.refuse_reads("batch-jobs", JOBS.len());
+    one.kill();
+    until_all_are_done(&store);
+}
+
+/// Guards against a job that nobody runs because a list of the store did not have it yet.
+#[test]
+fn a_job_that_stale_lists_lack_is_taken_over() {
+    let (store, _workers) = platform(30, Duration::from_millis(40));
+    store.set_stale_lists("batch-jobs");
+    let mut one = Instance::start("one", &store, &[]);
+    let _two = Instance::start("two", &store, &[one.peers]);
+    thread::sleep(Duration::from_secs(2));
+    submit_all(&one);
+    one.kill();
+    until_all_are_done(&store);
+}
+
+/// An instance that only sends heartbeats.
+struct Peer {
+    socket: UdpSocket,
+    target: SocketAddr,
+    number: u64,
+}
+
+impl Peer {
+    fn send(&mut self, jobs: Vec<JobState>, reaches_store: bool) {
+        self.number += 1;
+        let heartbeat = Heartbeat {
+            instance: "peer".into(),
+            session: 1,
+            zone: "a".into(),
+            number: self.number,
+            address: self.socket.local_addr().unwrap(),
+            config: 0,
+            workers: ListVersion::default(),
+            leaving: false,
+            store: reaches_store,
+            levels: Vec::new(),
+            backlog: Backlog::default(),
+            waiting: Vec::new(),
+            jobs,
+            ended: Vec::new(),
+        };
+        let message = postcard::to_stdvec(&heartbeat).unwrap();
+        self.socket.send_to(&message, self.target).unwrap();
+    }
+}
+
+/// Guards against a job that nobody runs because two instances released it to each other.
+#[test]
+fn a_job_that_two_instances_release_to_each_other_is_taken_over() {
+    let (store, _workers) = platform(30, Duration::from_millis(40));
+    let one = Instance::start_for_jobs("one", &store);
+    let mut peer = Peer {
+        socket: UdpSocket::bind("127.0.0.1:0").unwrap(),
+        target: one.peers,
+        number: 0,
+    };
+    // The search of the store that follows a join is over before the jobs are accepted.
+    for _ in 0..20 {
+        peer.send(Vec::new(), false);
+        thread::sleep(Duration::from_millis(200));
+    }
+    submit_all(&one);
+    let state = |job: &&str| JobState {
+        key: peers::job_key(job),
+        pages: 0,
+        active: true,
+    };
+    peer.send(JOBS.iter().map(state).collect(), true);
+    let ended = Arc::new(AtomicBool::new(false));
+    let stop = ended.clone();
+    let sender = thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            peer.send(Vec::new(), false);
+            thread::sleep(Duration::from_millis(200));
+        }
+    });
+    let log = || std::fs::read_to_string(&one.log).unwrap();
+    until("a job is released", || log().contains("job-released"));
+    until_all_are_done(&store);
+    ended.store(true, Ordering::Relaxed);
+    sender.join().unwrap();
+}
+
+/// Guards against a job that is taken over from an instance that only announced it late.
+#[test]
+fn a_job_counts_as_orphaned_while_nobody_announces_it() {
+    let mut orphans = Orphans::default();
+    let job = || vec!["j1".into()];
+    let at = Duration::from_millis;
+    assert!(orphans.update(job(), at(0)).is_empty());
+    assert!(orphans.update(Vec::new(), at(2000)).is_empty());
+    assert!(orphans.update(job(), at(3000)).is_empty());
+    assert!(orphans.update(job(), at(4000)).is_empty());
+    assert_eq!(orphans.update(job(), at(6300)), job());
+    assert!(orphans.update(job(), at(6800)).is_empty());
+    assert_eq!(orphans.update(job(), at(9600)), job());
+}
+
+fn listed(instance: &Instance, job: &str) -> Vec<Value> {
+    let answer = instance.results(job, 0).unwrap();
+    assert_eq!(answer.status, 200);
+    answer.json()["results"].as_array().cloned().unwrap()
+}
+
+/// Guards against a result that one side of a cut between instances lists and the other denies.
+#[test]
+fn a_result_is_read_on_both_sides_of_a_cut() {
+    let (store, _workers) = platform(60, Duration::from_millis(50));
+    let one = Instance::start_for_jobs("one", &store);
+    // Neither instance learns where the other one is.
+    store.put(
+        "entry-instances",
+        "one",
+        json!({ "address": "127.0.0.1:9" }),
+    );
+    let two = Instance::start_for_jobs("two", &store);
+    assert_eq!(one.submit("j1", &["a"]).unwrap().status, 202);
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(two.submit("j1", &["a"]).unwrap().status, 202);
+    let mut results = Vec::new();
+    until("one side lists the result", || {
+        results = listed(&one, "j1");
+        !results.is_empty()
+    });
+    assert_eq!(listed(&two, "j1"), results);
+}
+
+/// Returns the configuration without the route for batch jobs.
+fn config_without_jobs(version: u64) -> Value {
+    let mut config = config(version);
+    let routes = config["routes"].as_array_mut().unwrap();
+    routes.retain(|r| r["name"] != "jobs");
+    config
+}
+
+/// Guards against accepted jobs that cannot be read any more once their route is gone.
+#[test]
+fn a_job_is_read_after_the_end_of_its_route() {
+    let (store, _workers) = platform(3, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    one.submit("j1", &["a"]).unwrap();
+    one.submit("j2", &["b"]).unwrap();
+    let results = one.wait_results("j1", 1);
+    store.put("config", "main", config_without_jobs(2));
+    let submit = |job| one.submit(job, &["c"]).unwrap().status;
+    until("the route is gone", || submit("j3") == 404);
+    assert_eq!(listed(&one, "j1"), results);
+    let call = |method, path| http::call(one.callers, method, path, &[], "").unwrap();
+    assert_eq!(call("GET", "/items/j2?id=b").body, [0, 255]);
+    assert_eq!(call("DELETE", "/lots/j2").status, 200);
+    assert_eq!(one.results("j9", 0).unwrap().status, 404);
+}
+
+/// Guards against items that neither run nor fail once their route is gone.
+#[test]
+fn items_are_given_up_at_the_end_of_their_route() {
+    let (store, workers) = platform(1, Duration::ZERO);
+    for worker in &workers {
+        worker.behave(&[gateway_support::Behaviour::Refuse; 1000]);
+    }
+    let one = Instance::start_for_jobs("one", &store);
+    one.submit("j1", &["a"]).unwrap();
+    store.put("config", "main", config_without_jobs(2));
+    until("the item is given up", || {
+        let page = store.get("batch-pages", "j1.0");
+        page.is_some_and(|p| p["spec"][0]["verdict"] == "GivenUp")
+    });
+}
