Take an answer without a request id only as the first of a connection

Report of other operators: callers were told to send requests again that a worker had run, since a worker wrote an earlier refusal once more on a kept connection.

Cause: an answer that names no request was taken as the answer to the request at hand, on reused connections too. A copy of an earlier refusal then became a 503 for a request that ran, a copy of an earlier 422 failed an item for good. An item keeps its id over its runs, and its connection was kept after an error, so a copy of that error was counted as a second one although it names the item. Items also took an encoded answer, and counted a 503 without the mark of a refusal as their error.

Evidence, on the code before (tests/gateway_answers.rs): - a_copy_of_an_earlier_refusal_promises_nothing: 503 for a request that ran, not 502 - a_copy_of_an_earlier_error_fails_no_item: "dead", not "done" - a_repeated_error_of_an_item_counts_once: "dead" after one error and one copy of three allowed attempts of which two were errors

Ruled out: a call never reuses the connection of its own refusal or error (it is closed), and is not sent to the same worker twice; bytes on an idle connection close it.

Now `head::interpret` decides for calls and items alike: an id has to be equal, and may be missing only on the first answer of a connection, before which no other answer can stand. Connections of items are kept only after a whole success, after which the id does not come again. worker-refused tells whether the answer named the request and whether the connection was reused.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 
 use crate::{
-    adapter::headers::{self, AnswerTerms, Attempt},
+    adapter::headers::{self, Attempt},
     event,
     ids::{PartId, RequestId, ServiceId, WorkerId},
     metrics::{self, CallEnd},
@@ -23,6 +23,7 @@
     dispatch::{Busy, Placement},
     fleet::Requirements,
     gateway::Gateway,
+    head::{self, Head},
     relay,
     suspects::{self, Admission},
 };
@@ -430,23 +431,28 @@
         };
         let terms = headers::decode_answer(&response);
         let status = response.status();
-        if terms.not_run && terms.is_for(&self.call.id) {
-            event!(
-                Warn,
-                WorkerRefused,
-                "request={} worker={} status={}",
-                self.call.id,
-                worker.id,
-                status.as_u16()
-            );
-            self.tried.push(worker.id.clone());
-            return Ok(AttemptResult::TryNext);
-        }
-        if let Some(reason) = self.invalid_reason(&response, &terms) {
-            return Ok(AttemptResult::Broken(
-                placement,
-                AttemptError::fault(reason),
-            ));
+        let reused = connection.reused;
+        match head::interpret(status, &terms, &self.call.id, reused) {
+            Head::NotRun => {
+                event!(
+                    Warn,
+                    WorkerRefused,
+                    "request={} worker={} status={} named={} reused={reused}",
+                    self.call.id,
+                    worker.id,
+                    status.as_u16(),
+                    terms.id.is_some()
+                );
+                self.tried.push(worker.id.clone());
+                return Ok(AttemptResult::TryNext);
+            }
+            Head::Invalid(reason) => {
+                return Ok(AttemptResult::Broken(
+                    placement,
+                    AttemptError::fault(reason),
+                ));
+            }
+            Head::Success | Head::Failed => {}
         }
         dispatch.record_success(&worker);
         if status.is_success() {
@@ -473,21 +479,6 @@
         Err(self.read_failure(response).await)
     }
 
-    /// Returns why an answer cannot be the worker's answer to this call, or `None` if it can.
-    fn invalid_reason(&self, answer: &Response<Incoming>, terms: &AnswerTerms) -> Option<String> {
-        if !terms.is_for(&self.call.id) {
-            return Some("the worker answered another request".into());
-        }
-        if answer.headers().contains_key(header::CONTENT_ENCODING) {
-            return Some("the answer has an encoding that was not asked for".into());
-        }
-        if answer.status().is_success() && !terms.sealed {
-            return Some("the answer has no signature".into());
-        }
-        let claims_not_run = matches!(answer.status().as_u16(), 408 | 421 | 429 | 503);
-        claims_not_run.then(|| format!("the worker answered {}", answer.status().as_u16()))
-    }
-
     async fn read_failure(&self, answer: Response<Incoming>) -> Failure {
         let (head, body) = answer.into_parts();
         let read = connection::read_body(body, MAX_ANSWER_BYTES);
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -16,9 +16,10 @@
 };
 
 use super::{
-    connection::{self, AttemptError, SendError},
+    connection::{AttemptError, SendError},
     dispatch::Placement,
     gateway::Gateway,
+    head::{self, Head},
     job::{Item, Job, Verdict},
     jobs::SharedJob,
     sse::Events,
@@ -33,8 +34,6 @@
 const ERROR_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum size of the events of a run; a longer output would fit no object of the store.
 const MAX_OUTPUT_BYTES: usize = 1 << 20;
-/// Maximum size of an error answer from a worker.
-const MAX_ERROR_BYTES: usize = 64 << 10;
 
 /// How a run of an item ended.
 enum RunEnd {
@@ -141,25 +140,16 @@
             }
         };
         let terms = headers::decode_answer(&answer);
-        if !terms.is_for(&self.item.id) {
-            return RunEnd::Broken(AttemptError::fault("the worker answered another request"));
-        }
-        if terms.not_run {
-            return RunEnd::Refused(answer.status());
-        }
         let status = answer.status();
-        if status == StatusCode::UNPROCESSABLE_ENTITY {
-            return RunEnd::Impossible;
-        }
-        if !status.is_success() {
-            let read = connection::read_body(answer.into_body(), MAX_ERROR_BYTES);
-            if connection::within(STALL_LIMIT, read).await.is_ok() {
-                self.gateway.keep_connection(worker, connection);
+        match head::interpret(status, &terms, &self.item.id, connection.reused) {
+            Head::NotRun => return RunEnd::Refused(status),
+            Head::Invalid(reason) => return RunEnd::Broken(AttemptError::fault(reason)),
+            Head::Failed if status == StatusCode::UNPROCESSABLE_ENTITY => {
+                return RunEnd::Impossible;
             }
-            return RunEnd::Failed(status);
-        }
-        if !terms.sealed {
-            return RunEnd::Broken(AttemptError::fault("the answer has no signature"));
+            // The connection is closed: a late copy of this answer on it would name the same item.
+            Head::Failed => return RunEnd::Failed(status),
+            Head::Success => {}
         }
         dispatch.record_success(worker);
         let mut events = Events::new(answer.into_body());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,6 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `job`, `peers`, `sse`,
+//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `head`, `job`, `peers`, `sse`,
 //! `suspects` and `view` hold the logic; the other modules do the I/O.
 
 pub mod answer;
@@ -12,6 +12,7 @@
 #[allow(clippy::module_inception)]
 pub mod gateway;
 pub mod gossip;
+pub mod head;
 pub mod item_run;
 pub mod job;
 pub mod job_api;
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -381,6 +381,16 @@
     Fail(u16),
     /// Answers with the id of another request.
     Foreign,
+    /// Runs the request, and answers with a copy of an earlier refusal that names no request.
+    StaleRefusal,
+    /// Runs the request, and answers with a copy of an earlier error that names no request.
+    StaleError(u16),
+    /// Answers with this error status, and with a copy of the answer to the next request.
+    FailTwice(u16),
+    /// Sends this answer, with the id of the request in place of `{id}`, and closes the connection.
+    Raw(&'static str),
+    /// Breaks a stream after three events, and sends this answer to a request that resumes one.
+    BreakThen(&'static str),
     /// Sends nothing for two seconds after this many events.
     StallAfter(u64),
     /// Sends all events with neither a length nor chunks, and closes the connection.
@@ -422,6 +432,7 @@
     runs: Vec<Request>,
     sent: u64,
     closed: u32,
+    copies: u32,
     deadly: Option<String>,
 }
 
@@ -435,6 +446,7 @@
             runs: Vec::new(),
             sent: 0,
             closed: 0,
+            copies: 0,
             deadly: None,
         }));
         let (shared, name) = (state.clone(), id.to_owned());
@@ -471,6 +483,11 @@
         self.state.lock().unwrap().closed
     }
 
+    /// Returns how many requests the worker answered with a copy of its answer before.
+    pub fn copies(&self) -> u32 {
+        self.state.lock().unwrap().copies
+    }
+
     /// Returns the worker's entry in the worker list.
     pub fn entry(&self, state: &str) -> Value {
         json!({
@@ -513,11 +530,40 @@
         (behaviour, state.events, state.pause)
     };
     let mut echoed = named.clone();
+    let behaviour = match behaviour {
+        Behaviour::BreakThen(raw) if request.header("last-event-id").is_some() => {
+            Behaviour::Raw(raw)
+        }
+        Behaviour::BreakThen(_) => Behaviour::BreakAfter(3),
+        other => other,
+    };
     match behaviour {
-        Behaviour::Refuse => return answer(stream, 503, "x-not-run: 1\r\n", ""),
+        Behaviour::Raw(raw) => {
+            write!(stream, "{}", raw.replace("{id}", &named))?;
+            stream.shutdown(std::net::Shutdown::Both)?;
+            return Ok(false);
+        }
+        Behaviour::Refuse => {
+            let head = format!("x-request-id: {named}\r\nx-not-run: 1\r\n");
+            return answer(stream, 503, &head, "");
+        }
+        Behaviour::StaleRefusal => return answer(stream, 503, "x-not-run: 1\r\n", ""),
+        Behaviour::StaleError(status) => return answer(stream, status, "", ""),
+        Behaviour::FailTwice(status) => {
+            let head = format!("x-request-id: {named}\r\n");
+            answer(stream, status, &head, "failed")?;
+            // The copy arrives as the answer to the next request on the connection.
+            let mut byte = [0];
+            if stream.peek(&mut byte)? > 0 {
+                state.lock().unwrap().copies += 1;
+                answer(stream, status, &head, "failed")?;
+            }
+            return Ok(false);
+        }
         Behaviour::Unmarked => return answer(stream, 503, "", ""),
         Behaviour::Fail(status) => {
-            return answer(stream, status, "x-response-seal: s\r\n", "failed");
+            let head = format!("x-request-id: {named}\r\nx-response-seal: s\r\n");
+            return answer(stream, status, &head, "failed");
         }
         Behaviour::Foreign => echoed = "another".into(),
         Behaviour::EndlessHead => {
