Rank instances with a backlog only at workers with a free slot

Cause: while items wait, each round of the runner computed for each worker, also a full one, the rank of all instances with a backlog (instances x workers hashes of names), and each heartbeat of a peer scanned all totals. The class of fault: work that grows with the square of the fleet. Now a full worker costs no ranks, ranks beyond the free slots are not counted, and only the totals of the peer's workers change. Results are the same: tests/gateway_fleet.rs passes unchanged.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -211,6 +211,9 @@
         };
         let own = self.local.iter().filter(|(_, l)| l.online > 0);
         let full: Vec<WorkerKey> = own.map(|(k, _)| *k).filter(is_full).collect();
+        if full.is_empty() {
+            return Set::default();
+        }
         let runs_items = |levels: &Map<WorkerKey, Level>| {
             full.iter()
                 .any(|k| levels.get(k).is_some_and(|l| l.batch > 0))
@@ -254,22 +257,24 @@
 
     /// Replaces the requests in flight from a peer. The map is empty for a peer that is gone.
     pub fn set_peer(&mut self, peer: &InstanceId, levels: Map<WorkerKey, Level>) {
+        for (worker, level) in &levels {
+            let sum = self.peer_totals.entry(*worker).or_default();
+            sum.online += level.online;
+            sum.batch += level.batch;
+        }
         let old = if levels.is_empty() {
             self.peer_levels.remove(peer)
         } else {
-            self.peer_levels.insert(peer.clone(), levels.clone())
+            self.peer_levels.insert(peer.clone(), levels)
         };
         for (worker, level) in old.unwrap_or_default() {
             let sum = self.peer_totals.entry(worker).or_default();
             sum.online -= level.online;
             sum.batch -= level.batch;
+            if sum.total() == 0 {
+                self.peer_totals.remove(&worker);
+            }
         }
-        for (worker, level) in levels {
-            let sum = self.peer_totals.entry(worker).or_default();
-            sum.online += level.online;
-            sum.batch += level.batch;
-        }
-        self.peer_totals.retain(|_, l| l.total() > 0);
     }
 
     /// Sets the number of batch items that wait at a peer.
@@ -393,17 +398,18 @@
         let score = |worker: &Worker, level: Level| {
             let reserve = ONLINE_RESERVE + self.uncertain_slots(worker, level);
             let capacity = worker.slots.saturating_sub(reserve);
-            let zone_penalty = self.zone_penalty(worker);
-            let before = self.higher_ranked(key(&worker.id), urgency);
-            (level.total() + before < capacity).then_some(level.total() + zone_penalty)
+            let free = capacity.checked_sub(level.total() + 1)?;
+            let before = self.higher_ranked(key(&worker.id), urgency, free);
+            (before <= free).then(|| level.total() + self.zone_penalty(worker))
         };
         let chosen = self.choose_best(requirements, Avoided::Never, rng, now, score)?;
         self.health.record_request(&chosen.id, now);
         Some(chosen)
     }
 
-    /// Returns the number of instances that start a waiting item on a worker before this one.
-    fn higher_ranked(&self, worker: WorkerKey, urgency: Urgency) -> u32 {
+    /// Returns the number of instances that start a waiting item on a worker before this one, counted
+    /// up to one more than `most`.
+    fn higher_ranked(&self, worker: WorkerKey, urgency: Urgency, most: u32) -> u32 {
         let own_rank = rank(&self.instance, worker);
         let before = self.backlogs.iter().filter(|(peer, backlog)| {
             let ahead = rank(peer, worker) < own_rank;
@@ -412,7 +418,7 @@
                 Urgency::Late => backlog.timely > 0 || ahead,
             }
         });
-        before.count() as u32
+        before.take(most as usize + 1).count() as u32
     }
 
     /// Returns what an online request would take at a worker, or `None` when it is full.
