Send heartbeats when they have news

Cause: instances woke to pass on heartbeats of other zones, each 100 ms or less, and then sent the own one to all neighbours whether or not anything had changed; both relays of a round passed on the same heartbeat; each sender had relays of its own, so that all instances of a zone passed on a few heartbeats each, all the time. Each message took a place in the totals and notified the runner of items even if the load was the same. The class of fault: work that grows with the square of a zone and has no cause in what happens. Now a pure module decides when heartbeats are due (changes after 30 ms as before, else each 250 ms), relays are the same for all senders during 240 ms, what a neighbour has passed on is dropped, and a heartbeat with the same load only extends the membership. Changes reach other instances as soon as before. Evidence: on the earlier code a_quiet_instance_sends_few_heartbeats failed with "34 heartbeats in a second", and a_heartbeat_that_a_neighbour_passed_on_is_not_passed_on_again failed too (2 of 3 tests; its count was not kept).

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,9 +14,10 @@
 use smol::channel::Sender;
 
 use crate::{
+    clock,
     drain::Phase,
-    event, fnv,
-    ids::{InstanceId, JobId, Map, Set},
+    event,
+    ids::{InstanceId, JobId, Map, SessionId, Set},
     mutex::lock,
 };
 
@@ -24,22 +25,14 @@
     fleet::{Backlog, Level},
     gateway::Gateway,
     jobs::SharedJob,
+    pace::{self, News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
     suspects::{self, Report},
 };
 
-/// Heartbeat interval while nothing changes.
-const IDLE_INTERVAL: Duration = Duration::from_millis(400);
 /// Minimum heartbeat interval; changes within it are sent together.
 const BUSY_INTERVAL: Duration = Duration::from_millis(30);
-/// Heartbeat interval to other zones, per instance there. Traffic between zones is charged, and
-/// requests prefer workers of the local zone, so other zones may lag behind.
-const FAR_INTERVAL_PER_PEER: Duration = Duration::from_millis(3);
-/// Maximum heartbeat interval to other zones.
-const MAX_FAR_INTERVAL: Duration = Duration::from_millis(240);
-/// Maximum time that a heartbeat of another zone waits to be passed on with the next message.
-const RELAY_INTERVAL: Duration = Duration::from_millis(100);
 /// Size of a message from which on further heartbeats go into another one.
 const FULL_MESSAGE_BYTES: usize = 8 << 10;
 /// Maximum size of a received message.
@@ -55,7 +48,15 @@
 const REPORT_TARGETS: usize = 2;
 
 /// Heartbeats of other zones that wait to be passed on, the last one of each instance.
-type Relayed = Mutex<Map<InstanceId, Vec<u8>>>;
+type Relayed = Mutex<Map<InstanceId, RelayedHeartbeat>>;
+
+/// An encoded heartbeat to pass on.
+#[derive(Debug)]
+struct RelayedHeartbeat {
+    /// Session and number of the message.
+    version: (SessionId, u64),
+    bytes: Vec<u8>,
+}
 
 /// Channels that signal changes seen in heartbeats.
 #[derive(Debug, Clone)]
@@ -81,49 +82,40 @@
 ) {
     let mut number = 0;
     let mut last_check = Duration::ZERO;
-    let mut far_sent = Duration::ZERO;
     let mut report_due = Duration::ZERO;
-    // Instances that start together begin with different relays.
-    let mut round = u64::from(fnv::hash32(gateway.settings.instance.bytes()));
+    let mut pace = Pace::default();
+    let mut last_sent = None;
     loop {
         number += 1;
         let now = gateway.now();
-        let targets = targets(gateway, round, now);
-        let far_interval = far_interval(targets.outside);
-        let relay_interval = RELAY_INTERVAL.min(far_interval);
-        gateway.dispatch.set_far_age(far_interval + relay_interval);
-        let far_due = far_sent + far_interval;
-        let sends_far = number == 1 || now >= far_due;
-        match postcard::to_stdvec(&heartbeat(gateway, number)) {
-            Ok(message) => {
-                if sends_far {
-                    far_sent = now;
-                    round = round.wrapping_add(1);
-                    send_all(socket, &message, &targets.far);
-                } else {
-                    send_all(socket, &message, &urgent_targets(gateway, &targets));
-                }
-                let relayed = std::mem::take(&mut *lock(relayed));
-                for message in messages(&message, relayed.into_values()) {
-                    send_all(socket, &message, &targets.near);
-                }
-            }
-            Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
+        let heartbeat = heartbeat(gateway, number);
+        let repeated = last_sent
+            .as_ref()
+            .is_some_and(|h: &Heartbeat| h.is_repeated_by(&heartbeat));
+        let news = News {
+            changed: !repeated,
+            relayed: !lock(relayed).is_empty(),
+        };
+        let due = pace.round(news, now);
+        let yielding = gateway.dispatch.peers_to_yield();
+        if due.near || due.far || !yielding.is_empty() {
+            let targets = targets(gateway, now);
+            let far = if due.far {
+                targets.far.clone()
+            } else {
+                urgent_targets(gateway, &targets, &yielding)
+            };
+            let near = due.near.then_some(&targets.near);
+            send_heartbeat(socket, &heartbeat, &far, near, relayed);
+            pace.set_outside(targets.outside);
+            gateway.dispatch.set_far_age(pace.far_age());
+            last_sent = Some(heartbeat);
         }
         send_reports(gateway, socket, &mut report_due);
         remove_silent(gateway, updates, last_check, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
-        let far_next = if sends_far {
-            now + IDLE_INTERVAL
-        } else {
-            far_due
-        };
-        let next = if targets.outside > 0 {
-            far_next.min(now + relay_interval)
-        } else {
-            far_next
-        };
+        let next = now + pace.pause();
         let due = async {
             Timer::after(next.saturating_sub(gateway.now())).await;
         };
@@ -131,6 +123,31 @@
     }
 }
 
+/// Sends a heartbeat to relays of other zones, and with those to pass on to neighbours.
+fn send_heartbeat(
+    socket: &Async<UdpSocket>,
+    heartbeat: &Heartbeat,
+    far: &Set<SocketAddr>,
+    near: Option<&Set<SocketAddr>>,
+    relayed: &Relayed,
+) {
+    let own = match postcard::to_stdvec(heartbeat) {
+        Ok(own) => own,
+        Err(e) => {
+            event!(Warn, MessageInvalid, "reason=\"{e}\"");
+            return;
+        }
+    };
+    send_all(socket, &own, far);
+    let Some(near) = near else {
+        return;
+    };
+    let relayed = std::mem::take(&mut *lock(relayed));
+    for message in messages(&own, relayed.into_values().map(|r| r.bytes)) {
+        send_all(socket, &message, near);
+    }
+}
+
 /// Sends what happened here to all instances, and from time to time all that is known to a few.
 fn send_reports(gateway: &Gateway, socket: &Async<UdpSocket>, due: &mut Duration) {
     let now = gateway.now();
@@ -140,6 +157,9 @@
         let (parts, crashes) = (suspects::names(&block.parts), block.crashes);
         event!(Warn, PartsBlocked, "parts={parts} crashes={crashes}");
     }
+    if news.is_empty() && now < *due {
+        return;
+    }
     let peers = gateway.peers();
     let live: Vec<SocketAddr> = peers.live(now).map(|h| h.address).collect();
     drop(peers);
@@ -177,13 +197,6 @@
     messages
 }
 
-fn far_interval(instances: usize) -> Duration {
-    let count = u32::try_from(instances).unwrap_or(u32::MAX);
-    FAR_INTERVAL_PER_PEER
-        .saturating_mul(count)
-        .min(MAX_FAR_INTERVAL)
-}
-
 fn send_all(socket: &Async<UdpSocket>, message: &[u8], targets: &Set<SocketAddr>) {
     for address in targets {
         // Sends without waiting: a partitioned peer can fill the socket buffer, and waiting for it
@@ -214,8 +227,9 @@
     }
 }
 
-/// Returns the addresses for the heartbeat of a round, including the seeds that were not heard yet.
-fn targets(gateway: &Gateway, round: u64, now: Duration) -> Targets {
+/// Returns the addresses for a heartbeat, including the seeds that were not heard yet.
+fn targets(gateway: &Gateway, now: Duration) -> Targets {
+    let round = pace::relay_round(clock::unix_millis());
     let Settings {
         zone, seeds, peers, ..
     } = &gateway.settings;
@@ -229,8 +243,11 @@
 
 /// Returns the addresses of instances of other zones whose batch items must yield now. Their next
 /// heartbeat through a relay would come when the request has missed its objective.
-fn urgent_targets(gateway: &Gateway, targets: &Targets) -> Set<SocketAddr> {
-    let yielding = gateway.dispatch.peers_to_yield();
+fn urgent_targets(
+    gateway: &Gateway,
+    targets: &Targets,
+    yielding: &Set<InstanceId>,
+) -> Set<SocketAddr> {
     if yielding.is_empty() {
         return Set::default();
     }
@@ -336,45 +353,52 @@
         }
         let (sender, is_outside) = (heartbeat.instance.clone(), heartbeat.zone != *zone);
         let address = heartbeat.address;
+        let version = (heartbeat.session, heartbeat.number);
         let change = handle(gateway, heartbeat, updates);
         if change == PeerChange::Joined {
             joined.insert(address);
         }
         if is_first && is_outside && change != PeerChange::Stale {
-            lock(relayed).insert(sender, bytes.to_vec());
+            let bytes = bytes.to_vec();
+            lock(relayed).insert(sender, RelayedHeartbeat { version, bytes });
+        } else if !is_first {
+            // The other relay of the round has passed it on to all neighbours.
+            let mut relayed = lock(relayed);
+            if relayed.get(&sender).is_some_and(|r| r.version <= version) {
+                relayed.remove(&sender);
+            }
         }
     }
     joined
 }
 
 fn handle(gateway: &Gateway, heartbeat: Heartbeat, updates: &UpdateSenders) -> PeerChange {
-    let instance = heartbeat.instance.clone();
-    let (levels, backlog) = (heartbeat.levels(), heartbeat.backlog);
-    let ended = heartbeat.ended.clone();
-    let states = heartbeat.jobs.clone();
-    let zone = heartbeat.zone.clone();
-    let behind = gateway.is_behind(&heartbeat);
-    let result = gateway.peers().record(heartbeat, gateway.now());
+    let heartbeat = Arc::new(heartbeat);
+    let result = gateway.peers().record(heartbeat.clone(), gateway.now());
     if result == PeerChange::Stale {
         return result;
     }
-    if behind {
+    if gateway.is_behind(&heartbeat) {
         let _ = updates.behind.try_send(());
     }
-    gateway.dispatch.mark_zone_reachable(&zone);
-    gateway.dispatch.set_peer(&instance, levels, backlog);
-    for job in ended {
-        gateway.jobs.mark_ended(&job, gateway.now());
+    let instance = &heartbeat.instance;
+    gateway.dispatch.mark_zone_reachable(&heartbeat.zone);
+    if result != PeerChange::Known {
+        let (levels, backlog) = (heartbeat.levels(), heartbeat.backlog);
+        gateway.dispatch.set_peer(instance, levels, backlog);
+        // Free slots matter only while items wait for them.
+        if gateway.jobs.backlog() != Backlog::default() {
+            gateway.jobs.notify_runner();
+        }
+    }
+    for job in &heartbeat.ended {
+        gateway.jobs.mark_ended(job, gateway.now());
     }
-    for state in states {
+    for state in &heartbeat.jobs {
         if let Some((id, job)) = gateway.jobs.by_key(state.key) {
-            merge_job_state(gateway, &id, &job, state);
+            merge_job_state(gateway, &id, &job, *state);
         }
     }
-    // Free slots matter only while items wait for them.
-    if gateway.jobs.backlog() != Backlog::default() {
-        gateway.jobs.notify_runner();
-    }
     if result == PeerChange::Joined {
         event!(Info, MemberJoined, "peer={instance}");
         let _ = updates.members.try_send(());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `job`, `peers`, `sse`,
-//! `suspects` and `view` hold the logic; the other modules do the I/O.
+//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `job`, `pace`, `peers`,
+//! `sse`, `suspects` and `view` hold the logic; the other modules do the I/O.
 
 pub mod answer;
 pub mod config;
@@ -18,6 +18,7 @@
 pub mod job_run;
 pub mod job_store;
 pub mod jobs;
+pub mod pace;
 pub mod peer_call;
 pub mod peers;
 pub mod relay;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -115,11 +115,29 @@
             .map(|(w, online, batch)| (*w, level((*online, *batch))))
             .collect()
     }
+
+    fn has_same_load(&self, other: &Self) -> bool {
+        self.levels == other.levels && self.backlog == other.backlog
+    }
+
+    /// Returns whether another message of the sender tells the others nothing new. The store revision
+    /// of a worker list counts only for lists with other entries.
+    pub fn is_repeated_by(&self, other: &Self) -> bool {
+        let same = Self {
+            number: self.number,
+            workers: ListVersion {
+                at: self.workers.at,
+                ..other.workers
+            },
+            ..other.clone()
+        };
+        *self == same
+    }
 }
 
 #[derive(Debug)]
 struct Peer {
-    heartbeat: Heartbeat,
+    heartbeat: Arc<Heartbeat>,
     received: Duration,
 }
 
@@ -157,15 +175,18 @@
 pub enum PeerChange {
     /// The heartbeat is older than one that was recorded.
     Stale,
-    /// The sender was already known.
+    /// The sender was already known, with the same requests in flight and the same backlog.
     Known,
+    /// The sender was already known, with other requests in flight or another backlog.
+    LoadChanged,
     /// The sender is new, restarted, or back after a timeout.
     Joined,
 }
 
 impl Peers {
     /// Records a heartbeat.
-    pub fn record(&mut self, heartbeat: Heartbeat, now: Duration) -> PeerChange {
+    pub fn record(&mut self, heartbeat: impl Into<Arc<Heartbeat>>, now: Duration) -> PeerChange {
+        let heartbeat = heartbeat.into();
         let known = self.known.get(&heartbeat.instance);
         let last = known.map(|p| (p.heartbeat.session, p.heartbeat.number));
         if last >= Some((heartbeat.session, heartbeat.number)) {
@@ -174,6 +195,7 @@
         let joined = known.is_none_or(|p| {
             p.heartbeat.session != heartbeat.session || now > p.received + LIVENESS_TIMEOUT
         });
+        let same_load = known.is_some_and(|p| p.heartbeat.has_same_load(&heartbeat));
         self.known.insert(
             heartbeat.instance.clone(),
             Peer {
@@ -181,10 +203,10 @@
                 received: now,
             },
         );
-        if joined {
-            PeerChange::Joined
-        } else {
-            PeerChange::Known
+        match (joined, same_load) {
+            (true, _) => PeerChange::Joined,
+            (false, true) => PeerChange::Known,
+            (false, false) => PeerChange::LoadChanged,
         }
     }
 
@@ -215,7 +237,7 @@
     /// Returns the last heartbeats of the live instances.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &Heartbeat> {
         let live = move |p: &&Peer| now <= p.received + LIVENESS_TIMEOUT;
-        self.known.values().filter(live).map(|p| &p.heartbeat)
+        self.known.values().filter(live).map(|p| &*p.heartbeat)
     }
 
     /// Returns whether an instance is among those that watch the object store for its zone. While no
@@ -325,7 +347,7 @@
             }
         }
         let home = ownership::owner(job, &names)?;
-        self.known.get(home).map(|p| p.heartbeat.clone())
+        self.known.get(home).map(|p| (*p.heartbeat).clone())
     }
 
     /// Returns whether a live instance announces that it runs a job.
--- a/tests/gateway_heartbeats.rs
+++ b/tests/gateway_heartbeats.rs
@@ -109,3 +109,37 @@
     assert!(!messages.is_empty());
     assert!(messages.iter().all(|m| m == &["one"]), "{messages:?}");
 }
+
+/// Guards against messages that grow with the square of the instances while nothing happens.
+#[test]
+fn a_quiet_instance_sends_few_heartbeats() {
+    let (store, _workers) = platform(2, PAUSE);
+    let one = Instance::start("one", &store, &[]);
+    let (near, far) = (Peer::new("near", "a"), Peer::new("far", "b"));
+    near.send(one.peers, &near.heartbeat(1));
+    far.send(one.peers, &far.heartbeat(1));
+    near.received(Duration::from_millis(300));
+    far.received(Duration::from_millis(10));
+    let count = near.received(Duration::from_secs(1)).len();
+    assert!((2..=8).contains(&count), "{count} heartbeats in a second");
+    let count = far.received(Duration::from_millis(10)).len();
+    assert!((2..=8).contains(&count), "{count} heartbeats in a second");
+}
+
+/// Guards against heartbeats that reach each neighbour from both relays of a round.
+#[test]
+fn a_heartbeat_that_a_neighbour_passed_on_is_not_passed_on_again() {
+    let (store, _workers) = platform(2, PAUSE);
+    let one = Instance::start("one", &store, &[]);
+    let (near, far) = (Peer::new("near", "a"), Peer::new("far", "b"));
+    let mut passed_on = 0;
+    for number in 1..=10 {
+        let heartbeat = far.heartbeat(number);
+        far.send(one.peers, &heartbeat);
+        near.send(one.peers, &[near.heartbeat(number), heartbeat].concat());
+        let messages = near.received(Duration::from_millis(150));
+        let names = messages.iter().flatten();
+        passed_on += names.filter(|n| *n == "far").count();
+    }
+    assert!(passed_on <= 2, "passed on {passed_on} of 10");
+}
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -118,6 +118,23 @@
     assert_eq!(peers.record(restarted, at(3)), PeerChange::Joined);
 }
 
+/// Guards against work on the whole fleet for each heartbeat, also while nothing happens.
+#[test]
+fn a_heartbeat_with_the_same_load_changes_nothing() {
+    let mut peers = Peers::default();
+    let mut busy = heartbeat("a", 2);
+    busy.levels = vec![(1, 2, 0)];
+    peers.record(heartbeat("a", 1), at(0));
+    assert_eq!(peers.record(busy.clone(), at(1)), PeerChange::LoadChanged);
+    busy.number = 3;
+    assert_eq!(peers.record(busy.clone(), at(2)), PeerChange::Known);
+    busy.number = 4;
+    busy.backlog.late = 1;
+    assert_eq!(peers.record(busy.clone(), at(3)), PeerChange::LoadChanged);
+    busy.number = 5;
+    assert_eq!(peers.record(busy, at(9000)), PeerChange::Joined);
+}
+
 /// Guards against a quota that counts the tokens of an instance that is gone.
 #[test]
 fn waiting_tokens_of_live_instances_are_added() {
