--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,8 +1,8 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
 //! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `head`, `job`, `leaving`,
-//! `orphans`, `peers`, `splice`, `sse`, `suspects` and `view` hold the logic; the other modules do the
-//! I/O.
+//! `orphans`, `pace`, `peers`, `splice`, `sse`, `suspects` and `view` hold the logic; the other modules
+//! do the I/O.
 
 pub mod answer;
 pub mod config;
@@ -22,6 +22,7 @@
 pub mod jobs;
 pub mod leaving;
 pub mod orphans;
+pub mod pace;
 pub mod peer_call;
 pub mod peers;
 pub mod relay;
