Know a request that crashes workers by its fingerprint

A request without shared parts, with parts that others prove sound, or that crashes its workers after the first event was never kept from the workers.

Cause: requests were known by the shared parts of their prompts alone, an event counted as proof that the request is sound, and each broken attempt was blamed on its own, also if it only ran beside the one that crashed the worker.

Change: a request carries a fingerprint (method, host, path, query, credentials, body) beside its parts. A break before the first event blames both, one after it the fingerprint alone; an event proves the parts, the whole answer the fingerprint. Records explain each other by crash: what broke at a worker within 100 ms of the culprit is not blamed. A block that names a request takes effect with its third crash; the wait for proofs of others (350 ms) stays for parts. Retries of one request within 30 ms are crashes of their own. At most two probes follow for a request, three for a part. Records are kept for an hour after they were last needed (a minute before, too short for a request that comes again later), 128 at most, those that block nothing dropped first; only records of the last minute are repeated each second.

Tried: explaining all breaks at a worker within 1 s. With the port of the Host header in the fingerprint instances did not know each other's requests.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,7 +12,7 @@
 use crate::{
     adapter::headers::{self, AnswerTerms, Attempt},
     event,
-    ids::{PartId, RequestId, ServiceId, WorkerId},
+    ids::{RequestId, ServiceId, WorkerId},
     metrics::{self, CallEnd},
 };
 
@@ -23,8 +23,9 @@
     dispatch::{Busy, Placement},
     fleet::Requirements,
     gateway::Gateway,
+    marks::{self, Mark},
     relay,
-    suspects::{self, Admission},
+    suspects::Admission,
 };
 
 /// Share of the objective that a request may wait for a worker before it is refused. An early
@@ -46,7 +47,7 @@
 const NO_WORKER_RETRY: Duration = Duration::from_millis(500);
 
 /// Reason of a failure for the log and the caller.
-const CRASHING_PART: &str = "workers crash on a part of the prompt";
+const CRASHING: &str = "workers crash on such requests";
 
 /// A caller's call with its body.
 #[derive(Debug, Clone)]
@@ -94,7 +95,7 @@
 pub enum Failure {
     /// The call has not run and will not.
     NotRun(Busy),
-    /// The call has not run and will not, as its prompt holds parts that crash workers.
+    /// The call has not run and will not, as such calls crash workers.
     Blocked(Busy),
     /// The call may have run.
     MayHaveRun(String),
@@ -108,7 +109,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotRun(_) => f.write_str("no worker is free"),
-            Self::Blocked(_) => f.write_str(CRASHING_PART),
+            Self::Blocked(_) => f.write_str(CRASHING),
             Self::MayHaveRun(reason) => f.write_str(reason),
             Self::TimedOut => f.write_str("the time is over"),
             Self::Answered(answer) => write!(f, "a worker answered {}", answer.status()),
@@ -125,7 +126,8 @@
     pub call: Call,
     gateway: Arc<Gateway>,
     service: ServiceId,
-    parts: Vec<PartId>,
+    /// The parts of the prompt, then the call itself.
+    marks: Vec<Mark>,
     tried: Vec<WorkerId>,
     runs: u32,
     deadline: Instant,
@@ -143,12 +145,14 @@
         );
     };
     let limit = call.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let mut marks = marks::of_parts(headers::decode_parts(&call.headers));
+    marks.push(Mark::Request(marks::fingerprint(&call)));
     let session = Session {
         deadline: call.received + limit,
         gateway,
         route,
         service,
-        parts: headers::decode_parts(&call.headers),
+        marks,
         call,
         tried: Vec::new(),
         runs: 0,
@@ -223,6 +227,7 @@
 
     /// Records that a worker's answer was forwarded completely.
     pub fn record_answered(&mut self) {
+        self.gateway.record_proof(&self.marks);
         self.record_end(CallEnd::Answered);
         event!(
             Info,
@@ -278,24 +283,38 @@
 
     /// Records that a worker sent the first event of its answer, or the whole of it.
     pub fn record_begun(&self) {
-        self.gateway.record_proof(&self.parts);
+        self.gateway.record_proof(self.part_marks());
     }
 
-    /// Returns the failure of a call whose prompt holds parts that crash workers.
+    fn part_marks(&self) -> &[Mark] {
+        &self.marks[..self.marks.len() - 1]
+    }
+
+    /// Returns the marks to blame for a broken attempt.
+    fn blamed(&self, broken: &AttemptError) -> &[Mark] {
+        let first = if broken.begun {
+            self.marks.len() - 1
+        } else {
+            0
+        };
+        &self.marks[first..]
+    }
+
+    /// Returns the failure of a call that would crash workers.
     fn blocked(&self, retry_after: Duration) -> Failure {
         if self.runs == 0 {
             Failure::Blocked(Busy { retry_after })
         } else {
-            Failure::MayHaveRun(CRASHING_PART.into())
+            Failure::MayHaveRun(CRASHING.into())
         }
     }
 
     /// Records that a worker broke the connection or timed out on the call.
     pub fn record_broken(&mut self, placement: &Placement, broken: &AttemptError) {
-        if broken.is_crash() {
+        if broken.closed {
             let worker = &placement.worker.id;
             self.gateway
-                .record_crash(&self.parts, &self.call.id, worker);
+                .record_crash(self.blamed(broken), &self.call.id, worker);
         }
         self.runs += 1;
         self.tried.push(placement.worker.id.clone());
@@ -308,7 +327,7 @@
             placement.worker.id,
             self.runs,
             broken.begun,
-            suspects::names(&self.parts),
+            marks::names(&self.marks),
             broken.reason
         );
     }
@@ -327,7 +346,7 @@
         if self.tried.len() >= MAX_TRIED {
             return Err(self.no_worker(dispatch.busy()));
         }
-        let admission = self.gateway.admit(&self.parts, &self.call.id);
+        let admission = self.gateway.admit(&self.marks, &self.call.id);
         if let Admission::Refused(retry_after) = admission {
             return Err(self.blocked(retry_after));
         }
@@ -343,9 +362,9 @@
             Ok(placement) => placement,
             Err(busy) => return Err(self.no_worker(busy)),
         };
-        // The parts may have been blocked while the call was queued.
+        // The call may have been blocked while the call was queued.
         if admission == Admission::Free
-            && let Admission::Refused(retry_after) = self.gateway.admit(&self.parts, &self.call.id)
+            && let Admission::Refused(retry_after) = self.gateway.admit(&self.marks, &self.call.id)
         {
             return Err(self.blocked(retry_after));
         }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -15,21 +15,23 @@
     adapter::store::Store,
     drain::{Drain, Phase},
     event, fnv,
-    ids::{JobId, PartId, SessionId, WorkerId},
+    ids::{JobId, SessionId, WorkerId},
     metrics::InstanceState,
     mutex::lock,
     ownership,
 };
 
 use super::{
+    blame::Block,
     config::Configuration,
     connection::Connection,
     dispatch::Dispatch,
     fleet::{self, Worker},
     jobs::Jobs,
+    marks::{self, Mark},
     peers::{Candidate, Heartbeat, Peers},
     settings::Settings,
-    suspects::{self, Admission, Block, Suspects},
+    suspects::{Admission, Suspects},
     sync::Views,
     upstream::Upstream,
 };
@@ -98,41 +100,41 @@
         lock(&self.views)
     }
 
-    /// Returns what is known of parts of prompts that crash workers.
+    /// Returns what is known of requests that crash workers.
     pub fn suspects(&self) -> MutexGuard<'_, Suspects> {
         lock(&self.suspects)
     }
 
-    /// Records that the connection of an attempt ended before its first event.
-    pub fn record_crash(&self, parts: &[PartId], request: &str, worker: &WorkerId) {
+    /// Records that the connection of an attempt broke.
+    pub fn record_crash(&self, marks: &[Mark], request: &str, worker: &WorkerId) {
         let attempt = (fleet::key(worker), fnv::hash32(request.bytes()));
         let now = self.now();
-        if self.suspects().record_crash(parts, attempt, now) {
+        if self.suspects().record_crash(marks, attempt, now) {
             event!(
                 Info,
                 PartsSuspected,
                 "request={request} worker={worker} parts={}",
-                suspects::names(parts)
+                marks::names(marks)
             );
             // Other instances learn of it with the next heartbeat.
             self.dispatch.notify();
         }
     }
 
-    /// Records that a worker sent an event of an answer to a prompt with these parts.
-    pub fn record_proof(&self, parts: &[PartId]) {
+    /// Records that a worker answered a request with these marks.
+    pub fn record_proof(&self, marks: &[Mark]) {
         let now = self.now();
-        if self.suspects().record_proof(parts, now) {
+        if self.suspects().record_proof(marks, now) {
             self.dispatch.notify();
         }
     }
 
     /// Decides whether a request or an item may be sent to a worker.
-    pub fn admit(&self, parts: &[PartId], request: &str) -> Admission {
+    pub fn admit(&self, marks: &[Mark], request: &str) -> Admission {
         let now = self.now();
-        let admission = self.suspects().admit(parts, now, |b| self.is_prober(b));
+        let admission = self.suspects().admit(marks, now, |b| self.is_prober(b));
         if admission == Admission::Probe {
-            let parts = suspects::names(parts);
+            let parts = marks::names(marks);
             event!(Info, PartsProbed, "request={request} parts={parts}");
         }
         admission
@@ -143,7 +145,7 @@
         let peers = self.peers();
         let live = peers.live(self.now()).filter(|h| !h.leaving);
         let names: Vec<_> = live.map(|h| h.instance.clone()).collect();
-        let key = suspects::names(&block.parts);
+        let key = marks::names(&block.marks);
         ownership::position(&key, &self.settings.instance, &names) == 0
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -1,7 +1,7 @@
 //! Exchanges heartbeats with the other instances over UDP.
 //!
 //! A message is the heartbeat of its sender, followed by heartbeats of other zones that the sender
-//! passes on to its neighbours. A report of parts of prompts that crash workers is a message of its
+//! passes on to its neighbours. A report of requests that crash workers is a message of its
 //! own, which exists only after crashes.
 
 use std::{
@@ -21,12 +21,13 @@
 };
 
 use super::{
+    crash_report::Report,
     fleet::{Backlog, Level},
     gateway::Gateway,
     jobs::SharedJob,
+    marks,
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
-    suspects::{self, Report},
 };
 
 /// Heartbeat interval while nothing changes.
@@ -137,7 +138,7 @@
     let news = gateway.suspects().take_news(now);
     let blocks = gateway.suspects().take_blocks();
     for block in blocks {
-        let (parts, crashes) = (suspects::names(&block.parts), block.crashes);
+        let (parts, crashes) = (marks::names(&block.marks), block.crashes);
         event!(Warn, PartsBlocked, "parts={parts} crashes={crashes}");
     }
     let peers = gateway.peers();
@@ -148,7 +149,7 @@
     }
     if now >= *due {
         *due = now + REPORT_INTERVAL;
-        let report = gateway.suspects().report(now);
+        let report = gateway.suspects().recent_report(now);
         if !report.is_empty() {
             let some = fastrand::choose_multiple(live, REPORT_TARGETS);
             send_report(socket, &report, some.into_iter().collect());
@@ -157,7 +158,7 @@
 }
 
 fn send_report(socket: &Async<UdpSocket>, report: &Report, targets: Set<SocketAddr>) {
-    match postcard::to_extend(report, REPORT_MARK.to_vec()) {
+    match report.encode(REPORT_MARK.to_vec()) {
         Ok(message) => send_all(socket, &message, &targets),
         Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
     }
@@ -293,7 +294,7 @@
 }
 
 fn read_report(gateway: &Gateway, report: &[u8]) {
-    match postcard::from_bytes(report) {
+    match Report::decode(report) {
         Ok(report) => gateway.suspects().merge(report, gateway.now()),
         Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
     }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -10,7 +10,7 @@
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::{ItemId, JobId, PartId},
+    ids::{ItemId, JobId},
     metrics::{self, ItemStatus},
     mutex::lock,
 };
@@ -21,8 +21,8 @@
     gateway::Gateway,
     job::{Item, Job, Verdict},
     jobs::SharedJob,
+    marks::{self, Mark},
     sse::Events,
-    suspects,
 };
 
 /// Time without an event after which an item moves to another worker.
@@ -100,7 +100,7 @@
             && broken.is_crash()
         {
             self.gateway
-                .record_crash(&self.parts(), &self.item.id, &worker);
+                .record_crash(&self.marks(), &self.item.id, &worker);
         }
         drop(placement);
         self.record_end(end, text, last, &worker);
@@ -168,7 +168,7 @@
             match events.next(*last, STALL_LIMIT).await {
                 Ok(Some(event)) => {
                     if text.is_empty() {
-                        self.gateway.record_proof(&self.parts());
+                        self.gateway.record_proof(&self.marks());
                     }
                     *last = event.id.or(*last);
                     bytes += event.bytes.len();
@@ -196,9 +196,10 @@
         }
     }
 
-    /// Returns the parts of the item's prompt that requests may share.
-    fn parts(&self) -> Vec<PartId> {
-        headers::decode_item_parts(&self.item.headers)
+    /// Returns the marks of the item. Its parts alone can be to blame, as an item stays owed however
+    /// many workers crash under it.
+    fn marks(&self) -> Vec<Mark> {
+        marks::of_parts(headers::decode_item_parts(&self.item.headers))
     }
 
     fn should_continue(&self) -> bool {
@@ -287,7 +288,7 @@
                      reason={:?}",
                     self.job,
                     broken.begun,
-                    suspects::names(&self.parts()),
+                    marks::names(&self.marks()),
                     broken.reason
                 );
                 progress.not_before = now + RETRY_PAUSE;
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -19,6 +19,7 @@
     job::{self, Item, Record},
     job_store::{self, PAGES},
     jobs::{self, SharedJob},
+    marks,
     suspects::Admission,
 };
 
@@ -171,8 +172,8 @@
 fn admitted_item(gateway: &Gateway, shared: &SharedJob, now: Duration) -> Option<Item> {
     let job = lock(shared);
     let is_admitted = |i: &&Item| {
-        let parts = headers::decode_item_parts(&i.headers);
-        !matches!(gateway.admit(&parts, &i.id), Admission::Refused(_))
+        let marks = marks::of_parts(headers::decode_item_parts(&i.headers));
+        !matches!(gateway.admit(&marks, &i.id), Admission::Refused(_))
     };
     job.startable(now).find(is_admitted).cloned()
 }
@@ -185,8 +186,8 @@
         return job.startable(now).count() as u32;
     }
     let is_free = |i: &&Item| {
-        let parts = headers::decode_item_parts(&i.headers);
-        !gateway.suspects().is_blocked(&parts, now)
+        let marks = marks::of_parts(headers::decode_item_parts(&i.headers));
+        !gateway.suspects().is_blocked(&marks, now)
     };
     job.startable(now).filter(is_free).count() as u32
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,11 +1,13 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `job`, `peers`, `sse`,
-//! `suspects` and `view` hold the logic; the other modules do the I/O.
+//! docs/platform.md describes the modules. `blame`, `config`, `crash_report`, `dispatch`, `fleet`,
+//! `job`, `marks`, `peers`, `sse`, `suspects` and `view` hold the logic; the other modules do the I/O.
 
 pub mod answer;
+pub mod blame;
 pub mod config;
 pub mod connection;
+pub mod crash_report;
 pub mod dispatch;
 pub mod fleet;
 pub mod forward;
@@ -18,6 +20,7 @@
 pub mod job_run;
 pub mod job_store;
 pub mod jobs;
+pub mod marks;
 pub mod peer_call;
 pub mod peers;
 pub mod relay;
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -29,6 +29,8 @@
 pub type Revision = u64;
 /// Id of a part of a prompt, which requests may share.
 pub type PartId = u64;
+/// Hash by which a repeated request is known again.
+pub type Fingerprint = u64;
 /// Version of an object in the object service, from one counter for all objects.
 pub type Version = u64;
 /// Number of a group of items inside its job, from 0.
