Pause an item longer after each crash of its worker

Cause: an item has no limit on runs that break, and must not have one: an item under which servers crashed is still owed. Change: the pause doubles with each run whose worker closed the connection, up to an eighth of item_ttl_s, so that the item still runs several times before it expires. Items leave no fingerprint, so crashes of other requests do not hold them.

--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -29,6 +29,9 @@
 const STALL_LIMIT: Duration = Duration::from_millis(1500);
 /// Delay before an item is started again after a worker refused it or broke the connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Share of the time until an item fails that it pauses at most after a crash of its worker, so that
+/// it is still run several times.
+const MAX_PAUSE_SHARE: f64 = 0.125;
 /// Delay before an item is started again after an error from a worker.
 const ERROR_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum size of the events of a run; a longer output would fit no object of the store.
@@ -66,6 +69,8 @@
     pub host: Arc<str>,
     /// Worker errors after which the item fails.
     pub attempts: u32,
+    /// Time from the submission after which the item fails.
+    pub ttl: Duration,
 }
 
 impl Run {
@@ -238,6 +243,15 @@
         Ok(request)
     }
 
+    /// Returns the pause after a broken run, given the number of crashes before it. It doubles with
+    /// each, as the next worker may crash as well.
+    fn pause(&self, crashes: u32) -> Duration {
+        let longest = self.ttl.mul_f64(MAX_PAUSE_SHARE).max(RETRY_PAUSE);
+        RETRY_PAUSE
+            .saturating_mul(2_u32.saturating_pow(crashes))
+            .min(longest)
+    }
+
     /// Records the end of the run in the state of the job.
     fn record_end(&self, end: RunEnd, text: Vec<Arc<str>>, last: Option<u64>, worker: &str) {
         let now = self.gateway.now();
@@ -291,7 +305,8 @@
                     marks::names(&self.marks()),
                     broken.reason
                 );
-                progress.not_before = now + RETRY_PAUSE;
+                progress.not_before = now + self.pause(progress.crashes);
+                progress.crashes += u32::from(broken.closed);
             }
             RunEnd::Failed(status) => {
                 progress.failures += 1;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -119,6 +119,8 @@
     pub last: Option<u64>,
     /// Runs that ended with an error from the worker.
     pub failures: u32,
+    /// Runs whose worker closed the connection.
+    pub crashes: u32,
     /// Whether the item is running.
     pub running: bool,
     /// Time before which the item is not started again.
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -162,6 +162,10 @@
         host: job.record.host.clone(),
         item,
         attempts: runnable.route.attempts,
+        ttl: runnable
+            .route
+            .batch()
+            .map_or(Duration::ZERO, |t| t.item_ttl),
     };
     drop(job);
     smol::spawn(run.run(placement, yield_request, after)).detach();
--- a/tests/gateway_deadly.rs
+++ b/tests/gateway_deadly.rs
@@ -85,3 +85,20 @@
 fn deadly_requests_with_whole_answers_are_kept_from_the_workers() {
     check_late_runs("safe", "aa:100,1:10", 3);
 }
+
+/// Guards against an item that crashes one worker after the other, and against one that is left lying
+/// when its workers are sound again.
+#[test]
+fn an_item_under_which_workers_crash_pauses_and_completes() {
+    let (store, workers) = deadly_platform(0);
+    let one = Instance::start_for_jobs("one", &store);
+    assert_eq!(one.submit("job", &["deadly"]).unwrap().status, 202);
+    thread::sleep(STABLE_WINDOW);
+    let runs = deadly_runs(&workers);
+    assert!((2..=6).contains(&runs), "{runs} runs");
+    for worker in &workers {
+        worker.set_deadly_path(None);
+    }
+    let results = one.wait_results("job", 1);
+    assert_eq!(results[0]["state"], "done");
+}
