--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -10,7 +10,7 @@
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::{ItemId, JobId, PartId},
+    ids::{ItemId, JobId},
     metrics::{self, ItemStatus},
     mutex::lock,
 };
@@ -22,15 +22,18 @@
     head::{self, Head},
     job::{Item, Job, Verdict},
     jobs::SharedJob,
+    marks::{self, Mark},
     splice::Form,
     sse::{Event, Events},
-    suspects,
 };
 
 /// Time without an event after which an item moves to another worker.
 const STALL_LIMIT: Duration = Duration::from_millis(1500);
 /// Delay before an item is started again after a worker refused it or broke the connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Share of the time until an item fails that it pauses at most after a crash of its worker, so that
+/// it is still run several times.
+const MAX_PAUSE_SHARE: f64 = 0.125;
 /// Delay before an item is started again after an error from a worker.
 const ERROR_PAUSE: Duration = Duration::from_millis(300);
 /// Maximum size of the events of a run; a longer output would fit no object of the store.
@@ -101,6 +104,8 @@
     pub host: Arc<str>,
     /// Worker errors after which the item fails.
     pub attempts: u32,
+    /// Time from the submission after which the item fails.
+    pub ttl: Duration,
 }
 
 impl Run {
@@ -134,7 +139,7 @@
             && broken.is_crash()
         {
             self.gateway
-                .record_crash(&self.parts(), &self.item.id, &worker);
+                .record_crash(&self.marks(), &self.item.id, &worker);
         }
         drop(placement);
         self.record_end(end, output, &worker);
@@ -201,7 +206,7 @@
             match events.next(output.last, STALL_LIMIT).await {
                 Ok(Some(event)) => {
                     if output.events.is_empty() {
-                        self.gateway.record_proof(&self.parts());
+                        self.gateway.record_proof(&self.marks());
                     }
                     bytes += event.bytes.len();
                     output.push(&event);
@@ -227,9 +232,10 @@
         }
     }
 
-    /// Returns the parts of the item's prompt that requests may share.
-    fn parts(&self) -> Vec<PartId> {
-        headers::decode_item_parts(&self.item.headers)
+    /// Returns the marks of the item. Its parts alone can be to blame, as an item stays owed however
+    /// many workers crash under it.
+    fn marks(&self) -> Vec<Mark> {
+        marks::of_parts(headers::decode_item_parts(&self.item.headers))
     }
 
     fn should_continue(&self) -> bool {
@@ -268,6 +274,15 @@
         Ok(request)
     }
 
+    /// Returns the pause after a broken run, given the number of crashes before it. It doubles with
+    /// each, as the next worker may crash as well.
+    fn pause(&self, crashes: u32) -> Duration {
+        let longest = self.ttl.mul_f64(MAX_PAUSE_SHARE).max(RETRY_PAUSE);
+        RETRY_PAUSE
+            .saturating_mul(2_u32.saturating_pow(crashes))
+            .min(longest)
+    }
+
     /// Records the end of the run in the state of the job.
     fn record_end(&self, end: RunEnd, output: Output, worker: &str) {
         let now = self.gateway.now();
@@ -322,10 +337,11 @@
                      reason={:?}",
                     self.job,
                     broken.begun,
-                    suspects::names(&self.parts()),
+                    marks::names(&self.marks()),
                     broken.reason
                 );
-                progress.not_before = now + RETRY_PAUSE;
+                progress.not_before = now + self.pause(progress.crashes);
+                progress.crashes += u32::from(broken.closed);
             }
             RunEnd::Failed(status) => {
                 progress.failures += 1;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,12 +1,14 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `config`, `dispatch`, `fleet`, `head`, `job`, `leaving`,
-//! `orphans`, `pace`, `peers`, `splice`, `sse`, `suspects` and `view` hold the logic; the other modules
-//! do the I/O.
+//! docs/platform.md describes the modules. `blame`, `config`, `crash_report`, `dispatch`, `fleet`,
+//! `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`, `suspects` and `view`
+//! hold the logic; the other modules do the I/O.
 
 pub mod answer;
+pub mod blame;
 pub mod config;
 pub mod connection;
+pub mod crash_report;
 pub mod dispatch;
 pub mod fleet;
 pub mod forward;
@@ -21,6 +23,7 @@
 pub mod job_store;
 pub mod jobs;
 pub mod leaving;
+pub mod marks;
 pub mod orphans;
 pub mod pace;
 pub mod peer_call;
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -459,6 +459,7 @@
     copies: u32,
     leaving: bool,
     deadly: Option<String>,
+    deadly_path: Option<(String, u64)>,
 }
 
 impl Worker {
@@ -474,6 +475,7 @@
             copies: 0,
             leaving: false,
             deadly: None,
+            deadly_path: None,
         }));
         let (shared, name) = (state.clone(), id.to_owned());
         let address = serve(move |request, stream| answer_worker(&name, &shared, request, stream));
@@ -499,6 +501,12 @@
         self.state.lock().unwrap().leaving = leaving;
     }
 
+    /// Makes the worker break each answer to a path after a number of events, or heals it.
+    pub fn set_deadly_path(&self, deadly: Option<(&str, u64)>) {
+        let deadly = deadly.map(|(path, events)| (path.to_owned(), events));
+        self.state.lock().unwrap().deadly_path = deadly;
+    }
+
     /// Returns the requests that the worker began to run.
     pub fn runs(&self) -> Vec<Request> {
         self.state.lock().unwrap().runs.clone()
@@ -566,10 +574,12 @@
         }
         let prompt = request.header("x-prompt-prefix").unwrap_or_default();
         let is_deadly = state.deadly.as_ref().is_some_and(|p| prompt.contains(p));
-        let behaviour = if is_deadly {
-            Behaviour::BreakAfter(0)
-        } else {
-            behaviour
+        let deadly_path = state.deadly_path.as_ref();
+        let broken = deadly_path.filter(|(path, _)| request.path.contains(path));
+        let behaviour = match broken {
+            Some((_, events)) => Behaviour::BreakAfter(*events),
+            None if is_deadly => Behaviour::BreakAfter(0),
+            None => behaviour,
         };
         (behaviour, state.events, state.pause)
     };
@@ -908,6 +918,8 @@
         "routes": [
             route("resumable", "stream", true, 2),
             route("single", "stream", false, 1),
+            route("safe", "safe", false, 2),
+            route("unsafe", "unsafe", false, 1),
             route("jobs", "batch", true, 3),
         ],
         "services": [{ "name": "lm", "max_conns": 100 }],
