Remember a cancellation that is heard while a job is loaded

Cause: a cancellation heard from another instance marked the known jobs only, and the job was added with the record's older status afterwards.

Evidence: the test failed before with "assertion failed: job.lock().unwrap().ended". Whether it has happened outside the test is not known. The job is added first and the cancellations are looked at then, so one of both sides sees the other.

--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -74,11 +74,16 @@
     /// Adds a job unless it is already known, and returns the known one.
     pub fn add(&self, id: &JobId, job: Job) -> SharedJob {
         lock(&self.keys).insert(peers::job_key(id), id.clone());
-        let mut jobs = lock(&self.jobs);
-        let shared = jobs
-            .entry(id.clone())
-            .or_insert_with(|| Arc::new(Mutex::new(job)));
-        shared.clone()
+        let shared = {
+            let mut jobs = lock(&self.jobs);
+            let entry = jobs.entry(id.clone());
+            entry.or_insert_with(|| Arc::new(Mutex::new(job))).clone()
+        };
+        // The record may have been read before the job was cancelled.
+        if lock(&self.ended).contains_key(id) {
+            lock(&shared).ended = true;
+        }
+        shared
     }
 
     /// Removes a job.
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -16,6 +16,8 @@
 use gateway_support::{Instance, Store, config, platform};
 use gentianpath::gateway::{
     fleet::Backlog,
+    job::{Job, Record},
+    jobs::Jobs,
     orphans::Orphans,
     peers::{self, Heartbeat, JobState, ListVersion},
 };
@@ -220,3 +222,18 @@
         page.is_some_and(|p| p["spec"][0]["verdict"] == "GivenUp")
     });
 }
+
+/// Guards against items that run since their job was cancelled while its record was read.
+#[test]
+fn a_job_that_was_cancelled_while_it_was_loaded_has_ended() {
+    let jobs = Jobs::default();
+    let record = Record {
+        host: "h".into(),
+        path: "/jobs/".into(),
+        submitted: 1,
+        items: Vec::new(),
+    };
+    jobs.mark_ended(&"j1".into(), Duration::ZERO);
+    let job = jobs.add(&"j1".into(), Job::new(record.into(), false));
+    assert!(job.lock().unwrap().ended);
+}
