Announce cancellations again that the search for jobs finds

Callers saw items of a cancelled job run on (UNASKED) at an instance that had been cut off from the one that took the cancellation for longer than the 10 s in which it is announced.

Cause: nothing repeats a cancellation, and the instance that runs a job does not read its record again.

Evidence: the test failed before with "the item stops: did not hold in time" (60 s).

The search after the end of a cut reads all records anyway. It announces the cancelled ones that an instance still runs.

--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -107,7 +107,12 @@
         }
     };
     let is_expired = is_expired(gateway, &record);
-    if !is_expired && (ended || gateway.is_run(&id)) {
+    let is_run = gateway.is_run(&id);
+    if ended && is_run {
+        // A cut may have kept the cancellation from the instance that runs the job.
+        gateway.jobs.mark_ended(&id, gateway.now());
+    }
+    if !is_expired && (ended || is_run) {
         return;
     }
     if check_at_home(gateway, &id).await && !is_expired {
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -237,3 +237,20 @@
     let job = jobs.add(&"j1".into(), Job::new(record.into(), false));
     assert!(job.lock().unwrap().ended);
 }
+
+/// Guards against items that run on since a cut kept the cancellation of their job from their instance.
+#[test]
+fn a_cancellation_behind_a_cut_is_heard_after_it() {
+    let (store, workers) = platform(8000, Duration::from_millis(20));
+    let one = Instance::start_for_jobs("one", &store);
+    assert_eq!(one.submit("j1", &["a"]).unwrap().status, 202);
+    let sent = || workers.iter().map(|w| w.sent()).sum::<u64>();
+    until("the item runs", || sent() > 0);
+    store.set_status("batch-jobs", "j1", json!({ "ended": true }));
+    let _two = Instance::start("two", &store, &[one.peers]);
+    until("the item stops", || {
+        let before = sent();
+        thread::sleep(Duration::from_millis(300));
+        sent() == before
+    });
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -184,6 +184,11 @@
         self.lock().put(kind, name, Some(spec), None);
     }
 
+    /// Writes the status of an object as another instance does.
+    pub fn set_status(&self, kind: &str, name: &str, status: Value) {
+        self.lock().put(kind, name, None, Some(status));
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         self.lock().remove(kind, name);
     }
