Accept no request in a planned stop that cannot be finished

A planned stop accepted requests until 3.2 s after the stop signal and ended at 0.94 of the grace period. With 8 s of grace, a request of 3.1 s after the signal has 4.4 s left, and its route allows 5 s: callers could see it cut off. The platform excuses a cut of a request that still runs in the last sixth of the grace period only if the request was sent within 3 s of the signal.

Cause: the delay was derived from the load balancer's checks alone (two, one a second).

Evidence: the test failed before (a connection was accepted 3 s after the signal).

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -34,8 +34,9 @@
 /// Object kind of the entries with which instances find each other.
 const INSTANCES: &str = "entry-instances";
 /// Time from the stop signal to the last accepted connection. The load balancer notices within two
-/// health checks, which it sends once a second.
-const LEAVE_DELAY: Duration = Duration::from_millis(3200);
+/// health checks, which it sends once a second. Requests that come later than 3 s after the signal
+/// would have to be finished although the grace period may end before their timeout.
+const LEAVE_DELAY: Duration = Duration::from_millis(2800);
 /// Share of the grace period that a planned stop may take.
 const STOP_SHARE: f64 = 0.94;
 /// Delay between attempts to register.
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -1,9 +1,10 @@
-//! Workers that leave while an instance cannot read the worker list.
+//! Workers that leave while an instance cannot read the worker list, and instances that leave.
 
 mod gateway_support;
 mod support;
 
 use std::{
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
@@ -17,6 +18,10 @@
 /// the platform's `stable_window_ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 
+/// Time after a stop signal from which on an instance must finish the requests that it accepts within
+/// its grace period, by the platform's rules.
+const ACCEPT_BOUND: Duration = Duration::from_secs(3);
+
 /// Starts instances of one zone, of which three watch the store.
 fn start(store: &Store, count: usize) -> Vec<Instance> {
     let first = Instance::start("one", store, &[]);
@@ -70,3 +75,14 @@
     thread::sleep(STABLE_WINDOW.saturating_sub(returned.elapsed()));
     assert_eq!(runs_at(&left, &instances), 0);
 }
+
+/// Guards against requests that a planned stop accepts so late that it cuts them off at the end of its
+/// grace period.
+#[test]
+fn a_planned_stop_accepts_no_request_that_it_has_no_time_to_finish() {
+    let (store, _workers) = platform(2, PAUSE);
+    let instance = Instance::start("one", &store, &[]);
+    instance.terminate();
+    thread::sleep(ACCEPT_BOUND);
+    assert!(TcpStream::connect(instance.callers).is_err());
+}
