Commit finished items before their due time

Callers saw: critiques that were finished in time and could be read only after their due time. Cause: a finished item waits 1.5 s for others to be committed with it, whatever is left until the results are due. With commit_time reduced to the delay alone, results_do_not_wait_beyond_their_due_time failed with "assertion failed: job.page_to_commit(at(800)).is_some()". Now the page is created 0.3 s before the due time with all that is finished then, and each item between that and the due time at once. Items that are late anyway wait for others as before.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -16,6 +16,9 @@
 
 /// Maximum time that a finished item waits for others to be committed with it.
 const COMMIT_DELAY: Duration = Duration::from_millis(1500);
+/// Time before the due time at which finished items are committed at once: a page is written, and
+/// another instance reads it after the next heartbeat.
+const COMMIT_LEAD: Duration = Duration::from_millis(300);
 /// Size at which a page is committed at once. The store accepts values of 1 MB, and JSON escaping
 /// makes texts longer.
 const MAX_PAGE_BYTES: usize = 400 << 10;
@@ -140,6 +143,8 @@
     pub stored_pages: u32,
     /// Time when the last page was added.
     pub page_time: Duration,
+    /// Time when the results are due, if the route is known.
+    pub due: Option<Duration>,
     outcomes: Vec<Outcome>,
     pages: u32,
     unfinished: Map<ItemId, Progress>,
@@ -162,6 +167,7 @@
             committing: false,
             stored_pages: 0,
             page_time: Duration::ZERO,
+            due: None,
             outcomes: Vec::new(),
             pages: 0,
             finished: Vec::new(),
@@ -230,7 +236,7 @@
         }
         let waited = self
             .oldest_finished
-            .is_some_and(|t| now >= t + COMMIT_DELAY);
+            .is_some_and(|t| now >= self.commit_time(t));
         // Commits failed items at once. Otherwise they would fail again at the next instance if
         // this one were lost.
         let given_up = |o: &Outcome| o.verdict == Verdict::GivenUp;
@@ -242,6 +248,13 @@
         Some(self.pending_page())
     }
 
+    /// Returns the time at which an item that finished at a time is committed with those after it.
+    fn commit_time(&self, finished: Duration) -> Duration {
+        let latest = finished + COMMIT_DELAY;
+        let due = self.due.filter(|d| finished < *d);
+        due.map_or(latest, |d| latest.min(d.saturating_sub(COMMIT_LEAD)))
+    }
+
     /// Returns the results that are not committed yet, up to the size of a page.
     pub fn pending_page(&self) -> Vec<Outcome> {
         let mut bytes = 0;
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -101,11 +101,14 @@
     running: &[(JobId, SharedJob)],
 ) -> Vec<RunnableJob> {
     let run_time = gateway.jobs.run_time();
+    let now = gateway.now();
     let runnable = running.iter().filter_map(|(id, shared)| {
-        let job = lock(shared);
+        let mut job = lock(shared);
         let route = route_of(config, &job.record)?;
+        let age = job_store::age(&job.record);
+        job.due = route.batch().map(|t| (now + t.due).saturating_sub(age));
         let urgency = match route.batch() {
-            Some(terms) => job::urgency(job_store::age(&job.record), terms.due, run_time),
+            Some(terms) => job::urgency(age, terms.due, run_time),
             None => Urgency::Timely,
         };
         Some(RunnableJob {
--- a/tests/gateway_jobs.rs
+++ b/tests/gateway_jobs.rs
@@ -95,6 +95,18 @@
     assert_eq!(job.page_to_commit(at(100)).unwrap().len(), 2);
 }
 
+/// Guards against results that are finished in time and can be read only after their due time.
+#[test]
+fn results_do_not_wait_beyond_their_due_time() {
+    let mut job = job(2);
+    job.due = Some(at(1000));
+    finish(&mut job, "i0", "a");
+    assert!(job.page_to_commit(at(600)).is_none());
+    assert!(job.page_to_commit(at(800)).is_some());
+    job.due = Some(at(0));
+    assert!(job.page_to_commit(at(800)).is_none());
+}
+
 /// Guards against an item that fails again at every instance that the job moves to.
 #[test]
 fn an_item_that_was_given_up_is_committed_at_once() {
