Judge whether an item can be in time by what is left of it

Callers saw: critiques that came late although most of their text existed before the due time. Cause: an item counted as late as soon as a whole run no longer fitted into the time of its job, however many events it already had. Late items start after all others and yield first, so that items a second from their end waited until the load fell. Waiting items of a job also started in the order of the job, not the most complete first. With progress left out of UsualRun::remaining, an_item_that_is_nearly_complete_is_not_late failed with "left: Late, right: Timely". Now the average run time counts for the share of the average events that an item lacks, each item has its own urgency, and of a job the item with the most events starts first.

--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -93,7 +93,7 @@
         let end = smol::future::or(work, yielded).await;
         if after.is_none() && matches!(end, RunEnd::Whole) {
             let time = self.gateway.now().saturating_sub(started);
-            self.gateway.jobs.record_run_time(time);
+            self.gateway.jobs.record_run(time, last.unwrap_or(0));
         }
         let worker = placement.worker.id.clone();
         if let RunEnd::Broken(broken) = &end
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -12,7 +12,7 @@
 
 use crate::ids::{ItemId, JobId, Map, Set};
 
-use super::fleet::Urgency;
+use super::fleet::{self, Urgency};
 
 /// Maximum time that a finished item waits for others to be committed with it.
 const COMMIT_DELAY: Duration = Duration::from_millis(1500);
@@ -25,6 +25,10 @@
 /// Maximum size of one read of results; callers accept 1 MB.
 const MAX_READ_BYTES: usize = 700 << 10;
 
+/// Weight of the newest run in the moving average of an item's run time; about the last ten runs
+/// count.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+
 /// An item as submitted.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -215,6 +219,11 @@
         self.unfinished.get_mut(item)
     }
 
+    /// Returns the number of the last event of an unfinished item.
+    pub fn last_event(&self, item: &str) -> Option<u64> {
+        self.unfinished.get(item).and_then(|p| p.last)
+    }
+
     /// Records the end of an item. A second end of the same item is ignored.
     pub fn finish(&mut self, item: &ItemId, verdict: Verdict, output: Arc<str>, now: Duration) {
         if self.unfinished.remove(item).is_none() {
@@ -361,12 +370,36 @@
     }
 }
 
-/// Returns whether the items of a job of a given age can still meet the due time. Under overload,
-/// late items are left for the end: in order of submission alone, each job would wait for jobs that
-/// are already late, and would be late itself.
-pub fn urgency(age: Duration, due: Duration, run_time: Option<Duration>) -> Urgency {
-    let run_time = run_time.unwrap_or(due / 4);
-    if age + run_time < due {
+/// Averages over items that ran without interruption.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UsualRun {
+    time: Duration,
+    events: f64,
+}
+
+impl UsualRun {
+    /// Returns the averages after one more run.
+    pub fn add(mean: Option<Self>, time: Duration, events: u64) -> Self {
+        let before = mean.map_or(events as f64, |m| m.events);
+        Self {
+            time: fleet::moving_average(mean.map(|m| m.time), time, RUN_TIME_WEIGHT),
+            events: before + (events as f64 - before) * RUN_TIME_WEIGHT,
+        }
+    }
+
+    /// Returns the time that an item needs after its last event.
+    pub fn remaining(&self, last: Option<u64>) -> Duration {
+        let done = last.unwrap_or(0) as f64 / self.events.max(1.0);
+        self.time.mul_f64((1.0 - done).max(0.0))
+    }
+}
+
+/// Returns whether an item of a job of a given age can still meet the due time, if it needs some more
+/// time. Under overload, late items are left for the end: in order of submission alone, each job would
+/// wait for jobs that are already late, and would be late itself.
+pub fn urgency(age: Duration, due: Duration, remaining: Option<Duration>) -> Urgency {
+    let remaining = remaining.unwrap_or(due / 4);
+    if age + remaining < due {
         Urgency::Timely
     } else {
         Urgency::Late
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -1,6 +1,6 @@
 //! Runs the items of the jobs of this instance and commits their results.
 
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
 use async_io::Timer;
 
@@ -16,7 +16,7 @@
     fleet::{Backlog, Requirements, Urgency},
     gateway::Gateway,
     item_run::{self, Run},
-    job::{self, Item, Record},
+    job::{self, Item, Job, Record, UsualRun},
     job_store::{self, PAGES},
     jobs::{self, SharedJob},
     suspects::Admission,
@@ -54,7 +54,7 @@
     let now = gateway.now();
     let running = gateway.jobs.running();
     let mut jobs = runnable_jobs(gateway, &config, &running);
-    jobs.sort_by_key(|j| (j.urgency, j.submitted));
+    jobs.sort_by_key(|j| j.submitted);
     let mut unfinished = false;
     let mut full = false;
     let mut waiting: Vec<(u32, u64)> = Vec::new();
@@ -66,11 +66,15 @@
             Some((_, sum)) => *sum += tokens,
             None => waiting.push((key, tokens)),
         }
-        while !full && start_item(gateway, runnable, now, &mut full) {}
-        let count = waiting_items(gateway, runnable, now);
-        match runnable.urgency {
-            Urgency::Timely => backlog.timely += count,
-            Urgency::Late => backlog.late += count,
+    }
+    for urgency in [Urgency::Timely, Urgency::Late] {
+        for runnable in &jobs {
+            while !full && start_item(gateway, runnable, urgency, now, &mut full) {}
+            let count = waiting_items(gateway, runnable, urgency, now);
+            match urgency {
+                Urgency::Timely => backlog.timely += count,
+                Urgency::Late => backlog.late += count,
+            }
         }
     }
     for (id, shared) in &running {
@@ -91,7 +95,29 @@
     job: SharedJob,
     route: Arc<Route>,
     submitted: u64,
-    urgency: Urgency,
+    age: Duration,
+    usual_run: Option<UsualRun>,
+}
+
+impl RunnableJob {
+    /// Returns the items that can start now and have an urgency, those with the most events first.
+    fn startable<'a>(&self, job: &'a Job, urgency: Urgency, now: Duration) -> Vec<&'a Item> {
+        let mut items: Vec<_> = job
+            .startable(now)
+            .map(|i| (job.last_event(&i.id), i))
+            .filter(|(last, _)| self.urgency(*last) == urgency)
+            .collect();
+        items.sort_by_key(|(last, _)| Reverse(*last));
+        items.into_iter().map(|(_, i)| i).collect()
+    }
+
+    fn urgency(&self, last: Option<u64>) -> Urgency {
+        let Some(terms) = self.route.batch() else {
+            return Urgency::Timely;
+        };
+        let remaining = self.usual_run.map(|u| u.remaining(last));
+        job::urgency(self.age, terms.due, remaining)
+    }
 }
 
 /// Returns the running jobs that have a route.
@@ -100,23 +126,20 @@
     config: &Configuration,
     running: &[(JobId, SharedJob)],
 ) -> Vec<RunnableJob> {
-    let run_time = gateway.jobs.run_time();
+    let usual_run = gateway.jobs.usual_run();
     let now = gateway.now();
     let runnable = running.iter().filter_map(|(id, shared)| {
         let mut job = lock(shared);
         let route = route_of(config, &job.record)?;
         let age = job_store::age(&job.record);
         job.due = route.batch().map(|t| (now + t.due).saturating_sub(age));
-        let urgency = match route.batch() {
-            Some(terms) => job::urgency(age, terms.due, run_time),
-            None => Urgency::Timely,
-        };
         Some(RunnableJob {
             id: id.clone(),
             job: shared.clone(),
             route,
             submitted: job.record.submitted,
-            urgency,
+            age,
+            usual_run,
         })
     });
     runnable.collect()
@@ -130,11 +153,12 @@
 fn start_item(
     gateway: &Arc<Gateway>,
     runnable: &RunnableJob,
+    urgency: Urgency,
     now: Duration,
     full: &mut bool,
 ) -> bool {
     let shared = &runnable.job;
-    let Some(item) = admitted_item(gateway, shared, now) else {
+    let Some(item) = admitted_item(gateway, runnable, urgency, now) else {
         return false;
     };
     let Some(service) = item_service(gateway, &item, shared) else {
@@ -144,9 +168,7 @@
         service: &service,
         tried: &[],
     };
-    let Some((placement, yield_request)) = gateway
-        .dispatch
-        .place_batch(&requirements, runnable.urgency)
+    let Some((placement, yield_request)) = gateway.dispatch.place_batch(&requirements, urgency)
     else {
         *full = true;
         return false;
@@ -171,27 +193,39 @@
 }
 
 /// Returns the first item of a job that can start now and may be sent to a worker.
-fn admitted_item(gateway: &Gateway, shared: &SharedJob, now: Duration) -> Option<Item> {
-    let job = lock(shared);
+fn admitted_item(
+    gateway: &Gateway,
+    runnable: &RunnableJob,
+    urgency: Urgency,
+    now: Duration,
+) -> Option<Item> {
+    let job = lock(&runnable.job);
     let is_admitted = |i: &&Item| {
         let parts = headers::decode_item_parts(&i.headers);
         !matches!(gateway.admit(&parts, &i.id), Admission::Refused(_))
     };
-    job.startable(now).find(is_admitted).cloned()
+    let items = runnable.startable(&job, urgency, now);
+    items.into_iter().find(is_admitted).cloned()
 }
 
 /// Returns the number of items of a job that only wait for a free slot. Items that are kept from the
 /// workers claim none.
-fn waiting_items(gateway: &Gateway, runnable: &RunnableJob, now: Duration) -> u32 {
+fn waiting_items(
+    gateway: &Gateway,
+    runnable: &RunnableJob,
+    urgency: Urgency,
+    now: Duration,
+) -> u32 {
     let job = lock(&runnable.job);
+    let items = runnable.startable(&job, urgency, now);
     if gateway.suspects().is_empty() {
-        return job.startable(now).count() as u32;
+        return items.len() as u32;
     }
     let is_free = |i: &&Item| {
         let parts = headers::decode_item_parts(&i.headers);
         !gateway.suspects().is_blocked(&parts, now)
     };
-    job.startable(now).filter(is_free).count() as u32
+    items.into_iter().filter(is_free).count() as u32
 }
 
 /// Chooses the service for an item by the current configuration.
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -15,8 +15,8 @@
 
 use super::{
     config::Route,
-    fleet::{self, Backlog},
-    job::Job,
+    fleet::Backlog,
+    job::{Job, UsualRun},
     peers::{self, JobKey, JobState},
 };
 
@@ -27,10 +27,6 @@
 /// caller may have read the last one here.
 const STATE_RETENTION: Duration = Duration::from_secs(5);
 
-/// Weight of the newest run in the moving average of an item's run time; about the last ten runs
-/// count.
-const RUN_TIME_WEIGHT: f64 = 0.1;
-
 /// State of a job, shared between the tasks that work on it.
 pub type SharedJob = Arc<Mutex<Job>>;
 
@@ -42,7 +38,7 @@
     ended: Mutex<Map<JobId, Duration>>,
     waiting: Mutex<Vec<(u32, u64)>>,
     backlog: Mutex<Backlog>,
-    run_time: Mutex<Option<Duration>>,
+    usual_run: Mutex<Option<UsualRun>>,
     runner: (Sender<()>, Receiver<()>),
 }
 
@@ -54,7 +50,7 @@
             ended: Mutex::default(),
             waiting: Mutex::default(),
             backlog: Mutex::default(),
-            run_time: Mutex::default(),
+            usual_run: Mutex::default(),
             runner: bounded(1),
         }
     }
@@ -169,16 +165,15 @@
         *lock(&self.backlog)
     }
 
-    /// Adds the run time of an item that ran without interruption to the average.
-    pub fn record_run_time(&self, time: Duration) {
-        let mut mean = lock(&self.run_time);
-        *mean = Some(fleet::moving_average(*mean, time, RUN_TIME_WEIGHT));
+    /// Adds an item that ran without interruption to the averages.
+    pub fn record_run(&self, time: Duration, events: u64) {
+        let mut usual = lock(&self.usual_run);
+        *usual = Some(UsualRun::add(*usual, time, events));
     }
 
-    /// Returns the average run time of an item that runs without interruption, or `None` before the
-    /// first one.
-    pub fn run_time(&self) -> Option<Duration> {
-        *lock(&self.run_time)
+    /// Returns the averages of items that ran without interruption, or `None` before the first one.
+    pub fn usual_run(&self) -> Option<UsualRun> {
+        *lock(&self.usual_run)
     }
 
     /// Notifies the runner that items may start or results may be committed.
--- a/tests/gateway_jobs.rs
+++ b/tests/gateway_jobs.rs
@@ -4,7 +4,7 @@
 
 use gentianpath::gateway::{
     fleet::Urgency,
-    job::{Item, Job, Outcome, Record, Verdict, urgency},
+    job::{Item, Job, Outcome, Record, UsualRun, Verdict, urgency},
 };
 
 fn record(items: usize) -> Arc<Record> {
@@ -124,6 +124,17 @@
     assert_eq!(urgency(at(14_000), due, None), Urgency::Late);
 }
 
+/// Guards against an item that is nearly complete and waits as if it had to run from the start.
+#[test]
+fn an_item_that_is_nearly_complete_is_not_late() {
+    let usual = UsualRun::add(None, at(5000), 100);
+    let urgency = |last| urgency(at(14_000), at(18_000), Some(usual.remaining(last)));
+    assert_eq!(urgency(None), Urgency::Late);
+    assert_eq!(urgency(Some(10)), Urgency::Late);
+    assert_eq!(urgency(Some(50)), Urgency::Timely);
+    assert_eq!(usual.remaining(Some(150)), at(0));
+}
+
 /// Guards against work that is lost in a planned stop, and against an output that loses its first
 /// part.
 #[test]
