Let each sender choose its own relays again

A failed try, taken back: all senders used the same two relays of a zone for 240 ms, so that few instances pass on many heartbeats each. A relay of the time sends the heartbeats of 140 instances to 28 neighbours, some 1 MB in 240 ms, which may be what its link or socket cannot take: suspected, not shown. What stays: no heartbeat without news, and none that the other relay has passed on.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,9 +14,8 @@
 use smol::channel::Sender;
 
 use crate::{
-    clock,
     drain::Phase,
-    event,
+    event, fnv,
     ids::{InstanceId, JobId, Map, SessionId, Set},
     mutex::lock,
 };
@@ -25,7 +24,7 @@
     fleet::{Backlog, Level},
     gateway::Gateway,
     jobs::SharedJob,
-    pace::{self, News, Pace},
+    pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
     suspects::{self, Report},
@@ -85,6 +84,8 @@
     let mut report_due = Duration::ZERO;
     let mut pace = Pace::default();
     let mut last_sent = None;
+    // Instances that start together begin with different relays.
+    let mut round = u64::from(fnv::hash32(gateway.settings.instance.bytes()));
     loop {
         number += 1;
         let now = gateway.now();
@@ -99,8 +100,9 @@
         let due = pace.round(news, now);
         let yielding = gateway.dispatch.peers_to_yield();
         if due.near || due.far || !yielding.is_empty() {
-            let targets = targets(gateway, now);
+            let targets = targets(gateway, round, now);
             let far = if due.far {
+                round = round.wrapping_add(1);
                 targets.far.clone()
             } else {
                 urgent_targets(gateway, &targets, &yielding)
@@ -227,9 +229,8 @@
     }
 }
 
-/// Returns the addresses for a heartbeat, including the seeds that were not heard yet.
-fn targets(gateway: &Gateway, now: Duration) -> Targets {
-    let round = pace::relay_round(clock::unix_millis());
+/// Returns the addresses for the heartbeat of a round, including the seeds that were not heard yet.
+fn targets(gateway: &Gateway, round: u64, now: Duration) -> Targets {
     let Settings {
         zone, seeds, peers, ..
     } = &gateway.settings;
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -90,11 +90,3 @@
         RELAY_INTERVAL.min(self.far_interval())
     }
 }
-
-/// Returns the number of the relays that are used at a time, in milliseconds since 1970.
-///
-/// All instances with about the same time use the same ones, so that few instances of a zone pass on
-/// many heartbeats each, instead of many a few each.
-pub fn relay_round(unix_millis: u64) -> u64 {
-    unix_millis / MAX_FAR_INTERVAL.as_millis() as u64
-}
--- a/tests/gateway_pace.rs
+++ b/tests/gateway_pace.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentianpath::gateway::pace::{Due, News, Pace, relay_round};
+use gentianpath::gateway::pace::{Due, News, Pace};
 
 const QUIET: News = News {
     changed: false,
@@ -45,10 +45,3 @@
         assert!((5..8).contains(&dues.iter().filter(|d| d.far).count()));
     }
 }
-
-/// Guards against a relay that fails for good and is chosen by all instances at each time.
-#[test]
-fn relays_change_with_each_interval() {
-    assert_eq!(relay_round(1000 * 240), relay_round(1000 * 240 + 239));
-    assert_eq!(relay_round(1000 * 240) + 1, relay_round(1001 * 240));
-}
