--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -12,16 +12,23 @@
 
 use crate::ids::{ItemId, JobId, Map, Set};
 
-use super::fleet::Urgency;
+use super::fleet::{self, Urgency};
 
 /// Maximum time that a finished item waits for others to be committed with it.
 const COMMIT_DELAY: Duration = Duration::from_millis(1500);
+/// Time before the due time at which finished items are committed at once: a page is written, and
+/// another instance reads it after the next heartbeat.
+const COMMIT_LEAD: Duration = Duration::from_millis(300);
 /// Size at which a page is committed at once. The store accepts values of 1 MB, and JSON escaping
 /// makes texts longer.
 const MAX_PAGE_BYTES: usize = 400 << 10;
 /// Maximum size of one read of results; callers accept 1 MB.
 const MAX_READ_BYTES: usize = 700 << 10;
 
+/// Weight of the newest run in the moving average of an item's run time; about the last ten runs
+/// count.
+const RUN_TIME_WEIGHT: f64 = 0.1;
+
 /// An item as submitted.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -140,6 +147,8 @@
     pub stored_pages: u32,
     /// Time when the last page was added.
     pub page_time: Duration,
+    /// Time when the results are due, if the route is known.
+    pub due: Option<Duration>,
     outcomes: Vec<Outcome>,
     pages: u32,
     unfinished: Map<ItemId, Progress>,
@@ -162,6 +171,7 @@
             committing: false,
             stored_pages: 0,
             page_time: Duration::ZERO,
+            due: None,
             outcomes: Vec::new(),
             pages: 0,
             finished: Vec::new(),
@@ -209,6 +219,11 @@
         self.unfinished.get_mut(item)
     }
 
+    /// Returns the number of the last event of an unfinished item.
+    pub fn last_event(&self, item: &str) -> Option<u64> {
+        self.unfinished.get(item).and_then(|p| p.last)
+    }
+
     /// Records the end of an item. A second end of the same item is ignored.
     pub fn finish(&mut self, item: &ItemId, verdict: Verdict, output: Arc<str>, now: Duration) {
         if self.unfinished.remove(item).is_none() {
@@ -230,7 +245,7 @@
         }
         let waited = self
             .oldest_finished
-            .is_some_and(|t| now >= t + COMMIT_DELAY);
+            .is_some_and(|t| now >= self.commit_time(t));
         // Commits failed items at once. Otherwise they would fail again at the next instance if
         // this one were lost.
         let given_up = |o: &Outcome| o.verdict == Verdict::GivenUp;
@@ -242,6 +257,13 @@
         Some(self.pending_page())
     }
 
+    /// Returns the time at which an item that finished at a time is committed with those after it.
+    fn commit_time(&self, finished: Duration) -> Duration {
+        let latest = finished + COMMIT_DELAY;
+        let due = self.due.filter(|d| finished < *d);
+        due.map_or(latest, |d| latest.min(d.saturating_sub(COMMIT_LEAD)))
+    }
+
     /// Returns the results that are not committed yet, up to the size of a page.
     pub fn pending_page(&self) -> Vec<Outcome> {
         let mut bytes = 0;
@@ -348,12 +370,36 @@
     }
 }
 
-/// Returns whether the items of a job of a given age can still meet the due time. Under overload,
-/// late items are left for the end: in order of submission alone, each job would wait for jobs that
-/// are already late, and would be late itself.
-pub fn urgency(age: Duration, due: Duration, run_time: Option<Duration>) -> Urgency {
-    let run_time = run_time.unwrap_or(due / 4);
-    if age + run_time < due {
+/// Averages over items that ran without interruption.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct UsualRun {
+    time: Duration,
+    events: f64,
+}
+
+impl UsualRun {
+    /// Returns the averages after one more run.
+    pub fn add(mean: Option<Self>, time: Duration, events: u64) -> Self {
+        let before = mean.map_or(events as f64, |m| m.events);
+        Self {
+            time: fleet::moving_average(mean.map(|m| m.time), time, RUN_TIME_WEIGHT),
+            events: before + (events as f64 - before) * RUN_TIME_WEIGHT,
+        }
+    }
+
+    /// Returns the time that an item needs after its last event.
+    pub fn remaining(&self, last: Option<u64>) -> Duration {
+        let done = last.unwrap_or(0) as f64 / self.events.max(1.0);
+        self.time.mul_f64((1.0 - done).max(0.0))
+    }
+}
+
+/// Returns whether an item of a job of a given age can still meet the due time, if it needs some more
+/// time. Under overload, late items are left for the end: in order of submission alone, each job would
+/// wait for jobs that are already late, and would be late itself.
+pub fn urgency(age: Duration, due: Duration, remaining: Option<Duration>) -> Urgency {
+    let remaining = remaining.unwrap_or(due / 4);
+    if age + remaining < due {
         Urgency::Timely
     } else {
         Urgency::Late
