Give up batch items only under a configuration from after their job

Callers would have seen items listed as given up although their route exists: an instance that takes over a job while its own configuration is older, since it has just started or was cut off, does not know the route yet.

Cause: takes a missing route for one that has ended, whatever the configuration. The verdict is final. Records of jobs now hold the version of the configuration under which they were accepted, and only a later one can end the route. Records of earlier releases have version 0, as before.

Evidence: items_outlast_a_configuration_from_before_their_job failed with the check switched off: "dead", not "done".

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -60,6 +60,10 @@
     pub path: Arc<str>,
     /// Time of the first submission, in milliseconds since 1970.
     pub submitted: u64,
+    /// Version of the configuration under which the job was accepted; 0 if an earlier release wrote
+    /// the record.
+    #[serde(default)]
+    pub config: u64,
     /// Items of the job.
     pub items: Vec<Item>,
 }
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -183,6 +183,7 @@
         host: request.host.clone(),
         path: request.path.clone(),
         submitted: clock::unix_millis(),
+        config: config.version,
         items,
     };
     if !fits_quota(gateway, &route, tokens) {
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -243,7 +243,7 @@
 }
 
 /// Fails the unfinished items of a job that has exceeded its maximum age, and those that do not run
-/// when its route has ended.
+/// when its route has ended. A configuration from before the job cannot end its route.
 fn fail_expired(
     gateway: &Gateway,
     config: &Configuration,
@@ -257,6 +257,7 @@
     let (items, reason) = match route.as_ref().and_then(|r| r.batch()) {
         Some(terms) if age < terms.item_ttl => return,
         Some(_) => (job.unfinished_items(), "time-over"),
+        None if config.version <= job.record.config => return,
         None => (job.waiting_items(), "no-route"),
     };
     if items.is_empty() {
--- a/tests/gateway_jobs.rs
+++ b/tests/gateway_jobs.rs
@@ -19,6 +19,7 @@
         host: "h".into(),
         path: "/jobs/".into(),
         submitted: 1,
+        config: 0,
         items: (0..items).map(item).collect(),
     })
 }
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -231,6 +231,7 @@
         host: "h".into(),
         path: "/jobs/".into(),
         submitted: 1,
+        config: 0,
         items: Vec::new(),
     };
     jobs.mark_ended(&"j1".into(), Duration::ZERO);
@@ -254,3 +255,23 @@
         sent() == before
     });
 }
+
+/// Guards against items that are given up by an instance whose configuration is older than their job.
+#[test]
+fn items_outlast_a_configuration_from_before_their_job() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    store.put("config", "main", config_without_jobs(2));
+    let item = json!({ "id": "a", "path": "/jobs/a", "headers": [], "body": "", "tokens": 1 });
+    let record = json!({
+        "host": gateway_support::HOST, "path": "/jobs/j1", "submitted": 4_000_000_000_000_u64,
+        "config": 3, "items": [item],
+    });
+    store.put("batch-jobs", "j1", record);
+    let one = Instance::start_for_jobs("one", &store);
+    until("the job is taken over", || {
+        one.results("j1", 0).is_some_and(|a| a.status == 200)
+    });
+    store.put("config", "main", config(3));
+    let results = one.wait_results("j1", 1);
+    assert_eq!(results[0]["state"], "done");
+}
