Count a search for pages only when it has ended

Callers could be told that a position which they had read elsewhere has nothing (LOST), in a cut with a slow store: a search that was under way, or that had failed, kept the next read within 500 ms from searching.

Cause: the time of the search was recorded before its outcome was known. It is now recorded after a search of the store that succeeded; reads at the same time each search.

Evidence: a_result_is_read_after_a_search_for_it_that_failed failed before with an empty list, not the result.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -157,7 +157,7 @@
     pub stored_pages: u32,
     /// Time when the last page was added.
     pub page_time: Duration,
-    /// Time when the store was last searched for pages of instances that are not heard.
+    /// Time when the last whole search of the store for pages of instances that are not heard began.
     pub page_check: Duration,
     /// Time when the results are due, if the route is known.
     pub due: Option<Duration>,
@@ -202,14 +202,9 @@
         !self.active || self.stored_pages > self.pages
     }
 
-    /// Returns whether the store has to be searched for pages of instances that are not heard, and
-    /// records that it is.
-    pub fn begin_page_check(&mut self, now: Duration) -> bool {
-        if now < self.page_check + PAGE_CHECK_INTERVAL {
-            return false;
-        }
-        self.page_check = now;
-        true
+    /// Returns whether the store has to be searched for pages of instances that are not heard.
+    pub fn needs_page_check(&self, now: Duration) -> bool {
+        now >= self.page_check + PAGE_CHECK_INTERVAL
     }
 
     /// Adds the next page as stored, whichever instance wrote it.
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -295,22 +295,26 @@
     }
     loop {
         let may_be_cut = gateway.may_be_cut();
+        let now = gateway.now();
         let is_over = {
-            let mut job = lock(&job);
+            let job = lock(&job);
             let page = job.read(after);
             let is_certain = !page.results.is_empty() || job.is_complete();
             let is_over = job.ended || started.elapsed() >= request.wait;
             let answer = job_calls::encode_page(&page);
-            if is_certain || is_over && !(may_be_cut && job.begin_page_check(gateway.now())) {
+            if is_certain || is_over && !(may_be_cut && job.needs_page_check(now)) {
                 return json(answer);
             }
             is_over
         };
         if !is_over {
             Timer::after(READ_POLL_INTERVAL).await;
-        } else if let Err(e) = job_store::read_pages(gateway, &request.job, &job).await {
+            continue;
+        }
+        if let Err(e) = job_store::read_pages(gateway, &request.job, &job).await {
             return unavailable(&e.to_string());
         }
+        lock(&job).page_check = now;
     }
 }
 
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -158,18 +158,17 @@
     answer.json()["results"].as_array().cloned().unwrap()
 }
 
-/// Guards against a result that one side of a cut between instances lists and the other denies.
-#[test]
-fn a_result_is_read_on_both_sides_of_a_cut() {
-    let (store, _workers) = platform(60, Duration::from_millis(50));
-    let one = Instance::start_for_jobs("one", &store);
+/// Runs a job at two instances that do not hear each other, and returns them with the results that the
+/// first one lists.
+fn run_on_both_sides_of_a_cut(store: &Store) -> (Instance, Instance, Vec<Value>) {
+    let one = Instance::start_for_jobs("one", store);
     // Neither instance learns where the other one is.
     store.put(
         "entry-instances",
         "one",
         json!({ "address": "127.0.0.1:9" }),
     );
-    let two = Instance::start_for_jobs("two", &store);
+    let two = Instance::start_for_jobs("two", store);
     assert_eq!(one.submit("j1", &["a"]).unwrap().status, 202);
     thread::sleep(Duration::from_millis(1500));
     assert_eq!(two.submit("j1", &["a"]).unwrap().status, 202);
@@ -178,6 +177,24 @@
         results = listed(&one, "j1");
         !results.is_empty()
     });
+    (one, two, results)
+}
+
+/// Guards against a result that one side of a cut between instances lists and the other denies.
+#[test]
+fn a_result_is_read_on_both_sides_of_a_cut() {
+    let (store, _workers) = platform(60, Duration::from_millis(50));
+    let (_one, two, results) = run_on_both_sides_of_a_cut(&store);
+    assert_eq!(listed(&two, "j1"), results);
+}
+
+/// Guards against a result that is denied since an earlier search of the store for it has failed.
+#[test]
+fn a_result_is_read_after_a_search_for_it_that_failed() {
+    let (store, _workers) = platform(60, Duration::from_millis(50));
+    let (_one, two, results) = run_on_both_sides_of_a_cut(&store);
+    store.refuse_reads("batch-pages", 1);
+    assert_eq!(two.results("j1", 0).unwrap().status, 503);
     assert_eq!(listed(&two, "j1"), results);
 }
 
