Wake up for heartbeats when they are due

Instances of sites with other zones sent idle heartbeats each 300 ms, not 250, and a change to other zones up to 60 ms late: rounds followed each other by the interval at which heartbeats are passed on, whatever was due.

Pace::pause now ends at the nearest due time. six_idle_intervals_fit_into_the_time_of_membership failed before with 6 heartbeats, not 7, in the time after which an instance counts as gone.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -118,7 +118,7 @@
         remove_silent(gateway, updates, last_check, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
-        let next = now + pace.pause();
+        let next = now + pace.pause(now);
         let due = async {
             Timer::after(next.saturating_sub(gateway.now())).await;
         };
--- a/src/gateway/pace.rs
+++ b/src/gateway/pace.rs
@@ -66,11 +66,20 @@
 
     /// Returns the time until the next round, if nothing is notified before. While there are other
     /// zones, their heartbeats may come to be passed on.
-    pub fn pause(&self) -> Duration {
+    pub fn pause(&self, now: Duration) -> Duration {
+        let far_interval = if self.far_news {
+            self.far_interval()
+        } else {
+            IDLE_INTERVAL.max(self.far_interval())
+        };
+        let left = |sent: Option<Duration>, interval: Duration| {
+            sent.map_or(Duration::ZERO, |t| (t + interval).saturating_sub(now))
+        };
+        let due = left(self.near_sent, IDLE_INTERVAL).min(left(self.far_sent, far_interval));
         if self.outside > 0 {
-            self.relay_interval()
+            due.min(self.relay_interval())
         } else {
-            IDLE_INTERVAL
+            due
         }
     }
 
--- a/tests/gateway_pace.rs
+++ b/tests/gateway_pace.rs
@@ -45,3 +45,19 @@
         assert!((5..8).contains(&dues.iter().filter(|d| d.far).count()));
     }
 }
+
+/// Guards against heartbeats that are late because an instance wakes up only to pass others on.
+#[test]
+fn six_idle_intervals_fit_into_the_time_of_membership() {
+    for outside in [0, 1, 40, 1000] {
+        let mut pace = Pace::default();
+        pace.set_outside(outside);
+        let (mut now, mut sent) = (at(0), 0);
+        while now < at(1600) {
+            let due = pace.round(QUIET, now);
+            sent += usize::from(due.near && due.far);
+            now += pace.pause(now);
+        }
+        assert_eq!(sent, 7, "{outside} instances outside");
+    }
+}
