Drop records of crashes of the worker that has most of them

Now the worker with most records loses one first; those that keep a request from the workers stay last as before. failing_workers_displace_no_records_of_others failed with the count switched off (the request was admitted after its third crash).

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -8,20 +8,20 @@
 //!
 //! Instances exchange records and proofs, since each of them sees only some of the crashes.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use crate::ids::Map;
 
 use super::{
     blame::{self, AttemptKey, Block, Crash, FIRST_PROBE},
     crash_report::{CrashReport, Report},
+    fleet::WorkerKey,
     marks::Mark,
 };
 
 /// Time without a request with its marks after which a record is forgotten.
 const MEMORY: Duration = Duration::from_secs(3600);
-/// Maximum number of records. The ones that keep nothing from the workers and were not needed for
-/// longest are dropped.
+/// Maximum number of records.
 const MAX_RECORDS: usize = 128;
 /// Maximum number of marks in a record: the last parts of the prompt and the request.
 const MAX_MARKS: usize = 16;
@@ -219,17 +219,28 @@
         }
         self.crashes.retain(|c| !c.marks.is_empty());
         if self.crashes.len() > MAX_RECORDS {
-            let need = |i: &usize| {
-                let crash = &self.crashes[*i];
-                (self.blocks_in(&crash.marks).next().is_some(), crash.needed)
-            };
-            let least = (0..self.crashes.len()).min_by_key(need);
-            least.map(|i| self.crashes.swap_remove(i));
+            self.drop_record();
         }
         self.review_at = Some(now);
         true
     }
 
+    /// Drops a record that keeps nothing from the workers, of the worker that has most of them: one
+    /// that breaks connections all the time would otherwise displace the records of all others.
+    fn drop_record(&mut self) {
+        let mut counts: Map<WorkerKey, usize> = Map::default();
+        for crash in &self.crashes {
+            *counts.entry(crash.attempt.0).or_default() += 1;
+        }
+        let need = |i: &usize| {
+            let crash = &self.crashes[*i];
+            let blocks = self.blocks_in(&crash.marks).next().is_some();
+            (blocks, Reverse(counts[&crash.attempt.0]), crash.needed)
+        };
+        let least = (0..self.crashes.len()).min_by_key(need);
+        least.map(|i| self.crashes.swap_remove(i));
+    }
+
     /// Records that a mark was sound at a time.
     fn prove(&mut self, mark: Mark, at: Duration, now: Duration) {
         let known = self.proved.entry(mark).or_insert(at);
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -306,3 +306,18 @@
     }
     assert!(!admits(&mut suspects, &[REQUEST], 200));
 }
+
+/// Guards against workers that break connections all the time and so displace the records of a request
+/// that crashes others.
+#[test]
+fn failing_workers_displace_no_records_of_others() {
+    let mut suspects = Suspects::default();
+    suspects.record_crash(&[REQUEST], (1, 1), at(100));
+    suspects.record_crash(&[REQUEST], (2, 2), at(300));
+    for n in 0..1000 {
+        let broken = [Mark::Request(u64::from(n) + 100)];
+        suspects.record_crash(&broken, (10 + n % 8, n + 100), at(400 + u64::from(n)));
+    }
+    suspects.record_crash(&[REQUEST], (3, 3), at(2000));
+    assert!(!admits(&mut suspects, &[REQUEST], 2100));
+}
