Keep requests that crash workers in the store

Cause: what instances know of such a request was in their memory alone and spread from one to another. The class of fault: knowledge that has to outlive processes is kept only by processes.

Change: an object `blocked-requests/FINGERPRINT` holds the crashes of a blocked request and a probe that runs. The instances that saw the crashes write it, with conditional updates. It is read at a start (a stale list, a tenth of a call) and, at most once a second, when the connection of an attempt breaks; the retry of that request waits up to 50 ms for it, and for nothing if the store fails. Calls whose attempts do not break wait for nothing. A probe is claimed there before it is sent, and a claim without an end counts as a crash. A whole answer removes the object, else its age of an hour.

Ruled out: reading nothing at a start, which costs a crash at each restart; parts in the objects, since a part that others have proved sound would come back after a restart and block sound requests.

The stand-in store of the tests answers 409 to an update with another revision, as the platform does.

--- a/src/events.rs
+++ b/src/events.rs
@@ -74,6 +74,8 @@
     PartsProbed = 1020, "parts-probed";
     /// A worker sends nothing for a while; another one is sought while it is kept.
     WorkerSilent = 1021, "worker-silent";
+    /// A blocked request became known from the object store.
+    BlockRecalled = 1022, "block-recalled";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/blame.rs
+++ b/src/gateway/blame.rs
@@ -68,6 +68,11 @@
         self.attempt == other.attempt && self.at.abs_diff(other.at) < SAME_CRASH
     }
 
+    /// Returns whether both are of one crash of a worker.
+    pub fn is_at_worker_of(&self, other: &Self) -> bool {
+        self.attempt.0 == other.attempt.0 && self.at.abs_diff(other.at) < SAME_CRASH
+    }
+
     /// Returns whether both attempts broke with the same crash of a worker.
     fn is_beside(&self, other: &Self) -> bool {
         self.attempt.0 == other.attempt.0 && self.at.abs_diff(other.at) < BREAK_TIME
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,17 +8,19 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
-use smol::channel::Sender;
+use smol::channel::{Receiver, Sender};
 
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::{RequestId, ServiceId, WorkerId},
+    ids::{Fingerprint, RequestId, ServiceId, WorkerId},
     metrics::{self, CallEnd},
 };
 
 use super::{
     answer::{CallerBody, full_body, refuse},
+    blame::FIRST_PROBE,
+    block_store,
     config::{Route, RouteKind},
     connection::{self, AttemptError, Connection, SendError},
     dispatch::{Busy, Placement},
@@ -124,6 +126,9 @@
     pub(super) service: ServiceId,
     /// The parts of the prompt, then the call itself.
     marks: Vec<Mark>,
+    fingerprint: Fingerprint,
+    /// A read of what others know of the call, since an attempt broke.
+    recalled: Option<Receiver<()>>,
     /// Workers that the call is not sent to any more.
     pub(super) tried: Vec<WorkerId>,
     /// Number of workers that may have run the call and whose answer is not used.
@@ -148,13 +153,16 @@
     };
     let limit = call.deadline.unwrap_or(route.timeout).min(route.timeout);
     let mut marks = marks::of_parts(headers::decode_parts(&call.headers));
-    marks.push(Mark::Request(marks::fingerprint(&call)));
+    let fingerprint = marks::fingerprint(&call);
+    marks.push(Mark::Request(fingerprint));
     let session = Session {
         deadline: call.received + limit,
         gateway,
         route,
         service,
         marks,
+        fingerprint,
+        recalled: None,
         call,
         tried: Vec::new(),
         runs: 0,
@@ -330,6 +338,7 @@
     /// Records that a worker broke the connection or timed out on the call.
     pub fn record_broken(&mut self, placement: &Placement, broken: &AttemptError) {
         if broken.closed {
+            self.recalled = Some(block_store::start_recall(&self.gateway));
             let worker = &placement.worker.id;
             self.gateway
                 .record_crash(self.blamed(broken), &self.call.id, worker);
@@ -364,6 +373,9 @@
         if self.tried.len() >= MAX_TRIED {
             return Err(self.no_worker(dispatch.busy()));
         }
+        if let Some(recalled) = self.recalled.take() {
+            block_store::wait(recalled).await;
+        }
         let admission = self.gateway.admit(&self.marks, &self.call.id);
         if let Admission::Refused(retry_after) = admission {
             return Err(self.blocked(retry_after));
@@ -381,6 +393,11 @@
         {
             return Err(self.blocked(retry_after));
         }
+        if admission == Admission::Probe
+            && !block_store::claim_probe(&self.gateway, self.fingerprint).await
+        {
+            return Err(self.blocked(FIRST_PROBE));
+        }
         let worker = placement.worker.clone();
         event!(
             Info,
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -23,6 +23,7 @@
 
 use super::{
     blame::Block,
+    block_store::Recall,
     config::Configuration,
     connection::Connection,
     dispatch::Dispatch,
@@ -63,6 +64,8 @@
     pub views: Mutex<Views>,
     peers: Mutex<Peers>,
     suspects: Mutex<Suspects>,
+    /// The last read of the requests that are blocked by others.
+    pub recall: Mutex<Option<Recall>>,
     store_reached: AtomicBool,
 }
 
@@ -81,6 +84,7 @@
             views: Mutex::default(),
             peers: Mutex::default(),
             suspects: Mutex::default(),
+            recall: Mutex::default(),
             store_reached: AtomicBool::new(true),
         })
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,6 +21,7 @@
 };
 
 use super::{
+    block_store,
     crash_report::Report,
     fleet::{Backlog, Level},
     gateway::Gateway,
@@ -75,7 +76,7 @@
 }
 
 async fn send(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     socket: &Async<UdpSocket>,
     updates: &UpdateSenders,
     relayed: &Relayed,
@@ -115,6 +116,7 @@
             last_sent = Some(heartbeat);
         }
         send_reports(gateway, socket, &mut report_due);
+        block_store::write_news(gateway);
         remove_silent(gateway, updates, last_check, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,11 +1,13 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `blame`, `config`, `crash_report`, `dispatch`, `fleet`,
-//! `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`, `suspects` and `view`
-//! hold the logic; the other modules do the I/O.
+//! docs/platform.md describes the modules. `blame`, `block_record`, `config`, `crash_report`,
+//! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`,
+//! `suspects` and `view` hold the logic; the other modules do the I/O.
 
 pub mod answer;
 pub mod blame;
+pub mod block_record;
+pub mod block_store;
 pub mod config;
 pub mod connection;
 pub mod crash_report;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -22,6 +22,7 @@
 };
 
 use super::{
+    block_store,
     gateway::Gateway,
     gossip::{self, UpdateSenders},
     job_run, job_store,
@@ -96,6 +97,9 @@
         .spawn(sync::follow(gateway.clone(), Kind::Workers))
         .detach();
     control.spawn(sync::pull(gateway.clone(), pulls)).detach();
+    control
+        .spawn(block_store::read_first(gateway.clone()))
+        .detach();
     control
         .spawn(gossip::run(gateway.clone(), socket, updates))
         .detach();
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -10,7 +10,7 @@
 
 use std::{cmp::Reverse, time::Duration};
 
-use crate::ids::Map;
+use crate::ids::{Fingerprint, Map, Set};
 
 use super::{
     blame::{self, AttemptKey, Block, Crash, FIRST_PROBE},
@@ -60,6 +60,19 @@
     new_crashes: Vec<Crash>,
     new_proofs: Vec<(Mark, Duration)>,
     new_blocks: Vec<Block>,
+    /// Requests under which a worker crashed at this instance, and whose crashes are not stored.
+    unsaved: Set<Fingerprint>,
+    /// Blocked requests that were proved sound at this instance.
+    sound: Vec<Fingerprint>,
+}
+
+/// What is new of blocked requests.
+#[derive(Debug, Default)]
+pub struct BlockNews {
+    /// Requests with their crashes.
+    pub crashed: Vec<(Fingerprint, Vec<CrashReport>)>,
+    /// Requests that were proved sound.
+    pub sound: Vec<Fingerprint>,
 }
 
 impl Suspects {
@@ -77,6 +90,7 @@
         if !self.add(crash.clone(), now) {
             return false;
         }
+        self.unsaved.extend(crash.marks.iter().filter_map(request));
         self.new_crashes.push(crash);
         true
     }
@@ -87,6 +101,10 @@
         let now = now + ORIGIN;
         let suspected = |m: &&Mark| self.crashes.iter().any(|c| c.marks.contains(m));
         let sound: Vec<Mark> = marks.iter().filter(suspected).copied().collect();
+        let is_blocked = |f: &Fingerprint| self.block_of(*f).is_some();
+        let unblocked = sound.iter().filter_map(request).filter(is_blocked);
+        let unblocked: Vec<Fingerprint> = unblocked.collect();
+        self.sound.extend(unblocked);
         for mark in &sound {
             self.prove(*mark, now, now);
             self.new_proofs.push((*mark, now));
@@ -162,6 +180,73 @@
         }
     }
 
+    /// Returns what happened to blocked requests at this instance since the last call.
+    pub fn take_block_news(&mut self, now: Duration) -> BlockNews {
+        if self.unsaved.is_empty() && self.sound.is_empty() {
+            return BlockNews::default();
+        }
+        self.review(now + ORIGIN);
+        let mut unsaved = std::mem::take(&mut self.unsaved);
+        let blocked = unsaved.extract_if(|f| self.block_of(*f).is_some());
+        let blocked: Vec<Fingerprint> = blocked.collect();
+        // Others may still join the records of those that do not block yet.
+        let held = self.crashes.iter().flat_map(|c| &c.marks);
+        let held: Set<Fingerprint> = held.filter_map(request).collect();
+        unsaved.retain(|f| held.contains(f));
+        self.unsaved = unsaved;
+        let crashed = blocked.into_iter();
+        BlockNews {
+            crashed: crashed.map(|f| (f, self.crashes_of(f, now))).collect(),
+            sound: std::mem::take(&mut self.sound),
+        }
+    }
+
+    /// Returns the known crashes of a request.
+    pub fn crashes_of(&self, request: Fingerprint, now: Duration) -> Vec<CrashReport> {
+        let mark = Mark::Request(request);
+        let crashes = self.crashes.iter().filter(|c| c.marks.contains(&mark));
+        crashes.map(|c| CrashReport::new(c, now + ORIGIN)).collect()
+    }
+
+    /// Returns whether a blocked request may be probed by what is known of its crashes.
+    pub fn is_probe_due(&mut self, request: Fingerprint, now: Duration) -> bool {
+        let now = now + ORIGIN;
+        self.review(now);
+        let due = self.block_of(request).and_then(Block::probe_time);
+        due.is_some_and(|d| now >= d)
+    }
+
+    /// Adds crashes that are known from the store, and returns whether any was new. Other instances
+    /// are told of these.
+    pub fn recall(&mut self, report: Report, now: Duration) -> bool {
+        let now = now + ORIGIN;
+        let mut is_new = false;
+        for crash in report.crashes {
+            let crash = Crash {
+                attempt: crash.attempt,
+                at: now.saturating_sub(Duration::from_millis(crash.at)),
+                needed: now,
+                marks: crash.marks,
+            };
+            // The record of an instance that saw the crash may have more marks.
+            let is_known = self
+                .crashes
+                .iter()
+                .any(|c| c.is_at_worker_of(&crash) && is_subset(&crash.marks, &c.marks));
+            if !is_known && self.add(crash.clone(), now) {
+                is_new = true;
+                self.new_crashes.push(crash);
+            }
+        }
+        is_new
+    }
+
+    /// Returns the block that keeps a request from the workers for its own sake.
+    fn block_of(&self, request: Fingerprint) -> Option<&Block> {
+        let mark = Mark::Request(request);
+        self.blocks.iter().find(|b| b.marks.contains(&mark))
+    }
+
     /// Returns all that is known.
     pub fn report(&mut self, now: Duration) -> Report {
         self.report_needed(now, MEMORY)
@@ -287,6 +372,13 @@
     }
 }
 
+fn request(mark: &Mark) -> Option<Fingerprint> {
+    match mark {
+        Mark::Request(id) => Some(*id),
+        Mark::Part(_) => None,
+    }
+}
+
 fn is_subset(marks: &[Mark], of: &[Mark]) -> bool {
     marks.iter().all(|m| of.contains(m))
 }
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    block_store,
     gateway::Gateway,
     job::{self, Record},
     job_store::{self, JOBS, PAGES},
@@ -45,7 +46,7 @@
         }
         if due.is_some_and(|d| now >= d) && gateway.is_sweeper() {
             due = None;
-            if let Err(e) = sweep(&gateway, &mut found).await {
+            if let Err(e) = sweep_all(&gateway, &mut found).await {
                 event!(Info, StoreCallFailed, "call=sweep reason=\"{e}\"");
                 due = Some(now + SWEEP_DELAY);
             }
@@ -78,6 +79,11 @@
     }
 }
 
+async fn sweep_all(gateway: &Arc<Gateway>, found: &mut Set<JobId>) -> Result<(), StoreError> {
+    sweep(gateway, found).await?;
+    block_store::sweep(gateway).await
+}
+
 /// Adds the jobs that no instance runs to `found`, and has them checked.
 async fn sweep(gateway: &Arc<Gateway>, found: &mut Set<JobId>) -> Result<(), StoreError> {
     let mut after: Option<String> = None;
--- a/tests/gateway_deadly.rs
+++ b/tests/gateway_deadly.rs
@@ -5,7 +5,8 @@
 
 use std::{thread, time::Duration};
 
-use gateway_support::{Instance, Store, Worker, platform};
+use gateway_support::{Behaviour, Instance, Store, Worker, platform};
+use support::{http, until};
 
 const PAUSE: Duration = Duration::from_millis(2);
 /// Retries that may still reach workers, by the platform's rules.
@@ -14,6 +15,10 @@
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
 /// Path of the requests that crash workers.
 const DEADLY: &str = "/deadly";
+/// Kind of the objects of blocked requests.
+const BLOCKED: &str = "blocked-requests";
+/// Time after the last crash at which a blocked request is probed.
+const FIRST_PROBE: Duration = Duration::from_millis(5200);
 
 /// Starts a store with workers of which each breaks the answers to deadly requests after some events.
 fn deadly_platform(events: u64) -> (Store, Vec<Worker>) {
@@ -102,3 +107,93 @@
     let results = one.wait_results("job", 1);
     assert_eq!(results[0]["state"], "done");
 }
+
+/// Sends a deadly request to an instance some times.
+fn send_deadly(instance: &Instance, count: u32) {
+    for number in 0..count {
+        let id = format!("{}-{number}", instance.callers);
+        instance.stream_with(&format!("/resumable{DEADLY}"), &id, "");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against a request that crashes more workers after each restart of all instances.
+#[test]
+fn a_restart_of_all_instances_forgets_no_deadly_request() {
+    let (store, workers) = deadly_platform(0);
+    let mut one = Instance::start("one", &store, &[]);
+    send_deadly(&one, 4);
+    thread::sleep(STABLE_WINDOW);
+    let before = deadly_runs(&workers);
+    assert!(before >= 3, "only {before} runs");
+    for _ in 0..2 {
+        one.kill();
+        one = Instance::start("one", &store, &[]);
+        send_deadly(&one, 4);
+    }
+    let late = deadly_runs(&workers) - before;
+    assert!(late <= MAX_LATE_RUNS, "{late} late runs");
+}
+
+/// Guards against a request that crashes more workers at each side of a cut, though all sides reach
+/// the store.
+#[test]
+fn sides_that_do_not_hear_each_other_share_what_crashes_workers() {
+    let (store, workers) = deadly_platform(1);
+    store.set_stale_lists("entry-instances");
+    let sides = ["one", "two", "three"].map(|name| Instance::start(name, &store, &[]));
+    send_deadly(&sides[0], 4);
+    thread::sleep(STABLE_WINDOW);
+    let before = deadly_runs(&workers);
+    assert!(before >= 3, "only {before} runs");
+    send_deadly(&sides[1], 4);
+    send_deadly(&sides[2], 4);
+    let late = deadly_runs(&workers) - before;
+    assert!(late <= MAX_LATE_RUNS, "{late} late runs");
+}
+
+/// Guards against probes without a limit by instances that are killed while they run.
+#[test]
+fn a_probe_whose_instance_is_killed_counts() {
+    let (store, workers) = deadly_platform(0);
+    let mut one = Instance::start("one", &store, &[]);
+    send_deadly(&one, 4);
+    let before = deadly_runs(&workers);
+    thread::sleep(FIRST_PROBE);
+    for worker in &workers {
+        worker.set_deadly_path(None);
+        worker.behave(&[Behaviour::StallAfter(0)]);
+    }
+    let callers = one.callers;
+    thread::spawn(move || {
+        let headers = [("x-request-id", "probe"), ("x-deadline-ms", "5000")];
+        let path = format!("/resumable{DEADLY}");
+        http::call(callers, "POST", &path, &headers, "prompt")
+    });
+    until("the probe runs", || deadly_runs(&workers) > before);
+    one.kill();
+    let before = deadly_runs(&workers);
+    thread::sleep(FIRST_PROBE);
+    let two = Instance::start("two", &store, &[]);
+    send_deadly(&two, 20);
+    let late = deadly_runs(&workers) - before;
+    assert!(late <= 1, "{late} late runs");
+}
+
+/// Guards against a request that stays refused after workers were repaired.
+#[test]
+fn a_request_that_is_proved_sound_is_forgotten_by_the_store() {
+    let (store, workers) = deadly_platform(0);
+    let one = Instance::start("one", &store, &[]);
+    send_deadly(&one, 4);
+    until("the request is stored", || !store.names(BLOCKED).is_empty());
+    for worker in &workers {
+        worker.set_deadly_path(None);
+    }
+    thread::sleep(FIRST_PROBE);
+    until("the request is served", || {
+        let answer = one.stream_with(&format!("/resumable{DEADLY}"), "sound", "");
+        answer.is_some_and(|a| a.status == 200)
+    });
+    until("the store forgets", || store.names(BLOCKED).is_empty());
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -342,6 +342,11 @@
         }
         ("PUT", Some(name)) => {
             let part = |field: &str| Some(body[field].clone());
+            let revision = &objects.objects[&key(&name)]["metadata"]["rev"];
+            let expected = &body["metadata"]["rev"];
+            if !expected.is_null() && expected != revision {
+                return answer(stream, 409, "", "{}");
+            }
             if status {
                 objects.put(&kind, &name, None, part("status"));
             } else {
