Find each of many requests that crash workers

With more than 42 requests that crash workers, none that came later was found, and each repeat crashed more workers.

Cause: the records of attempts that broke are 128 at most, and those that block nothing are dropped first, by blocks from before the new record. With 126 records that block, two places are left; the third record of a request counted as one that blocks nothing, and one of its three was dropped.

Evidence: `the_last_of_many_deadly_requests_is_refused` failed at request 42 (from 0) of 60. It passes now.

Change: the blocks are brought up to date before a record is dropped.

Also a test without a fault: a deadly request with a deadly part stays refused when the part is sound again.

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -303,10 +303,13 @@
             self.crashes.push(crash);
         }
         self.crashes.retain(|c| !c.marks.is_empty());
+        self.review_at = Some(now);
         if self.crashes.len() > MAX_RECORDS {
+            // The record may be the one that completes a block.
+            self.review(now);
             self.drop_record();
+            self.review_at = Some(now);
         }
-        self.review_at = Some(now);
         true
     }
 
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -321,3 +321,37 @@
     suspects.record_crash(&[REQUEST], (3, 3), at(2000));
     assert!(!admits(&mut suspects, &[REQUEST], 2100));
 }
+
+/// Guards against a deadly request that goes free when one of its parts, which crashed workers too, is
+/// sound again.
+#[test]
+fn a_deadly_request_with_a_deadly_part_stays_refused_without_it() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, &[DEADLY, REQUEST], 3, 0);
+    crash(&mut suspects, &[DEADLY, Mark::Request(9)], 1, 2000);
+    assert!(!admits(&mut suspects, &[DEADLY, NEIGHBOUR], 3000));
+    suspects.record_proof(&[DEADLY], at(4000));
+    assert!(admits(&mut suspects, &[DEADLY, NEIGHBOUR], 4000));
+    assert!(!admits(&mut suspects, &[DEADLY, REQUEST], 4000));
+}
+
+/// Guards against deadly requests that are never found as the records are full of others.
+#[test]
+fn the_last_of_many_deadly_requests_is_refused() {
+    let mut suspects = Suspects::default();
+    let request = |n: u64| [Mark::Request(n + 100)];
+    for n in 0..60 {
+        for retry in 0..3 {
+            let worker = (3 * n + retry) as u32;
+            let now = at(1000 * n + 100 * retry);
+            suspects.record_crash(&request(n), (worker, n as u32), now);
+        }
+        assert!(
+            !admits(&mut suspects, &request(n), 1000 * n + 300),
+            "request {n}"
+        );
+    }
+    assert!(suspects.report(at(60_000)).crashes.len() <= 128);
+    assert!(admits(&mut suspects, &request(0), 60_000));
+    assert!(!admits(&mut suspects, &request(59), 60_000));
+}
