End a read of results after one search of the store

Callers waited for an empty page of results until their own limit, and the store got read after read, while it took 500 ms or longer for a call: the search for pages of instances that are not heard counted as made when it began, so it was due again when it ended.

Cause: the interval between two searches is shorter than a search of a slow store. A read now searches at most once after its wait. What it then answers is as fresh as that search.

a_read_ends_while_the_store_is_slow (reads of 600 ms) failed before (over 3 s; the read ended only when the store was fast again) and passes now.

--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -293,6 +293,7 @@
     if behind && let Err(e) = job_store::read_pages(gateway, &request.job, &job).await {
         return unavailable(&e.to_string());
     }
+    let mut searched = false;
     loop {
         let may_be_cut = gateway.may_be_cut();
         let now = gateway.now();
@@ -301,8 +302,9 @@
             let page = job.read(after);
             let is_certain = !page.results.is_empty() || job.is_complete();
             let is_over = job.ended || started.elapsed() >= request.wait;
+            let needs_search = !searched && may_be_cut && job.needs_page_check(now);
             let answer = job_calls::encode_page(&page);
-            if is_certain || is_over && !(may_be_cut && job.needs_page_check(now)) {
+            if is_certain || is_over && !needs_search {
                 return json(answer);
             }
             is_over
@@ -315,6 +317,8 @@
             return unavailable(&e.to_string());
         }
         lock(&job).page_check = now;
+        // With a slow store, the search takes longer than the interval between two.
+        searched = true;
     }
 }
 
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -154,6 +154,7 @@
     between_pages: Option<(String, String, Value)>,
     refused_reads: BTreeMap<String, usize>,
     stale_lists: Option<String>,
+    slow_reads: Option<(String, Duration)>,
 }
 
 /// Stand-in for the object store.
@@ -216,6 +217,11 @@
         self.lock().refused_reads.insert(kind.to_owned(), count);
     }
 
+    /// Delays reads of single objects of a kind.
+    pub fn slow_reads(&self, kind: &str, delay: Duration) {
+        self.lock().slow_reads = Some((kind.to_owned(), delay));
+    }
+
     /// Gives lists of a kind that may be stale no objects.
     pub fn set_stale_lists(&self, kind: &str) {
         self.lock().stale_lists = Some(kind.to_owned());
@@ -286,6 +292,11 @@
         return answer_watch(state, request, &kind, since.parse().unwrap(), stream);
     }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let slow = state.lock().unwrap().slow_reads.clone();
+    let is_read = request.method == "GET" && name.is_some();
+    if let Some((_, delay)) = slow.filter(|(slow, _)| is_read && *slow == kind) {
+        thread::sleep(delay);
+    }
     let mut objects = state.lock().unwrap();
     if objects.faults.down {
         return answer(stream, 503, "", "");
