Queue online requests behind those of their own service only

Cause: `place_online` and `try_spare` looked whether the queue was empty, whatever it held. Now only a queued request for the same service goes first.

Evidence: `a_request_does_not_wait_behind_those_of_another_service` failed on ((false, true) instead of (true, true): the request was refused after its wait) and passes now; the rest of gateway_fleet passes.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -42,6 +42,14 @@
     next_number: u64,
 }
 
+impl State {
+    /// Returns whether a request for the same service is queued.
+    fn is_behind(&self, requirements: &Requirements<'_>) -> bool {
+        let mut queue = self.queue.iter();
+        queue.any(|w| w.service == *requirements.service)
+    }
+}
+
 /// A running batch item.
 #[derive(Debug)]
 struct BatchRun {
@@ -234,7 +242,7 @@
     ) -> Result<Placement, Busy> {
         let guard = {
             let mut state = self.lock();
-            if state.queue.is_empty()
+            if !state.is_behind(requirements)
                 && let Some(grant) = self.choose(&mut state, requirements)
             {
                 drop(state);
@@ -267,7 +275,7 @@
     }
 
     /// Places an online request on a worker with a free slot, waiting up to `max_wait` for one. It
-    /// comes after all queued requests.
+    /// comes after all queued requests for the service.
     ///
     /// # Errors
     ///
@@ -291,7 +299,7 @@
 
     fn try_spare(self: &Arc<Self>, requirements: &Requirements<'_>) -> Option<Placement> {
         let mut state = self.lock();
-        if !state.queue.is_empty() {
+        if state.is_behind(requirements) {
             return None;
         }
         let now = self.now();
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use gentianpath::{
-    gateway::fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
+    gateway::{
+        dispatch::Dispatch,
+        fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
+    },
     ids::{InstanceId, Map, ServiceId},
 };
 
@@ -334,3 +337,32 @@
     assert!(fleet.leaving_count() < 2000, "{}", fleet.leaving_count());
     assert_eq!(choose(&mut fleet, &[]), None);
 }
+
+/// Guards against requests that wait behind those of another service while their own workers are
+/// free.
+#[test]
+fn a_request_does_not_wait_behind_those_of_another_service() {
+    let dispatch = Dispatch::new("one".into(), "a".into());
+    dispatch.set_workers(vec![worker("w", "a")]);
+    let [free, full]: [ServiceId; 2] = ["lm".into(), "full".into()];
+    let request = |service| Requirements {
+        service,
+        tried: &[],
+    };
+    let (free, full) = (request(&free), request(&full));
+    smol::block_on(async {
+        let queued = dispatch.place_online(&full, Duration::from_millis(300));
+        let placed = async {
+            smol::future::yield_now().await;
+            assert_eq!(dispatch.queue_length(), 1);
+            let placed = dispatch
+                .place_online(&free, Duration::from_millis(100))
+                .await;
+            let spare = dispatch.place_spare(&free, Duration::ZERO).await;
+            (placed.is_ok(), spare.is_ok())
+        };
+        let (queued, placed) = smol::future::zip(queued, placed).await;
+        assert!(queued.is_err());
+        assert_eq!(placed, (true, true));
+    });
+}
