Count results and jobs by their length as JSON

Cause: outputs were counted by their raw length, but are stored and read as JSON, whose escapes take up to six bytes for one. A page over the store's value limit failed to be created for ever and kept all pages behind it; reads could grow beyond 1 MB. A record over the limit (its bodies are base64) got an unknown outcome from the store, so the caller waited 2.5 s, got 504 and sent it again.

Change: pages, reads and results are measured as JSON. An item whose result fits neither an object nor a read is given up (`item-failed`, reason too-long). A job over 1 MiB gets 413 at once, which callers don't retry. The bounds are those of the pages (value_bytes, 1 MB for a read), less 1 KiB for metadata and positions.

Evidence: on `pages_and_reads_of_escaped_outputs_fit_their_limit` (page over 1 MB), `an_output_that_fits_no_object_is_given_up` (Done with 1.2 MB) and `a_job_that_fits_no_object_is_refused_for_good` (504 instead of 413, after 2.5 s) failed; all pass now. The stand-in of the store refuses values over 1 MiB now.

Open: a hand-over is one message of at most 16 MB; a job with more text than that is handed over to nobody.

--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -301,15 +301,19 @@
         match end {
             RunEnd::Whole => {
                 let output = progress.text.join("\n");
+                let bytes = output.len();
+                let verdict = job.finish(id, Verdict::Done, output.into(), now);
+                if verdict == Some(Verdict::GivenUp) {
+                    log_failure(&self.job, id, &format!("too-long bytes={bytes}"));
+                    return;
+                }
                 event!(
                     Info,
                     ItemDone,
-                    "job={} item={id} worker={worker} bytes={}",
-                    self.job,
-                    output.len()
+                    "job={} item={id} worker={worker} bytes={bytes}",
+                    self.job
                 );
                 metrics::items(ItemStatus::Completed, 1);
-                job.finish(id, Verdict::Done, output.into(), now);
             }
             RunEnd::Yielded => {
                 event!(
@@ -360,7 +364,11 @@
 
 /// Records an item as failed, without an output.
 pub fn fail_item(job: &mut Job, job_id: &JobId, item: &ItemId, reason: &str, now: Duration) {
-    event!(Warn, ItemFailed, "job={job_id} item={item} reason={reason}");
-    metrics::items(ItemStatus::Failed, 1);
+    log_failure(job_id, item, reason);
     job.finish(item, Verdict::GivenUp, "".into(), now);
 }
+
+fn log_failure(job: &JobId, item: &ItemId, reason: &str) {
+    event!(Warn, ItemFailed, "job={job} item={item} reason={reason}");
+    metrics::items(ItemStatus::Failed, 1);
+}
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -4,7 +4,11 @@
 //! so positions are stable: if two instances run the same job, one of them creates the next page,
 //! and the other one reads it and continues with the page after it.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    io::{self, Write},
+    sync::Arc,
+    time::Duration,
+};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
@@ -19,11 +23,16 @@
 /// Time before the due time at which finished items are committed at once: a page is written, and
 /// another instance reads it after the next heartbeat.
 const COMMIT_LEAD: Duration = Duration::from_millis(300);
-/// Size at which a page is committed at once. The store accepts values of 1 MB, and JSON escaping
-/// makes texts longer.
+/// Length as JSON at which a page is committed at once, and maximum of a page of several results.
 const MAX_PAGE_BYTES: usize = 400 << 10;
-/// Maximum size of one read of results; callers accept 1 MB.
+/// Maximum length as JSON of one read of several results; callers accept 1 MB.
 const MAX_READ_BYTES: usize = 700 << 10;
+/// Maximum length as JSON of a result. A read returns at least one, and at most 1 MB.
+const MAX_RESULT_BYTES: usize = 1_000_000 - ENVELOPE_BYTES;
+/// Maximum length as JSON of a record. The store accepts objects of 1 MiB.
+const MAX_RECORD_BYTES: usize = (1 << 20) - ENVELOPE_BYTES;
+/// Space for the metadata of an object and for the positions in a read.
+const ENVELOPE_BYTES: usize = 1 << 10;
 
 /// Minimum interval between searches of the store for pages of instances that are not heard. Callers
 /// expect a result that they read elsewhere after 1 s.
@@ -68,6 +77,13 @@
     pub items: Vec<Item>,
 }
 
+impl Record {
+    /// Returns whether the record fits an object of the store.
+    pub fn fits_store(&self) -> bool {
+        encoded_length(self) <= MAX_RECORD_BYTES
+    }
+}
+
 /// Mutable state that is stored beside the record.
 #[derive(Debug, Clone, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -142,6 +158,23 @@
     pub not_before: Duration,
 }
 
+/// A result that is not committed yet.
+#[derive(Debug)]
+struct Finished {
+    outcome: Outcome,
+    /// Length as JSON.
+    length: usize,
+}
+
+impl From<Outcome> for Finished {
+    fn from(outcome: Outcome) -> Self {
+        Self {
+            length: encoded_length(&outcome),
+            outcome,
+        }
+    }
+}
+
 /// State of a job at an instance.
 #[derive(Debug)]
 pub struct Job {
@@ -164,7 +197,7 @@
     outcomes: Vec<Outcome>,
     pages: u32,
     unfinished: Map<ItemId, Progress>,
-    finished: Vec<Outcome>,
+    finished: Vec<Finished>,
     oldest_finished: Option<Duration>,
 }
 
@@ -212,7 +245,7 @@
         self.pages += 1;
         self.page_time = now;
         let listed: Set<&ItemId> = page.iter().map(|o| &o.item).collect();
-        self.finished.retain(|o| !listed.contains(&o.item));
+        self.finished.retain(|f| !listed.contains(&f.outcome.item));
         if self.finished.is_empty() {
             self.oldest_finished = None;
         }
@@ -242,17 +275,32 @@
         self.unfinished.get(item).and_then(|p| p.last)
     }
 
-    /// Records the end of an item. A second end of the same item is ignored.
-    pub fn finish(&mut self, item: &ItemId, verdict: Verdict, output: Arc<str>, now: Duration) {
-        if self.unfinished.remove(item).is_none() {
-            return;
-        }
-        self.finished.push(Outcome {
+    /// Records the end of an item, and returns how it ended. An item whose output can be neither
+    /// stored nor read is given up. A second end of the same item is ignored.
+    pub fn finish(
+        &mut self,
+        item: &ItemId,
+        verdict: Verdict,
+        output: Arc<str>,
+        now: Duration,
+    ) -> Option<Verdict> {
+        self.unfinished.remove(item)?;
+        let mut finished = Finished::from(Outcome {
             item: item.clone(),
             verdict,
             output,
         });
+        if finished.length > MAX_RESULT_BYTES {
+            finished = Finished::from(Outcome {
+                item: item.clone(),
+                verdict: Verdict::GivenUp,
+                output: "".into(),
+            });
+        }
+        let verdict = finished.outcome.verdict;
+        self.finished.push(finished);
         self.oldest_finished.get_or_insert(now);
+        Some(verdict)
     }
 
     /// Returns the results to commit now as the next page, or `None` when more results can be
@@ -266,9 +314,9 @@
             .is_some_and(|t| now >= self.commit_time(t));
         // Commits failed items at once. Otherwise they would fail again at the next instance if
         // this one were lost.
-        let given_up = |o: &Outcome| o.verdict == Verdict::GivenUp;
+        let given_up = |f: &Finished| f.outcome.verdict == Verdict::GivenUp;
         let waited = waited || self.finished.iter().any(given_up);
-        let bytes: usize = self.finished.iter().map(|o| o.output.len()).sum();
+        let bytes: usize = self.finished.iter().map(|f| f.length).sum();
         if !waited && !self.unfinished.is_empty() && bytes < MAX_PAGE_BYTES {
             return None;
         }
@@ -285,12 +333,12 @@
     /// Returns the results that are not committed yet, up to the size of a page.
     pub fn pending_page(&self) -> Vec<Outcome> {
         let mut bytes = 0;
-        let fits = self.finished.iter().take_while(|o| {
+        let fits = self.finished.iter().take_while(|f| {
             let first = bytes == 0;
-            bytes += o.output.len();
+            bytes += f.length;
             first || bytes <= MAX_PAGE_BYTES
         });
-        fits.cloned().collect()
+        fits.map(|f| f.outcome.clone()).collect()
     }
 
     /// Returns the results from a position on, at least one if there is any.
@@ -299,7 +347,7 @@
         let mut bytes = 0;
         let fits = |o: &&Outcome| {
             let first = bytes == 0;
-            bytes += o.output.len().max(1);
+            bytes += encoded_length(*o);
             first || bytes <= MAX_READ_BYTES
         };
         let count = rest.iter().take_while(fits).count();
@@ -329,12 +377,12 @@
     /// here.
     pub fn hand_over(&mut self) -> Vec<ItemHandover> {
         self.active = false;
-        let done = self.finished.iter().map(|o| ItemHandover {
-            item: o.item.clone(),
-            text: o.output.clone(),
+        let done = self.finished.iter().map(|f| ItemHandover {
+            item: f.outcome.item.clone(),
+            text: f.outcome.output.clone(),
             last: None,
             failures: 0,
-            verdict: Some(o.verdict),
+            verdict: Some(f.outcome.verdict),
         });
         let unfinished = self
             .unfinished
@@ -435,6 +483,27 @@
     format!("{job}.{page}")
 }
 
+/// Counts bytes.
+struct Counter(usize);
+
+impl Write for Counter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns the length of a value as JSON, whose escapes take up to six bytes for one.
+fn encoded_length(value: &impl Serialize) -> usize {
+    let mut counter = Counter(0);
+    let written = serde_json::to_writer(&mut counter, value);
+    written.map_or(usize::MAX, |()| counter.0)
+}
+
 fn write_base64<S: Serializer>(bytes: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
     serializer.serialize_str(&BASE64_STANDARD.encode(bytes))
 }
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -186,6 +186,9 @@
         config: config.version,
         items,
     };
+    if !record.fits_store() {
+        return text_answer(StatusCode::PAYLOAD_TOO_LARGE, "the job is too large", None);
+    }
     if !fits_quota(gateway, &route, tokens) {
         // A job that was accepted before is accepted again, whatever the quota.
         return match gateway
--- a/tests/gateway_jobs.rs
+++ b/tests/gateway_jobs.rs
@@ -189,3 +189,36 @@
     let read: Record = serde_json::from_str(&text).unwrap();
     assert_eq!(read, *written);
 }
+
+fn encoded_length(results: &[Outcome]) -> usize {
+    serde_json::to_string(results).unwrap().len()
+}
+
+/// Guards against results that can never be stored or read since their outputs are longer as JSON.
+#[test]
+fn pages_and_reads_of_escaped_outputs_fit_their_limit() {
+    let mut job = job(3);
+    let output = "\u{1}".repeat(100_000);
+    for item in ["i0", "i1", "i2"] {
+        finish(&mut job, item, &output);
+    }
+    while let Some(page) = job.page_to_commit(at(5000)) {
+        assert!(encoded_length(&page) <= 1_000_000);
+        job.apply_page(&page, at(5000));
+    }
+    let read = job.read(0);
+    assert!(encoded_length(read.results) <= 1_000_000);
+    assert_eq!(job.read(read.next).results[0].output.len(), output.len());
+}
+
+/// Guards against an output that fits no object and keeps all results after it from being stored.
+#[test]
+fn an_output_that_fits_no_object_is_given_up() {
+    let mut job = job(2);
+    finish(&mut job, "i0", &"\u{1}".repeat(200_000));
+    finish(&mut job, "i1", "short");
+    let page = job.page_to_commit(at(5000)).unwrap();
+    assert_eq!(page[0].verdict, Verdict::GivenUp);
+    assert!(page[0].output.is_empty());
+    assert_eq!(page[1], outcome("i1", "short"));
+}
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -292,3 +292,21 @@
     let results = one.wait_results("j1", 1);
     assert_eq!(results[0]["state"], "done");
 }
+
+fn submit_items(instance: &Instance, path: &str, job: &str, items: &Value) -> u16 {
+    let body = json!({ "items": items }).to_string();
+    let headers = [("x-request-id", job)];
+    let answer = http::call(instance.callers, "POST", path, &headers, &body);
+    answer.unwrap().status
+}
+
+/// Guards against a job that the store can never hold and whose caller is told to send it again.
+#[test]
+fn a_job_that_fits_no_object_is_refused_for_good() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    let body = "AAAA".repeat(300_000);
+    let items = json!([{ "id": "a", "path": "/jobs/a", "body": body, "tokens": 1 }]);
+    assert_eq!(submit_items(&one, "/jobs/x", "j1", &items), 413);
+    assert!(store.names("batch-jobs").is_empty());
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -125,6 +125,9 @@
     Ok(true)
 }
 
+/// Maximum size of an object.
+const VALUE_BYTES: usize = 1 << 20;
+
 /// Faults of a store.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct StoreFaults {
@@ -325,6 +328,7 @@
                 None => answer(stream, 404, "", ""),
             }
         }
+        ("POST" | "PUT", _) if request.body.len() > VALUE_BYTES => answer(stream, 413, "", ""),
         ("POST", None) => {
             let name = body["metadata"]["name"].as_str().unwrap_or_default();
             if objects.objects.contains_key(&key(name)) {
