Start items although one before them cannot

Cause: the runner looked at the first item of a job only, and one full service ended the round for all jobs.

Change: an item whose service is full or unknown is passed over, and `full` is kept by service. An item whose own path has no route runs at a worker of its job's route, as the protocol says ("at a worker of the route's service"), instead of waiting until it is dead. The services of a job are kept for each version of the configuration, so a round in which all of them are full costs one comparison a job, as before.

Evidence: on `an_item_outside_its_route_keeps_no_other_from_starting` (both items dead after 60 s) and `a_full_service_keeps_no_item_of_another_from_starting` (no result in 60 s) failed; both pass now.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::ids::{ItemId, JobId, Map, Set};
+use crate::ids::{ItemId, JobId, Map, ServiceId, Set};
 
 use super::fleet::{self, Urgency};
 
@@ -194,6 +194,8 @@
     pub page_check: Duration,
     /// Time when the results are due, if the route is known.
     pub due: Option<Duration>,
+    /// Services that run the items, with the version of the configuration that says so.
+    pub services: Option<(u64, Arc<[ServiceId]>)>,
     outcomes: Vec<Outcome>,
     pages: u32,
     unfinished: Map<ItemId, Progress>,
@@ -218,6 +220,7 @@
             page_time: Duration::ZERO,
             page_check: Duration::ZERO,
             due: None,
+            services: None,
             outcomes: Vec::new(),
             pages: 0,
             finished: Vec::new(),
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -7,7 +7,7 @@
 use crate::{
     adapter::{headers, store::StoreError},
     event,
-    ids::{JobId, ServiceId},
+    ids::{JobId, ServiceId, Set},
     mutex::lock,
 };
 
@@ -57,7 +57,7 @@
     let mut jobs = runnable_jobs(gateway, &config, &running);
     jobs.sort_by_key(|j| j.submitted);
     let mut unfinished = false;
-    let mut full = false;
+    let mut full: Set<ServiceId> = Set::default();
     let mut waiting: Vec<(u32, u64)> = Vec::new();
     let mut backlog = Backlog::default();
     for runnable in &jobs {
@@ -70,7 +70,7 @@
     }
     for urgency in [Urgency::Timely, Urgency::Late] {
         for runnable in &jobs {
-            while !full && start_item(gateway, runnable, urgency, now, &mut full) {}
+            while start_item(gateway, &config, runnable, urgency, now, &mut full) {}
             let count = waiting_items(gateway, runnable, urgency, now);
             match urgency {
                 Urgency::Timely => backlog.timely += count,
@@ -112,6 +112,34 @@
         items.into_iter().map(|(_, i)| i).collect()
     }
 
+    /// Returns the route of an item, which is the one of its job if its path has none.
+    fn item_route<'a>(
+        &'a self,
+        config: &'a Configuration,
+        host: &str,
+        item: &Item,
+    ) -> &'a Arc<Route> {
+        config.route(host, &item.path).unwrap_or(&self.route)
+    }
+
+    /// Returns the services that run the items of the job.
+    fn services(&self, config: &Configuration) -> Arc<[ServiceId]> {
+        let mut job = lock(&self.job);
+        if let Some((version, services)) = &job.services
+            && *version == config.version
+        {
+            return services.clone();
+        }
+        let Record { host, items, .. } = &*job.record;
+        let routes = items.iter().map(|i| self.item_route(config, host, i));
+        let shares = routes.flat_map(|r| r.split.iter().filter(|(_, weight)| *weight > 0));
+        let names = shares.map(|(service, _)| service.clone());
+        let services: Set<ServiceId> = names.collect();
+        let services: Arc<[ServiceId]> = services.into_iter().collect();
+        job.services = Some((config.version, services.clone()));
+        services
+    }
+
     fn urgency(&self, last: Option<u64>) -> Urgency {
         let Some(terms) = self.route.batch() else {
             return Urgency::Timely;
@@ -151,29 +179,30 @@
     route.filter(|r| r.batch().is_some()).cloned()
 }
 
-/// Starts an item of a job, and returns whether one was started.
+/// Starts an item of a job whose service is not full, and returns whether one was started.
 fn start_item(
     gateway: &Arc<Gateway>,
+    config: &Configuration,
     runnable: &RunnableJob,
     urgency: Urgency,
     now: Duration,
-    full: &mut bool,
+    full: &mut Set<ServiceId>,
 ) -> bool {
     let shared = &runnable.job;
-    let Some(item) = admitted_item(gateway, runnable, urgency, now) else {
-        return false;
-    };
-    let Some(service) = item_service(gateway, &item, shared) else {
-        return false;
-    };
-    let requirements = Requirements {
-        service: &service,
-        tried: &[],
-    };
-    let Some((placement, yield_request)) = gateway.dispatch.place_batch(&requirements, urgency)
-    else {
-        *full = true;
-        return false;
+    let (item, placement, yield_request) = loop {
+        let Some((item, service)) = next_item(gateway, config, runnable, urgency, now, full) else {
+            return false;
+        };
+        let requirements = Requirements {
+            service: &service,
+            tried: &[],
+        };
+        if let Some((placement, yield_request)) =
+            gateway.dispatch.place_batch(&requirements, urgency)
+        {
+            break (item, placement, yield_request);
+        }
+        full.insert(service);
     };
     let mut job = lock(shared);
     let Some(progress) = job.progress(&item.id) else {
@@ -198,20 +227,31 @@
     true
 }
 
-/// Returns the first item of a job that can start now and may be sent to a worker.
-fn admitted_item(
+/// Returns the first item of a job that can start now and may be sent to a worker, with its service.
+fn next_item(
     gateway: &Gateway,
+    config: &Configuration,
     runnable: &RunnableJob,
     urgency: Urgency,
     now: Duration,
-) -> Option<Item> {
+    full: &Set<ServiceId>,
+) -> Option<(Item, ServiceId)> {
+    if !full.is_empty() && runnable.services(config).iter().all(|s| full.contains(s)) {
+        return None;
+    }
     let job = lock(&runnable.job);
-    let is_admitted = |i: &&Item| {
+    let host = &job.record.host;
+    let is_admitted = |i: &Item| {
         let marks = marks::of_parts(headers::decode_item_parts(&i.headers));
         !matches!(gateway.admit(&marks, &i.id), Admission::Refused(_))
     };
     let items = runnable.startable(&job, urgency, now);
-    items.into_iter().find(is_admitted).cloned()
+    items.into_iter().find_map(|item| {
+        let route = runnable.item_route(config, host, item);
+        let service = route.service(fastrand::f64())?;
+        let can_start = !full.contains(service) && is_admitted(item);
+        can_start.then(|| (item.clone(), service.clone()))
+    })
 }
 
 /// Returns the number of items of a job that only wait for a free slot. Items that are kept from the
@@ -234,14 +274,6 @@
     items.into_iter().filter(is_free).count() as u32
 }
 
-/// Chooses the service for an item by the current configuration.
-fn item_service(gateway: &Gateway, item: &Item, shared: &SharedJob) -> Option<ServiceId> {
-    let config = gateway.config.load_full()?;
-    let host = lock(shared).record.host.clone();
-    let route = config.route(&host, &item.path)?;
-    route.service(fastrand::f64()).cloned()
-}
-
 /// Fails the unfinished items of a job that has exceeded its maximum age, and those that do not run
 /// when its route has ended. A configuration from before the job cannot end its route.
 fn fail_expired(
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -310,3 +310,39 @@
     assert_eq!(submit_items(&one, "/jobs/x", "j1", &items), 413);
     assert!(store.names("batch-jobs").is_empty());
 }
+
+/// Guards against an item without a route of its own that neither runs nor lets others start.
+#[test]
+fn an_item_outside_its_route_keeps_no_other_from_starting() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    let item = |id, path| json!({ "id": id, "path": path, "tokens": 1 });
+    let items = json!([item("a", "/nowhere/a"), item("b", "/jobs/b")]);
+    assert_eq!(submit_items(&one, "/jobs/x", "j1", &items), 202);
+    let results = one.wait_results("j1", 2);
+    assert!(results.iter().all(|r| r["state"] == "done"));
+}
+
+/// Guards against items that wait since another service has no free slot.
+#[test]
+fn a_full_service_keeps_no_item_of_another_from_starting() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let mut config = config(2);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let jobs = routes.iter_mut().find(|r| r["name"] == "jobs").unwrap();
+    let mut full = jobs.clone();
+    full["name"] = "full".into();
+    full["path_prefix"] = "/full/".into();
+    full["service"] = "none".into();
+    routes.push(full);
+    store.put("config", "main", config);
+    let one = Instance::start_for_jobs("one", &store);
+    let mixed = json!([
+        { "id": "a", "path": "/full/a", "tokens": 1 },
+        { "id": "b", "path": "/jobs/b", "tokens": 1 },
+    ]);
+    assert_eq!(submit_items(&one, "/full/x", "j1", &mixed), 202);
+    assert_eq!(one.submit("j2", &["c"]).unwrap().status, 202);
+    assert_eq!(one.wait_results("j2", 1)[0]["state"], "done");
+    assert_eq!(one.wait_results("j1", 1)[0]["id"], "b");
+}
