Hand jobs over to the next instance if the first one fails

Callers saw: results later than due.

Cause: one call to one instance for each job, and its error was only logged. The calls also ran one after another before the end of `Leaving`, without a bound: jobs whose home is out of reach kept the stop from going on.

Change: the live instances are tried in the order in which they would take the job over; one that failed is left out for all jobs. If none takes a job, its finished results are stored as pages. The hand-over runs beside the end of the open requests and ends with the stop's time.

Evidence: on `a_job_is_handed_over_although_its_next_home_fails` failed (no `job-released` within 60 s for the jobs whose next home refuses connections), and passes now.

Not tested: the pages that are stored when no instance takes a job.

--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -321,6 +321,24 @@
     .detach();
 }
 
+/// Commits the finished items of a job that this instance runs no more, with one attempt for each
+/// page.
+pub async fn commit_rest(gateway: &Gateway, id: &JobId, shared: &SharedJob) {
+    loop {
+        let (page, outcomes) = {
+            let job = lock(shared);
+            (job.next_page(), job.pending_page())
+        };
+        if outcomes.is_empty() {
+            return;
+        }
+        commit_page(gateway, id, shared, page, &outcomes).await;
+        if lock(shared).next_page() == page {
+            return;
+        }
+    }
+}
+
 /// Creates a page of results. If another instance has already created the page, its results are
 /// used.
 async fn commit_page(
--- a/src/gateway/job_store.rs
+++ b/src/gateway/job_store.rs
@@ -11,13 +11,14 @@
 use crate::{
     adapter::store::{Freshness, Object, StoreError},
     clock, event,
-    ids::JobId,
+    ids::{InstanceId, JobId, Set},
     mutex::lock,
 };
 
 use super::{
     gateway::Gateway,
     job::{self, ItemHandover, Job, JobStatus, Outcome, Record},
+    job_run,
     jobs::SharedJob,
     peer_call,
 };
@@ -184,7 +185,8 @@
     Ok(())
 }
 
-/// Hands the jobs of this instance over to the others.
+/// Hands the jobs of this instance over to the others. An instance that failed once is left out. The
+/// finished results of a job that no instance takes over are stored.
 pub async fn hand_over(gateway: &Arc<Gateway>) {
     let known = gateway.jobs.all();
     let running: Vec<_> = known
@@ -196,27 +198,50 @@
     }
     // Runs check at their next event whether the job is still active.
     Timer::after(HAND_OVER_PAUSE).await;
+    let mut failed = Set::default();
     for (id, job) in running {
         let parts = lock(&job).hand_over();
-        let Some(home) = gateway.home(&id) else {
+        if !hand_over_job(gateway, &id, &parts, &mut failed).await {
+            job_run::commit_rest(gateway, &id, &job).await;
+        }
+    }
+}
+
+/// Hands a job over to the first instance that takes it, and returns whether one did. Those that
+/// fail are added to `failed`.
+async fn hand_over_job(
+    gateway: &Gateway,
+    id: &JobId,
+    parts: &[ItemHandover],
+    failed: &mut Set<InstanceId>,
+) -> bool {
+    let heirs = gateway.peers().heirs(id, gateway.now());
+    for heir in heirs {
+        if failed.contains(&heir.instance) {
             continue;
-        };
-        let count = parts.len();
-        match peer_call::hand_over(home.address, &id, parts).await {
-            Ok(()) => event!(
-                Info,
-                JobReleased,
-                "job={id} home={} parts={count}",
-                home.instance
-            ),
-            Err(e) => event!(
-                Info,
-                PeerCallFailed,
-                "job={id} peer={} call=hand-over reason=\"{e:#}\"",
-                home.instance
-            ),
         }
+        let error = match peer_call::hand_over(heir.address, id, parts.to_vec()).await {
+            Ok(()) => {
+                event!(
+                    Info,
+                    JobReleased,
+                    "job={id} home={} parts={}",
+                    heir.instance,
+                    parts.len()
+                );
+                return true;
+            }
+            Err(e) => e,
+        };
+        event!(
+            Info,
+            PeerCallFailed,
+            "job={id} peer={} call=hand-over reason=\"{error:#}\"",
+            heir.instance
+        );
+        failed.insert(heir.instance);
     }
+    false
 }
 
 /// Returns the time since the submission of a job.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -350,6 +350,21 @@
         self.known.get(home).map(|p| (*p.heartbeat).clone())
     }
 
+    /// Returns the live instances to which the local one can hand a job over: those that run it
+    /// first, then the others in the order in which they would take it over.
+    pub fn heirs(&self, job: &JobId, now: Duration) -> Vec<Heartbeat> {
+        let key = job_key(job);
+        let live = self.live(now).filter(|h| !h.leaving && h.store);
+        let mut heirs: Vec<&Heartbeat> = live.collect();
+        let runs_job = |h: &Heartbeat| h.jobs.iter().any(|j| j.active && j.key == key);
+        let names: Vec<_> = heirs.iter().map(|h| h.instance.clone()).collect();
+        heirs.sort_by_cached_key(|h| {
+            let position = ownership::position(job, &h.instance, &names);
+            (!runs_job(h), position)
+        });
+        heirs.into_iter().cloned().collect()
+    }
+
     /// Returns whether a live instance announces that it runs a job.
     pub fn is_run(&self, job: &JobId, now: Duration) -> bool {
         let key = job_key(job);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -125,14 +125,18 @@
     event!(Info, StopBegan, "grace_ms={}", grace.as_millis());
     gateway.drain.advance(Phase::Leaving);
     let delay = LEAVE_DELAY.min(grace / 2);
-    let delay_timer = Timer::after(delay);
-    job_store::hand_over(gateway).await;
-    delay_timer.await;
-    gateway.drain.advance(Phase::Draining);
-    let limit = async {
-        Timer::after(grace - delay).await;
+    let limit = Timer::after(grace);
+    let leave = async {
+        Timer::after(delay).await;
+        gateway.drain.advance(Phase::Draining);
+        callers.stop().await;
     };
-    smol::future::or(callers.stop(), limit).await;
+    let stop = smol::future::zip(job_store::hand_over(gateway), leave);
+    smol::future::or(stop, async {
+        limit.await;
+        ((), ())
+    })
+    .await;
 }
 
 /// Registers this instance, and reads the list of the other instances periodically.
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -346,3 +346,41 @@
     assert_eq!(one.wait_results("j2", 1)[0]["state"], "done");
     assert_eq!(one.wait_results("j1", 1)[0]["id"], "b");
 }
+
+/// Guards against work that is lost in a planned stop because the next home of a job fails.
+#[test]
+fn a_job_is_handed_over_although_its_next_home_fails() {
+    let (store, _workers) = platform(200, Duration::from_millis(40));
+    let one = Instance::start("one", &store, &[]);
+    let _two = Instance::start("two", &store, &[one.peers]);
+    let mut peer = Peer {
+        socket: UdpSocket::bind("127.0.0.1:0").unwrap(),
+        target: one.peers,
+        number: 0,
+    };
+    let ended = Arc::new(AtomicBool::new(false));
+    let stop = ended.clone();
+    let sender = thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            peer.send(Vec::new(), true);
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+    thread::sleep(Duration::from_secs(2));
+    for job in 0..12 {
+        assert_eq!(one.submit(&format!("h{job}"), &["a"]).unwrap().status, 202);
+    }
+    thread::sleep(Duration::from_secs(1));
+    let log = || std::fs::read_to_string(&one.log).unwrap();
+    let count = |event: &str| log().lines().filter(|l| l.contains(event)).count();
+    let accepted = count("job-accepted");
+    one.terminate();
+    until("a call to the lost instance fails", || {
+        count("call=hand-over") > 0
+    });
+    until("all jobs are handed over", || {
+        count("job-released") == accepted
+    });
+    ended.store(true, Ordering::Relaxed);
+    sender.join().unwrap();
+}
