Accept a job again after the end of its route

Callers saw: 404 for a job that had been accepted, when it was sent again after a configuration without its route.

Change: without a route, a POST with the id of a job that is known here (same host and path) or that a live instance announces gets 202. The store isn't read for it, so a finished job that only other instances know still gets 404.

Evidence: `a_job_is_accepted_again_after_the_end_of_its_route` failed on (404) and passes now.

`a_job_is_read_after_the_end_of_its_route` sent one job again and again until it got 404; that job may have been accepted before. It now sends a new job each time, and checks the same as before.

--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -248,6 +248,18 @@
     }
 }
 
+/// Returns whether a job is known to be accepted, without a look at the store. Of a job that only
+/// another instance knows, host and path are not known here.
+pub fn is_accepted(gateway: &Gateway, id: &JobId, host: &str, path: &str) -> bool {
+    match gateway.jobs.get(id) {
+        Some(job) => {
+            let job = lock(&job);
+            *job.record.host == *host && *job.record.path == *path
+        }
+        None => gateway.is_run(id),
+    }
+}
+
 fn fits_quota(gateway: &Gateway, route: &Route, tokens: u64) -> bool {
     let Some(quota) = route.batch().and_then(|t| t.quota) else {
         return true;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,7 +10,8 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, header, server::conn::http1, service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming, header, server::conn::http1,
+    service::service_fn,
 };
 use smol::{
     channel::{Receiver, Sender},
@@ -205,6 +206,10 @@
         return job_api::answer_caller(gateway, request).await;
     }
     let Some(route) = config.route(&host, path).cloned() else {
+        let id = terms.id.filter(|_| request.method() == Method::POST);
+        if id.is_some_and(|id| job_api::is_accepted(&gateway, &id, &host, path)) {
+            return text_answer(StatusCode::ACCEPTED, "accepted", None);
+        }
         event!(
             Warn,
             NoRoute,
