Keep the mark of a leaving worker beside another of its key

Callers: a request could reach a worker that had said in an answer that it leaves (DRAIN). Cause: `Fleet::set_workers` looks a marked worker up by a hash of 32 bits of its id and did not compare the id. A later worker with the same hash counted as a later start of the marked one, so that the mark was dropped; an entry of the marked worker that came back made it ready again. Evidence: a_leaving_worker_is_not_forgotten_for_another_of_its_key failed before ("left: Some("w35589"), right: None") and passes. Change: the entry that is found has to have the id.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -232,8 +232,8 @@
     pub fn set_workers(&mut self, workers: impl IntoIterator<Item = Arc<Worker>>) {
         self.workers = workers.into_iter().map(|w| (key(&w.id), w)).collect();
         let known = &self.workers;
-        self.leaving
-            .update(|id| known.get(&key(id)).map(Arc::as_ref));
+        let find = |id: &WorkerId| known.get(&key(id)).filter(|w| w.id == *id);
+        self.leaving.update(|id| find(id).map(Arc::as_ref));
         let leaving = self.workers.values_mut();
         leaving
             .filter(|w| self.leaving.contains(w))
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -334,3 +334,31 @@
     assert!(fleet.leaving_count() < 2000, "{}", fleet.leaving_count());
     assert_eq!(choose(&mut fleet, &[]), None);
 }
+
+/// Returns two ids with the same key.
+fn ids_of_one_key() -> [String; 2] {
+    let mut seen = Map::default();
+    for number in 0.. {
+        let id = format!("w{number}");
+        if let Some(other) = seen.insert(key(&id), id.clone()) {
+            return [other, id];
+        }
+    }
+    unreachable!("keys repeat")
+}
+
+/// Guards against a leaving worker that is used again because a later worker has its key.
+#[test]
+fn a_leaving_worker_is_not_forgotten_for_another_of_its_key() {
+    let [leaving, other] = ids_of_one_key();
+    let leaving = worker(&leaving, "a");
+    let other = Worker {
+        started: Some(2),
+        ..(*worker(&other, "a")).clone()
+    };
+    let mut fleet = fleet(std::slice::from_ref(&leaving));
+    fleet.record_leaving(&leaving);
+    fleet.set_workers([Arc::new(other)]);
+    fleet.set_workers([leaving]);
+    assert_eq!(choose(&mut fleet, &[]), None);
+}
