--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -3,9 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use gentianpath::{
+    adapter::headers,
     gateway::fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
     ids::{InstanceId, Map, ServiceId},
 };
+use hyper::Response;
 
 const NOW: Duration = Duration::from_secs(1);
 
@@ -362,3 +364,22 @@
     fleet.set_workers([leaving]);
     assert_eq!(choose(&mut fleet, &[]), None);
 }
+
+/// Guards against an announcement that is missed because of the form of its header, and against
+/// another value that is taken for it.
+#[test]
+fn the_leaving_header_is_read_in_all_its_forms() {
+    let leaves = |values: &[&str]| {
+        let mut answer = Response::builder().status(200);
+        for value in values {
+            answer = answer.header("server-leaving", *value);
+        }
+        headers::decode_answer(&answer.body(()).unwrap()).leaving
+    };
+    for values in [&["1"][..], &[" 1 "], &["0", "1"], &["1", "0"], &["0, 1"]] {
+        assert!(leaves(values), "{values:?}");
+    }
+    for values in [&[][..], &["0"], &[""], &["11"], &["false"]] {
+        assert!(!leaves(values), "{values:?}");
+    }
+}
