Use no connection to an earlier run of a worker

Callers: after a worker is listed with a later `born` under its id, a request for it could be sent on an idle connection to the run before, which may be one that said that it leaves (DRAIN). Cause: idle connections were kept by the id of the worker alone. An answer that ended after the later start was listed also put its connection there, since readiness is looked up by id. Evidence: connections_to_an_earlier_run_of_a_worker_are_not_used failed with the comparison of the starts disabled ("assertion failed: !connection.reused && new.accept().is_ok()") and passes. Change: idle connections belong to one run; those to the later run are kept.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -289,8 +289,7 @@
             .as_ref()
             .and_then(|c| c.services.get(&worker.service));
         let instances = 1 + self.peers().live(self.now()).count();
-        self.upstream
-            .keep(&worker.id, connection, service, instances);
+        self.upstream.keep(worker, connection, service, instances);
     }
 
     /// Puts a configuration in use unless it is not newer than the current one, and returns whether
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -25,7 +25,14 @@
 /// Idle connections by worker.
 #[derive(Debug, Default)]
 pub struct Upstream {
-    idle: Mutex<Map<WorkerId, Vec<Connection>>>,
+    idle: Mutex<Map<WorkerId, Idle>>,
+}
+
+/// Idle connections to one run of a worker.
+#[derive(Debug, Default)]
+struct Idle {
+    started: Option<u64>,
+    connections: Vec<Connection>,
 }
 
 impl Upstream {
@@ -40,7 +47,7 @@
         } else {
             IDLE_TIMEOUT_ONCE
         };
-        while let Some(mut connection) = self.take(&worker.id, limit) {
+        while let Some(mut connection) = self.take(worker, limit) {
             if connection.is_ready().await {
                 return Ok(connection);
             }
@@ -48,9 +55,13 @@
         Connection::open(worker.address, CONNECT_LIMIT).await
     }
 
-    fn take(&self, worker: &WorkerId, limit: Duration) -> Option<Connection> {
+    fn take(&self, worker: &Worker, limit: Duration) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        let connections = idle.get_mut(worker)?;
+        let idle = idle.get_mut(&worker.id)?;
+        if idle.started != worker.started {
+            return None;
+        }
+        let connections = &mut idle.connections;
         let connection = connections.pop()?;
         if connection.last_used.elapsed() < limit {
             return Some(connection);
@@ -66,10 +77,10 @@
 
     /// Keeps a connection whose answer was read to its end, if this instance's share of the
     /// worker's idle connections is not used up. `instances` is the number of instances that share
-    /// them.
+    /// them. Of two runs under one id, the connections to the later one are kept.
     pub fn keep(
         &self,
-        worker: &WorkerId,
+        worker: &Worker,
         mut connection: Connection,
         service: Option<&Service>,
         instances: usize,
@@ -81,9 +92,15 @@
         connection.last_used = std::time::Instant::now();
         connection.reused = true;
         let mut idle = lock(&self.idle);
-        let connections = idle.entry(worker.clone()).or_default();
-        if connections.len() < max_idle {
-            connections.push(connection);
+        let idle = idle.entry(worker.id.clone()).or_default();
+        if idle.started < worker.started {
+            *idle = Idle {
+                started: worker.started,
+                connections: Vec::new(),
+            };
+        }
+        if idle.started == worker.started && idle.connections.len() < max_idle {
+            idle.connections.push(connection);
         }
     }
 
@@ -92,7 +109,7 @@
     pub fn retain(&self, keep: impl Fn(&WorkerId) -> bool) {
         let mut idle = lock(&self.idle);
         idle.retain(|worker, _| keep(worker));
-        for connections in idle.values_mut() {
+        for Idle { connections, .. } in idle.values_mut() {
             connections.retain(|c| c.last_used.elapsed() < IDLE_TIMEOUT);
         }
     }
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -1,10 +1,13 @@
 //! Worker selection and preemption of batch items.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::TcpListener, sync::Arc, time::Duration};
 
 use gentianpath::{
     adapter::headers,
-    gateway::fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
+    gateway::{
+        fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
+        upstream::Upstream,
+    },
     ids::{InstanceId, Map, ServiceId},
 };
 use hyper::Response;
@@ -365,6 +368,37 @@
     assert_eq!(choose(&mut fleet, &[]), None);
 }
 
+/// Guards against a connection to an earlier run of a worker, which may leave, that carries a request
+/// for the run that replaced it at another address.
+#[test]
+fn connections_to_an_earlier_run_of_a_worker_are_not_used() {
+    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let run = |listener: &TcpListener, started| Worker {
+        address: listener.local_addr().unwrap(),
+        started: Some(started),
+        ..(*worker("w", "a")).clone()
+    };
+    let [earlier, later] = [run(&old, 1), run(&new, 2)];
+    new.set_nonblocking(true).unwrap();
+    let upstream = Upstream::default();
+    smol::block_on(async {
+        let kept = upstream.connect(&earlier, true).await.unwrap();
+        upstream.keep(&earlier, kept, None, 1);
+        assert!(upstream.connect(&earlier, true).await.unwrap().reused);
+        let kept = upstream.connect(&earlier, true).await.unwrap();
+        upstream.keep(&earlier, kept, None, 1);
+        let connection = upstream.connect(&later, true).await.unwrap();
+        assert!(!connection.reused);
+        let _accepted = new.accept().unwrap();
+        upstream.keep(&later, connection, None, 1);
+        // The answer to an earlier request ends after the restart was listed.
+        let late = upstream.connect(&earlier, true).await.unwrap();
+        upstream.keep(&earlier, late, None, 1);
+        assert!(upstream.connect(&later, true).await.unwrap().reused);
+        assert!(!upstream.connect(&later, true).await.unwrap().reused);
+    });
+}
+
 /// Guards against an announcement that is missed because of the form of its header, and against
 /// another value that is taken for it.
 #[test]
