Count only loads of listed workers at a start

Callers: a restarted instance could refuse requests as not run, "no worker has model", although it had said that it is ready. Cause: `State::is_initialized` counted the load of any worker. A digest of a peer can bring loads before the instance has the list with their workers, and the view, which routes requests, has listed workers only.

--- a/src/control_state.rs
+++ b/src/control_state.rs
@@ -288,10 +288,11 @@
             return false;
         }
         let since = *self.sheet_known_since.get_or_insert(now);
+        // A peer's digest may bring loads before the list with their workers.
+        let listed = |k: &&KnownLoad| self.members.target(&k.load.worker).is_some();
         let is_loaded = |model| {
-            self.loads
-                .values()
-                .any(|k| k.load.model.as_ref() == Some(model))
+            let mut loads = self.loads.values().filter(listed);
+            loads.any(|k| k.load.model.as_ref() == Some(model))
         };
         self.initialized = sheet.models.keys().all(is_loaded) || now - since >= WORKER_WAIT;
         self.initialized
