Count only items of the same route against a quota

Callers got 429 for a batch job that fitted: the waiting items of all other batch routes at the instance counted against the quota of its route. Tokens at other instances were counted by route already.

Cause: fits_quota added up all jobs of the instance.

Evidence: jobs_of_another_route_use_up_no_quota failed before with 429 for a job on a route without any other item.

Jobs that are cancelled, complete or run elsewhere are no longer looked at; they had no waiting tokens.

--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -25,7 +25,7 @@
 
 use super::{
     answer::{CallerBody, full_body, text_answer},
-    config::Route,
+    config::{Configuration, Route},
     connection::SendError,
     gateway::Gateway,
     job::{Job, JobStatus, Record},
@@ -186,7 +186,7 @@
         config: config.version,
         items,
     };
-    if !fits_quota(gateway, &route, tokens) {
+    if !fits_quota(gateway, &config, &route, tokens) {
         // A job that was accepted before is accepted again, whatever the quota.
         return match gateway
             .store
@@ -245,17 +245,21 @@
     }
 }
 
-fn fits_quota(gateway: &Gateway, route: &Route, tokens: u64) -> bool {
+fn fits_quota(gateway: &Gateway, config: &Configuration, route: &Route, tokens: u64) -> bool {
     let Some(quota) = route.batch().and_then(|t| t.quota) else {
         return true;
     };
     let key = jobs::route_key(route);
+    let is_of_route = |job: &Job| {
+        let found = config.route(&job.record.host, &job.record.path);
+        found.is_some_and(|r| r.name == route.name)
+    };
     let local: u64 = gateway
         .jobs
-        .all()
+        .running()
         .iter()
         .map(|(_, job)| lock(job))
-        .filter(|job| job.active)
+        .filter(|job| is_of_route(job))
         .map(|job| job.waiting_tokens())
         .sum();
     let others = gateway.peers().waiting(key, gateway.now());
--- a/tests/gateway_batch.rs
+++ b/tests/gateway_batch.rs
@@ -185,6 +185,31 @@
     assert_eq!(one.submit("j1", &items).unwrap().status, 202);
 }
 
+/// Guards against jobs that are refused since items of another route wait.
+#[test]
+fn jobs_of_another_route_use_up_no_quota() {
+    let (store, _workers) = platform(400, Duration::from_millis(20));
+    let mut with_more = gateway_support::config(2);
+    let mut more = with_more["routes"][4].clone();
+    more["name"] = "more".into();
+    more["path_prefix"] = "/more/".into();
+    with_more["routes"].as_array_mut().unwrap().push(more);
+    store.put("config", "main", with_more);
+    let one = Instance::start_for_jobs("one", &store);
+    let item = |n: u32| serde_json::json!({ "id": format!("m{n}"), "path": "/more/x", "headers": {}, "body": "", "tokens": 10 });
+    let items: Vec<Value> = (0..60).map(item).collect();
+    let body = serde_json::json!({ "items": items }).to_string();
+    let submit = |job: &str| {
+        let headers = [("x-request-id", job)];
+        http::call(one.callers, "POST", "/more/x", &headers, &body)
+    };
+    assert_eq!(submit("m1").unwrap().status, 202);
+    let items: Vec<String> = (0..60).map(|n| format!("i{n}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(one.submit("j1", &items).unwrap().status, 202);
+    assert_eq!(submit("m2").unwrap().status, 429);
+}
+
 /// Guards against work that is lost in a planned stop: another instance must resume where the
 /// stopped one ended.
 #[test]
