Report a cancellation for ten seconds, not forever

Each heartbeat carried all jobs that callers had ever cancelled, and each instance decoded and looked them up at each heartbeat of each other one.

Cause: an instance that had forgotten a cancellation after 10 s heard it again from those that had heard it some milliseconds later, and reported it for 10 s more; they did the same.

Evidence: a_cancellation_is_not_reported_forever (two instances that exchange reports each 100 ms) failed before: still reported after 29.9 s, the limit of the test.

Change: an instance remembers cancellations for 30 s and reports them for 10 s; a report of another instance renews nothing in that time. 30 s bounds what an instance that was cut off may report after it heard last. A cancellation by a caller, or one found in the store by a search, is reported anew. The effect on processor time was not measured.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -394,7 +394,7 @@
         }
     }
     for job in &heartbeat.ended {
-        gateway.jobs.mark_ended(job, gateway.now());
+        gateway.jobs.hear_ended(job, gateway.now());
     }
     for state in &heartbeat.jobs {
         if let Some((id, job)) = gateway.jobs.by_key(state.key) {
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -22,6 +22,9 @@
 
 /// Time for which the cancellation of a job is reported to the other instances.
 const ENDED_RETENTION: Duration = Duration::from_secs(10);
+/// Time for which a cancellation is remembered. An instance that was cut off may hear of it at the end
+/// of the others' reports, and then reports it for as long again; no report may begin anew from that.
+const ENDED_MEMORY: Duration = ENDED_RETENTION.saturating_mul(3);
 
 /// Time for which an instance that does not run a job reports how many of its pages it knows: a
 /// caller may have read the last one here.
@@ -145,17 +148,26 @@
 
     /// Records that a job was cancelled by its owner. Its runs stop at their next event.
     pub fn mark_ended(&self, id: &JobId, now: Duration) {
-        lock(&self.ended).entry(id.clone()).or_insert(now);
+        lock(&self.ended).insert(id.clone(), now);
         if let Some(job) = self.get(id) {
             lock(&job).ended = true;
         }
     }
 
+    /// Records that another instance reports the cancellation of a job. A repeated report changes
+    /// nothing: all instances report it, and would renew it for each other without end.
+    pub fn hear_ended(&self, id: &JobId, now: Duration) {
+        if !lock(&self.ended).contains_key(id) {
+            self.mark_ended(id, now);
+        }
+    }
+
     /// Returns the jobs that were cancelled recently.
     pub fn ended(&self, now: Duration) -> Vec<JobId> {
         let mut ended = lock(&self.ended);
-        ended.retain(|_, at| now < *at + ENDED_RETENTION);
-        ended.keys().cloned().collect()
+        ended.retain(|_, at| now < *at + ENDED_MEMORY);
+        let recent = ended.iter().filter(|(_, at)| now < **at + ENDED_RETENTION);
+        recent.map(|(id, _)| id.clone()).collect()
     }
 
     /// Sets the tokens of unfinished items at this instance, by route.
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -26,6 +26,10 @@
 
 const JOBS: [&str; 4] = ["j1", "j2", "j3", "j4"];
 
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
 /// Submits jobs that run for a while, and waits until they run.
 fn submit_all(instance: &Instance) {
     for job in JOBS {
@@ -256,6 +260,28 @@
     assert!(job.lock().unwrap().ended);
 }
 
+/// Guards against heartbeats that grow with each cancellation: instances that heard of it from each
+/// other reported it to each other forever.
+#[test]
+fn a_cancellation_is_not_reported_forever() {
+    let (one, two) = (Jobs::default(), Jobs::default());
+    one.mark_ended(&"j1".into(), Duration::ZERO);
+    let mut reports = 0;
+    for millis in (0..120_000).step_by(100) {
+        let (sent, heard) = (at(millis), at(millis + 50));
+        let ended = (one.ended(sent), two.ended(sent));
+        reports = if ended.0.is_empty() && ended.1.is_empty() {
+            0
+        } else {
+            reports + 1
+        };
+        ended.0.iter().for_each(|j| two.hear_ended(j, heard));
+        ended.1.iter().for_each(|j| one.hear_ended(j, heard));
+        assert!(reports < 300, "still reported after {millis} ms");
+    }
+    assert!(one.ended(at(120_000)).is_empty() && two.ended(at(120_000)).is_empty());
+}
+
 /// Guards against items that run on since a cut kept the cancellation of their job from their instance.
 #[test]
 fn a_cancellation_behind_a_cut_is_heard_after_it() {
