Let items start on slots that other zones leave free

Batch items waited although a slot of a worker in their zone was free: all instances with a backlog go first by rank, also those of other zones, which leave the last slots of a worker to online requests that they don't know yet. In a fleet of six zones most instances that go first are such, and while they had a backlog nobody took these slots.

Cause: choose_batch reserves uncertain_slots at workers of other zones, higher_ranked did not. Now an instance of another zone than the worker's counts only for slots that it may take, by the levels and the online time known here. Without online requests at the worker nothing changes. No more items start than slots are free: those of other zones start at far_slots at most, and each of them is counted.

Evidence: an_item_does_not_wait_for_instances_that_leave_the_slot_free failed with the zones switched off (no worker was chosen with one free slot). Found by reading.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -139,6 +139,11 @@
         self.assign_queued(&mut state);
     }
 
+    /// Sets the zone of a peer, or forgets it.
+    pub fn set_zone(&self, peer: &InstanceId, zone: Option<Zone>) {
+        self.lock().fleet.set_zone(peer, zone);
+    }
+
     /// Sets the age that the levels of other zones may have here.
     pub fn set_far_age(&self, age: Duration) {
         self.lock().fleet.set_far_age(age);
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -128,6 +128,7 @@
     local: Map<WorkerKey, Level>,
     peer_levels: Map<InstanceId, Map<WorkerKey, Level>>,
     backlogs: Map<InstanceId, Backlog>,
+    zones: Map<InstanceId, Zone>,
     peer_totals: Map<WorkerKey, Level>,
     health: Health,
     partitions: Map<Zone, Partition>,
@@ -189,6 +190,7 @@
             local: Map::default(),
             peer_levels: Map::default(),
             backlogs: Map::default(),
+            zones: Map::default(),
             peer_totals: Map::default(),
             health: Health::default(),
             partitions: Map::default(),
@@ -314,6 +316,14 @@
         }
     }
 
+    /// Sets the zone of a peer. One without a zone counts as in the zone of each worker.
+    pub fn set_zone(&mut self, peer: &InstanceId, zone: Option<Zone>) {
+        match zone {
+            Some(zone) => self.zones.insert(peer.clone(), zone),
+            None => self.zones.remove(peer),
+        };
+    }
+
     /// Sets the number of batch items that wait at a peer.
     pub fn set_backlog(&mut self, peer: &InstanceId, backlog: Backlog) {
         if backlog == Backlog::default() {
@@ -441,8 +451,9 @@
     ///
     /// All instances with waiting items compute the same ranking per worker, and only as many of
     /// them as there are free slots start an item there. Without the ranking all of them would take
-    /// the same slot at once and all but one would have to yield. Items that can no longer meet
-    /// their due time come last.
+    /// the same slot at once and all but one would have to yield. Instances of other zones count only
+    /// for as many slots as they do not leave free. Items that can no longer meet their due time come
+    /// last.
     pub fn choose_batch(
         &mut self,
         requirements: &Requirements<'_>,
@@ -454,7 +465,7 @@
             let reserve = ONLINE_RESERVE + self.uncertain_slots(worker, level);
             let capacity = worker.slots.saturating_sub(reserve);
             let free = capacity.checked_sub(level.total() + 1)?;
-            let before = self.higher_ranked(key(&worker.id), urgency, free);
+            let before = self.higher_ranked(worker, level, urgency, free);
             (before <= free).then(|| level.total() + self.zone_penalty(worker))
         };
         let chosen = self.choose_best(requirements, Avoided::Never, rng, now, score)?;
@@ -464,14 +475,26 @@
 
     /// Returns the number of instances that start a waiting item on a worker before this one, counted
     /// up to one more than `most`.
-    fn higher_ranked(&self, worker: WorkerKey, urgency: Urgency, most: u32) -> u32 {
-        let own_rank = rank(&self.instance, worker);
+    fn higher_ranked(&self, worker: &Worker, level: Level, urgency: Urgency, most: u32) -> u32 {
+        let key = key(&worker.id);
+        let own_rank = rank(&self.instance, key);
+        let mut far_slots = worker
+            .slots
+            .saturating_sub(ONLINE_RESERVE + self.turnover(level) + level.total());
         let before = self.backlogs.iter().filter(|(peer, backlog)| {
-            let ahead = rank(peer, worker) < own_rank;
-            match urgency {
-                Urgency::Timely => backlog.timely > 0 && ahead,
-                Urgency::Late => backlog.timely > 0 || ahead,
+            let is_far = self.zones.get(*peer).is_some_and(|z| *z != worker.zone);
+            if is_far && far_slots == 0 {
+                return false;
+            }
+            let is_ahead = || rank(peer, key) < own_rank;
+            let starts = match urgency {
+                Urgency::Timely => backlog.timely > 0 && is_ahead(),
+                Urgency::Late => backlog.timely > 0 || is_ahead(),
+            };
+            if starts && is_far {
+                far_slots -= 1;
             }
+            starts
         });
         before.take(most as usize + 1).count() as u32
     }
@@ -499,8 +522,15 @@
     /// was sent: as many as ended in that time at a steady load. In the local zone levels are new.
     fn uncertain_slots(&self, worker: &Worker, level: Level) -> u32 {
         if worker.zone == self.zone {
-            return 0;
+            0
+        } else {
+            self.turnover(level)
         }
+    }
+
+    /// Returns the number of online requests that end at a level in the time that it takes to other
+    /// zones.
+    fn turnover(&self, level: Level) -> u32 {
         let Some(time) = self.online_time.filter(|t| !t.is_zero()) else {
             return 0;
         };
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -225,6 +225,7 @@
         event!(Info, MemberLeft, "peer={peer}");
         let empty = Backlog::default();
         gateway.dispatch.set_peer(&peer, Map::default(), empty);
+        gateway.dispatch.set_zone(&peer, None);
         // A full channel already holds the same signal.
         let _ = updates.members.try_send(());
     }
@@ -386,6 +387,8 @@
     let instance = &heartbeat.instance;
     gateway.dispatch.mark_zone_reachable(&heartbeat.zone);
     if result != PeerChange::Known {
+        let zone = heartbeat.zone.clone();
+        gateway.dispatch.set_zone(instance, Some(zone));
         let (levels, backlog) = (heartbeat.levels(), heartbeat.backlog);
         gateway.dispatch.set_peer(instance, levels, backlog);
         // Free slots matter only while items wait for them.
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -271,6 +271,29 @@
     assert_eq!(starting.count(), 1);
 }
 
+/// Guards against items that wait although a slot is free: instances of other zones leave the last slots
+/// to online requests, and those of the zone let them go first all the same.
+#[test]
+fn an_item_does_not_wait_for_instances_that_leave_the_slot_free() {
+    let near = worker_with_slots("near", "a", 8);
+    let mut fleet = fleet_with_old_levels(&[near]);
+    let peers: Vec<InstanceId> = (0..20).map(|n| format!("p{n}").into()).collect();
+    let set_peers = |fleet: &mut Fleet, zone: &str| {
+        for peer in &peers {
+            fleet.set_zone(peer, Some(zone.into()));
+            fleet.set_backlog(peer, Backlog { timely: 5, late: 0 });
+        }
+    };
+    set_peers(&mut fleet, "b");
+    fleet.set_peer(&peers[0], levels("near", 4, 2));
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+    fleet.set_peer(&peers[0], levels("near", 0, 6));
+    assert!(!choose_batch(&mut fleet, Urgency::Timely), "they start one");
+    set_peers(&mut fleet, "a");
+    fleet.set_peer(&peers[0], levels("near", 4, 2));
+    assert!(!choose_batch(&mut fleet, Urgency::Timely), "they start one");
+}
+
 /// Guards against late items that take slots from items that can still meet their due time.
 #[test]
 fn late_items_come_after_timely_ones_of_other_instances() {
