Let items start before instances of a cut zone count as gone

Now they go first only at workers of their zone once it counts as cut off here, which two workers that accept no connection show earlier than the timeout. A heartbeat from the zone ends that as before. An instance of a third zone that still hears them may start an item as well, and one of the two yields.

Evidence: an_item_does_not_wait_for_instances_that_are_cut_off failed with the check switched off (no worker was chosen). Ruled out: a shorter time for silence, since levels of other zones may be 340 ms old and a heartbeat may be lost.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -465,7 +465,7 @@
             let reserve = ONLINE_RESERVE + self.uncertain_slots(worker, level);
             let capacity = worker.slots.saturating_sub(reserve);
             let free = capacity.checked_sub(level.total() + 1)?;
-            let before = self.higher_ranked(worker, level, urgency, free);
+            let before = self.higher_ranked(worker, level, urgency, free, now);
             (before <= free).then(|| level.total() + self.zone_penalty(worker))
         };
         let chosen = self.choose_best(requirements, Avoided::Never, rng, now, score)?;
@@ -475,15 +475,22 @@
 
     /// Returns the number of instances that start a waiting item on a worker before this one, counted
     /// up to one more than `most`.
-    fn higher_ranked(&self, worker: &Worker, level: Level, urgency: Urgency, most: u32) -> u32 {
+    fn higher_ranked(
+        &self,
+        worker: &Worker,
+        level: Level,
+        urgency: Urgency,
+        most: u32,
+        now: Duration,
+    ) -> u32 {
         let key = key(&worker.id);
         let own_rank = rank(&self.instance, key);
         let mut far_slots = worker
             .slots
             .saturating_sub(ONLINE_RESERVE + self.turnover(level) + level.total());
         let before = self.backlogs.iter().filter(|(peer, backlog)| {
-            let is_far = self.zones.get(*peer).is_some_and(|z| *z != worker.zone);
-            if is_far && far_slots == 0 {
+            let far_zone = self.zones.get(*peer).filter(|z| **z != worker.zone);
+            if far_zone.is_some_and(|z| far_slots == 0 || self.is_cut_off(z, now)) {
                 return false;
             }
             let is_ahead = || rank(peer, key) < own_rank;
@@ -491,7 +498,7 @@
                 Urgency::Timely => backlog.timely > 0 && is_ahead(),
                 Urgency::Late => backlog.timely > 0 || is_ahead(),
             };
-            if starts && is_far {
+            if starts && far_zone.is_some() {
                 far_slots -= 1;
             }
             starts
@@ -538,6 +545,11 @@
         (f64::from(level.online) * turnover.min(1.0)).ceil() as u32
     }
 
+    fn is_cut_off(&self, zone: &Zone, now: Duration) -> bool {
+        let partition = self.partitions.get(zone);
+        partition.is_some_and(|p| now < p.until)
+    }
+
     fn zone_penalty(&self, worker: &Worker) -> u32 {
         if worker.zone == self.zone {
             0
@@ -562,11 +574,7 @@
         let candidates = self.workers.iter().filter(|(_, w)| eligible(w));
         let ranked = candidates.filter_map(|(key, worker)| {
             let score = score(worker, self.level(*key))?;
-            let partitioned = self
-                .partitions
-                .get(&worker.zone)
-                .is_some_and(|p| now < p.until);
-            let comes_last = partitioned || ejected.contains(&worker.id);
+            let comes_last = self.is_cut_off(&worker.zone, now) || ejected.contains(&worker.id);
             if comes_last && avoided == Avoided::Never {
                 return None;
             }
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -294,6 +294,23 @@
     assert!(!choose_batch(&mut fleet, Urgency::Timely), "they start one");
 }
 
+/// Guards against items that wait for instances of a zone that is cut off until these count as gone.
+#[test]
+fn an_item_does_not_wait_for_instances_that_are_cut_off() {
+    let far = [worker("far1", "b"), worker("far2", "b")];
+    let mut fleet = fleet(&[worker("near", "a"), far[0].clone(), far[1].clone()]);
+    let peers = (0..20).map(|n| InstanceId::from(format!("p{n}")));
+    for peer in peers {
+        fleet.set_zone(&peer, Some("b".into()));
+        fleet.set_backlog(&peer, Backlog { timely: 5, late: 0 });
+    }
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+    for worker in &far {
+        fleet.record_unreachable(worker, NOW);
+    }
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+}
+
 /// Guards against late items that take slots from items that can still meet their due time.
 #[test]
 fn late_items_come_after_timely_ones_of_other_instances() {
