Recall requests that broke with the same workers apart

Cause: all crashes at one worker that came from the store had the same attempt key, whatever request they were of.

Evidence: both were read by all instances at 12.51 s, and neither was refused.

Change: the key depends on the request.

--- a/src/gateway/block_record.rs
+++ b/src/gateway/block_record.rs
@@ -6,7 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Fingerprint, Map};
+use crate::{
+    fnv,
+    ids::{Fingerprint, Map},
+};
 
 use super::{
     blame::{AttemptKey, FIRST_PROBE},
@@ -27,9 +30,6 @@
 const RETENTION_MS: u64 = 3_600_000;
 /// Difference of the times of one crash as several instances saw it.
 const SAME_CRASH_MS: u64 = 1000;
-/// Attempt of a crash that is known from the store; it stands beside the record of the instance that
-/// saw it, which has more marks.
-const STORED_ATTEMPT: u32 = 0;
 /// Worker of a probe whose end is not known.
 const UNKNOWN_WORKER: u32 = 0;
 
@@ -140,7 +140,10 @@
     pub fn report(&self, request: Fingerprint, now: u64) -> Report {
         let mut record = self.clone();
         record.settle(now);
-        let attempt = |c: &StoredCrash| -> AttemptKey { (c.worker, STORED_ATTEMPT) };
+        // Of several requests that broke with one worker each has a record of its own, which stands
+        // beside that of the instance that saw it and has more marks.
+        let key = fnv::hash32(request.to_le_bytes());
+        let attempt = |c: &StoredCrash| -> AttemptKey { (c.worker, key) };
         let crashes = record.crashes.iter().map(|c| CrashReport {
             attempt: attempt(c),
             at: now.saturating_sub(c.at),
--- a/tests/gateway_blocks.rs
+++ b/tests/gateway_blocks.rs
@@ -98,3 +98,18 @@
     let outdated = block_record::outdated(&records, START + HOUR + 1290);
     assert_eq!(outdated.len(), 130);
 }
+
+/// Guards against a deadly request that is forgotten since another one broke beside it.
+#[test]
+fn requests_that_broke_with_the_same_workers_are_recalled_apart() {
+    let deadly = record(&[(1, 0), (2, 100), (3, 200), (4, 9000)]);
+    let neighbour = record(&[(1, 2), (2, 102), (3, 202)]);
+    let mut suspects = Suspects::default();
+    let (at, now) = (START + 10_000, Duration::from_secs(10));
+    assert!(suspects.recall(deadly.report(REQUEST, at), now));
+    assert!(suspects.recall(neighbour.report(9, at), now));
+    let admission = suspects.admit(&[Mark::Request(REQUEST)], now, |_| false);
+    assert!(matches!(admission, Admission::Refused(_)));
+    let admission = suspects.admit(&[Mark::Request(9)], now, |_| false);
+    assert_eq!(admission, Admission::Free);
+}
