--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -1,11 +1,17 @@
 //! Worker selection and preemption of batch items.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::TcpListener, sync::Arc, time::Duration};
 
 use gentianpath::{
-    gateway::fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
+    adapter::headers,
+    gateway::{
+        dispatch::Dispatch,
+        fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
+        upstream::Upstream,
+    },
     ids::{InstanceId, Map, ServiceId},
 };
+use hyper::Response;
 
 const NOW: Duration = Duration::from_secs(1);
 
@@ -374,3 +380,110 @@
     assert!(fleet.leaving_count() < 2000, "{}", fleet.leaving_count());
     assert_eq!(choose(&mut fleet, &[]), None);
 }
+
+/// Guards against requests that wait behind those of another service while their own workers are
+/// free.
+#[test]
+fn a_request_does_not_wait_behind_those_of_another_service() {
+    let dispatch = Dispatch::new("one".into(), "a".into());
+    dispatch.set_workers(vec![worker("w", "a")]);
+    let [free, full]: [ServiceId; 2] = ["lm".into(), "full".into()];
+    let request = |service| Requirements {
+        service,
+        tried: &[],
+    };
+    let (free, full) = (request(&free), request(&full));
+    smol::block_on(async {
+        let queued = dispatch.place_online(&full, Duration::from_millis(300));
+        let placed = async {
+            smol::future::yield_now().await;
+            assert_eq!(dispatch.queue_length(), 1);
+            let placed = dispatch
+                .place_online(&free, Duration::from_millis(100))
+                .await;
+            let spare = dispatch.place_spare(&free, Duration::ZERO).await;
+            (placed.is_ok(), spare.is_ok())
+        };
+        let (queued, placed) = smol::future::zip(queued, placed).await;
+        assert!(queued.is_err());
+        assert_eq!(placed, (true, true));
+    });
+}
+
+/// Returns two ids with the same key.
+fn ids_of_one_key() -> [String; 2] {
+    let mut seen = Map::default();
+    for number in 0.. {
+        let id = format!("w{number}");
+        if let Some(other) = seen.insert(key(&id), id.clone()) {
+            return [other, id];
+        }
+    }
+    unreachable!("keys repeat")
+}
+
+/// Guards against a leaving worker that is used again because a later worker has its key.
+#[test]
+fn a_leaving_worker_is_not_forgotten_for_another_of_its_key() {
+    let [leaving, other] = ids_of_one_key();
+    let leaving = worker(&leaving, "a");
+    let other = Worker {
+        started: Some(2),
+        ..(*worker(&other, "a")).clone()
+    };
+    let mut fleet = fleet(std::slice::from_ref(&leaving));
+    fleet.record_leaving(&leaving);
+    fleet.set_workers([Arc::new(other)]);
+    fleet.set_workers([leaving]);
+    assert_eq!(choose(&mut fleet, &[]), None);
+}
+
+/// Guards against a connection to an earlier run of a worker, which may leave, that carries a request
+/// for the run that replaced it at another address.
+#[test]
+fn connections_to_an_earlier_run_of_a_worker_are_not_used() {
+    let [old, new] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let run = |listener: &TcpListener, started| Worker {
+        address: listener.local_addr().unwrap(),
+        started: Some(started),
+        ..(*worker("w", "a")).clone()
+    };
+    let [earlier, later] = [run(&old, 1), run(&new, 2)];
+    new.set_nonblocking(true).unwrap();
+    let upstream = Upstream::default();
+    smol::block_on(async {
+        let kept = upstream.connect(&earlier, true).await.unwrap();
+        upstream.keep(&earlier, kept, None, 1);
+        assert!(upstream.connect(&earlier, true).await.unwrap().reused);
+        let kept = upstream.connect(&earlier, true).await.unwrap();
+        upstream.keep(&earlier, kept, None, 1);
+        let connection = upstream.connect(&later, true).await.unwrap();
+        assert!(!connection.reused);
+        let _accepted = new.accept().unwrap();
+        upstream.keep(&later, connection, None, 1);
+        // The answer to an earlier request ends after the restart was listed.
+        let late = upstream.connect(&earlier, true).await.unwrap();
+        upstream.keep(&earlier, late, None, 1);
+        assert!(upstream.connect(&later, true).await.unwrap().reused);
+        assert!(!upstream.connect(&later, true).await.unwrap().reused);
+    });
+}
+
+/// Guards against an announcement that is missed because of the form of its header, and against
+/// another value that is taken for it.
+#[test]
+fn the_leaving_header_is_read_in_all_its_forms() {
+    let leaves = |values: &[&str]| {
+        let mut answer = Response::builder().status(200);
+        for value in values {
+            answer = answer.header("server-leaving", *value);
+        }
+        headers::decode_answer(&answer.body(()).unwrap()).leaving
+    };
+    for values in [&["1"][..], &[" 1 "], &["0", "1"], &["1", "0"], &["0, 1"]] {
+        assert!(leaves(values), "{values:?}");
+    }
+    for values in [&[][..], &["0"], &[""], &["11"], &["false"]] {
+        assert!(!leaves(values), "{values:?}");
+    }
+}
