Accept jobs under a new route whose home lacks it

Cause: an instance that knows the route forwards the job to its home. A home with an older configuration answered 404, and that answer was passed on.

Change: after a 404 from the home the submission is served locally, like after its 503.

Evidence: before the change `a_job_is_accepted_although_its_home_lacks_the_route` failed (404 instead of 202); it passes now, with the rest of gateway_lost_jobs (17) and docs.

--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -103,6 +103,10 @@
     let started = Instant::now();
     if let Some(home) = gateway.home(&request.job) {
         match peer_call::job(home.address, &request).await {
+            // The other instance may not have heard of the route yet.
+            Ok(answer)
+                if answer.status() == StatusCode::NOT_FOUND && request.action == Action::Submit => {
+            }
             Ok(answer) if answer.status() != StatusCode::SERVICE_UNAVAILABLE => {
                 let (head, body) = answer.into_parts();
                 return Response::from_parts(head, full_body(body));
--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -4,10 +4,11 @@
 mod support;
 
 use std::{
-    net::{SocketAddr, UdpSocket},
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, UdpSocket},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -403,3 +404,32 @@
     ended.store(true, Ordering::Relaxed);
     sender.join().unwrap();
 }
+
+/// Guards against a job that is denied because its home has not heard of a new route yet.
+#[test]
+fn a_job_is_accepted_although_its_home_lacks_the_route() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    let mut peer = Peer {
+        socket: UdpSocket::bind("127.0.0.1:0").unwrap(),
+        target: one.peers,
+        number: 0,
+    };
+    let home = TcpListener::bind(peer.socket.local_addr().unwrap()).unwrap();
+    let denials = Arc::new(AtomicU64::new(0));
+    let denied = denials.clone();
+    thread::spawn(move || {
+        for mut stream in home.incoming().flatten() {
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(b"HTTP/1.1 404 x\r\ncontent-length: 0\r\n\r\n");
+            denied.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    peer.send(Vec::new(), true);
+    thread::sleep(Duration::from_millis(100));
+    for job in 0..12 {
+        peer.send(Vec::new(), true);
+        assert_eq!(one.submit(&format!("h{job}"), &["a"]).unwrap().status, 202);
+    }
+    assert!(denials.load(Ordering::Relaxed) > 0);
+}
