--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -25,7 +25,7 @@
 
 use super::{
     answer::{CallerBody, full_body, text_answer},
-    config::Route,
+    config::{Configuration, Route},
     connection::SendError,
     gateway::Gateway,
     job::{Job, JobStatus, Record},
@@ -193,7 +193,7 @@
     if !record.fits_store() {
         return text_answer(StatusCode::PAYLOAD_TOO_LARGE, "the job is too large", None);
     }
-    if !fits_quota(gateway, &route, tokens) {
+    if !fits_quota(gateway, &config, &route, tokens) {
         // A job that was accepted before is accepted again, whatever the quota.
         return match gateway
             .store
@@ -264,17 +264,21 @@
     }
 }
 
-fn fits_quota(gateway: &Gateway, route: &Route, tokens: u64) -> bool {
+fn fits_quota(gateway: &Gateway, config: &Configuration, route: &Route, tokens: u64) -> bool {
     let Some(quota) = route.batch().and_then(|t| t.quota) else {
         return true;
     };
     let key = jobs::route_key(route);
+    let is_of_route = |job: &Job| {
+        let found = config.route(&job.record.host, &job.record.path);
+        found.is_some_and(|r| r.name == route.name)
+    };
     let local: u64 = gateway
         .jobs
-        .all()
+        .running()
         .iter()
         .map(|(_, job)| lock(job))
-        .filter(|job| job.active)
+        .filter(|job| is_of_route(job))
         .map(|job| job.waiting_tokens())
         .sum();
     let others = gateway.peers().waiting(key, gateway.now());
@@ -312,6 +316,7 @@
     if behind && let Err(e) = job_store::read_pages(gateway, &request.job, &job).await {
         return unavailable(&e.to_string());
     }
+    let mut searched = false;
     loop {
         let may_be_cut = gateway.may_be_cut();
         let now = gateway.now();
@@ -320,8 +325,9 @@
             let page = job.read(after);
             let is_certain = !page.results.is_empty() || job.is_complete();
             let is_over = job.ended || started.elapsed() >= request.wait;
+            let needs_search = !searched && may_be_cut && job.needs_page_check(now);
             let answer = job_calls::encode_page(&page);
-            if is_certain || is_over && !(may_be_cut && job.needs_page_check(now)) {
+            if is_certain || is_over && !needs_search {
                 return json(answer);
             }
             is_over
@@ -334,6 +340,8 @@
             return unavailable(&e.to_string());
         }
         lock(&job).page_check = now;
+        // With a slow store, the search takes longer than the interval between two.
+        searched = true;
     }
 }
 
