Let the watched instance claim the only group in a test

a_planned_stop_waits_for_the_object_service failed beside load: "the condition never held: 0 streams".

Cause, shown: the set-up was wrong. The job is one group, which both instances may claim, and the test waits for streams of the instance that got the job.

Change: the other instance is cut from the platform until the streams run.

--- a/tests/batch_steps.rs
+++ b/tests/batch_steps.rs
@@ -160,6 +160,9 @@
         let a = &fleet.instances[0];
         let body = [items("i", 8, TOKENS), items("long", 8, LONG)].concat();
         let begun = Instant::now();
+        // On a slow machine the other instance could claim the only group first.
+        let cut = json!({"gate": {"cut": {"parties": ["b"], "failure": "close"}}});
+        fleet.platform.faults(cut);
         assert_eq!(a.submit("j", &body).status, 200);
         wait_running(&fleet, 0, "w1");
         let gate = json!({"gate": {"outage": outage, "prefix": "/objects"}});
