--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -25,7 +25,7 @@
 
 use super::{
     answer::{CallerBody, full_body, text_answer},
-    config::Route,
+    config::{Configuration, Route},
     connection::SendError,
     gateway::Gateway,
     job::{Job, JobStatus, Record},
@@ -186,7 +186,10 @@
         config: config.version,
         items,
     };
-    if !fits_quota(gateway, &route, tokens) {
+    if !record.fits_store() {
+        return text_answer(StatusCode::PAYLOAD_TOO_LARGE, "the job is too large", None);
+    }
+    if !fits_quota(gateway, &config, &route, tokens) {
         // A job that was accepted before is accepted again, whatever the quota.
         return match gateway
             .store
@@ -245,17 +248,33 @@
     }
 }
 
-fn fits_quota(gateway: &Gateway, route: &Route, tokens: u64) -> bool {
+/// Returns whether a job is known to be accepted, without a look at the store. Of a job that only
+/// another instance knows, host and path are not known here.
+pub fn is_accepted(gateway: &Gateway, id: &JobId, host: &str, path: &str) -> bool {
+    match gateway.jobs.get(id) {
+        Some(job) => {
+            let job = lock(&job);
+            *job.record.host == *host && *job.record.path == *path
+        }
+        None => gateway.is_run(id),
+    }
+}
+
+fn fits_quota(gateway: &Gateway, config: &Configuration, route: &Route, tokens: u64) -> bool {
     let Some(quota) = route.batch().and_then(|t| t.quota) else {
         return true;
     };
     let key = jobs::route_key(route);
+    let is_of_route = |job: &Job| {
+        let found = config.route(&job.record.host, &job.record.path);
+        found.is_some_and(|r| r.name == route.name)
+    };
     let local: u64 = gateway
         .jobs
-        .all()
+        .running()
         .iter()
         .map(|(_, job)| lock(job))
-        .filter(|job| job.active)
+        .filter(|job| is_of_route(job))
         .map(|job| job.waiting_tokens())
         .sum();
     let others = gateway.peers().waiting(key, gateway.now());
@@ -293,6 +312,7 @@
     if behind && let Err(e) = job_store::read_pages(gateway, &request.job, &job).await {
         return unavailable(&e.to_string());
     }
+    let mut searched = false;
     loop {
         let may_be_cut = gateway.may_be_cut();
         let now = gateway.now();
@@ -301,8 +321,9 @@
             let page = job.read(after);
             let is_certain = !page.results.is_empty() || job.is_complete();
             let is_over = job.ended || started.elapsed() >= request.wait;
+            let needs_search = !searched && may_be_cut && job.needs_page_check(now);
             let answer = job_calls::encode_page(&page);
-            if is_certain || is_over && !(may_be_cut && job.needs_page_check(now)) {
+            if is_certain || is_over && !needs_search {
                 return json(answer);
             }
             is_over
@@ -315,6 +336,8 @@
             return unavailable(&e.to_string());
         }
         lock(&job).page_check = now;
+        // With a slow store, the search takes longer than the interval between two.
+        searched = true;
     }
 }
 
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -5,6 +5,7 @@
 use gentianpath::{
     adapter::headers,
     gateway::{
+        dispatch::Dispatch,
         fleet::{Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, key},
         upstream::Upstream,
     },
@@ -276,6 +277,46 @@
     assert_eq!(starting.count(), 1);
 }
 
+/// Guards against items that wait although a slot is free: instances of other zones leave the last slots
+/// to online requests, and those of the zone let them go first all the same.
+#[test]
+fn an_item_does_not_wait_for_instances_that_leave_the_slot_free() {
+    let near = worker_with_slots("near", "a", 8);
+    let mut fleet = fleet_with_old_levels(&[near]);
+    let peers: Vec<InstanceId> = (0..20).map(|n| format!("p{n}").into()).collect();
+    let set_peers = |fleet: &mut Fleet, zone: &str| {
+        for peer in &peers {
+            fleet.set_zone(peer, Some(zone.into()));
+            fleet.set_backlog(peer, Backlog { timely: 5, late: 0 });
+        }
+    };
+    set_peers(&mut fleet, "b");
+    fleet.set_peer(&peers[0], levels("near", 4, 2));
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+    fleet.set_peer(&peers[0], levels("near", 0, 6));
+    assert!(!choose_batch(&mut fleet, Urgency::Timely), "they start one");
+    set_peers(&mut fleet, "a");
+    fleet.set_peer(&peers[0], levels("near", 4, 2));
+    assert!(!choose_batch(&mut fleet, Urgency::Timely), "they start one");
+}
+
+/// Guards against items that wait for instances of a zone that is cut off until these count as gone.
+#[test]
+fn an_item_does_not_wait_for_instances_that_are_cut_off() {
+    let far = [worker("far1", "b"), worker("far2", "b")];
+    let mut fleet = fleet(&[worker("near", "a"), far[0].clone(), far[1].clone()]);
+    let peers = (0..20).map(|n| InstanceId::from(format!("p{n}")));
+    for peer in peers {
+        fleet.set_zone(&peer, Some("b".into()));
+        fleet.set_backlog(&peer, Backlog { timely: 5, late: 0 });
+    }
+    assert!(!choose_batch(&mut fleet, Urgency::Timely));
+    for worker in &far {
+        fleet.record_unreachable(worker, NOW);
+    }
+    assert!(choose_batch(&mut fleet, Urgency::Timely));
+}
+
 /// Guards against late items that take slots from items that can still meet their due time.
 #[test]
 fn late_items_come_after_timely_ones_of_other_instances() {
@@ -340,6 +381,35 @@
     assert_eq!(choose(&mut fleet, &[]), None);
 }
 
+/// Guards against requests that wait behind those of another service while their own workers are
+/// free.
+#[test]
+fn a_request_does_not_wait_behind_those_of_another_service() {
+    let dispatch = Dispatch::new("one".into(), "a".into());
+    dispatch.set_workers(vec![worker("w", "a")]);
+    let [free, full]: [ServiceId; 2] = ["lm".into(), "full".into()];
+    let request = |service| Requirements {
+        service,
+        tried: &[],
+    };
+    let (free, full) = (request(&free), request(&full));
+    smol::block_on(async {
+        let queued = dispatch.place_online(&full, Duration::from_millis(300));
+        let placed = async {
+            smol::future::yield_now().await;
+            assert_eq!(dispatch.queue_length(), 1);
+            let placed = dispatch
+                .place_online(&free, Duration::from_millis(100))
+                .await;
+            let spare = dispatch.place_spare(&free, Duration::ZERO).await;
+            (placed.is_ok(), spare.is_ok())
+        };
+        let (queued, placed) = smol::future::zip(queued, placed).await;
+        assert!(queued.is_err());
+        assert_eq!(placed, (true, true));
+    });
+}
+
 /// Returns two ids with the same key.
 fn ids_of_one_key() -> [String; 2] {
     let mut seen = Map::default();
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -125,6 +125,9 @@
     Ok(true)
 }
 
+/// Maximum size of an object.
+const VALUE_BYTES: usize = 1 << 20;
+
 /// Faults of a store.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct StoreFaults {
@@ -154,6 +157,7 @@
     between_pages: Option<(String, String, Value)>,
     refused_reads: BTreeMap<String, usize>,
     stale_lists: Option<String>,
+    slow_reads: Option<(String, Duration)>,
 }
 
 /// Stand-in for the object store.
@@ -216,6 +220,11 @@
         self.lock().refused_reads.insert(kind.to_owned(), count);
     }
 
+    /// Delays reads of single objects of a kind.
+    pub fn slow_reads(&self, kind: &str, delay: Duration) {
+        self.lock().slow_reads = Some((kind.to_owned(), delay));
+    }
+
     /// Gives lists of a kind that may be stale no objects.
     pub fn set_stale_lists(&self, kind: &str) {
         self.lock().stale_lists = Some(kind.to_owned());
@@ -286,6 +295,11 @@
         return answer_watch(state, request, &kind, since.parse().unwrap(), stream);
     }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let slow = state.lock().unwrap().slow_reads.clone();
+    let is_read = request.method == "GET" && name.is_some();
+    if let Some((_, delay)) = slow.filter(|(slow, _)| is_read && *slow == kind) {
+        thread::sleep(delay);
+    }
     let mut objects = state.lock().unwrap();
     if objects.faults.down {
         return answer(stream, 503, "", "");
@@ -325,6 +339,7 @@
                 None => answer(stream, 404, "", ""),
             }
         }
+        ("POST" | "PUT", _) if request.body.len() > VALUE_BYTES => answer(stream, 413, "", ""),
         ("POST", None) => {
             let name = body["metadata"]["name"].as_str().unwrap_or_default();
             if objects.objects.contains_key(&key(name)) {
