Count only closed connections as crashes

A request whose workers answered wrongly was counted as one that crashes workers, so that after a few of them the request was refused (`blame`), and the pause of a batch item doubled with each.

Cause: `AttemptError::reading` took each error but a timeout for a closed connection, also "the answer does not resume the stream", "an event is too long" and a body over the limit. The kind of error is now set where it is known: `ConnectionAborted` for a body that ends with its connection, `InvalidData` for a wrong answer. An event that a stream with a length or chunks ends inside of is a wrong answer too.

Evidence: a_wrong_answer_is_no_crash failed on the old code at its first assertion (an error that is no timeout) and passes now.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -8,7 +8,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use smol::{Task, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
@@ -72,11 +72,12 @@
         }
     }
 
-    /// Builds the error for an answer that could not be read to its end.
+    /// Builds the error for an answer that could not be read to its end. Only an error of kind
+    /// `ConnectionAborted` stands for a connection that the worker closed.
     pub fn reading(error: &io::Error, begun: bool) -> Self {
         Self {
             reason: error.to_string(),
-            closed: error.kind() != io::ErrorKind::TimedOut,
+            closed: error.kind() == io::ErrorKind::ConnectionAborted,
             begun,
         }
     }
@@ -189,14 +190,32 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the body is truncated or longer than `limit`.
+/// Returns an error of kind `ConnectionAborted` when the body is truncated, and one of another kind
+/// when it is longer than `limit`.
 pub async fn read_body<B>(body: B, limit: usize) -> io::Result<Bytes>
 where
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let collected = Limited::new(body, limit).collect().await;
-    Ok(collected.map_err(io::Error::other)?.to_bytes())
+    let collected = collected.map_err(|e| {
+        if e.is::<LengthLimitError>() {
+            invalid(e)
+        } else {
+            aborted(e)
+        }
+    })?;
+    Ok(collected.to_bytes())
+}
+
+/// Builds the error for a body that ended with its connection.
+pub fn aborted(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, error)
+}
+
+/// Builds the error for an answer that is wrong.
+pub fn invalid(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
 }
 
 /// Applies a timeout to an operation.
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -33,6 +33,8 @@
     body: Incoming,
     splitter: Splitter,
     start: Start,
+    /// Whether the end of the body differs from the end of its connection.
+    framed: bool,
     /// The next event, or the end, if it was read ahead.
     ahead: Option<Option<Event>>,
 }
@@ -44,18 +46,20 @@
     Free,
     /// A numbered event after the one that it resumes after, or an end without any further event
     /// that is more than the end of the connection.
-    Resumed { framed: bool },
+    Resumed,
 }
 
 impl Events {
-    /// Builds a reader of the events of a body.
-    pub fn new(body: Incoming) -> Self {
-        Self {
+    /// Builds a reader of the events of an answer, which may have to resume a stream.
+    pub fn of(answer: Response<Incoming>, resumes: bool) -> Response<Self> {
+        let framed = splice::is_framed(&answer);
+        answer.map(|body| Self {
             body,
             splitter: Splitter::default(),
-            start: Start::Free,
+            start: if resumes { Start::Resumed } else { Start::Free },
+            framed,
             ahead: None,
-        }
+        })
     }
 
     /// Returns the body, of which nothing may have been read.
@@ -63,19 +67,6 @@
         self.body
     }
 
-    /// Builds a reader of the events of an answer, which may have to resume a stream.
-    pub fn of(answer: Response<Incoming>, resumes: bool) -> Response<Self> {
-        let framed = splice::is_framed(&answer);
-        answer.map(|body| Self {
-            start: if resumes {
-                Start::Resumed { framed }
-            } else {
-                Start::Free
-            },
-            ..Self::new(body)
-        })
-    }
-
     /// Returns the next event after the one with a number, or `None` at the end of the stream.
     ///
     /// Only a whole new event counts as progress. Single bytes or repeated events do not extend
@@ -120,14 +111,14 @@
                 match self.start {
                     _ if event.id.is_some() => {}
                     Start::Free => return Ok(Some(event)),
-                    Start::Resumed { .. } if event.is_comment() => {}
-                    Start::Resumed { .. } => {
-                        return Err(io::Error::other("the answer does not resume the stream"));
+                    Start::Resumed if event.is_comment() => {}
+                    Start::Resumed => {
+                        return Err(connection::invalid("the answer does not resume the stream"));
                     }
                 }
             }
             if self.splitter.len() > MAX_EVENT_BYTES {
-                return Err(io::Error::other("an event is too long"));
+                return Err(connection::invalid("an event is too long"));
             }
             match self.body.frame().await.transpose() {
                 Ok(Some(frame)) => {
@@ -135,12 +126,15 @@
                         self.splitter.push(data);
                     }
                 }
-                Ok(None) if self.start == (Start::Resumed { framed: false }) => {
-                    return Err(io::Error::other("the connection ended without an event"));
+                Ok(None) if self.start == Start::Resumed && !self.framed => {
+                    return Err(connection::aborted("the connection ended without an event"));
                 }
                 Ok(None) if self.splitter.is_empty() => return Ok(None),
-                Ok(None) => return Err(io::Error::other("the stream ended inside an event")),
-                Err(e) => return Err(io::Error::other(e)),
+                Ok(None) if self.framed => {
+                    return Err(connection::invalid("the stream ended inside an event"));
+                }
+                Ok(None) => return Err(connection::aborted("the stream ended inside an event")),
+                Err(e) => return Err(connection::aborted(e)),
             }
         }
     }
--- a/tests/gateway_answers.rs
+++ b/tests/gateway_answers.rs
@@ -3,9 +3,12 @@
 mod gateway_support;
 mod support;
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
+use bytes::Bytes;
 use gateway_support::{Behaviour, Instance, Worker, platform};
+use gentianpath::gateway::connection::{self, AttemptError};
+use http_body_util::Full;
 use support::until;
 
 const PAUSE: Duration = Duration::from_millis(2);
@@ -166,3 +169,13 @@
     assert_eq!(instance.submit("j1", &["i1"]).unwrap().status, 202);
     assert_eq!(instance.wait_results("j1", 1)[0]["output"], "t0\nt1");
 }
+
+/// Guards against a request that is blamed for crashes of workers that only answer wrongly.
+#[test]
+fn a_wrong_answer_is_no_crash() {
+    let wrong = io::Error::from(io::ErrorKind::InvalidData);
+    assert!(!AttemptError::reading(&wrong, false).is_crash());
+    let body = Full::new(Bytes::from_static(b"too long"));
+    let long = smol::block_on(connection::read_body(body, 4)).unwrap_err();
+    assert!(!AttemptError::reading(&long, false).is_crash());
+}
