--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -26,6 +26,10 @@
 
 const JOBS: [&str; 4] = ["j1", "j2", "j3", "j4"];
 
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
 /// Submits jobs that run for a while, and waits until they run.
 fn submit_all(instance: &Instance) {
     for job in JOBS {
@@ -206,6 +210,15 @@
     config
 }
 
+/// Waits until new jobs are denied.
+fn until_the_route_is_gone(instance: &Instance) {
+    let mut jobs = (0..).map(|n| format!("new{n}"));
+    until("the route is gone", || {
+        let job = jobs.next().unwrap();
+        instance.submit(&job, &["c"]).unwrap().status == 404
+    });
+}
+
 /// Guards against accepted jobs that cannot be read any more once their route is gone.
 #[test]
 fn a_job_is_read_after_the_end_of_its_route() {
@@ -215,8 +228,7 @@
     one.submit("j2", &["b"]).unwrap();
     let results = one.wait_results("j1", 1);
     store.put("config", "main", config_without_jobs(2));
-    let submit = |job| one.submit(job, &["c"]).unwrap().status;
-    until("the route is gone", || submit("j3") == 404);
+    until_the_route_is_gone(&one);
     assert_eq!(listed(&one, "j1"), results);
     let call = |method, path| http::call(one.callers, method, path, &[], "").unwrap();
     assert_eq!(call("GET", "/items/j2?id=b").body, [0, 255]);
@@ -256,6 +268,28 @@
     assert!(job.lock().unwrap().ended);
 }
 
+/// Guards against heartbeats that grow with each cancellation: instances that heard of it from each
+/// other reported it to each other forever.
+#[test]
+fn a_cancellation_is_not_reported_forever() {
+    let (one, two) = (Jobs::default(), Jobs::default());
+    one.mark_ended(&"j1".into(), Duration::ZERO);
+    let mut reports = 0;
+    for millis in (0..120_000).step_by(100) {
+        let (sent, heard) = (at(millis), at(millis + 50));
+        let ended = (one.ended(sent), two.ended(sent));
+        reports = if ended.0.is_empty() && ended.1.is_empty() {
+            0
+        } else {
+            reports + 1
+        };
+        ended.0.iter().for_each(|j| two.hear_ended(j, heard));
+        ended.1.iter().for_each(|j| one.hear_ended(j, heard));
+        assert!(reports < 300, "still reported after {millis} ms");
+    }
+    assert!(one.ended(at(120_000)).is_empty() && two.ended(at(120_000)).is_empty());
+}
+
 /// Guards against items that run on since a cut kept the cancellation of their job from their instance.
 #[test]
 fn a_cancellation_behind_a_cut_is_heard_after_it() {
@@ -292,3 +326,106 @@
     let results = one.wait_results("j1", 1);
     assert_eq!(results[0]["state"], "done");
 }
+
+fn submit_items(instance: &Instance, path: &str, job: &str, items: &Value) -> u16 {
+    let body = json!({ "items": items }).to_string();
+    let headers = [("x-request-id", job)];
+    let answer = http::call(instance.callers, "POST", path, &headers, &body);
+    answer.unwrap().status
+}
+
+/// Guards against a job that the store can never hold and whose caller is told to send it again.
+#[test]
+fn a_job_that_fits_no_object_is_refused_for_good() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    let body = "AAAA".repeat(300_000);
+    let items = json!([{ "id": "a", "path": "/jobs/a", "body": body, "tokens": 1 }]);
+    assert_eq!(submit_items(&one, "/jobs/x", "j1", &items), 413);
+    assert!(store.names("batch-jobs").is_empty());
+}
+
+/// Guards against an item without a route of its own that neither runs nor lets others start.
+#[test]
+fn an_item_outside_its_route_keeps_no_other_from_starting() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    let item = |id, path| json!({ "id": id, "path": path, "tokens": 1 });
+    let items = json!([item("a", "/nowhere/a"), item("b", "/jobs/b")]);
+    assert_eq!(submit_items(&one, "/jobs/x", "j1", &items), 202);
+    let results = one.wait_results("j1", 2);
+    assert!(results.iter().all(|r| r["state"] == "done"));
+}
+
+/// Guards against items that wait since another service has no free slot.
+#[test]
+fn a_full_service_keeps_no_item_of_another_from_starting() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let mut config = config(2);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let jobs = routes.iter_mut().find(|r| r["name"] == "jobs").unwrap();
+    let mut full = jobs.clone();
+    full["name"] = "full".into();
+    full["path_prefix"] = "/full/".into();
+    full["service"] = "none".into();
+    routes.push(full);
+    store.put("config", "main", config);
+    let one = Instance::start_for_jobs("one", &store);
+    let mixed = json!([
+        { "id": "a", "path": "/full/a", "tokens": 1 },
+        { "id": "b", "path": "/jobs/b", "tokens": 1 },
+    ]);
+    assert_eq!(submit_items(&one, "/full/x", "j1", &mixed), 202);
+    assert_eq!(one.submit("j2", &["c"]).unwrap().status, 202);
+    assert_eq!(one.wait_results("j2", 1)[0]["state"], "done");
+    assert_eq!(one.wait_results("j1", 1)[0]["id"], "b");
+}
+
+/// Guards against a job that is denied when it is sent again after the end of its route.
+#[test]
+fn a_job_is_accepted_again_after_the_end_of_its_route() {
+    let (store, _workers) = platform(1, Duration::ZERO);
+    let one = Instance::start_for_jobs("one", &store);
+    one.submit("j1", &["a"]).unwrap();
+    store.put("config", "main", config_without_jobs(2));
+    until_the_route_is_gone(&one);
+    assert_eq!(one.submit("j1", &["a"]).unwrap().status, 202);
+}
+
+/// Guards against work that is lost in a planned stop because the next home of a job fails.
+#[test]
+fn a_job_is_handed_over_although_its_next_home_fails() {
+    let (store, _workers) = platform(200, Duration::from_millis(40));
+    let one = Instance::start("one", &store, &[]);
+    let _two = Instance::start("two", &store, &[one.peers]);
+    let mut peer = Peer {
+        socket: UdpSocket::bind("127.0.0.1:0").unwrap(),
+        target: one.peers,
+        number: 0,
+    };
+    let ended = Arc::new(AtomicBool::new(false));
+    let stop = ended.clone();
+    let sender = thread::spawn(move || {
+        while !stop.load(Ordering::Relaxed) {
+            peer.send(Vec::new(), true);
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+    thread::sleep(Duration::from_secs(2));
+    for job in 0..12 {
+        assert_eq!(one.submit(&format!("h{job}"), &["a"]).unwrap().status, 202);
+    }
+    thread::sleep(Duration::from_secs(1));
+    let log = || std::fs::read_to_string(&one.log).unwrap();
+    let count = |event: &str| log().lines().filter(|l| l.contains(event)).count();
+    let accepted = count("job-accepted");
+    one.terminate();
+    until("a call to the lost instance fails", || {
+        count("call=hand-over") > 0
+    });
+    until("all jobs are handed over", || {
+        count("job-released") == accepted
+    });
+    ended.store(true, Ordering::Relaxed);
+    sender.join().unwrap();
+}
