--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -81,7 +81,7 @@
 /// Result of an attempt at one worker.
 enum AttemptResult {
     /// The worker started to answer.
-    Answered(StartedAnswer),
+    Answered(Box<StartedAnswer>),
     /// The worker has not run the call, or failed on it in a way that another worker may not.
     TryNext,
     /// The worker may have run the call.
@@ -291,7 +291,7 @@
     ) -> Result<StartedAnswer, Failure> {
         loop {
             match self.attempt_once(after, max_wait).await? {
-                AttemptResult::Answered(started) => return Ok(started),
+                AttemptResult::Answered(started) => return Ok(*started),
                 AttemptResult::TryNext => {}
                 AttemptResult::Broken(placement, broken) => {
                     self.record_broken(&placement, &broken);
@@ -496,11 +496,11 @@
         }
         dispatch.record_success(&worker);
         if status.is_success() {
-            return Ok(AttemptResult::Answered(StartedAnswer {
+            return Ok(AttemptResult::Answered(Box::new(StartedAnswer {
                 placement,
                 connection,
                 answer: Events::of(response, self.form.is_some() && after.is_some()),
-            }));
+            })));
         }
         self.runs += 1;
         self.tried.push(worker.id.clone());
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -56,7 +56,7 @@
     /// The head that the worker sent, with the connection to it.
     Received(Connection, Response<Incoming>),
     /// Another worker took over.
-    TakenOver(StartedAnswer),
+    TakenOver(Box<StartedAnswer>),
 }
 
 enum Step<T, E> {
@@ -234,7 +234,7 @@
             _ => AttemptError::fault("another worker answered first"),
         };
         self.record_broken(placement, &broken);
-        Ok(Reply::TakenOver(*started))
+        Ok(Reply::TakenOver(started))
     }
 
     /// Counts the call as run at a silent worker, and reports to `takeover` whether another worker
