--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -75,6 +75,9 @@
     }
 
     fn push(&mut self, event: &Event) {
+        if event.is_comment() {
+            return;
+        }
         let text = String::from_utf8_lossy(&event.data()).into();
         self.events.push(text);
         if event.id.is_some() {
@@ -197,15 +200,12 @@
             return RunEnd::Broken(AttemptError::fault("the answer is no stream of events"));
         }
         dispatch.record_success(worker);
-        let mut events = match after {
-            Some(_) => Events::resumed(answer),
-            None => Events::new(answer.into_body()),
-        };
+        let mut events = Events::of(answer, after.is_some()).into_body();
         let mut bytes = 0;
         loop {
             match events.next(output.last, STALL_LIMIT).await {
                 Ok(Some(event)) => {
-                    if output.events.is_empty() {
+                    if output.events.is_empty() && !event.is_comment() {
                         self.gateway.record_proof(&self.marks());
                     }
                     bytes += event.bytes.len();
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -33,6 +33,10 @@
     body: Incoming,
     splitter: Splitter,
     start: Start,
+    /// Whether the end of the body differs from the end of its connection.
+    framed: bool,
+    /// The next event, or the end, if it was read ahead.
+    ahead: Option<Option<Event>>,
 }
 
 /// What an answer has to show before its events are used.
@@ -42,27 +46,25 @@
     Free,
     /// A numbered event after the one that it resumes after, or an end without any further event
     /// that is more than the end of the connection.
-    Resumed { framed: bool },
+    Resumed,
 }
 
 impl Events {
-    /// Builds a reader of the events of a body.
-    pub fn new(body: Incoming) -> Self {
-        Self {
+    /// Builds a reader of the events of an answer, which may have to resume a stream.
+    pub fn of(answer: Response<Incoming>, resumes: bool) -> Response<Self> {
+        let framed = splice::is_framed(&answer);
+        answer.map(|body| Self {
             body,
             splitter: Splitter::default(),
-            start: Start::Free,
-        }
+            start: if resumes { Start::Resumed } else { Start::Free },
+            framed,
+            ahead: None,
+        })
     }
 
-    /// Builds a reader of the events of an answer that resumes a stream.
-    pub fn resumed(answer: Response<Incoming>) -> Self {
-        Self {
-            start: Start::Resumed {
-                framed: splice::is_framed(&answer),
-            },
-            ..Self::new(answer.into_body())
-        }
+    /// Returns the body, of which nothing may have been read.
+    pub fn into_body(self) -> Incoming {
+        self.body
     }
 
     /// Returns the next event after the one with a number, or `None` at the end of the stream.
@@ -76,9 +78,29 @@
     /// long or has no further event within `limit`, and when an answer that resumes a stream begins
     /// with something else than its next event.
     pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Option<Event>> {
+        if let Some(event) = self.ahead.take() {
+            return Ok(event);
+        }
         connection::within(limit, self.read_next(after)).await
     }
 
+    /// Reads the next event, which `next` then returns. An event that is not read within `limit` is
+    /// left to `next`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `next`, except for the timeout.
+    pub async fn read_ahead(&mut self, after: Option<u64>, limit: Duration) -> io::Result<()> {
+        match self.next(after, limit).await {
+            Ok(event) => {
+                self.ahead = Some(event);
+                Ok(())
+            }
+            Err(e) if e.kind() == io::ErrorKind::TimedOut => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
     async fn read_next(&mut self, after: Option<u64>) -> io::Result<Option<Event>> {
         loop {
             while let Some(event) = self.splitter.pop() {
@@ -89,14 +111,14 @@
                 match self.start {
                     _ if event.id.is_some() => {}
                     Start::Free => return Ok(Some(event)),
-                    Start::Resumed { .. } if event.is_comment() => {}
-                    Start::Resumed { .. } => {
-                        return Err(io::Error::other("the answer does not resume the stream"));
+                    Start::Resumed if event.is_comment() => {}
+                    Start::Resumed => {
+                        return Err(connection::invalid("the answer does not resume the stream"));
                     }
                 }
             }
             if self.splitter.len() > MAX_EVENT_BYTES {
-                return Err(io::Error::other("an event is too long"));
+                return Err(connection::invalid("an event is too long"));
             }
             match self.body.frame().await.transpose() {
                 Ok(Some(frame)) => {
@@ -104,12 +126,15 @@
                         self.splitter.push(data);
                     }
                 }
-                Ok(None) if self.start == (Start::Resumed { framed: false }) => {
-                    return Err(io::Error::other("the connection ended without an event"));
+                Ok(None) if self.start == Start::Resumed && !self.framed => {
+                    return Err(connection::aborted("the connection ended without an event"));
                 }
                 Ok(None) if self.splitter.is_empty() => return Ok(None),
-                Ok(None) => return Err(io::Error::other("the stream ended inside an event")),
-                Err(e) => return Err(io::Error::other(e)),
+                Ok(None) if self.framed => {
+                    return Err(connection::invalid("the stream ended inside an event"));
+                }
+                Ok(None) => return Err(connection::aborted("the stream ended inside an event")),
+                Err(e) => return Err(connection::aborted(e)),
             }
         }
     }
@@ -149,7 +174,7 @@
     }
 
     /// Returns whether the event holds comments only.
-    fn is_comment(&self) -> bool {
+    pub fn is_comment(&self) -> bool {
         lines(&self.bytes).all(|l| l.is_empty() || l.starts_with(b":"))
     }
 }
