Run items whose parts are kept from the workers

Accepted batch items were left to wait until item_ttl_s once a part of their prompts was in the records of three crashes and its probes were used up, also if the items themselves were sound (LOST).

Cause: what a part did to other requests decided on an item for good. An item now runs all the same when an eighth of item_ttl_s, the longest pause after a crash, has passed since its last run or since the submission of its job.

an_item_with_a_blocked_part_runs_and_completes failed with the new condition switched off (no result within 60 s) and passes now.

--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -31,8 +31,8 @@
 const STALL_LIMIT: Duration = Duration::from_millis(1500);
 /// Delay before an item is started again after a worker refused it or broke the connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// Share of the time until an item fails that it pauses at most after a crash of its worker, so that
-/// it is still run several times.
+/// Share of the time until an item fails that it pauses at most after a crash of its worker, or while
+/// its parts are kept from the workers, so that it is still run several times.
 const MAX_PAUSE_SHARE: f64 = 0.125;
 /// Delay before an item is started again after an error from a worker.
 const ERROR_PAUSE: Duration = Duration::from_millis(300);
@@ -277,7 +277,7 @@
     /// Returns the pause after a broken run, given the number of crashes before it. It doubles with
     /// each, as the next worker may crash as well.
     fn pause(&self, crashes: u32) -> Duration {
-        let longest = self.ttl.mul_f64(MAX_PAUSE_SHARE).max(RETRY_PAUSE);
+        let longest = longest_pause(self.ttl).max(RETRY_PAUSE);
         RETRY_PAUSE
             .saturating_mul(2_u32.saturating_pow(crashes))
             .min(longest)
@@ -291,6 +291,7 @@
             return;
         };
         progress.running = false;
+        progress.ended = Some(now);
         let last = output.last;
         progress.text.extend(match end {
             RunEnd::Whole => output.events,
@@ -362,6 +363,11 @@
     }
 }
 
+/// Returns the longest pause between two runs of an item that fails after a time.
+pub fn longest_pause(ttl: Duration) -> Duration {
+    ttl.mul_f64(MAX_PAUSE_SHARE)
+}
+
 /// Records an item as failed, without an output.
 pub fn fail_item(job: &mut Job, job_id: &JobId, item: &ItemId, reason: &str, now: Duration) {
     log_failure(job_id, item, reason);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -156,6 +156,8 @@
     pub running: bool,
     /// Time before which the item is not started again.
     pub not_before: Duration,
+    /// Time of the end of its last run.
+    pub ended: Option<Duration>,
 }
 
 /// A result that is not committed yet.
@@ -273,6 +275,13 @@
         self.unfinished.get_mut(item)
     }
 
+    /// Returns the time since the last run of an unfinished item, or since the submission of its job
+    /// if it did not run here.
+    pub fn idle_time(&self, item: &str, age: Duration, now: Duration) -> Duration {
+        let ended = self.unfinished.get(item).and_then(|p| p.ended);
+        ended.map_or(age, |t| now.saturating_sub(t))
+    }
+
     /// Returns the number of the last event of an unfinished item.
     pub fn last_event(&self, item: &str) -> Option<u64> {
         self.unfinished.get(item).and_then(|p| p.last)
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -140,6 +140,12 @@
         services
     }
 
+    /// Returns the time from the submission after which the items fail.
+    fn ttl(&self) -> Duration {
+        let terms = self.route.batch();
+        terms.map_or(Duration::ZERO, |t| t.item_ttl)
+    }
+
     fn urgency(&self, last: Option<u64>) -> Urgency {
         let Some(terms) = self.route.batch() else {
             return Urgency::Timely;
@@ -217,10 +223,7 @@
         host: job.record.host.clone(),
         item,
         attempts: runnable.route.attempts,
-        ttl: runnable
-            .route
-            .batch()
-            .map_or(Duration::ZERO, |t| t.item_ttl),
+        ttl: runnable.ttl(),
     };
     drop(job);
     smol::spawn(run.run(placement, yield_request, after)).detach();
@@ -241,9 +244,12 @@
     }
     let job = lock(&runnable.job);
     let host = &job.record.host;
+    let longest_pause = item_run::longest_pause(runnable.ttl());
     let is_admitted = |i: &Item| {
         let marks = marks::of_parts(headers::decode_item_parts(&i.headers));
+        // An item stays owed whatever its parts did to other requests.
         !matches!(gateway.admit(&marks, &i.id), Admission::Refused(_))
+            || job.idle_time(&i.id, runnable.age, now) >= longest_pause
     };
     let items = runnable.startable(&job, urgency, now);
     items.into_iter().find_map(|item| {
--- a/tests/gateway_crashes.rs
+++ b/tests/gateway_crashes.rs
@@ -3,7 +3,10 @@
 mod gateway_support;
 mod support;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use gateway_support::{Instance, Store, Worker, platform};
 
@@ -14,6 +17,8 @@
 const MAX_LATE_RUNS: usize = 3;
 /// That time, the platform's `stable_window_ms`.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Time within which an item runs, whatever its parts did to others: a fifth of `item_ttl_s`.
+const ITEM_LIMIT: Duration = Duration::from_secs(12);
 
 /// Starts a store with workers of which each breaks the answers to prompts with the part `dead`.
 fn deadly_platform() -> (Store, Vec<Worker>) {
@@ -113,3 +118,31 @@
     assert_eq!(done.len(), 2);
     assert!(done.contains(&"s1") && done.contains(&"s2"), "{done:?}");
 }
+
+/// Guards against an item that stays owed for ever, as a part that it shares with requests that
+/// crashed workers is kept from them.
+#[test]
+fn an_item_with_a_blocked_part_runs_and_completes() {
+    let (store, workers) = deadly_platform();
+    let one = Instance::start_for_jobs("one", &store);
+    // Long enough for the first probe, which crashes a worker too.
+    for last in 0..40 {
+        let prompt = format!("aa:100,dead:50,{last:x}:10");
+        let path = format!("/resumable/{last}");
+        one.stream_with(&path, &format!("d{last}"), &prompt);
+        thread::sleep(Duration::from_millis(150));
+    }
+    for worker in &workers {
+        worker.set_deadly("none:");
+    }
+    let items = [("i1", "aa:100,dead:50,77:10")];
+    assert_eq!(one.submit_with("job", &items).unwrap().status, 202);
+    let submitted = Instant::now();
+    let results = one.wait_results("job", 1);
+    assert_eq!(results[0]["state"], "done");
+    assert!(
+        submitted.elapsed() < ITEM_LIMIT,
+        "{:?}",
+        submitted.elapsed()
+    );
+}
