Read what others know of crashes with stale lists

A stale list costs a tenth of a call and no share of the rate. It lags by the 3 s of seed_lag_s at most, and retries count against the platform's limit only from stable_window_ms (3 to 4 s) after the third crash on.

--- a/src/gateway/block_store.rs
+++ b/src/gateway/block_store.rs
@@ -61,7 +61,7 @@
     drop(last);
     let gateway = gateway.clone();
     smol::spawn(async move {
-        if let Err(e) = read(&gateway, Freshness::Latest).await {
+        if let Err(e) = read(&gateway).await {
             log_failure("read-blocked", &e);
         }
         drop(reading);
@@ -72,13 +72,14 @@
 
 /// Reads the records at the start of the instance.
 pub async fn read_first(gateway: Arc<Gateway>) {
-    if let Err(e) = read(&gateway, Freshness::Stale).await {
+    if let Err(e) = read(&gateway).await {
         log_failure("read-blocked", &e);
     }
 }
 
-async fn read(gateway: &Gateway, freshness: Freshness) -> Result<(), StoreError> {
-    let (objects, _) = gateway.store.list(BLOCKED, freshness).await?;
+async fn read(gateway: &Gateway) -> Result<(), StoreError> {
+    // The platform tolerates retries for longer than stale data lags behind.
+    let (objects, _) = gateway.store.list(BLOCKED, Freshness::Stale).await?;
     let now = clock::unix_millis();
     for (request, record) in decode_all(&objects) {
         if !record.is_expired(now) {
