Blame no request for breaks by workers that fail all the time

Sound requests were refused with 503, and parts of their sessions blocked, when they met workers that break connections all the time: three such breaks looked like three crashes under the request.

Cause: a break was evidence against the request whatever else the worker did. A worker that crashed is down for seconds; one that breaks other requests, without a mark in common, at two more moments within a second of the break did not crash under it. Such records do not count.

--- a/src/gateway/blame.rs
+++ b/src/gateway/blame.rs
@@ -17,6 +17,9 @@
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Time within which all attempts at a worker break with its crash, as other instances report it.
 const BREAK_TIME: Duration = Duration::from_millis(100);
+/// Number of other moments around a crash at which other requests broke at the worker, from which on
+/// it counts as failing: a worker that crashed is down and breaks no more connections.
+const FAILING_MOMENTS: usize = 2;
 /// Time within which broken attempts at several workers have one cause, such as the loss of a rack,
 /// and count as one crash.
 const SAME_CAUSE: Duration = Duration::from_millis(30);
@@ -73,6 +76,28 @@
         self.attempt.0 == other.attempt.0 && self.at.abs_diff(other.at) < SAME_CRASH
     }
 
+    /// Returns whether the worker of the attempt goes on to break connections of other requests, so
+    /// that the break says nothing about the request.
+    fn is_by_failing_worker(&self, crashes: &[Self]) -> bool {
+        let is_other = |c: &&Self| {
+            let distance = c.at.abs_diff(self.at);
+            c.attempt.0 == self.attempt.0
+                && (BREAK_TIME..SAME_CRASH).contains(&distance)
+                && !c.marks.iter().any(|m| self.marks.contains(m))
+        };
+        let mut times: Vec<Duration> = crashes.iter().filter(is_other).map(|c| c.at).collect();
+        times.sort_unstable();
+        let mut moments = 0;
+        let mut next = Duration::ZERO;
+        for time in times {
+            if time >= next {
+                moments += 1;
+                next = time + BREAK_TIME;
+            }
+        }
+        moments >= FAILING_MOMENTS
+    }
+
     /// Returns whether both attempts broke with the same crash of a worker.
     fn is_beside(&self, other: &Self) -> bool {
         self.attempt.0 == other.attempt.0 && self.at.abs_diff(other.at) < BREAK_TIME
@@ -98,11 +123,13 @@
 ///
 /// The mark with most crashes is to blame for all records that hold it, and for all requests that
 /// broke with the same workers; what is left is examined in the same way. So marks that only come
-/// along with it, and requests that only ran beside it, are not blamed.
+/// along with it, and requests that only ran beside it, are not blamed. Breaks by workers that fail
+/// all the time do not count.
 pub fn blocks(crashes: &[Crash], now: Duration) -> (Vec<Block>, Option<Duration>) {
     let mut blocks = Vec::new();
     let mut outdated: Option<Duration> = None;
-    let mut open: Vec<&Crash> = crashes.iter().collect();
+    let crashed = |c: &&Crash| !c.is_by_failing_worker(crashes);
+    let mut open: Vec<&Crash> = crashes.iter().filter(crashed).collect();
     while let Some(mark) = most_suspected(&open) {
         let (held, rest): (Vec<&Crash>, Vec<&Crash>) =
             open.into_iter().partition(|c| c.marks.contains(&mark));
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -355,3 +355,35 @@
     assert!(admits(&mut suspects, &request(0), 60_000));
     assert!(!admits(&mut suspects, &request(59), 60_000));
 }
+
+/// Guards against a sound request that is refused since it met workers that break connections all the
+/// time.
+#[test]
+fn a_request_that_meets_failing_workers_is_not_refused() {
+    let mut suspects = Suspects::default();
+    for round in 0..5 {
+        for worker in 0..8 {
+            let number = round * 8 + worker;
+            let now = at(u64::from(round) * 300 + u64::from(worker) * 30);
+            let other = [Mark::Request(100 + u64::from(number))];
+            suspects.record_crash(&other, (worker, 1000 + number), now);
+        }
+    }
+    for (worker, now) in [(1, 905), (4, 980), (6, 1050)] {
+        suspects.record_crash(&[REQUEST], (worker, 1), at(now));
+    }
+    assert!(admits(&mut suspects, &[REQUEST], 2000));
+}
+
+/// Guards against a deadly request that is not found since one of its workers breaks connections all
+/// the time.
+#[test]
+fn a_deadly_request_that_meets_a_failing_worker_is_refused_after_three_others() {
+    let mut suspects = Suspects::default();
+    for n in 0..10 {
+        let other = [Mark::Request(100 + u64::from(n))];
+        suspects.record_crash(&other, (0, 1000 + n), at(100 * u64::from(n)));
+    }
+    crash(&mut suspects, &[REQUEST], 4, 450);
+    assert!(!admits(&mut suspects, &[REQUEST], 1000));
+}
