Move the attempts at workers out of forward.rs

forward.rs had 636 lines with two jobs: what a call is and how it ends, and the attempts at one worker after another, which are in attempt.rs now. The choice of instances that do not leave, and reach the store, stood in seven places of peers.rs and gateway.rs; `Peers::staying` and `Peers::eligible` serve them, and `Peers::is_prober` stands beside `is_sweeper`. No behaviour changes.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,12 +6,11 @@
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use smol::channel::{Receiver, Sender};
 
 use crate::{
-    adapter::headers::{self, Attempt},
+    adapter::headers,
     event,
     ids::{Fingerprint, RequestId, ServiceId, WorkerId},
     metrics::{self, CallEnd},
@@ -19,19 +18,15 @@
 
 use super::{
     answer::{CallerBody, full_body, refuse},
-    blame::FIRST_PROBE,
-    block_store,
     config::{Route, RouteKind},
-    connection::{self, AttemptError, Connection, SendError},
+    connection::{self, AttemptError, Connection},
     dispatch::{Busy, Placement},
     gateway::Gateway,
-    head::{self, Head},
     marks::{self, Mark},
     relay,
     splice::Form,
     sse::Events,
-    suspects::Admission,
-    takeover::{Overlap, Reply},
+    takeover::Overlap,
 };
 
 /// Share of the objective that a request may wait for a worker before it is refused. An early
@@ -39,15 +34,11 @@
 const QUEUE_WAIT_SHARE: f64 = 0.22;
 /// Time that a partly forwarded stream may wait for another worker.
 pub const RESUME_WAIT: Duration = Duration::from_millis(800);
-/// Maximum number of workers that a call is tried at.
-const MAX_TRIED: usize = 6;
 /// Maximum size of an answer that is forwarded as a whole.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// `Retry-After` when no worker of the service is known.
-const NO_WORKER_RETRY: Duration = Duration::from_millis(500);
+pub(super) const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Reason of a failure for the log and the caller.
-const CRASHING: &str = "workers crash on such requests";
+pub(super) const CRASHING: &str = "workers crash on such requests";
 
 /// A caller's call with its body.
 #[derive(Debug, Clone)]
@@ -80,16 +71,6 @@
     pub answer: Response<Events>,
 }
 
-/// Result of an attempt at one worker.
-enum AttemptResult {
-    /// The worker started to answer.
-    Answered(Box<StartedAnswer>),
-    /// The worker has not run the call, or failed on it in a way that another worker may not.
-    TryNext,
-    /// The worker may have run the call.
-    Broken(Placement, AttemptError),
-}
-
 /// Reason why no worker's answer can be forwarded.
 #[derive(Debug)]
 pub enum Failure {
@@ -127,10 +108,10 @@
     pub(super) gateway: Arc<Gateway>,
     pub(super) service: ServiceId,
     /// The parts of the prompt, then the call itself.
-    marks: Vec<Mark>,
-    fingerprint: Fingerprint,
+    pub(super) marks: Vec<Mark>,
+    pub(super) fingerprint: Fingerprint,
     /// A read of what others know of the call, since an attempt broke.
-    recalled: Option<Receiver<()>>,
+    pub(super) recalled: Option<Receiver<()>>,
     /// Workers that the call is not sent to any more.
     pub(super) tried: Vec<WorkerId>,
     /// Number of workers that may have run the call and whose answer is not used.
@@ -287,304 +268,6 @@
             && !self.remaining().is_zero()
     }
 
-    /// Sends the call to one worker after another until one of them answers.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason why no worker answers.
-    pub async fn attempt(
-        &mut self,
-        after: Option<u64>,
-        max_wait: Duration,
-    ) -> Result<StartedAnswer, Failure> {
-        loop {
-            match self.attempt_once(after, max_wait).await? {
-                AttemptResult::Answered(started) => return Ok(*started),
-                AttemptResult::TryNext => {}
-                AttemptResult::Broken(placement, broken) => {
-                    self.record_broken(&placement, &broken);
-                    drop(placement);
-                    if !self.may_run_again() {
-                        return Err(Failure::MayHaveRun(broken.reason));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Records that a worker sent the first event of its answer, or the whole of it.
-    pub fn record_begun(&self) {
-        self.gateway.record_proof(self.part_marks());
-    }
-
-    fn part_marks(&self) -> &[Mark] {
-        &self.marks[..self.marks.len() - 1]
-    }
-
-    /// Returns the marks to blame for a broken attempt.
-    fn blamed(&self, broken: &AttemptError) -> &[Mark] {
-        let first = if broken.begun {
-            self.marks.len() - 1
-        } else {
-            0
-        };
-        &self.marks[first..]
-    }
-
-    /// Returns the failure of a call that would crash workers.
-    fn blocked(&self, retry_after: Duration) -> Failure {
-        if self.runs == 0 {
-            Failure::Blocked(Busy { retry_after })
-        } else {
-            Failure::MayHaveRun(CRASHING.into())
-        }
-    }
-
-    /// Records that a worker broke the connection or timed out on the call.
-    pub fn record_broken(&mut self, placement: &Placement, broken: &AttemptError) {
-        if broken.closed {
-            self.recalled = Some(block_store::start_recall(&self.gateway));
-            let worker = &placement.worker.id;
-            self.gateway
-                .record_crash(self.blamed(broken), &self.call.id, worker);
-        }
-        self.runs += 1;
-        self.leave_out(&placement.worker.id);
-        let ejected = self.gateway.dispatch.record_failure(&placement.worker.id);
-        event!(
-            Warn,
-            AttemptBroken,
-            "request={} worker={} runs={} ejected={ejected} begun={} parts={} reason={:?}",
-            self.call.id,
-            placement.worker.id,
-            self.runs,
-            broken.begun,
-            marks::names(&self.marks),
-            broken.reason
-        );
-    }
-
-    /// Sends the call to one worker.
-    async fn attempt_once(
-        &mut self,
-        after: Option<u64>,
-        max_wait: Duration,
-    ) -> Result<AttemptResult, Failure> {
-        let remaining = self.remaining();
-        if remaining.is_zero() {
-            return Err(self.out_of_time());
-        }
-        let dispatch = self.gateway.dispatch.clone();
-        if self.tried.len() >= MAX_TRIED {
-            return Err(self.no_worker(dispatch.busy()));
-        }
-        if let Some(recalled) = self.recalled.take() {
-            block_store::wait(recalled).await;
-        }
-        let admission = self.gateway.admit(&self.marks, &self.call.id);
-        if let Admission::Refused(retry_after) = admission {
-            return Err(self.blocked(retry_after));
-        }
-        let queued_at = Instant::now();
-        let placed = self.place(max_wait.min(remaining)).await;
-        metrics::queue_time(queued_at.elapsed());
-        let placement = match placed {
-            Ok(placement) => placement,
-            Err(busy) => return Err(self.no_worker(busy)),
-        };
-        // The call may have been blocked while the call was queued.
-        if admission == Admission::Free
-            && let Admission::Refused(retry_after) = self.gateway.admit(&self.marks, &self.call.id)
-        {
-            return Err(self.blocked(retry_after));
-        }
-        if admission == Admission::Probe
-            && !block_store::claim_probe(&self.gateway, self.fingerprint).await
-        {
-            return Err(self.blocked(FIRST_PROBE));
-        }
-        let worker = placement.worker.clone();
-        event!(
-            Info,
-            WorkerChosen,
-            "request={} route={} worker={} zone={} load={} slots={} waited_ms={} config={} \
-             workers_at={}",
-            self.call.id,
-            self.route.name,
-            worker.id,
-            worker.zone,
-            placement.load,
-            worker.slots,
-            queued_at.elapsed().as_millis(),
-            self.gateway.config_version(),
-            self.gateway.views().workers_version.newest
-        );
-        let repeatable = self.route.is_repeatable();
-        let upstream = &self.gateway.upstream;
-        let connection = match upstream.connect(&worker, repeatable).await {
-            Ok(connection) => connection,
-            Err(e) => {
-                let cut = dispatch.record_unreachable(&worker);
-                event!(
-                    Warn,
-                    WorkerUnreachable,
-                    "request={} worker={} zone={} cut={cut} reason=\"{e}\"",
-                    self.call.id,
-                    worker.id,
-                    worker.zone
-                );
-                self.tried.push(worker.id.clone());
-                return Ok(AttemptResult::TryNext);
-            }
-        };
-        let request = match self.request(&worker.id, after) {
-            Ok(request) => request,
-            Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
-        };
-        let reused = connection.reused;
-        let (connection, response) = match self.send(connection, request, &placement, after).await {
-            Ok(Reply::Received(connection, response)) => (connection, response),
-            Ok(Reply::TakenOver(started)) => return Ok(AttemptResult::Answered(started)),
-            Err(SendError::NotSent(reason)) => {
-                event!(
-                    Warn,
-                    WorkerUnreachable,
-                    "request={} worker={} zone={} kept={} reason={reason:?}",
-                    self.call.id,
-                    worker.id,
-                    worker.zone,
-                    reused
-                );
-                // A worker may close an idle connection at any time; a new connection may still
-                // work.
-                if !reused {
-                    dispatch.record_failure(&worker.id);
-                    self.tried.push(worker.id.clone());
-                }
-                return Ok(AttemptResult::TryNext);
-            }
-            Err(SendError::Sent(_) | SendError::TimedOut(_)) if self.remaining().is_zero() => {
-                self.runs += 1;
-                dispatch.record_failure(&worker.id);
-                return Err(Failure::TimedOut);
-            }
-            Err(SendError::Sent(reason)) => {
-                return Ok(AttemptResult::Broken(
-                    placement,
-                    AttemptError::closed(reason),
-                ));
-            }
-            Err(SendError::TimedOut(reason)) => {
-                return Ok(AttemptResult::Broken(
-                    placement,
-                    AttemptError::fault(reason),
-                ));
-            }
-        };
-        let terms = headers::decode_answer(&response);
-        if terms.leaving {
-            self.gateway.record_leaving(&worker);
-        }
-        let status = response.status();
-        let reused = connection.reused;
-        let head = head::interpret(status, &terms, &self.call.id, reused);
-        self.set_sent(head == Head::Success && self.awaits_event());
-        match head {
-            Head::NotRun => {
-                event!(
-                    Warn,
-                    WorkerRefused,
-                    "request={} worker={} status={} named={} reused={reused}",
-                    self.call.id,
-                    worker.id,
-                    status.as_u16(),
-                    terms.id.is_some()
-                );
-                self.tried.push(worker.id.clone());
-                return Ok(AttemptResult::TryNext);
-            }
-            Head::Invalid(reason) => {
-                return Ok(AttemptResult::Broken(
-                    placement,
-                    AttemptError::fault(reason),
-                ));
-            }
-            Head::Success | Head::Failed => {}
-        }
-        dispatch.record_success(&worker);
-        if status.is_success() {
-            return Ok(AttemptResult::Answered(Box::new(StartedAnswer {
-                placement,
-                connection,
-                answer: Events::of(response, self.form.is_some() && after.is_some()),
-            })));
-        }
-        self.runs += 1;
-        self.tried.push(worker.id.clone());
-        if status.is_server_error() && self.may_run_again() {
-            event!(
-                Warn,
-                AttemptBroken,
-                "request={} worker={} runs={} ejected=false reason=\"status {}\"",
-                self.call.id,
-                worker.id,
-                self.runs,
-                status.as_u16()
-            );
-            return Ok(AttemptResult::TryNext);
-        }
-        Err(self.read_failure(response).await)
-    }
-
-    async fn read_failure(&self, answer: Response<Incoming>) -> Failure {
-        let (head, body) = answer.into_parts();
-        let read = connection::read_body(body, MAX_ANSWER_BYTES);
-        match connection::within(self.remaining(), read).await {
-            Ok(body) => Failure::Answered(Response::from_parts(head, body)),
-            Err(e) => Failure::MayHaveRun(e.to_string()),
-        }
-    }
-
-    fn out_of_time(&self) -> Failure {
-        if self.runs > 0 {
-            Failure::TimedOut
-        } else {
-            Failure::NotRun(self.gateway.dispatch.busy())
-        }
-    }
-
-    fn no_worker(&self, busy: Busy) -> Failure {
-        if self.runs > 0 {
-            return Failure::MayHaveRun("no other worker is free".into());
-        }
-        let known = self.gateway.dispatch.has_ready_worker(&self.service);
-        Failure::NotRun(if known {
-            busy
-        } else {
-            Busy {
-                retry_after: NO_WORKER_RETRY,
-            }
-        })
-    }
-
-    fn request(
-        &self,
-        worker: &WorkerId,
-        after: Option<u64>,
-    ) -> hyper::http::Result<Request<Full<Bytes>>> {
-        let attempt = Attempt {
-            worker,
-            remaining: Some(self.remaining()),
-            after,
-        };
-        let mut request = Request::builder()
-            .method(self.call.method.clone())
-            .uri(self.call.uri.clone())
-            .body(Full::new(self.call.body.clone()))?;
-        *request.headers_mut() = headers::encode_attempt(&self.call.headers, &attempt);
-        Ok(request)
-    }
-
     /// Reads an answer that is forwarded as a whole.
     async fn read_whole(
         &mut self,
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -18,7 +18,6 @@
     ids::{JobId, SessionId, WorkerId},
     metrics::InstanceState,
     mutex::lock,
-    ownership,
 };
 
 use super::{
@@ -146,11 +145,9 @@
 
     /// Returns whether this is the instance that probes a block.
     fn is_prober(&self, block: &Block) -> bool {
-        let peers = self.peers();
-        let live = peers.live(self.now()).filter(|h| !h.leaving);
-        let names: Vec<_> = live.map(|h| h.instance.clone()).collect();
-        let key = marks::names(&block.marks);
-        ownership::position(&key, &self.settings.instance, &names) == 0
+        let name = marks::names(&block.marks);
+        let local = &self.settings.instance;
+        self.peers().is_prober(&name, local, self.now())
     }
 
     /// Returns whether the load balancer may send connections.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! `suspects` and `view` hold the logic; the other modules do the I/O.
 
 pub mod answer;
+mod attempt;
 pub mod blame;
 pub mod block_record;
 pub mod block_store;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -240,11 +240,22 @@
         self.known.values().filter(live).map(|p| &*p.heartbeat)
     }
 
+    /// Returns the last heartbeats of the live instances that are not about to stop.
+    fn staying(&self, now: Duration) -> impl Iterator<Item = &Heartbeat> {
+        self.live(now).filter(|h| !h.leaving)
+    }
+
+    /// Returns the last heartbeats of the live instances that are not about to stop and reach the
+    /// object store.
+    fn eligible(&self, now: Duration) -> impl Iterator<Item = &Heartbeat> {
+        self.staying(now).filter(|h| h.store)
+    }
+
     /// Returns whether an instance is among those that watch the object store for its zone. While no
     /// peer in the zone reaches the store, as many instances as usual wait for its return. A zone
     /// that is cut off hears no other one, and so has watchers of its own as if it were alone.
     pub fn is_watcher(&self, instance: &InstanceId, zone: &Zone, now: Duration) -> bool {
-        let neighbours = self.live(now).filter(|h| h.zone == *zone && !h.leaving);
+        let neighbours = self.staying(now).filter(|h| h.zone == *zone);
         let (with_store, without): (Vec<&Heartbeat>, Vec<&Heartbeat>) =
             neighbours.partition(|h| h.store);
         let candidates = if with_store.is_empty() {
@@ -261,8 +272,7 @@
 
     /// Returns whether an instance of a zone reaches the object store and is not about to stop.
     pub fn reaches_store(&self, zone: &Zone, now: Duration) -> bool {
-        let mut live = self.live(now);
-        live.any(|h| h.zone == *zone && h.store && !h.leaving)
+        self.eligible(now).any(|h| h.zone == *zone)
     }
 
     /// Returns the address of an instance to pull the configuration and the worker list from, which
@@ -329,11 +339,9 @@
     /// only when there is no other.
     pub fn home(&self, job: &JobId, local: &Candidate<'_>, now: Duration) -> Option<Heartbeat> {
         let key = job_key(job);
-        let eligible = |h: &&Heartbeat| !h.leaving && h.store;
         let runs_job = |h: &&Heartbeat| h.jobs.iter().any(|j| j.active && j.key == key);
         let mut names: Vec<Arc<str>> = self
-            .live(now)
-            .filter(eligible)
+            .eligible(now)
             .filter(runs_job)
             .map(|h| h.instance.clone())
             .collect();
@@ -341,7 +349,7 @@
             names.push(local.instance.clone());
         }
         if names.is_empty() {
-            names.extend(self.live(now).filter(eligible).map(|h| h.instance.clone()));
+            names.extend(self.eligible(now).map(|h| h.instance.clone()));
             if local.eligible || names.is_empty() {
                 names.push(local.instance.clone());
             }
@@ -354,8 +362,7 @@
     /// first, then the others in the order in which they would take it over.
     pub fn heirs(&self, job: &JobId, now: Duration) -> Vec<Heartbeat> {
         let key = job_key(job);
-        let live = self.live(now).filter(|h| !h.leaving && h.store);
-        let mut heirs: Vec<&Heartbeat> = live.collect();
+        let mut heirs: Vec<&Heartbeat> = self.eligible(now).collect();
         let runs_job = |h: &Heartbeat| h.jobs.iter().any(|j| j.active && j.key == key);
         let names: Vec<_> = heirs.iter().map(|h| h.instance.clone()).collect();
         heirs.sort_by_cached_key(|h| {
@@ -390,12 +397,16 @@
     /// Returns whether an instance is the one that searches the store for jobs that nobody runs. In
     /// a partition each side has one.
     pub fn is_sweeper(&self, local: &InstanceId, now: Duration) -> bool {
-        let eligible = |h: &&Heartbeat| !h.leaving && h.store;
-        let live = self.live(now).filter(eligible);
-        let names: Vec<_> = live.map(|h| h.instance.clone()).collect();
+        let names: Vec<_> = self.eligible(now).map(|h| h.instance.clone()).collect();
         ownership::position(SWEEP_KEY, local, &names) == 0
     }
 
+    /// Returns whether an instance is the one that probes a block with a name.
+    pub fn is_prober(&self, block: &str, local: &InstanceId, now: Duration) -> bool {
+        let names: Vec<_> = self.staying(now).map(|h| h.instance.clone()).collect();
+        ownership::position(block, local, &names) == 0
+    }
+
     /// Returns the tokens of unfinished batch items at other instances on a route.
     pub fn waiting(&self, route: u32, now: Duration) -> u64 {
         let waiting = self.live(now).flat_map(|h| &h.waiting);
