Share the accessors of marks and the time of one crash

The change had written some pieces twice: the part or fingerprint of a mark (crash_report.rs, suspects.rs), the marks of an item (three places), the second within which breaks at a worker are one crash (blame.rs, block_record.rs), and whether a request is blocked. Mark::part, Mark::request, Item::marks, SAME_CRASH and blocks_request serve them now. A comment said that crashes are told with the next heartbeat; it is a report of its own.

--- a/src/gateway/blame.rs
+++ b/src/gateway/blame.rs
@@ -14,7 +14,7 @@
 const SETTLE_TIME: Duration = Duration::from_millis(350);
 /// Time within which broken attempts at one worker are the same crash. A worker that starts again
 /// under its id needs longer.
-const SAME_CRASH: Duration = Duration::from_secs(1);
+pub const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Time within which all attempts at a worker break with its crash, as other instances report it.
 const BREAK_TIME: Duration = Duration::from_millis(100);
 /// Number of other moments around a crash at which other requests broke at the worker, from which on
@@ -68,7 +68,7 @@
     /// Returns whether both are records of one attempt. Times that travel as ages differ by some
     /// milliseconds.
     pub fn is_same(&self, other: &Self) -> bool {
-        self.attempt == other.attempt && self.at.abs_diff(other.at) < SAME_CRASH
+        self.attempt.1 == other.attempt.1 && self.is_at_worker_of(other)
     }
 
     /// Returns whether both are of one crash of a worker.
--- a/src/gateway/block_record.rs
+++ b/src/gateway/block_record.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    blame::{AttemptKey, FIRST_PROBE},
+    blame::{AttemptKey, FIRST_PROBE, SAME_CRASH},
     crash_report::{CrashReport, Report},
     marks::Mark,
 };
@@ -28,8 +28,6 @@
 const MAX_OBJECTS: usize = 128;
 /// Time after the last crash for which a request is remembered.
 const RETENTION_MS: u64 = 3_600_000;
-/// Difference of the times of one crash as several instances saw it.
-const SAME_CRASH_MS: u64 = 1000;
 /// Worker of a probe whose end is not known.
 const UNKNOWN_WORKER: u32 = 0;
 
@@ -95,7 +93,8 @@
     fn add(&mut self, crashes: impl Iterator<Item = StoredCrash>) {
         for crash in crashes {
             let is_same = |c: &StoredCrash| {
-                c.worker == crash.worker && c.at.abs_diff(crash.at) < SAME_CRASH_MS
+                c.worker == crash.worker
+                    && u128::from(c.at.abs_diff(crash.at)) < SAME_CRASH.as_millis()
             };
             if !self.crashes.iter().any(is_same) {
                 self.crashes.push(crash);
--- a/src/gateway/crash_report.rs
+++ b/src/gateway/crash_report.rs
@@ -86,22 +86,22 @@
             attempt: c.attempt,
             at: c.at,
             needed: c.needed,
-            parts: c.marks.iter().filter_map(part).collect(),
+            parts: c.marks.iter().filter_map(Mark::part).collect(),
         };
         let proved = self.proved.iter();
         let parts = PartSection {
             crashes: self.crashes.iter().map(crash).collect(),
-            proved: proved.filter_map(|(m, t)| Some((part(m)?, *t))).collect(),
+            proved: proved.filter_map(|(m, t)| Some((m.part()?, *t))).collect(),
         };
         let proved = self.proved.iter();
         let requests = RequestSection {
             requests: self
                 .crashes
                 .iter()
-                .map(|c| c.marks.iter().find_map(request))
+                .map(|c| c.marks.iter().find_map(Mark::request))
                 .collect(),
             proved: proved
-                .filter_map(|(m, t)| Some((request(m)?, *t)))
+                .filter_map(|(m, t)| Some((m.request()?, *t)))
                 .collect(),
         };
         postcard::to_extend(&requests, postcard::to_extend(&parts, message)?)
@@ -140,17 +140,3 @@
         })
     }
 }
-
-fn part(mark: &Mark) -> Option<PartId> {
-    match mark {
-        Mark::Part(id) => Some(*id),
-        Mark::Request(_) => None,
-    }
-}
-
-fn request(mark: &Mark) -> Option<Fingerprint> {
-    match mark {
-        Mark::Request(id) => Some(*id),
-        Mark::Part(_) => None,
-    }
-}
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -119,7 +119,7 @@
                 "request={request} worker={worker} parts={}",
                 marks::names(marks)
             );
-            // Other instances learn of it with the next heartbeat.
+            // Other instances learn of it by a report, which is sent in the next round of heartbeats.
             self.dispatch.notify();
         }
     }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -22,7 +22,7 @@
     head::{self, Head},
     job::{Item, Job, Verdict},
     jobs::SharedJob,
-    marks::{self, Mark},
+    marks,
     splice::Form,
     sse::{Event, Events},
 };
@@ -142,7 +142,7 @@
             && broken.is_crash()
         {
             self.gateway
-                .record_crash(&self.marks(), &self.item.id, &worker);
+                .record_crash(&self.item.marks(), &self.item.id, &worker);
         }
         drop(placement);
         self.record_end(end, output, &worker);
@@ -206,7 +206,7 @@
             match events.next(output.last, STALL_LIMIT).await {
                 Ok(Some(event)) => {
                     if output.events.is_empty() && !event.is_comment() {
-                        self.gateway.record_proof(&self.marks());
+                        self.gateway.record_proof(&self.item.marks());
                     }
                     bytes += event.bytes.len();
                     output.push(&event);
@@ -232,12 +232,6 @@
         }
     }
 
-    /// Returns the marks of the item. Its parts alone can be to blame, as an item stays owed however
-    /// many workers crash under it.
-    fn marks(&self) -> Vec<Mark> {
-        marks::of_parts(headers::decode_item_parts(&self.item.headers))
-    }
-
     fn should_continue(&self) -> bool {
         let job = lock(&self.shared);
         job.active && !job.ended
@@ -342,7 +336,7 @@
                      reason={:?}",
                     self.job,
                     broken.begun,
-                    marks::names(&self.marks()),
+                    marks::names(&self.item.marks()),
                     broken.reason
                 );
                 progress.not_before = now + self.pause(progress.crashes);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -14,9 +14,15 @@
 use bytes::Bytes;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::ids::{ItemId, JobId, Map, ServiceId, Set};
+use crate::{
+    adapter::headers,
+    ids::{ItemId, JobId, Map, ServiceId, Set},
+};
 
-use super::fleet::{self, Urgency};
+use super::{
+    fleet::{self, Urgency},
+    marks::{self, Mark},
+};
 
 /// Maximum time that a finished item waits for others to be committed with it.
 const COMMIT_DELAY: Duration = Duration::from_millis(1500);
@@ -59,6 +65,14 @@
     pub tokens: u64,
 }
 
+impl Item {
+    /// Returns the marks of the item. Its parts alone can be to blame, as an item stays owed however
+    /// many workers crash under it.
+    pub fn marks(&self) -> Vec<Mark> {
+        marks::of_parts(headers::decode_item_parts(&self.headers))
+    }
+}
+
 /// A job as stored. It never changes.
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 
 use crate::{
-    adapter::{headers, store::StoreError},
+    adapter::store::StoreError,
     event,
     ids::{JobId, ServiceId, Set},
     mutex::lock,
@@ -19,7 +19,6 @@
     job::{self, Item, Job, Record, UsualRun},
     job_store::{self, PAGES},
     jobs::{self, SharedJob},
-    marks,
     suspects::Admission,
 };
 
@@ -246,9 +245,8 @@
     let host = &job.record.host;
     let longest_pause = item_run::longest_pause(runnable.ttl());
     let is_admitted = |i: &Item| {
-        let marks = marks::of_parts(headers::decode_item_parts(&i.headers));
         // An item stays owed whatever its parts did to other requests.
-        !matches!(gateway.admit(&marks, &i.id), Admission::Refused(_))
+        !matches!(gateway.admit(&i.marks(), &i.id), Admission::Refused(_))
             || job.idle_time(&i.id, runnable.age, now) >= longest_pause
     };
     let items = runnable.startable(&job, urgency, now);
@@ -273,10 +271,7 @@
     if gateway.suspects().is_empty() {
         return items.len() as u32;
     }
-    let is_free = |i: &&Item| {
-        let marks = marks::of_parts(headers::decode_item_parts(&i.headers));
-        !gateway.suspects().is_blocked(&marks, now)
-    };
+    let is_free = |i: &&Item| !gateway.suspects().is_blocked(&i.marks(), now);
     items.into_iter().filter(is_free).count() as u32
 }
 
--- a/src/gateway/marks.rs
+++ b/src/gateway/marks.rs
@@ -18,6 +18,24 @@
     Request(Fingerprint),
 }
 
+impl Mark {
+    /// Returns the part of a prompt, unless the mark is of another kind.
+    pub fn part(&self) -> Option<PartId> {
+        match self {
+            Self::Part(id) => Some(*id),
+            Self::Request(_) => None,
+        }
+    }
+
+    /// Returns the fingerprint of a request, unless the mark is of another kind.
+    pub fn request(&self) -> Option<Fingerprint> {
+        match self {
+            Self::Request(id) => Some(*id),
+            Self::Part(_) => None,
+        }
+    }
+}
+
 impl std::fmt::Display for Mark {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -90,7 +90,8 @@
         if !self.add(crash.clone(), now) {
             return false;
         }
-        self.unsaved.extend(crash.marks.iter().filter_map(request));
+        self.unsaved
+            .extend(crash.marks.iter().filter_map(Mark::request));
         self.new_crashes.push(crash);
         true
     }
@@ -102,7 +103,7 @@
         let suspected = |m: &&Mark| self.crashes.iter().any(|c| c.marks.contains(m));
         let sound: Vec<Mark> = marks.iter().filter(suspected).copied().collect();
         let is_blocked = |f: &Fingerprint| self.blocks_request(*f);
-        let unblocked = sound.iter().filter_map(request).filter(is_blocked);
+        let unblocked = sound.iter().filter_map(Mark::request).filter(is_blocked);
         let unblocked: Vec<Fingerprint> = unblocked.collect();
         self.sound.extend(unblocked);
         for mark in &sound {
@@ -187,11 +188,11 @@
         }
         self.review(now + ORIGIN);
         let mut unsaved = std::mem::take(&mut self.unsaved);
-        let blocked = unsaved.extract_if(|f| self.block_of(*f).is_some());
+        let blocked = unsaved.extract_if(|f| self.blocks_request(*f));
         let blocked: Vec<Fingerprint> = blocked.collect();
         // Others may still join the records of those that do not block yet.
         let held = self.crashes.iter().flat_map(|c| &c.marks);
-        let held: Set<Fingerprint> = held.filter_map(request).collect();
+        let held: Set<Fingerprint> = held.filter_map(Mark::request).collect();
         unsaved.retain(|f| held.contains(f));
         self.unsaved = unsaved;
         let crashed = blocked.into_iter();
@@ -380,13 +381,6 @@
     }
 }
 
-fn request(mark: &Mark) -> Option<Fingerprint> {
-    match mark {
-        Mark::Request(id) => Some(*id),
-        Mark::Part(_) => None,
-    }
-}
-
 fn is_subset(marks: &[Mark], of: &[Mark]) -> bool {
     marks.iter().all(|m| of.contains(m))
 }
