Log the limit that a worker's answer announces

No log told what limit an instance had read when it sent a request, so that an instance that ignores limits and one that keeps to them by itself could not be told apart. The header is decoded; nothing uses it yet.

--- a/src/events.rs
+++ b/src/events.rs
@@ -174,6 +174,8 @@
     WorkerKept = 3020, "worker-kept";
     /// A worker announced in an answer that it leaves.
     WorkerLeaving = 3021, "worker-leaving";
+    /// A worker announced in an answer how many requests a second it takes.
+    WorkerLimited = 3022, "worker-limited";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
     sse::Events,
     suspects::Admission,
     takeover::Reply,
+    worker_limits::Announced,
 };
 
 /// Maximum number of workers that a call is tried at.
@@ -240,6 +241,9 @@
         if terms.leaving {
             self.gateway.record_leaving(&worker);
         }
+        if let Announced::Rate(rate) = terms.limit {
+            event!(Info, WorkerLimited, "worker={} rate={rate}", worker.id);
+        }
         let status = response.status();
         let reused = connection.reused;
         let head = head::interpret(status, &terms, &self.call.id, reused);
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -25,6 +25,7 @@
     marks,
     splice::Form,
     sse::{Event, Events},
+    worker_limits::Announced,
 };
 
 /// Time without an event after which an item moves to another worker.
@@ -185,6 +186,9 @@
         if terms.leaving {
             self.gateway.record_leaving(worker);
         }
+        if let Announced::Rate(rate) = terms.limit {
+            event!(Info, WorkerLimited, "worker={} rate={rate}", worker.id);
+        }
         let status = answer.status();
         match head::interpret(status, &terms, &self.item.id, connection.reused) {
             Head::NotRun => return RunEnd::Refused(status),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,3 +43,4 @@
 pub mod takeover;
 pub mod upstream;
 pub mod view;
+pub mod worker_limits;
