--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -479,6 +479,8 @@
     pause: Duration,
     next: Vec<Behaviour>,
     runs: Vec<Request>,
+    arrivals: Vec<Instant>,
+    limit: Option<&'static str>,
     sent: u64,
     closed: u32,
     copies: u32,
@@ -495,6 +497,8 @@
             pause,
             next: Vec::new(),
             runs: Vec::new(),
+            arrivals: Vec::new(),
+            limit: None,
             sent: 0,
             closed: 0,
             copies: 0,
@@ -526,6 +530,16 @@
         self.state.lock().unwrap().leaving = leaving;
     }
 
+    /// Sets the limit that the worker names in all its answers.
+    pub fn set_limit(&self, limit: Option<&'static str>) {
+        self.state.lock().unwrap().limit = limit;
+    }
+
+    /// Returns the times at which requests reached the worker.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().unwrap().arrivals.clone()
+    }
+
     /// Makes the worker break each answer to a path after a number of events, or heals it.
     pub fn set_deadly_path(&self, deadly: Option<(&str, u64)>) {
         let deadly = deadly.map(|(path, events)| (path.to_owned(), events));
@@ -578,10 +592,11 @@
         .header("x-request-id")
         .unwrap_or_default()
         .to_owned();
-    let leaving = if state.lock().unwrap().leaving {
-        "server-leaving: 1\r\n"
-    } else {
-        ""
+    let leaving = {
+        let state = state.lock().unwrap();
+        let limit = state.limit.map(|l| format!("server-limit: {l}\r\n"));
+        let leaving = state.leaving.then_some("server-leaving: 1\r\n");
+        limit.unwrap_or_default() + leaving.unwrap_or_default()
     };
     if request.header("x-expect-instance").is_some_and(|i| i != id) {
         let head = format!("{leaving}x-not-run: 1\r\n");
@@ -597,6 +612,7 @@
         if behaviour != Behaviour::Refuse {
             state.runs.push(request.clone());
         }
+        state.arrivals.push(Instant::now());
         let prompt = request.header("x-prompt-prefix").unwrap_or_default();
         let is_deadly = state.deadly.as_ref().is_some_and(|p| prompt.contains(p));
         let deadly_path = state.deadly_path.as_ref();
