Send requests to limited workers only with permits of one instance

Cause: no instance read the header Server-Limit. The class: a bound on the sum over all instances, of which each instance sees only its own part. Shares for each instance were ruled out: of 3 a second each of 195 instances would have 0.015, and one request each is above the bound.

One instance leads a limited worker and hands out permits at the announced rate; others ask it with a datagram. The choice is one pure module with time as an argument, asked where the fleet chooses a worker.

--- a/src/events.rs
+++ b/src/events.rs
@@ -176,6 +176,8 @@
     WorkerLeaving = 3021, "worker-leaving";
     /// A worker announced in an answer how many requests a second it takes.
     WorkerLimited = 3022, "worker-limited";
+    /// A worker that had announced a limit takes any number of requests again.
+    WorkerLimitEnded = 3023, "worker-limit-ended";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,7 +24,6 @@
     sse::Events,
     suspects::Admission,
     takeover::Reply,
-    worker_limits::Announced,
 };
 
 /// Maximum number of workers that a call is tried at.
@@ -198,6 +197,7 @@
             Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
         };
         let reused = connection.reused;
+        let sent = dispatch.now();
         let (connection, response) = match self.send(connection, request, &placement, after).await {
             Ok(Reply::Received(connection, response)) => (connection, response),
             Ok(Reply::TakenOver(started)) => return Ok(AttemptResult::Answered(started)),
@@ -241,9 +241,8 @@
         if terms.leaving {
             self.gateway.record_leaving(&worker);
         }
-        if let Announced::Rate(rate) = terms.limit {
-            event!(Info, WorkerLimited, "worker={} rate={rate}", worker.id);
-        }
+        self.gateway
+            .record_limit(&worker, &terms, &self.call.id, sent);
         let status = response.status();
         let reused = connection.reused;
         let head = head::interpret(status, &terms, &self.call.id, reused);
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -8,14 +8,17 @@
 };
 
 use async_io::Timer;
-use smol::channel::{Receiver, Sender, bounded};
+use smol::channel::{Receiver, Sender, bounded, unbounded};
 
 use crate::{
     ids::{InstanceId, Map, ServiceId, Set, WorkerId, Zone},
     mutex::lock,
 };
 
-use super::fleet::{self, Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, WorkerKey};
+use super::{
+    fleet::{self, Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, WorkerKey},
+    worker_limits::{Change, Notice, Observation, Reply},
+};
 
 /// Minimum `Retry-After` of a refused request; a slot of a full fleet becomes free well within it.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -24,6 +27,8 @@
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1100);
 /// Interval at which a request that already runs looks for a free slot.
 const SPARE_POLL: Duration = Duration::from_millis(20);
+/// Interval at which a queued request looks for permits of limited workers.
+const PERMIT_POLL: Duration = Duration::from_millis(20);
 
 /// Fleet and request queue of an instance, shared by all threads.
 #[derive(Debug)]
@@ -31,6 +36,18 @@
     state: Mutex<State>,
     start: Instant,
     changed: (Sender<()>, Receiver<()>),
+    asks: (Sender<Ask>, Receiver<Ask>),
+}
+
+/// Question to the leader of a limited worker whether a request may be sent to it.
+#[derive(Debug)]
+pub struct Ask {
+    /// The worker.
+    pub worker: Arc<Worker>,
+    /// What is known of its limit here.
+    pub notice: Notice,
+    /// Class of the request.
+    pub class: Class,
 }
 
 #[derive(Debug)]
@@ -40,6 +57,8 @@
     batch_runs: Map<WorkerKey, Vec<BatchRun>>,
     rng: fastrand::Rng,
     next_number: u64,
+    /// Changes of limits that the other instances do not know yet.
+    limit_news: Vec<(WorkerId, Change)>,
 }
 
 impl State {
@@ -63,9 +82,19 @@
     number: u64,
     service: ServiceId,
     tried: Vec<WorkerId>,
+    deadline: Duration,
     grant: Sender<Grant>,
 }
 
+impl Waiter {
+    fn requirements(&self) -> Requirements<'_> {
+        Requirements {
+            service: &self.service,
+            tried: &self.tried,
+        }
+    }
+}
+
 /// A worker assigned to an online request.
 #[derive(Debug)]
 struct Grant {
@@ -117,9 +146,11 @@
                 batch_runs: Map::default(),
                 rng: fastrand::Rng::new(),
                 next_number: 0,
+                limit_news: Vec::new(),
             }),
             start: Instant::now(),
             changed: bounded(1),
+            asks: unbounded(),
         })
     }
 
@@ -235,11 +266,146 @@
         self.lock().fleet.record_success(worker);
     }
 
+    /// Records what an answer tells of the limit of a worker, and returns what changed.
+    pub fn observe_limit(&self, worker: &Worker, seen: Observation) -> Option<Change> {
+        let mut state = self.lock();
+        let change = state.fleet.limits.observe(worker, seen)?;
+        state.limit_news.push((worker.id.clone(), change));
+        self.notify();
+        self.assign_queued(&mut state);
+        Some(change)
+    }
+
+    /// Records what another instance tells of the limits of workers.
+    pub fn hear_limits(&self, notices: &[Notice]) {
+        let now = self.now();
+        let mut state = self.lock();
+        for notice in notices {
+            state.fleet.limits.hear(notice, now);
+        }
+        self.assign_queued(&mut state);
+    }
+
+    /// Returns what is known of the limits of workers.
+    pub fn limits(&self) -> Vec<Notice> {
+        self.lock().fleet.limits.notices(self.now())
+    }
+
+    /// Returns the changes that were observed here since the last call.
+    pub fn take_limit_news(&self) -> Vec<(Notice, Change)> {
+        let now = self.now();
+        let mut state = self.lock();
+        let news = std::mem::take(&mut state.limit_news);
+        let limits = &state.fleet.limits;
+        let notices = news
+            .into_iter()
+            .filter_map(|(id, change)| Some((limits.notice(&id, now)?, change)));
+        notices.collect()
+    }
+
+    /// Returns a limited worker of the list.
+    pub fn worker(&self, id: &WorkerId) -> Option<Arc<Worker>> {
+        self.lock().fleet.worker(id).cloned()
+    }
+
+    /// Returns the limited workers of the list, and forgets limits without news.
+    pub fn limited_workers(&self) -> Vec<Arc<Worker>> {
+        let mut state = self.lock();
+        state.fleet.expire_limits(self.now());
+        let workers = state.fleet.limits.workers();
+        let listed = workers.filter_map(|id| state.fleet.worker(id));
+        listed.cloned().collect()
+    }
+
+    /// Returns the number of limited workers.
+    pub fn limited_count(&self) -> usize {
+        self.lock().fleet.limits.workers().count()
+    }
+
+    /// Sets the part of a worker's limit that this instance hands out.
+    pub fn set_limit_share(&self, worker: &WorkerId, share: f64) {
+        let now = self.now();
+        self.lock().fleet.limits.set_share(worker, share, now);
+    }
+
+    /// Decides whether another instance may send a request to a worker. Returns `None` for a worker
+    /// that has no limit, as far as is known here.
+    pub fn grant(&self, notice: &Notice, class: Class) -> Option<Reply> {
+        let now = self.now();
+        let mut state = self.lock();
+        let limits = &mut state.fleet.limits;
+        limits.hear(notice, now);
+        let known = limits.notice(&notice.worker, now)?;
+        known.rate?;
+        Some(limits.grant(&notice.worker, class, now))
+    }
+
+    /// Records the answer of the leader of a worker, and assigns queued requests or refuses those that
+    /// no worker can take.
+    pub fn accept(&self, worker: &WorkerId, reply: Reply) {
+        let now = self.now();
+        let mut state = self.lock();
+        state.fleet.limits.accept(worker, reply, now);
+        self.assign_queued(&mut state);
+    }
+
+    /// Waits for the next question to the leader of a limited worker.
+    pub async fn next_ask(&self) -> Option<Ask> {
+        self.asks.1.recv().await.ok()
+    }
+
+    /// Asks for permits, so that the answers of a number of leaders are on their way.
+    fn ask(&self, state: &mut State, requirements: &Requirements<'_>, class: Class, count: usize) {
+        let now = self.now();
+        let State { fleet, rng, .. } = state;
+        for worker in fleet.workers_to_ask(requirements, count, rng, now) {
+            if let Some(notice) = fleet.limits.ask(&worker.id, now) {
+                let ask = Ask {
+                    worker,
+                    notice,
+                    class,
+                };
+                let _ = self.asks.0.try_send(ask);
+            }
+        }
+    }
+
+    /// Asks for the permits that queued requests lack, and refuses requests that no worker can take.
+    fn ask_for_queued(&self, state: &mut State) {
+        if state.queue.is_empty() || state.fleet.limits.workers().next().is_none() {
+            return;
+        }
+        let now = self.now();
+        let queue = std::mem::take(&mut state.queue);
+        let mut waiting: Map<ServiceId, usize> = Map::default();
+        for waiter in queue {
+            let count = waiting.entry(waiter.service.clone()).or_default();
+            *count += 1;
+            self.ask(state, &waiter.requirements(), Class::Online, *count + 1);
+            let wait = waiter.deadline.saturating_sub(now);
+            if state.fleet.may_place(&waiter.requirements(), wait, now) {
+                state.queue.push_back(waiter);
+            }
+            // Dropping the waiter closes its channel, which refuses the request.
+        }
+    }
+
+    /// Looks for permits for queued requests.
+    async fn poll_permits(&self) {
+        loop {
+            Timer::after(PERMIT_POLL).await;
+            let mut state = self.lock();
+            if state.fleet.limits.workers().next().is_some() {
+                self.assign_queued(&mut state);
+            }
+        }
+    }
+
     /// Places an online request on a worker, waiting up to `max_wait` when all are full.
     ///
     /// # Errors
     ///
-    /// Returns `Busy` when no worker becomes free in time.
+    /// Returns `Busy` when no worker becomes free in time, or none can by its limit.
     pub async fn place_online(
         self: &Arc<Self>,
         requirements: &Requirements<'_>,
@@ -260,8 +426,10 @@
                 number,
                 service: requirements.service.clone(),
                 tried: requirements.tried.to_vec(),
+                deadline: self.now() + max_wait,
                 grant,
             });
+            self.ask_for_queued(&mut state);
             QueueGuard {
                 dispatch: self,
                 number,
@@ -273,7 +441,11 @@
             Timer::after(max_wait).await;
             None
         };
-        match smol::future::or(granted, timeout).await {
+        let polls = async {
+            self.poll_permits().await;
+            None
+        };
+        match smol::future::or(granted, smol::future::or(timeout, polls)).await {
             Some(grant) => Ok(self.placement(grant)),
             None => Err(self.busy()),
         }
@@ -309,7 +481,10 @@
         }
         let now = self.now();
         let State { fleet, rng, .. } = &mut *state;
-        let worker = fleet.choose_spare(requirements, rng, now)?;
+        let Some(worker) = fleet.choose_spare(requirements, rng, now) else {
+            self.ask(&mut state, requirements, Class::Online, 1);
+            return None;
+        };
         let grant = self.start_online(&mut state, worker);
         drop(state);
         Some(self.placement(grant))
@@ -325,7 +500,12 @@
         let now = self.now();
         let mut state = self.lock();
         let State { fleet, rng, .. } = &mut *state;
-        let worker = fleet.choose_batch(requirements, urgency, rng, now)?;
+        let Some(worker) = fleet.choose_batch(requirements, urgency, rng, now) else {
+            if !state.is_behind(requirements) {
+                self.ask(&mut state, requirements, Class::Batch, 1);
+            }
+            return None;
+        };
         let key = fleet::key(&worker.id);
         let load = fleet.level(key).total();
         state.fleet.start_request(key, Class::Batch);
@@ -374,7 +554,12 @@
     fn choose(&self, state: &mut State, requirements: &Requirements<'_>) -> Option<Grant> {
         let State { fleet, rng, .. } = state;
         let worker = fleet.choose_online(requirements, rng, self.now())?;
-        Some(self.start_online(state, worker))
+        let grant = self.start_online(state, worker);
+        if grant.load >= grant.worker.slots {
+            // The next requests need not queue at a worker if another one grants permits.
+            self.ask(state, requirements, Class::Online, 1);
+        }
+        Some(grant)
     }
 
     fn start_online(&self, state: &mut State, worker: Arc<Worker>) -> Grant {
@@ -390,11 +575,7 @@
     fn assign_queued(&self, state: &mut State) {
         let mut unassigned = VecDeque::new();
         while let Some(waiter) = state.queue.pop_front() {
-            let requirements = Requirements {
-                service: &waiter.service,
-                tried: &waiter.tried,
-            };
-            let Some(grant) = self.choose(state, &requirements) else {
+            let Some(grant) = self.choose(state, &waiter.requirements()) else {
                 unassigned.push_back(waiter);
                 continue;
             };
@@ -404,6 +585,7 @@
             }
         }
         state.queue = unassigned;
+        self.ask_for_queued(state);
         self.signal_yields(state);
     }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -10,7 +10,7 @@
     ids::{InstanceId, Map, ServiceId, Set, WorkerId, Zone},
 };
 
-use super::leaving::Leaving;
+use super::{leaving::Leaving, worker_limits::WorkerLimits};
 
 /// Online requests that may queue at a worker whose slots are all taken. A request queued there
 /// waits for at most half of a typical objective.
@@ -61,6 +61,7 @@
 
 /// Class of a request, which decides how it is placed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Class {
     /// A request that a caller waits for.
     Online,
@@ -133,6 +134,8 @@
     health: Health,
     partitions: Map<Zone, Partition>,
     leaving: Leaving,
+    /// Limits that workers announced.
+    pub limits: WorkerLimits,
     far_age: Duration,
     online_time: Option<Duration>,
 }
@@ -142,6 +145,8 @@
 enum Place {
     /// A slot that is free.
     Free,
+    /// A slot that is free, at a worker whose permits are better saved for a burst of requests.
+    Reserved,
     /// A slot of the local zone from which a batch item is displaced.
     LocalItem,
     /// A slot of another zone that may have been taken since its level was sent.
@@ -195,6 +200,7 @@
             health: Health::default(),
             partitions: Map::default(),
             leaving: Leaving::default(),
+            limits: WorkerLimits::default(),
             far_age: Duration::ZERO,
             online_time: None,
         }
@@ -411,15 +417,16 @@
     ) -> Option<Arc<Worker>> {
         let score = |worker: &Worker, level: Level| {
             let zone_penalty = self.zone_penalty(worker);
-            let place = self.online_place(worker, level)?;
+            let place = self.online_place(worker, level, now)?;
             let load = match place {
                 Place::Queue => level.online,
                 _ => level.total(),
             };
             Some((place, load + zone_penalty))
         };
-        let chosen = self.choose_best(requirements, Avoided::Last, rng, now, score)?;
-        self.health.record_request(&chosen.id, now);
+        let chosen =
+            self.choose_best(requirements, Class::Online, Avoided::Last, rng, now, score)?;
+        self.record_chosen(&chosen, now);
         Some(chosen)
     }
 
@@ -432,12 +439,13 @@
         now: Duration,
     ) -> Option<Arc<Worker>> {
         let score = |worker: &Worker, level: Level| {
-            let place = self.online_place(worker, level)?;
+            let place = self.online_place(worker, level, now)?;
             let load = level.total() + self.zone_penalty(worker);
             (place != Place::Queue).then_some((place, load))
         };
-        let chosen = self.choose_best(requirements, Avoided::Never, rng, now, score)?;
-        self.health.record_request(&chosen.id, now);
+        let chosen =
+            self.choose_best(requirements, Class::Online, Avoided::Never, rng, now, score)?;
+        self.record_chosen(&chosen, now);
         Some(chosen)
     }
 
@@ -466,13 +474,92 @@
             let capacity = worker.slots.saturating_sub(reserve);
             let free = capacity.checked_sub(level.total() + 1)?;
             let before = self.higher_ranked(worker, level, urgency, free, now);
-            (before <= free).then(|| level.total() + self.zone_penalty(worker))
+            let load = level.total() + self.zone_penalty(worker);
+            // An item takes a slot for long: at a limited worker it takes none that online requests
+            // need.
+            (before <= free).then(|| (!self.limits.is_limited(worker), load))
         };
-        let chosen = self.choose_best(requirements, Avoided::Never, rng, now, score)?;
-        self.health.record_request(&chosen.id, now);
+        let chosen =
+            self.choose_best(requirements, Class::Batch, Avoided::Never, rng, now, score)?;
+        self.record_chosen(&chosen, now);
         Some(chosen)
     }
 
+    fn record_chosen(&mut self, worker: &Worker, now: Duration) {
+        self.health.record_request(&worker.id, now);
+        self.limits.record_sent(worker, now);
+    }
+
+    /// Returns the workers that may serve a request, however full they are.
+    fn candidates<'a>(
+        &'a self,
+        requirements: &'a Requirements<'_>,
+        now: Duration,
+    ) -> impl Iterator<Item = (&'a WorkerKey, &'a Arc<Worker>)> {
+        self.workers.iter().filter(move |(_, w)| {
+            let serves = w.is_ready(now) && w.service == *requirements.service;
+            serves && !requirements.tried.contains(&w.id)
+        })
+    }
+
+    /// Returns whether the limits of the workers leave an online request a chance to be placed within
+    /// a time.
+    pub fn may_place(
+        &self,
+        requirements: &Requirements<'_>,
+        max_wait: Duration,
+        now: Duration,
+    ) -> bool {
+        let mut candidates = self.candidates(requirements, now).peekable();
+        candidates.peek().is_none()
+            || candidates.any(|(_, w)| match self.limits.wait(w, Class::Online, now) {
+                Some(wait) => wait <= max_wait,
+                None => self.limits.may_ask(w, now) || self.limits.is_asked(w, now),
+            })
+    }
+
+    /// Returns limited workers with a free slot whose leader is to be asked for a permit, so that the
+    /// answers of a number of leaders are on their way.
+    pub fn workers_to_ask(
+        &self,
+        requirements: &Requirements<'_>,
+        count: usize,
+        rng: &mut fastrand::Rng,
+        now: Duration,
+    ) -> Vec<Arc<Worker>> {
+        let ejected = self.health.ejected(now);
+        let candidates: Vec<_> = self.candidates(requirements, now).collect();
+        let asked = candidates
+            .iter()
+            .filter(|(_, w)| self.limits.is_asked(w, now));
+        let missing = count.saturating_sub(asked.count());
+        let is_open = |key: &WorkerKey, w: &Worker| {
+            self.limits.may_ask(w, now)
+                && self.level(*key).total() < w.slots
+                && !self.is_cut_off(&w.zone, now)
+                && !ejected.contains(&w.id)
+        };
+        let open = candidates.into_iter().filter(|(key, w)| is_open(key, w));
+        let mut open: Vec<_> = open
+            .map(|(_, w)| (w.zone != self.zone, rng.u32(..), w))
+            .collect();
+        open.sort_by_key(|(is_far, random, _)| (*is_far, *random));
+        let chosen = open.into_iter().take(missing);
+        chosen.map(|(.., worker)| worker.clone()).collect()
+    }
+
+    /// Forgets limits of which there was no news for long, and returns their workers.
+    pub fn expire_limits(&mut self, now: Duration) -> Vec<WorkerId> {
+        let known = &self.workers;
+        let find = |id: &WorkerId| known.get(&key(id)).filter(|w| w.id == *id);
+        self.limits.expire(|id| find(id).map(Arc::as_ref), now)
+    }
+
+    /// Returns a worker of the list.
+    pub fn worker(&self, id: &WorkerId) -> Option<&Arc<Worker>> {
+        self.workers.get(&key(id)).filter(|w| w.id == *id)
+    }
+
     /// Returns the number of instances that start a waiting item on a worker before this one, counted
     /// up to one more than `most`.
     fn higher_ranked(
@@ -507,11 +594,15 @@
     }
 
     /// Returns what an online request would take at a worker, or `None` when it is full.
-    fn online_place(&self, worker: &Worker, level: Level) -> Option<Place> {
+    fn online_place(&self, worker: &Worker, level: Level, now: Duration) -> Option<Place> {
         let is_local = worker.zone == self.zone;
         let total = level.total();
         if total + self.uncertain_slots(worker, level) < worker.slots {
-            Some(Place::Free)
+            if self.limits.is_scarce(worker, now) {
+                Some(Place::Reserved)
+            } else {
+                Some(Place::Free)
+            }
         } else if total < worker.slots {
             Some(Place::MaybeFree)
         } else if level.online < worker.slots && is_local {
@@ -561,18 +652,16 @@
     fn choose_best<S: Ord>(
         &self,
         requirements: &Requirements<'_>,
+        class: Class,
         avoided: Avoided,
         rng: &mut fastrand::Rng,
         now: Duration,
         score: impl Fn(&Worker, Level) -> Option<S>,
     ) -> Option<Arc<Worker>> {
         let ejected = self.health.ejected(now);
-        let eligible = |w: &Worker| {
-            let serves = w.is_ready(now) && w.service == *requirements.service;
-            serves && !requirements.tried.contains(&w.id)
-        };
-        let candidates = self.workers.iter().filter(|(_, w)| eligible(w));
-        let ranked = candidates.filter_map(|(key, worker)| {
+        let candidates = self.candidates(requirements, now);
+        let permitted = candidates.filter(|(_, w)| self.limits.may_send(w, class, now));
+        let ranked = permitted.filter_map(|(key, worker)| {
             let score = score(worker, self.level(*key))?;
             let comes_last = self.is_cut_off(&worker.zone, now) || ejected.contains(&worker.id);
             if comes_last && avoided == Avoided::Never {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -12,10 +12,10 @@
 use arc_swap::ArcSwapOption;
 
 use crate::{
-    adapter::store::Store,
+    adapter::{headers::AnswerTerms, store::Store},
     drain::{Drain, Phase},
     event, fnv,
-    ids::{JobId, SessionId, WorkerId},
+    ids::{JobId, RequestId, SessionId, WorkerId},
     metrics::InstanceState,
     mutex::lock,
 };
@@ -29,11 +29,12 @@
     fleet::{self, Worker},
     jobs::Jobs,
     marks::{self, Mark},
-    peers::{Candidate, Heartbeat, Peers},
+    peers::{Candidate, Heartbeat, Member, Peers},
     settings::Settings,
     suspects::{Admission, Suspects},
     sync::Views,
     upstream::Upstream,
+    worker_limits::{Announced, Change, Observation},
 };
 
 /// Time after its start in which an instance receives heartbeats from all others, which send
@@ -260,6 +261,7 @@
             waiting: waiting.sum(),
             blocks: self.suspects().block_count() as u64,
             leaving: self.dispatch.leaving_count() as u64,
+            limited: self.dispatch.limited_count() as u64,
         }
     }
 
@@ -279,6 +281,61 @@
         self.upstream.retain(|id| *id != worker.id);
     }
 
+    /// Records what an answer to a request that was sent at a time tells of the limit of its worker.
+    pub fn record_limit(
+        &self,
+        worker: &Worker,
+        terms: &AnswerTerms,
+        request: &RequestId,
+        sent: Duration,
+    ) {
+        // An answer that may be a copy of an earlier one does not end a limit.
+        let is_own = terms.id.as_ref() == Some(request);
+        let announced = match terms.limit {
+            Announced::Unlimited if !is_own => Announced::Unknown,
+            announced => announced,
+        };
+        let seen = Observation {
+            announced,
+            sent,
+            received: self.now(),
+        };
+        match self.dispatch.observe_limit(worker, seen) {
+            Some(Change::Named(rate)) => {
+                event!(Info, WorkerLimited, "worker={} rate={rate}", worker.id);
+            }
+            Some(Change::Ended) => event!(Info, WorkerLimitEnded, "worker={}", worker.id),
+            Some(Change::Changed) | None => {}
+        }
+    }
+
+    /// Returns the address of the instance that hands out the permits for a limited worker, or `None`
+    /// when it is this one.
+    pub fn limit_leader(&self, worker: &Worker) -> Option<SocketAddr> {
+        let local = Member {
+            instance: &self.settings.instance,
+            zone: &self.settings.zone,
+            stays: self.drain.phase() == Phase::Running,
+        };
+        let (peers, now) = (self.peers(), self.now());
+        let leader = peers.limit_leader(&worker.id, &worker.zone, &local, now)?;
+        Some(leader.address)
+    }
+
+    /// Sets which limited workers this instance leads.
+    pub fn update_limit_shares(&self) {
+        let limited = self.dispatch.limited_workers();
+        if limited.is_empty() {
+            return;
+        }
+        let live_share = self.peers().live_share(self.now());
+        for worker in limited {
+            let leads = self.has_discovered_peers() && self.limit_leader(&worker).is_none();
+            let share = if leads { live_share } else { 0.0 };
+            self.dispatch.set_limit_share(&worker.id, share);
+        }
+    }
+
     /// Keeps a connection to a worker that takes requests for reuse, after an answer was read to its
     /// end.
     pub fn keep_connection(&self, worker: &Worker, connection: Connection) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,7 +2,7 @@
 //!
 //! A message is the heartbeat of its sender, followed by heartbeats of other zones that the sender
 //! passes on to its neighbours. A report of requests that crash workers is a message of its
-//! own, which exists only after crashes.
+//! own, which exists only after crashes. So are messages on limits of workers.
 
 use std::{
     net::{SocketAddr, UdpSocket},
@@ -11,37 +11,45 @@
 };
 
 use async_io::{Async, Timer};
+use serde::{Deserialize, Serialize};
 use smol::channel::Sender;
 
 use crate::{
     drain::Phase,
     event, fnv,
-    ids::{InstanceId, JobId, Map, SessionId, Set},
+    ids::{InstanceId, JobId, Map, SessionId, Set, WorkerId},
     mutex::lock,
 };
 
 use super::{
     block_store,
     crash_report::Report,
-    fleet::{Backlog, Level},
+    fleet::{Backlog, Class, Level},
     gateway::Gateway,
     jobs::SharedJob,
     marks,
     pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
+    worker_limits::{Change, Notice, Reply},
 };
 
 /// Minimum heartbeat interval; changes within it are sent together.
 const BUSY_INTERVAL: Duration = Duration::from_millis(30);
 /// Size of a message from which on further heartbeats go into another one.
 const FULL_MESSAGE_BYTES: usize = 8 << 10;
+/// Maximum number of limits in one message.
+const MAX_NOTICES: usize = 64;
 /// Maximum size of a received message.
 const MAX_MESSAGE_BYTES: usize = 64 << 10;
 
 /// First bytes of a report. No heartbeat begins so: its sender would have no name, and a session that
 /// is no number.
 const REPORT_MARK: [u8; 11] = [0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255];
+/// First bytes of a message on limits of workers; no heartbeat begins so either.
+const LIMIT_MARK: [u8; 11] = [0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 254];
+/// Interval at which an instance checks which limited workers it leads.
+const LEAD_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an instance sends all that it knows of crashes to some others, for those that
 /// were started or out of reach meanwhile.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -68,11 +76,25 @@
     pub members: Sender<()>,
 }
 
+/// Message on limits of workers.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+enum LimitMessage {
+    /// What the sender knows.
+    Notices(Vec<Notice>),
+    /// Asks the leader of a worker whether a request of a class may be sent.
+    Ask(Notice, Class),
+    /// Answers the question for a worker.
+    Answer(WorkerId, Reply),
+}
+
 /// Exchanges heartbeats with the other instances forever.
 pub async fn run(gateway: Arc<Gateway>, socket: Async<UdpSocket>, updates: UpdateSenders) {
     let relayed = Relayed::default();
     let receive = receive(&gateway, &socket, &updates, &relayed);
-    smol::future::or(send(&gateway, &socket, &updates, &relayed), receive).await;
+    let ask = ask_leaders(&gateway, &socket);
+    let send = send(&gateway, &socket, &updates, &relayed);
+    smol::future::or(send, smol::future::or(receive, ask)).await;
 }
 
 async fn send(
@@ -84,6 +106,8 @@
     let mut number = 0;
     let mut last_check = Duration::ZERO;
     let mut report_due = Duration::ZERO;
+    let mut limits_due = Duration::ZERO;
+    let mut lead_due = Duration::ZERO;
     let mut pace = Pace::default();
     let mut last_sent = None;
     // Instances that start together begin with different relays.
@@ -116,6 +140,11 @@
             last_sent = Some(heartbeat);
         }
         send_reports(gateway, socket, &mut report_due);
+        send_limits(gateway, socket, &mut limits_due);
+        if now >= lead_due {
+            lead_due = now + LEAD_INTERVAL;
+            gateway.update_limit_shares();
+        }
         block_store::write_news(gateway);
         remove_silent(gateway, updates, last_check, now);
         last_check = now;
@@ -181,6 +210,105 @@
     }
 }
 
+/// Sends limits that began or ended here to all instances, rates that changed to the leaders of the
+/// workers, and from time to time all that is known to a few.
+fn send_limits(gateway: &Gateway, socket: &Async<UdpSocket>, due: &mut Duration) {
+    let now = gateway.now();
+    let (changed, news): (Vec<_>, Vec<_>) = gateway
+        .dispatch
+        .take_limit_news()
+        .into_iter()
+        .partition(|(_, change)| *change == Change::Changed);
+    for (notice, _) in changed {
+        let worker = gateway.dispatch.worker(&notice.worker);
+        if let Some(leader) = worker.and_then(|w| gateway.limit_leader(&w)) {
+            let message = LimitMessage::Notices(vec![notice]);
+            send_limit_message(socket, &message, &Set::from_iter([leader]));
+        }
+    }
+    if news.is_empty() && now < *due {
+        return;
+    }
+    let news: Vec<Notice> = news.into_iter().map(|(notice, _)| notice).collect();
+    if !news.is_empty() {
+        gateway.update_limit_shares();
+    }
+    let peers = gateway.peers();
+    let live: Vec<SocketAddr> = peers.live(now).map(|h| h.address).collect();
+    drop(peers);
+    if !news.is_empty() {
+        let all = live.iter().copied().collect();
+        send_limit_message(socket, &LimitMessage::Notices(news), &all);
+    }
+    if now >= *due {
+        *due = now + REPORT_INTERVAL;
+        let some = fastrand::choose_multiple(live, REPORT_TARGETS);
+        send_notices(gateway, socket, &some.into_iter().collect());
+    }
+}
+
+fn send_notices(gateway: &Gateway, socket: &Async<UdpSocket>, targets: &Set<SocketAddr>) {
+    let notices = gateway.dispatch.limits();
+    for notices in notices.chunks(MAX_NOTICES) {
+        send_limit_message(socket, &LimitMessage::Notices(notices.to_vec()), targets);
+    }
+}
+
+fn send_limit_message(
+    socket: &Async<UdpSocket>,
+    message: &LimitMessage,
+    targets: &Set<SocketAddr>,
+) {
+    match postcard::to_extend(message, LIMIT_MARK.to_vec()) {
+        Ok(message) => send_all(socket, &message, targets),
+        Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
+    }
+}
+
+/// Asks the leaders of limited workers for permits, forever.
+async fn ask_leaders(gateway: &Gateway, socket: &Async<UdpSocket>) {
+    while let Some(ask) = gateway.dispatch.next_ask().await {
+        match gateway.limit_leader(&ask.worker) {
+            Some(leader) => {
+                let message = LimitMessage::Ask(ask.notice, ask.class);
+                send_limit_message(socket, &message, &Set::from_iter([leader]));
+            }
+            None => gateway.update_limit_shares(),
+        }
+    }
+}
+
+fn read_limit_message(
+    gateway: &Gateway,
+    socket: &Async<UdpSocket>,
+    message: &[u8],
+    sender: SocketAddr,
+) {
+    let message = match postcard::from_bytes(message) {
+        Ok(message) => message,
+        Err(e) => {
+            event!(Warn, MessageInvalid, "reason=\"{e}\"");
+            return;
+        }
+    };
+    match message {
+        LimitMessage::Notices(notices) => gateway.dispatch.hear_limits(&notices),
+        LimitMessage::Ask(notice, class) => {
+            let answer = match gateway.dispatch.grant(&notice, class) {
+                Some(reply) => LimitMessage::Answer(notice.worker, reply),
+                None => LimitMessage::Notices(gateway.dispatch.limits()),
+            };
+            send_limit_message(socket, &answer, &Set::from_iter([sender]));
+        }
+        LimitMessage::Answer(worker, reply) => {
+            gateway.dispatch.accept(&worker, reply);
+            if gateway.jobs.backlog() != Backlog::default() {
+                gateway.jobs.notify_runner();
+            }
+        }
+    }
+}
+
 fn send_report(socket: &Async<UdpSocket>, report: &Report, targets: Set<SocketAddr>) {
     match report.encode(REPORT_MARK.to_vec()) {
         Ok(message) => send_all(socket, &message, &targets),
@@ -296,20 +424,21 @@
 ) {
     let mut buffer = vec![0; MAX_MESSAGE_BYTES];
     loop {
-        let count = match socket.recv_from(&mut buffer).await {
-            Ok((count, _)) => count,
+        let (count, sender) = match socket.recv_from(&mut buffer).await {
+            Ok((count, sender)) => (count, sender),
             Err(e) => {
                 log::debug!("cannot receive: {e}");
                 continue;
             }
         };
         let message = &buffer[..count];
-        match message.strip_prefix(&REPORT_MARK) {
-            Some(report) => read_report(gateway, report),
-            None => {
-                let joined = read_message(gateway, message, updates, relayed);
-                greet(gateway, socket, joined);
-            }
+        if let Some(report) = message.strip_prefix(&REPORT_MARK) {
+            read_report(gateway, report);
+        } else if let Some(message) = message.strip_prefix(&LIMIT_MARK) {
+            read_limit_message(gateway, socket, message, sender);
+        } else {
+            let joined = read_message(gateway, message, updates, relayed);
+            greet(gateway, socket, joined);
         }
     }
 }
@@ -321,10 +450,14 @@
     }
 }
 
-/// Sends all that is known of crashes to instances that joined. A restarted one has forgotten it, and
-/// would crash workers again until the next report happens to reach it.
+/// Sends all that is known of limits and crashes to instances that joined. A restarted one has
+/// forgotten it, and would crash workers again until the next report happens to reach it.
 fn greet(gateway: &Gateway, socket: &Async<UdpSocket>, joined: Set<SocketAddr>) {
-    if joined.is_empty() || gateway.suspects().is_empty() {
+    if joined.is_empty() {
+        return;
+    }
+    send_notices(gateway, socket, &joined);
+    if gateway.suspects().is_empty() {
         return;
     }
     let report = gateway.suspects().report(gateway.now());
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -25,7 +25,6 @@
     marks,
     splice::Form,
     sse::{Event, Events},
-    worker_limits::Announced,
 };
 
 /// Time without an event after which an item moves to another worker.
@@ -170,6 +169,7 @@
             Ok(request) => request,
             Err(e) => return RunEnd::Broken(AttemptError::fault(e.to_string())),
         };
+        let sent = dispatch.now();
         let answer = match connection.send_within(request, STALL_LIMIT).await {
             Ok(answer) => answer,
             Err(SendError::NotSent(e)) => return RunEnd::Broken(AttemptError::fault(e)),
@@ -186,9 +186,8 @@
         if terms.leaving {
             self.gateway.record_leaving(worker);
         }
-        if let Announced::Rate(rate) = terms.limit {
-            event!(Info, WorkerLimited, "worker={} rate={rate}", worker.id);
-        }
+        self.gateway
+            .record_limit(worker, &terms, &self.item.id, sent);
         let status = answer.status();
         match head::interpret(status, &terms, &self.item.id, connection.reused) {
             Head::NotRun => return RunEnd::Refused(status),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,12 +1,12 @@
 //! Heartbeats between instances, and the state of the other instances (no I/O).
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     fnv,
-    ids::{InstanceId, JobId, Map, SessionId, Set, Zone},
+    ids::{InstanceId, JobId, Map, SessionId, Set, WorkerId, Zone},
     ownership,
 };
 
@@ -170,6 +170,17 @@
     pub active: bool,
 }
 
+/// This instance as a candidate to lead a limited worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Member<'a> {
+    /// Name of the instance.
+    pub instance: &'a InstanceId,
+    /// Availability zone of the instance.
+    pub zone: &'a Zone,
+    /// Whether the instance is not stopping.
+    pub stays: bool,
+}
+
 /// Effect of a heartbeat on the state of its sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerChange {
@@ -405,6 +416,34 @@
         ownership::position(block, local, &names) == 0
     }
 
+    /// Returns the instance that hands out the permits for a limited worker, or `None` when it is the
+    /// local one: an instance of the zone of the worker if there is one, as a zone that is cut off
+    /// still reaches its own workers.
+    pub fn limit_leader(
+        &self,
+        worker: &WorkerId,
+        zone: &Zone,
+        local: &Member<'_>,
+        now: Duration,
+    ) -> Option<&Heartbeat> {
+        let staying: Vec<&Heartbeat> = self.staying(now).collect();
+        let is_near = |h: &&&Heartbeat| h.zone == *zone;
+        let has_near = staying.iter().any(|h| is_near(&h)) || (local.stays && local.zone == zone);
+        let candidates = staying.into_iter().filter(|h| !has_near || h.zone == *zone);
+        let rank = |name: &str| Reverse(ownership::score(worker, name));
+        let best = candidates.min_by_key(|h| rank(&h.instance))?;
+        let may_lead = local.stays && (!has_near || local.zone == zone);
+        (!may_lead || rank(&best.instance) < rank(local.instance)).then_some(best)
+    }
+
+    /// Returns the part of all known instances that is live. The sum of these parts over the sides of
+    /// a partition is at most 1.
+    pub fn live_share(&self, now: Duration) -> f64 {
+        let known = self.known.values().filter(|p| !p.heartbeat.leaving);
+        let live = self.staying(now).count() + 1;
+        live as f64 / (known.count() + 1) as f64
+    }
+
     /// Returns the tokens of unfinished batch items at other instances on a route.
     pub fn waiting(&self, route: u32, now: Duration) -> u64 {
         let waiting = self.live(now).flat_map(|h| &h.waiting);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -119,6 +119,8 @@
     pub blocks: u64,
     /// Workers that announced in an answer that they leave.
     pub leaving: u64,
+    /// Workers that announced how many requests a second they take.
+    pub limited: u64,
 }
 
 /// A call to another entry instance.
@@ -206,11 +208,11 @@
     call_time: Histogram<f64>,
     queue_time: Histogram<f64>,
     platform_time: Histogram<f64>,
-    state: [Gauge<u64>; 11],
+    state: [Gauge<u64>; 12],
 }
 
 /// Names of the gauges of [`InstanceState`], in the order of its fields.
-const STATE_GAUGES: [&str; 11] = [
+const STATE_GAUGES: [&str; 12] = [
     "gentianpath_config_version",
     "gentianpath_workers_revision",
     "gentianpath_workers",
@@ -222,6 +224,7 @@
     "gentianpath_waiting_tokens",
     "gentianpath_blocked_parts",
     "gentianpath_leaving_workers",
+    "gentianpath_limited_workers",
 ];
 
 fn instruments() -> &'static Instruments {
@@ -344,6 +347,7 @@
         state.waiting,
         state.blocks,
         state.leaving,
+        state.limited,
     ];
     for (gauge, value) in instruments().state.iter().zip(values) {
         gauge.record(value, &[]);
--- a/tests/gateway_limits.rs
+++ b/tests/gateway_limits.rs
@@ -73,7 +73,10 @@
 /// joins, and against refusals of requests that another worker can serve.
 #[test]
 fn instances_together_keep_to_the_limit_of_a_worker() {
-    let (store, [limited, _free]) = platform(2, PAUSE);
+    let (store, [limited, free]) = platform(2, PAUSE);
+    let mut entry = free.entry("ready");
+    entry["slots"] = 8.into();
+    store.put("servers", &free.id, entry);
     let mut instances = start(&store, &["one", "two", "three", "four"]);
     let named = Instant::now();
     limited.set_limit(Some("1"));
