Log the software version of workers and the stream that a caller takes up

The logs of the incident could not tell streams that were joined within one answer from those that a caller took up at another instance.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -162,12 +162,14 @@
         event!(
             Info,
             WorkerChosen,
-            "request={} route={} worker={} zone={} load={} slots={} waited_ms={} config={} \
-             workers_at={}",
+            "request={} route={} worker={} zone={} version={} after={after:?} origin={:?} load={} \
+             slots={} waited_ms={} config={} workers_at={}",
             self.call.id,
             self.route.name,
             worker.id,
             worker.zone,
+            worker.version,
+            self.call.origin,
             placement.load,
             worker.slots,
             queued_at.elapsed().as_millis(),
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -7,7 +7,7 @@
 use crate::{
     fnv,
     health::Health,
-    ids::{InstanceId, Map, ServiceId, Set, WorkerId, Zone},
+    ids::{InstanceId, Map, ServiceId, Set, SoftwareVersion, WorkerId, Zone},
 };
 
 use super::{leaving::Leaving, worker_limits::WorkerLimits};
@@ -42,6 +42,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: Zone,
+    /// Version of its software; empty if its entry names none.
+    pub version: SoftwareVersion,
     /// Requests that the worker runs concurrently.
     pub slots: u32,
     /// Whether the worker takes new requests.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -59,6 +59,8 @@
     pub deadline: Option<Duration>,
     /// Number of the event after which the caller wants a stream to resume.
     pub after: Option<u64>,
+    /// Id of the call that brought the first event of that stream.
+    pub origin: Option<RequestId>,
 }
 
 /// A worker's answer of which the head was received.
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -118,11 +118,12 @@
         event!(
             Info,
             ItemStarted,
-            "job={} item={} worker={} zone={} load={} slots={} after={after:?}",
+            "job={} item={} worker={} zone={} version={} load={} slots={} after={after:?}",
             self.job,
             self.item.id,
             placement.worker.id,
             placement.worker.zone,
+            placement.worker.version,
             placement.load,
             placement.worker.slots
         );
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -253,6 +253,7 @@
         received,
         deadline: terms.deadline,
         after: terms.after,
+        origin: terms.origin,
     };
     if route.batch().is_some() {
         let path = call.uri.path();
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -11,6 +11,8 @@
 pub type TargetId = Arc<str>;
 /// Name of a worker: a target that runs a model engine.
 pub type WorkerId = TargetId;
+/// Version of the software of a worker, not of its weights.
+pub type SoftwareVersion = Arc<str>;
 /// Name of an availability zone.
 pub type Zone = Arc<str>;
 /// Name of a team, the account of a caller.
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -21,6 +21,7 @@
         service: "lm".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: zone.into(),
+        version: "v1".into(),
         slots: 2,
         ready: true,
         started: Some(1),
--- a/tests/worker_limits.rs
+++ b/tests/worker_limits.rs
@@ -32,6 +32,7 @@
         service: "lm".into(),
         address: ([127, 0, 0, 1], 1).into(),
         zone: "a".into(),
+        version: "v1".into(),
         slots: 8,
         ready: true,
         started: Some(started),
