--- /dev/null
+++ b/tests/gateway_versions.rs
@@ -0,0 +1,278 @@
+//! Streams and items while workers of several software versions serve side by side.
+
+mod gateway_support;
+mod support;
+
+use std::{thread, time::Duration};
+
+use gateway_support::{Behaviour, Instance, Store, Worker, config};
+use support::http;
+
+const PAUSE: Duration = Duration::from_millis(2);
+const EVENTS: u64 = 6;
+
+/// Time in which instances that were started know what versions serve.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Workers of two versions, two of each.
+struct Side {
+    store: Store,
+    workers: Vec<(Worker, &'static str)>,
+}
+
+impl Side {
+    fn start(versions: &[&'static str]) -> Self {
+        let store = Store::start();
+        let start = |(n, version): (usize, &&'static str)| {
+            let worker = Worker::start(&format!("w{n}"), EVENTS, PAUSE);
+            (worker, *version)
+        };
+        let workers: Vec<_> = versions.iter().enumerate().map(start).collect();
+        let side = Self { store, workers };
+        for n in 0..side.workers.len() {
+            side.list(n);
+        }
+        side.store.put("config", "main", config(1));
+        side
+    }
+
+    fn list(&self, n: usize) {
+        let (worker, version) = &self.workers[n];
+        let mut entry = worker.entry("ready");
+        entry["version"] = (*version).into();
+        entry["slots"] = 8.into();
+        self.store.put("servers", &worker.id, entry);
+    }
+
+    fn behave(&self, behaviour: Behaviour, count: usize) {
+        for (worker, _) in &self.workers {
+            worker.behave(&vec![behaviour; count]);
+        }
+    }
+
+    /// Returns the versions of the workers that ran requests with one of some ids.
+    fn versions(&self, ids: &[&str]) -> Vec<&'static str> {
+        let ran = |worker: &Worker| {
+            let runs = worker.runs();
+            let id = |r: &gateway_support::Request| r.header("x-request-id").map(str::to_owned);
+            let mut found = runs.iter().filter_map(id);
+            found.any(|id| ids.contains(&&*id))
+        };
+        let workers = self.workers.iter().filter(|(w, _)| ran(w));
+        let mut versions: Vec<_> = workers.map(|(_, version)| *version).collect();
+        versions.dedup();
+        versions
+    }
+}
+
+fn begin(instance: &Instance, id: &str) -> Option<http::Answer> {
+    let headers = [("x-request-id", id), ("x-deadline-ms", "5000")];
+    http::call(instance.callers, "POST", &path(id), &headers, "prompt")
+}
+
+/// Returns the path of a stream; requests that look alike and break count as ones that crash workers.
+fn path(id: &str) -> String {
+    format!("/resumable/{id}")
+}
+
+/// Takes a stream up after its third event.
+fn take_up(instance: &Instance, id: &str, origin: &str) -> Option<http::Answer> {
+    let headers = [
+        ("x-request-id", id),
+        ("x-deadline-ms", "4500"),
+        ("last-event-id", "2"),
+        ("resumes", origin),
+    ];
+    http::call(instance.callers, "POST", &path(origin), &headers, "prompt")
+}
+
+/// Breaks streams at one instance and takes them up at another. Returns how many went on, and fails if
+/// any went on at another version.
+fn went_on(side: &Side, count: usize, begin_at: &Instance, take_up_at: &Instance) -> usize {
+    let ids = break_streams(side, count, begin_at);
+    take_all_up(side, &ids, take_up_at)
+}
+
+fn break_streams(side: &Side, count: usize, begin_at: &Instance) -> Vec<String> {
+    let ids: Vec<String> = (0..count)
+        .map(|_| format!("b{:016x}", fastrand::u64(..)))
+        .collect();
+    side.behave(Behaviour::BreakAfter(3), 1000);
+    for id in &ids {
+        assert!(begin(begin_at, id).is_none(), "the stream breaks");
+    }
+    side.behave(Behaviour::Whole, 0);
+    ids
+}
+
+fn take_all_up(side: &Side, ids: &[String], take_up_at: &Instance) -> usize {
+    let mut count = 0;
+    for id in ids {
+        let again = format!("again-{id}");
+        let answer = take_up(take_up_at, &again, id);
+        let versions = side.versions(&[id, &again]);
+        assert_eq!(versions.len(), 1, "{id} at {versions:?}");
+        count += usize::from(answer.is_some_and(|a| a.status == 200));
+    }
+    count
+}
+
+/// Guards against an answer that goes on at another version after a break, or beside a silent worker.
+#[test]
+fn an_answer_keeps_to_the_version_that_began_it() {
+    for behaviour in [Behaviour::BreakAfter(3), Behaviour::StallAfter(3)] {
+        let side = Side::start(&["v1", "v2"]);
+        let instance = Instance::start("one", &side.store, &[]);
+        thread::sleep(SETTLE);
+        side.behave(behaviour, 1000);
+        for n in 0..12 {
+            let id = format!("r{n}");
+            begin(&instance, &id);
+            assert_eq!(side.versions(&[&id]).len(), 1, "{behaviour:?}");
+        }
+    }
+    let side = Side::start(&["v1", "v1", "v2", "v2"]);
+    let instance = Instance::start("one", &side.store, &[]);
+    thread::sleep(SETTLE);
+    for n in 0..12 {
+        let id = format!("r{n}");
+        side.behave(Behaviour::BreakAfter(3), 1);
+        let whole = begin(&instance, &id);
+        side.behave(Behaviour::Whole, 0);
+        assert_eq!(side.versions(&[&id]).len(), 1);
+        let _ = whole;
+    }
+}
+
+/// Guards against streams that a caller takes up elsewhere, and that go on at another version or not
+/// at all.
+#[test]
+fn a_stream_that_is_taken_up_elsewhere_keeps_to_its_version() {
+    let side = Side::start(&["v1", "v1", "v2", "v2"]);
+    let one = Instance::start("one", &side.store, &[]);
+    let two = Instance::start("two", &side.store, &[one.peers]);
+    thread::sleep(SETTLE);
+    let count = went_on(&side, 24, &one, &two);
+    assert!(count >= 12, "{count} of 24 went on");
+    // A third version appears, and more than half of the streams can still go on.
+    side.store.put("servers", "w4", {
+        let mut entry = side.workers[0].0.entry("draining");
+        entry["version"] = "v3".into();
+        entry
+    });
+    let count = went_on(&side, 24, &two, &one);
+    assert!(count >= 12, "{count} of 24 went on");
+}
+
+/// Guards against versions that are forgotten with the processes of all instances.
+#[test]
+fn a_stream_keeps_to_its_version_when_all_instances_are_lost() {
+    let side = Side::start(&["v1", "v1", "v2", "v2"]);
+    let mut one = Instance::start("one", &side.store, &[]);
+    let mut two = Instance::start("two", &side.store, &[one.peers]);
+    thread::sleep(SETTLE);
+    let ids = break_streams(&side, 24, &one);
+    one.kill();
+    two.kill();
+    let one = Instance::start("one", &side.store, &[]);
+    let _two = Instance::start("two", &side.store, &[one.peers]);
+    let count = take_all_up(&side, &ids, &one);
+    assert!(count >= 12, "{count} of 24 went on");
+}
+
+/// Guards against a stream that is sent to another version when its own has no worker left, or waits
+/// for one.
+#[test]
+fn a_stream_whose_version_is_gone_is_refused() {
+    let side = Side::start(&["v1", "v1", "v2", "v2"]);
+    let one = Instance::start("one", &side.store, &[]);
+    let two = Instance::start("two", &side.store, &[one.peers]);
+    thread::sleep(SETTLE);
+    let ids = break_streams(&side, 24, &one);
+    for n in [0, 1] {
+        side.store.remove("servers", &side.workers[n].0.id);
+    }
+    thread::sleep(Duration::from_millis(1000));
+    let mut refused = 0;
+    for id in &ids {
+        let again = format!("again-{id}");
+        let answer = take_up(&two, &again, id).unwrap();
+        assert_eq!(side.versions(&[id, &again]).len(), 1);
+        refused += usize::from(answer.status == 503);
+        let began_at_v1 = side.versions(&[id]) == ["v1"];
+        assert!(!began_at_v1 || answer.status == 503);
+    }
+    assert!(refused < ids.len());
+}
+
+/// Guards against a version that is inferred from the list alone: while only one serves, a stream of
+/// unknown origin may go on; when another served just before, it may not.
+#[test]
+fn a_stream_of_unknown_origin_goes_on_only_if_one_version_serves() {
+    let side = Side::start(&["v1", "v1"]);
+    let one = Instance::start("one", &side.store, &[]);
+    thread::sleep(SETTLE);
+    assert_eq!(take_up(&one, "a", "unknown-1").unwrap().status, 200);
+    let mut entry = side.workers[0].0.entry("ready");
+    entry["version"] = "v2".into();
+    entry["slots"] = 8.into();
+    entry["born"] = 2.into();
+    side.store.put("servers", "w0", entry);
+    thread::sleep(Duration::from_millis(1500));
+    side.store.remove("servers", "w1");
+    thread::sleep(Duration::from_millis(1000));
+    let mut runs = 0;
+    for n in 0..12 {
+        let headers = [
+            ("x-request-id", &*format!("u{n}")),
+            ("x-deadline-ms", "100"),
+            ("last-event-id", "2"),
+        ];
+        let path = path(&format!("u{n}"));
+        let answer = http::call(one.callers, "POST", &path, &headers, "prompt");
+        runs += usize::from(answer.is_some_and(|a| a.status == 200));
+    }
+    assert_eq!(runs, 0, "streams without an origin go on at v2");
+}
+
+/// Guards against items whose text goes on at another version.
+#[test]
+fn an_item_keeps_to_its_version_or_starts_again() {
+    let side = Side::start(&["v1", "v2"]);
+    let instance = Instance::start_for_jobs("one", &side.store);
+    thread::sleep(SETTLE);
+    side.behave(Behaviour::BreakAfter(3), 6);
+    let items: Vec<String> = (0..8).map(|n| format!("i{n}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    assert_eq!(instance.submit("j1", &items).unwrap().status, 202);
+    let results = instance.wait_results("j1", items.len());
+    assert!(results.iter().all(|r| r["state"] == "done"));
+    for item in &items {
+        let mut last = None;
+        for (worker, version) in &side.workers {
+            for run in worker.runs() {
+                if run.header("x-request-id") != Some(item) {
+                    continue;
+                }
+                if run.header("last-event-id").is_some() {
+                    last.get_or_insert(version);
+                    assert_eq!(last, Some(version), "{item} goes on at two versions");
+                }
+            }
+        }
+    }
+    // Each run that goes on follows one of its version.
+    for (worker, _) in &side.workers {
+        for run in worker.runs() {
+            if run.header("last-event-id").is_none() {
+                continue;
+            }
+            let id = run.header("x-request-id");
+            let began = worker
+                .runs()
+                .iter()
+                .any(|r| r.header("x-request-id") == id && r.header("last-event-id").is_none());
+            assert!(began, "{id:?} did not begin at this version");
+        }
+    }
+}
