--- a/src/events.rs
+++ b/src/events.rs
@@ -178,6 +178,8 @@
     WorkerLimited = 3022, "worker-limited";
     /// A worker that had announced a limit takes any number of requests again.
     WorkerLimitEnded = 3023, "worker-limit-ended";
+    /// The shares of the workers' software versions in new streams changed.
+    SharesChanged = 3024, "shares-changed";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -69,6 +69,11 @@
 
     /// Records that a worker sent the first event of its answer, or the whole of it.
     pub fn record_begun(&self) {
+        if let Some(version) = &self.version {
+            let now = self.gateway.now();
+            let mut streams = self.gateway.streams();
+            streams.record_begun(self.call.stream_id(), version, now);
+        }
         self.gateway.record_proof(self.part_marks());
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -11,7 +11,7 @@
 use smol::channel::{Receiver, Sender, bounded, unbounded};
 
 use crate::{
-    ids::{InstanceId, Map, ServiceId, Set, WorkerId, Zone},
+    ids::{InstanceId, Map, ServiceId, Set, SoftwareVersion, WorkerId, Zone},
     mutex::lock,
 };
 
@@ -82,6 +82,7 @@
     number: u64,
     service: ServiceId,
     tried: Vec<WorkerId>,
+    version: Option<SoftwareVersion>,
     deadline: Duration,
     grant: Sender<Grant>,
 }
@@ -91,6 +92,7 @@
         Requirements {
             service: &self.service,
             tried: &self.tried,
+            version: self.version.as_ref(),
         }
     }
 }
@@ -231,6 +233,25 @@
         self.lock().fleet.has_ready_worker(service, self.now())
     }
 
+    /// Returns whether a worker of a service with a version takes requests.
+    pub fn serves_version(&self, service: &ServiceId, version: &SoftwareVersion) -> bool {
+        self.versions(service).contains(version)
+    }
+
+    /// Returns the versions of the workers of a service that take requests.
+    pub fn versions(&self, service: &ServiceId) -> Set<SoftwareVersion> {
+        let now = self.now();
+        let state = self.lock();
+        let workers = state.fleet.workers();
+        let serving = workers.filter(|w| w.is_ready(now) && w.service == *service);
+        serving.map(|w| w.version.clone()).collect()
+    }
+
+    /// Returns the slots of the workers that take requests, by service and version.
+    pub fn slots_by_version(&self) -> Map<ServiceId, Map<SoftwareVersion, u32>> {
+        self.lock().fleet.slots_by_version(self.now())
+    }
+
     /// Waits until the levels or the backlog of this instance change.
     pub async fn changed(&self) {
         let _ = self.changed.1.recv().await;
@@ -419,6 +440,11 @@
                 drop(state);
                 return Ok(self.placement(grant));
             }
+            self.ask(&mut state, requirements, Class::Online, 2);
+            if !state.fleet.may_place(requirements, max_wait, self.now()) {
+                drop(state);
+                return Err(self.busy());
+            }
             let (grant, granted) = bounded(1);
             let number = state.next_number;
             state.next_number += 1;
@@ -426,6 +452,7 @@
                 number,
                 service: requirements.service.clone(),
                 tried: requirements.tried.to_vec(),
+                version: requirements.version.cloned(),
                 deadline: self.now() + max_wait,
                 grant,
             });
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -120,6 +120,8 @@
     pub service: &'a ServiceId,
     /// Workers to leave out, since the request was already sent to them.
     pub tried: &'a [WorkerId],
+    /// Version of the software that the worker must have, if a stream goes on or has to be able to.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 /// Workers and the requests in flight on them, as known to one instance.
@@ -500,12 +502,23 @@
     ) -> impl Iterator<Item = (&'a WorkerKey, &'a Arc<Worker>)> {
         self.workers.iter().filter(move |(_, w)| {
             let serves = w.is_ready(now) && w.service == *requirements.service;
-            serves && !requirements.tried.contains(&w.id)
+            let fits = requirements.version.is_none_or(|v| w.version == *v);
+            serves && fits && !requirements.tried.contains(&w.id)
         })
     }
 
-    /// Returns whether the limits of the workers leave an online request a chance to be placed within
-    /// a time.
+    /// Returns the slots of the workers of a service that take requests, by version.
+    pub fn slots_by_version(&self, now: Duration) -> Map<ServiceId, Map<SoftwareVersion, u32>> {
+        let mut slots: Map<ServiceId, Map<SoftwareVersion, u32>> = Map::default();
+        for worker in self.workers.values().filter(|w| w.is_ready(now)) {
+            let versions = slots.entry(worker.service.clone()).or_default();
+            *versions.entry(worker.version.clone()).or_default() += worker.slots;
+        }
+        slots
+    }
+
+    /// Returns whether an online request has a chance to be placed within a time, by the versions and
+    /// limits of the workers.
     pub fn may_place(
         &self,
         requirements: &Requirements<'_>,
@@ -513,7 +526,8 @@
         now: Duration,
     ) -> bool {
         let mut candidates = self.candidates(requirements, now).peekable();
-        candidates.peek().is_none()
+        let is_unknown = candidates.peek().is_none() && requirements.version.is_none();
+        is_unknown
             || candidates.any(|(_, w)| match self.limits.wait(w, Class::Online, now) {
                 Some(wait) => wait <= max_wait,
                 None => self.limits.may_ask(w, now) || self.limits.is_asked(w, now),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,8 +12,9 @@
 use crate::{
     adapter::headers,
     event,
-    ids::{Fingerprint, RequestId, ServiceId, WorkerId},
+    ids::{Fingerprint, RequestId, ServiceId, SoftwareVersion, WorkerId},
     metrics::{self, CallEnd},
+    ownership,
 };
 
 use super::{
@@ -27,6 +28,7 @@
     splice::Form,
     sse::Events,
     takeover::Overlap,
+    versions::{Origin, StreamCall},
 };
 
 /// Share of the objective that a request may wait for a worker before it is refused. An early
@@ -63,6 +65,14 @@
     pub origin: Option<RequestId>,
 }
 
+impl Call {
+    /// Returns the id of the call that began the stream.
+    pub fn stream_id(&self) -> &RequestId {
+        let taken_up = self.after.and(self.origin.as_ref());
+        taken_up.unwrap_or(&self.id)
+    }
+}
+
 /// A worker's answer of which the head was received.
 pub struct StartedAnswer {
     /// The worker.
@@ -80,6 +90,8 @@
     NotRun(Busy),
     /// The call has not run and will not, as such calls crash workers.
     Blocked(Busy),
+    /// The call has not run and will not, as no worker may continue the stream.
+    NotResumable,
     /// The call may have run.
     MayHaveRun(String),
     /// The timeout of the route or the deadline of the caller has passed.
@@ -93,6 +105,7 @@
         match self {
             Self::NotRun(_) => f.write_str("no worker is free"),
             Self::Blocked(_) => f.write_str(CRASHING),
+            Self::NotResumable => f.write_str("no worker of the version of the stream is known"),
             Self::MayHaveRun(reason) => f.write_str(reason),
             Self::TimedOut => f.write_str("the time is over"),
             Self::Answered(answer) => write!(f, "a worker answered {}", answer.status()),
@@ -109,6 +122,8 @@
     pub call: Call,
     pub(super) gateway: Arc<Gateway>,
     pub(super) service: ServiceId,
+    /// Version of the software at which the stream begins and goes on, if it may be resumed.
+    pub(super) version: Option<SoftwareVersion>,
     /// The parts of the prompt, then the call itself.
     pub(super) marks: Vec<Mark>,
     pub(super) fingerprint: Fingerprint,
@@ -130,7 +145,8 @@
 
 /// Forwards a call and returns the answer for the caller.
 pub async fn forward(gateway: Arc<Gateway>, route: Arc<Route>, call: Call) -> Response<CallerBody> {
-    let Some(service) = route.service(fastrand::f64()).cloned() else {
+    let draw = service_draw(&route, &call);
+    let Some(service) = route.service(draw).cloned() else {
         return refuse(
             &call.id,
             StatusCode::SERVICE_UNAVAILABLE,
@@ -142,11 +158,13 @@
     let mut marks = marks::of_parts(headers::decode_parts(&call.headers));
     let fingerprint = marks::fingerprint(&call);
     marks.push(Mark::Request(fingerprint));
-    let session = Session {
+    let origin = stream_origin(&gateway, &service, &route, &call);
+    let mut session = Session {
         deadline: call.received + limit,
         gateway,
         route,
         service,
+        version: None,
         marks,
         fingerprint,
         recalled: None,
@@ -158,9 +176,54 @@
         sent: Overlap::default(),
         takeover: None,
     };
+    match origin {
+        Some(Origin::Version(version)) => session.version = Some(version),
+        Some(Origin::Unclear) if session.call.after.is_some() => {
+            return session.fail(Failure::NotResumable);
+        }
+        Some(Origin::Unclear) => {
+            let busy = session.gateway.dispatch.busy();
+            return session.fail(Failure::NotRun(busy));
+        }
+        None => {}
+    }
     session.run().await
 }
 
+/// Returns the number between 0 and 1 that decides which service of its route runs a call. A stream
+/// that is taken up goes on at the service that began it.
+fn service_draw(route: &Route, call: &Call) -> f64 {
+    match route.kind {
+        RouteKind::Stream { resumable: true } => {
+            let hash = ownership::score(&route.name, call.stream_id());
+            hash as f64 / u64::MAX as f64
+        }
+        _ => fastrand::f64(),
+    }
+}
+
+/// Returns the version at which the stream of a call has to begin or go on, or `None` for a call whose
+/// answer is never resumed.
+fn stream_origin(
+    gateway: &Gateway,
+    service: &ServiceId,
+    route: &Route,
+    call: &Call,
+) -> Option<Origin> {
+    let RouteKind::Stream { resumable: true } = route.kind else {
+        return None;
+    };
+    Some(gateway.stream_version(&StreamCall {
+        service,
+        route: &route.name,
+        timeout: route.timeout,
+        id: &call.id,
+        resumes: call.after.is_some(),
+        origin: call.origin.as_deref(),
+        deadline: call.deadline,
+    }))
+}
+
 impl Session {
     async fn run(mut self) -> Response<CallerBody> {
         let max_wait = self.route.objective.mul_f64(QUEUE_WAIT_SHARE);
@@ -181,7 +244,7 @@
     fn fail(&mut self, failure: Failure) -> Response<CallerBody> {
         let reason = failure.to_string();
         let (status, end) = match &failure {
-            Failure::NotRun(_) | Failure::Blocked(_) => {
+            Failure::NotRun(_) | Failure::Blocked(_) | Failure::NotResumable => {
                 (StatusCode::SERVICE_UNAVAILABLE, CallEnd::NotRun)
             }
             Failure::MayHaveRun(_) => (StatusCode::BAD_GATEWAY, CallEnd::MayHaveRun),
@@ -213,7 +276,7 @@
             Failure::NotRun(busy) | Failure::Blocked(busy) => {
                 refuse(&self.call.id, status, &reason, Some(busy.retry_after))
             }
-            Failure::MayHaveRun(_) | Failure::TimedOut => {
+            Failure::NotResumable | Failure::MayHaveRun(_) | Failure::TimedOut => {
                 refuse(&self.call.id, status, &reason, None)
             }
         }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     adapter::{headers::AnswerTerms, store::Store},
+    clock,
     drain::{Drain, Phase},
     event, fnv,
     ids::{JobId, RequestId, SessionId, WorkerId},
@@ -34,6 +35,7 @@
     suspects::{Admission, Suspects},
     sync::Views,
     upstream::Upstream,
+    versions::{Origin, StreamCall, Streams},
     worker_limits::{Announced, Change, Observation},
 };
 
@@ -64,6 +66,7 @@
     pub views: Mutex<Views>,
     peers: Mutex<Peers>,
     suspects: Mutex<Suspects>,
+    streams: Mutex<Streams>,
     /// The last read of the requests that are blocked by others.
     pub recall: Mutex<Option<Recall>>,
     store_reached: AtomicBool,
@@ -84,6 +87,7 @@
             views: Mutex::default(),
             peers: Mutex::default(),
             suspects: Mutex::default(),
+            streams: Mutex::default(),
             recall: Mutex::default(),
             store_reached: AtomicBool::new(true),
         })
@@ -109,6 +113,18 @@
         lock(&self.suspects)
     }
 
+    /// Returns what is known of the versions that begin streams.
+    pub fn streams(&self) -> MutexGuard<'_, Streams> {
+        lock(&self.streams)
+    }
+
+    /// Returns the version at which a stream has to begin or go on.
+    pub fn stream_version(&self, call: &StreamCall<'_>) -> Origin {
+        let serving = self.dispatch.versions(call.service);
+        let now = clock::unix_millis();
+        self.streams().version(call, &serving, now)
+    }
+
     /// Records that the connection of an attempt broke.
     pub fn record_crash(&self, marks: &[Mark], request: &str, worker: &WorkerId) {
         let attempt = (fleet::key(worker), fnv::hash32(request.bytes()));
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,7 +2,7 @@
 //!
 //! A message is the heartbeat of its sender, followed by heartbeats of other zones that the sender
 //! passes on to its neighbours. A report of requests that crash workers is a message of its
-//! own, which exists only after crashes. So are messages on limits of workers.
+//! own, which exists only after crashes. So are messages on limits and versions of workers.
 
 use std::{
     net::{SocketAddr, UdpSocket},
@@ -17,7 +17,7 @@
 use crate::{
     drain::Phase,
     event, fnv,
-    ids::{InstanceId, JobId, Map, SessionId, Set, WorkerId},
+    ids::{InstanceId, JobId, Map, ServiceId, SessionId, Set, WorkerId},
     mutex::lock,
 };
 
@@ -31,6 +31,7 @@
     pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
+    versions::History,
     worker_limits::{Change, Notice, Reply},
 };
 
@@ -46,8 +47,8 @@
 /// First bytes of a report. No heartbeat begins so: its sender would have no name, and a session that
 /// is no number.
 const REPORT_MARK: [u8; 11] = [0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 255];
-/// First bytes of a message on limits of workers; no heartbeat begins so either.
-const LIMIT_MARK: [u8; 11] = [0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 254];
+/// First bytes of a message on limits and versions of workers; no heartbeat begins so either.
+const FLEET_MARK: [u8; 11] = [0, 255, 255, 255, 255, 255, 255, 255, 255, 255, 254];
 /// Interval at which an instance checks which limited workers it leads.
 const LEAD_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which an instance sends all that it knows of crashes to some others, for those that
@@ -76,16 +77,18 @@
     pub members: Sender<()>,
 }
 
-/// Message on limits of workers.
+/// Message on limits and versions of workers.
 #[derive(Debug)]
 #[derive(Serialize, Deserialize)]
-enum LimitMessage {
+enum FleetMessage {
     /// What the sender knows.
     Notices(Vec<Notice>),
     /// Asks the leader of a worker whether a request of a class may be sent.
     Ask(Notice, Class),
     /// Answers the question for a worker.
     Answer(WorkerId, Reply),
+    /// Shares of the versions in new streams, by service.
+    Histories(Vec<(ServiceId, History)>),
 }
 
 /// Exchanges heartbeats with the other instances forever.
@@ -141,6 +144,7 @@
         }
         send_reports(gateway, socket, &mut report_due);
         send_limits(gateway, socket, &mut limits_due);
+        send_histories(gateway, socket);
         if now >= lead_due {
             lead_due = now + LEAD_INTERVAL;
             gateway.update_limit_shares();
@@ -222,8 +226,8 @@
     for (notice, _) in changed {
         let worker = gateway.dispatch.worker(&notice.worker);
         if let Some(leader) = worker.and_then(|w| gateway.limit_leader(&w)) {
-            let message = LimitMessage::Notices(vec![notice]);
-            send_limit_message(socket, &message, &Set::from_iter([leader]));
+            let message = FleetMessage::Notices(vec![notice]);
+            send_fleet_message(socket, &message, &Set::from_iter([leader]));
         }
     }
     if news.is_empty() && now < *due {
@@ -238,28 +242,47 @@
     drop(peers);
     if !news.is_empty() {
         let all = live.iter().copied().collect();
-        send_limit_message(socket, &LimitMessage::Notices(news), &all);
+        send_fleet_message(socket, &FleetMessage::Notices(news), &all);
     }
     if now >= *due {
         *due = now + REPORT_INTERVAL;
         let some = fastrand::choose_multiple(live, REPORT_TARGETS);
-        send_notices(gateway, socket, &some.into_iter().collect());
+        send_fleet_state(gateway, socket, &some.into_iter().collect());
     }
 }
 
-fn send_notices(gateway: &Gateway, socket: &Async<UdpSocket>, targets: &Set<SocketAddr>) {
+/// Sends new shares of versions to all instances.
+fn send_histories(gateway: &Gateway, socket: &Async<UdpSocket>) {
+    let histories = gateway.streams().take_news();
+    if histories.is_empty() {
+        return;
+    }
+    let peers = gateway.peers();
+    let all = peers.live(gateway.now()).map(|h| h.address).collect();
+    drop(peers);
+    send_fleet_message(socket, &FleetMessage::Histories(histories), &all);
+    // The next message follows after the minimum interval.
+    gateway.dispatch.notify();
+}
+
+/// Sends all that is known of limits and versions.
+fn send_fleet_state(gateway: &Gateway, socket: &Async<UdpSocket>, targets: &Set<SocketAddr>) {
     let notices = gateway.dispatch.limits();
     for notices in notices.chunks(MAX_NOTICES) {
-        send_limit_message(socket, &LimitMessage::Notices(notices.to_vec()), targets);
+        send_fleet_message(socket, &FleetMessage::Notices(notices.to_vec()), targets);
+    }
+    let histories = gateway.streams().histories();
+    if !histories.is_empty() {
+        send_fleet_message(socket, &FleetMessage::Histories(histories), targets);
     }
 }
 
-fn send_limit_message(
+fn send_fleet_message(
     socket: &Async<UdpSocket>,
-    message: &LimitMessage,
+    message: &FleetMessage,
     targets: &Set<SocketAddr>,
 ) {
-    match postcard::to_extend(message, LIMIT_MARK.to_vec()) {
+    match postcard::to_extend(message, FLEET_MARK.to_vec()) {
         Ok(message) => send_all(socket, &message, targets),
         Err(e) => event!(Warn, MessageInvalid, "reason=\"{e}\""),
     }
@@ -270,15 +293,15 @@
     while let Some(ask) = gateway.dispatch.next_ask().await {
         match gateway.limit_leader(&ask.worker) {
             Some(leader) => {
-                let message = LimitMessage::Ask(ask.notice, ask.class);
-                send_limit_message(socket, &message, &Set::from_iter([leader]));
+                let message = FleetMessage::Ask(ask.notice, ask.class);
+                send_fleet_message(socket, &message, &Set::from_iter([leader]));
             }
             None => gateway.update_limit_shares(),
         }
     }
 }
 
-fn read_limit_message(
+fn read_fleet_message(
     gateway: &Gateway,
     socket: &Async<UdpSocket>,
     message: &[u8],
@@ -292,15 +315,21 @@
         }
     };
     match message {
-        LimitMessage::Notices(notices) => gateway.dispatch.hear_limits(&notices),
-        LimitMessage::Ask(notice, class) => {
+        FleetMessage::Histories(histories) => {
+            let mut streams = gateway.streams();
+            for (service, history) in histories {
+                streams.merge(service, history);
+            }
+        }
+        FleetMessage::Notices(notices) => gateway.dispatch.hear_limits(&notices),
+        FleetMessage::Ask(notice, class) => {
             let answer = match gateway.dispatch.grant(&notice, class) {
-                Some(reply) => LimitMessage::Answer(notice.worker, reply),
-                None => LimitMessage::Notices(gateway.dispatch.limits()),
+                Some(reply) => FleetMessage::Answer(notice.worker, reply),
+                None => FleetMessage::Notices(gateway.dispatch.limits()),
             };
-            send_limit_message(socket, &answer, &Set::from_iter([sender]));
+            send_fleet_message(socket, &answer, &Set::from_iter([sender]));
         }
-        LimitMessage::Answer(worker, reply) => {
+        FleetMessage::Answer(worker, reply) => {
             gateway.dispatch.accept(&worker, reply);
             if gateway.jobs.backlog() != Backlog::default() {
                 gateway.jobs.notify_runner();
@@ -434,8 +463,8 @@
         let message = &buffer[..count];
         if let Some(report) = message.strip_prefix(&REPORT_MARK) {
             read_report(gateway, report);
-        } else if let Some(message) = message.strip_prefix(&LIMIT_MARK) {
-            read_limit_message(gateway, socket, message, sender);
+        } else if let Some(message) = message.strip_prefix(&FLEET_MARK) {
+            read_fleet_message(gateway, socket, message, sender);
         } else {
             let joined = read_message(gateway, message, updates, relayed);
             greet(gateway, socket, joined);
@@ -450,13 +479,13 @@
     }
 }
 
-/// Sends all that is known of limits and crashes to instances that joined. A restarted one has
+/// Sends all that is known of limits, versions and crashes to instances that joined. A restarted one has
 /// forgotten it, and would crash workers again until the next report happens to reach it.
 fn greet(gateway: &Gateway, socket: &Async<UdpSocket>, joined: Set<SocketAddr>) {
     if joined.is_empty() {
         return;
     }
-    send_notices(gateway, socket, &joined);
+    send_fleet_state(gateway, socket, &joined);
     if gateway.suspects().is_empty() {
         return;
     }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -10,7 +10,7 @@
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::{ItemId, JobId},
+    ids::{ItemId, JobId, SoftwareVersion},
     metrics::{self, ItemStatus},
     mutex::lock,
 };
@@ -139,6 +139,7 @@
             self.gateway.jobs.record_run(time, output.last.unwrap_or(0));
         }
         let worker = placement.worker.id.clone();
+        let version = placement.worker.version.clone();
         if let RunEnd::Broken(broken) = &end
             && broken.is_crash()
         {
@@ -146,7 +147,7 @@
                 .record_crash(&self.item.marks(), &self.item.id, &worker);
         }
         drop(placement);
-        self.record_end(end, output, &worker);
+        self.record_end(end, output, &worker, version);
         self.gateway.jobs.notify_runner();
     }
 
@@ -282,7 +283,7 @@
     }
 
     /// Records the end of the run in the state of the job.
-    fn record_end(&self, end: RunEnd, output: Output, worker: &str) {
+    fn record_end(&self, end: RunEnd, output: Output, worker: &str, version: SoftwareVersion) {
         let now = self.gateway.now();
         let mut job = lock(&self.shared);
         let Some(progress) = job.progress(&self.item.id) else {
@@ -296,6 +297,7 @@
             _ => output.resumable(),
         });
         progress.last = last;
+        progress.version = Some(version);
         let id = &self.item.id;
         match end {
             RunEnd::Whole => {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     adapter::headers,
-    ids::{ItemId, JobId, Map, ServiceId, Set},
+    ids::{ItemId, JobId, Map, ServiceId, Set, SoftwareVersion},
 };
 
 use super::{
@@ -153,6 +153,10 @@
     pub failures: u32,
     /// How the item ended, or `None` for an unfinished item.
     pub verdict: Option<Verdict>,
+    /// Version of the software that wrote the text. Instances of earlier releases cannot read it
+    /// here, so it goes beside the item.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Progress of an unfinished item.
@@ -162,6 +166,8 @@
     pub text: Vec<Arc<str>>,
     /// Number of the last event.
     pub last: Option<u64>,
+    /// Version of the software that wrote the text.
+    pub version: Option<SoftwareVersion>,
     /// Runs that ended with an error from the worker.
     pub failures: u32,
     /// Runs whose worker closed the connection.
@@ -301,6 +307,21 @@
         self.unfinished.get(item).and_then(|p| p.last)
     }
 
+    /// Returns the version that wrote the text of an unfinished item, if it has any.
+    pub fn text_version(&self, item: &str) -> Option<&SoftwareVersion> {
+        let progress = self.unfinished.get(item)?;
+        progress.last.and(progress.version.as_ref())
+    }
+
+    /// Drops the text of an unfinished item, which starts again from its beginning.
+    pub fn drop_text(&mut self, item: &str) {
+        if let Some(progress) = self.unfinished.get_mut(item) {
+            progress.text.clear();
+            progress.last = None;
+            progress.version = None;
+        }
+    }
+
     /// Records the end of an item, and returns how it ended. An item whose output can be neither
     /// stored nor read is given up. A second end of the same item is ignored.
     pub fn finish(
@@ -409,6 +430,7 @@
             last: None,
             failures: 0,
             verdict: Some(f.outcome.verdict),
+            version: None,
         });
         let unfinished = self
             .unfinished
@@ -420,6 +442,7 @@
             last: p.last,
             failures: p.failures,
             verdict: None,
+            version: p.version.clone(),
         });
         done.chain(unfinished).collect()
     }
@@ -436,8 +459,10 @@
                 continue;
             };
             progress.failures = progress.failures.max(part.failures);
-            if !progress.running && progress.last < part.last {
+            // A text of an unknown version cannot go on.
+            if !progress.running && progress.last < part.last && part.version.is_some() {
                 progress.last = part.last;
+                progress.version = part.version;
                 progress.text = vec![part.text];
             }
         }
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -7,7 +7,7 @@
 use crate::{
     adapter::store::StoreError,
     event,
-    ids::{JobId, ServiceId, Set},
+    ids::{JobId, ServiceId, Set, SoftwareVersion},
     mutex::lock,
 };
 
@@ -56,7 +56,7 @@
     let mut jobs = runnable_jobs(gateway, &config, &running);
     jobs.sort_by_key(|j| j.submitted);
     let mut unfinished = false;
-    let mut full: Set<ServiceId> = Set::default();
+    let mut full: Set<Target> = Set::default();
     let mut waiting: Vec<(u32, u64)> = Vec::new();
     let mut backlog = Backlog::default();
     for runnable in &jobs {
@@ -184,6 +184,26 @@
     route.filter(|r| r.batch().is_some()).cloned()
 }
 
+/// Service of an item, and the version that wrote its text if it has one.
+type Target = (ServiceId, Option<SoftwareVersion>);
+
+/// Returns the version that wrote the text of an item. A text whose version has no worker left is
+/// dropped.
+fn text_version(
+    gateway: &Gateway,
+    runnable: &RunnableJob,
+    item: &Item,
+    service: &ServiceId,
+) -> Option<SoftwareVersion> {
+    let mut job = lock(&runnable.job);
+    let version = job.text_version(&item.id)?.clone();
+    if gateway.dispatch.serves_version(service, &version) {
+        return Some(version);
+    }
+    job.drop_text(&item.id);
+    None
+}
+
 /// Starts an item of a job whose service is not full, and returns whether one was started.
 fn start_item(
     gateway: &Arc<Gateway>,
@@ -191,23 +211,25 @@
     runnable: &RunnableJob,
     urgency: Urgency,
     now: Duration,
-    full: &mut Set<ServiceId>,
+    full: &mut Set<Target>,
 ) -> bool {
     let shared = &runnable.job;
     let (item, placement, yield_request) = loop {
         let Some((item, service)) = next_item(gateway, config, runnable, urgency, now, full) else {
             return false;
         };
+        let version = text_version(gateway, runnable, &item, &service);
         let requirements = Requirements {
             service: &service,
             tried: &[],
+            version: version.as_ref(),
         };
         if let Some((placement, yield_request)) =
             gateway.dispatch.place_batch(&requirements, urgency)
         {
             break (item, placement, yield_request);
         }
-        full.insert(service);
+        full.insert((service, version));
     };
     let mut job = lock(shared);
     let Some(progress) = job.progress(&item.id) else {
@@ -236,9 +258,10 @@
     runnable: &RunnableJob,
     urgency: Urgency,
     now: Duration,
-    full: &Set<ServiceId>,
+    full: &Set<Target>,
 ) -> Option<(Item, ServiceId)> {
-    if !full.is_empty() && runnable.services(config).iter().all(|s| full.contains(s)) {
+    let is_full = |service: &ServiceId| full.contains(&(service.clone(), None));
+    if !full.is_empty() && runnable.services(config).iter().all(is_full) {
         return None;
     }
     let job = lock(&runnable.job);
@@ -253,7 +276,9 @@
     items.into_iter().find_map(|item| {
         let route = runnable.item_route(config, host, item);
         let service = route.service(fastrand::f64())?;
-        let can_start = !full.contains(service) && is_admitted(item);
+        let version = job.text_version(&item.id).cloned();
+        let is_full = is_full(service) || full.contains(&(service.clone(), version));
+        let can_start = !is_full && is_admitted(item);
         can_start.then(|| (item.clone(), service.clone()))
     })
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -42,5 +42,7 @@
 pub mod sync;
 pub mod takeover;
 pub mod upstream;
+pub mod version_store;
+pub mod versions;
 pub mod view;
 pub mod worker_limits;
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -8,7 +8,10 @@
 use hyper::{Request, Response, StatusCode, body::Incoming, header};
 use serde::{Deserialize, Serialize};
 
-use crate::{ids::JobId, metrics};
+use crate::{
+    ids::{JobId, SoftwareVersion},
+    metrics,
+};
 
 use super::{
     answer::{CallerBody, full_body, text_answer},
@@ -39,6 +42,8 @@
     HandOver(JobId, Vec<ItemHandover>),
     /// Asks the receiver to take over a job that no instance runs, or to remove one that expired.
     Check(JobId),
+    /// Hands a job over to the receiver, with the versions of the software that wrote the texts.
+    HandOverTexts(JobId, Vec<ItemHandover>, Vec<Option<SoftwareVersion>>),
 }
 
 /// Forwards a caller's call for a job.
@@ -71,7 +76,9 @@
     job: &JobId,
     parts: Vec<ItemHandover>,
 ) -> anyhow::Result<()> {
-    call_ok(address, &PeerCall::HandOver(job.clone(), parts)).await?;
+    let versions = parts.iter().map(|p| p.version.clone()).collect();
+    let call = PeerCall::HandOverTexts(job.clone(), parts, versions);
+    call_ok(address, &call).await?;
     Ok(())
 }
 
@@ -109,7 +116,7 @@
     let kind = match call {
         PeerCall::Job(_) => metrics::PeerCall::Job,
         PeerCall::Snapshot => metrics::PeerCall::Snapshot,
-        PeerCall::HandOver(..) => metrics::PeerCall::HandOver,
+        PeerCall::HandOver(..) | PeerCall::HandOverTexts(..) => metrics::PeerCall::HandOver,
         PeerCall::Check(_) => metrics::PeerCall::Check,
     };
     metrics::peer_call(kind, answer.is_ok());
@@ -141,11 +148,12 @@
     };
     match postcard::from_bytes(&body) {
         Ok(PeerCall::Job(request)) => job_api::answer_locally(&gateway, &request).await,
-        Ok(PeerCall::HandOver(job, parts)) => {
-            match job_store::take_over(&gateway, &job, parts).await {
-                Ok(()) => text_answer(StatusCode::OK, "taken over", None),
-                Err(e) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
+        Ok(PeerCall::HandOver(job, parts)) => take_over(&gateway, &job, parts).await,
+        Ok(PeerCall::HandOverTexts(job, mut parts, versions)) => {
+            for (part, version) in parts.iter_mut().zip(versions) {
+                part.version = version;
             }
+            take_over(&gateway, &job, parts).await
         }
         Ok(PeerCall::Check(job)) => match sweep::check(&gateway, &job).await {
             Ok(true) => text_answer(StatusCode::OK, "checked", None),
@@ -162,3 +170,14 @@
         Err(e) => text_answer(StatusCode::BAD_REQUEST, &e.to_string(), None),
     }
 }
+
+async fn take_over(
+    gateway: &Arc<Gateway>,
+    job: &JobId,
+    parts: Vec<ItemHandover>,
+) -> Response<CallerBody> {
+    match job_store::take_over(gateway, job, parts).await {
+        Ok(()) => text_answer(StatusCode::OK, "taken over", None),
+        Err(e) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
+    }
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -30,6 +30,7 @@
     settings::{KeeperSettings, Settings},
     sweep,
     sync::{self, Kind},
+    version_store,
 };
 
 /// Object kind of the entries with which instances find each other.
@@ -100,6 +101,7 @@
     control
         .spawn(block_store::read_first(gateway.clone()))
         .detach();
+    control.spawn(version_store::run(gateway.clone())).detach();
     control
         .spawn(gossip::run(gateway.clone(), socket, updates))
         .detach();
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -167,6 +167,7 @@
         let requirements = Requirements {
             service: &self.service,
             tried: &self.tried,
+            version: self.version.as_ref(),
         };
         let dispatch = &self.gateway.dispatch;
         if self.takeover.is_some() {
--- /dev/null
+++ b/src/gateway/versions.rs
@@ -0,0 +1,325 @@
+//! Versions of the workers' software, and the choice of the version that begins a stream (no I/O).
+//!
+//! What two versions write does not fit together, so a stream goes on only at the version that began
+//! it. That version follows from the id of the call that began the stream and from the shares of the
+//! versions, which change seldom and are stored. Any instance can so work it out again, also after
+//! the loss of all instances.
+
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::{Map, ServiceId, Set, SoftwareVersion},
+    ownership,
+};
+
+/// Time within which all instances use new shares, counted from the time that they bear.
+pub const NEWS_DELAY: Duration = Duration::from_millis(500);
+/// Time that a call may be on its way, and differences between clocks.
+const CLOCK_SLACK: Duration = Duration::from_millis(200);
+/// Minimum time between two changes of the shares, unless a version has no worker left.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
+/// Difference between the share of a version and its part of the slots from which on shares change.
+/// Each change makes the origin of some streams unclear for as long as callers take them up.
+const MIN_CHANGE: u32 = PARTS / 8;
+/// Shares are counted in parts of this number.
+const PARTS: u32 = 1000;
+/// Time for which earlier shares are kept; callers wait a few seconds for a stream.
+const KEPT: Duration = Duration::from_secs(60);
+/// Maximum number of earlier shares that are kept.
+const MAX_KEPT: usize = 64;
+/// Number of messages to each instance that tell new shares.
+const NEWS_MESSAGES: u32 = 3;
+/// Time for which an instance remembers the versions of the streams that it began.
+const REMEMBERED: Duration = Duration::from_secs(12);
+
+/// Shares of the versions in new streams, from a time on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Mix {
+    /// Time in ms since the Unix epoch.
+    pub since: u64,
+    /// Versions with their shares.
+    pub shares: Vec<(SoftwareVersion, u32)>,
+}
+
+/// Shares of the versions of a service over the last time, oldest first.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct History {
+    /// Number of changes, which orders histories.
+    pub number: u64,
+    /// The shares.
+    pub mixes: Vec<Mix>,
+}
+
+/// Version that began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Origin {
+    /// The stream can only have begun at this version.
+    Version(SoftwareVersion),
+    /// The stream may have begun at one of several versions.
+    Unclear,
+}
+
+impl Mix {
+    /// Returns the version that begins the stream of a call: by weighted rendezvous hashing, so that
+    /// a change of the shares moves as few calls as possible.
+    pub fn choose(&self, call: &str) -> Option<&SoftwareVersion> {
+        let weighted = self.shares.iter().filter(|(_, share)| *share > 0);
+        let score = |(version, share): &&(SoftwareVersion, u32)| {
+            let hash = ownership::score(call, version) >> 11;
+            let unit = (hash as f64 + 0.5) / (1_u64 << 53) as f64;
+            f64::from(*share) / -unit.ln()
+        };
+        let best = weighted.max_by(|a, b| score(a).total_cmp(&score(b)));
+        best.map(|(version, _)| version)
+    }
+
+    fn share(&self, version: &str) -> u32 {
+        let mut shares = self.shares.iter();
+        let found = shares.find(|(v, _)| **v == *version);
+        found.map_or(0, |(_, share)| *share)
+    }
+}
+
+impl History {
+    /// Returns the version that begins the stream of a call now.
+    pub fn choose(&self, call: &str) -> Option<&SoftwareVersion> {
+        self.mixes.last()?.choose(call)
+    }
+
+    /// Returns the version that began the stream of a call at an unknown time since `from`, both in
+    /// ms since the Unix epoch. Without a call, the version has to be the only one.
+    pub fn origin(&self, call: Option<&str>, from: u64) -> Origin {
+        let from = from.saturating_sub(millis(NEWS_DELAY + CLOCK_SLACK));
+        let ends = self.mixes.iter().skip(1).map(|m| m.since);
+        let in_force = self.mixes.iter().zip(ends.chain([u64::MAX]));
+        let in_force = in_force.filter(|(_, end)| *end > from);
+        let mut origin = None;
+        for (mix, _) in in_force {
+            let versions: Vec<&SoftwareVersion> = match call {
+                Some(call) => mix.choose(call).into_iter().collect(),
+                None => mix.shares.iter().map(|(version, _)| version).collect(),
+            };
+            for version in versions {
+                if origin.is_some_and(|o| o != version) {
+                    return Origin::Unclear;
+                }
+                origin = Some(version);
+            }
+        }
+        origin.map_or(Origin::Unclear, |v| Origin::Version(v.clone()))
+    }
+
+    /// Returns the history with new shares for the slots of the versions that take requests, or `None`
+    /// if the shares may stay as they are.
+    pub fn next(&self, slots: &Map<SoftwareVersion, u32>, now: u64) -> Option<Self> {
+        let total: u32 = slots.values().sum();
+        if total == 0 {
+            return None;
+        }
+        let target = |version: &str| {
+            let slots = slots.get(version).copied().unwrap_or_default();
+            (u64::from(slots) * u64::from(PARTS) / u64::from(total)) as u32
+        };
+        if let Some(mix) = self.mixes.last() {
+            let versions = slots
+                .keys()
+                .chain(mix.shares.iter().map(|(version, _)| version));
+            let mut changes = versions.map(|v| (mix.share(v), target(v)));
+            let is_due = now >= mix.since.saturating_add(millis(MIN_INTERVAL));
+            let must_change = changes.any(|(share, target)| {
+                let is_gone = share > 0 && target == 0;
+                is_gone || (is_due && share.abs_diff(target) > MIN_CHANGE)
+            });
+            if !must_change {
+                return None;
+            }
+        }
+        let mut shares: Vec<(SoftwareVersion, u32)> = slots
+            .keys()
+            .map(|version| (version.clone(), target(version)))
+            .filter(|(_, share)| *share > 0)
+            .collect();
+        shares.sort_by_key(|(version, share)| (Reverse(*share), version.clone()));
+        Some(self.with(vec![Mix { since: now, shares }], now))
+    }
+
+    /// Returns the history for shares that were stored, but came into use only now: until now the
+    /// shares before them were in use.
+    pub fn repeated(&self, now: u64) -> Self {
+        let [.., before, last] = &*self.mixes else {
+            return self.clone();
+        };
+        let until_now = Mix {
+            since: last.since,
+            shares: before.shares.clone(),
+        };
+        let from_now = Mix {
+            since: now,
+            shares: last.shares.clone(),
+        };
+        self.with(vec![until_now, from_now], now)
+    }
+
+    fn with(&self, more: Vec<Mix>, now: u64) -> Self {
+        let mut mixes = self.mixes.clone();
+        mixes.extend(more);
+        let oldest = now.saturating_sub(millis(KEPT));
+        let ended = mixes.iter().skip(1).take_while(|m| m.since < oldest);
+        let ended = ended.count().max(mixes.len().saturating_sub(MAX_KEPT));
+        mixes.drain(..ended);
+        Self {
+            number: self.number + 1,
+            mixes,
+        }
+    }
+}
+
+/// Versions of the streams that this instance began.
+#[derive(Debug, Default)]
+pub struct Begun {
+    streams: Map<u64, (SoftwareVersion, Duration)>,
+    pruned: Duration,
+}
+
+impl Begun {
+    /// Records the version that began the stream of a call.
+    pub fn record(&mut self, call: &str, version: &SoftwareVersion, now: Duration) {
+        if now >= self.pruned + REMEMBERED {
+            self.pruned = now;
+            self.streams.retain(|_, (_, at)| now < *at + REMEMBERED);
+        }
+        self.streams.insert(key(call), (version.clone(), now));
+    }
+
+    /// Returns the version that began the stream of a call here.
+    pub fn get(&self, call: &str) -> Option<SoftwareVersion> {
+        let (version, _) = self.streams.get(&key(call))?;
+        Some(version.clone())
+    }
+}
+
+/// A call for a stream that may be resumed.
+#[derive(Debug, Clone, Copy)]
+pub struct StreamCall<'a> {
+    /// Service that runs it.
+    pub service: &'a ServiceId,
+    /// Name of its route.
+    pub route: &'a Arc<str>,
+    /// Timeout of the route.
+    pub timeout: Duration,
+    /// Id of the call.
+    pub id: &'a str,
+    /// Whether the call takes a stream up.
+    pub resumes: bool,
+    /// Id of the call that brought the first event of that stream.
+    pub origin: Option<&'a str>,
+    /// Time that the caller still waits.
+    pub deadline: Option<Duration>,
+}
+
+/// What an instance knows of the versions that begin streams.
+#[derive(Debug, Default)]
+pub struct Streams {
+    histories: Map<ServiceId, History>,
+    is_read: bool,
+    begun: Begun,
+    /// The longest time that callers waited, by route.
+    deadlines: Map<Arc<str>, Duration>,
+    /// Histories to tell the other instances, with the number of messages that are left.
+    news: Map<ServiceId, u32>,
+}
+
+impl Streams {
+    /// Returns the version at which a stream has to begin or go on. `serving` holds the versions with
+    /// workers that take requests.
+    pub fn version(
+        &mut self,
+        call: &StreamCall<'_>,
+        serving: &Set<SoftwareVersion>,
+        now: u64,
+    ) -> Origin {
+        let longest = self.deadlines.entry(call.route.clone()).or_default();
+        *longest = call.deadline.unwrap_or_default().max(*longest);
+        let longest = call.timeout.max(*longest);
+        let history = self.histories.get(call.service);
+        if call.resumes {
+            if let Some(version) = call.origin.and_then(|id| self.begun.get(id)) {
+                return Origin::Version(version);
+            }
+            if let Some(history) = history {
+                let left = call.deadline.filter(|left| *left < longest);
+                let age = longest.saturating_sub(left.unwrap_or_default());
+                return history.origin(call.origin, now.saturating_sub(millis(age)));
+            }
+            if !self.is_read {
+                return Origin::Unclear;
+            }
+        } else if let Some(history) = history {
+            let version = history.choose(call.id).cloned();
+            return version.map_or(Origin::Unclear, Origin::Version);
+        }
+        let mut versions = serving.iter();
+        match (versions.next(), versions.next()) {
+            (Some(version), None) => Origin::Version(version.clone()),
+            _ => Origin::Unclear,
+        }
+    }
+
+    /// Records the version that began the stream of a call here.
+    pub fn record_begun(&mut self, call: &str, version: &SoftwareVersion, now: Duration) {
+        self.begun.record(call, version, now);
+    }
+
+    /// Returns the history of a service.
+    pub fn history(&self, service: &ServiceId) -> Option<&History> {
+        self.histories.get(service)
+    }
+
+    /// Returns all histories.
+    pub fn histories(&self) -> Vec<(ServiceId, History)> {
+        let histories = self.histories.iter();
+        histories.map(|(s, h)| (s.clone(), h.clone())).collect()
+    }
+
+    /// Records the histories that the store has.
+    pub fn set_read(&mut self) {
+        self.is_read = true;
+    }
+
+    /// Uses a history if it is newer.
+    pub fn merge(&mut self, service: ServiceId, history: History) {
+        let known = self.histories.get(&service);
+        if known.is_none_or(|k| k.number < history.number) {
+            self.histories.insert(service, history);
+        }
+    }
+
+    /// Tells the other instances the history of a service, several times, as messages get lost.
+    pub fn tell(&mut self, service: &ServiceId) {
+        self.news.insert(service.clone(), NEWS_MESSAGES);
+    }
+
+    /// Returns the histories to tell the other instances now.
+    pub fn take_news(&mut self) -> Vec<(ServiceId, History)> {
+        let told = self.news.keys();
+        let histories = told.filter_map(|s| Some((s.clone(), self.histories.get(s)?.clone())));
+        let histories = histories.collect();
+        self.news.retain(|_, left| {
+            *left -= 1;
+            *left > 0
+        });
+        histories
+    }
+}
+
+fn key(call: &str) -> u64 {
+    ownership::score(call, "")
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -46,6 +46,7 @@
     let requirements = Requirements {
         service: &service,
         tried,
+        version: None,
     };
     let chosen = fleet.choose_online(&requirements, &mut fastrand::Rng::with_seed(1), NOW);
     chosen.map(|w| w.id.to_string())
@@ -59,6 +60,7 @@
     let requirements = Requirements {
         service: &service,
         tried: &[],
+        version: None,
     };
     let mut rng = fastrand::Rng::with_seed(1);
     let kept = Worker {
@@ -334,6 +336,7 @@
     let requirements = Requirements {
         service: &service,
         tried: &[],
+        version: None,
     };
     let rng = &mut fastrand::Rng::with_seed(1);
     fleet
@@ -392,6 +395,7 @@
     let request = |service| Requirements {
         service,
         tried: &[],
+        version: None,
     };
     let (free, full) = (request(&free), request(&full));
     smol::block_on(async {
--- a/tests/gateway_jobs.rs
+++ b/tests/gateway_jobs.rs
@@ -144,6 +144,7 @@
     let progress = source.progress("i0").unwrap();
     progress.text = vec!["one".into(), "two".into()];
     progress.last = Some(2);
+    progress.version = Some("v1".into());
     progress.failures = 1;
     finish(&mut source, "i1", "whole");
     let parts = source.hand_over();
@@ -154,9 +155,30 @@
     assert_eq!(progress.text.join("\n"), "one\ntwo");
     assert_eq!((progress.last, progress.failures), (Some(2), 1));
     assert!(target.progress("i1").is_none());
+    assert_eq!(progress_version(&mut target, "i0"), Some("v1".into()));
     assert!(target.progress("i2").is_some());
 }
 
+/// Guards against a text that goes on at any version since an earlier release handed it over.
+#[test]
+fn a_handed_over_text_of_an_unknown_version_starts_again() {
+    let mut source = job(1);
+    let progress = source.progress("i0").unwrap();
+    progress.text = vec!["one".into()];
+    progress.last = Some(2);
+    progress.failures = 1;
+    let parts = source.hand_over();
+    let mut target = job(1);
+    target.take_over(parts, at(0));
+    let progress = target.progress("i0").unwrap();
+    assert!(progress.text.is_empty());
+    assert_eq!((progress.last, progress.failures), (None, 1));
+}
+
+fn progress_version(job: &mut Job, item: &str) -> Option<std::sync::Arc<str>> {
+    job.progress(item).and_then(|p| p.version.clone())
+}
+
 /// Guards against an output that mixes two runs: an item that is running keeps its own text.
 #[test]
 fn a_running_item_ignores_what_is_handed_over() {
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -289,6 +289,7 @@
             received: std::time::Instant::now(),
             deadline: None,
             after: None,
+            origin: None,
         })
     };
     let first = call("1", "/a?b", "c");
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -3,7 +3,10 @@
 mod gateway_support;
 mod support;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use gateway_support::{Behaviour, Instance, Store, Worker, config};
 use support::http;
@@ -11,6 +14,8 @@
 const PAUSE: Duration = Duration::from_millis(2);
 const EVENTS: u64 = 6;
 
+/// Time that callers wait, which is also the timeout of the route.
+const DEADLINE: Duration = Duration::from_secs(40);
 /// Time in which instances that were started know what versions serve.
 const SETTLE: Duration = Duration::from_secs(3);
 
@@ -32,7 +37,9 @@
         for n in 0..side.workers.len() {
             side.list(n);
         }
-        side.store.put("config", "main", config(1));
+        let mut config = config(1);
+        config["routes"][0]["timeout_ms"] = (DEADLINE.as_millis() as u64).into();
+        side.store.put("config", "main", config);
         side
     }
 
@@ -66,7 +73,8 @@
 }
 
 fn begin(instance: &Instance, id: &str) -> Option<http::Answer> {
-    let headers = [("x-request-id", id), ("x-deadline-ms", "5000")];
+    let deadline = DEADLINE.as_millis().to_string();
+    let headers = [("x-request-id", id), ("x-deadline-ms", &deadline)];
     http::call(instance.callers, "POST", &path(id), &headers, "prompt")
 }
 
@@ -75,11 +83,13 @@
     format!("/resumable/{id}")
 }
 
-/// Takes a stream up after its third event.
-fn take_up(instance: &Instance, id: &str, origin: &str) -> Option<http::Answer> {
+/// Takes a stream that began at a time up after its third event.
+fn take_up(instance: &Instance, id: &str, origin: &str, begun: Instant) -> Option<http::Answer> {
+    let left = DEADLINE.saturating_sub(begun.elapsed()).as_millis();
+    let left = left.to_string();
     let headers = [
         ("x-request-id", id),
-        ("x-deadline-ms", "4500"),
+        ("x-deadline-ms", &*left),
         ("last-event-id", "2"),
         ("resumes", origin),
     ];
@@ -89,11 +99,12 @@
 /// Breaks streams at one instance and takes them up at another. Returns how many went on, and fails if
 /// any went on at another version.
 fn went_on(side: &Side, count: usize, begin_at: &Instance, take_up_at: &Instance) -> usize {
-    let ids = break_streams(side, count, begin_at);
-    take_all_up(side, &ids, take_up_at)
+    let (ids, begun) = break_streams(side, count, begin_at);
+    take_all_up(side, &ids, begun, take_up_at)
 }
 
-fn break_streams(side: &Side, count: usize, begin_at: &Instance) -> Vec<String> {
+fn break_streams(side: &Side, count: usize, begin_at: &Instance) -> (Vec<String>, Instant) {
+    let begun = Instant::now();
     let ids: Vec<String> = (0..count)
         .map(|_| format!("b{:016x}", fastrand::u64(..)))
         .collect();
@@ -102,14 +113,14 @@
         assert!(begin(begin_at, id).is_none(), "the stream breaks");
     }
     side.behave(Behaviour::Whole, 0);
-    ids
+    (ids, begun)
 }
 
-fn take_all_up(side: &Side, ids: &[String], take_up_at: &Instance) -> usize {
+fn take_all_up(side: &Side, ids: &[String], begun: Instant, take_up_at: &Instance) -> usize {
     let mut count = 0;
     for id in ids {
         let again = format!("again-{id}");
-        let answer = take_up(take_up_at, &again, id);
+        let answer = take_up(take_up_at, &again, id, begun);
         let versions = side.versions(&[id, &again]);
         assert_eq!(versions.len(), 1, "{id} at {versions:?}");
         count += usize::from(answer.is_some_and(|a| a.status == 200));
@@ -171,12 +182,12 @@
     let mut one = Instance::start("one", &side.store, &[]);
     let mut two = Instance::start("two", &side.store, &[one.peers]);
     thread::sleep(SETTLE);
-    let ids = break_streams(&side, 24, &one);
+    let (ids, begun) = break_streams(&side, 24, &one);
     one.kill();
     two.kill();
     let one = Instance::start("one", &side.store, &[]);
     let _two = Instance::start("two", &side.store, &[one.peers]);
-    let count = take_all_up(&side, &ids, &one);
+    let count = take_all_up(&side, &ids, begun, &one);
     assert!(count >= 12, "{count} of 24 went on");
 }
 
@@ -188,7 +199,7 @@
     let one = Instance::start("one", &side.store, &[]);
     let two = Instance::start("two", &side.store, &[one.peers]);
     thread::sleep(SETTLE);
-    let ids = break_streams(&side, 24, &one);
+    let (ids, begun) = break_streams(&side, 24, &one);
     for n in [0, 1] {
         side.store.remove("servers", &side.workers[n].0.id);
     }
@@ -196,7 +207,7 @@
     let mut refused = 0;
     for id in &ids {
         let again = format!("again-{id}");
-        let answer = take_up(&two, &again, id).unwrap();
+        let answer = take_up(&two, &again, id, begun).unwrap();
         assert_eq!(side.versions(&[id, &again]).len(), 1);
         refused += usize::from(answer.status == 503);
         let began_at_v1 = side.versions(&[id]) == ["v1"];
@@ -212,7 +223,12 @@
     let side = Side::start(&["v1", "v1"]);
     let one = Instance::start("one", &side.store, &[]);
     thread::sleep(SETTLE);
-    assert_eq!(take_up(&one, "a", "unknown-1").unwrap().status, 200);
+    assert_eq!(
+        take_up(&one, "a", "unknown-1", Instant::now())
+            .unwrap()
+            .status,
+        200
+    );
     let mut entry = side.workers[0].0.entry("ready");
     entry["version"] = "v2".into();
     entry["slots"] = 8.into();
--- /dev/null
+++ b/tests/stream_versions.rs
@@ -0,0 +1,270 @@
+//! Choice of the software version that begins a stream, and what is known of it later.
+
+use std::{sync::Arc, time::Duration};
+
+use gentianpath::{
+    gateway::versions::{History, Origin, StreamCall, Streams},
+    ids::{Map, Set, SoftwareVersion},
+};
+
+const START: u64 = 1_800_000_000_000;
+
+fn slots(versions: &[(&str, u32)]) -> Map<SoftwareVersion, u32> {
+    versions.iter().map(|(v, n)| ((*v).into(), *n)).collect()
+}
+
+fn calls(count: usize) -> Vec<String> {
+    (0..count)
+        .map(|n| format!("{:016x}", n * 7919 + 13))
+        .collect()
+}
+
+fn version(v: &str) -> Origin {
+    Origin::Version(v.into())
+}
+
+/// Returns the history of a release that replaces workers one by one, from one version to another.
+fn release(from: &str, to: &str, workers: u32, of: u32, pause: u64) -> Vec<(u64, History)> {
+    let first = History::default()
+        .next(&slots(&[(from, 8 * of)]), START)
+        .unwrap();
+    let mut histories = vec![(START, first)];
+    for done in 1..=workers {
+        let now = START + u64::from(done) * pause;
+        let left = slots(&[(from, 8 * (of - done)), (to, 8 * done)]);
+        let left = left.into_iter().filter(|(_, n)| *n > 0).collect();
+        let (_, last) = histories.last().unwrap();
+        if let Some(next) = last.next(&left, now) {
+            histories.push((now, next));
+        }
+    }
+    histories
+}
+
+#[test]
+fn new_streams_are_spread_by_the_shares() {
+    let history = History::default()
+        .next(&slots(&[("v1", 48), ("v2", 96)]), START)
+        .unwrap();
+    let calls = calls(3000);
+    let first = calls
+        .iter()
+        .filter(|c| history.choose(c).unwrap() == &"v1".into());
+    let first = first.count();
+    assert!((900..1100).contains(&first), "{first} of 3000 at a third");
+}
+
+#[test]
+fn a_change_of_the_shares_moves_few_streams() {
+    let before = History::default()
+        .next(&slots(&[("v1", 96), ("v2", 48)]), START)
+        .unwrap();
+    let after = before
+        .next(&slots(&[("v1", 72), ("v2", 72)]), START + 5000)
+        .unwrap();
+    let calls = calls(3000);
+    let moved = calls.iter().filter(|c| before.choose(c) != after.choose(c));
+    let moved = moved.count();
+    assert!((400..600).contains(&moved), "{moved} of 3000 for a sixth");
+}
+
+#[test]
+fn shares_change_seldom() {
+    let histories = release("v1", "v2", 18, 18, 400);
+    assert!(
+        histories.len() <= 9,
+        "{} writes for 18 workers",
+        histories.len()
+    );
+    let (_, last) = histories.last().unwrap();
+    assert_eq!(last.mixes.last().unwrap().shares, [("v2".into(), 1000)]);
+    assert!(last.next(&slots(&[("v2", 8)]), START + 60_000).is_none());
+    assert!(last.next(&slots(&[]), START + 60_000).is_none());
+}
+
+/// Both bounds: no stream goes on at another version, and at least half go on of those whose version
+/// still serves, whenever all instances are lost, and the time that a caller has waited is known.
+#[test]
+fn no_stream_is_joined_and_half_go_on_in_a_release() {
+    for (workers, pause) in [(9, 400), (18, 1200), (18, 400), (1, 400)] {
+        let histories = release("v1", "v2", workers, 18, pause);
+        let at = |time: u64| histories.iter().rev().find(|(t, _)| *t <= time);
+        let end = START + u64::from(workers) * pause + 8000;
+        let (mut known, mut unclear) = (0, 0);
+        for begun in (START + 100..end).step_by(50) {
+            // An instance that began the stream may have learned of the shares late.
+            let late = begun - fastrand::Rng::with_seed(begun).u64(0..400);
+            let (_, used) = at(late.max(START)).unwrap();
+            for call in calls(20) {
+                let began = used.choose(&call).unwrap();
+                for age in [300, 2600, 4000] {
+                    let (_, now) = at(begun + age).unwrap();
+                    match now.origin(Some(&call), begun) {
+                        Origin::Version(found) => {
+                            assert_eq!(&found, began);
+                            known += 1;
+                        }
+                        Origin::Unclear => unclear += 1,
+                    }
+                }
+            }
+        }
+        assert!(
+            known >= unclear,
+            "{workers} workers: {known} of {}",
+            known + unclear
+        );
+    }
+}
+
+#[test]
+fn a_stream_without_a_call_goes_on_only_at_the_only_version() {
+    let one = History::default()
+        .next(&slots(&[("v1", 8)]), START)
+        .unwrap();
+    assert_eq!(one.origin(None, START + 9000), version("v1"));
+    let two = one
+        .next(&slots(&[("v1", 8), ("v2", 8)]), START + 10_000)
+        .unwrap();
+    assert_eq!(two.origin(None, START + 20_000), Origin::Unclear);
+    let gone = two.next(&slots(&[("v2", 8)]), START + 30_000).unwrap();
+    assert_eq!(gone.origin(None, START + 29_000), Origin::Unclear);
+    assert_eq!(gone.origin(None, START + 40_000), version("v2"));
+}
+
+#[test]
+fn shares_that_were_stored_late_leave_the_earlier_ones_in_use_until_then() {
+    let one = History::default()
+        .next(&slots(&[("v1", 8)]), START)
+        .unwrap();
+    let two = one.next(&slots(&[("v2", 8)]), START + 10_000).unwrap();
+    let late = two.repeated(START + 14_000);
+    assert!(late.number > two.number);
+    assert_eq!(late.choose("c"), Some(&"v2".into()));
+    assert_eq!(two.origin(Some("c"), START + 13_000), version("v2"));
+    assert_eq!(late.origin(Some("c"), START + 13_000), Origin::Unclear);
+    assert_eq!(late.origin(Some("c"), START + 15_000), version("v2"));
+}
+
+struct Case {
+    service: Arc<str>,
+    route: Arc<str>,
+    serving: Set<SoftwareVersion>,
+}
+
+impl Case {
+    fn new(serving: &[&str]) -> Self {
+        Self {
+            service: "lm".into(),
+            route: "r".into(),
+            serving: serving.iter().map(|v| (*v).into()).collect(),
+        }
+    }
+
+    fn call<'a>(&'a self, id: &'a str, origin: Option<&'a str>, left: u64) -> StreamCall<'a> {
+        StreamCall {
+            service: &self.service,
+            route: &self.route,
+            timeout: Duration::from_secs(5),
+            id,
+            resumes: origin.is_some(),
+            origin,
+            deadline: Some(Duration::from_millis(left)),
+        }
+    }
+}
+
+#[test]
+fn an_instance_that_has_read_nothing_takes_no_stream_up() {
+    let case = Case::new(&["v1"]);
+    let mut streams = Streams::default();
+    let taken_up = case.call("b", Some("a"), 4000);
+    assert_eq!(
+        streams.version(&taken_up, &case.serving, START),
+        Origin::Unclear
+    );
+    let new = case.call("b", None, 5000);
+    assert_eq!(streams.version(&new, &case.serving, START), version("v1"));
+    streams.set_read();
+    assert_eq!(
+        streams.version(&taken_up, &case.serving, START),
+        version("v1")
+    );
+    let two = Case::new(&["v1", "v2"]);
+    let new = two.call("b", None, 5000);
+    assert_eq!(streams.version(&new, &two.serving, START), Origin::Unclear);
+}
+
+#[test]
+fn the_instance_that_began_a_stream_knows_its_version() {
+    let case = Case::new(&["v1", "v2"]);
+    let mut streams = Streams::default();
+    let one = History::default()
+        .next(&slots(&[("v1", 8)]), START)
+        .unwrap();
+    let two = one
+        .next(&slots(&[("v1", 8), ("v2", 8)]), START + 10_000)
+        .unwrap();
+    let call = calls(100)
+        .into_iter()
+        .find(|c| two.choose(c) == Some(&"v2".into()));
+    let call = call.unwrap();
+    streams.merge("lm".into(), two);
+    streams.merge("lm".into(), one);
+    let taken_up = case.call("b", Some(&call), 4000);
+    let now = START + 10_500;
+    assert_eq!(
+        streams.version(&taken_up, &case.serving, now),
+        Origin::Unclear
+    );
+    streams.record_begun(&call, &"v2".into(), Duration::ZERO);
+    assert_eq!(
+        streams.version(&taken_up, &case.serving, now),
+        version("v2")
+    );
+}
+
+#[test]
+fn the_time_that_a_caller_has_waited_counts_from_the_longest_one() {
+    let case = Case::new(&["v1", "v2"]);
+    let mut streams = Streams::default();
+    let one = History::default()
+        .next(&slots(&[("v1", 8)]), START)
+        .unwrap();
+    let two = one
+        .next(&slots(&[("v1", 8), ("v2", 8)]), START + 10_000)
+        .unwrap();
+    let call = calls(100)
+        .into_iter()
+        .find(|c| two.choose(c) == Some(&"v2".into()));
+    let call = call.unwrap();
+    streams.merge("lm".into(), two);
+    // The caller has waited for 1 s, and began after the change.
+    let now = START + 12_000;
+    let taken_up = case.call("b", Some(&call), 4000);
+    assert_eq!(
+        streams.version(&taken_up, &case.serving, now),
+        version("v2")
+    );
+    // Other callers of the route wait for 8 s, so that it may have waited for 4 s.
+    streams.version(&case.call("c", None, 8000), &case.serving, now);
+    assert_eq!(
+        streams.version(&taken_up, &case.serving, now),
+        Origin::Unclear
+    );
+}
+
+#[test]
+fn shares_are_told_several_times() {
+    let mut streams = Streams::default();
+    let one = History::default()
+        .next(&slots(&[("v1", 8)]), START)
+        .unwrap();
+    streams.merge("lm".into(), one);
+    assert!(streams.take_news().is_empty());
+    streams.tell(&"lm".into());
+    for _ in 0..3 {
+        assert_eq!(streams.take_news().len(), 1);
+    }
+    assert!(streams.take_news().is_empty());
+}
