--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -172,7 +172,7 @@
         let ended = ended.count().max(mixes.len().saturating_sub(MAX_KEPT));
         mixes.drain(..ended);
         Self {
-            number: self.number + 1,
+            number: self.number.saturating_add(1),
             mixes,
         }
     }
--- a/src/gateway/worker_limits.rs
+++ b/src/gateway/worker_limits.rs
@@ -300,8 +300,9 @@
     /// Sets the part of a worker's rate that this instance hands out; 0 when another instance leads
     /// the worker.
     ///
-    /// An instance that takes the lead over waits until all others have noticed that the earlier
-    /// leader is gone.
+    /// The first leader begins with all the permits that it may save up, since the worker has just
+    /// lost most of its requests. One that takes the lead over begins without any, and waits until
+    /// all others have noticed that the earlier leader is gone.
     pub fn set_share(&mut self, worker: &WorkerId, share: f64, now: Duration) {
         let Some(limit) = self.limits.get_mut(worker) else {
             return;
@@ -317,16 +318,17 @@
                 lead.share = share;
             }
             None => {
-                let pause = if limit.led_elsewhere {
-                    LIVENESS_TIMEOUT
-                } else {
-                    Duration::ZERO
-                };
-                limit.lead = Some(Lead {
+                let mut lead = Lead {
                     share,
                     permits: 0.0,
-                    updated: now + pause,
-                });
+                    updated: now,
+                };
+                if limit.led_elsewhere {
+                    lead.updated += LIVENESS_TIMEOUT;
+                } else {
+                    lead.permits = lead.capacity(rate);
+                }
+                limit.lead = Some(lead);
             }
         }
     }
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -929,6 +929,11 @@
         self.process.wait().unwrap();
     }
 
+    /// Returns whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.process.try_wait().unwrap().is_none()
+    }
+
     /// Waits until the process has ended.
     pub fn wait_end(&mut self) {
         until("the process ends", || {
--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -177,6 +177,49 @@
     }
 }
 
+/// Guards against entries of another writer that end the process: deep nesting, and numbers and ports
+/// out of range.
+#[test]
+fn an_entry_out_of_range_names_no_worker() {
+    let entry = |slots: &str, addr: &str, more: &str| {
+        format!(
+            r#"{{"service":"s","addr":"{addr}","zone":"z","slots":{slots},"state":"ready"{more}}}"#
+        )
+    };
+    let nested = format!(r#","x":{}{}"#, "[".repeat(100_000), "]".repeat(100_000));
+    for bad in [
+        entry("8", "127.0.0.1:70000", ""),
+        entry("8", "127.0.0.1:0", ""),
+        entry("0", "127.0.0.1:80", ""),
+        entry("1e999", "127.0.0.1:80", ""),
+        entry("4294967295", "127.0.0.1:80", ""),
+        entry("18446744073709551616", "127.0.0.1:80", ""),
+        entry("8", "127.0.0.1:80", r#","born":18446744073709551616"#),
+        nested.clone(),
+    ] {
+        assert!(decode_worker("i", &bad).is_err(), "{bad:.200}");
+    }
+    // A field that is not known here makes no worker unusable.
+    let worker = decode_worker("i", &entry("8", "127.0.0.1:80", &nested));
+    assert!(worker.is_ok(), "{worker:?}");
+}
+
+/// Guards against times out of range that end the process.
+#[test]
+fn times_of_a_configuration_are_bounded() {
+    for time in ["1e300", "-5", "1e18"] {
+        let spec = format!(
+            r#"{{"version":4,"routes":[{{"name":"r","host":"a","path_prefix":"/","kind":"batch",
+            "timeout_ms":{time},"goal_ms":{time},"gap_target_ms":{time},"item_ttl_s":{time},
+            "result_due_ms":{time}}}],"limits":{{"idle_timeout_ms":{time}}}}}"#
+        );
+        let config = decode_config(&spec).unwrap();
+        let end = std::time::Instant::now() + config.routes[0].timeout;
+        assert!(end + config.limits.idle >= end);
+    }
+    assert!(decode_config(r#"{"version":1,"routes":[{"timeout_ms":1e999}]}"#).is_err());
+}
+
 /// Guards against a call that is routed to the wrong service, and against a stream that runs twice.
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
