Read the instance list entry by entry

Reports of other operators: one odd entry (deep nesting, 1e999, 2^64, port 70000) stops machines from following the list.

Entries that cannot be read are left out and logged. A change that cannot be read counts as a removal, since the content before it no longer holds.

--- a/src/instance_list.rs
+++ b/src/instance_list.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use crate::ids::{InstanceId, SessionId, TargetId, Version, Zone};
 
@@ -76,8 +77,10 @@
     #[serde(default)]
     pub version: Option<Version>,
     /// Entry instances.
+    #[serde(deserialize_with = "readable")]
     pub entries: Vec<ListedEntry>,
     /// Targets.
+    #[serde(deserialize_with = "readable")]
     pub targets: Vec<ListedTarget>,
 }
 
@@ -128,23 +131,83 @@
 
 /// Answer of a service that may or may not support the parameter `since`.
 #[derive(Deserialize)]
-pub(crate) struct ListBody {
+struct ListBody {
     version: Option<Version>,
-    events: Option<Vec<ListEvent>>,
-    #[serde(default)]
+    events: Option<Vec<Box<RawValue>>>,
+    #[serde(default, deserialize_with = "readable")]
     entries: Vec<ListedEntry>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "readable")]
     targets: Vec<ListedTarget>,
 }
 
+/// Group, id and version of a change, whatever its content.
+#[derive(Deserialize)]
+struct EventKey<'a> {
+    group: &'a str,
+    id: Arc<str>,
+    version: Version,
+}
+
+/// Reads the entries of a list that can be read. Another writer may have left others there.
+fn readable<'de, D, T>(deserializer: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: DeserializeOwned,
+{
+    let entries: Vec<Box<RawValue>> = Vec::deserialize(deserializer)?;
+    Ok(entries.iter().filter_map(|e| read(e)).collect())
+}
+
+/// Reads a change. One whose content cannot be read counts as a removal, since the earlier content no
+/// longer holds.
+fn read_event(raw: &RawValue) -> Option<ListEvent> {
+    if let Ok(event) = serde_json::from_str(raw.get()) {
+        return Some(event);
+    }
+    let EventKey { group, id, version } = read_borrowed(raw)?;
+    let value = None;
+    match group {
+        "entries" => Some(ListEvent::Entries { id, version, value }),
+        "targets" => Some(ListEvent::Targets {
+            id,
+            version,
+            value: None,
+        }),
+        _ => None,
+    }
+}
+
+fn read<T: DeserializeOwned>(raw: &RawValue) -> Option<T> {
+    read_borrowed(raw)
+}
+
+fn read_borrowed<'a, T: Deserialize<'a>>(raw: &'a RawValue) -> Option<T> {
+    let entry = serde_json::from_str(raw.get());
+    entry
+        .inspect_err(|e| log::warn!("an entry of the instance list cannot be read: {e}"))
+        .ok()
+}
+
+impl ListAnswer {
+    /// Decodes the answer to a request for the changes after a version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the body is neither changes nor a list. Entries that cannot be read are
+    /// left out.
+    pub fn decode(body: &[u8], since: Version) -> serde_json::Result<Self> {
+        let body: ListBody = serde_json::from_slice(body)?;
+        Ok(body.answer(since))
+    }
+}
+
 impl ListBody {
-    /// Converts the body to the answer to a request for the changes after a version.
-    pub(crate) fn answer(self, since: Version) -> ListAnswer {
+    fn answer(self, since: Version) -> ListAnswer {
         match (self.version, self.events) {
             (Some(version), Some(events)) => ListAnswer::Changes {
                 since,
                 version,
-                events,
+                events: events.iter().filter_map(|e| read_event(e)).collect(),
             },
             (version, _) => ListAnswer::Unfiltered(InstanceList {
                 version,
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -9,7 +9,7 @@
 use crate::{
     dial,
     ids::{InstanceId, Version},
-    instance_list::{InstanceList, ListAnswer, ListBody, ListedEntry},
+    instance_list::{InstanceList, ListAnswer, ListedEntry},
     metrics::{self, CallOutcome, PlatformCall},
 };
 
@@ -365,7 +365,7 @@
             .get(url)
             .with_request_header("if-none-match", tag);
         match self.send(PlatformCall::Instances, conn, self.timeout).await {
-            Ok((200, body)) => parse(&body).map(|b: ListBody| b.answer(since)),
+            Ok((200, body)) => ListAnswer::decode(&body, since).map_err(|_| ReadError::Unavailable),
             Ok((304, _)) => Ok(ListAnswer::Unchanged),
             Ok((410, _)) => Err(ReadError::Gone),
             _ => Err(ReadError::Unavailable),
--- a/tests/listing_answers.rs
+++ b/tests/listing_answers.rs
@@ -325,3 +325,67 @@
     apply(&mut view, &plain(vec![target(2, false)]));
     assert_eq!(names(&view), ["w2"]);
 }
+
+/// Returns entries of another writer: deep nesting, numbers and ports out of range, other types.
+fn odd_targets() -> Vec<String> {
+    let target = |address: &str, more: &str| {
+        format!(r#"{{"id":"odd","kind":"engine","address":"{address}","zone":"a"{more}}}"#)
+    };
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    vec![
+        target("127.0.0.1:70000", ""),
+        target("nowhere", ""),
+        target("127.0.0.1:80", r#","state":"asleep""#),
+        target("127.0.0.1:80", r#","state":1e999"#),
+        target("127.0.0.1:80", r#","service":18446744073709551616"#),
+        target("127.0.0.1:80", &format!(r#","service":{nested}"#)),
+        nested,
+        "null".into(),
+    ]
+}
+
+const GOOD: &str = r#"{"id":"good","kind":"engine","address":"127.0.0.1:80","zone":"a"}"#;
+
+/// Guards against one odd entry that keeps an instance from reading the list.
+#[test]
+fn an_odd_entry_does_not_hide_the_others() {
+    let names = |list: &InstanceList| -> Vec<String> {
+        list.targets.iter().map(|t| t.id.to_string()).collect()
+    };
+    for odd in odd_targets() {
+        let body = format!(r#"{{"version":3,"entries":[{odd}],"targets":[{odd},{GOOD},{odd}]}}"#);
+        let list: InstanceList = serde_json::from_str(&body).unwrap();
+        assert_eq!(names(&list), ["good"], "{odd:.100}");
+        let body = format!(r#"{{"entries":[{odd}],"targets":[{GOOD},{odd}]}}"#);
+        match ListAnswer::decode(body.as_bytes(), 2).unwrap() {
+            ListAnswer::Unfiltered(list) => assert_eq!(names(&list), ["good"]),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// Guards against an odd change that stops an instance from following the list, or leaves the content
+/// from before it in use.
+#[test]
+fn an_odd_change_counts_as_a_removal() {
+    for odd in odd_targets().iter().filter(|o| *o != "null") {
+        let body = format!(
+            r#"{{"version":9,"events":[
+            {{"group":"targets","id":"a","version":8,"value":{odd}}},
+            {{"group":"novel","id":"b","version":8,"value":null}},
+            {{"group":"targets","id":"good","version":9,"value":{GOOD}}}]}}"#
+        );
+        match ListAnswer::decode(body.as_bytes(), 7).unwrap() {
+            ListAnswer::Changes { events, .. } => {
+                assert_eq!(events.len(), 2, "{odd:.100}");
+                let removed = ListEvent::Targets {
+                    id: "a".into(),
+                    version: 8,
+                    value: None,
+                };
+                assert_eq!(events[0], removed);
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
