--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -244,7 +244,8 @@
     ) -> Origin {
         let longest = self.deadlines.entry(call.route.clone()).or_default();
         *longest = call.deadline.unwrap_or_default().max(*longest);
-        let longest = call.timeout.max(*longest);
+        // No earlier shares are known, so a longer wait of some callers tells nothing.
+        let longest = call.timeout.max(*longest).min(KEPT);
         let history = self.histories.get(call.service);
         if call.resumes {
             if let Some(version) = call.origin.and_then(|id| self.begun.get(id)) {
--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -4,7 +4,9 @@
 
 use gentianpath::{
     gateway::fleet::Backlog,
-    gateway::peers::{Candidate, Heartbeat, JobState, ListVersion, PeerChange, Peers, job_key},
+    gateway::peers::{
+        Candidate, Heartbeat, JobState, ListVersion, Member, PeerChange, Peers, job_key,
+    },
     ids::{InstanceId, JobId},
 };
 
@@ -400,3 +402,74 @@
     let tried = (0..3).flat_map(|round| peers.targets(&"a".into(), round, at(9000)).far);
     assert_eq!(tried.collect::<std::collections::BTreeSet<_>>().len(), 6);
 }
+
+fn in_zone(instance: &str, zone: &str, number: u64) -> Heartbeat {
+    Heartbeat {
+        zone: zone.into(),
+        ..heartbeat(instance, number)
+    }
+}
+
+/// Returns the instance that leads a worker of zone a, as one of some instances sees it.
+fn leader(all: &[(&str, &str)], local: (&str, &str), stays: bool) -> String {
+    let mut peers = Peers::default();
+    for (name, zone) in all.iter().filter(|(name, _)| *name != local.0) {
+        peers.record(in_zone(name, zone, 1), at(0));
+    }
+    let (instance, zone) = (InstanceId::from(local.0), local.1.into());
+    let member = Member {
+        instance: &instance,
+        zone: &zone,
+        stays,
+    };
+    let leader = peers.limit_leader(&"w".into(), &"a".into(), &member, at(1));
+    leader.map_or(local.0.into(), |h| h.instance.to_string())
+}
+
+/// Guards against two instances that hand out the permits for one worker.
+#[test]
+fn all_instances_agree_on_the_leader_of_a_worker() {
+    let all = [
+        ("i1", "a"),
+        ("i2", "a"),
+        ("i3", "b"),
+        ("i4", "b"),
+        ("i5", "c"),
+    ];
+    let leaders: Vec<String> = all.iter().map(|i| leader(&all, *i, true)).collect();
+    assert!(leaders.iter().all(|l| *l == leaders[0]), "{leaders:?}");
+    assert!(
+        ["i1", "i2"].contains(&&*leaders[0]),
+        "it is of the zone of the worker"
+    );
+    let others: Vec<_> = all.into_iter().filter(|i| i.1 != "a").collect();
+    let leaders: Vec<String> = others.iter().map(|i| leader(&others, *i, true)).collect();
+    assert!(leaders.iter().all(|l| *l == leaders[0]), "{leaders:?}");
+    assert!(leader(&others, others[0], false) != others[0].0);
+    assert_eq!(leader(&all[..1], all[0], false), "i1", "there is no other");
+}
+
+/// Guards against the sides of a cut that together hand out more than a limit, and against a limit that
+/// is not used up since instances stopped.
+#[test]
+fn the_live_shares_of_the_sides_of_a_cut_add_up_to_one() {
+    let all: Vec<String> = (0..10).map(|n| format!("i{n}")).collect();
+    let share = |local: usize, heard: &dyn Fn(usize) -> bool, leaving: bool| {
+        let mut peers = Peers::default();
+        for (n, name) in all.iter().enumerate().filter(|(n, _)| *n != local) {
+            let first = Heartbeat {
+                leaving: leaving && !heard(n),
+                ..heartbeat(name, 1)
+            };
+            peers.record(first, at(0));
+            if heard(n) {
+                peers.record(heartbeat(name, 2), at(3000));
+            }
+        }
+        peers.live_share(at(3100))
+    };
+    let near = share(0, &|n| n < 3, false);
+    let far = share(5, &|n| n >= 3, false);
+    assert!((near - 0.3).abs() < 1e-9 && (far - 0.7).abs() < 1e-9);
+    assert!((share(0, &|n| n < 3, true) - 1.0).abs() < 1e-9);
+}
