Let no stream wait behind those of another version

Requests queue at an instance if one for the same service is queued. Since streams are bound to a version, those of a version with free workers waited behind those of a version whose workers are full, up to a refusal after 66 ms. a_stream_does_not_wait_behind_those_of_another_version failed before.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -62,10 +62,13 @@
 }
 
 impl State {
-    /// Returns whether a request for the same service is queued.
+    /// Returns whether a request that may take the same workers is queued.
     fn is_behind(&self, requirements: &Requirements<'_>) -> bool {
         let mut queue = self.queue.iter();
-        queue.any(|w| w.service == *requirements.service)
+        queue.any(|w| {
+            let versions = w.version.as_ref().zip(requirements.version);
+            w.service == *requirements.service && versions.is_none_or(|(a, b)| a == b)
+        })
     }
 }
 
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -3,7 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use gentianpath::{
-    gateway::versions::{History, Origin, StreamCall, Streams},
+    gateway::{
+        dispatch::Dispatch,
+        fleet::{Requirements, Worker},
+        versions::{History, Origin, StreamCall, Streams},
+    },
     ids::{Map, Set, SoftwareVersion},
 };
 
@@ -268,3 +272,43 @@
     }
     assert!(streams.take_news().is_empty());
 }
+
+/// Guards against streams of one version that wait behind those of another, whose workers are full.
+#[test]
+fn a_stream_does_not_wait_behind_those_of_another_version() {
+    let worker = |id: &str, version: &str| {
+        Arc::new(Worker {
+            id: id.into(),
+            service: "lm".into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            zone: "a".into(),
+            version: version.into(),
+            slots: 1,
+            ready: true,
+            started: Some(1),
+            until: None,
+        })
+    };
+    let dispatch = Dispatch::new("i".into(), "a".into());
+    dispatch.set_workers(vec![worker("w1", "v1"), worker("w2", "v2")]);
+    let (service, versions) = ("lm".into(), ["v1".into(), "v2".into()]);
+    let requirements = versions.each_ref().map(|version| Requirements {
+        service: &service,
+        tried: &[],
+        version: Some(version),
+    });
+    smol::block_on(async {
+        let wait = Duration::from_secs(60);
+        let first = dispatch.place_online(&requirements[0], wait).await.unwrap();
+        let queued = dispatch.place_online(&requirements[0], wait).await.unwrap();
+        let full = dispatch.place_online(&requirements[0], wait);
+        let mut full = std::pin::pin!(full);
+        assert!(smol::future::poll_once(full.as_mut()).await.is_none());
+        let other = dispatch.place_online(&requirements[1], wait);
+        let mut other = std::pin::pin!(other);
+        let other = smol::future::poll_once(other.as_mut()).await;
+        assert_eq!(&*other.unwrap().unwrap().worker.id, "w2");
+        drop((first, queued));
+        assert_eq!(&*full.await.unwrap().worker.id, "w1");
+    });
+}
