--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -226,7 +226,11 @@
 
 impl Session {
     async fn run(mut self) -> Response<CallerBody> {
-        let max_wait = self.route.objective.mul_f64(QUEUE_WAIT_SHARE);
+        // The first event of a stream that goes on has met its objective already.
+        let max_wait = match self.call.after {
+            Some(_) if self.version.is_some() => RESUME_WAIT,
+            _ => self.route.objective.mul_f64(QUEUE_WAIT_SHARE),
+        };
         let max_wait = max_wait.saturating_sub(self.call.received.elapsed());
         let failure = match self.attempt(self.call.after, max_wait).await {
             Ok(started) if matches!(self.route.kind, RouteKind::Stream { .. }) => {
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -292,3 +292,28 @@
         }
     }
 }
+
+/// Guards against streams that callers take up and that are refused as early as new ones, while the
+/// workers of their version are full.
+#[test]
+fn a_stream_that_is_taken_up_waits_for_a_worker_of_its_version() {
+    let store = Store::start();
+    let worker = Worker::start("w1", EVENTS, Duration::from_millis(80));
+    let mut entry = worker.entry("ready");
+    entry["slots"] = 1.into();
+    store.put("servers", &worker.id, entry);
+    store.put("config", "main", config(1));
+    let instance = Instance::start("one", &store, &[]);
+    thread::sleep(SETTLE);
+    thread::scope(|scope| {
+        for id in ["long-1", "long-2"] {
+            scope.spawn(|| begin(&instance, id));
+        }
+        let is_full = || worker.runs().len() == 2;
+        support::until("the worker is full", is_full);
+        let new = scope.spawn(|| begin(&instance, "new"));
+        let again = take_up(&instance, "again", "origin", Instant::now());
+        assert_eq!(again.unwrap().status, 200);
+        assert_eq!(new.join().unwrap().unwrap().status, 503);
+    });
+}
