--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! docs/platform.md describes the modules. `blame`, `block_record`, `config`, `crash_report`,
 //! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`,
-//! `suspects` and `view` hold the logic; the other modules do the I/O.
+//! `suspects`, `versions`, `view` and `worker_limits` hold the logic; the other modules do the I/O.
 
 pub mod answer;
 mod attempt;
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -150,6 +150,20 @@
     assert_eq!(late.origin(Some("c"), START + 15_000), version("v2"));
 }
 
+/// Returns a history with one version, the one with a second version from 10 s on, and a call that begins
+/// at the second.
+fn second_version() -> (History, History, String) {
+    let one = History::default()
+        .next(&slots(&[("v1", 8)]), START)
+        .unwrap();
+    let two = one
+        .next(&slots(&[("v1", 8), ("v2", 8)]), START + 10_000)
+        .unwrap();
+    let mut calls = calls(100).into_iter();
+    let call = calls.find(|c| two.choose(c) == Some(&"v2".into()));
+    (one, two, call.unwrap())
+}
+
 struct Case {
     service: Arc<str>,
     route: Arc<str>,
@@ -203,16 +217,7 @@
 fn the_instance_that_began_a_stream_knows_its_version() {
     let case = Case::new(&["v1", "v2"]);
     let mut streams = Streams::default();
-    let one = History::default()
-        .next(&slots(&[("v1", 8)]), START)
-        .unwrap();
-    let two = one
-        .next(&slots(&[("v1", 8), ("v2", 8)]), START + 10_000)
-        .unwrap();
-    let call = calls(100)
-        .into_iter()
-        .find(|c| two.choose(c) == Some(&"v2".into()));
-    let call = call.unwrap();
+    let (one, two, call) = second_version();
     streams.merge("lm".into(), two);
     streams.merge("lm".into(), one);
     let taken_up = case.call("b", Some(&call), 4000);
@@ -232,16 +237,7 @@
 fn the_time_that_a_caller_has_waited_counts_from_the_longest_one() {
     let case = Case::new(&["v1", "v2"]);
     let mut streams = Streams::default();
-    let one = History::default()
-        .next(&slots(&[("v1", 8)]), START)
-        .unwrap();
-    let two = one
-        .next(&slots(&[("v1", 8), ("v2", 8)]), START + 10_000)
-        .unwrap();
-    let call = calls(100)
-        .into_iter()
-        .find(|c| two.choose(c) == Some(&"v2".into()));
-    let call = call.unwrap();
+    let (_, two, call) = second_version();
     streams.merge("lm".into(), two);
     // The caller has waited for 1 s, and began after the change.
     let now = START + 12_000;
