Begin streams without stored shares at the version with the most slots

While no instance of this release may write shares (a rolling upgrade from one that does not know them, or a store that is away since the first start), new streams were refused once two versions served. They begin now at the version with the most slots, on which instances with the same list agree. Take-ups of unknown origin stay refused.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -238,16 +238,13 @@
 
     /// Returns whether a worker of a service with a version takes requests.
     pub fn serves_version(&self, service: &ServiceId, version: &SoftwareVersion) -> bool {
-        self.versions(service).contains(version)
+        self.versions(service).contains_key(version)
     }
 
-    /// Returns the versions of the workers of a service that take requests.
-    pub fn versions(&self, service: &ServiceId) -> Set<SoftwareVersion> {
-        let now = self.now();
-        let state = self.lock();
-        let workers = state.fleet.workers();
-        let serving = workers.filter(|w| w.is_ready(now) && w.service == *service);
-        serving.map(|w| w.version.clone()).collect()
+    /// Returns the slots of the workers of a service that take requests, by version.
+    pub fn versions(&self, service: &ServiceId) -> Map<SoftwareVersion, u32> {
+        let mut services = self.slots_by_version();
+        services.remove(service).unwrap_or_default()
     }
 
     /// Returns the slots of the workers that take requests, by service and version.
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    ids::{Map, ServiceId, Set, SoftwareVersion},
+    ids::{Map, ServiceId, SoftwareVersion},
     ownership,
 };
 
@@ -234,12 +234,13 @@
 }
 
 impl Streams {
-    /// Returns the version at which a stream has to begin or go on. `serving` holds the versions with
-    /// workers that take requests.
+    /// Returns the version at which a stream has to begin or go on. `serving` holds the slots of the
+    /// workers that take requests, by version. Without stored shares, new streams begin at the version
+    /// with the most slots.
     pub fn version(
         &mut self,
         call: &StreamCall<'_>,
-        serving: &Set<SoftwareVersion>,
+        serving: &Map<SoftwareVersion, u32>,
         now: u64,
     ) -> Origin {
         let longest = self.deadlines.entry(call.route.clone()).or_default();
@@ -263,9 +264,13 @@
             let version = history.choose(call.id).cloned();
             return version.map_or(Origin::Unclear, Origin::Version);
         }
-        let mut versions = serving.iter();
-        match (versions.next(), versions.next()) {
-            (Some(version), None) => Origin::Version(version.clone()),
+        let most = serving
+            .iter()
+            .max_by_key(|(v, slots)| (**slots, Reverse(*v)));
+        match most {
+            Some((version, _)) if !call.resumes || serving.len() == 1 => {
+                Origin::Version(version.clone())
+            }
             _ => Origin::Unclear,
         }
     }
