--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -120,9 +120,8 @@
 
     /// Returns the version at which a stream has to begin or go on.
     pub fn stream_version(&self, call: &StreamCall<'_>) -> Origin {
-        let serving = self.dispatch.versions(call.service);
-        let now = clock::unix_millis();
-        self.streams().version(call, &serving, now)
+        let serving = || self.dispatch.versions(call.service);
+        self.streams().version(call, serving, clock::unix_millis())
     }
 
     /// Records that the connection of an attempt broke.
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -234,13 +234,13 @@
 }
 
 impl Streams {
-    /// Returns the version at which a stream has to begin or go on. `serving` holds the slots of the
+    /// Returns the version at which a stream has to begin or go on. `serving` returns the slots of the
     /// workers that take requests, by version. Without stored shares, new streams begin at the version
     /// with the most slots.
     pub fn version(
         &mut self,
         call: &StreamCall<'_>,
-        serving: &Map<SoftwareVersion, u32>,
+        serving: impl FnOnce() -> Map<SoftwareVersion, u32>,
         now: u64,
     ) -> Origin {
         let longest = self.deadlines.entry(call.route.clone()).or_default();
@@ -264,6 +264,7 @@
             let version = history.choose(call.id).cloned();
             return version.map_or(Origin::Unclear, Origin::Version);
         }
+        let serving = serving();
         let most = serving
             .iter()
             .max_by_key(|(v, slots)| (**slots, Reverse(*v)));
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    fn serving(&self) -> impl FnOnce() -> Map<SoftwareVersion, u32> + use<> {
+        let serving = self.serving.clone();
+        || serving
+    }
+
     fn call<'a>(&'a self, id: &'a str, origin: Option<&'a str>, left: u64) -> StreamCall<'a> {
         StreamCall {
             service: &self.service,
@@ -198,24 +203,24 @@
     let mut streams = Streams::default();
     let taken_up = case.call("b", Some("a"), 4000);
     assert_eq!(
-        streams.version(&taken_up, &case.serving, START),
+        streams.version(&taken_up, case.serving(), START),
         Origin::Unclear
     );
     let new = case.call("b", None, 5000);
-    assert_eq!(streams.version(&new, &case.serving, START), version("v1"));
+    assert_eq!(streams.version(&new, case.serving(), START), version("v1"));
     streams.set_read();
     assert_eq!(
-        streams.version(&taken_up, &case.serving, START),
+        streams.version(&taken_up, case.serving(), START),
         version("v1")
     );
     // No instance has stored shares, as those of an earlier release do not: new streams are served.
     let mut two = Case::new(&["v1", "v2"]);
     two.serving.insert("v2".into(), 16);
     let new = two.call("b", None, 5000);
-    assert_eq!(streams.version(&new, &two.serving, START), version("v2"));
+    assert_eq!(streams.version(&new, two.serving(), START), version("v2"));
     let taken_up = two.call("b", Some("a"), 4000);
     assert_eq!(
-        streams.version(&taken_up, &two.serving, START),
+        streams.version(&taken_up, two.serving(), START),
         Origin::Unclear
     );
 }
@@ -230,12 +235,12 @@
     let taken_up = case.call("b", Some(&call), 4000);
     let now = START + 10_500;
     assert_eq!(
-        streams.version(&taken_up, &case.serving, now),
+        streams.version(&taken_up, case.serving(), now),
         Origin::Unclear
     );
     streams.record_begun(&call, &"v2".into(), Duration::ZERO);
     assert_eq!(
-        streams.version(&taken_up, &case.serving, now),
+        streams.version(&taken_up, case.serving(), now),
         version("v2")
     );
 }
@@ -250,13 +255,13 @@
     let now = START + 12_000;
     let taken_up = case.call("b", Some(&call), 4000);
     assert_eq!(
-        streams.version(&taken_up, &case.serving, now),
+        streams.version(&taken_up, case.serving(), now),
         version("v2")
     );
     // Other callers of the route wait for 8 s, so that it may have waited for 4 s.
-    streams.version(&case.call("c", None, 8000), &case.serving, now);
+    streams.version(&case.call("c", None, 8000), case.serving(), now);
     assert_eq!(
-        streams.version(&taken_up, &case.serving, now),
+        streams.version(&taken_up, case.serving(), now),
         Origin::Unclear
     );
 }
