Let new streams wait until a started instance knows its workers

Cause: since streams are bound to a version, a stream is refused at once when no worker of its version is known, and when no version can be chosen. Both hold for a moment after a start, when the list has not been read.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -526,7 +526,10 @@
         now: Duration,
     ) -> bool {
         let mut candidates = self.candidates(requirements, now).peekable();
-        let is_unknown = candidates.peek().is_none() && requirements.version.is_none();
+        // An instance that has just started may not have read the list yet.
+        let is_unknown = candidates.peek().is_none()
+            && (requirements.version.is_none()
+                || !self.has_ready_worker(requirements.service, now));
         is_unknown
             || candidates.any(|(_, w)| match self.limits.wait(w, Class::Online, now) {
                 Some(wait) => wait <= max_wait,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use async_io::Timer;
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
 use smol::channel::{Receiver, Sender};
@@ -34,6 +35,8 @@
 /// Share of the objective that a request may wait for a worker before it is refused. An early
 /// refusal leaves the caller time to succeed elsewhere.
 const QUEUE_WAIT_SHARE: f64 = 0.22;
+/// Interval at which a new stream looks for the version at which it begins.
+const ORIGIN_POLL: Duration = Duration::from_millis(10);
 /// Time that a partly forwarded stream may wait for another worker.
 pub const RESUME_WAIT: Duration = Duration::from_millis(800);
 /// Maximum size of an answer that is forwarded as a whole.
@@ -158,7 +161,7 @@
     let mut marks = marks::of_parts(headers::decode_parts(&call.headers));
     let fingerprint = marks::fingerprint(&call);
     marks.push(Mark::Request(fingerprint));
-    let origin = stream_origin(&gateway, &service, &route, &call);
+    let origin = await_origin(&gateway, &service, &route, &call).await;
     let mut session = Session {
         deadline: call.received + limit,
         gateway,
@@ -202,6 +205,25 @@
     }
 }
 
+/// Like `stream_origin`, but waits as long as for a worker until the version of a new stream is known.
+/// An instance that has just started knows neither shares nor workers.
+async fn await_origin(
+    gateway: &Gateway,
+    service: &ServiceId,
+    route: &Route,
+    call: &Call,
+) -> Option<Origin> {
+    let limit = route.objective.mul_f64(QUEUE_WAIT_SHARE);
+    loop {
+        let origin = stream_origin(gateway, service, route, call);
+        let is_open = origin == Some(Origin::Unclear) && call.after.is_none();
+        if !is_open || call.received.elapsed() >= limit {
+            return origin;
+        }
+        Timer::after(ORIGIN_POLL).await;
+    }
+}
+
 /// Returns the version at which the stream of a call has to begin or go on, or `None` for a call whose
 /// answer is never resumed.
 fn stream_origin(
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -9,6 +9,7 @@
 };
 
 use gateway_support::{Behaviour, Instance, Store, Worker, config};
+use serde_json::json;
 use support::http;
 
 const PAUSE: Duration = Duration::from_millis(2);
@@ -317,3 +318,29 @@
         assert_eq!(new.join().unwrap().unwrap().status, 503);
     });
 }
+
+/// Guards against streams that are refused at once by an instance that has just started, before it has
+/// read the list of workers.
+#[test]
+fn a_stream_waits_for_the_list_of_workers() {
+    let store = Store::start();
+    let mut config = config(1);
+    config["routes"][0]["goal_ms"] = 60000.into();
+    config["routes"][0]["timeout_ms"] = (DEADLINE.as_millis() as u64).into();
+    store.put("config", "main", config);
+    let worker = Worker::start("w1", EVENTS, PAUSE);
+    let shares = json!({ "number": 1, "mixes": [{ "since": 1, "shares": [["v1", 1000]] }] });
+    for stored in [None, Some(shares)] {
+        if let Some(shares) = stored {
+            store.put("stream-versions", "lm", shares);
+        }
+        let instance = Instance::start("one", &store, &[]);
+        thread::scope(|scope| {
+            let answer = scope.spawn(|| begin(&instance, "early"));
+            thread::sleep(Duration::from_millis(300));
+            store.put("servers", &worker.id, worker.entry("ready"));
+            assert_eq!(answer.join().unwrap().unwrap().status, 200);
+        });
+        store.remove("servers", &worker.id);
+    }
+}
