Ask once for permits and ready workers of a version

Read of the own change: placing a request asked for permits twice in a row, each queued request polled for all others, so that n of them did n times the work, and whether a version serves was found by adding up the slots of all services.

Only the first queued request polls for all, the ask follows from queueing, and the check that a service has a ready worker takes a version. The choice of an item returns the version of its text, which was looked up again afterwards; a text that cannot go on is dropped as its item starts, under the lock that reads it.

No behaviour is meant to change.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -322,7 +322,7 @@
         if self.runs > 0 {
             return Failure::MayHaveRun("no other worker is free".into());
         }
-        let known = self.gateway.dispatch.has_ready_worker(&self.service);
+        let known = self.gateway.dispatch.has_ready_worker(&self.service, None);
         Failure::NotRun(if known {
             busy
         } else {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -231,14 +231,10 @@
         self.lock().queue.len()
     }
 
-    /// Returns whether any worker of a service takes requests.
-    pub fn has_ready_worker(&self, service: &ServiceId) -> bool {
-        self.lock().fleet.has_ready_worker(service, self.now())
-    }
-
-    /// Returns whether a worker of a service with a version takes requests.
-    pub fn serves_version(&self, service: &ServiceId, version: &SoftwareVersion) -> bool {
-        self.versions(service).contains_key(version)
+    /// Returns whether any worker of a service takes requests; with a version, one of that version.
+    pub fn has_ready_worker(&self, service: &ServiceId, version: Option<&SoftwareVersion>) -> bool {
+        let now = self.now();
+        self.lock().fleet.has_ready_worker(service, version, now)
     }
 
     /// Returns the slots of the workers of a service that take requests, by version.
@@ -324,7 +320,7 @@
         notices.collect()
     }
 
-    /// Returns a limited worker of the list.
+    /// Returns a worker of the list.
     pub fn worker(&self, id: &WorkerId) -> Option<Arc<Worker>> {
         self.lock().fleet.worker(id).cloned()
     }
@@ -411,12 +407,13 @@
         }
     }
 
-    /// Looks for permits for queued requests.
-    async fn poll_permits(&self) {
+    /// Looks for permits for all queued requests while the one with a number is the first.
+    async fn poll_permits(&self, number: u64) {
         loop {
             Timer::after(PERMIT_POLL).await;
             let mut state = self.lock();
-            if state.fleet.limits.workers().next().is_some() {
+            let is_first = state.queue.front().is_some_and(|w| w.number == number);
+            if is_first && state.fleet.limits.workers().next().is_some() {
                 self.assign_queued(&mut state);
             }
         }
@@ -440,7 +437,6 @@
                 drop(state);
                 return Ok(self.placement(grant));
             }
-            self.ask(&mut state, requirements, Class::Online, 2);
             if !state.fleet.may_place(requirements, max_wait, self.now()) {
                 drop(state);
                 return Err(self.busy());
@@ -469,7 +465,7 @@
             None
         };
         let polls = async {
-            self.poll_permits().await;
+            self.poll_permits(guard.number).await;
             None
         };
         match smol::future::or(granted, smol::future::or(timeout, polls)).await {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -283,10 +283,19 @@
         self.workers.values()
     }
 
-    /// Returns whether any worker of a service takes requests.
-    pub fn has_ready_worker(&self, service: &ServiceId, now: Duration) -> bool {
-        let mut workers = self.workers.values();
-        workers.any(|w| w.is_ready(now) && w.service == *service)
+    /// Returns whether any worker of a service takes requests; with a version, one of that version.
+    pub fn has_ready_worker(
+        &self,
+        service: &ServiceId,
+        version: Option<&SoftwareVersion>,
+        now: Duration,
+    ) -> bool {
+        let requirements = Requirements {
+            service,
+            tried: &[],
+            version,
+        };
+        self.candidates(&requirements, now).next().is_some()
     }
 
     /// Returns the requests in flight from this instance, by worker.
@@ -529,7 +538,7 @@
         // An instance that has just started may not have read the list yet.
         let is_unknown = candidates.peek().is_none()
             && (requirements.version.is_none()
-                || !self.has_ready_worker(requirements.service, now));
+                || !self.has_ready_worker(requirements.service, None, now));
         is_unknown
             || candidates.any(|(_, w)| match self.limits.wait(w, Class::Online, now) {
                 Some(wait) => wait <= max_wait,
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -184,26 +184,9 @@
     route.filter(|r| r.batch().is_some()).cloned()
 }
 
-/// Service of an item, and the version that wrote its text if it has one.
+/// Service of an item, and the version that wrote its text if it has one that can go on.
 type Target = (ServiceId, Option<SoftwareVersion>);
 
-/// Returns the version that wrote the text of an item. A text whose version has no worker left is
-/// dropped.
-fn text_version(
-    gateway: &Gateway,
-    runnable: &RunnableJob,
-    item: &Item,
-    service: &ServiceId,
-) -> Option<SoftwareVersion> {
-    let mut job = lock(&runnable.job);
-    let version = job.text_version(&item.id)?.clone();
-    if gateway.dispatch.serves_version(service, &version) {
-        return Some(version);
-    }
-    job.drop_text(&item.id);
-    None
-}
-
 /// Starts an item of a job whose service is not full, and returns whether one was started.
 fn start_item(
     gateway: &Arc<Gateway>,
@@ -214,11 +197,12 @@
     full: &mut Set<Target>,
 ) -> bool {
     let shared = &runnable.job;
-    let (item, placement, yield_request) = loop {
-        let Some((item, service)) = next_item(gateway, config, runnable, urgency, now, full) else {
+    let (item, version, placement, yield_request) = loop {
+        let Some((item, (service, version))) =
+            next_item(gateway, config, runnable, urgency, now, full)
+        else {
             return false;
         };
-        let version = text_version(gateway, runnable, &item, &service);
         let requirements = Requirements {
             service: &service,
             tried: &[],
@@ -227,11 +211,14 @@
         if let Some((placement, yield_request)) =
             gateway.dispatch.place_batch(&requirements, urgency)
         {
-            break (item, placement, yield_request);
+            break (item, version, placement, yield_request);
         }
         full.insert((service, version));
     };
     let mut job = lock(shared);
+    if version.is_none() {
+        job.drop_text(&item.id);
+    }
     let Some(progress) = job.progress(&item.id) else {
         return false;
     };
@@ -251,7 +238,8 @@
     true
 }
 
-/// Returns the first item of a job that can start now and may be sent to a worker, with its service.
+/// Returns the first item of a job that can start now and may be sent to a worker, with its service and
+/// the version that wrote its text. A text whose version has no worker left cannot go on.
 fn next_item(
     gateway: &Gateway,
     config: &Configuration,
@@ -259,7 +247,7 @@
     urgency: Urgency,
     now: Duration,
     full: &Set<Target>,
-) -> Option<(Item, ServiceId)> {
+) -> Option<(Item, Target)> {
     let is_full = |service: &ServiceId| full.contains(&(service.clone(), None));
     if !full.is_empty() && runnable.services(config).iter().all(is_full) {
         return None;
@@ -276,10 +264,11 @@
     items.into_iter().find_map(|item| {
         let route = runnable.item_route(config, host, item);
         let service = route.service(fastrand::f64())?;
-        let version = job.text_version(&item.id).cloned();
-        let is_full = is_full(service) || full.contains(&(service.clone(), version));
-        let can_start = !is_full && is_admitted(item);
-        can_start.then(|| (item.clone(), service.clone()))
+        let version = job.text_version(&item.id);
+        let serves = |v: &&SoftwareVersion| gateway.dispatch.has_ready_worker(service, Some(*v));
+        let target = (service.clone(), version.filter(serves).cloned());
+        let can_start = !is_full(service) && !full.contains(&target) && is_admitted(item);
+        can_start.then(|| (item.clone(), target))
     })
 }
 
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -69,7 +69,7 @@
     };
     let mut fleet = fleet(&[Arc::new(kept)]);
     let before = NOW - Duration::from_millis(1);
-    assert!(fleet.has_ready_worker(&service, before));
+    assert!(fleet.has_ready_worker(&service, None, before));
     assert!(
         fleet
             .choose_online(&requirements, &mut rng, before)
@@ -79,7 +79,7 @@
         |fleet: &mut Fleet, now| fleet.choose_batch(&requirements, Urgency::Timely, &mut rng, now);
     assert!(item(&mut fleet, before).is_some());
     assert!(item(&mut fleet, NOW).is_none());
-    assert!(!fleet.has_ready_worker(&service, NOW));
+    assert!(!fleet.has_ready_worker(&service, None, NOW));
     assert!(choose(&mut fleet, &[]).is_none());
 }
 
