Decide in one place whether news of a limit supersedes what is known

Read of the own change: what answers tell and what other instances tell were merged by two copies of the same steps, the workers of forgotten limits were collected for nobody, and workers were looked up by id in three copies.

update() merges both; each caller says what supersedes. One difference: permits that came due at the old rate when the rate changes count at the paced rate, as everywhere else, and not at the announced one.

--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -244,8 +244,7 @@
     pub fn set_workers(&mut self, workers: impl IntoIterator<Item = Arc<Worker>>) {
         self.workers = workers.into_iter().map(|w| (key(&w.id), w)).collect();
         let known = &self.workers;
-        let find = |id: &WorkerId| known.get(&key(id)).filter(|w| w.id == *id);
-        self.leaving.update(|id| find(id).map(Arc::as_ref));
+        self.leaving.update(|id| find(known, id).map(Arc::as_ref));
         let leaving = self.workers.values_mut();
         leaving
             .filter(|w| self.leaving.contains(w))
@@ -576,16 +575,16 @@
         chosen.map(|(.., worker)| worker.clone()).collect()
     }
 
-    /// Forgets limits of which there was no news for long, and returns their workers.
-    pub fn expire_limits(&mut self, now: Duration) -> Vec<WorkerId> {
+    /// Forgets limits of which there was no news for long.
+    pub fn expire_limits(&mut self, now: Duration) {
         let known = &self.workers;
-        let find = |id: &WorkerId| known.get(&key(id)).filter(|w| w.id == *id);
-        self.limits.expire(|id| find(id).map(Arc::as_ref), now)
+        self.limits
+            .expire(|id| find(known, id).map(Arc::as_ref), now);
     }
 
     /// Returns a worker of the list.
     pub fn worker(&self, id: &WorkerId) -> Option<&Arc<Worker>> {
-        self.workers.get(&key(id)).filter(|w| w.id == *id)
+        find(&self.workers, id)
     }
 
     /// Returns the number of instances that start a waiting item on a worker before this one, counted
@@ -731,6 +730,11 @@
     }
 }
 
+/// Returns the worker with an id; ids may share a key.
+fn find<'a>(workers: &'a Map<WorkerKey, Arc<Worker>>, id: &WorkerId) -> Option<&'a Arc<Worker>> {
+    workers.get(&key(id)).filter(|w| w.id == *id)
+}
+
 fn rank(instance: &str, worker: WorkerKey) -> u64 {
     fnv::extend(
         fnv::OFFSET_BASIS,
--- a/src/gateway/worker_limits.rs
+++ b/src/gateway/worker_limits.rs
@@ -212,23 +212,13 @@
             Announced::Rate(rate) => (Some(rate), seen.received),
             Announced::Unlimited => (None, seen.sent),
         };
-        let known = self.limits.get(&worker.id);
-        let known = known.filter(|l| l.started >= worker.started);
-        if known.is_some_and(|l| l.started > worker.started) {
-            return None;
-        }
-        let Some(limit) = known else {
-            let rate = rate?;
-            self.insert(&worker.id, worker.started, Some(rate), told);
-            return Some(Change::Named(rate));
-        };
-        let overlaps = seen.sent < limit.told;
-        match (limit.rate, rate) {
-            (Some(_), None) if seen.sent <= limit.told => return None,
-            (Some(old), Some(new)) if overlaps && new > old => return None,
-            _ => {}
-        }
-        self.set(&worker.id, rate, told)
+        self.update(&worker.id, worker.started, rate, told, |known| {
+            match (known.rate, rate) {
+                (Some(_), None) => seen.sent > known.told,
+                (Some(old), Some(new)) => seen.sent >= known.told || new <= old,
+                (None, _) => true,
+            }
+        })
     }
 
     /// Records what another instance tells, and returns what changed.
@@ -239,38 +229,40 @@
             return None;
         }
         let told = now.saturating_sub(age);
-        match self.limits.get(&notice.worker) {
-            Some(known) if known.started > notice.started => None,
-            Some(known) if known.started == notice.started => {
-                if told <= known.told {
-                    return None;
-                }
-                self.set(&notice.worker, rate, told)
-            }
-            _ => {
-                let rate = rate?;
-                self.insert(&notice.worker, notice.started, Some(rate), told);
-                Some(Change::Named(rate))
-            }
-        }
+        self.update(&notice.worker, notice.started, rate, told, |known| {
+            told > known.told
+        })
     }
 
-    fn insert(
+    /// Records what was told at a time of a run of a worker, if it supersedes what is known of that run.
+    fn update(
         &mut self,
         worker: &WorkerId,
         started: Option<u64>,
         rate: Option<f64>,
         told: Duration,
-    ) {
-        let limit = Limit::new(started, rate, told);
-        self.limits.insert(worker.clone(), limit);
+        supersedes: impl FnOnce(&Limit) -> bool,
+    ) -> Option<Change> {
+        match self.limits.get(worker) {
+            Some(known) if known.started > started => None,
+            Some(known) if known.started == started => {
+                let is_newer = supersedes(known);
+                is_newer.then(|| self.set(worker, rate, told)).flatten()
+            }
+            _ => {
+                let rate = rate?;
+                let limit = Limit::new(started, Some(rate), told);
+                self.limits.insert(worker.clone(), limit);
+                Some(Change::Named(rate))
+            }
+        }
     }
 
     fn set(&mut self, worker: &WorkerId, rate: Option<f64>, told: Duration) -> Option<Change> {
         let limit = self.limits.get_mut(worker)?;
-        let old = limit.rate;
-        if let (Some(lead), Some(_)) = (&mut limit.lead, old) {
-            lead.refill(old.unwrap_or_default(), told);
+        let (old, paced) = (limit.rate, limit.paced_rate());
+        if let Some(lead) = &mut limit.lead {
+            lead.refill(paced, told);
         }
         limit.told = limit.told.max(told);
         limit.rate = rate;
@@ -445,22 +437,12 @@
     }
 
     /// Forgets the limits of which there was no news for long, and those of workers that started
-    /// again. Returns the workers whose limit is forgotten.
-    pub fn expire<'a>(
-        &mut self,
-        find: impl Fn(&WorkerId) -> Option<&'a Worker>,
-        now: Duration,
-    ) -> Vec<WorkerId> {
-        let is_old = |id: &WorkerId, limit: &Limit| {
+    /// again.
+    pub fn expire<'a>(&mut self, find: impl Fn(&WorkerId) -> Option<&'a Worker>, now: Duration) {
+        self.limits.retain(|id, limit| {
             let restarted = find(id).is_some_and(|w| w.started > limit.started);
-            restarted || now >= limit.told + EXPIRY
-        };
-        let old = self.limits.iter().filter(|(id, l)| is_old(id, l));
-        let old: Vec<WorkerId> = old.map(|(id, _)| id.clone()).collect();
-        for id in &old {
-            self.limits.remove(id);
-        }
-        old
+            !restarted && now < limit.told + EXPIRY
+        });
     }
 }
 
