Write shares of versions with one read and one write an attempt

Read of the own change: writing shares read the object in two places, kept apart whether it exists, and measured the time to the store's answer anew with each attempt. So shares that the store refused at first were put in use with the time of the first attempt, more than half a second late, for which take-ups do not allow. Now each attempt reads the object and the time counts from the shares, so that such a write is repeated with a new time. A first write costs a read more, one a service.

The hash as a number between 0 and 1 and the check for resumable routes stand once each. The memory of begun streams is private.

--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Returns whether an answer may go on at another worker or in another call.
+    pub fn is_resumable(&self) -> bool {
+        self.kind == RouteKind::Stream { resumable: true }
+    }
+
     /// Returns the terms of a route for batch jobs.
     pub fn batch(&self) -> Option<&BatchTerms> {
         match &self.kind {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -196,12 +196,10 @@
 /// Returns the number between 0 and 1 that decides which service of its route runs a call. A stream
 /// that is taken up goes on at the service that began it.
 fn service_draw(route: &Route, call: &Call) -> f64 {
-    match route.kind {
-        RouteKind::Stream { resumable: true } => {
-            let hash = ownership::score(&route.name, call.stream_id());
-            hash as f64 / u64::MAX as f64
-        }
-        _ => fastrand::f64(),
+    if route.is_resumable() {
+        ownership::unit(&route.name, call.stream_id())
+    } else {
+        fastrand::f64()
     }
 }
 
@@ -232,9 +230,9 @@
     route: &Route,
     call: &Call,
 ) -> Option<Origin> {
-    let RouteKind::Stream { resumable: true } = route.kind else {
+    if !route.is_resumable() {
         return None;
-    };
+    }
     Some(gateway.stream_version(&StreamCall {
         service,
         route: &route.name,
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -43,12 +43,11 @@
             continue;
         }
         for (service, slots) in gateway.dispatch.slots_by_version() {
-            let known = gateway.streams().history(&service).cloned();
-            let history = known.clone().unwrap_or_default();
+            let history = gateway.streams().history(&service);
             let Some(next) = history.next(&slots, clock::unix_millis()) else {
                 continue;
             };
-            if let Err(e) = write(&gateway, &service, known.is_some(), next).await {
+            if let Err(e) = write(&gateway, &service, next).await {
                 log_failure("write-versions", &e);
                 Timer::after(RETRY_PAUSE).await;
                 if let Err(e) = read(&gateway).await {
@@ -61,7 +60,6 @@
 
 async fn read(gateway: &Gateway) -> Result<(), StoreError> {
     let (objects, _) = gateway.store.list(VERSIONS, Freshness::Latest).await?;
-    let decode = |o: &Object| serde_json::from_str(&o.spec).ok();
     for object in &objects {
         if let Some(history) = decode(object) {
             let service = object.name.as_str().into();
@@ -72,72 +70,69 @@
     Ok(())
 }
 
+fn decode(object: &Object) -> Option<History> {
+    serde_json::from_str(&object.spec).ok()
+}
+
 /// Stores a history and puts it in use. One that was stored late is stored again, since the earlier
 /// shares were in use until then.
 async fn write(
     gateway: &Gateway,
     service: &ServiceId,
-    mut exists: bool,
     mut next: History,
 ) -> Result<(), StoreError> {
+    let store = &gateway.store;
+    let mut begun = Instant::now();
     for _ in 0..WRITE_ATTEMPTS {
-        let started = Instant::now();
-        let store = &gateway.store;
-        let written = if exists {
-            let Some(object) = store.get(VERSIONS, service, Freshness::Latest).await? else {
-                exists = false;
-                continue;
-            };
-            let stored: History = serde_json::from_str(&object.spec).unwrap_or_default();
-            if stored.number > next.number || (stored.number == next.number && stored != next) {
+        let object = store.get(VERSIONS, service, Freshness::Latest).await?;
+        let written = match (&object, object.as_ref().and_then(decode)) {
+            // An earlier write took effect, and its answer was lost.
+            (_, Some(stored)) if stored == next => Ok(()),
+            (_, Some(stored)) if stored.number >= next.number => {
                 gateway.streams().merge(service.clone(), stored);
                 return Ok(());
             }
-            if stored == next {
-                Ok(())
-            } else {
+            (Some(object), _) => {
                 let revision = object.revision;
                 store.replace_at(VERSIONS, service, revision, &next).await
             }
-        } else {
-            store.create(VERSIONS, service, &next).await
+            (None, _) => store.create(VERSIONS, service, &next).await,
         };
-        let is_late = started.elapsed() > WRITE_LIMIT;
         match written {
-            Ok(()) if !is_late => {
-                event!(
-                    Info,
-                    SharesChanged,
-                    "service={service} number={} shares={:?}",
-                    next.number,
-                    next.mixes.last().map(|m| &m.shares)
-                );
-                gateway.streams().merge(service.clone(), next);
-                gateway.streams().tell(service);
-                gateway.dispatch.notify();
+            Ok(()) if begun.elapsed() <= WRITE_LIMIT => {
+                put_in_use(gateway, service, next);
                 return Ok(());
             }
             Ok(()) => {
-                exists = true;
                 next = next.repeated(clock::unix_millis());
+                begun = Instant::now();
             }
-            Err(StoreError::Conflict) => exists = true,
+            Err(StoreError::Conflict) => {}
             Err(e) => {
-                // The write may have taken effect; the read shows whether it has.
                 log_failure("write-versions", &e);
-                exists = true;
                 Timer::after(NEWS_DELAY).await;
-                let stored = store.get(VERSIONS, service, Freshness::Latest).await?;
-                let stored = stored.and_then(|o| serde_json::from_str(&o.spec).ok());
-                if stored.as_ref() == Some(&next) {
-                    next = next.repeated(clock::unix_millis());
-                }
             }
         }
     }
     Err(StoreError::Unknown("the store is too slow".into()))
 }
 
+/// Uses a history that the store has, and tells the other instances.
+fn put_in_use(gateway: &Gateway, service: &ServiceId, history: History) {
+    event!(
+        Info,
+        SharesChanged,
+        "service={service} number={} shares={:?}",
+        history.number,
+        history.mixes.last().map(|m| &m.shares)
+    );
+    let mut streams = gateway.streams();
+    streams.merge(service.clone(), history);
+    streams.tell(service);
+    drop(streams);
+    gateway.dispatch.notify();
+}
+
 fn log_failure(call: &str, error: &StoreError) {
     event!(Info, StoreCallFailed, "call={call} reason=\"{error}\"");
 }
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -69,9 +69,7 @@
     pub fn choose(&self, call: &str) -> Option<&SoftwareVersion> {
         let weighted = self.shares.iter().filter(|(_, share)| *share > 0);
         let score = |(version, share): &&(SoftwareVersion, u32)| {
-            let hash = ownership::score(call, version) >> 11;
-            let unit = (hash as f64 + 0.5) / (1_u64 << 53) as f64;
-            f64::from(*share) / -unit.ln()
+            f64::from(*share) / -ownership::unit(call, version).ln()
         };
         let best = weighted.max_by(|a, b| score(a).total_cmp(&score(b)));
         best.map(|(version, _)| version)
@@ -180,14 +178,13 @@
 
 /// Versions of the streams that this instance began.
 #[derive(Debug, Default)]
-pub struct Begun {
+struct Begun {
     streams: Map<u64, (SoftwareVersion, Duration)>,
     pruned: Duration,
 }
 
 impl Begun {
-    /// Records the version that began the stream of a call.
-    pub fn record(&mut self, call: &str, version: &SoftwareVersion, now: Duration) {
+    fn record(&mut self, call: &str, version: &SoftwareVersion, now: Duration) {
         if now >= self.pruned + REMEMBERED {
             self.pruned = now;
             self.streams.retain(|_, (_, at)| now < *at + REMEMBERED);
@@ -195,8 +192,7 @@
         self.streams.insert(key(call), (version.clone(), now));
     }
 
-    /// Returns the version that began the stream of a call here.
-    pub fn get(&self, call: &str) -> Option<SoftwareVersion> {
+    fn get(&self, call: &str) -> Option<SoftwareVersion> {
         let (version, _) = self.streams.get(&key(call))?;
         Some(version.clone())
     }
@@ -281,9 +277,9 @@
         self.begun.record(call, version, now);
     }
 
-    /// Returns the history of a service.
-    pub fn history(&self, service: &ServiceId) -> Option<&History> {
-        self.histories.get(service)
+    /// Returns the history of a service, which is empty if none is known.
+    pub fn history(&self, service: &ServiceId) -> History {
+        self.histories.get(service).cloned().unwrap_or_default()
     }
 
     /// Returns all histories.
--- a/src/ownership.rs
+++ b/src/ownership.rs
@@ -42,6 +42,13 @@
     mix(fnv::extend(fnv::OFFSET_BASIS, bytes))
 }
 
+/// Returns the score of a candidate as a number between 0 and 1, both excluded.
+pub fn unit(key: &str, candidate: &str) -> f64 {
+    // A float has 53 bits of precision.
+    let hash = score(key, candidate) >> 11;
+    (hash as f64 + 0.5) / (1_u64 << 53) as f64
+}
+
 /// Mixes the bits of an FNV hash, whose high bits depend only weakly on the last bytes.
 fn mix(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
