--- a/src/instance_list.rs
+++ b/src/instance_list.rs
@@ -164,10 +164,14 @@
     if let Ok(event) = serde_json::from_str(raw.get()) {
         return Some(event);
     }
-    let EventKey { group, id, version } = read_borrowed(raw)?;
-    let value = None;
-    match group {
-        "entries" => Some(ListEvent::Entries { id, version, value }),
+    let key: EventKey<'_> = read(raw)?;
+    let (id, version) = (key.id, key.version);
+    match key.group {
+        "entries" => Some(ListEvent::Entries {
+            id,
+            version,
+            value: None,
+        }),
         "targets" => Some(ListEvent::Targets {
             id,
             version,
@@ -177,11 +181,7 @@
     }
 }
 
-fn read<T: DeserializeOwned>(raw: &RawValue) -> Option<T> {
-    read_borrowed(raw)
-}
-
-fn read_borrowed<'a, T: Deserialize<'a>>(raw: &'a RawValue) -> Option<T> {
+fn read<'a, T: Deserialize<'a>>(raw: &'a RawValue) -> Option<T> {
     let entry = serde_json::from_str(raw.get());
     entry
         .inspect_err(|e| log::warn!("an entry of the instance list cannot be read: {e}"))
