--- /dev/null
+++ b/review/cases/src/instance.rs
@@ -0,0 +1,141 @@
+//! Entry instances, started with the command of the deploy file.
+
+use std::{
+    fs::{self, File},
+    io::Write,
+    net::{SocketAddr, TcpListener, UdpSocket},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+use crate::http;
+
+/// Returns an address whose port is free for TCP and UDP. Ports of the dynamic range have five digits.
+pub fn free_address() -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        if address.port() >= 16384 && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// What an instance is told in its settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub name: String,
+    pub zone: String,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+    pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+    pub store: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Settings {
+    pub fn new(name: &str, zone: &str, store: SocketAddr) -> Self {
+        Self {
+            name: name.into(),
+            zone: zone.into(),
+            callers: free_address(),
+            ready: free_address(),
+            peers: free_address(),
+            metrics: free_address(),
+            store,
+            seeds: Vec::new(),
+        }
+    }
+}
+
+/// A running instance, which is killed when it is dropped.
+pub struct Instance {
+    pub settings: Settings,
+    file: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Instance {
+    pub fn start(settings: Settings, folder: &Path) -> Self {
+        let text = json!({
+            "instance": settings.name, "zone": settings.zone, "caller_address": settings.callers,
+            "ready_address": settings.ready, "peer_address": settings.peers,
+            "metrics_address": settings.metrics, "store_address": settings.store,
+            "seeds": settings.seeds, "grace_s": 8, "status_s": 120,
+        });
+        let file = folder.join(format!("{}.json", settings.name));
+        let log = folder.join(format!("{}.log", settings.name));
+        fs::write(&file, text.to_string()).expect("settings");
+        let child = spawn(&file, &log);
+        Self {
+            settings,
+            file,
+            log,
+            child,
+        }
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let ready = || {
+            let stream = http::connect(self.settings.ready, Duration::from_secs(1)).ok()?;
+            let answer = http::send(&stream, "GET", "/readyz", &[("host", "x")], b"").ok()?;
+            Some(answer.head.status() == 200)
+        };
+        ready() == Some(true)
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.file, &self.log);
+    }
+}
+
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("a log");
+    let child = Command::new("target/release/gentianpath")
+        .arg("gateway")
+        .env_clear()
+        .env("GENTIANPATH_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("target/release/gentianpath, built as the deploy file says");
+    let pids = settings.with_file_name("pids");
+    let pids = File::options().create(true).append(true).open(pids);
+    writeln!(pids.expect("a list of processes"), "{}", child.id()).expect("a list of processes");
+    child
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until all instances are ready, and returns whether they are.
+pub fn await_ready(instances: &[Instance], limit: Duration) -> bool {
+    let end = Instant::now() + limit;
+    while !instances.iter().all(Instance::is_ready) {
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    true
+}
--- /dev/null
+++ b/review/cases/src/main.rs
@@ -0,0 +1,54 @@
+//! Plays the cases of the review: `review-cases CASE FOLDER WORK`, in the root of the
+//! repository. The record goes into FOLDER, all other files into WORK.
+
+mod client;
+mod http;
+mod instance;
+mod proxy;
+mod record;
+mod silent;
+mod store;
+mod versions;
+mod worker;
+
+use std::{path::PathBuf, process::ExitCode};
+
+/// Result of a case.
+pub enum Verdict {
+    Held,
+    Broken,
+    NotRun(String),
+}
+
+impl Verdict {
+    pub fn of(broken: bool) -> Self {
+        if broken { Self::Broken } else { Self::Held }
+    }
+}
+
+fn main() -> ExitCode {
+    let mut words = std::env::args().skip(1);
+    let case = words.next().unwrap_or_default();
+    let folder = PathBuf::from(words.next().unwrap_or_else(|| ".".into()));
+    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
+    let work = PathBuf::from(words.next().unwrap_or_else(|| ".".into()));
+    let verdict = match case.as_str() {
+        "silent" => silent::run(&folder, &work, &trouble),
+        "versions" => versions::run(&folder, &work, &trouble),
+        other => Verdict::NotRun(format!("there is no case {other}")),
+    };
+    match verdict {
+        Verdict::Held => {
+            println!("the rule held");
+            ExitCode::SUCCESS
+        }
+        Verdict::Broken => {
+            println!("the rule was broken");
+            ExitCode::from(1)
+        }
+        Verdict::NotRun(reason) => {
+            println!("not run: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
