Review case 3: bodies inside the limit exhaust an instance's memory

Cause: bodies are read whole and held until the call ends, and nothing bounds their sum. Done: a script with two instances, the site's request rate and steps, and bodies of max_body_bytes; a stand-in of the platform kills a process above 96 MiB.

--- a/review/cases/src/http.rs
+++ b/review/cases/src/http.rs
@@ -151,6 +151,11 @@
     let mut bytes = text.into_bytes();
     bytes.extend(body);
     (&mut &*stream).write_all(&bytes)?;
+    receive(stream)
+}
+
+/// Reads the head of an answer.
+pub fn receive(stream: &TcpStream) -> io::Result<Answer> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let head = read_head(&mut reader).ok_or(io::ErrorKind::UnexpectedEof)?;
     Ok(Answer { head, reader })
--- a/review/cases/src/instance.rs
+++ b/review/cases/src/instance.rs
@@ -90,6 +90,10 @@
         ready() == Some(true)
     }
 
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod http;
 mod instance;
+mod memory;
 mod proxy;
 mod record;
 mod silent;
@@ -33,6 +34,7 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
     let work = PathBuf::from(words.next().unwrap_or_else(|| ".".into()));
     let verdict = match case.as_str() {
+        "memory" => memory::run(&folder, &work, &trouble),
         "silent" => silent::run(&folder, &work, &trouble),
         "versions" => versions::run(&folder, &work, &trouble),
         other => Verdict::NotRun(format!("there is no case {other}")),
