Review case 4: shares of versions whose writer died come into use silently

Cause: an instance that finds shares in the store that another one wrote uses them with their old time, and does not tell the others. Done: a script; the writer is killed before the store's answer reaches it, and a second instance 0.3 s after its successor has read the shares.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../run-case" successor "$(dirname "$0")"
--- a/review/cases/src/client.rs
+++ b/review/cases/src/client.rs
@@ -2,7 +2,11 @@
 
 use std::{
     net::SocketAddr,
-    thread,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
@@ -23,6 +27,28 @@
     pub gone_on: u32,
 }
 
+/// Starts a client that asks for one stream after the other, first at one instance and for retries at
+/// another one. Clients come one after the other.
+pub fn start(
+    record: &Record,
+    stop: &Arc<AtomicBool>,
+    number: usize,
+    (first, next): (SocketAddr, SocketAddr),
+) -> JoinHandle<Vec<(String, Outcome)>> {
+    let (record, stop) = (record.clone(), stop.clone());
+    thread::spawn(move || {
+        let mut outcomes = Vec::new();
+        thread::sleep(Duration::from_millis(67 * number as u64));
+        while !stop.load(Ordering::Relaxed) {
+            let name = format!("c{number}-{}", outcomes.len());
+            let path = format!("/tally/{name}");
+            outcomes.push((name.clone(), stream(&record, &name, &path, first, next)));
+            thread::sleep(Duration::from_millis(60));
+        }
+        outcomes
+    })
+}
+
 /// Asks for a stream, at `first` and after a failure at `next`.
 pub fn stream(
     record: &Record,
--- a/review/cases/src/instance.rs
+++ b/review/cases/src/instance.rs
@@ -6,6 +6,7 @@
     net::{SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
@@ -14,12 +15,18 @@
 
 use crate::http;
 
+/// Ports that were handed out, which may not be bound yet.
+static TAKEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
 /// Returns an address whose port is free for TCP and UDP. Ports of the dynamic range have five digits.
 pub fn free_address() -> SocketAddr {
+    let mut taken = TAKEN.lock().unwrap();
     loop {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        if address.port() >= 16384 && UdpSocket::bind(address).is_ok() {
+        let port = address.port();
+        if port >= 16384 && !taken.contains(&port) && UdpSocket::bind(address).is_ok() {
+            taken.push(port);
             return address;
         }
     }
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod silent;
 mod store;
+mod successor;
 mod versions;
 mod worker;
 
@@ -36,6 +37,7 @@
     let verdict = match case.as_str() {
         "memory" => memory::run(&folder, &work, &trouble),
         "silent" => silent::run(&folder, &work, &trouble),
+        "successor" => successor::run(&folder, &work, &trouble),
         "versions" => versions::run(&folder, &work, &trouble),
         other => Verdict::NotRun(format!("there is no case {other}")),
     };
--- a/review/cases/src/store.rs
+++ b/review/cases/src/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Condvar, Mutex, MutexGuard},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        mpsc::{Receiver, Sender, channel},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -21,6 +24,8 @@
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
     events: Vec<(u64, String, Value, bool)>,
+    /// Gets the caller and the method of each call for a kind, once the store has carried it out.
+    observer: Option<(String, Sender<(String, String)>)>,
 }
 
 #[derive(Clone)]
@@ -33,10 +38,23 @@
     pub fn start() -> Self {
         let state: Arc<(Mutex<Objects>, Condvar)> = Arc::default();
         let shared = state.clone();
-        let address = http::serve(move |request, stream| serve(&shared, request, stream));
+        let address = http::serve(move |request, stream| serve(&shared, "", request, stream));
         Self { address, state }
     }
 
+    /// Returns another address of the store, for one caller.
+    pub fn address_for(&self, caller: &str) -> SocketAddr {
+        let (shared, caller) = (self.state.clone(), caller.to_owned());
+        http::serve(move |request, stream| serve(&shared, &caller, request, stream))
+    }
+
+    /// Returns the calls for a kind from now on, with their callers.
+    pub fn observe(&self, kind: &str) -> Receiver<(String, String)> {
+        let (sender, receiver) = channel();
+        self.lock().observer = Some((kind.to_owned(), sender));
+        receiver
+    }
+
     fn lock(&self) -> MutexGuard<'_, Objects> {
         self.state.0.lock().unwrap()
     }
@@ -93,6 +111,7 @@
 
 fn serve(
     state: &(Mutex<Objects>, Condvar),
+    caller: &str,
     request: &Request,
     stream: &mut TcpStream,
 ) -> io::Result<bool> {
@@ -104,7 +123,6 @@
     if let Some(since) = request.query("watch") {
         return watch(state, request, kind, since.parse().unwrap_or(0), stream);
     }
-    thread::sleep(ANSWER_TIME);
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let key = |name: &str| (kind.to_owned(), name.to_owned());
     let mut objects = state.0.lock().unwrap();
@@ -154,8 +172,14 @@
         },
         _ => (400, "{}".into()),
     };
+    if let Some((observed, sender)) = &objects.observer
+        && observed == kind
+    {
+        let _ = sender.send((caller.to_owned(), request.method().to_owned()));
+    }
     drop(objects);
     state.1.notify_all();
+    thread::sleep(ANSWER_TIME);
     answer(stream, status, "", &text)
 }
 
--- a/review/cases/src/versions.rs
+++ b/review/cases/src/versions.rs
@@ -15,7 +15,8 @@
 use serde_json::json;
 
 use crate::{
-    Verdict, client,
+    Verdict,
+    client::{self, Outcome},
     instance::{self, Instance, Settings, free_address},
     proxy::{self, Paths},
     record::Record,
@@ -74,27 +75,10 @@
     let stop = Arc::new(AtomicBool::new(false));
     // Ten clients whose connections go to the first instance, and one at each other one. A retry
     // goes to the other instance of the zone.
+    let at = |n: usize| n.saturating_sub(9);
+    let paths_of = |n: usize| (addresses[at(n)], addresses[at(n) ^ 1]);
     let clients: Vec<_> = (0..15)
-        .map(|n: usize| {
-            let at = n.saturating_sub(9);
-            let (first, next) = (addresses[at], addresses[at ^ 1]);
-            let (record, stop) = (record.clone(), stop.clone());
-            thread::spawn(move || {
-                let mut outcomes = Vec::new();
-                // Clients come one after the other.
-                thread::sleep(Duration::from_millis(67 * n as u64));
-                while !stop.load(Ordering::Relaxed) {
-                    let name = format!("c{n}-{}", outcomes.len());
-                    let path = format!("/tally/{name}");
-                    outcomes.push((
-                        name.clone(),
-                        client::stream(&record, &name, &path, first, next),
-                    ));
-                    thread::sleep(Duration::from_millis(60));
-                }
-                outcomes
-            })
-        })
+        .map(|n| client::start(&record, &stop, n, paths_of(n)))
         .collect();
     thread::sleep(Duration::from_secs(3));
 
@@ -120,22 +104,28 @@
     thread::sleep(Duration::from_secs(4));
     stop.store(true, Ordering::Relaxed);
 
+    let outcomes = clients
+        .into_iter()
+        .flat_map(|c| c.join().expect("a client"));
+    judge(&record, outcomes.collect())
+}
+
+/// Counts the streams that hold events of two versions.
+pub fn judge(record: &Record, outcomes: Vec<(String, Outcome)>) -> Verdict {
     let mut mixed = 0;
     let (mut total, mut complete, mut taken_up, mut gone_on) = (0, 0, 0, 0);
-    for client in clients {
-        for (name, outcome) in client.join().expect("a client") {
-            total += 1;
-            complete += usize::from(outcome.complete);
-            taken_up += outcome.taken_up;
-            gone_on += outcome.gone_on;
-            let version = |(_, data): &(u64, String)| data.split('/').next().map(str::to_owned);
-            let versions: BTreeSet<_> = outcome.events.iter().filter_map(version).collect();
-            if versions.len() > 1 {
-                mixed += 1;
-                record.say(&format!(
-                    "broken: stream {name} holds events of {versions:?}"
-                ));
-            }
+    for (name, outcome) in outcomes {
+        total += 1;
+        complete += usize::from(outcome.complete);
+        taken_up += outcome.taken_up;
+        gone_on += outcome.gone_on;
+        let version = |(_, data): &(u64, String)| data.split('/').next().map(str::to_owned);
+        let versions: BTreeSet<_> = outcome.events.iter().filter_map(version).collect();
+        if versions.len() > 1 {
+            mixed += 1;
+            record.say(&format!(
+                "broken: stream {name} holds events of {versions:?}"
+            ));
         }
     }
     record.say(&format!(
@@ -149,7 +139,7 @@
     Verdict::of(mixed > ALLOWED)
 }
 
-fn config() -> serde_json::Value {
+pub fn config() -> serde_json::Value {
     json!({
         "version": 3,
         "routes": [{
