--- /dev/null
+++ b/review/cases/src/flood.rs
@@ -0,0 +1,256 @@
+//! A worker in trouble sends heads of interim answers without end until its caller closes.
+
+use std::{
+    collections::BTreeMap,
+    io::{self, Write},
+    net::{SocketAddr, TcpStream},
+    path::Path,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::json;
+
+use crate::{
+    Verdict, client, http,
+    instance::{self, Instance, Settings},
+    record::Record,
+    store::Store,
+    worker::{Kind, Worker},
+};
+
+/// The route's timeout, and how much later RULES.md (CONFIG) expects an answer at most.
+const TIMEOUT: Duration = Duration::from_secs(5);
+const LATE: Duration = Duration::from_millis(500);
+/// Time for which a client waits to see whether an answer comes at all.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// Time after which the worker gives up if its caller does not close.
+const FLOOD: Duration = Duration::from_secs(25);
+/// Site file: cpu_share = 0.17 of a front machine. DEPLOY.md: the core "runs at full speed until the
+/// quota is used up, and then runs not at all for the rest of that tenth of a second".
+const RUN_S: f64 = 0.017;
+const STOP_S: f64 = 0.083;
+/// Site file: link_mbps = 700 of a front machine.
+const LINK_BYTES_PER_S: f64 = 700e6 / 8.0;
+
+pub fn run(folder: &Path, work: &Path, trouble: &str) -> Verdict {
+    let record = Record::create(folder).expect("record.txt");
+    let store = Store::start();
+    let kind = Kind {
+        record: record.clone(),
+        runs: Arc::default(),
+        events: 25,
+        pause: Duration::from_millis(20),
+    };
+    store.put("config", "main", config());
+    for n in 0..5 {
+        let worker = Worker::start(&kind, &format!("i-{n}"), "lm", "a", "v1");
+        store.put("servers", &worker.id, worker.entry("ready"));
+    }
+    let (troubled, sent) = (
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicU64::new(0)),
+    );
+    let mut sixth = Worker::start(&kind, "i-5", "lm", "a", "v1");
+    sixth.address = troubled_worker(&record, sixth.address, troubled.clone(), sent.clone());
+    store.put("servers", &sixth.id, sixth.entry("ready"));
+    let mut all: Vec<Settings> = (0..3)
+        .map(|n| Settings::new(&format!("front-{n}"), "a", store.address))
+        .collect();
+    let seeds: Vec<_> = all.iter().map(|s| s.peers).collect();
+    all.iter_mut().for_each(|s| s.seeds = seeds.clone());
+    let instances: Vec<Instance> = all.into_iter().map(|s| Instance::start(s, work)).collect();
+    if !instance::await_ready(&instances, Duration::from_secs(10)) {
+        return Verdict::NotRun("the instances were not ready".into());
+    }
+    thread::sleep(Duration::from_secs(4));
+    let _quotas: Vec<Quota> = instances
+        .iter()
+        .map(|i| Quota::start(i.id(), work))
+        .collect();
+
+    let addresses: Vec<_> = instances.iter().map(|i| i.settings.callers).collect();
+    let stop = Arc::new(AtomicBool::new(false));
+    let waits: Arc<Mutex<BTreeMap<String, (Duration, bool)>>> = Arc::default();
+    let clients: Vec<_> = (0..12)
+        .map(|n: usize| {
+            let address = addresses[n % 3];
+            let (record, stop, waits) = (record.clone(), stop.clone(), waits.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(90 * n as u64));
+                for count in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let id = format!("c{n}-{count}");
+                    record.write(&format!("sent request={id} to={address}"));
+                    let begun = Instant::now();
+                    let result = call(address, &id);
+                    let waited = begun.elapsed();
+                    record.write(&format!(
+                        "answered request={id} result={result:?} after={waited:?}"
+                    ));
+                    waits.lock().unwrap().insert(id, (waited, result.is_ok()));
+                    thread::sleep(Duration::from_millis(400));
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(3));
+    if trouble != "0" {
+        record.say("trouble: i-5 answers with heads that are no answer, without end");
+        troubled.store(true, Ordering::Relaxed);
+    }
+    thread::sleep(Duration::from_secs(3));
+    for instance in &instances {
+        let ready = if instance.is_ready() {
+            "ready"
+        } else {
+            "not ready, or silent"
+        };
+        record.say(&format!("{} is {ready}", instance.settings.name));
+    }
+    thread::sleep(Duration::from_secs(15));
+    stop.store(true, Ordering::Relaxed);
+    clients
+        .into_iter()
+        .for_each(|c| c.join().expect("a client"));
+
+    let waits = waits.lock().unwrap();
+    let served = waits.values().filter(|(_, answered)| *answered).count();
+    let open = waits.values().filter(|(waited, _)| *waited >= TIMEOUT);
+    let open: Vec<&(Duration, bool)> = open.collect();
+    let late = |(waited, answered): &&&(Duration, bool)| !answered || *waited > TIMEOUT + LATE;
+    let unanswered = open.iter().filter(late).count();
+    record.say(&format!(
+        "requests={} answered={served} unanswered_at_timeout={} of_these_unanswered_half_a_second_\
+         later={unanswered} flood_bytes={}",
+        waits.len(),
+        open.len(),
+        sent.load(Ordering::Relaxed)
+    ));
+    record.flush();
+    if served < 20 {
+        return Verdict::NotRun("too few requests were answered".into());
+    }
+    Verdict::of(unanswered * 2 > open.len())
+}
+
+/// Gives a process its machine's share of a core, as a quota for each tenth of a second.
+struct Quota(Child);
+
+impl Quota {
+    fn start(process: u32, work: &Path) -> Self {
+        let script = format!(
+            "while kill -CONT {process} && sleep {RUN_S}; do kill -STOP {process}; sleep {STOP_S}; done"
+        );
+        let child = Command::new("sh")
+            .arg("-c")
+            .arg(script)
+            .stderr(Stdio::null())
+            .spawn();
+        let child = child.expect("a shell");
+        instance::list_process(&child, work);
+        Self(child)
+    }
+}
+
+impl Drop for Quota {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a worker that passes requests on to a sound one, until it is in trouble.
+fn troubled_worker(
+    record: &Record,
+    sound: SocketAddr,
+    troubled: Arc<AtomicBool>,
+    sent: Arc<AtomicU64>,
+) -> SocketAddr {
+    let record = record.clone();
+    http::serve(move |request, stream| {
+        if !troubled.load(Ordering::Relaxed) || request.method() == "GET" {
+            return pass_on(sound, request, stream);
+        }
+        let id = request.head.get("x-request-id").unwrap_or_default();
+        record.write(&format!("flood request={id} worker=i-5"));
+        let heads = "HTTP/1.1 102 Processing\r\n\r\n".repeat(2500);
+        let (begun, mut count) = (Instant::now(), 0);
+        while begun.elapsed() < FLOOD {
+            stream.write_all(heads.as_bytes())?;
+            count += heads.len();
+            sent.fetch_add(heads.len() as u64, Ordering::Relaxed);
+            let due = Duration::from_secs_f64(count as f64 / LINK_BYTES_PER_S);
+            thread::sleep(due.saturating_sub(begun.elapsed()));
+        }
+        Ok(false)
+    })
+}
+
+fn pass_on(sound: SocketAddr, request: &http::Request, stream: &mut TcpStream) -> io::Result<bool> {
+    let far = http::connect(sound, PATIENCE)?;
+    let headers: Vec<(&str, &str)> = request
+        .head
+        .headers
+        .iter()
+        .filter(|(n, _)| n != "content-length")
+        .map(|(n, v)| (&**n, &**v))
+        .collect();
+    let path = &request.head.words[1];
+    let mut answer = http::send(&far, request.method(), path, &headers, &request.body)?;
+    let mut head = format!("HTTP/1.1 {} x\r\n", answer.head.status());
+    for (name, value) in &answer.head.headers {
+        head += &format!("{name}: {value}\r\n");
+    }
+    let is_chunked = answer.head.get("transfer-encoding").is_some();
+    write!(stream, "{head}\r\n")?;
+    loop {
+        let part = answer.part()?;
+        if is_chunked {
+            write!(stream, "{:x}\r\n", part.len())?;
+        }
+        stream.write_all(&part)?;
+        if is_chunked {
+            stream.write_all(b"\r\n")?;
+        }
+        if part.is_empty() {
+            return Ok(true);
+        }
+    }
+}
+
+fn call(address: SocketAddr, id: &str) -> io::Result<u16> {
+    let headers = [
+        ("host", client::HOST),
+        ("x-request-id", id),
+        ("x-model", "m"),
+        ("x-token-count", "450,40"),
+        ("x-deadline-ms", "5000"),
+    ];
+    let connection = http::connect(address, PATIENCE)?;
+    let mut answer = http::send(&connection, "POST", "/tally/x", &headers, b"prompt")?;
+    while !answer.part()?.is_empty() {}
+    Ok(answer.head.status())
+}
+
+fn config() -> serde_json::Value {
+    json!({
+        "version": 3,
+        "routes": [{
+            "name": "tally", "host": client::HOST, "path_prefix": "/tally/", "kind": "stream",
+            "timeout_ms": TIMEOUT.as_millis() as u64, "goal_ms": 300, "priority": 0,
+            "service": "lm", "max_attempts": 2, "sticky": true, "resumable": true,
+            "gap_target_ms": 250,
+        }],
+        "services": [{ "name": "lm", "health_path": "/healthz", "max_conns": 364 }],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 4194304,
+                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+    })
+}
--- a/review/cases/src/instance.rs
+++ b/review/cases/src/instance.rs
@@ -127,12 +127,19 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("target/release/gentianpath, built as the deploy file says");
-    let pids = settings.with_file_name("pids");
-    let pids = File::options().create(true).append(true).open(pids);
-    writeln!(pids.expect("a list of processes"), "{}", child.id()).expect("a list of processes");
+    list_process(&child, settings.parent().expect("a folder"));
     child
 }
 
+/// Adds a process to those that are ended however the case ends.
+pub fn list_process(child: &Child, work: &Path) {
+    let pids = File::options()
+        .create(true)
+        .append(true)
+        .open(work.join("pids"));
+    writeln!(pids.expect("a list of processes"), "{}", child.id()).expect("a list of processes");
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         self.kill();
--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -2,6 +2,7 @@
 //! repository. The record goes into FOLDER, all other files into WORK.
 
 mod client;
+mod flood;
 mod http;
 mod instance;
 mod memory;
@@ -35,6 +36,7 @@
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".into());
     let work = PathBuf::from(words.next().unwrap_or_else(|| ".".into()));
     let verdict = match case.as_str() {
+        "flood" => flood::run(&folder, &work, &trouble),
         "memory" => memory::run(&folder, &work, &trouble),
         "silent" => silent::run(&folder, &work, &trouble),
         "successor" => successor::run(&folder, &work, &trouble),
