--- a/review/cases/src/http.rs
+++ b/review/cases/src/http.rs
@@ -133,6 +133,18 @@
         chunk.truncate(size);
         Ok(chunk)
     }
+
+    /// Reads the whole body.
+    pub fn whole(mut self) -> io::Result<(u16, Vec<u8>)> {
+        let mut text = Vec::new();
+        loop {
+            let part = self.part()?;
+            if part.is_empty() {
+                return Ok((self.head.status(), text));
+            }
+            text.extend(part);
+        }
+    }
 }
 
 /// Sends a request on a connection and reads the head of the answer.
--- a/review/cases/src/worker.rs
+++ b/review/cases/src/worker.rs
@@ -50,10 +50,10 @@
 }
 
 impl Worker {
-    pub fn start(kind: &Kind, id: &str, service: &str, zone: &str, version: &str) -> Self {
+    pub fn start(kind: &Kind, number: usize, service: &str, zone: &str, version: &str) -> Self {
         let (slots, none): (u32, _) = (8, "127.0.0.1:1".parse().unwrap());
         let mut worker = Self {
-            id: id.into(),
+            id: format!("i-{number}"),
             service: service.into(),
             zone: zone.into(),
             version: version.into(),
@@ -128,10 +128,10 @@
     }
 
     /// Returns the worker's entry in the store.
-    pub fn entry(&self, state: &str) -> Value {
+    pub fn entry(&self) -> Value {
         json!({
             "service": self.service, "addr": self.address, "zone": self.zone,
-            "version": self.version, "slots": self.slots, "state": state, "cold_left_ms": 0,
+            "version": self.version, "slots": self.slots, "state": "ready", "cold_left_ms": 0,
             "seq": 1, "born": 1,
         })
     }
