--- a/review/cases/src/timeouts.rs
+++ b/review/cases/src/timeouts.rs
@@ -21,6 +21,8 @@
 const FINISH: Duration = Duration::from_secs(18);
 /// Time that workers take for the first event of a request.
 const FIRST_EVENT: Duration = Duration::from_millis(150);
+/// New timeout of the route of streams.
+const TIMEOUT_MS: u64 = 110;
 const ITEMS: usize = 10;
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -32,8 +34,8 @@
     let instances = side.instances(3, work)?;
     let addresses: Vec<_> = instances.iter().map(|i| i.settings.callers).collect();
     if trouble != "0" {
-        store.put("config", "main", config(2, 100));
-        record.say("plan: the timeout of the route of streams becomes 100 ms");
+        store.put("config", "main", config(2, TIMEOUT_MS));
+        record.say("plan: the timeout of the route of streams becomes 110 ms");
         thread::sleep(Duration::from_secs(2));
     }
 
--- a/review/cases/src/worker.rs
+++ b/review/cases/src/worker.rs
@@ -21,6 +21,9 @@
 /// Delay of the links to a worker and back; in another zone, 0.9 ms each (site file).
 const LINK_DELAY: Duration = Duration::from_micros(1800);
 
+/// Step of an engine that reads long prompts: 2,020 tokens at 101 a ms (site file).
+const STEP: Duration = Duration::from_millis(20);
+
 /// A request that a worker began to run.
 #[derive(Debug, Clone)]
 pub struct Run {
@@ -101,13 +104,15 @@
         kind.record.write(&format!(
             "run request={id} worker={worker} service={service} version={version} after={after:?}"
         ));
-        // The head comes with the first event. A worker stops at the deadline that it got.
+        // The head comes with the first event. A worker stops at the deadline that it got, at the end
+        // of the step in which it passes.
         let deadline = head.get("x-deadline-ms").and_then(|v| v.parse().ok());
         let deadline = deadline
             .map(Duration::from_millis)
             .filter(|d| *d < kind.first);
         if let Some(deadline) = deadline {
-            thread::sleep(deadline + LINK_DELAY);
+            let steps = deadline.as_millis().div_ceil(STEP.as_millis()) as u32;
+            thread::sleep(STEP * steps + LINK_DELAY);
             let headers = format!("x-request-id: {id}\r\nx-response-seal: {worker}.{id}\r\n");
             return answer(stream, 504, &headers, "");
         }
