--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,4 @@
 #!/usr/bin/env bash
+# TROUBLE=0 leaves the disruption out.
+export TROUBLE=${TROUBLE:-1}
 exec "$(dirname "$0")/../run-case" timeouts "$(dirname "$0")"
