--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -351,13 +351,13 @@
     }
 
     /// Records that a worker's answer was forwarded completely.
-    pub fn record_answered(&mut self) {
+    pub fn record_answered(&mut self, framed: bool) {
         self.gateway.record_proof(&self.marks);
         self.record_end(CallEnd::Answered);
         event!(
             Info,
             CallAnswered,
-            "request={} route={} runs={} age_ms={}",
+            "request={} route={} runs={} age_ms={} framed={framed}",
             self.call.id,
             self.route.name,
             self.runs + 1,
@@ -403,13 +403,14 @@
         let mut started = started;
         loop {
             let (mut head, events) = started.answer.into_parts();
+            let framed = events.is_framed();
             let memory = &self.gateway.memory;
             let read = connection::read_held(events.into_body(), MAX_ANSWER_BYTES, memory);
             match connection::within(self.remaining(), read).await {
                 Ok(body) => {
                     self.record_begun();
                     self.keep_connection(&started.placement, started.connection);
-                    self.record_answered();
+                    self.record_answered(framed);
                     head.headers = headers::forwarded(&head.headers);
                     return Ok(Response::from_parts(head, full_body(body)));
                 }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -41,8 +41,8 @@
 
 /// How a run of an item ended.
 enum RunEnd {
-    /// The output is complete.
-    Whole,
+    /// The output is complete; tells whether its end differed from the end of the connection.
+    Whole { framed: bool },
     /// The item yielded to online requests, or its job was cancelled or released.
     Yielded,
     /// The worker refused the item without running it.
@@ -134,7 +134,7 @@
         };
         let work = self.stream(&placement, after, &mut output);
         let end = smol::future::or(work, yielded).await;
-        if after.is_none() && matches!(end, RunEnd::Whole) {
+        if after.is_none() && matches!(end, RunEnd::Whole { .. }) {
             let time = self.gateway.now().saturating_sub(started);
             self.gateway.jobs.record_run(time, output.last.unwrap_or(0));
         }
@@ -225,7 +225,9 @@
                 }
                 Ok(None) => {
                     self.gateway.keep_connection(worker, connection);
-                    return RunEnd::Whole;
+                    return RunEnd::Whole {
+                        framed: events.is_framed(),
+                    };
                 }
                 Err(e) => {
                     dispatch.record_failure(&worker.id);
@@ -294,14 +296,14 @@
         progress.ended = Some(now);
         let last = output.last;
         progress.text.extend(match end {
-            RunEnd::Whole => output.events,
+            RunEnd::Whole { .. } => output.events,
             _ => output.resumable(),
         });
         progress.last = last;
         progress.version = Some(version);
         let id = &self.item.id;
         match end {
-            RunEnd::Whole => {
+            RunEnd::Whole { framed } => {
                 let output = progress.text.join("\n");
                 let bytes = output.len();
                 let verdict = job.finish(id, Verdict::Done, output.into(), now);
@@ -312,7 +314,7 @@
                 event!(
                     Info,
                     ItemDone,
-                    "job={} item={id} worker={worker} bytes={bytes}",
+                    "job={} item={id} worker={worker} bytes={bytes} framed={framed}",
                     self.job
                 );
                 metrics::items(ItemStatus::Completed, 1);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -105,8 +105,8 @@
     /// Records an event of the source, or its end, and returns the bytes for the caller.
     fn forward(&mut self, event: Option<Event>) -> Option<Bytes> {
         let Some(event) = event else {
-            self.session.record_answered();
             if let Some(source) = self.source.take() {
+                self.session.record_answered(source.events.is_framed());
                 self.session
                     .keep_connection(&source.placement, source.connection);
             }
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -70,6 +70,11 @@
         })
     }
 
+    /// Returns whether the end of the body differs from the end of its connection.
+    pub fn is_framed(&self) -> bool {
+        self.framed
+    }
+
     /// Returns the body, of which nothing may have been read.
     pub fn into_body(self) -> Incoming {
         self.body
