Answer reports in the stand-in for workers

The stand-in ran a GET /report as a request: it sent a stream, counted a run and used up the next behaviour. It now answers it as workers of the platform do, with the start that its entry names, and counts nothing.

--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -614,6 +614,14 @@
         let head = format!("{leaving}x-not-run: 1\r\n");
         return answer(stream, 421, &head, "");
     }
+    if (request.method.as_str(), request.path.as_str()) == ("GET", "/report") {
+        let report = json!({
+            "stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0, "running": 0,
+            "kv_used": 0, "kv_total": 1000, "handles": 0, "born": 1,
+        });
+        let head = format!("{leaving}content-type: application/json\r\n");
+        return answer(stream, 200, &head, &report.to_string());
+    }
     let (behaviour, events, pause) = {
         let mut state = state.lock().unwrap();
         let behaviour = if state.next.is_empty() {
