Kill worker processes between two events of their answers

An answer with neither a length nor chunks ends with its connection, and the kernel closes the sockets of a killed process with a normal end.

The stand-ins so far are threads of the test program, which can't be killed; standin-worker is a worker of the platform's protocol as a process.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod engine_http;
 pub mod faults;
+pub mod gateway_worker;
 pub mod generate;
 pub mod host;
 pub mod instances;
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+pub mod worker_process;
+
 use std::{
     collections::BTreeMap,
     io::{self, BufRead, BufReader, Write},
