Take the end of a connection for the end of an answer only while its worker runs

Cause: an answer with neither a length nor chunks ends with its connection. When a process is killed, its kernel closes its sockets as a sound process does, so the end of the connection proves nothing. The class is evidence of success that a dead peer gives as well.

Fix: after such an answer the worker is asked for its report, on an idle connection if there is one. A report of the same run proves that the process outlived the answer, whose end was then its own. Without it the answer counts as broken off, on each way that one is read: events of streams, second workers beside silent ones, whole answers, errors, items. An item that goes on and gets no further event in such an answer starts again, as its text may be complete and no worker would ever say so.

--- a/src/events.rs
+++ b/src/events.rs
@@ -78,6 +78,8 @@
     BlockRecalled = 1022, "block-recalled";
     /// A stream is not taken up, as the shares by which it may have begun are not known.
     OriginUnclear = 1023, "origin-unclear";
+    /// An answer ended with its connection, and its worker did not show that it is still running.
+    EndUnconfirmed = 1024, "end-unconfirmed";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,10 +1,13 @@
 //! Sends a call to one worker after another until one answers.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 
 use crate::{
     adapter::headers::{self, Attempt},
@@ -18,8 +21,10 @@
     block_store,
     connection::{self, AttemptError, SendError},
     dispatch::{Busy, Placement},
+    fleet::Worker,
     forward::{CRASHING, Failure, MAX_ANSWER_BYTES, Session, StartedAnswer},
     head::{self, Head},
+    liveness::Responder,
     marks::{self, Mark},
     sse::Events,
     suspects::Admission,
@@ -297,7 +302,7 @@
                 answer: Events::of(
                     response,
                     self.form.is_some() && after.is_some(),
-                    &self.gateway.memory,
+                    self.responder(&worker),
                 ),
             })));
         }
@@ -315,12 +320,20 @@
             );
             return Ok(AttemptResult::TryNext);
         }
-        Err(self.read_failure(response).await)
+        let answer = Events::of(response, false, self.responder(&worker));
+        Err(self.read_failure(answer).await)
+    }
+
+    fn responder(&self, worker: &Arc<Worker>) -> Responder {
+        Responder {
+            gateway: self.gateway.clone(),
+            worker: worker.clone(),
+        }
     }
 
-    async fn read_failure(&self, answer: Response<Incoming>) -> Failure {
+    async fn read_failure(&self, answer: Response<Events>) -> Failure {
         let (head, body) = answer.into_parts();
-        let read = connection::read_held(body, MAX_ANSWER_BYTES, &self.gateway.memory);
+        let read = body.read_whole(MAX_ANSWER_BYTES);
         match connection::within(self.remaining(), read).await {
             Ok(body) => Failure::Answered(Response::from_parts(head, body)),
             Err(e) => Failure::MayHaveRun(e.to_string()),
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -83,12 +83,13 @@
         }
     }
 
-    /// Builds the error for an answer that could not be read to its end. Only an error of kind
-    /// `ConnectionAborted` stands for a connection that the worker closed.
+    /// Builds the error for an answer that could not be read to its end. Only errors of the kinds
+    /// `ConnectionAborted` and `UnexpectedEof` stand for a connection that the worker closed.
     pub fn reading(error: &io::Error, begun: bool) -> Self {
+        use io::ErrorKind::{ConnectionAborted, UnexpectedEof};
         Self {
             reason: error.to_string(),
-            closed: error.kind() == io::ErrorKind::ConnectionAborted,
+            closed: matches!(error.kind(), ConnectionAborted | UnexpectedEof),
             begun,
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -404,8 +404,7 @@
         loop {
             let (mut head, events) = started.answer.into_parts();
             let framed = events.is_framed();
-            let memory = &self.gateway.memory;
-            let read = connection::read_held(events.into_body(), MAX_ANSWER_BYTES, memory);
+            let read = events.read_whole(MAX_ANSWER_BYTES);
             match connection::within(self.remaining(), read).await {
                 Ok(body) => {
                     self.record_begun();
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -1,6 +1,6 @@
 //! Runs an item of a batch job on a worker.
 
-use std::{sync::Arc, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -22,6 +22,7 @@
     head::{self, Head},
     job::{Item, Job, Verdict},
     jobs::SharedJob,
+    liveness::Responder,
     marks,
     splice::Form,
     sse::{Event, Events},
@@ -47,6 +48,9 @@
     Yielded,
     /// The worker refused the item without running it.
     Refused(StatusCode),
+    /// A worker that was to go on ended the answer with its connection, without an event. The text may be
+    /// complete, or the worker may have failed.
+    NoMore,
     /// The connection broke, the worker timed out or its answer was invalid.
     Broken(AttemptError),
     /// The worker answered with an error status.
@@ -205,8 +209,11 @@
             return RunEnd::Broken(AttemptError::fault("the answer is no stream of events"));
         }
         dispatch.record_success(worker);
-        let memory = &self.gateway.memory;
-        let mut events = Events::of(answer, after.is_some(), memory).into_body();
+        let responder = Responder {
+            gateway: self.gateway.clone(),
+            worker: worker.clone(),
+        };
+        let mut events = Events::of(answer, after.is_some(), responder).into_body();
         let mut bytes = 0;
         loop {
             match events.next(output.last, STALL_LIMIT).await {
@@ -229,6 +236,7 @@
                         framed: events.is_framed(),
                     };
                 }
+                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return RunEnd::NoMore,
                 Err(e) => {
                     dispatch.record_failure(&worker.id);
                     return RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()));
@@ -351,6 +359,17 @@
                 progress.not_before = now + self.pause(progress.crashes);
                 progress.crashes += u32::from(broken.closed);
             }
+            RunEnd::NoMore => {
+                event!(
+                    Warn,
+                    ItemBroken,
+                    "job={} item={id} worker={worker} last={last:?} reason=\"no further event\"",
+                    self.job
+                );
+                progress.not_before = now + RETRY_PAUSE;
+                // Only a whole run proves that no event is missing.
+                job.drop_text(id);
+            }
             RunEnd::Failed(status) => {
                 progress.failures += 1;
                 progress.not_before = now + ERROR_PAUSE;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod job_store;
 pub mod jobs;
 pub mod leaving;
+pub mod liveness;
 pub mod marks;
 pub mod memory;
 pub mod orphans;
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -1,17 +1,16 @@
 //! Splits the event streams of workers (server-sent events) into whole events.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::{Response, body::Incoming};
-
-use super::{
-    connection,
-    memory::{Held, Memory},
-    splice,
+use hyper::{
+    Response,
+    body::{Body, Incoming},
 };
 
+use super::{connection, liveness::Responder, memory::Held, splice};
+
 /// Maximum size of an event; the output of an item with a longer one would fit no object of the
 /// store.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -37,10 +36,15 @@
 #[derive(Debug)]
 pub struct Events {
     body: Incoming,
+    responder: Responder,
     splitter: Splitter,
     start: Start,
     /// Whether the end of the body differs from the end of its connection.
     framed: bool,
+    /// Whether the answer has no body, as for some statuses.
+    bodyless: bool,
+    /// Whether the body has been read to its end.
+    ended: bool,
     /// The next event, or the end, if it was read ahead.
     ahead: Option<Option<Event>>,
     held: Held,
@@ -58,15 +62,20 @@
 
 impl Events {
     /// Builds a reader of the events of an answer, which may have to resume a stream.
-    pub fn of(answer: Response<Incoming>, resumes: bool, memory: &Arc<Memory>) -> Response<Self> {
+    pub fn of(answer: Response<Incoming>, resumes: bool, responder: Responder) -> Response<Self> {
         let framed = splice::is_framed(&answer);
+        let held = responder.gateway.memory.hold();
+        let bodyless = answer.body().is_end_stream();
         answer.map(|body| Self {
             body,
+            responder,
             splitter: Splitter::default(),
             start: if resumes { Start::Resumed } else { Start::Free },
             framed,
+            bodyless,
+            ended: false,
             ahead: None,
-            held: memory.hold(),
+            held,
         })
     }
 
@@ -75,9 +84,19 @@
         self.framed
     }
 
-    /// Returns the body, of which nothing may have been read.
-    pub fn into_body(self) -> Incoming {
-        self.body
+    /// Reads the body, of which nothing may have been read, as a whole of at most `limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `connection::read_held`, and one of kind `ConnectionAborted` when the body
+    /// may be incomplete.
+    pub async fn read_whole(self, limit: usize) -> io::Result<Bytes> {
+        let memory = &self.responder.gateway.memory;
+        let bytes = connection::read_held(self.body, limit, memory).await?;
+        if !self.framed && !self.bodyless {
+            self.responder.confirm_end().await?;
+        }
+        Ok(bytes)
     }
 
     /// Returns the next event after the one with a number, or `None` at the end of the stream.
@@ -89,7 +108,8 @@
     ///
     /// Returns an error when the stream breaks, ends inside an event, sends an event that is too
     /// long or has no further event within `limit`, and when an answer that resumes a stream begins
-    /// with something else than its next event.
+    /// with something else than its next event. A kind of `UnexpectedEof` stands for an answer that
+    /// resumes a stream, has no event and ends with its connection at a worker that is running.
     pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Option<Event>> {
         if let Some(event) = self.ahead.take() {
             return Ok(event);
@@ -134,24 +154,45 @@
             if self.splitter.len() > MAX_EVENT_BYTES {
                 return Err(connection::invalid("an event is too long"));
             }
+            if self.ended {
+                return self.end().await;
+            }
             match self.body.frame().await.transpose() {
                 Ok(Some(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
                 }
-                Ok(None) if self.start == Start::Resumed && !self.framed => {
-                    return Err(connection::aborted("the connection ended without an event"));
-                }
-                Ok(None) if self.splitter.is_empty() => return Ok(None),
-                Ok(None) if self.framed => {
-                    return Err(connection::invalid("the stream ended inside an event"));
-                }
-                Ok(None) => return Err(connection::aborted("the stream ended inside an event")),
+                Ok(None) => self.ended = true,
                 Err(e) => return Err(connection::aborted(e)),
             }
         }
     }
+
+    /// Returns the end of the stream if nothing is missing.
+    async fn end(&self) -> io::Result<Option<Event>> {
+        if !self.splitter.is_empty() {
+            let reason = "the stream ended inside an event";
+            return Err(if self.framed {
+                connection::invalid(reason)
+            } else {
+                connection::aborted(reason)
+            });
+        }
+        if self.framed {
+            return Ok(None);
+        }
+        if !self.bodyless {
+            self.responder.confirm_end().await?;
+        }
+        if self.start == Start::Resumed {
+            return Err(io::Error::new(
+                io::ErrorKind::UnexpectedEof,
+                "the connection ended without an event",
+            ));
+        }
+        Ok(None)
+    }
 }
 
 impl Splitter {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -203,6 +203,7 @@
     platform: Counter<u64>,
     peer_calls: Counter<u64>,
     peer_bytes: Counter<u64>,
+    connection_ends: Counter<u64>,
     revision: Gauge<u64>,
     calls: Counter<u64>,
     call_time: Histogram<f64>,
@@ -261,6 +262,7 @@
         platform: meter.u64_counter("gentianpath_platform_calls").build(),
         peer_calls: meter.u64_counter("gentianpath_peer_calls").build(),
         peer_bytes: meter.u64_counter("gentianpath_peer_bytes").build(),
+        connection_ends: meter.u64_counter("gentianpath_connection_ends").build(),
         revision: meter.u64_gauge("gentianpath_sheet_revision").build(),
         registry,
         _provider: provider,
@@ -364,6 +366,13 @@
     instruments().peer_calls.add(1, &labels);
 }
 
+/// Counts an answer that ended with its connection, and whether its worker was still running.
+pub fn connection_end(confirmed: bool) {
+    let outcome = if confirmed { "confirmed" } else { "in-doubt" };
+    let labels = [KeyValue::new("outcome", outcome)];
+    instruments().connection_ends.add(1, &labels);
+}
+
 /// Counts bytes of peer connections.
 pub fn peer_bytes(direction: Direction, bytes: usize) {
     let direction = match direction {
