Take no answer between instances without a length

A caller that read results or the body of an item at an instance that does not run the job got a 200 with a length of its own around whatever had arrived, when the answer of the other instance had neither a length nor chunks and was cut. Such an answer ends with its connection, and the kernel of a killed process closes it without a reset.

Instances always send a length, so an answer without one is not from a sound instance: the call counts as sent without an answer, the job is looked up in the store, and a submission whose outcome is not known is not refused as not run.

The store, the object service and engines may answer without a length: JSON shows its own end, events are numbered and the last one is marked, and the status of a write is its outcome.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -11,7 +11,12 @@
 use async_io::Timer;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{
+    Request, Response,
+    body::{Body, Incoming},
+    client::conn::http1,
+    header,
+};
 use smol::{Task, net::TcpStream};
 use smol_hyper::rt::FuturesIo;
 
@@ -42,6 +47,15 @@
     pub reused: bool,
 }
 
+/// What shows that an answer is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proof {
+    /// A length or chunks.
+    Framing,
+    /// The content, which the caller checks.
+    Content,
+}
+
 /// Reason why a request has no answer.
 #[derive(Debug)]
 pub enum SendError {
@@ -181,9 +195,14 @@
         &mut self,
         request: Request<Full<Bytes>>,
         limit: Duration,
+        proof: Proof,
     ) -> Result<Response<Bytes>, SendError> {
         let work = async {
             let answer = self.send(request).await?;
+            if proof == Proof::Framing && !is_framed(&answer) {
+                let reason = "the answer has neither a length nor chunks";
+                return Err(SendError::Sent(reason.into()));
+            }
             let (head, body) = answer.into_parts();
             let body = read_body(body, MAX_EXCHANGE_BYTES).await;
             let body = body.map_err(|e| SendError::Sent(e.to_string()))?;
@@ -195,6 +214,16 @@
     }
 }
 
+/// Returns whether a length or chunks show where an answer ends. Any other answer ends with its
+/// connection, and does so in the same way when its sender is killed.
+fn is_framed(answer: &Response<Incoming>) -> bool {
+    let codings = answer.headers().get_all(header::TRANSFER_ENCODING);
+    let last = codings.iter().next_back().and_then(|v| v.to_str().ok());
+    let last = last.and_then(|v| v.rsplit(',').next());
+    let is_chunked = last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"));
+    is_chunked || answer.body().size_hint().exact().is_some()
+}
+
 async fn answered_within<T>(
     limit: Duration,
     work: impl Future<Output = Result<T, SendError>>,
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -16,7 +16,7 @@
 
 use super::{
     answer::{CallerBody, full_body, text_answer},
-    connection::{self, Connection, SendError},
+    connection::{self, Connection, Proof, SendError},
     gateway::Gateway,
     job::ItemHandover,
     job_api::{self, Action, JobRequest},
@@ -137,7 +137,7 @@
         .map_err(|e| not_sent(e.to_string()))?;
     let opened = Connection::open(address, CONNECT_LIMIT).await;
     let mut connection = opened.map_err(|e| not_sent(e.to_string()))?;
-    connection.exchange(request, limit).await
+    connection.exchange(request, limit, Proof::Framing).await
 }
 
 /// Serves a call from another instance.
