Read no list as whole that the store calls unfinished

A list whose part had no objects and said that the list goes on was taken for a whole list: workers, routes or stored jobs after it counted as gone. The name after which to continue comes from the last object, and without one the end was assumed.

--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -179,6 +179,15 @@
     });
 }
 
+/// Guards against a list that counts as whole although the store says that it goes on.
+#[test]
+fn a_truncated_page_without_objects_is_not_the_end_of_a_list() {
+    let body = json!({ "at": 7, "items": [], "truncated": true }).to_string();
+    let store = Store::new(cut(200, body.as_bytes()).address);
+    let read = smol::block_on(store.list("k", Freshness::Latest));
+    assert!(matches!(read, Err(StoreError::Unknown(_))), "{read:?}");
+}
+
 /// Guards against a cut answer of the object service or of the instance list that passes for a whole
 /// one, and against a write that counts as done without its version.
 #[test]
