Let commands fail on an answer without a length

The test failed before: exit code 0 for all four answers. Instances send a length or chunks to a client of HTTP/1.1, so another answer is reported as one that may be incomplete, with the verdict may-have-run.

--- a/src/dial.rs
+++ b/src/dial.rs
@@ -2,7 +2,11 @@
 
 use std::{io, time::Duration};
 
-use trillium_client::{Client, Error};
+use trillium_client::{
+    Client, Conn, Error,
+    KnownHeaderName::{ContentLength, TransferEncoding},
+    Method, Status,
+};
 use trillium_server_common::{Connector, Destination, url::Url};
 use trillium_smol::ClientConfig;
 
@@ -73,3 +77,12 @@
         _ => false,
     }
 }
+
+/// Returns whether a length or chunks show where the body of an answer ends. Any other answer ends with
+/// its connection, and does so in the same way when its sender is killed.
+pub fn is_framed(conn: &Conn) -> bool {
+    let headers = conn.response_headers();
+    let is_empty = matches!(conn.status(), Some(Status::NoContent | Status::NotModified))
+        || conn.method() == Method::Head;
+    is_empty || headers.has_header(ContentLength) || headers.has_header(TransferEncoding)
+}
--- a/src/remote.rs
+++ b/src/remote.rs
@@ -244,8 +244,14 @@
         });
     }
     let status = conn.status().map_or(0, u16::from);
-    if status == 200 {
-        return Ok(());
+    match status {
+        200 if dial::is_framed(conn) => return Ok(()),
+        200 => {
+            return Err(Failure::broken(
+                "the answer has neither a length nor chunks",
+            ));
+        }
+        _ => {}
     }
     let body = conn.response_body().read_bytes().await.unwrap_or_default();
     Err(Failure::refused(status, &body))
--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -6,6 +6,7 @@
 use std::{
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    process::Command,
     sync::{Arc, atomic::AtomicUsize, atomic::Ordering},
     thread,
     time::Duration,
@@ -291,6 +292,30 @@
     });
 }
 
+/// Guards against a command that reports success with a part of an answer: instances always send a
+/// length or chunks.
+#[test]
+fn a_command_fails_on_an_answer_without_a_length() {
+    for (args, body) in [
+        (&["status", "--json"][..], "{\"instance\":\"e1\"}"),
+        (&["status", "--json"], "{\"inst"),
+        (&["job", "results", "j"], "{\"id\":\"a\"}\n"),
+        (&["job", "results", "j"], ""),
+    ] {
+        let instance = cut(200, body.as_bytes());
+        let output = Command::new(env!("CARGO_BIN_EXE_gentianpath"))
+            .args(args)
+            .args(["--address", &instance.address.to_string()])
+            .env("RUST_LOG", "off")
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(1), "{args:?} {body}");
+        let errors = String::from_utf8(output.stderr).unwrap();
+        assert!(errors.contains("may-have-run"), "{errors}");
+        assert_eq!(errors.lines().count(), 1, "{errors}");
+    }
+}
+
 fn context() -> (Arc<gentianpath::context::Context>, impl Sized) {
     let platform = online_common::platform();
     let entry = online_common::entry(platform.host.address, vec![], json!({}));
