Take an answer without a length only from a target that still runs

The answer of a target of a plain service that had neither a length nor chunks and was cut by the death of the target was passed on as a whole 200. For a call with a key it was also stored, so that every resend got the part again, and a call that may be repeated was not. The kernel of a killed process closes its connections without a reset, so the end shows nothing.

Both tests failed before: 200 with 'pa' instead of 502 may-have-run, and instead of the whole text of another target. Now the instance sends 'OPTIONS *' to the target after such an end and takes the answer only if any response comes. A killed process does not respond: its listener is closed, or its kernel accepts the connection and resets it later, which is why an open connection alone does not count. Without a response the call may have run: it is repeated only where it may be, and nothing is stored.

A sound target stays usable and runs each call once, at the cost of one connection and one round trip an answer; answers with a length or chunks cost nothing. What remains: a target whose process starts again, or whose listener belongs to another process than its connections, within that time, and a sound target that gives no response at all to 'OPTIONS *', whose answers without a length are refused.

--- a/src/plain.rs
+++ b/src/plain.rs
@@ -275,12 +275,27 @@
         }
         let headers = end_to_end_headers(conn.response_headers());
         let body = read_answer(&mut conn, settings.limits.answer, &settings.timeouts).await?;
+        if !dial::is_framed(&conn) {
+            self.check_running(target).await?;
+        }
         Ok(TargetAnswer {
             status,
             headers,
             body,
         })
     }
+
+    /// Checks that a target runs after an answer that ended with its connection. The kernel of a
+    /// killed process ends a connection in the same way.
+    async fn check_running(&self, target: &ServiceTarget) -> Result<(), RequestError> {
+        let client = self.client.clone();
+        let client = client.with_base(format!("http://{}", target.address));
+        // An open connection would prove nothing: the kernel accepts them until the listener is closed.
+        // This request has no effect, and any answer to it is proof.
+        let mut conn = client.build_conn(Method::Options, "*");
+        let answered = async { (&mut conn).await.map_err(|_| connection_broken()) };
+        with_timeout(self.online.ctx.settings.timeouts.first_token, answered).await
+    }
 }
 
 async fn read_answer(
--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -321,3 +321,102 @@
     let entry = online_common::entry(platform.host.address, vec![], json!({}));
     (entry.ctx.clone(), (platform, entry))
 }
+
+/// How the process of a target ends after its answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum End {
+    /// It goes on.
+    Never,
+    /// Its listener closes before the connection of the answer.
+    ListenerFirst,
+    /// Its listener closes after it.
+    ListenerLast,
+}
+
+/// Starts a target of a plain service that sends a text without a length.
+fn plain_target(text: &'static str, end: End) -> Cut {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = requests.clone();
+    thread::spawn(move || {
+        loop {
+            let (mut conn, _) = listener.accept().unwrap();
+            if read_request(&mut conn).is_some_and(|r| r.starts_with("OPTIONS * ")) {
+                let _ = conn.write_all(b"HTTP/1.0 501 x\r\n\r\n");
+                continue;
+            }
+            count.fetch_add(1, Ordering::SeqCst);
+            match end {
+                End::Never => end_with(&mut conn, 200, "text/plain", text.as_bytes()),
+                End::ListenerFirst => {
+                    drop(listener);
+                    return end_with(&mut conn, 200, "text/plain", text.as_bytes());
+                }
+                End::ListenerLast => {
+                    end_with(&mut conn, 200, "text/plain", text.as_bytes());
+                    return thread::sleep(Duration::from_millis(50));
+                }
+            }
+        }
+    });
+    Cut { address, requests }
+}
+
+fn plain_entry(targets: &[&Cut]) -> (online_common::Entry, impl Sized + use<>) {
+    let platform = online_common::platform();
+    let listed = online_common::target("s", &["--service", "till"]);
+    let mut view = online_common::view(vec![]);
+    for (number, (target, zone)) in targets.iter().zip(["z", "y"]).enumerate() {
+        let mut known = online_common::service_target(&listed, "till", zone);
+        known.id = format!("s{number}").into();
+        known.address = target.address;
+        view.services.push(known);
+    }
+    let entry = online_common::entry_with(platform.host.address, view, json!({}));
+    (entry, platform)
+}
+
+/// Guards against a part of an answer that is passed on as whole, or stored as the answer of a call
+/// that runs at most once, after its target was killed.
+#[test]
+fn an_answer_of_a_killed_target_is_not_whole() {
+    let key = &[("idempotency-key", "k")];
+    for end in [End::ListenerFirst, End::ListenerLast] {
+        let killed = plain_target("pa", end);
+        let other = plain_target("part", End::Never);
+        let (entry, _platform) = plain_entry(&[&killed, &other]);
+        let path = "/services/till/receipts";
+        let answer = online_common::post(entry.address, path, key, "");
+        let seen = (answer.status, answer.verdict(), other.requests());
+        assert_eq!(seen, (502, "may-have-run", 0), "{end:?}");
+        let again = online_common::post(entry.address, path, key, "");
+        let seen = (again.status, again.verdict(), other.requests());
+        assert_eq!(seen, (409, "may-have-run", 0), "{end:?}");
+        assert_eq!(killed.requests(), 1);
+    }
+}
+
+/// Guards against a call that fails although it may be repeated at another target.
+#[test]
+fn a_call_is_repeated_after_a_cut_answer_if_it_may_be() {
+    let killed = plain_target("pa", End::ListenerFirst);
+    let other = plain_target("part", End::Never);
+    let (entry, _platform) = plain_entry(&[&killed, &other]);
+    let answer = online_common::post(entry.address, "/services/till/a", &[], "");
+    assert_eq!((answer.status, &*answer.body), (200, "part"));
+    assert_eq!((killed.requests(), other.requests()), (1, 1));
+}
+
+/// Guards against sound targets that cannot be used because their answers have no length.
+#[test]
+fn an_answer_without_a_length_of_a_sound_target_is_passed_on_and_stored() {
+    let target = plain_target("part", End::Never);
+    let (entry, _platform) = plain_entry(&[&target]);
+    let key = &[("idempotency-key", "k")];
+    for _ in 0..2 {
+        let answer = online_common::post(entry.address, "/services/till/receipts", key, "");
+        assert_eq!((answer.status, &*answer.body), (200, "part"));
+    }
+    assert_eq!(target.requests(), 1);
+}
