Test that chunks without the last one and cut requests are not taken

Both held before: an answer in chunks counts as whole only with its last chunk, at the chat path's client as between instances, and a request whose body ends early is not run on the chat path.

--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -420,3 +420,66 @@
     }
     assert_eq!(target.requests(), 1);
 }
+
+/// Guards against chunks that pass for a whole answer without the last one.
+#[test]
+fn chunks_without_the_last_one_are_not_whole() {
+    let chunks = "4\r\npart\r\n0\r\n\r\n";
+    let answer = |count: usize| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            for mut conn in listener.incoming().flatten() {
+                read_request(&mut conn);
+                let head = "HTTP/1.1 200 x\r\ntransfer-encoding: chunked\r\n\r\n";
+                let _ = conn.write_all(head.as_bytes());
+                let _ = conn.write_all(&chunks.as_bytes()[..count]);
+                let _ = conn.shutdown(Shutdown::Write);
+            }
+        });
+        let target = Cut {
+            address,
+            requests: Arc::default(),
+        };
+        let (entry, _platform) = plain_entry(&[&target]);
+        let plain = online_common::post(entry.address, "/services/till/receipts", &[], "");
+        let peer = smol::block_on(peer_call::snapshot(address));
+        let peer = peer.is_err_and(|e| e.to_string().contains("snapshot"));
+        (plain.status, peer)
+    };
+    for count in 0..chunks.len() {
+        assert_eq!(answer(count), (502, false), "{count}");
+    }
+    // Of a whole answer only its content is refused as a snapshot.
+    assert_eq!(answer(chunks.len()), (200, true));
+}
+
+/// Writes a part of a request to an instance, ends the connection and returns the answer.
+fn cut_request(address: SocketAddr, text: &str, count: usize) -> String {
+    let mut conn = TcpStream::connect(address).unwrap();
+    conn.write_all(&text.as_bytes()[..count]).unwrap();
+    conn.shutdown(Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    let _ = conn.read_to_string(&mut answer);
+    answer
+}
+
+/// Guards against a request that runs with a part of its body after its caller was killed.
+#[test]
+fn a_request_that_is_cut_is_not_run() {
+    let target = plain_target("part", End::Never);
+    let (entry, _platform) = plain_entry(&[&target]);
+    let head = "POST /services/till/receipts HTTP/1.1\r\nhost: h\r\n";
+    for framed in [
+        "content-length: 4\r\n\r\nbody",
+        "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    ] {
+        let request = format!("{head}{framed}");
+        let body = request.find("\r\n\r\n").unwrap();
+        for count in body..request.len() {
+            let answer = cut_request(entry.address, &request, count);
+            assert!(!answer.starts_with("HTTP/1.1 2"), "{count}: {answer}");
+        }
+        assert_eq!(target.requests(), 0);
+    }
+}
