Send an answer with a length to callers that know no chunks

A caller of HTTP/1.0 got a stream with neither a length nor chunks. When the instance was killed, the part that had arrived looked whole. Such an answer is now read to its end, within the bound on held bytes, and sent with its length; if it breaks, the caller gets a 502. Callers of HTTP/1.1 get events as before.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -10,7 +10,10 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use hyper::{
-    Method, Request, Response, StatusCode, body::Incoming, header, server::conn::http1,
+    Method, Request, Response, StatusCode, Version,
+    body::{Body, Incoming},
+    header,
+    server::conn::http1,
     service::service_fn,
 };
 use smol::{
@@ -32,6 +35,7 @@
     forward::{self, Call},
     gateway::Gateway,
     job_api::{self, JobRequest},
+    memory::Memory,
     peer_call,
 };
 
@@ -205,7 +209,29 @@
         gateway.stop.wait().await;
         text_answer(StatusCode::GATEWAY_TIMEOUT, STOPPING, None)
     };
-    smol::future::or(answer_caller(gateway.clone(), request), stopped).await
+    let knows_chunks = request.version() >= Version::HTTP_11 || request.method() == Method::HEAD;
+    let answered = async {
+        let answer = answer_caller(gateway.clone(), request).await;
+        match knows_chunks {
+            true => answer,
+            false => with_length(answer, &gateway.memory).await,
+        }
+    };
+    smol::future::or(answered, stopped).await
+}
+
+/// Reads an answer to its end, so that it has a length. Without one it would look whole to a caller that
+/// knows no chunks when this process is killed.
+async fn with_length(answer: Response<CallerBody>, memory: &Arc<Memory>) -> Response<CallerBody> {
+    let has_length = answer.headers().contains_key(header::CONTENT_LENGTH);
+    if has_length || answer.body().size_hint().exact().is_some() {
+        return answer;
+    }
+    let (head, body) = answer.into_parts();
+    match connection::read_held(body, usize::MAX, memory).await {
+        Ok(bytes) => Response::from_parts(head, full_body(bytes)),
+        Err(e) => text_answer(StatusCode::BAD_GATEWAY, &e.to_string(), None),
+    }
 }
 
 async fn answer_caller(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
