Refuse results to callers that know no chunks

Results of a job were sent to a caller of HTTP/1.0 with neither a length nor chunks, so the lines that had arrived looked like all results when the instance was killed; the lines have no mark of their end. They may be too long to hold, so such a caller now gets a 400 that names HTTP/1.1. Streams of the chat path go on: the event '[DONE]' ends them.

--- a/src/batch_http.rs
+++ b/src/batch_http.rs
@@ -5,7 +5,7 @@
 use futures::{AsyncReadExt, TryStreamExt};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
-use trillium::{Body, Conn, Handler, Method};
+use trillium::{Body, Conn, Handler, Method, Version};
 use trillium_server_common::url::form_urlencoded;
 
 use crate::{
@@ -50,7 +50,7 @@
         (Method::Post, [""]) => submit(&ctx, &mut conn).await,
         (Method::Get, [""]) => Ok(list(&ctx, &conn)),
         (Method::Get, ["", name]) => status(&ctx, name).await,
-        (Method::Get, ["", name, "results"]) => results(&ctx, name).await,
+        (Method::Get, ["", name, "results"]) => results(&ctx, &conn, name).await,
         (Method::Post, ["", name, "cancel"]) => cancel(&ctx, name).await,
         _ => return conn,
     };
@@ -240,7 +240,11 @@
     Ok(Answer::json(&status))
 }
 
-async fn results(ctx: &Arc<Context>, name: &str) -> Result<Answer, RequestError> {
+async fn results(ctx: &Arc<Context>, conn: &Conn, name: &str) -> Result<Answer, RequestError> {
+    // Lines that end with their connection look whole when this process is killed.
+    if conn.http_version() < Version::Http1_1 {
+        return Err(invalid("results are sent in chunks; use HTTP/1.1"));
+    }
     let name = parse_job_name(name)?;
     let record = results::job(ctx, &name).await?;
     let lines = Box::pin(results::lines(ctx.clone(), name, record));
