--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -9,7 +9,7 @@
 use crate::{adapter::reports, event, metrics};
 
 use super::{
-    connection::{self, Connection, SendError},
+    connection::{self, Connection, Proof, SendError},
     fleet::Worker,
     gateway::Gateway,
 };
@@ -59,11 +59,13 @@
     }
 
     async fn ask(&self) -> io::Result<()> {
+        // Any answer to the report is proof that the process runs.
+        let proof = Proof::Content;
         loop {
             let upstream = &self.gateway.upstream;
             let mut connection = upstream.connect(&self.worker, true).await?;
             let request = reports::request(&self.worker).map_err(io::Error::other)?;
-            match connection.exchange(request, REPORT_LIMIT).await {
+            match connection.exchange(request, REPORT_LIMIT, proof).await {
                 Ok(answer) => return self.check(&answer, connection),
                 // An idle connection may be closed at any time.
                 Err(_) if connection.reused => {}
--- a/src/gateway/splice.rs
+++ b/src/gateway/splice.rs
@@ -28,12 +28,6 @@
     }
 }
 
-/// Returns whether the end of an answer's body differs from the end of its connection.
-pub fn is_framed<B>(answer: &Response<B>) -> bool {
-    let headers = answer.headers();
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 fn media_type(headers: &HeaderMap) -> Option<Arc<str>> {
     let value = headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
     let essence = value.split(';').next().unwrap_or_default();
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -4,12 +4,9 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::{
-    Response,
-    body::{Body, Incoming},
-};
+use hyper::{Response, body::Incoming};
 
-use super::{connection, liveness::Responder, memory::Held, splice};
+use super::{connection, liveness::Responder, memory::Held};
 
 /// Maximum size of an event; the output of an item with a longer one would fit no object of the
 /// store.
@@ -41,8 +38,6 @@
     start: Start,
     /// Whether the end of the body differs from the end of its connection.
     framed: bool,
-    /// Whether the answer has no body, as for some statuses.
-    bodyless: bool,
     /// Whether the body has been read to its end.
     ended: bool,
     /// The next event, or the end, if it was read ahead.
@@ -63,16 +58,14 @@
 impl Events {
     /// Builds a reader of the events of an answer, which may have to resume a stream.
     pub fn of(answer: Response<Incoming>, resumes: bool, responder: Responder) -> Response<Self> {
-        let framed = splice::is_framed(&answer);
+        let framed = connection::is_framed(&answer);
         let held = responder.gateway.memory.hold();
-        let bodyless = answer.body().is_end_stream();
         answer.map(|body| Self {
             body,
             responder,
             splitter: Splitter::default(),
             start: if resumes { Start::Resumed } else { Start::Free },
             framed,
-            bodyless,
             ended: false,
             ahead: None,
             held,
@@ -93,7 +86,7 @@
     pub async fn read_whole(self, limit: usize) -> io::Result<Bytes> {
         let memory = &self.responder.gateway.memory;
         let bytes = connection::read_held(self.body, limit, memory).await?;
-        if !self.framed && !self.bodyless {
+        if !self.framed {
             self.responder.confirm_end().await?;
         }
         Ok(bytes)
@@ -182,9 +175,7 @@
         if self.framed {
             return Ok(None);
         }
-        if !self.bodyless {
-            self.responder.confirm_end().await?;
-        }
+        self.responder.confirm_end().await?;
         if self.start == Start::Resumed {
             return Err(io::Error::new(
                 io::ErrorKind::UnexpectedEof,
