Log late writes, withdrawn workers, forgotten announcements and stalls

The logs could not tell apart a request that was written in time and read late (D1), one that was written long after its worker was chosen (D2) and an announcement that was dropped too early (D3): worker-chosen has no time of the write, workers-changed names no worker, and nothing tells that a mark was dropped or that the process stood still.

request-late is written at the moment of the first byte, with the time to the open connection and to the write. worker-withdrawn names the worker, the reason and the requests in flight on it, leaving-forgotten the reason, process-stalled the thread. No decision changes.

--- a/src/events.rs
+++ b/src/events.rs
@@ -78,6 +78,8 @@
     BlockRecalled = 1022, "block-recalled";
     /// A stream is not taken up, as the shares by which it may have begun are not known.
     OriginUnclear = 1023, "origin-unclear";
+    /// A request was written long after its worker was chosen.
+    RequestLate = 1024, "request-late";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
@@ -184,6 +186,10 @@
     SharesChanged = 3024, "shares-changed";
     /// A connection to the object store went silent; a watch begins again on a new one.
     StoreSilent = 3025, "store-silent";
+    /// The list shows that a worker in use takes no requests any more.
+    WorkerWithdrawn = 3026, "worker-withdrawn";
+    /// The announcement of a worker that it leaves no longer holds.
+    LeavingForgotten = 3027, "leaving-forgotten";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
@@ -208,6 +214,8 @@
     AcceptFailed = 5005, "accept-failed";
     /// Log lines were omitted.
     LinesOmitted = 5006, "lines-omitted";
+    /// The process did not run for a while.
+    ProcessStalled = 5007, "process-stalled";
 }
 
 impl Event {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
     sse::Events,
     suspects::Admission,
     takeover::Reply,
+    write_gate::Decision,
 };
 
 /// Maximum number of workers that a call is tried at.
@@ -217,6 +218,13 @@
             Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
         };
         let reused = connection.reused;
+        connection.set_decision(Decision {
+            request: self.call.id.clone(),
+            worker: worker.id.clone(),
+            chosen: placement.chosen,
+            opened: Instant::now(),
+            reused,
+        });
         let sent = dispatch.now();
         let (connection, response) = match self.send(connection, request, &placement, after).await {
             Ok(Reply::Received(connection, response)) => (connection, response),
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -18,6 +18,7 @@
 use super::{
     fair_stream::{FairStream, HeadBytes},
     memory::Memory,
+    write_gate::{Decision, WriteGate},
 };
 
 /// Time for a connection to become ready for the next request after its last answer.
@@ -35,6 +36,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     head: HeadBytes,
+    gate: WriteGate,
     _driver: Task<()>,
     /// Time when the last answer ended.
     pub last_used: Instant,
@@ -109,7 +111,8 @@
         let stream = within(limit, TcpStream::connect(address)).await?;
         stream.set_nodelay(true)?;
         let head = HeadBytes::default();
-        let stream = FairStream::new(stream, head.clone());
+        let gate = WriteGate::default();
+        let stream = FairStream::new(stream, head.clone(), gate.clone());
         let mut client = http1::Builder::new();
         // Without vectored writes hyper copies a body before it sends it.
         let handshake = client.max_buf_size(BUFFER_BYTES).writev(true);
@@ -123,6 +126,7 @@
         Ok(Self {
             sender,
             head,
+            gate,
             _driver: driver,
             last_used: Instant::now(),
             reused: false,
@@ -138,6 +142,11 @@
         within(READY_WAIT, ready).await.is_ok()
     }
 
+    /// Sets the decision behind the next request.
+    pub fn set_decision(&self, decision: Decision) {
+        self.gate.set(decision);
+    }
+
     /// Sends a request and returns the head of the answer.
     ///
     /// # Errors
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -16,7 +16,9 @@
 };
 
 use super::{
-    fleet::{self, Backlog, Class, Fleet, Level, Requirements, Urgency, Worker, WorkerKey},
+    fleet::{
+        self, Backlog, Class, Fleet, Level, ListChange, Requirements, Urgency, Worker, WorkerKey,
+    },
     worker_limits::{Change, Notice, Observation, Reply},
 };
 
@@ -105,6 +107,7 @@
 struct Grant {
     worker: Arc<Worker>,
     load: u32,
+    chosen: Instant,
 }
 
 /// Refusal of a request because no worker is free. The request has not run.
@@ -122,6 +125,8 @@
     pub worker: Arc<Worker>,
     /// Requests on the worker before this one, as known to this instance.
     pub load: u32,
+    /// Time when the worker was chosen.
+    pub chosen: Instant,
     class: Class,
     run: Option<u64>,
     started: Duration,
@@ -180,11 +185,12 @@
         self.start.elapsed()
     }
 
-    /// Replaces the list of workers.
-    pub fn set_workers(&self, workers: Vec<Arc<Worker>>) {
+    /// Replaces the list of workers, and returns what changed.
+    pub fn set_workers(&self, workers: Vec<Arc<Worker>>) -> ListChange {
         let mut state = self.lock();
-        state.fleet.set_workers(workers);
+        let change = state.fleet.set_workers(workers);
         self.assign_queued(&mut state);
+        change
     }
 
     /// Replaces the requests in flight from a peer and its backlog.
@@ -559,6 +565,7 @@
             dispatch: self.clone(),
             worker,
             load,
+            chosen: self.start + now,
             class: Class::Batch,
             run: Some(number),
             started: now,
@@ -581,6 +588,7 @@
             dispatch: self.clone(),
             worker: grant.worker,
             load: grant.load,
+            chosen: grant.chosen,
             class: Class::Online,
             run: None,
             started: now,
@@ -606,7 +614,11 @@
         state.fleet.start_request(key, Class::Online);
         self.signal_yields(state);
         self.notify();
-        Grant { worker, load }
+        Grant {
+            worker,
+            load,
+            chosen: Instant::now(),
+        }
     }
 
     /// Assigns free slots to queued requests and tells batch items to yield.
--- a/src/gateway/fair_stream.rs
+++ b/src/gateway/fair_stream.rs
@@ -8,11 +8,14 @@
         atomic::{AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
+    time::Instant,
 };
 
 use futures::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
+use super::write_gate::WriteGate;
+
 /// Bytes that are read in a row before other tasks get their turn. Neither hyper nor the executor makes
 /// a task yield whose socket always has something to read.
 const TURN_BYTES: usize = 64 << 10;
@@ -68,15 +71,17 @@
     stream: TcpStream,
     turn: usize,
     head: HeadBytes,
+    gate: WriteGate,
 }
 
 impl FairStream {
-    /// Wraps a stream, and counts the bytes that it receives.
-    pub fn new(stream: TcpStream, head: HeadBytes) -> Self {
+    /// Wraps a stream, counts the bytes that it receives, and passes a gate before it sends any.
+    pub fn new(stream: TcpStream, head: HeadBytes, gate: WriteGate) -> Self {
         Self {
             stream,
             turn: 0,
             head,
+            gate,
         }
     }
 }
@@ -109,6 +114,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.gate.pass(Instant::now());
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -117,6 +123,7 @@
         context: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.gate.pass(Instant::now());
         Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
     }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -10,7 +10,10 @@
     ids::{InstanceId, Map, ServiceId, Set, SoftwareVersion, WorkerId, Zone},
 };
 
-use super::{leaving::Leaving, worker_limits::WorkerLimits};
+use super::{
+    leaving::{Forgotten, Leaving},
+    worker_limits::WorkerLimits,
+};
 
 /// Online requests that may queue at a worker whose slots are all taken. A request queued there
 /// waits for at most half of a typical objective.
@@ -144,6 +147,48 @@
     online_time: Option<Duration>,
 }
 
+/// What a new list of workers changes.
+#[derive(Debug, Default)]
+pub struct ListChange {
+    /// Workers that were in use and are no more.
+    pub withdrawn: Vec<Withdrawn>,
+    /// Announcements that no longer hold.
+    pub forgotten: Vec<Forgotten>,
+}
+
+/// A worker that was in use until a new list.
+#[derive(Debug)]
+pub struct Withdrawn {
+    /// The worker.
+    pub worker: Arc<Worker>,
+    /// What the list shows.
+    pub reason: WithdrawnReason,
+    /// Requests of this instance in flight on it.
+    pub level: Level,
+}
+
+/// Reason why a worker is no longer in use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WithdrawnReason {
+    /// The worker drains.
+    Draining,
+    /// The worker has no entry.
+    Gone,
+    /// Another run has the id.
+    Restarted,
+}
+
+impl WithdrawnReason {
+    /// Returns the name for the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+            Self::Restarted => "restarted",
+        }
+    }
+}
+
 /// What an online request takes at a worker, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Place {
@@ -242,17 +287,40 @@
         peers.map(|(peer, _)| peer.clone()).collect()
     }
 
-    /// Replaces the list of workers.
-    pub fn set_workers(&mut self, workers: impl IntoIterator<Item = Arc<Worker>>) {
-        self.workers = workers.into_iter().map(|w| (key(&w.id), w)).collect();
+    /// Replaces the list of workers, and returns what changed.
+    pub fn set_workers(&mut self, workers: impl IntoIterator<Item = Arc<Worker>>) -> ListChange {
+        let workers = workers.into_iter().map(|w| (key(&w.id), w)).collect();
+        let old = std::mem::replace(&mut self.workers, workers);
+        let withdrawn = old.into_values().filter_map(|w| self.withdrawn(w));
+        let withdrawn = withdrawn.collect();
         let known = &self.workers;
-        self.leaving.update(|id| find(known, id).map(Arc::as_ref));
+        let forgotten = self.leaving.update(|id| find(known, id).map(Arc::as_ref));
         let leaving = self.workers.values_mut();
         leaving
             .filter(|w| self.leaving.contains(w))
             .for_each(|w| Arc::make_mut(w).ready = false);
         let known = &self.workers;
         self.health.retain(|t| known.contains_key(&key(t)));
+        ListChange {
+            withdrawn,
+            forgotten,
+        }
+    }
+
+    /// Returns how a worker of the last list was withdrawn, if it was in use and is no more.
+    fn withdrawn(&self, old: Arc<Worker>) -> Option<Withdrawn> {
+        let reason = match find(&self.workers, &old.id) {
+            None => WithdrawnReason::Gone,
+            Some(new) if new.started != old.started => WithdrawnReason::Restarted,
+            Some(new) if !new.ready => WithdrawnReason::Draining,
+            Some(_) => return None,
+        };
+        let level = self.local.get(&key(&old.id)).copied().unwrap_or_default();
+        old.ready.then_some(Withdrawn {
+            worker: old,
+            reason,
+            level,
+        })
     }
 
     /// Records that a worker announced that it leaves, and returns whether that is new. It takes no
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -1,6 +1,9 @@
 //! Runs an item of a batch job on a worker.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -25,6 +28,7 @@
     marks,
     splice::Form,
     sse::{Event, Events},
+    write_gate::Decision,
 };
 
 /// Time without an event after which an item moves to another worker.
@@ -171,6 +175,13 @@
             Ok(request) => request,
             Err(e) => return RunEnd::Broken(AttemptError::fault(e.to_string())),
         };
+        connection.set_decision(Decision {
+            request: self.item.id.clone(),
+            worker: worker.id.clone(),
+            chosen: placement.chosen,
+            opened: Instant::now(),
+            reused: connection.reused,
+        });
         let sent = dispatch.now();
         let answer = match connection.send_within(request, STALL_LIMIT).await {
             Ok(answer) => answer,
--- a/src/gateway/leaving.rs
+++ b/src/gateway/leaving.rs
@@ -14,6 +14,34 @@
     lists: u64,
 }
 
+/// An announcement that no longer holds.
+#[derive(Debug)]
+pub struct Forgotten {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Why it no longer holds.
+    pub reason: ForgottenReason,
+}
+
+/// Reason why an announcement no longer holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForgottenReason {
+    /// The list shows a later start.
+    Restarted,
+    /// The list lacks too many workers that announced that they leave.
+    TooMany,
+}
+
+impl ForgottenReason {
+    /// Returns the name for the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Restarted => "restarted",
+            Self::TooMany => "too-many",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Mark {
     started: Option<u64>,
@@ -53,16 +81,25 @@
 
     /// Forgets workers that the list shows with a later start. Of those that it lacks, the ones that
     /// it lacked first are forgotten when they are too many: an entry may come back after an outage.
-    pub fn update<'a>(&mut self, find: impl Fn(&WorkerId) -> Option<&'a Worker>) {
+    /// Returns the announcements that were forgotten.
+    pub fn update<'a>(&mut self, find: impl Fn(&WorkerId) -> Option<&'a Worker>) -> Vec<Forgotten> {
         self.lists += 1;
         let lists = self.lists;
+        let mut forgotten = Vec::new();
         self.marks.retain(|id, mark| {
             let listed = find(id);
             mark.missing = match listed {
                 Some(_) => None,
                 None => mark.missing.or(Some(lists)),
             };
-            listed.is_none_or(|w| w.started <= mark.started)
+            let holds = listed.is_none_or(|w| w.started <= mark.started);
+            if !holds {
+                forgotten.push(Forgotten {
+                    worker: id.clone(),
+                    reason: ForgottenReason::Restarted,
+                });
+            }
+            holds
         });
         let missing = self
             .marks
@@ -73,6 +110,11 @@
         let excess = missing.len().saturating_sub(MAX_MISSING);
         for (_, id) in missing.into_iter().take(excess) {
             self.marks.remove(&id);
+            forgotten.push(Forgotten {
+                worker: id,
+                reason: ForgottenReason::TooMany,
+            });
         }
+        forgotten
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! docs/platform.md describes the modules. `blame`, `block_record`, `config`, `crash_report`,
 //! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`,
-//! `suspects`, `versions`, `view` and `worker_limits` hold the logic; the other modules do the I/O.
+//! `suspects`, `versions`, `view`, `worker_limits` and `write_gate` hold the logic; the other modules do
+//! the I/O.
 
 pub mod answer;
 mod attempt;
@@ -49,3 +50,4 @@
 pub mod versions;
 pub mod view;
 pub mod worker_limits;
+pub mod write_gate;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -46,6 +46,10 @@
 const ANSWER_SHARE: f64 = 0.03;
 /// Delay between attempts to register.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+/// Interval at which a thread checks that it has run.
+const STALL_CHECK: Duration = Duration::from_millis(100);
+/// Delay of a check that is logged: connections to workers that take as long count as failed.
+const STALL: Duration = Duration::from_millis(120);
 /// Interval at which the list of instances is read.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -100,6 +104,8 @@
     control
         .spawn(sync::follow(gateway.clone(), Kind::Workers))
         .detach();
+    control.spawn(log_stalls("control")).detach();
+    smol::spawn(log_stalls("traffic")).detach();
     control.spawn(sync::probe_watches(gateway.clone())).detach();
     control.spawn(sync::pull(gateway.clone(), pulls)).detach();
     control
@@ -129,6 +135,19 @@
     Ok(Exit::Success)
 }
 
+/// Logs when a thread did not run for a while, forever.
+async fn log_stalls(thread: &str) {
+    loop {
+        let began = Instant::now();
+        Timer::after(STALL_CHECK).await;
+        let late = began.elapsed().saturating_sub(STALL_CHECK);
+        if late >= STALL {
+            let late = late.as_millis();
+            event!(Warn, ProcessStalled, "thread={thread} late_ms={late}");
+        }
+    }
+}
+
 /// Stops accepting callers, hands over jobs and finishes open requests within the grace period.
 async fn shut_down(gateway: &Arc<Gateway>, callers: Server) {
     let grace = gateway.settings.grace.mul_f64(STOP_SHARE);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -33,6 +33,7 @@
     gateway::Gateway,
     job_api::{self, JobRequest},
     peer_call,
+    write_gate::WriteGate,
 };
 
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -160,7 +161,11 @@
         .timer(SmolTimer::new())
         .header_read_timeout(idle)
         .serve_connection(
-            FuturesIo::new(FairStream::new(stream, HeadBytes::default())),
+            FuturesIo::new(FairStream::new(
+                stream,
+                HeadBytes::default(),
+                WriteGate::default(),
+            )),
             service,
         );
     let mut connection = std::pin::pin!(connection);
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -16,7 +16,14 @@
     ids::Set,
 };
 
-use super::{fleet::Worker, gateway::Gateway, peer_call, peers::ListVersion, view::View};
+use super::{
+    fleet::{ListChange, Withdrawn, Worker},
+    gateway::Gateway,
+    leaving::Forgotten,
+    peer_call,
+    peers::ListVersion,
+    view::View,
+};
 
 /// Maximum time that a watch waits at the store.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(9);
@@ -326,7 +333,7 @@
             gateway
                 .upstream
                 .retain(|id| workers.iter().any(|w| w.id == *id));
-            gateway.dispatch.set_workers(workers);
+            log_change(&gateway.dispatch.set_workers(workers));
             if changed {
                 event!(
                     Info,
@@ -343,6 +350,30 @@
     }
 }
 
+fn log_change(change: &ListChange) {
+    for Withdrawn {
+        worker,
+        reason,
+        level,
+    } in &change.withdrawn
+    {
+        event!(
+            Info,
+            WorkerWithdrawn,
+            "worker={} zone={} reason={} online={} items={}",
+            worker.id,
+            worker.zone,
+            reason.name(),
+            level.online,
+            level.batch
+        );
+    }
+    for Forgotten { worker, reason } in &change.forgotten {
+        let reason = reason.name();
+        event!(Info, LeavingForgotten, "worker={worker} reason={reason}");
+    }
+}
+
 fn publish_config(gateway: &Gateway, object: &Object) {
     match objects::decode_config(&object.spec) {
         Ok(config) => {
