Tests of requests whose worker begins to leave before the write

A real instance is stopped (SIGSTOP) while it connects to a worker whose queue of connections is full. Its entry turns to draining, the queue is emptied so that the kernel opens the connection by itself, and the instance goes on two seconds later.

--- /dev/null
+++ b/tests/gateway_late_writes.rs
@@ -0,0 +1,108 @@
+//! Requests whose worker begins to leave between the decision and the write.
+
+mod gateway_support;
+mod support;
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use gateway_support::{Instance, Store, Worker, platform};
+use support::{late_port::LatePort, until};
+
+const PAUSE: Duration = Duration::from_millis(2);
+/// Time after the store's answer from which on no request may reach a worker that leaves.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
+/// A worker that is reached through a port, and one that takes requests only once the first leaves.
+struct Pair {
+    store: Store,
+    stays: Worker,
+    leaves: Worker,
+    port: LatePort,
+}
+
+impl Pair {
+    fn start() -> Self {
+        let (store, [stays, leaves]) = platform(4, PAUSE);
+        let port = LatePort::full(leaves.address);
+        store.put("servers", &stays.id, stays.entry("draining"));
+        store.put("servers", &leaves.id, entry(&leaves, port.address, "ready"));
+        Self {
+            store,
+            stays,
+            leaves,
+            port,
+        }
+    }
+
+    /// Stops an instance while it connects to the worker, and lets it go on long after the worker
+    /// began to leave. Returns false if the instance gave the connection up before it was stopped.
+    fn leave_during_connect(&self, instance: &Instance, chosen: &str) -> bool {
+        let log = || std::fs::read_to_string(&instance.log).unwrap();
+        while !log().contains(chosen) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        instance.pause();
+        // The log of an item's connection that failed.
+        let failed = ["event=worker-unreachable", "event=item-broken"];
+        if failed.iter().any(|event| log().contains(event)) {
+            instance.resume();
+            return false;
+        }
+        let entry = entry(&self.leaves, self.port.address, "draining");
+        self.store.put("servers", &self.leaves.id, entry);
+        let since = Instant::now();
+        self.store
+            .put("servers", &self.stays.id, self.stays.entry("ready"));
+        self.port.open();
+        until("the connection is open", || self.port.accepted() > 0);
+        thread::sleep(DRAIN_BOUND.saturating_sub(since.elapsed()));
+        instance.resume();
+        true
+    }
+}
+
+fn entry(worker: &Worker, address: SocketAddr, state: &str) -> serde_json::Value {
+    let mut entry = worker.entry(state);
+    entry["addr"] = address.to_string().into();
+    entry
+}
+
+/// Guards against a request that is written by a decision from before its instance stood still.
+#[test]
+fn a_request_is_not_written_to_a_worker_that_began_to_leave_meanwhile() {
+    for path in ["/single/x", "/resumable/x", "/unsafe/x"] {
+        loop {
+            let pair = Pair::start();
+            let instance = Instance::start("one", &pair.store, &[]);
+            let (stopped, answer) = thread::scope(|scope| {
+                let answer = scope.spawn(|| instance.stream(path, "r"));
+                let stopped = pair.leave_during_connect(&instance, "event=worker-chosen");
+                (stopped, answer.join().unwrap())
+            });
+            if stopped {
+                assert_eq!(pair.leaves.runs().len(), 0, "{path}");
+                assert_eq!(answer.unwrap().status, 200, "{path}");
+                break;
+            }
+        }
+    }
+}
+
+/// Guards against an item that is written by a decision from before its instance stood still.
+#[test]
+fn an_item_is_not_written_to_a_worker_that_began_to_leave_meanwhile() {
+    loop {
+        let pair = Pair::start();
+        let instance = Instance::start_for_jobs("one", &pair.store);
+        assert_eq!(instance.submit("j1", &["i1"]).unwrap().status, 202);
+        if pair.leave_during_connect(&instance, "event=item-started") {
+            instance.wait_results("j1", 1);
+            assert_eq!(pair.leaves.runs().len(), 0);
+            break;
+        }
+    }
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -945,8 +945,22 @@
 
     /// Sends the stop signal to the instance.
     pub fn terminate(&self) {
+        self.signal(rustix::process::Signal::TERM);
+    }
+
+    /// Stops all threads of the instance until it is resumed.
+    pub fn pause(&self) {
+        self.signal(rustix::process::Signal::STOP);
+    }
+
+    /// Lets a stopped instance go on.
+    pub fn resume(&self) {
+        self.signal(rustix::process::Signal::CONT);
+    }
+
+    fn signal(&self, signal: rustix::process::Signal) {
         let id = rustix::process::Pid::from_raw(self.process.id() as i32).unwrap();
-        rustix::process::kill_process(id, rustix::process::Signal::TERM).unwrap();
+        rustix::process::kill_process(id, signal).unwrap();
     }
 
     /// Kills the instance.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code, reason = "each test program uses only some of the items")]
 
 pub mod http;
+pub mod late_port;
 pub mod link;
 pub mod ports;
 pub mod process;
