Check a decision again before a request is written

Cause: a worker was chosen once and nothing was checked until the write. An instance that stands still while it connects writes the request when it goes on: a connection that opened meanwhile wins over the limit of 120 ms, and the change of the list still waits in a buffer.

When the connection is open, the list must still show the same run of the worker as ready. If the process has not run for 0.5 s, the list is read from the store first, for which requests wait 0.5 s at most. The socket takes the first byte within 0.5 s of the check only. A request that is held back has not run, counts for no failure of the worker, and goes to the next one. All attempts share one function, items have the same three steps.

--- a/src/events.rs
+++ b/src/events.rs
@@ -80,6 +80,8 @@
     OriginUnclear = 1023, "origin-unclear";
     /// A request was written long after its worker was chosen.
     RequestLate = 1024, "request-late";
+    /// A request was not written, since its worker takes no requests any more or may have begun to leave.
+    ChoiceRevoked = 1025, "choice-revoked";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,7 +15,7 @@
 
 use super::{
     blame::FIRST_PROBE,
-    block_store,
+    block_store, confirm,
     connection::{self, AttemptError, SendError},
     dispatch::{Busy, Placement},
     forward::{CRASHING, Failure, MAX_ANSWER_BYTES, Session, StartedAnswer},
@@ -218,11 +218,18 @@
             Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
         };
         let reused = connection.reused;
+        let opened = Instant::now();
+        confirm::wait(&self.gateway).await;
+        if !dispatch.holds(&worker) {
+            self.log_revoked(&worker.id, "the worker leaves");
+            return Ok(AttemptResult::TryNext);
+        }
         connection.set_decision(Decision {
             request: self.call.id.clone(),
             worker: worker.id.clone(),
             chosen: placement.chosen,
-            opened: Instant::now(),
+            opened,
+            checked: Instant::now(),
             reused,
         });
         let sent = dispatch.now();
@@ -247,6 +254,10 @@
                 }
                 return Ok(AttemptResult::TryNext);
             }
+            Err(SendError::Revoked(reason)) => {
+                self.log_revoked(&worker.id, &reason);
+                return Ok(AttemptResult::TryNext);
+            }
             Err(SendError::Sent(_) | SendError::TimedOut(_)) if self.remaining().is_zero() => {
                 self.runs += 1;
                 self.record_failure(&placement);
@@ -326,6 +337,15 @@
         Err(self.read_failure(response).await)
     }
 
+    fn log_revoked(&self, worker: &str, reason: &str) {
+        event!(
+            Info,
+            ChoiceRevoked,
+            "request={} worker={worker} reason={reason:?}",
+            self.call.id
+        );
+    }
+
     async fn read_failure(&self, answer: Response<Incoming>) -> Failure {
         let (head, body) = answer.into_parts();
         let read = connection::read_held(body, MAX_ANSWER_BYTES, &self.gateway.memory);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -49,6 +49,8 @@
 pub enum SendError {
     /// The request was never written.
     NotSent(String),
+    /// The request was not written, since the decision to send it was too old.
+    Revoked(String),
     /// The request may have been received; the connection ended without an answer.
     Sent(String),
     /// The request may have been received; there was no answer in time.
@@ -161,6 +163,7 @@
         self.head.stop();
         match sent {
             Ok(response) => Ok(response),
+            Err(e) if self.gate.is_closed() => Err(SendError::Revoked(e.into_error().to_string())),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
                 None => Err(SendError::Sent(e.into_error().to_string())),
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -244,6 +244,11 @@
         self.lock().fleet.is_ready(worker, self.now())
     }
 
+    /// Returns whether a chosen worker still takes new requests, in the same run at the same address.
+    pub fn holds(&self, chosen: &Worker) -> bool {
+        self.lock().fleet.holds(chosen, self.now())
+    }
+
     /// Returns the number of queued requests.
     pub fn queue_length(&self) -> usize {
         self.lock().queue.len()
--- a/src/gateway/fair_stream.rs
+++ b/src/gateway/fair_stream.rs
@@ -114,7 +114,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.gate.pass(Instant::now());
+        self.gate.pass(Instant::now())?;
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -123,7 +123,7 @@
         context: &mut Context<'_>,
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.gate.pass(Instant::now());
+        self.gate.pass(Instant::now())?;
         Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
     }
 
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -347,6 +347,14 @@
         worker.is_some_and(|w| w.is_ready(now))
     }
 
+    /// Returns whether a chosen worker still takes new requests, in the same run at the same address.
+    pub fn holds(&self, chosen: &Worker, now: Duration) -> bool {
+        let worker = find(&self.workers, &chosen.id);
+        worker.is_some_and(|w| {
+            w.is_ready(now) && w.started == chosen.started && w.address == chosen.address
+        })
+    }
+
     /// Returns all workers.
     pub fn workers(&self) -> impl Iterator<Item = &Arc<Worker>> {
         self.workers.values()
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -25,6 +25,7 @@
     blame::Block,
     block_store::Recall,
     config::Configuration,
+    confirm::Pulse,
     connection::Connection,
     dispatch::Dispatch,
     fleet::{self, Worker},
@@ -77,6 +78,8 @@
     pub share_reads: Reads,
     /// The last read of the requests that are blocked by others.
     pub recall: Mutex<Option<Recall>>,
+    /// Last sign that the process runs.
+    pub pulse: Mutex<Pulse>,
     store_reached: AtomicBool,
 }
 
@@ -100,6 +103,7 @@
             streams: Mutex::default(),
             share_reads: Reads::default(),
             recall: Mutex::default(),
+            pulse: Mutex::default(),
             store_reached: AtomicBool::new(true),
         })
     }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -19,6 +19,7 @@
 };
 
 use super::{
+    confirm,
     connection::{AttemptError, SendError},
     dispatch::Placement,
     gateway::Gateway,
@@ -51,6 +52,8 @@
     Yielded,
     /// The worker refused the item without running it.
     Refused(StatusCode),
+    /// The item was not written, since the worker may have begun to leave.
+    Revoked(String),
     /// The connection broke, the worker timed out or its answer was invalid.
     Broken(AttemptError),
     /// The worker answered with an error status.
@@ -175,16 +178,23 @@
             Ok(request) => request,
             Err(e) => return RunEnd::Broken(AttemptError::fault(e.to_string())),
         };
+        let opened = Instant::now();
+        confirm::wait(&self.gateway).await;
+        if !dispatch.holds(worker) {
+            return RunEnd::Revoked("the worker leaves".into());
+        }
         connection.set_decision(Decision {
             request: self.item.id.clone(),
             worker: worker.id.clone(),
             chosen: placement.chosen,
-            opened: Instant::now(),
+            opened,
+            checked: Instant::now(),
             reused: connection.reused,
         });
         let sent = dispatch.now();
         let answer = match connection.send_within(request, STALL_LIMIT).await {
             Ok(answer) => answer,
+            Err(SendError::Revoked(reason)) => return RunEnd::Revoked(reason),
             Err(SendError::NotSent(e)) => return RunEnd::Broken(AttemptError::fault(e)),
             Err(SendError::Sent(reason)) => {
                 dispatch.record_failure(&worker.id);
@@ -346,6 +356,14 @@
                 );
                 progress.not_before = now + RETRY_PAUSE;
             }
+            RunEnd::Revoked(reason) => {
+                event!(
+                    Info,
+                    ChoiceRevoked,
+                    "job={} item={id} worker={worker} reason={reason:?}",
+                    self.job
+                );
+            }
             RunEnd::Broken(broken) => {
                 event!(
                     Warn,
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -113,7 +113,9 @@
             }
             // The other instance guarantees that it has not accepted the job.
             Ok(_) => {}
-            Err(SendError::NotSent(e)) => log_peer_failure(&request, &home.instance, &e),
+            Err(SendError::NotSent(e) | SendError::Revoked(e)) => {
+                log_peer_failure(&request, &home.instance, &e)
+            }
             Err(SendError::Sent(e) | SendError::TimedOut(e)) => {
                 log_peer_failure(&request, &home.instance, &e);
                 if request.action == Action::Submit {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod block_record;
 pub mod block_store;
 pub mod config;
+pub mod confirm;
 pub mod connection;
 pub mod crash_report;
 pub mod dispatch;
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -104,7 +104,12 @@
     match answer {
         Ok(answer) if answer.status() == StatusCode::OK => Ok(answer.into_body()),
         Ok(answer) => bail!("status {}", answer.status()),
-        Err(SendError::NotSent(e) | SendError::Sent(e) | SendError::TimedOut(e)) => bail!(e),
+        Err(
+            SendError::NotSent(e)
+            | SendError::Revoked(e)
+            | SendError::Sent(e)
+            | SendError::TimedOut(e),
+        ) => bail!(e),
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -23,7 +23,7 @@
 };
 
 use super::{
-    block_store,
+    block_store, confirm,
     gateway::Gateway,
     gossip::{self, UpdateSenders},
     job_run, job_store,
@@ -104,6 +104,7 @@
     control
         .spawn(sync::follow(gateway.clone(), Kind::Workers))
         .detach();
+    smol::spawn(confirm::run(gateway.clone())).detach();
     control.spawn(log_stalls("control")).detach();
     smol::spawn(log_stalls("traffic")).detach();
     control.spawn(sync::probe_watches(gateway.clone())).detach();
--- a/tests/gateway_late_writes.rs
+++ b/tests/gateway_late_writes.rs
@@ -4,12 +4,20 @@
 mod support;
 
 use std::{
-    net::SocketAddr,
+    io::Read,
+    net::{SocketAddr, TcpListener},
     thread,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use gateway_support::{Instance, Store, Worker, platform};
+use gentianpath::gateway::{
+    connection::{Connection, SendError},
+    write_gate::{Decision, MAX_PAUSE},
+};
+use http_body_util::Full;
+use hyper::Request;
 use support::{late_port::LatePort, until};
 
 const PAUSE: Duration = Duration::from_millis(2);
@@ -106,3 +114,38 @@
         }
     }
 }
+
+/// Guards against a request that is written late because the instance stood still after it had checked
+/// the worker.
+#[test]
+fn no_byte_is_written_by_an_old_decision() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let send = |checked: Instant| {
+        smol::block_on(async {
+            let mut connection = Connection::open(address, DRAIN_BOUND).await.unwrap();
+            let (mut server, _) = listener.accept().unwrap();
+            connection.set_decision(Decision {
+                request: "r".into(),
+                worker: "w".into(),
+                chosen: checked,
+                opened: checked,
+                checked,
+                reused: false,
+            });
+            let request = Request::post("/").body(Full::new(Bytes::from("body")));
+            let sent = connection.send_within(request.unwrap(), MAX_PAUSE).await;
+            drop(connection);
+            let mut bytes = Vec::new();
+            server.read_to_end(&mut bytes).unwrap();
+            (sent, bytes.len())
+        })
+    };
+    let old = Instant::now().checked_sub(2 * MAX_PAUSE).unwrap();
+    assert!(matches!(send(old), (Err(SendError::Revoked(_)), 0)));
+    // The server does not answer.
+    assert!(matches!(
+        send(Instant::now() + DRAIN_BOUND),
+        (Err(SendError::TimedOut(_)), 1..)
+    ));
+}
