Read the list after a pause only when a request needs it

Now the first request after a pause starts the read. An idle instance lists nothing, and the store gets at most one list for each pause of an instance.

--- a/src/gateway/confirm.rs
+++ b/src/gateway/confirm.rs
@@ -26,6 +26,8 @@
 #[derive(Debug, Default)]
 pub struct Pulse {
     last: Duration,
+    /// Whether the process stood still and the list has not been read since.
+    stale: bool,
     /// Closed when the list has been read after the last pause.
     reading: Option<Receiver<()>>,
 }
@@ -33,7 +35,7 @@
 /// Checks that the process runs, forever.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
-        check(&gateway);
+        lock(&gateway.pulse).beat(gateway.now());
         Timer::after(CHECK_INTERVAL).await;
     }
 }
@@ -41,7 +43,7 @@
 /// Waits for a short time until the list is known if the process stood still. What it missed can still
 /// be in the buffers of its sockets.
 pub async fn wait(gateway: &Arc<Gateway>) {
-    let Some(reading) = check(gateway) else {
+    let Some(reading) = reading(gateway) else {
         return;
     };
     let limit = async {
@@ -53,13 +55,19 @@
     smol::future::or(read, limit).await;
 }
 
+impl Pulse {
+    /// Records that the process runs.
+    fn beat(&mut self, now: Duration) {
+        self.stale |= now.saturating_sub(self.last) > MAX_PAUSE;
+        self.last = now;
+    }
+}
+
 /// Starts to read the list if the process stood still, and returns the read that has not ended.
-fn check(gateway: &Arc<Gateway>) -> Option<Receiver<()>> {
+fn reading(gateway: &Arc<Gateway>) -> Option<Receiver<()>> {
     let mut pulse = lock(&gateway.pulse);
-    let now = gateway.now();
-    let pause = now.saturating_sub(pulse.last);
-    pulse.last = now;
-    if pause > MAX_PAUSE {
+    pulse.beat(gateway.now());
+    if std::mem::take(&mut pulse.stale) {
         let (reading, done): (Sender<()>, Receiver<()>) = bounded(1);
         pulse.reading = Some(done);
         let gateway = gateway.clone();
