--- a/src/events.rs
+++ b/src/events.rs
@@ -80,6 +80,10 @@
     OriginUnclear = 1023, "origin-unclear";
     /// An answer ended with its connection, and its worker did not show that it is still running.
     EndUnconfirmed = 1024, "end-unconfirmed";
+    /// A request was written long after its worker was chosen.
+    RequestLate = 1025, "request-late";
+    /// A request was not written, since its worker takes no requests any more or may have begun to leave.
+    ChoiceRevoked = 1026, "choice-revoked";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
@@ -186,6 +190,10 @@
     SharesChanged = 3024, "shares-changed";
     /// A connection to the object store went silent; a watch begins again on a new one.
     StoreSilent = 3025, "store-silent";
+    /// The list shows that a worker in use takes no requests any more.
+    WorkerWithdrawn = 3026, "worker-withdrawn";
+    /// The announcement of a worker that it leaves no longer holds.
+    LeavingForgotten = 3027, "leaving-forgotten";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
@@ -210,6 +218,8 @@
     AcceptFailed = 5005, "accept-failed";
     /// Log lines were omitted.
     LinesOmitted = 5006, "lines-omitted";
+    /// The process did not run for a while.
+    ProcessStalled = 5007, "process-stalled";
 }
 
 impl Event {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 
 use super::{
     blame::FIRST_PROBE,
-    block_store,
+    block_store, confirm,
     connection::{self, AttemptError, SendError},
     dispatch::{Busy, Placement},
     fleet::Worker,
@@ -29,6 +29,7 @@
     sse::Events,
     suspects::Admission,
     takeover::Reply,
+    write_gate::Decision,
 };
 
 /// Maximum number of workers that a call is tried at.
@@ -222,6 +223,20 @@
             Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
         };
         let reused = connection.reused;
+        let opened = Instant::now();
+        confirm::wait(&self.gateway).await;
+        if !dispatch.holds(&worker) {
+            self.log_revoked(&worker.id, "the worker leaves");
+            return Ok(AttemptResult::TryNext);
+        }
+        connection.set_decision(Decision {
+            request: self.call.id.clone(),
+            worker: worker.id.clone(),
+            chosen: placement.chosen,
+            opened,
+            checked: Instant::now(),
+            reused,
+        });
         let sent = dispatch.now();
         let (connection, response) = match self.send(connection, request, &placement, after).await {
             Ok(Reply::Received(connection, response)) => (connection, response),
@@ -244,6 +259,10 @@
                 }
                 return Ok(AttemptResult::TryNext);
             }
+            Err(SendError::Revoked(reason)) => {
+                self.log_revoked(&worker.id, &reason);
+                return Ok(AttemptResult::TryNext);
+            }
             Err(SendError::Sent(_) | SendError::TimedOut(_)) if self.remaining().is_zero() => {
                 self.runs += 1;
                 self.record_failure(&placement);
@@ -331,6 +350,15 @@
         }
     }
 
+    fn log_revoked(&self, worker: &str, reason: &str) {
+        event!(
+            Info,
+            ChoiceRevoked,
+            "request={} worker={worker} reason={reason:?}",
+            self.call.id
+        );
+    }
+
     async fn read_failure(&self, answer: Response<Events>) -> Failure {
         let (head, body) = answer.into_parts();
         let read = body.read_whole(MAX_ANSWER_BYTES);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -23,6 +23,7 @@
 use super::{
     fair_stream::{FairStream, HeadBytes},
     memory::Memory,
+    write_gate::{Decision, WriteGate},
 };
 
 /// Time for a connection to become ready for the next request after its last answer.
@@ -40,6 +41,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     head: HeadBytes,
+    gate: WriteGate,
     _driver: Task<()>,
     /// Time when the last answer ended.
     pub last_used: Instant,
@@ -61,12 +63,23 @@
 pub enum SendError {
     /// The request was never written.
     NotSent(String),
+    /// The request was not written, since the decision to send it was too old.
+    Revoked(String),
     /// The request may have been received; the connection ended without an answer.
     Sent(String),
     /// The request may have been received; there was no answer in time.
     TimedOut(String),
 }
 
+impl SendError {
+    /// Returns the reason for the log.
+    pub fn into_reason(self) -> String {
+        match self {
+            Self::NotSent(e) | Self::Revoked(e) | Self::Sent(e) | Self::TimedOut(e) => e,
+        }
+    }
+}
+
 /// Reason why an attempt at a worker has no whole answer.
 #[derive(Debug)]
 pub struct AttemptError {
@@ -124,7 +137,8 @@
         let stream = within(limit, TcpStream::connect(address)).await?;
         stream.set_nodelay(true)?;
         let head = HeadBytes::default();
-        let stream = FairStream::new(stream, head.clone());
+        let gate = WriteGate::default();
+        let stream = FairStream::new(stream, head.clone(), gate.clone());
         let mut client = http1::Builder::new();
         // Without vectored writes hyper copies a body before it sends it.
         let handshake = client.max_buf_size(BUFFER_BYTES).writev(true);
@@ -138,6 +152,7 @@
         Ok(Self {
             sender,
             head,
+            gate,
             _driver: driver,
             last_used: Instant::now(),
             reused: false,
@@ -153,6 +168,11 @@
         within(READY_WAIT, ready).await.is_ok()
     }
 
+    /// Sets the decision behind the next request.
+    pub fn set_decision(&self, decision: Decision) {
+        self.gate.set(decision);
+    }
+
     /// Sends a request and returns the head of the answer.
     ///
     /// # Errors
@@ -167,6 +187,7 @@
         self.head.stop();
         match sent {
             Ok(response) => Ok(response),
+            Err(e) if self.gate.is_closed() => Err(SendError::Revoked(e.into_error().to_string())),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
                 None => Err(SendError::Sent(e.into_error().to_string())),
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -1,6 +1,10 @@
 //! Runs an item of a batch job on a worker.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,6 +20,7 @@
 };
 
 use super::{
+    confirm,
     connection::{AttemptError, SendError},
     dispatch::Placement,
     gateway::Gateway,
@@ -26,6 +31,7 @@
     marks,
     splice::Form,
     sse::{Event, Events},
+    write_gate::Decision,
 };
 
 /// Time without an event after which an item moves to another worker.
@@ -51,6 +57,8 @@
     /// A worker that was to go on ended the answer with its connection, without an event. The text may be
     /// complete, or the worker may have failed.
     NoMore,
+    /// The item was not written, since the worker may have begun to leave.
+    Revoked(String),
     /// The connection broke, the worker timed out or its answer was invalid.
     Broken(AttemptError),
     /// The worker answered with an error status.
@@ -175,9 +183,23 @@
             Ok(request) => request,
             Err(e) => return RunEnd::Broken(AttemptError::fault(e.to_string())),
         };
+        let opened = Instant::now();
+        confirm::wait(&self.gateway).await;
+        if !dispatch.holds(worker) {
+            return RunEnd::Revoked("the worker leaves".into());
+        }
+        connection.set_decision(Decision {
+            request: self.item.id.clone(),
+            worker: worker.id.clone(),
+            chosen: placement.chosen,
+            opened,
+            checked: Instant::now(),
+            reused: connection.reused,
+        });
         let sent = dispatch.now();
         let answer = match connection.send_within(request, STALL_LIMIT).await {
             Ok(answer) => answer,
+            Err(SendError::Revoked(reason)) => return RunEnd::Revoked(reason),
             Err(SendError::NotSent(e)) => return RunEnd::Broken(AttemptError::fault(e)),
             Err(SendError::Sent(reason)) => {
                 dispatch.record_failure(&worker.id);
@@ -345,6 +367,14 @@
                 );
                 progress.not_before = now + RETRY_PAUSE;
             }
+            RunEnd::Revoked(reason) => {
+                event!(
+                    Info,
+                    ChoiceRevoked,
+                    "job={} item={id} worker={worker} reason={reason:?}",
+                    self.job
+                );
+            }
             RunEnd::Broken(broken) => {
                 event!(
                     Warn,
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -9,7 +9,7 @@
 use crate::{adapter::reports, event, metrics};
 
 use super::{
-    connection::{self, Connection, Proof, SendError},
+    connection::{self, Connection, Proof},
     fleet::Worker,
     gateway::Gateway,
 };
@@ -69,9 +69,7 @@
                 Ok(answer) => return self.check(&answer, connection),
                 // An idle connection may be closed at any time.
                 Err(_) if connection.reused => {}
-                Err(SendError::NotSent(e) | SendError::Sent(e) | SendError::TimedOut(e)) => {
-                    return Err(connection::aborted(e));
-                }
+                Err(e) => return Err(connection::aborted(e.into_reason())),
             }
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! docs/platform.md describes the modules. `blame`, `block_record`, `config`, `crash_report`,
 //! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`,
-//! `suspects`, `versions`, `view` and `worker_limits` hold the logic; the other modules do the I/O.
+//! `suspects`, `versions`, `view`, `worker_limits` and `write_gate` hold the logic; the other modules do
+//! the I/O.
 
 pub mod answer;
 mod attempt;
@@ -10,6 +11,7 @@
 pub mod block_record;
 pub mod block_store;
 pub mod config;
+pub mod confirm;
 pub mod connection;
 pub mod crash_report;
 pub mod dispatch;
@@ -50,3 +52,4 @@
 pub mod versions;
 pub mod view;
 pub mod worker_limits;
+pub mod write_gate;
