Show streams that stay open as their caller does not read

Callers of other requests lose a worker's slot, and the caller's own stream has no end, while a stream whose caller does not read is open beyond its route's timeout (CONFIG).

Cause: the timeout is applied as the body is polled, and hyper does not poll it while the write waits.

--- a/tests/gateway_endless.rs
+++ b/tests/gateway_endless.rs
@@ -4,17 +4,26 @@
 mod support;
 
 use std::{
+    io::Write,
+    net::TcpStream,
     thread,
     time::{Duration, Instant},
 };
 
-use gateway_support::{Behaviour, Instance, platform};
+use gateway_support::{Behaviour, HOST, Instance, platform};
 use support::until;
 
 const PAUSE: Duration = Duration::from_millis(2);
 /// Time in which a caller gives up a request, as its header tells.
 const DEADLINE: Duration = Duration::from_secs(5);
 
+/// Event that fills the buffers of sockets soon.
+const LONG_EVENT: &str = concat!(
+    "data: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx",
+    "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx",
+    "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n\n",
+);
+
 const FAULTS: [Behaviour; 5] = [
     Behaviour::TrickleAfter(2),
     Behaviour::RepeatAfter(2),
@@ -99,3 +108,33 @@
         faulty.closed() as usize == faulty.runs().len()
     });
 }
+
+/// Guards against a stream that goes on beyond the timeout of its route, since its caller does not read.
+#[test]
+fn unread_streams_end_at_the_timeout() {
+    for path in ["/single/x", "/resumable/x"] {
+        let (store, workers) = platform(5, PAUSE);
+        let instance = Instance::start("one", &store, &[]);
+        for worker in &workers {
+            worker.behave(&[Behaviour::Endless(LONG_EVENT); 100]);
+        }
+        let unread: Vec<_> = (0..2)
+            .map(|n| {
+                let mut caller = TcpStream::connect(instance.callers).unwrap();
+                write!(
+                    caller,
+                    "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: u{n}\r\n\
+                     x-deadline-ms: 5000\r\ncontent-length: 0\r\n\r\n"
+                )
+                .unwrap();
+                caller
+            })
+            .collect();
+        let runs = || workers.iter().map(|w| w.runs().len()).sum::<usize>();
+        until("the streams have begun", || runs() == unread.len());
+        until("the answers are closed", || {
+            workers.iter().map(|w| w.closed()).sum::<u32>() as usize == runs()
+        });
+        drop(unread);
+    }
+}
