Close the connection of a stream that stays open beyond its time

Callers that read slowly or not at all saw no end of their stream at the timeout of its route, and its worker was kept (CONFIG).

Cause: the timeout is applied as the body is polled, and hyper does not poll it while the write waits for the caller.

Fix: the connection itself is closed 0.2 s after the end of the stream's time, which closes the connection to the worker, unless the stream has ended by then. The usual end at the timeout comes first. A sound stream costs one timer.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -33,6 +33,7 @@
     gateway::Gateway,
     job_api::{self, JobRequest},
     peer_call,
+    relay::StreamEnd,
 };
 
 /// Delay after a failed accept, such as when file descriptors run out.
@@ -142,8 +143,9 @@
         || super::config::CallerLimits::default().idle,
         |c| c.limits.idle,
     );
+    let (ends, streams) = smol::channel::unbounded::<StreamEnd>();
     let service = service_fn(|request| {
-        let gateway = gateway.clone();
+        let (gateway, ends) = (gateway.clone(), ends.clone());
         async move {
             let answer = match kind {
                 ServerKind::Callers => answer_until_stop(gateway, request).await,
@@ -151,6 +153,9 @@
                 ServerKind::Peers => peer_call::answer(gateway, request).await,
                 ServerKind::Metrics => answer_metrics(&gateway),
             };
+            if let Some(end) = answer.extensions().get::<StreamEnd>() {
+                let _ = ends.try_send(end.clone());
+            }
             Ok::<_, std::convert::Infallible>(answer)
         }
     });
@@ -172,16 +177,40 @@
         let _ = stopping.recv().await;
         None
     };
-    let ended = async { Some(connection.as_mut().await) };
-    let result = match smol::future::or(ended, stop).await {
-        Some(result) => result,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let served = async {
+        let ended = async { Some(connection.as_mut().await) };
+        if let Some(result) = smol::future::or(ended, stop).await {
+            return Some(result);
         }
+        connection.as_mut().graceful_shutdown();
+        Some(connection.as_mut().await)
+    };
+    let late = async {
+        late_stream(&streams).await;
+        None
     };
-    if let Err(e) = result {
-        log::debug!("a connection ended: {e}");
+    match smol::future::or(served, late).await {
+        Some(Ok(())) => {}
+        Some(Err(e)) => log::debug!("a connection ended: {e}"),
+        None => log::debug!("a stream was not read in time"),
+    }
+}
+
+/// Waits until a stream is late. A connection carries one after another.
+async fn late_stream(streams: &Receiver<StreamEnd>) {
+    let mut last: Option<StreamEnd> = None;
+    loop {
+        let next = async { streams.recv().await.ok() };
+        let late = async {
+            match &last {
+                Some(end) if end.is_late().await => None,
+                _ => std::future::pending().await,
+            }
+        };
+        match smol::future::or(next, late).await {
+            Some(end) => last = Some(end),
+            None => return,
+        }
     }
 }
 
