--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -9,7 +9,7 @@
 };
 
 use async_io::Timer;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     Request, Response,
@@ -22,7 +22,7 @@
 
 use super::{
     fair_stream::{FairStream, HeadBytes},
-    memory::Memory,
+    memory::{Held, HeldBuffer, Memory},
     write_gate::{Decision, WriteGate},
 };
 
@@ -134,11 +134,24 @@
     ///
     /// Returns an error when the peer does not accept it within `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        Self::open_held(address, limit, None).await
+    }
+
+    /// Opens a connection whose buffers grow only as far as they can be held.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the peer does not accept it within `limit`.
+    pub async fn open_held(
+        address: SocketAddr,
+        limit: Duration,
+        buffers: Option<Held>,
+    ) -> io::Result<Self> {
         let stream = within(limit, TcpStream::connect(address)).await?;
         stream.set_nodelay(true)?;
         let head = HeadBytes::default();
         let gate = WriteGate::default();
-        let stream = FairStream::new(stream, head.clone(), gate.clone());
+        let stream = FairStream::new(stream, head.clone(), gate.clone(), buffers);
         let mut client = http1::Builder::new();
         // Without vectored writes hyper copies a body before it sends it.
         let handshake = client.max_buf_size(BUFFER_BYTES).writev(true);
@@ -284,19 +297,19 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let expected = body.size_hint().exact().unwrap_or_default();
+    let expected = body.size_hint().exact();
+    let expected = expected.and_then(|e| usize::try_from(e).ok());
     let mut body = pin!(Limited::new(body, limit));
-    let mut held = memory.hold();
-    // A buffer that grows takes up to twice the size of the body.
-    let capacity = usize::try_from(expected).unwrap_or(limit).min(limit);
-    let mut bytes = BytesMut::with_capacity(capacity);
+    let mut bytes = match expected {
+        Some(expected) => HeldBuffer::sized(expected.min(limit), memory),
+        None => HeldBuffer::growing(memory),
+    };
     while let Some(frame) = body.frame().await {
         if let Some(data) = frame.map_err(unread)?.data_ref() {
-            held.set(bytes.len() + data.len())?;
-            bytes.extend_from_slice(data);
+            bytes.push(data)?;
         }
     }
-    Ok(held.keep(bytes.freeze()))
+    Ok(bytes.finish())
 }
 
 /// Reads the rest of a body that is not used, so that its sender receives an answer.
