Give takers-up of the soak what is left of their deadline

Each call of a stream in tests/gateway_soak.rs named the whole deadline, so that instances took it that the stream had begun just then and computed its version from later shares: two of six trials with chunked answers joined two versions. Callers of the platform name what is left, from which an instance learns when a stream can have begun; now these do.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -42,6 +42,8 @@
 const ITEMS: usize = 4;
 /// Calls in which a caller takes up a stream.
 const TAKE_UPS: usize = 4;
+/// Time that a caller waits in all, which is also the timeout of the routes.
+const DEADLINE: Duration = Duration::from_millis(5000);
 /// Versions of the workers' software.
 const VERSIONS: [&str; 2] = ["v1.", "v2."];
 /// Time of a worker from its stop signal to its end.
@@ -218,11 +220,17 @@
     fn call_stream(&self, caller: &mut Caller, rng: &mut fastrand::Rng, id: &str) {
         let mut text = String::new();
         let mut origin: Option<String> = None;
+        let begin = Instant::now();
         for attempt in 0..TAKE_UPS {
             let call = format!("{id}.{attempt}");
+            let left = DEADLINE.saturating_sub(begin.elapsed()).as_millis();
+            if left == 0 {
+                return;
+            }
+            let left = left.to_string();
             let events = text.matches("\n\n").count();
             let last = events.saturating_sub(1).to_string();
-            let mut headers = vec![("x-request-id", &*call), ("x-deadline-ms", "5000")];
+            let mut headers = vec![("x-request-id", &*call), ("x-deadline-ms", &*left)];
             if let Some(origin) = &origin {
                 headers.extend([("last-event-id", &*last), ("resumes", origin)]);
             }
