Test streams from before the first shares of a service

The soak with chunked answers saw complete streams whose first events came from one version and whose last ones from another, all in the first second of the fleet. Until a service has stored shares, new streams begin at the version with the most slots. History::origin_among treats the first shares as if they had always been in force, so that a take-up at another instance claims the version that they give for the call.

--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -192,6 +192,23 @@
     assert!(count >= 12, "{count} of 24 went on");
 }
 
+/// Guards against a stream that began before its service had shares and goes on at another version.
+#[test]
+fn streams_from_before_the_first_shares_keep_to_their_version() {
+    let side = Side::start(&["v1", "v1", "v2", "v2"]);
+    side.store
+        .slow_reads("stream-versions", Duration::from_secs(1));
+    let one = Instance::start("one", &side.store, &[]);
+    let two = Instance::start("two", &side.store, &[one.peers]);
+    let (ids, begun) = break_streams(&side, 24, &one);
+    side.store.slow_reads("stream-versions", Duration::ZERO);
+    until("the service has shares", || {
+        !side.store.names("stream-versions").is_empty()
+    });
+    thread::sleep(SETTLE);
+    take_all_up(&side, &ids, begun, &two);
+}
+
 /// Guards against versions that are forgotten with the processes of all instances.
 #[test]
 fn a_stream_keeps_to_its_version_when_all_instances_are_lost() {
