--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -458,6 +458,7 @@
     let mut ends: Vec<_> = record.ends.iter().collect();
     ends.sort_unstable();
     println!("seed {seed}: {} jobs, {ends:?}", jobs.len());
+    assert!(record.ends.contains_key(&("resumable", "whole")));
     let violations = &record.violations;
     assert!(violations.is_empty(), "{} in seed {seed}", violations.len());
 }
