--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -43,6 +43,8 @@
     head: HeadBytes,
     gate: WriteGate,
     _driver: Task<()>,
+    /// Time when the connection was opened.
+    pub opened: Instant,
     /// Time when the last answer ended.
     pub last_used: Instant,
     /// Whether an earlier answer was received on the connection.
@@ -110,13 +112,12 @@
         }
     }
 
-    /// Builds the error for an answer that could not be read to its end. Only errors of the kinds
-    /// `ConnectionAborted` and `UnexpectedEof` stand for a connection that the worker closed.
+    /// Builds the error for an answer that could not be read to its end. Only an error of kind
+    /// `ConnectionAborted` stands for a connection that the worker closed.
     pub fn reading(error: &io::Error, begun: bool) -> Self {
-        use io::ErrorKind::{ConnectionAborted, UnexpectedEof};
         Self {
             reason: error.to_string(),
-            closed: matches!(error.kind(), ConnectionAborted | UnexpectedEof),
+            closed: error.kind() == io::ErrorKind::ConnectionAborted,
             begun,
         }
     }
@@ -167,6 +168,7 @@
             head,
             gate,
             _driver: driver,
+            opened: Instant::now(),
             last_used: Instant::now(),
             reused: false,
         })
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -1,7 +1,6 @@
 //! Runs an item of a batch job on a worker.
 
 use std::{
-    io,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -20,7 +19,6 @@
 };
 
 use super::{
-    confirm,
     connection::{AttemptError, SendError},
     dispatch::Placement,
     gateway::Gateway,
@@ -28,9 +26,9 @@
     job::{Item, Job, Verdict},
     jobs::SharedJob,
     liveness::Responder,
-    marks,
+    marks, refresh,
     splice::Form,
-    sse::{Event, Events},
+    sse::{Event, Events, NoFurtherEvent},
     write_gate::Decision,
 };
 
@@ -184,7 +182,7 @@
             Err(e) => return RunEnd::Broken(AttemptError::fault(e.to_string())),
         };
         let opened = Instant::now();
-        confirm::wait(&self.gateway).await;
+        refresh::wait(&self.gateway).await;
         if !dispatch.holds(worker) {
             return RunEnd::Revoked("the worker leaves".into());
         }
@@ -234,6 +232,8 @@
         let responder = Responder {
             gateway: self.gateway.clone(),
             worker: worker.clone(),
+            request: self.item.id.clone(),
+            since: Instant::now(),
         };
         let mut events = Events::of(answer, after.is_some(), responder).into_body();
         let mut bytes = 0;
@@ -258,7 +258,7 @@
                         framed: events.is_framed(),
                     };
                 }
-                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => return RunEnd::NoMore,
+                Err(e) if NoFurtherEvent::is(&e) => return RunEnd::NoMore,
                 Err(e) => {
                     dispatch.record_failure(&worker.id);
                     return RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()));
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -1,7 +1,11 @@
 //! Tells an answer that ended with its connection from one whose worker died. The kernel closes the
 //! connections of a process that dies just as a sound process does.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use hyper::Response;
@@ -24,67 +28,76 @@
     pub gateway: Arc<Gateway>,
     /// The worker.
     pub worker: Arc<Worker>,
+    /// Id of the request or item.
+    pub request: Arc<str>,
+    /// Time when the head of the answer was received.
+    pub since: Instant,
 }
 
 impl Responder {
-    /// Confirms that the end of a connection was the end of the answer on it.
+    /// Confirms that the end of a connection was the end of the answer on it: the process that sent the
+    /// answer is still running.
     ///
     /// # Errors
     ///
-    /// Returns an error of kind `ConnectionAborted` when the worker may have died.
+    /// Returns an error of kind `ConnectionAborted` when the worker is gone, and one of kind
+    /// `UnexpectedEof` when that is not known.
     pub async fn confirm_end(&self) -> io::Result<()> {
-        if self.is_running().await {
-            return Ok(());
-        }
-        Err(connection::aborted(
-            "the connection ended, and the worker may have died",
-        ))
-    }
-
-    /// Returns whether the run of the worker that sent the answer is still there. Anything but its report
-    /// leaves that in doubt.
-    pub async fn is_running(&self) -> bool {
         let result = connection::within(REPORT_LIMIT, self.ask()).await;
         metrics::connection_end(result.is_ok());
-        if let Err(e) = &result {
-            event!(
-                Warn,
-                EndUnconfirmed,
-                "worker={} zone={} reason=\"{e}\"",
-                self.worker.id,
-                self.worker.zone
-            );
+        let Err(e) = result else { return Ok(()) };
+        event!(
+            Warn,
+            EndUnconfirmed,
+            "request={} worker={} zone={} reason=\"{e}\"",
+            self.request,
+            self.worker.id,
+            self.worker.zone
+        );
+        // A worker that leaves may refuse connections before it ends.
+        let is_refused = e.kind() == io::ErrorKind::ConnectionRefused;
+        if is_refused && self.gateway.dispatch.is_ready(&self.worker.id) {
+            return Err(connection::aborted("the connection ended with its worker"));
         }
-        result.is_ok()
+        Err(io::Error::new(
+            io::ErrorKind::UnexpectedEof,
+            "the connection ended, and the worker may have died",
+        ))
     }
 
     async fn ask(&self) -> io::Result<()> {
-        // Any answer to the report is proof that the process runs.
-        let proof = Proof::Content;
         loop {
             let upstream = &self.gateway.upstream;
             let mut connection = upstream.connect(&self.worker, true).await?;
             let request = reports::request(&self.worker).map_err(io::Error::other)?;
-            match connection.exchange(request, REPORT_LIMIT, proof).await {
+            // A kept connection may be silent; a new one may still work.
+            let limit = if connection.reused {
+                REPORT_LIMIT / 2
+            } else {
+                REPORT_LIMIT
+            };
+            match connection.exchange(request, limit, Proof::Content).await {
                 Ok(answer) => return self.check(&answer, connection),
-                // An idle connection may be closed at any time.
                 Err(_) if connection.reused => {}
                 Err(e) => return Err(connection::aborted(e.into_reason())),
             }
         }
     }
 
+    /// Checks that a report comes from the process that sent the answer.
     fn check(&self, answer: &Response<Bytes>, connection: Connection) -> io::Result<()> {
         let worker = &self.worker;
         let report = reports::decode(answer)
             .ok_or_else(|| connection::invalid("the answer is no report of the worker"))?;
+        let is_same_start = report.started.is_some() && report.started == worker.started;
+        // A connection does not outlive its process.
+        let is_earlier = connection.opened < self.since;
+        if !is_same_start && !is_earlier {
+            return Err(connection::invalid("the worker may have been restarted"));
+        }
         if report.leaving {
             self.gateway.record_leaving(worker);
         }
-        let starts = report.started.zip(worker.started);
-        if starts.is_some_and(|(reported, listed)| reported != listed) {
-            return Err(connection::invalid("the worker was restarted"));
-        }
         self.gateway.keep_connection(worker, connection);
         Ok(())
     }
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -81,8 +81,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the errors of `connection::read_held`, and one of kind `ConnectionAborted` when the body
-    /// may be incomplete.
+    /// Returns the errors of `connection::read_held` and `Responder::confirm_end`.
     pub async fn read_whole(self, limit: usize) -> io::Result<Bytes> {
         let memory = &self.responder.gateway.memory;
         let bytes = connection::read_held(self.body, limit, memory).await?;
@@ -101,13 +100,15 @@
     ///
     /// Returns an error when the stream breaks, ends inside an event, sends an event that is too
     /// long or has no further event within `limit`, and when an answer that resumes a stream begins
-    /// with something else than its next event. A kind of `UnexpectedEof` stands for an answer that
-    /// resumes a stream, has no event and ends with its connection at a worker that is running.
+    /// with something else than its next event.
     pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Option<Event>> {
         if let Some(event) = self.ahead.take() {
             return Ok(event);
         }
-        connection::within(limit, self.read_next(after)).await
+        match connection::within(limit, self.read_next(after)).await? {
+            Some(event) => Ok(Some(event)),
+            None => self.end().await,
+        }
     }
 
     /// Reads the next event, which `next` then returns. An event that is not read within `limit` is
@@ -127,6 +128,7 @@
         }
     }
 
+    /// Returns the next event, or `None` at the end of the body.
     async fn read_next(&mut self, after: Option<u64>) -> io::Result<Option<Event>> {
         loop {
             while let Some(event) = self.splitter.pop() {
@@ -148,7 +150,7 @@
                 return Err(connection::invalid("an event is too long"));
             }
             if self.ended {
-                return self.end().await;
+                return Ok(None);
             }
             match self.body.frame().await.transpose() {
                 Ok(Some(frame)) => {
@@ -176,13 +178,30 @@
             return Ok(None);
         }
         self.responder.confirm_end().await?;
-        if self.start == Start::Resumed {
-            return Err(io::Error::new(
-                io::ErrorKind::UnexpectedEof,
-                "the connection ended without an event",
-            ));
+        match self.start {
+            Start::Free => Ok(None),
+            Start::Resumed => Err(connection::invalid(NoFurtherEvent)),
         }
-        Ok(None)
+    }
+}
+
+/// Error for an answer that resumes a stream, has no event and ends with its connection at a worker that is
+/// running. The stream may be complete, or the worker may have failed.
+#[derive(Debug)]
+pub struct NoFurtherEvent;
+
+impl std::fmt::Display for NoFurtherEvent {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the connection ended without an event")
+    }
+}
+
+impl std::error::Error for NoFurtherEvent {}
+
+impl NoFurtherEvent {
+    /// Returns whether an error is of this type.
+    pub fn is(error: &io::Error) -> bool {
+        error.get_ref().is_some_and(|e| e.is::<Self>())
     }
 }
 
