Take streams from before the first shares up only where their version is clear

Callers got streams of two versions of the workers' software (ORDER): one that began before its service had shares went on at the version that the first shares name. Found by tests/gateway_soak.rs with chunked answers, in the first second of a fleet.

Cause: the first shares were treated as if they had always been in force. Before them an instance begins streams at the version with the most slots that it knows, which no other one can tell.

Fix: a stream that may have begun before the first shares goes on only if they name one version, else it is refused with 503 unless it began here.

--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -134,17 +134,28 @@
     /// Returns the version that began the stream of a call at an unknown time since `from`, both in
     /// ms since the Unix epoch. Without a call, the version has to be the only one.
     pub fn origin(&self, call: Option<&str>, from: u64) -> Origin {
-        self.origin_among(call, |next| is_replaced_after(next, from))
+        let may_precede = |mix: &Mix| is_replaced_after(mix, from);
+        let is_first = self.mixes.first().is_some_and(may_precede);
+        self.origin_among(call, is_first, may_precede)
     }
 
     /// Returns the version that began the stream of a call. `may_precede` tells whether the shares
-    /// before a mix may have been in use when the stream began.
-    fn origin_among(&self, call: Option<&str>, may_precede: impl Fn(&Mix) -> bool) -> Origin {
+    /// before a mix may have been in use when the stream began, and `is_first` whether it may have begun
+    /// before the first shares, at any version.
+    fn origin_among(
+        &self,
+        call: Option<&str>,
+        is_first: bool,
+        may_precede: impl Fn(&Mix) -> bool,
+    ) -> Origin {
         let next = self.mixes.iter().skip(1).map(Some).chain([None]);
         let in_use = self.mixes.iter().zip(next);
         let in_use = in_use.filter(|(_, next)| next.is_none_or(&may_precede));
+        let first = self.mixes.first().filter(|_| is_first);
+        let mixes = first.map(|mix| (mix, None)).into_iter();
+        let mixes = mixes.chain(in_use.map(|(mix, _)| (mix, call)));
         let mut origin = None;
-        for (mix, _) in in_use {
+        for (mix, call) in mixes {
             let versions: Vec<&SoftwareVersion> = match call {
                 Some(call) => mix.choose(call).into_iter().collect(),
                 None => mix.shares.iter().map(|(version, _)| version).collect(),
@@ -316,14 +327,20 @@
                 let lagging = self
                     .lag
                     .since(from.saturating_sub(millis(CLOCK_SLACK)), now);
+                let learned = self.learned.get(call.service);
+                let may_precede = |mix: &Mix, lagging: Option<u64>| {
+                    let at = learned.and_then(|l| l.get(&mix.since));
+                    let at = at.copied().unwrap_or(mix.since);
+                    is_replaced_after(mix, from) || lagging.is_some_and(|since| at >= since)
+                };
+                // An instance that agreed at no known time has heard of some shares.
+                let agreed = lagging.filter(|since| *since > 0);
+                let first = history.mixes.first();
+                let is_first = first.is_some_and(|mix| may_precede(mix, agreed));
                 // Any shares that the history has may be those of an instance that was never heard.
                 let lagging = if self.is_unheard { Some(0) } else { lagging };
-                let learned = self.learned.get(call.service);
-                return history.origin_among(call.origin, |next| {
-                    let at = learned.and_then(|l| l.get(&next.since));
-                    let at = at.copied().unwrap_or(next.since);
-                    is_replaced_after(next, from) || lagging.is_some_and(|since| at >= since)
-                });
+                return history
+                    .origin_among(call.origin, is_first, |next| may_precede(next, lagging));
             }
             if !self.is_read {
                 return Origin::Unclear;
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -197,6 +197,18 @@
     }
 }
 
+/// Guards against a stream from before the first shares that goes on at the version that they name.
+#[test]
+fn a_stream_from_before_the_first_shares_goes_on_only_at_the_only_version() {
+    let first = |counts| History::default().next(&slots(counts), START).unwrap();
+    let two = first(&[("v1", 8), ("v2", 8)]);
+    assert_eq!(two.origin(Some("c"), START - 100), Origin::Unclear);
+    let later = two.origin(Some("c"), START + 1000);
+    assert_eq!(later, version(two.choose("c").unwrap()));
+    let one = first(&[("v1", 8)]);
+    assert_eq!(one.origin(Some("c"), START - 100), version("v1"));
+}
+
 #[test]
 fn an_instance_that_has_read_nothing_takes_no_stream_up() {
     let case = Case::new(&["v1"]);
