Count the wait of a take-up into the age of its stream

Cause: the age of a stream follows from what is left of its caller's deadline. The deadline of the receipt was used with the time after the wait, up to 2 s at a started instance, so that shares that ended in between counted as never used.

Fix: the wait since the receipt counts.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -18,7 +18,7 @@
 
 use super::{
     blame::FIRST_PROBE,
-    block_store, confirm,
+    block_store,
     connection::{self, AttemptError, SendError},
     dispatch::{Busy, Placement},
     fleet::Worker,
@@ -26,6 +26,7 @@
     head::{self, Head},
     liveness::Responder,
     marks::{self, Mark},
+    refresh,
     sse::Events,
     suspects::Admission,
     takeover::Reply,
@@ -218,17 +219,20 @@
                 return Ok(AttemptResult::TryNext);
             }
         };
-        let request = match self.request(&worker.id, after) {
-            Ok(request) => request,
-            Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
-        };
         let reused = connection.reused;
         let opened = Instant::now();
-        confirm::wait(&self.gateway).await;
+        refresh::wait(&self.gateway).await;
         if !dispatch.holds(&worker) {
             self.log_revoked(&worker.id, "the worker leaves");
             return Ok(AttemptResult::TryNext);
         }
+        if self.remaining().is_zero() {
+            return Err(self.out_of_time());
+        }
+        let request = match self.request(&worker.id, after) {
+            Ok(request) => request,
+            Err(e) => return Err(Failure::MayHaveRun(e.to_string())),
+        };
         connection.set_decision(Decision {
             request: self.call.id.clone(),
             worker: worker.id.clone(),
@@ -347,6 +351,8 @@
         Responder {
             gateway: self.gateway.clone(),
             worker: worker.clone(),
+            request: self.call.id.clone(),
+            since: Instant::now(),
         }
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -279,6 +279,7 @@
         resumes: call.after.is_some(),
         origin: call.origin.as_deref(),
         deadline: call.deadline,
+        waited: call.received.elapsed(),
     }))
 }
 
--- a/src/gateway/refresh.rs
+++ b/src/gateway/refresh.rs
@@ -91,6 +91,6 @@
             gateway.views().workers.replace(objects, revision, now);
             sync::publish(gateway, Kind::Workers);
         }
-        Err(e) => event!(Warn, StoreCallFailed, "call=confirm-workers reason=\"{e}\""),
+        Err(e) => event!(Warn, StoreCallFailed, "call=refresh-workers reason=\"{e}\""),
     }
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -23,10 +23,10 @@
 };
 
 use super::{
-    block_store, confirm,
+    block_store,
     gateway::Gateway,
     gossip::{self, UpdateSenders},
-    job_run, job_store,
+    job_run, job_store, refresh,
     server::{Server, ServerKind},
     settings::{KeeperSettings, Settings},
     sweep,
@@ -104,7 +104,7 @@
     control
         .spawn(sync::follow(gateway.clone(), Kind::Workers))
         .detach();
-    smol::spawn(confirm::run(gateway.clone())).detach();
+    smol::spawn(refresh::run(gateway.clone())).detach();
     control.spawn(log_stalls("control")).detach();
     smol::spawn(log_stalls("traffic")).detach();
     control.spawn(sync::probe_watches(gateway.clone())).detach();
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -231,6 +231,8 @@
             return earlier.unwrap_or(Err(SendError::TimedOut(reason)));
         };
         let broken = match earlier {
+            // The earlier worker never had the call.
+            Some(Err(SendError::Revoked(_))) => return Ok(Reply::TakenOver(started)),
             Some(Err(SendError::Sent(reason))) => AttemptError::closed(reason),
             _ => AttemptError::fault("another worker answered first"),
         };
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -277,8 +277,10 @@
     pub resumes: bool,
     /// Id of the call that brought the first event of that stream.
     pub origin: Option<&'a str>,
-    /// Time that the caller still waits.
+    /// Time that the caller waits from the receipt of the call on.
     pub deadline: Option<Duration>,
+    /// Time since the receipt of the call.
+    pub waited: Duration,
 }
 
 /// What an instance knows of the versions that begin streams.
@@ -322,7 +324,7 @@
             }
             if let Some(history) = history {
                 let left = call.deadline.filter(|left| *left < longest);
-                let age = longest.saturating_sub(left.unwrap_or_default());
+                let age = longest.saturating_sub(left.unwrap_or_default()) + call.waited;
                 let from = now.saturating_sub(millis(age));
                 let lagging = self
                     .lag
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -193,10 +193,28 @@
             resumes: origin.is_some(),
             origin,
             deadline: Some(Duration::from_millis(left)),
+            waited: Duration::ZERO,
         }
     }
 }
 
+/// Guards against a stream that goes on at another version after its take-up waited at an instance.
+#[test]
+fn shares_that_were_replaced_before_a_take_up_that_waits_still_count() {
+    let (_, two, call) = second_version();
+    let case = Case::new(&["v1", "v2"]);
+    let mut streams = Streams::default();
+    streams.merge(case.service.clone(), two, START + 10_200);
+    streams.set_read();
+    // The stream began at 9.9 s, and its caller took it up half a second later.
+    let mut taken_up = case.call("b", Some(&call), 4500);
+    taken_up.waited = Duration::from_secs(2);
+    assert_eq!(
+        streams.version(&taken_up, case.serving(), START + 12_400),
+        Origin::Unclear
+    );
+}
+
 /// Guards against a stream from before the first shares that goes on at the version that they name.
 #[test]
 fn a_stream_from_before_the_first_shares_goes_on_only_at_the_only_version() {
