--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -243,7 +243,7 @@
         });
         let sent = dispatch.now();
         let (connection, response) = match self.send(connection, request, &placement, after).await {
-            Ok(Reply::Received(connection, response)) => (connection, response),
+            Ok(Reply::Received(connection, response)) => (connection, *response),
             Ok(Reply::TakenOver(started)) => return Ok(AttemptResult::Answered(started)),
             Err(SendError::NotSent(reason)) => {
                 event!(
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -54,7 +54,7 @@
 /// Reply to a sent request.
 pub enum Reply {
     /// The head that the worker sent, with the connection to it.
-    Received(Connection, Response<Incoming>),
+    Received(Connection, Box<Response<Incoming>>),
     /// Another worker took over.
     TakenOver(Box<StartedAnswer>),
 }
@@ -210,7 +210,7 @@
         let patience = self.route.objective.mul_f64(share);
         let mut sending = async move {
             let response = connection.send_within(request, remaining).await?;
-            Ok(Reply::Received(connection, response))
+            Ok(Reply::Received(connection, Box::new(response)))
         }
         .boxed();
         if !self.may_run_beside() {
