Let stand-in workers end in more ways

A worker that ends may close its answers before its process exits, go on to answer reports meanwhile, and run, refuse or close later requests. A worker that stays up may break single answers off. Tests of ends of answers and of soaks need each of these.

--- a/standins/src/bin/standin-worker.rs
+++ b/standins/src/bin/standin-worker.rs
@@ -16,11 +16,14 @@
     let listener = host::listen(options.address)?;
     let address = listener.local_addr()?;
     let worker = Worker::new(options)?;
-    let mut signals = Signals::new([Signal::Term])?;
+    let mut signals = Signals::new([Signal::Term, Signal::Usr1])?;
     worker.clone().serve(listener);
     println!("listening on {address}");
-    async_io::block_on(signals.next());
-    worker.leave();
-    thread::sleep(drain);
+    let signal = async_io::block_on(signals.next()).transpose()?;
+    if signal == Some(Signal::Term) {
+        worker.leave();
+        thread::sleep(drain);
+    }
+    worker.end();
     Ok(())
 }
--- a/standins/src/gateway_worker.rs
+++ b/standins/src/gateway_worker.rs
@@ -53,11 +53,35 @@
     /// Time from the stop signal to the end of the process, in milliseconds.
     #[arg(long, default_value_t = 1000)]
     pub drain_ms: u64,
+    /// What the worker does from its end until its process exits.
+    #[arg(long, value_enum, default_value_t = Ending::Exit)]
+    pub ending: Ending,
+    /// Time from the end of the worker until its process exits, in milliseconds.
+    #[arg(long, default_value_t = 150)]
+    pub linger_ms: u64,
+    /// Breaks off each answer whose number is a multiple of this, half way; 0 breaks off none.
+    #[arg(long, default_value_t = 0)]
+    pub break_every: usize,
     /// Address to listen on.
     #[arg(long, default_value = "127.0.0.1:0")]
     pub address: SocketAddr,
 }
 
+/// What a worker does from its end until its process exits. It answers reports in each case but the
+/// first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(ValueEnum)]
+pub enum Ending {
+    /// The process exits at once.
+    Exit,
+    /// Answers that have begun are closed, and later requests run.
+    CloseRunning,
+    /// Answers are closed after the events that were sent; later ones have none.
+    CloseAll,
+    /// Answers that have begun are closed, and later requests are refused.
+    CloseAndRefuse,
+}
+
 /// How the end of an answer is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(ValueEnum)]
@@ -90,6 +114,10 @@
     running: AtomicUsize,
     answers: AtomicUsize,
     leaving: AtomicBool,
+    /// Whether the worker has reached its end.
+    ended: AtomicBool,
+    /// Number of the first answer after its end.
+    first_late: AtomicUsize,
 }
 
 impl Worker {
@@ -110,6 +138,8 @@
             running: AtomicUsize::default(),
             answers: AtomicUsize::default(),
             leaving: AtomicBool::default(),
+            ended: AtomicBool::default(),
+            first_late: AtomicUsize::default(),
         }))
     }
 
@@ -118,6 +148,29 @@
         self.leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Ends the worker, and returns when its process has to exit.
+    pub fn end(&self) {
+        if self.options.ending == Ending::Exit {
+            return;
+        }
+        let answers = self.answers.load(Ordering::SeqCst);
+        self.first_late.store(answers, Ordering::SeqCst);
+        self.ended.store(true, Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(self.options.linger_ms));
+    }
+
+    /// Returns whether an answer is closed before its next event.
+    fn is_closed(&self, answer: usize) -> bool {
+        let is_late = answer >= self.first_late.load(Ordering::SeqCst);
+        let is_spared = is_late && self.options.ending == Ending::CloseRunning;
+        self.ended.load(Ordering::SeqCst) && !is_spared
+    }
+
+    /// Returns whether requests are refused.
+    fn is_refusing(&self) -> bool {
+        self.options.ending == Ending::CloseAndRefuse && self.ended.load(Ordering::SeqCst)
+    }
+
     /// Serves connections on threads of their own.
     pub fn serve(self: Arc<Self>, listener: TcpListener) {
         thread::spawn(move || {
@@ -171,7 +224,8 @@
 
     fn admit(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
         let running = self.running.fetch_add(1, Ordering::SeqCst);
-        let result = if running < self.options.slots + QUEUE {
+        let is_full = running >= self.options.slots + QUEUE;
+        let result = if !is_full && !self.is_refusing() {
             self.run(request, stream)
         } else {
             let id = request.header("x-request-id").unwrap_or_default();
@@ -212,7 +266,13 @@
             self.options.born,
             self.leaving_line(),
         )?;
+        let every = self.options.break_every;
+        let breaks = every > 0 && (answer + 1).is_multiple_of(every);
+        let middle = numbers.start + (numbers.end.saturating_sub(numbers.start)) / 2;
         for number in numbers {
+            if self.is_closed(answer) || (breaks && number == middle) {
+                return Ok(false);
+            }
             let event = event(number);
             let bytes = match framing {
                 Framing::Chunked => format!("{:x}\r\n{event}\r\n", event.len()),
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -72,6 +72,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Ends a worker without a notice (SIGUSR1).
+    pub fn end_worker(&self) {
+        self.signal(Signal::USR1);
+    }
+
     /// Returns the exit status, or `None` while the process runs.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.0.try_wait().unwrap()
