Test workers that close their answers before they end

A worker that ends by closing its answers and still answers reports made torn answers look complete, as its live process counted as proof.

Answers that can not be asked for again, of a worker that breaks off single connections and goes on, are not tested: nothing tells them from whole ones. The fleet of gateway_dead_workers moves to gateway_support.

--- a/tests/gateway_soak.rs
+++ b/tests/gateway_soak.rs
@@ -376,6 +376,7 @@
         pause_ms: 15,
         framing: framing.clone(),
         version,
+        options: Vec::new(),
         ledger: folder.path().join("ledger"),
     };
     let store = Store::start();
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
 pub mod caller;
+pub mod process_fleet;
 pub mod relay;
 pub mod worker_process;
 
--- a/tests/gateway_support/worker_process.rs
+++ b/tests/gateway_support/worker_process.rs
@@ -20,6 +20,8 @@
     pub version: &'static str,
     /// File that lists the requests that ran.
     pub ledger: PathBuf,
+    /// Further options of the program.
+    pub options: Vec<String>,
 }
 
 impl Setup {
@@ -81,10 +83,17 @@
             ["--text", setup.version],
             ["--ledger", setup.ledger.to_str().unwrap()],
         ];
+        let further = setup.options.iter().map(String::as_str);
+        let options: Vec<&str> = options
+            .as_flattened()
+            .iter()
+            .copied()
+            .chain(further)
+            .collect();
         Self {
             id: id.to_owned(),
             born,
-            standin: Standin::start("standin-worker", options.as_flattened()),
+            standin: Standin::start("standin-worker", &options),
             version: setup.version,
         }
     }
@@ -97,6 +106,16 @@
         })
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.standin.process.kill();
+    }
+
+    /// Ends the worker without a notice, in the way that its options say.
+    pub fn end(&mut self) {
+        self.standin.process.end_worker();
+    }
+
     /// Returns the number of requests that run.
     pub fn running(&self) -> u64 {
         let answer = http::call(self.standin.address, "GET", "/report", &[], "");
