Log the evidence on which the end of a connection ends an answer

An answer with neither a length nor chunks that was accepted left no trace, so that logs could not show on which evidence a torn one passed for a whole one. The metric gentianpath_connection_ends_total is counted by evidence instead of by outcome.

--- a/src/events.rs
+++ b/src/events.rs
@@ -84,6 +84,8 @@
     RequestLate = 1025, "request-late";
     /// A request was not written, since its worker takes no requests any more or may have begun to leave.
     ChoiceRevoked = 1026, "choice-revoked";
+    /// An answer ended with its connection and counts as whole.
+    EndConfirmed = 1027, "end-confirmed";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -27,6 +27,7 @@
     config::Configuration,
     connection::Connection,
     dispatch::Dispatch,
+    ends::Ends,
     fleet::{self, Worker},
     jobs::Jobs,
     marks::{self, Mark},
@@ -74,6 +75,7 @@
     peers: Mutex<Peers>,
     suspects: Mutex<Suspects>,
     streams: Mutex<Streams>,
+    ends: Mutex<Ends>,
     /// Reads of the shares of the versions.
     pub share_reads: Reads,
     /// The last read of the requests that are blocked by others.
@@ -102,6 +104,7 @@
             peers: Mutex::default(),
             suspects: Mutex::default(),
             streams: Mutex::default(),
+            ends: Mutex::default(),
             share_reads: Reads::default(),
             recall: Mutex::default(),
             pulse: Mutex::default(),
@@ -134,6 +137,11 @@
         lock(&self.streams)
     }
 
+    /// Returns the ends of answers that ended with their connection.
+    pub fn ends(&self) -> MutexGuard<'_, Ends> {
+        lock(&self.ends)
+    }
+
     /// Returns the version at which a stream has to begin or go on.
     pub fn stream_version(&self, call: &StreamCall<'_>) -> Origin {
         let serving = || self.dispatch.versions(call.service);
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -10,7 +10,11 @@
 use bytes::Bytes;
 use hyper::Response;
 
-use crate::{adapter::reports, event, metrics};
+use crate::{
+    adapter::reports,
+    event,
+    metrics::{self, EndEvidence},
+};
 
 use super::{
     connection::{self, Connection, Proof},
@@ -43,17 +47,11 @@
     /// Returns an error of kind `ConnectionAborted` when the worker is gone, and one of kind
     /// `UnexpectedEof` when that is not known.
     pub async fn confirm_end(&self) -> io::Result<()> {
+        let at = self.gateway.now();
+        self.gateway.ends().record(&self.worker.id, at);
         let result = connection::within(REPORT_LIMIT, self.ask()).await;
-        metrics::connection_end(result.is_ok());
+        self.record_end(at, &result);
         let Err(e) = result else { return Ok(()) };
-        event!(
-            Warn,
-            EndUnconfirmed,
-            "request={} worker={} zone={} reason=\"{e}\"",
-            self.request,
-            self.worker.id,
-            self.worker.zone
-        );
         // A worker that leaves may refuse connections before it ends.
         let is_refused = e.kind() == io::ErrorKind::ConnectionRefused;
         if is_refused && self.gateway.dispatch.is_ready(&self.worker.id) {
@@ -65,6 +63,36 @@
         ))
     }
 
+    /// Logs and counts an end with the evidence for it.
+    fn record_end(&self, at: Duration, result: &io::Result<()>) {
+        let beside = self.gateway.ends().beside(&self.worker.id, at);
+        let (request, worker) = (&self.request, &self.worker);
+        match result {
+            Ok(()) => {
+                let evidence = EndEvidence::Report;
+                metrics::connection_end(evidence);
+                event!(
+                    Info,
+                    EndConfirmed,
+                    "request={request} worker={} zone={} evidence={} beside={beside}",
+                    worker.id,
+                    worker.zone,
+                    evidence.as_str()
+                );
+            }
+            Err(e) => {
+                metrics::connection_end(EndEvidence::InDoubt);
+                event!(
+                    Warn,
+                    EndUnconfirmed,
+                    "request={request} worker={} zone={} beside={beside} reason=\"{e}\"",
+                    worker.id,
+                    worker.zone
+                );
+            }
+        }
+    }
+
     async fn ask(&self) -> io::Result<()> {
         loop {
             let upstream = &self.gateway.upstream;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod connection;
 pub mod crash_report;
 pub mod dispatch;
+pub mod ends;
 pub mod fair_stream;
 pub mod fleet;
 pub mod forward;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -94,6 +94,25 @@
     CallerLeft,
 }
 
+/// Evidence on whether an answer that ended with its connection is whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// The worker answered a report after the end.
+    Report,
+    /// Nothing shows that the answer is whole.
+    InDoubt,
+}
+
+impl EndEvidence {
+    /// Returns the name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Report => "report",
+            Self::InDoubt => "in-doubt",
+        }
+    }
+}
+
 /// State of an instance, as its gauges show it.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct InstanceState {
@@ -366,10 +385,9 @@
     instruments().peer_calls.add(1, &labels);
 }
 
-/// Counts an answer that ended with its connection, and whether its worker was still running.
-pub fn connection_end(confirmed: bool) {
-    let outcome = if confirmed { "confirmed" } else { "in-doubt" };
-    let labels = [KeyValue::new("outcome", outcome)];
+/// Counts an answer that ended with its connection.
+pub fn connection_end(evidence: EndEvidence) {
+    let labels = [KeyValue::new("evidence", evidence.as_str())];
     instruments().connection_ends.add(1, &labels);
 }
 
