Show streams at two versions of a service and an instance that is not heard

- An instance that has started and whose first reads of the shares the store refuses begins streams at the version with the most slots.
Callers that take them up elsewhere get the rest from the version that the shares name.
- A stream whose route moves to another service goes on there at the version that the first service had, if the instance that began it takes it up, and by the shares of the new service elsewhere.
- The session of an instance comes from its clock.
One that restarts with an earlier time of day counts as an old process, and its heartbeats are ignored for a minute.

--- a/tests/gateway_peers.rs
+++ b/tests/gateway_peers.rs
@@ -5,7 +5,8 @@
 use gentianpath::{
     gateway::fleet::Backlog,
     gateway::peers::{
-        Candidate, Heartbeat, JobState, ListVersion, Member, PeerChange, Peers, job_key,
+        Candidate, Heartbeat, JobState, LIVENESS_TIMEOUT, ListVersion, Member, PeerChange, Peers,
+        job_key,
     },
     gateway::versions::ShareState,
     ids::{InstanceId, JobId},
@@ -122,6 +123,24 @@
     assert_eq!(peers.record(restarted, at(3)), PeerChange::Joined);
 }
 
+/// Guards against an instance that is not heard for a minute after its clock was set back and it was
+/// restarted: sessions come from the clock.
+#[test]
+fn an_instance_that_restarts_with_an_earlier_clock_is_heard() {
+    let mut peers = Peers::default();
+    let session = |session, number| Heartbeat {
+        session,
+        ..heartbeat("a", number)
+    };
+    peers.record(session(2, 7), at(0));
+    // A message of an earlier session that arrives late.
+    assert_eq!(peers.record(session(1, 9), at(300)), PeerChange::Stale);
+    let silent = LIVENESS_TIMEOUT + at(1);
+    assert_eq!(peers.record(session(1, 1), silent), PeerChange::Joined);
+    assert_eq!(peers.record(session(1, 2), silent), PeerChange::Known);
+    assert_eq!(peers.record(session(1, 1), silent), PeerChange::Stale);
+}
+
 /// Guards against work on the whole fleet for each heartbeat, also while nothing happens.
 #[test]
 fn a_heartbeat_with_the_same_load_changes_nothing() {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -160,6 +160,7 @@
     page: Option<usize>,
     between_pages: Option<(String, String, Value)>,
     refused_reads: BTreeMap<String, usize>,
+    refused_lists: BTreeMap<String, usize>,
     stale_lists: Option<String>,
     slow_reads: Option<(String, Duration)>,
 }
@@ -232,6 +233,11 @@
         self.lock().refused_reads.insert(kind.to_owned(), count);
     }
 
+    /// Refuses the next lists of a kind.
+    pub fn refuse_lists(&self, kind: &str, count: usize) {
+        self.lock().refused_lists.insert(kind.to_owned(), count);
+    }
+
     /// Delays reads of single objects of a kind.
     pub fn slow_reads(&self, kind: &str, delay: Duration) {
         self.lock().slow_reads = Some((kind.to_owned(), delay));
@@ -320,6 +326,10 @@
     match (request.method.as_str(), name) {
         ("GET", None) => {
             *objects.lists.entry(kind.clone()).or_default() += 1;
+            if let Some(count) = objects.refused_lists.get_mut(&kind).filter(|c| **c > 0) {
+                *count -= 1;
+                return answer(stream, 503, "", "");
+            }
             if request.query("stale_ok").is_some() && objects.stale_lists.as_ref() == Some(&kind) {
                 let list = json!({ "items": [], "truncated": false, "at": 1 });
                 return answer(stream, 200, "", &list.to_string());
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -482,3 +482,85 @@
     }
     assert!(count > 0, "streams whose version is clear go on");
 }
+
+/// Guards against streams that an instance begins before it has read the shares, and that go on at another
+/// version elsewhere.
+#[test]
+fn an_instance_that_has_not_read_the_shares_begins_no_stream_by_others() {
+    let side = Side::start(&["v1", "v1", "v1", "v2", "v2"]);
+    let mut first = Instance::start("first", &side.store, &[]);
+    until("the service has shares", || {
+        !side.store.names("stream-versions").is_empty()
+    });
+    thread::sleep(SETTLE);
+    first.kill();
+    side.store.refuse_lists("stream-versions", 5);
+    let begun = Instant::now();
+    let early = Instance::start("early", &side.store, &[]);
+    side.behave(Behaviour::BreakAfter(3), 1000);
+    let ids: Vec<String> = (0..24).map(|n| format!("early-{n}")).collect();
+    for id in &ids {
+        begin(&early, id);
+    }
+    side.behave(Behaviour::Whole, 0);
+    side.store.refuse_lists("stream-versions", 0);
+    let other = Instance::start("other", &side.store, &[early.peers]);
+    thread::sleep(SETTLE);
+    let count = take_all_up(&side, &ids, begun, &other);
+    assert!(count > 0, "streams whose version is clear go on");
+    assert_eq!(begin(&early, "new").unwrap().status, 200);
+}
+
+/// Guards against a stream whose route moves to another service, and that goes on there at the version
+/// of the service that began it at one instance and at another version at another instance.
+#[test]
+fn a_stream_that_moves_to_another_service_keeps_to_one_version_of_it() {
+    let side = Side::start(&["v1", "v1", "v2", "v2", "v1", "v1", "v1", "v2"]);
+    let (first, second) = side.workers.split_at(4);
+    for (worker, version) in second {
+        let mut entry = worker.entry("ready");
+        entry["version"] = (*version).into();
+        entry["service"] = "other".into();
+        entry["slots"] = 8.into();
+        side.store.put("servers", &worker.id, entry);
+    }
+    let mut config = config(1);
+    config["routes"][0]["timeout_ms"] = (DEADLINE.as_millis() as u64).into();
+    config["services"] = json!([
+        { "name": "lm", "max_conns": 100 },
+        { "name": "other", "max_conns": 100 },
+    ]);
+    side.store.put("config", "main", config.clone());
+    let one = Instance::start("one", &side.store, &[]);
+    let two = Instance::start("two", &side.store, &[one.peers]);
+    until("both services have shares", || {
+        side.store.names("stream-versions").len() == 2
+    });
+    thread::sleep(SETTLE);
+    let (ids, begun) = break_streams(&side, 48, &one);
+    config["version"] = 2.into();
+    config["routes"][0]["service"] = "other".into();
+    side.store.put("config", "main", config);
+    thread::sleep(SETTLE);
+    let ran = |worker: &Worker, id: &str| {
+        let mut runs = worker.runs().into_iter();
+        runs.any(|r| r.header("x-request-id") == Some(id))
+    };
+    let mut count = 0;
+    for origin in &ids {
+        let tries = ["at-one", "at-two"].map(|at| format!("{at}-{origin}"));
+        for (instance, id) in [&one, &two].into_iter().zip(&tries) {
+            take_up(instance, id, origin, begun);
+            assert!(first.iter().all(|(worker, _)| !ran(worker, id)));
+        }
+        let at = |id: &String| {
+            let mut workers = second.iter().filter(|(worker, _)| ran(worker, id));
+            workers.next().map(|(_, version)| *version)
+        };
+        let mut versions: Vec<_> = tries.iter().filter_map(at).collect();
+        count += versions.len();
+        versions.dedup();
+        assert!(versions.len() <= 1, "{origin} at {versions:?}");
+    }
+    assert!(count > 0, "streams whose version is clear go on");
+}
