Hear instances that restart with an earlier clock

The others ignored an instance that had restarted after its time of day was set back: no heartbeats for up to a minute, so that it lost its jobs, and streams that were taken up elsewhere could not be told apart.

Cause: a session is the time of day of the start, and a smaller one counted as a late message of an earlier process. A late message arrives while the known process is heard. Once that one has been silent for the time after which an instance counts as gone, another session is a restart, whatever its number.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -207,16 +207,20 @@
 
 impl Peers {
     /// Records a heartbeat.
+    ///
+    /// Sessions come from the clock, which may have been set back before a restart. So an earlier session
+    /// counts as a new one once the known one has been silent for longer than a message takes.
     pub fn record(&mut self, heartbeat: impl Into<Arc<Heartbeat>>, now: Duration) -> PeerChange {
         let heartbeat = heartbeat.into();
         let known = self.known.get(&heartbeat.instance);
+        let is_restarted = known.is_some_and(|p| p.heartbeat.session != heartbeat.session);
+        let is_silent = known.is_some_and(|p| now > p.received + LIVENESS_TIMEOUT);
         let last = known.map(|p| (p.heartbeat.session, p.heartbeat.number));
-        if last >= Some((heartbeat.session, heartbeat.number)) {
+        let is_older = last >= Some((heartbeat.session, heartbeat.number));
+        if is_older && !(is_restarted && is_silent) {
             return PeerChange::Stale;
         }
-        let joined = known.is_none_or(|p| {
-            p.heartbeat.session != heartbeat.session || now > p.received + LIVENESS_TIMEOUT
-        });
+        let joined = known.is_none() || is_restarted || is_silent;
         let same_load = known.is_some_and(|p| p.heartbeat.has_same_load(&heartbeat));
         self.known.insert(
             heartbeat.instance.clone(),
