Remember the version of a stream for each service

After a route had moved to another service, callers got events of two versions of that service: the instance that began their stream took it up there at the version that it had at the first service, other instances by the shares of the second.

Cause: an instance remembered the version of a stream by its call alone. Versions of two services have nothing to do with each other, so the memory is now kept for the service and the call. A take-up at a service that has not sent an event of the stream follows the shares of that service, as at any other instance.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -79,7 +79,7 @@
         if let Some(version) = &self.version {
             let now = self.gateway.now();
             let mut streams = self.gateway.streams();
-            streams.record_begun(self.call.stream_id(), version, now);
+            streams.record_begun(&self.service, self.call.stream_id(), version, now);
         }
         self.gateway.record_proof(self.part_marks());
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -218,7 +218,7 @@
     call: &Call,
 ) -> Option<Origin> {
     let limit = route.objective.mul_f64(QUEUE_WAIT_SHARE);
-    if route.is_resumable() && call.after.is_some() && !knows_shares(gateway, call).await {
+    if route.is_resumable() && call.after.is_some() && !knows_shares(gateway, service, call).await {
         event!(
             Warn,
             OriginUnclear,
@@ -241,11 +241,11 @@
 
 /// Returns whether this instance knows all shares by which the stream that a call takes up may have
 /// begun.
-async fn knows_shares(gateway: &Gateway, call: &Call) -> bool {
+async fn knows_shares(gateway: &Gateway, service: &ServiceId, call: &Call) -> bool {
     let begun_here = call
         .origin
         .as_ref()
-        .is_some_and(|id| gateway.streams().has_begun(id));
+        .is_some_and(|id| gateway.streams().has_begun(service, id));
     if begun_here {
         return true;
     }
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -240,7 +240,7 @@
     mix.since > from.saturating_sub(millis(NEWS_DELAY + CLOCK_SLACK))
 }
 
-/// Versions of the streams that this instance began.
+/// Versions of the streams that this instance began or went on with, by service.
 #[derive(Debug, Default)]
 struct Begun {
     streams: Map<u64, (SoftwareVersion, Duration)>,
@@ -248,16 +248,23 @@
 }
 
 impl Begun {
-    fn record(&mut self, call: &str, version: &SoftwareVersion, now: Duration) {
+    fn record(
+        &mut self,
+        service: &ServiceId,
+        call: &str,
+        version: &SoftwareVersion,
+        now: Duration,
+    ) {
         if now >= self.pruned + REMEMBERED {
             self.pruned = now;
             self.streams.retain(|_, (_, at)| now < *at + REMEMBERED);
         }
-        self.streams.insert(key(call), (version.clone(), now));
+        self.streams
+            .insert(key(service, call), (version.clone(), now));
     }
 
-    fn get(&self, call: &str) -> Option<SoftwareVersion> {
-        let (version, _) = self.streams.get(&key(call))?;
+    fn get(&self, service: &ServiceId, call: &str) -> Option<SoftwareVersion> {
+        let (version, _) = self.streams.get(&key(service, call))?;
         Some(version.clone())
     }
 }
@@ -319,7 +326,7 @@
         let longest = call.timeout.max(*longest).min(KEPT);
         let history = self.histories.get(call.service);
         if call.resumes {
-            if let Some(version) = call.origin.and_then(|id| self.begun.get(id)) {
+            if let Some(version) = call.origin.and_then(|id| self.begun.get(call.service, id)) {
                 return Origin::Version(version);
             }
             if let Some(history) = history {
@@ -368,14 +375,20 @@
         self.is_unheard = is_unheard;
     }
 
-    /// Returns whether the stream of a call began here.
-    pub fn has_begun(&self, call: &str) -> bool {
-        self.begun.get(call).is_some()
+    /// Returns whether the stream of a call began or went on here at a service.
+    pub fn has_begun(&self, service: &ServiceId, call: &str) -> bool {
+        self.begun.get(service, call).is_some()
     }
 
-    /// Records the version that began the stream of a call here.
-    pub fn record_begun(&mut self, call: &str, version: &SoftwareVersion, now: Duration) {
-        self.begun.record(call, version, now);
+    /// Records the version of a service that began the stream of a call here, or went on with it.
+    pub fn record_begun(
+        &mut self,
+        service: &ServiceId,
+        call: &str,
+        version: &SoftwareVersion,
+        now: Duration,
+    ) {
+        self.begun.record(service, call, version, now);
     }
 
     /// Returns the history of a service, which is empty if none is known.
@@ -477,8 +490,8 @@
     }
 }
 
-fn key(call: &str) -> u64 {
-    ownership::score(call, "")
+fn key(service: &ServiceId, call: &str) -> u64 {
+    ownership::score(call, service)
 }
 
 fn millis(time: Duration) -> u64 {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -268,7 +268,7 @@
         streams.version(&taken_up, case.serving(), now),
         Origin::Unclear
     );
-    streams.record_begun(&call, &"v2".into(), Duration::ZERO);
+    streams.record_begun(&case.service, &call, &"v2".into(), Duration::ZERO);
     assert_eq!(
         streams.version(&taken_up, case.serving(), now),
         version("v2")
