Begin streams only by shares that are known to be in force

After a restart callers got streams whose first part one version wrote and whose rest another one. The first read of the shares had failed or was slow, as when the store refuses calls beyond its rate, while the list of workers was known.

Cause: an instance that had read nothing took this for a store without shares and began streams at the version with the most slots. All other instances work the version of these streams out from the stored shares. Absence of knowledge was taken for knowledge. Now such an instance begins streams only if a single version serves; else a stream waits as long as for a worker and is refused as not run.

--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -312,8 +312,8 @@
 
 impl Streams {
     /// Returns the version at which a stream has to begin or go on. `serving` returns the slots of the
-    /// workers that take requests, by version. Without stored shares, new streams begin at the version
-    /// with the most slots.
+    /// workers that take requests, by version. While the store has no shares, new streams begin at the
+    /// version with the most slots; until it is known what the store has, at the only one.
     pub fn version(
         &mut self,
         call: &StreamCall<'_>,
@@ -363,7 +363,8 @@
             .iter()
             .max_by_key(|(v, slots)| (**slots, Reverse(*v)));
         match most {
-            Some((version, _)) if !call.resumes || serving.len() == 1 => {
+            // Other instances may use shares that this one has not read yet.
+            Some((version, _)) if serving.len() == 1 || (!call.resumes && self.is_read) => {
                 Origin::Version(version.clone())
             }
             _ => Origin::Unclear,
