Log answers that are cut at the end of their time

The log did not show which connections to callers are closed with an answer that was not written to its end, nor how long after the end of its time. answer-cut names the request and the time since then. The end of an answer moves to a module of its own, as whole answers need it too.

--- a/src/events.rs
+++ b/src/events.rs
@@ -84,6 +84,8 @@
     RequestLate = 1025, "request-late";
     /// A request was not written, since its worker takes no requests any more or may have begun to leave.
     ChoiceRevoked = 1026, "choice-revoked";
+    /// The connection of an answer was closed at the end of its time.
+    AnswerCut = 1029, "answer-cut";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! the I/O.
 
 pub mod answer;
+pub mod answer_end;
 mod attempt;
 pub mod blame;
 pub mod block_record;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,11 +1,7 @@
 //! Forwards a worker's stream to a caller event by event, and resumes it at another worker when it
 //! breaks.
 
-use std::{
-    io,
-    sync::{Arc, Weak},
-    time::{Duration, Instant},
-};
+use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream};
@@ -20,6 +16,7 @@
 
 use super::{
     answer::CallerBody,
+    answer_end::AnswerEnd,
     connection::{AttemptError, Connection},
     dispatch::Placement,
     forward::{RESUME_WAIT, Session, StartedAnswer},
@@ -35,27 +32,6 @@
 /// no pause. Callers time out after 2 s.
 const STALL_LIMIT: Duration = Duration::from_millis(600);
 
-/// Time after the end of the time of a stream at which its connection is closed if the stream has not
-/// ended; callers have to see an end within 0.5 s.
-const END_SLACK: Duration = Duration::from_millis(200);
-
-/// Time at which the connection to a caller has to be closed, unless the stream on it has ended.
-///
-/// The stream itself is not polled while its caller does not read.
-#[derive(Debug, Clone)]
-pub struct StreamEnd {
-    at: Instant,
-    open: Weak<()>,
-}
-
-impl StreamEnd {
-    /// Waits until the stream is late, and returns whether it is still open then.
-    pub async fn is_late(&self) -> bool {
-        async_io::Timer::at(self.at).await;
-        self.open.strong_count() > 0
-    }
-}
-
 /// A worker whose stream is being forwarded.
 struct Source {
     placement: Placement,
@@ -83,10 +59,8 @@
     let (mut head, events) = started.answer.into_parts();
     head.headers = headers::forwarded(&head.headers);
     let open = Arc::new(());
-    head.extensions.insert(StreamEnd {
-        at: Instant::now() + session.remaining() + END_SLACK,
-        open: Arc::downgrade(&open),
-    });
+    let end = AnswerEnd::new(&session.call.id, session.remaining(), &open);
+    head.extensions.insert(end);
     let relay = Relay {
         _open: open,
         unnumbered: false,
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -26,10 +26,12 @@
     adapter::{headers, job_calls},
     drain::Phase,
     event, metrics,
+    mutex::lock,
 };
 
 use super::{
     answer::{self, CallerBody, full_body, text_answer},
+    answer_end::AnswerEnd,
     connection::{self, BUFFER_BYTES},
     fair_stream::{FairStream, HeadBytes},
     forward::{self, Call},
@@ -37,7 +39,6 @@
     job_api::{self, JobRequest},
     memory::Memory,
     peer_call,
-    relay::StreamEnd,
     write_gate::WriteGate,
 };
 
@@ -148,7 +149,8 @@
         || super::config::CallerLimits::default().idle,
         |c| c.limits.idle,
     );
-    let (ends, streams) = smol::channel::unbounded::<StreamEnd>();
+    let (ends, answers) = smol::channel::unbounded::<AnswerEnd>();
+    let last = Mutex::new(None);
     let service = service_fn(|request| {
         let (gateway, ends) = (gateway.clone(), ends.clone());
         async move {
@@ -158,7 +160,7 @@
                 ServerKind::Peers => peer_call::answer(gateway, request).await,
                 ServerKind::Metrics => answer_metrics(&gateway),
             };
-            if let Some(end) = answer.extensions().get::<StreamEnd>() {
+            if let Some(end) = answer.extensions().get::<AnswerEnd>() {
                 let _ = ends.try_send(end.clone());
             }
             Ok::<_, std::convert::Infallible>(answer)
@@ -192,29 +194,44 @@
         Some(connection.as_mut().await)
     };
     let late = async {
-        late_stream(&streams).await;
+        await_late(&answers, &last).await;
         None
     };
     match smol::future::or(served, late).await {
-        Some(Ok(())) => {}
-        Some(Err(e)) => log::debug!("a connection ended: {e}"),
-        None => log::debug!("a stream was not read in time"),
+        Some(Ok(())) => return,
+        // The answer was broken off.
+        Some(Err(e)) if e.is_user() => {}
+        Some(Err(e)) => {
+            log::debug!("a connection ended: {e}");
+            return;
+        }
+        None => {}
+    }
+    let end = lock(&last).take();
+    if let Some((end, over)) = end.and_then(|e: AnswerEnd| e.overdue().map(|o| (e, o))) {
+        event!(
+            Warn,
+            AnswerCut,
+            "request={} overdue_ms={}",
+            end.request(),
+            over.as_millis()
+        );
     }
 }
 
-/// Waits until a stream is late. A connection carries one after another.
-async fn late_stream(streams: &Receiver<StreamEnd>) {
-    let mut last: Option<StreamEnd> = None;
+/// Waits until an answer is late. A connection carries one after another; `last` is the last one.
+async fn await_late(answers: &Receiver<AnswerEnd>, last: &Mutex<Option<AnswerEnd>>) {
     loop {
-        let next = async { streams.recv().await.ok() };
+        let end = lock(last).clone();
+        let next = async { answers.recv().await.ok() };
         let late = async {
-            match &last {
+            match end {
                 Some(end) if end.is_late().await => None,
                 _ => std::future::pending().await,
             }
         };
         match smol::future::or(next, late).await {
-            Some(end) => last = Some(end),
+            Some(end) => *lock(last) = Some(end),
             None => return,
         }
     }
