Reset connections whose answer outlasts its time

The instance closed the connection, but a close sends what waits in the socket first, as slowly as the caller reads: half a megabyte a connection where one reader takes turns between 120 callers. Whole answers, up to 16 MiB, had no end at all while their caller did not read.

A connection on which an answer is not written at the end of its time, or is broken off after it, is now reset, which drops these bytes. Whole answers and error answers of workers have the same end as streams: their bytes count as open until hyper has written the last part.

--- a/src/gateway/answer_end.rs
+++ b/src/gateway/answer_end.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
+
 use crate::ids::RequestId;
 
 /// Time after the end of the time of an answer at which its connection is closed if the answer has not
@@ -21,7 +23,26 @@
     open: Weak<()>,
 }
 
+/// Bytes of an answer that is open until the last part of them has been written.
+struct OpenBytes {
+    bytes: Bytes,
+    _open: Arc<()>,
+}
+
+impl AsRef<[u8]> for OpenBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl AnswerEnd {
+    /// Builds the end of an answer that is completely known, and its bytes.
+    pub fn of_whole(request: &RequestId, remaining: Duration, bytes: Bytes) -> (Self, Bytes) {
+        let open = Arc::new(());
+        let end = Self::new(request, remaining, &open);
+        (end, Bytes::from_owner(OpenBytes { bytes, _open: open }))
+    }
+
     /// Builds the end of an answer that is open for as long as `open` is in use.
     pub fn new(request: &RequestId, remaining: Duration, open: &Arc<()>) -> Self {
         Self {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, http::response::Parts};
 use smol::channel::{Receiver, Sender};
 
 use crate::{
@@ -20,6 +20,7 @@
 
 use super::{
     answer::{CallerBody, full_body, refuse},
+    answer_end::AnswerEnd,
     config::{Route, RouteKind},
     connection::{self, AttemptError, Connection},
     dispatch::{Busy, Placement},
@@ -334,7 +335,7 @@
             Failure::Answered(answer) => {
                 let (mut head, body) = answer.into_parts();
                 head.headers = headers::forwarded(&head.headers);
-                Response::from_parts(head, full_body(body))
+                self.whole(head, body)
             }
             Failure::NotRun(busy) | Failure::Blocked(busy) => {
                 refuse(&self.call.id, status, &reason, Some(busy.retry_after))
@@ -396,6 +397,13 @@
             && !self.remaining().is_zero()
     }
 
+    /// Builds an answer that ends with the time of the call.
+    fn whole(&self, mut head: Parts, body: Bytes) -> Response<CallerBody> {
+        let (end, body) = AnswerEnd::of_whole(&self.call.id, self.remaining(), body);
+        head.extensions.insert(end);
+        Response::from_parts(head, full_body(body))
+    }
+
     /// Reads an answer that is forwarded as a whole.
     async fn read_whole(
         &mut self,
@@ -412,7 +420,7 @@
                     self.keep_connection(&started.placement, started.connection);
                     self.record_answered(framed);
                     head.headers = headers::forwarded(&head.headers);
-                    return Ok(Response::from_parts(head, full_body(body)));
+                    return Ok(self.whole(head, body));
                 }
                 Err(e) => {
                     let broken = AttemptError::reading(&e, false);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -16,6 +16,7 @@
     server::conn::http1,
     service::service_fn,
 };
+use rustix::net::sockopt::set_socket_linger;
 use smol::{
     channel::{Receiver, Sender},
     net::{TcpListener, TcpStream},
@@ -149,6 +150,7 @@
         || super::config::CallerLimits::default().idle,
         |c| c.limits.idle,
     );
+    let socket = stream.clone();
     let (ends, answers) = smol::channel::unbounded::<AnswerEnd>();
     let last = Mutex::new(None);
     let service = service_fn(|request| {
@@ -216,6 +218,10 @@
             end.request(),
             over.as_millis()
         );
+        // A close would send what waits in the socket before the end, as slowly as the caller reads.
+        if let Err(e) = set_socket_linger(&socket, Some(Duration::ZERO)) {
+            log::debug!("a connection cannot be reset: {e}");
+        }
     }
 }
 
--- a/tests/gateway_endless.rs
+++ b/tests/gateway_endless.rs
@@ -152,28 +152,34 @@
         )
         .into_boxed_str(),
     );
-    for (path, fault) in [
+    let cases = [
         ("/single/x", Behaviour::Endless(LONG_EVENT)),
         ("/resumable/x", Behaviour::Endless(LONG_EVENT)),
         ("/resumable/x", Behaviour::EndlessEvents),
         ("/safe/x", Behaviour::Raw(whole)),
         ("/unsafe/x", Behaviour::Raw(whole)),
-    ] {
-        let (store, workers) = platform(u64::MAX, PAUSE);
-        let instance = Instance::start("one", &store, &[]);
-        for worker in &workers {
-            worker.behave(&[fault; 100]);
+    ];
+    thread::scope(|scope| {
+        for (path, fault) in cases {
+            scope.spawn(move || unread_answer_is_reset(path, fault));
         }
-        let mut caller = TcpStream::connect(instance.callers).unwrap();
-        write!(
-            caller,
-            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: u\r\n\
-             content-length: 0\r\n\r\n"
-        )
-        .unwrap();
-        // Only a reset drops the bytes that wait in the sockets.
-        until(&format!("{path} is reset"), || {
-            caller.take_error().unwrap().is_some()
-        });
+    });
+}
+
+fn unread_answer_is_reset(path: &str, fault: Behaviour) {
+    let (store, workers) = platform(u64::MAX, PAUSE);
+    let instance = Instance::start("one", &store, &[]);
+    for worker in &workers {
+        worker.behave(&[fault; 100]);
     }
+    let mut caller = TcpStream::connect(instance.callers).unwrap();
+    write!(
+        caller,
+        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: u\r\ncontent-length: 0\r\n\r\n"
+    )
+    .unwrap();
+    // Only a reset drops the bytes that wait in the sockets.
+    until(&format!("{path} is reset"), || {
+        caller.take_error().unwrap().is_some()
+    });
 }
