Show that an ending target passes a part of an answer for the whole

A target of a plain service that closes its answers before it ends, and answers OPTIONS for 150 ms more, has a part of an answer without a length passed on with 200 and stored for a call that runs at most once. The same holds for a target that the list shows as leaving or no longer has.

--- a/tests/cut_answers.rs
+++ b/tests/cut_answers.rs
@@ -9,7 +9,7 @@
     process::Command,
     sync::{Arc, atomic::AtomicUsize, atomic::Ordering},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use gentianpath::{
@@ -331,6 +331,10 @@
     ListenerFirst,
     /// Its listener closes after it.
     ListenerLast,
+    /// It answers further requests for this time after its answer.
+    After(Duration),
+    /// It goes on, and stops to answer at the first request after this time.
+    Silent(Duration),
 }
 
 /// Starts a target of a plain service that sends a text without a length.
@@ -340,15 +344,28 @@
     let requests = Arc::new(AtomicUsize::new(0));
     let count = requests.clone();
     thread::spawn(move || {
+        let mut answered: Option<Instant> = None;
         loop {
             let (mut conn, _) = listener.accept().unwrap();
             if read_request(&mut conn).is_some_and(|r| r.starts_with("OPTIONS * ")) {
+                let past = answered.map(|a| a.elapsed()).unwrap_or_default();
+                match end {
+                    End::After(limit) if past >= limit => return,
+                    End::Silent(limit) if past >= limit => {
+                        thread::sleep(LIMIT);
+                        return;
+                    }
+                    _ => {}
+                }
                 let _ = conn.write_all(b"HTTP/1.0 501 x\r\n\r\n");
                 continue;
             }
             count.fetch_add(1, Ordering::SeqCst);
             match end {
-                End::Never => end_with(&mut conn, 200, "text/plain", text.as_bytes()),
+                End::Never | End::After(_) | End::Silent(_) => {
+                    end_with(&mut conn, 200, "text/plain", text.as_bytes());
+                    answered = Some(Instant::now());
+                }
                 End::ListenerFirst => {
                     drop(listener);
                     return end_with(&mut conn, 200, "text/plain", text.as_bytes());
@@ -397,6 +414,62 @@
     }
 }
 
+/// Guards against a part of an answer that is passed on as whole, or stored, since its target closes its
+/// answers before it ends and still answers other requests for a while.
+#[test]
+fn an_answer_of_a_target_that_ends_soon_is_not_whole() {
+    let key = &[("idempotency-key", "k")];
+    let time = Duration::from_millis(150);
+    for end in [End::After(time), End::Silent(time)] {
+        let ending = plain_target("pa", end);
+        let other = plain_target("part", End::Never);
+        let (entry, _platform) = plain_entry(&[&ending, &other]);
+        let path = "/services/till/receipts";
+        let answer = online_common::post(entry.address, path, key, "");
+        let seen = (answer.status, answer.verdict(), other.requests());
+        assert_eq!(
+            seen.1, "may-have-run",
+            "{end:?}: {} {}",
+            seen.0, answer.body
+        );
+        let again = online_common::post(entry.address, path, key, "");
+        let seen = (again.status, again.verdict(), other.requests());
+        assert_eq!(seen, (409, "may-have-run", 0), "{end:?}");
+        let ending = plain_target("pa", end);
+        let (entry, _platform) = plain_entry(&[&ending, &other]);
+        let answer = online_common::post(entry.address, "/services/till/a", &[], "");
+        assert_eq!((answer.status, &*answer.body), (200, "part"), "{end:?}");
+    }
+}
+
+/// Guards against a part of an answer that is passed on as whole, although the list shows that its
+/// target leaves or is gone.
+#[test]
+fn an_answer_of_a_target_that_leaves_is_not_whole() {
+    type Change = fn(&mut gentianpath::view::View);
+    let changes: [Change; 2] = [
+        |view| view.services[0].leaving = true,
+        |view| view.services.clear(),
+    ];
+    for change in changes {
+        let target = plain_target("pa", End::Never);
+        let (entry, _platform) = plain_entry(&[&target]);
+        let shared = entry.ctx.view.clone();
+        let requests = target.requests.clone();
+        let leave = thread::spawn(move || {
+            while requests.load(Ordering::SeqCst) == 0 {
+                thread::yield_now();
+            }
+            let mut view = (**shared.load()).clone();
+            change(&mut view);
+            shared.store(view.into());
+        });
+        let answer = online_common::post(entry.address, "/services/till/receipts", &[], "");
+        leave.join().unwrap();
+        assert_eq!((answer.status, answer.verdict()), (502, "may-have-run"));
+    }
+}
+
 /// Guards against a call that fails although it may be repeated at another target.
 #[test]
 fn a_call_is_repeated_after_a_cut_answer_if_it_may_be() {
