--- a/src/events.rs
+++ b/src/events.rs
@@ -86,6 +86,8 @@
     ChoiceRevoked = 1026, "choice-revoked";
     /// An answer ended with its connection and counts as whole.
     EndConfirmed = 1027, "end-confirmed";
+    /// The connection of an answer was closed at the end of its time.
+    AnswerCut = 1029, "answer-cut";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
