Do not take the end of a connection for the end of an answer

An answer with neither a length nor chunks ends with its connection, and a report that the worker answered after the end counted as proof that it was whole. That the process is alive says nothing on the answer.

The proof now comes after the last event. Of a stream that may be resumed and of an item the rest is asked for with Last-Event-Id, at another worker of the version that has a free slot if the attempts of the route allow it, else at the same one. An event shows that the answer was torn, and it goes on there; an empty answer with a length or chunks, or one whose worker outlives it, that it was whole. What cannot be asked for again has to be outlived by its worker for a second: the same start answers a report, is listed, was not found to tear others in the same 0.1 s and does not close others while it leaves. Otherwise a stream is broken off and a whole answer runs again or gets 502. A text of an item is kept meanwhile and no longer dropped when all workers send no length.

An answer without a length costs one report and one further request, or two reports, and its end waits for these: a round trip if the further answer has a length or chunks, else a second. Its events do not wait, and no slot is held.

--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -13,8 +13,8 @@
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::{ItemId, JobId, SoftwareVersion},
-    metrics::{self, ItemStatus},
+    ids::{ItemId, JobId, SoftwareVersion, WorkerId},
+    metrics::{self, EndEvidence, ItemStatus},
     mutex::lock,
 };
 
@@ -25,15 +25,17 @@
     head::{self, Head},
     job::{Item, Job, Verdict},
     jobs::SharedJob,
-    liveness::Responder,
+    liveness::{Ended, Responder},
     marks, refresh,
     splice::Form,
-    sse::{Event, Events, NoFurtherEvent},
+    sse::{End, Event, Events, Next},
     write_gate::Decision,
 };
 
 /// Time without an event after which an item moves to another worker.
 const STALL_LIMIT: Duration = Duration::from_millis(1500);
+/// Time in which a text that may be complete has to be proved. It bounds the wait for an end.
+const PROOF_LIMIT: Duration = Duration::from_secs(10);
 /// Delay before an item is started again after a worker refused it or broke the connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Share of the time until an item fails that it pauses at most after a crash of its worker, or while
@@ -52,9 +54,8 @@
     Yielded,
     /// The worker refused the item without running it.
     Refused(StatusCode),
-    /// A worker that was to go on ended the answer with its connection, without an event. The text may be
-    /// complete, or the worker may have failed.
-    NoMore,
+    /// The connection ended, and the text may be complete.
+    Unproven(Ended),
     /// The item was not written, since the worker may have begun to leave.
     Revoked(String),
     /// The connection broke, the worker timed out or its answer was invalid.
@@ -119,6 +120,8 @@
     pub attempts: u32,
     /// Time from the submission after which the item fails.
     pub ttl: Duration,
+    /// Worker whose connection ended after the last event, which may be the last one.
+    pub unproven: Option<WorkerId>,
 }
 
 impl Run {
@@ -143,8 +146,8 @@
             RunEnd::Yielded
         };
         let work = self.stream(&placement, after, &mut output);
-        let end = smol::future::or(work, yielded).await;
-        if after.is_none() && matches!(end, RunEnd::Whole { .. }) {
+        let mut end = smol::future::or(work, yielded).await;
+        if after.is_none() && matches!(end, RunEnd::Whole { .. } | RunEnd::Unproven(_)) {
             let time = self.gateway.now().saturating_sub(started);
             self.gateway.jobs.record_run(time, output.last.unwrap_or(0));
         }
@@ -157,10 +160,30 @@
                 .record_crash(&self.item.marks(), &self.item.id, &worker);
         }
         drop(placement);
+        if let RunEnd::Unproven(ended) = &end
+            && let Some(evidence) = self.evidence(&output, &worker)
+        {
+            end = match ended.outlive(evidence, PROOF_LIMIT).await {
+                Ok(()) => RunEnd::Whole { framed: false },
+                Err(e) => RunEnd::Broken(AttemptError::reading(&e, true)),
+            };
+        }
         self.record_end(end, output, &worker, version);
         self.gateway.jobs.notify_runner();
     }
 
+    /// Returns what the end of a connection shows once its worker has outlived it, or `None` if another
+    /// worker has to be asked for further events.
+    fn evidence(&self, output: &Output, worker: &WorkerId) -> Option<EndEvidence> {
+        let can_ask = output.numbered == output.events.len();
+        match &self.unproven {
+            Some(other) if output.events.is_empty() && other != worker => Some(EndEvidence::Agreed),
+            Some(_) if output.events.is_empty() => Some(EndEvidence::Outlived),
+            _ if !can_ask => Some(EndEvidence::Outlived),
+            _ => None,
+        }
+    }
+
     /// Runs the item on a worker and collects its events.
     async fn stream(
         &self,
@@ -239,7 +262,7 @@
         let mut bytes = 0;
         loop {
             match events.next(output.last, STALL_LIMIT).await {
-                Ok(Some(event)) => {
+                Ok(Next::Event(event)) => {
                     if output.events.is_empty() && !event.is_comment() {
                         self.gateway.record_proof(&self.item.marks());
                     }
@@ -252,13 +275,20 @@
                         return RunEnd::Broken(AttemptError::fault("the output is too long"));
                     }
                 }
-                Ok(None) => {
+                Ok(Next::End(End::Framed)) => {
                     self.gateway.keep_connection(worker, connection);
-                    return RunEnd::Whole {
-                        framed: events.is_framed(),
+                    return RunEnd::Whole { framed: true };
+                }
+                Ok(Next::End(End::Connection)) => {
+                    let ended = events.responder().record_end();
+                    return match ended.check_running().await {
+                        Ok(()) => RunEnd::Unproven(ended),
+                        Err(e) => {
+                            dispatch.record_failure(&worker.id);
+                            RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()))
+                        }
                     };
                 }
-                Err(e) if NoFurtherEvent::is(&e) => return RunEnd::NoMore,
                 Err(e) => {
                     dispatch.record_failure(&worker.id);
                     return RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()));
@@ -325,6 +355,18 @@
         progress.running = false;
         progress.ended = Some(now);
         let last = output.last;
+        let has_events = !output.events.is_empty();
+        if progress.unproven.is_some() {
+            if has_events {
+                progress.unproven = None;
+                metrics::connection_end(EndEvidence::Torn);
+            } else if matches!(end, RunEnd::Whole { framed: true }) {
+                metrics::connection_end(EndEvidence::Framed);
+            }
+        }
+        if let RunEnd::Unproven(ended) = &end {
+            progress.unproven = Some(ended.worker().id.clone());
+        }
         progress.text.extend(match end {
             RunEnd::Whole { .. } => output.events,
             _ => output.resumable(),
@@ -389,16 +431,13 @@
                 progress.not_before = now + self.pause(progress.crashes);
                 progress.crashes += u32::from(broken.closed);
             }
-            RunEnd::NoMore => {
+            RunEnd::Unproven(_) => {
                 event!(
-                    Warn,
-                    ItemBroken,
-                    "job={} item={id} worker={worker} last={last:?} reason=\"no further event\"",
+                    Info,
+                    ItemUnproven,
+                    "job={} item={id} worker={worker} last={last:?}",
                     self.job
                 );
-                progress.not_before = now + RETRY_PAUSE;
-                // Only a whole run proves that no event is missing.
-                job.drop_text(id);
             }
             RunEnd::Failed(status) => {
                 progress.failures += 1;
