Ask a target again before its unframed answer counts as whole

Callers got a part of an answer of a plain service with 200, and a call that runs at most once had the part stored as its answer. An answer with neither a length nor chunks counted as whole if its target answered OPTIONS * at its end. A target that ends closes its answers first and still answers for a while, so a live process does not show a whole answer.

The target is now asked at the end and 0.4 s later, and the list has to have it, at its address and not leaving, after that. A call in doubt may have run: it is repeated only where it may be, and otherwise gets 502. The log names it with end-unconfirmed.

A sound target answers one more OPTIONS and its answers without a length come 0.4 s later; answers with a length or chunks cost nothing more.

--- a/src/plain.rs
+++ b/src/plain.rs
@@ -1,6 +1,6 @@
 //! Forwarding of calls to the targets of plain services.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use async_io::Timer;
 use futures::AsyncReadExt;
@@ -14,7 +14,7 @@
     engine::REFUSED_HEADER,
     event,
     forward::Repeat,
-    ids::ServiceId,
+    ids::{RequestId, ServiceId},
     once::{Outcome, STORED_BYTES, StoredAnswer},
     once_store::Opened,
     online::{Online, RETRY_AFTER},
@@ -29,6 +29,10 @@
 const MAX_ATTEMPTS: usize = 4;
 /// Buffer size for reading an answer.
 const READ_BYTES: usize = 16 << 10;
+/// Time after the end of an answer that has neither a length nor chunks at which its target has to run
+/// still. A target that ends may close its answers before its listener. Callers have to see an end
+/// within 0.5 s; the rest is for the two requests that ask the target.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
 /// Headers that apply to one connection only and are not forwarded.
 const HOP_HEADERS: &[&str] = &[
     "connection",
@@ -216,7 +220,7 @@
                 target.zone
             );
             self.online.record_request(&target.id);
-            let error = match self.exchange(call, target).await {
+            let error = match self.exchange(&options.id, call, target).await {
                 Ok(answered) => {
                     self.online.record_success(&target.id);
                     return Ok(answered);
@@ -258,6 +262,7 @@
 
     async fn exchange(
         &self,
+        id: &RequestId,
         call: &PlainCall,
         target: &ServiceTarget,
     ) -> Result<TargetAnswer, RequestError> {
@@ -276,7 +281,18 @@
         let headers = end_to_end_headers(conn.response_headers());
         let body = read_answer(&mut conn, settings.limits.answer, &settings.timeouts).await?;
         if !dial::is_framed(&conn) {
-            self.check_running(target).await?;
+            let confirmed = self.confirm_end(target).await;
+            if let Err(error) = &confirmed {
+                event!(
+                    Warn,
+                    EndUnconfirmed,
+                    "request={id} target={} zone={} reason=\"{}\"",
+                    target.id,
+                    target.zone,
+                    error.message
+                );
+            }
+            confirmed?;
         }
         Ok(TargetAnswer {
             status,
@@ -285,8 +301,26 @@
         })
     }
 
-    /// Checks that a target runs after an answer that ended with its connection. The kernel of a
-    /// killed process ends a connection in the same way.
+    /// Confirms that an answer which ended with its connection is whole: its target outlives it, and the
+    /// list does not show that the target leaves or is gone.
+    async fn confirm_end(&self, target: &ServiceTarget) -> Result<(), RequestError> {
+        self.check_running(target).await?;
+        Timer::after(SETTLE_TIME).await;
+        self.check_running(target).await?;
+        let view = self.online.ctx.view.load();
+        let is_same =
+            |t: &ServiceTarget| t.id == target.id && t.address == target.address && !t.leaving;
+        if view.services.iter().any(is_same) {
+            return Ok(());
+        }
+        Err(RequestError::may_have_run(
+            Reason::ConnectionBroken,
+            "the target leaves, and its answer may be cut",
+        ))
+    }
+
+    /// Checks that a target runs. The kernel of a killed process ends a connection as a sound process
+    /// does.
     async fn check_running(&self, target: &ServiceTarget) -> Result<(), RequestError> {
         let client = self.client.clone();
         let client = client.with_base(format!("http://{}", target.address));
@@ -327,7 +361,7 @@
 }
 
 async fn with_timeout<T>(
-    limit: std::time::Duration,
+    limit: Duration,
     work: impl Future<Output = Result<T, RequestError>>,
 ) -> Result<T, RequestError> {
     let timeout = async {
