Bind both sockets of a stand-in peer to a port that is free for both

It bound a TCP listener to the port that the kernel chose for its UDP socket, from the range of outgoing connections. A TCP connection with that local port, open or in time-wait, makes the bind fail, as a trial showed for both states; connections of earlier tests are such.

Both sockets are now bound to a port outside that range, and another one is taken while either fails. The peer has the same two sockets on one address as before, and what the test asks for is unchanged.

--- a/tests/gateway_lost_jobs.rs
+++ b/tests/gateway_lost_jobs.rs
@@ -24,7 +24,7 @@
     versions::ShareState,
 };
 use serde_json::{Value, json};
-use support::{http, until};
+use support::{free_address, http, until};
 
 const JOBS: [&str; 4] = ["j1", "j2", "j3", "j4"];
 
@@ -438,12 +438,19 @@
 fn a_job_is_accepted_although_its_home_lacks_the_route() {
     let (store, _workers) = platform(1, Duration::ZERO);
     let one = Instance::start_for_jobs("one", &store);
+    // A port from the range of outgoing connections may be free for one protocol only.
+    let (socket, home) = loop {
+        let address = free_address();
+        let sockets = (UdpSocket::bind(address), TcpListener::bind(address));
+        if let (Ok(socket), Ok(home)) = sockets {
+            break (socket, home);
+        }
+    };
     let mut peer = Peer {
-        socket: UdpSocket::bind("127.0.0.1:0").unwrap(),
+        socket,
         target: one.peers,
         number: 0,
     };
-    let home = TcpListener::bind(peer.socket.local_addr().unwrap()).unwrap();
     let denials = Arc::new(AtomicU64::new(0));
     let denied = denials.clone();
     thread::spawn(move || {
