--- a/standins/src/gateway_worker.rs
+++ b/standins/src/gateway_worker.rs
@@ -11,7 +11,7 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context;
@@ -47,6 +47,12 @@
     /// Text of each event before its number.
     #[arg(long, default_value = "t")]
     pub text: String,
+    /// Puts the last segment of the path and a dot before the number of each event.
+    #[arg(long)]
+    pub name_path: bool,
+    /// Sends each event in pieces of this many bytes; 0 sends it whole.
+    #[arg(long, default_value_t = 0)]
+    pub piece: usize,
     /// File to which a line is appended for each request that runs.
     #[arg(long)]
     pub ledger: Option<PathBuf>,
@@ -243,10 +249,17 @@
             .and_then(|id| id.parse().ok());
         if let Some(mut ledger) = self.ledger.as_ref() {
             let last = last.map_or("-".to_owned(), |last| last.to_string());
-            ledger.write_all(format!("{id} {last}\n").as_bytes())?;
+            let now = now_ms();
+            let (worker, born) = (&self.options.id, self.options.born);
+            ledger.write_all(format!("{id} {last} {now} {worker}@{born}\n").as_bytes())?;
+        }
+        let events = request.header("x-events").and_then(|n| n.parse().ok());
+        let numbers = last.map_or(0, |last| last + 1)..events.unwrap_or(self.options.events);
+        let mut text = self.options.text.clone();
+        if self.options.name_path {
+            text.push_str(request.path.rsplit('/').next().unwrap_or_default());
+            text.push('.');
         }
-        let numbers = last.map_or(0, |last| last + 1)..self.options.events;
-        let text = &self.options.text;
         let event = |number: u64| format!("id: {number}\ndata: {text}{number}\n\n");
         let answer = self.answers.fetch_add(1, Ordering::SeqCst);
         let framing = self.options.framing.of_answer(answer);
@@ -274,11 +287,20 @@
                 return Ok(false);
             }
             let event = event(number);
-            let bytes = match framing {
-                Framing::Chunked => format!("{:x}\r\n{event}\r\n", event.len()),
-                _ => event,
+            let size = match self.options.piece {
+                0 => event.len(),
+                size => size,
             };
-            stream.write_all(bytes.as_bytes())?;
+            for piece in event.as_bytes().chunks(size) {
+                let length = piece.len();
+                let bytes = match framing {
+                    Framing::Chunked => {
+                        [format!("{length:x}\r\n").as_bytes(), piece, b"\r\n"].concat()
+                    }
+                    _ => piece.to_owned(),
+                };
+                stream.write_all(&bytes)?;
+            }
             thread::sleep(Duration::from_millis(self.options.pause_ms));
         }
         if framing == Framing::Chunked {
@@ -362,6 +384,12 @@
     }
 }
 
+/// Returns the time of day in Unix milliseconds.
+fn now_ms() -> u128 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis())
+}
+
 fn skip(reader: &mut impl BufRead, bytes: u64) -> io::Result<()> {
     let count = io::copy(&mut reader.take(bytes), &mut io::sink())?;
     if count < bytes {
--- /dev/null
+++ b/tests/fleet_soak.rs
@@ -0,0 +1,152 @@
+//! Seeded troubles of a fleet of the size of a deployment, which runs as processes: instances in
+//! four zones, workers of several versions and services, callers with open connections, batch jobs.
+//! No answer that looks complete, no text of an item and no count of runs may be wrong.
+//!
+//! Variables of the environment, each with the prefix `GENTIANPATH_FLEET_SOAK_`: `SIZE` (`small`,
+//! `benchline`, `hobart`), `S` (length in seconds), `SEED`, `FRAMING` (how workers mark the end of
+//! their answers), `PROGRAM` (path of the instances' program), `LOGS` (folder that keeps the logs),
+//! `BREAKS` (1: some workers break off answers while they stay up), `PAUSE_MS` (pause of a worker
+//! after each event).
+
+mod fleet_support;
+mod gateway_support;
+mod support;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use fleet_support::{Fleet, Options, instances::Instance, jobs::ITEMS, workers::Worker};
+use support::until;
+
+/// Length of the test in CI, in seconds.
+const CI_LENGTH_S: u64 = 45;
+/// Seed of the test in CI.
+const CI_SEED: u64 = 11;
+/// Interval at which a process looks for its next trouble.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+fn keep_worker(fleet: &Fleet, n: usize, seed: u64) -> Worker {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut worker = Worker::spawn(fleet, n, fleet.worker_id(n), 1, &mut rng);
+    worker.list(fleet, "ready");
+    while fleet.is_running() {
+        let order = fleet.worker_orders[n].lock().unwrap().take();
+        if let Some(trouble) = order {
+            worker = worker.suffer(fleet, trouble, &mut rng);
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+    worker.heal();
+    worker
+}
+
+fn keep_instance(fleet: &Fleet, n: usize, mut instance: Instance) -> Instance {
+    while fleet.is_running() {
+        let order = fleet.instance_orders[n].lock().unwrap().take();
+        if let Some(trouble) = order {
+            instance.suffer(fleet, trouble);
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+    instance
+}
+
+fn run(fleet: &Fleet) -> (Vec<Worker>, Vec<Instance>) {
+    let size = fleet.options.size;
+    let mut rng = fastrand::Rng::with_seed(fleet.options.seed);
+    let mut seeds = move || rng.u64(..);
+    let mut instances: Vec<Instance> = (0..size.instances())
+        .map(|n| {
+            let instance = Instance::spawn(fleet, n);
+            fleet.publish(n, instance.callers, instance.peers);
+            instance
+        })
+        .collect();
+    thread::scope(|scope| {
+        let workers: Vec<_> = (0..size.workers())
+            .map(|n| {
+                let seed = seeds();
+                scope.spawn(move || keep_worker(fleet, n, seed))
+            })
+            .collect();
+        for instance in &mut instances {
+            instance.wait_ready(fleet);
+        }
+        let instances: Vec<_> = instances
+            .into_iter()
+            .enumerate()
+            .map(|(n, instance)| scope.spawn(move || keep_instance(fleet, n, instance)))
+            .collect();
+        for n in 0..size.callers() {
+            let seed = seeds();
+            scope.spawn(move || fleet.call(n, seed));
+        }
+        for n in 0..1 + size.callers() / 20 {
+            let seed = seeds();
+            scope.spawn(move || fleet.submit(n, seed));
+        }
+        // Larger fleets have as many troubles for each process.
+        for _ in 0..1 + size.workers() / 10 {
+            let seed = seeds();
+            scope.spawn(move || fleet.trouble_workers(seed));
+        }
+        for _ in 0..1 + size.instances() / 20 {
+            let seed = seeds();
+            scope.spawn(move || fleet.trouble_instances(seed));
+        }
+        let seed = seeds();
+        scope.spawn(move || fleet.change_config(seed));
+        let seed = seeds();
+        scope.spawn(move || fleet.trouble_store(seed));
+        let begin = Instant::now();
+        while begin.elapsed() < fleet.options.length {
+            thread::sleep(Duration::from_millis(50));
+        }
+        fleet.stop();
+        let workers = workers.into_iter().map(|w| w.join().unwrap()).collect();
+        let instances = instances.into_iter().map(|i| i.join().unwrap()).collect();
+        (workers, instances)
+    })
+}
+
+/// Guards against combined faults of a deployment that tear, shorten, mix or double an answer or the
+/// output of an item.
+#[test]
+fn a_fleet_in_trouble_tears_and_doubles_nothing() {
+    let options = Options::read(CI_LENGTH_S, CI_SEED);
+    let fleet = &Fleet::new(options);
+    let (_workers, mut instances) = run(fleet);
+    let Options { seed, size, .. } = fleet.options;
+    for (n, instance) in instances.iter_mut().enumerate() {
+        instance.wait_ready(fleet);
+        for kind in ["resumable", "unsafe", "side"] {
+            let mut attempt = 0;
+            until(&format!("{} serves {kind}", instance.callers), || {
+                attempt += 1;
+                let id = format!("{}z{n}{kind}{attempt}", fleet.run);
+                fleet.is_served(n, kind, &id)
+            });
+        }
+    }
+    let jobs = fleet.accepted.lock().unwrap().clone();
+    for (n, job) in jobs.iter().enumerate() {
+        let address = fleet.address_of(n % size.instances());
+        until(&format!("{job} is finished"), || {
+            fleet.read(job, address) >= ITEMS
+        });
+        fleet.check_job(job);
+    }
+    fleet.check_runs();
+    let record = fleet.record.lock().unwrap();
+    let framing = &fleet.options.framing;
+    println!(
+        "summary: size {size:?}, seed {seed}, framing {framing}, {} jobs",
+        jobs.len()
+    );
+    println!("summary: answers {:?}", record.ends);
+    println!("summary: violations {:?}", record.violations);
+    assert!(record.ends.contains_key(&("resumable", "whole")));
+    assert!(record.violations.is_empty(), "violations in seed {seed}");
+}
--- /dev/null
+++ b/tests/fleet_support/instances.rs
@@ -0,0 +1,180 @@
+//! Instances of a fleet, and the ways in which they fail.
+
+use std::{
+    fs::{File, OpenOptions},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    thread,
+    time::Duration,
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::json;
+
+use super::{Fleet, unix_ms};
+use crate::support::{
+    free_address, http,
+    link::{Link, State},
+    until,
+};
+
+/// What happens to an instance.
+#[derive(Debug, Clone, Copy)]
+pub enum Trouble {
+    Kill {
+        down: Duration,
+        moves: bool,
+    },
+    /// Stopped as planned.
+    Stop {
+        moves: bool,
+    },
+    Freeze(Duration),
+    /// The store refuses it or falls silent for it.
+    Cut {
+        time: Duration,
+        silent: bool,
+    },
+}
+
+pub struct Instance {
+    number: usize,
+    name: String,
+    pub callers: SocketAddr,
+    ready: SocketAddr,
+    pub peers: SocketAddr,
+    log: PathBuf,
+    settings: PathBuf,
+    store: Link,
+    process: Child,
+}
+
+impl Instance {
+    pub fn spawn(fleet: &Fleet, number: usize) -> Self {
+        let name = format!("{}-e{number}", fleet.run);
+        let [callers, ready, peers, metrics] = [(); 4].map(|()| free_address());
+        let store = Link::new(fleet.store.address);
+        let settings = json!({
+            "instance": name, "zone": fleet.zone(number), "caller_address": callers,
+            "ready_address": ready, "peer_address": peers, "metrics_address": metrics,
+            "store_address": store.address, "seeds": fleet.seeds(number), "grace_s": 8, "status_s": 120,
+        });
+        let file = fleet.logs.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let log = fleet.logs.join(format!("{name}.log"));
+        let process = run(fleet, &file, &log);
+        fleet.note(&format!("instance {name} at {callers}, {peers}"));
+        Self {
+            number,
+            name,
+            callers,
+            ready,
+            peers,
+            log,
+            settings: file,
+            store,
+            process,
+        }
+    }
+
+    /// Waits until it is ready. One whose port was taken in the meantime starts on other ports.
+    pub fn wait_ready(&mut self, fleet: &Fleet) {
+        until(&format!("{} is ready", self.name), || {
+            if self.process.try_wait().unwrap().is_some() {
+                fleet.note(&format!("instance {} ended by itself", self.name));
+                fleet.guard.remove(self.process.id());
+                *self = Self::spawn(fleet, self.number);
+            }
+            fleet.publish(self.number, self.callers, self.peers);
+            self.is_ready()
+        });
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let answer = http::call(self.ready, "GET", "/readyz", &[], "");
+        answer.is_some_and(|a| a.status == 200)
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.process), signal).unwrap();
+    }
+
+    fn kill(&mut self, fleet: &Fleet) {
+        fleet.guard.remove(self.process.id());
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    fn start(&mut self, fleet: &Fleet, moves: bool) {
+        if moves {
+            *self = Self::spawn(fleet, self.number);
+        } else {
+            self.process = run(fleet, &self.settings, &self.log);
+        }
+        fleet.publish(self.number, self.callers, self.peers);
+    }
+
+    /// Lets a trouble happen.
+    pub fn suffer(&mut self, fleet: &Fleet, trouble: Trouble) {
+        fleet.note(&format!("instance {}: {trouble:?}", self.name));
+        let begin = unix_ms();
+        fleet.disturb(self.number, begin, u64::MAX);
+        match trouble {
+            Trouble::Kill { down, moves } => {
+                self.kill(fleet);
+                thread::sleep(down);
+                self.start(fleet, moves);
+            }
+            Trouble::Stop { moves } => {
+                self.signal(Signal::TERM);
+                until("the instance ends", || {
+                    self.process.try_wait().unwrap().is_some()
+                });
+                self.kill(fleet);
+                self.start(fleet, moves);
+            }
+            Trouble::Freeze(time) => {
+                self.signal(Signal::STOP);
+                thread::sleep(time);
+                self.signal(Signal::CONT);
+            }
+            Trouble::Cut { time, silent } => {
+                self.store
+                    .set(if silent { State::Silent } else { State::Cut });
+                thread::sleep(time);
+                self.store.set(State::Open);
+            }
+        }
+        if self.process.try_wait().unwrap().is_some() {
+            fleet.note(&format!("instance {} ended by itself", self.name));
+            self.kill(fleet);
+            self.start(fleet, true);
+        }
+        fleet.disturb(self.number, begin, unix_ms());
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+fn run(fleet: &Fleet, settings: &PathBuf, log: &PathBuf) -> Child {
+    let log: File = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(log)
+        .unwrap();
+    let child = Command::new(&fleet.options.program)
+        .arg("gateway")
+        .env("GENTIANPATH_SETTINGS", settings)
+        .stdout(log)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    fleet.guard.add(child.id());
+    child
+}
--- /dev/null
+++ b/tests/fleet_support/mod.rs
@@ -0,0 +1,382 @@
+//! A fleet of the size of a deployment: instances and workers as processes in four zones, callers,
+//! and troubles that overlap.
+
+pub mod calls;
+pub mod guard;
+pub mod instances;
+pub mod jobs;
+pub mod texts;
+pub mod troubles;
+pub mod workers;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    env,
+    fs::File,
+    io::Write,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use serde_json::{Value, json};
+
+use crate::gateway_support::{HOST, Store};
+use guard::Guard;
+
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+/// Services of the workers.
+pub const SERVICES: [&str; 2] = ["lm", "side"];
+/// Events of an answer, unless the request names another number.
+pub const EVENTS: u64 = 20;
+/// Time after a disturbance in which an instance counts as disturbed.
+const CALM_MS: u64 = 3000;
+
+/// Number of processes and callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Size {
+    Small,
+    Benchline,
+    Hobart,
+}
+
+impl TryFrom<&str> for Size {
+    type Error = String;
+
+    fn try_from(name: &str) -> Result<Self, String> {
+        match name {
+            "small" => Ok(Self::Small),
+            "benchline" => Ok(Self::Benchline),
+            "hobart" => Ok(Self::Hobart),
+            other => Err(format!("'{other}' is no size")),
+        }
+    }
+}
+
+impl Size {
+    pub fn instances(self) -> usize {
+        match self {
+            Self::Small => 6,
+            Self::Benchline => 20,
+            Self::Hobart => 80,
+        }
+    }
+
+    pub fn workers(self) -> usize {
+        match self {
+            Self::Small => 7,
+            Self::Benchline => 9,
+            Self::Hobart => 60,
+        }
+    }
+
+    pub fn callers(self) -> usize {
+        match self {
+            Self::Small => 24,
+            Self::Benchline => 50,
+            Self::Hobart => 150,
+        }
+    }
+}
+
+/// Options of a run, from variables of the environment.
+#[derive(Debug, Clone)]
+pub struct Options {
+    pub size: Size,
+    pub length: Duration,
+    pub seed: u64,
+    /// How workers mark the end of their answers.
+    pub framing: String,
+    /// Program of the instances.
+    pub program: PathBuf,
+    /// Folder that keeps the logs.
+    pub logs: Option<PathBuf>,
+    /// Whether some workers break off some answers while they stay up.
+    pub breaks: bool,
+    pub pause_ms: u64,
+}
+
+fn variable(name: &str) -> Option<String> {
+    env::var(format!("GENTIANPATH_FLEET_SOAK_{name}")).ok()
+}
+
+impl Options {
+    /// Reads the options.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a variable has no proper value.
+    pub fn read(length_s: u64, seed: u64) -> Self {
+        let number = |name, default| variable(name).map_or(default, |v| v.parse().unwrap());
+        let program = variable("PROGRAM");
+        Self {
+            size: Size::try_from(&*variable("SIZE").unwrap_or_else(|| "small".into())).unwrap(),
+            length: Duration::from_secs(number("S", length_s)),
+            seed: number("SEED", seed),
+            framing: variable("FRAMING").unwrap_or_else(|| "mixed".into()),
+            program: program
+                .unwrap_or_else(|| env!("CARGO_BIN_EXE_gentianpath").into())
+                .into(),
+            logs: variable("LOGS").map(PathBuf::from),
+            breaks: number("BREAKS", 0) > 0,
+            pause_ms: number("PAUSE_MS", 15),
+        }
+    }
+}
+
+/// What the callers saw, and what was wrong with it.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// Number of violations by kind.
+    pub violations: BTreeMap<String, usize>,
+    /// Answers by kind of route and by how they ended.
+    pub ends: BTreeMap<(&'static str, &'static str), usize>,
+    /// Requests that may run once, and whether they were refused.
+    pub once: Vec<(String, bool)>,
+    /// Results of accepted jobs as they were read.
+    pub jobs: HashMap<String, Vec<Value>>,
+    /// Instances to which requests were sent, by the request.
+    pub sent: HashMap<String, usize>,
+    /// When workers said that they leave, in Unix milliseconds, by ID@BORN.
+    leaves: HashMap<String, u64>,
+    /// Disturbed instances, from and to, in Unix milliseconds.
+    disturbed: Vec<(usize, u64, u64)>,
+    /// Disturbances of the store.
+    unstable: Vec<(u64, u64)>,
+}
+
+pub struct Fleet {
+    pub options: Options,
+    /// Name of the run in all ids and texts.
+    pub run: String,
+    pub store: Store,
+    pub guard: Guard,
+    pub logs: PathBuf,
+    pub ledger: PathBuf,
+    pub record: Mutex<Record>,
+    /// Jobs that were answered with 202.
+    pub accepted: Mutex<Vec<String>>,
+    /// Addresses for callers and for other instances.
+    addresses: Mutex<BTreeMap<usize, (SocketAddr, SocketAddr)>>,
+    /// Instances by their addresses for callers, present and past.
+    owners: Mutex<HashMap<SocketAddr, usize>>,
+    pub worker_orders: Vec<Mutex<Option<workers::Trouble>>>,
+    pub instance_orders: Vec<Mutex<Option<instances::Trouble>>>,
+    stop: AtomicBool,
+    starts: AtomicU64,
+    notes: Mutex<File>,
+    _folder: tempfile::TempDir,
+}
+
+/// Returns the time of day in Unix milliseconds.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    since.as_millis() as u64
+}
+
+pub fn pause(rng: &mut fastrand::Rng, millis: std::ops::Range<u64>) {
+    thread::sleep(Duration::from_millis(rng.u64(millis)));
+}
+
+impl Fleet {
+    pub fn new(options: Options) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let logs = options.logs.clone();
+        let logs = logs.unwrap_or_else(|| folder.path().to_owned());
+        std::fs::create_dir_all(&logs).unwrap();
+        let size = options.size;
+        let store = Store::start();
+        store.put("config", "main", config(1, 5000, 0));
+        Self {
+            run: format!("r{}s{}", std::process::id(), options.seed),
+            store,
+            guard: Guard::start(),
+            ledger: logs.join("ledger"),
+            record: Mutex::default(),
+            accepted: Mutex::default(),
+            addresses: Mutex::default(),
+            owners: Mutex::default(),
+            worker_orders: (0..size.workers()).map(|_| Mutex::default()).collect(),
+            instance_orders: (0..size.instances()).map(|_| Mutex::default()).collect(),
+            stop: AtomicBool::default(),
+            starts: AtomicU64::default(),
+            notes: Mutex::new(File::create(logs.join("notes")).unwrap()),
+            logs,
+            options,
+            _folder: folder,
+        }
+    }
+
+    pub fn is_running(&self) -> bool {
+        !self.stop.load(Ordering::SeqCst)
+    }
+
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::SeqCst);
+    }
+
+    /// Writes a line with the time to the file of the run's events.
+    pub fn note(&self, text: &str) {
+        let _ = writeln!(self.notes.lock().unwrap(), "{} {text}", unix_ms());
+    }
+
+    /// Counts and prints a violation.
+    pub fn report(&self, kind: &str, details: &str) {
+        let now = unix_ms();
+        println!("violation: {kind}: {details} (before {now})");
+        self.note(&format!("violation: {kind}: {details}"));
+        let mut record = self.record.lock().unwrap();
+        *record.violations.entry(kind.to_owned()).or_default() += 1;
+    }
+
+    pub fn service(&self, worker: usize) -> &'static str {
+        SERVICES[usize::from(worker % 4 == 3)]
+    }
+
+    pub fn zone(&self, number: usize) -> String {
+        ZONES[number % ZONES.len()].to_owned()
+    }
+
+    pub fn worker_id(&self, number: usize) -> String {
+        let start = self.starts.fetch_add(1, Ordering::SeqCst);
+        format!("{}-w{number}-{start}", self.run)
+    }
+
+    /// Returns the addresses of some other instances.
+    fn seeds(&self, number: usize) -> Vec<SocketAddr> {
+        let addresses = self.addresses.lock().unwrap();
+        let others = addresses.iter().filter(|(n, _)| **n != number);
+        others.map(|(_, (_, peers))| *peers).take(8).collect()
+    }
+
+    pub fn publish(&self, number: usize, callers: SocketAddr, peers: SocketAddr) {
+        self.addresses
+            .lock()
+            .unwrap()
+            .insert(number, (callers, peers));
+        self.owners.lock().unwrap().insert(callers, number);
+    }
+
+    /// Returns the address for callers of some instance.
+    pub fn address(&self, rng: &mut fastrand::Rng) -> SocketAddr {
+        self.address_of(rng.usize(..self.options.size.instances()))
+    }
+
+    pub fn address_of(&self, number: usize) -> SocketAddr {
+        self.addresses.lock().unwrap()[&number].0
+    }
+
+    pub fn owner(&self, address: SocketAddr) -> usize {
+        self.owners.lock().unwrap()[&address]
+    }
+
+    /// Records that a worker has said that it leaves.
+    fn leave(&self, id: &str, born: u64) {
+        let mut record = self.record.lock().unwrap();
+        record.leaves.insert(format!("{id}@{born}"), unix_ms());
+    }
+
+    /// Records a disturbance of an instance; the end replaces one that is not known yet.
+    fn disturb(&self, number: usize, from: u64, to: u64) {
+        let mut record = self.record.lock().unwrap();
+        record
+            .disturbed
+            .retain(|(n, begin, _)| *n != number || *begin != from);
+        record.disturbed.push((number, from, to));
+    }
+
+    /// Records a disturbance of the store.
+    pub fn unsettle(&self, from: u64, to: u64) {
+        let mut record = self.record.lock().unwrap();
+        record.unstable.retain(|(begin, _)| *begin != from);
+        record.unstable.push((from, to));
+    }
+
+    /// Checks the requests that ran against those that were sent.
+    pub fn check_runs(&self) {
+        let text = std::fs::read_to_string(&self.ledger).unwrap_or_default();
+        let record = std::mem::take(&mut *self.record.lock().unwrap());
+        let mut runs: HashMap<&str, usize> = HashMap::new();
+        let mut found = Vec::new();
+        for line in text.lines() {
+            let words: Vec<&str> = line.split(' ').collect();
+            let [id, _, time, worker] = words[..] else {
+                found.push(("ledger", format!("'{line}' has no four words")));
+                continue;
+            };
+            let time: u64 = time.parse().unwrap();
+            *runs.entry(id).or_default() += 1;
+            let sent = record.sent.get(id);
+            let item = id.rsplit_once('-').map(|(job, _)| job);
+            if sent.is_none() && !item.is_some_and(|job| record.jobs.contains_key(job)) {
+                found.push(("unasked", format!("{id} at {worker}")));
+            }
+            let left = record.leaves.get(worker);
+            let late = left.filter(|left| time > **left + workers::DRAIN.as_millis() as u64);
+            if let (Some(left), Some(instance)) = (late, sent)
+                && record.is_calm(*instance, *left, time)
+            {
+                found.push((
+                    "after drain",
+                    format!("{id} reached {worker} {} ms after it left", time - left),
+                ));
+            }
+        }
+        for (id, refused) in &record.once {
+            let count = runs.get(&**id).copied().unwrap_or_default();
+            if count > 1 {
+                found.push(("twice", format!("{id} ran {count} times")));
+            }
+            if *refused && count > 0 {
+                found.push(("refused", format!("{id} was refused and ran")));
+            }
+        }
+        *self.record.lock().unwrap() = record;
+        for (kind, details) in found {
+            self.report(kind, &details);
+        }
+    }
+}
+
+impl Record {
+    /// Returns whether an instance and the store were undisturbed in a span and before it.
+    fn is_calm(&self, instance: usize, from: u64, to: u64) -> bool {
+        let from = from - CALM_MS;
+        let overlaps = |begin: u64, end: u64| begin <= to && end.saturating_add(CALM_MS) >= from;
+        let is_disturbed = self
+            .disturbed
+            .iter()
+            .any(|(n, begin, end)| *n == instance && overlaps(*begin, *end));
+        !is_disturbed && !self.unstable.iter().any(|(b, e)| overlaps(*b, *e))
+    }
+}
+
+/// Returns a configuration with routes of each kind and some that no caller uses.
+pub fn config(version: u64, timeout_ms: u64, idle: usize) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool, attempts: u32| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": timeout_ms, "goal_ms": 300, "service": service, "max_attempts": attempts,
+            "resumable": resumable, "result_due_ms": 18000, "item_ttl_s": 3600, "max_count": 0,
+        })
+    };
+    let mut routes = vec![
+        route("resumable", "stream", "lm", true, 2),
+        route("single", "stream", "lm", false, 1),
+        route("safe", "safe", "lm", false, 2),
+        route("unsafe", "unsafe", "lm", false, 1),
+        route("side", "stream", "side", true, 2),
+        route("jobs", "batch", "lm", true, 3),
+    ];
+    routes.extend((0..idle).map(|n| route(&format!("idle{n}"), "safe", "side", false, 2)));
+    json!({
+        "version": version, "routes": routes,
+        "services": SERVICES.map(|name| json!({ "name": name, "max_conns": 100 })),
+        "limits": { "max_body_bytes": 4_194_304, "idle_timeout_ms": 15_000 },
+    })
+}
--- a/tests/gateway_batch.rs
+++ b/tests/gateway_batch.rs
@@ -136,8 +136,8 @@
     let (store, _workers) = platform(2, PAUSE);
     let instance = Instance::start_for_jobs("one", &store);
     store.set_faults(StoreFaults {
-        down: false,
         lost_jobs: 1,
+        ..StoreFaults::default()
     });
     assert_eq!(instance.submit("j1", &["a"]).unwrap().status, 202);
     assert_eq!(instance.wait_results("j1", 1).len(), 1);
--- a/tests/gateway_support/caller.rs
+++ b/tests/gateway_support/caller.rs
@@ -37,9 +37,16 @@
     connection: Option<(SocketAddr, BufReader<TcpStream>)>,
     /// Pause before each part of a body that is read.
     pub pause: Duration,
+    /// Bytes of a chunked body after which the caller leaves.
+    pub patience: Option<usize>,
 }
 
 impl Caller {
+    /// Returns the address of the open connection.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.connection.as_ref().map(|(address, _)| *address)
+    }
+
     /// Sends a request on the open connection, or a new one to an address.
     pub fn post(
         &mut self,
@@ -81,7 +88,11 @@
         reader.get_mut().write_all(head.as_bytes())?;
         read_head(reader, seen)?;
         if seen.header("transfer-encoding") == Some("chunked") {
+            let patience = self.patience;
             while read_chunk(reader, &mut seen.body)? {
+                if patience.is_some_and(|bytes| seen.body.len() >= bytes) {
+                    return Err(io::ErrorKind::Interrupted.into());
+                }
                 thread::sleep(pause);
             }
             return Ok(());
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -120,7 +120,7 @@
     Some(request)
 }
 
-fn answer(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> io::Result<bool> {
+fn answer<W: Write>(stream: &mut W, status: u16, headers: &str, body: &str) -> io::Result<bool> {
     let length = body.len();
     write!(
         stream,
@@ -139,6 +139,10 @@
     pub down: bool,
     /// Creates this many jobs without answering.
     pub lost_jobs: u32,
+    /// Leaves this share of the writes, in percent, unanswered after they took effect.
+    pub lost_writes: u32,
+    /// Delays all calls but watches, in milliseconds.
+    pub delay_ms: u64,
 }
 
 impl StoreFaults {
@@ -146,6 +150,8 @@
     pub const DOWN: Self = Self {
         down: true,
         lost_jobs: 0,
+        lost_writes: 0,
+        delay_ms: 0,
     };
 }
 
@@ -154,6 +160,8 @@
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
     events: Vec<(u64, String, Value, bool)>,
+    /// Revision before which the history is dropped.
+    oldest: u64,
     faults: StoreFaults,
     watches: BTreeMap<String, usize>,
     lists: BTreeMap<String, usize>,
@@ -175,7 +183,14 @@
     pub fn start() -> Self {
         let state = Arc::new(Mutex::new(Objects::default()));
         let shared = state.clone();
-        let address = serve(move |request, stream| answer_store(&shared, request, stream));
+        let address = serve(move |request, stream| {
+            let lost = shared.lock().unwrap().faults.lost_writes;
+            if request.method != "GET" && fastrand::u32(..100) < lost {
+                answer_store(&shared, request, &mut io::sink())?;
+                return Ok(false);
+            }
+            answer_store(&shared, request, stream)
+        });
         Self { address, state }
     }
 
@@ -191,6 +206,13 @@
         }
     }
 
+    /// Drops the history, so that later watches of it get 410.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.oldest = state.revision;
+        state.events.clear();
+    }
+
     pub fn set_faults(&self, faults: StoreFaults) {
         self.lock().faults = faults;
     }
@@ -293,10 +315,10 @@
     }
 }
 
-fn answer_store(
+fn answer_store<W: Write>(
     state: &Mutex<Objects>,
     request: &Request,
-    stream: &mut TcpStream,
+    stream: &mut W,
 ) -> io::Result<bool> {
     let path = request.path.split('?').next().unwrap_or_default();
     let mut parts = path.trim_start_matches("/objects/").split('/');
@@ -312,6 +334,8 @@
     if let Some((_, delay)) = slow.filter(|(slow, _)| is_read && *slow == kind) {
         thread::sleep(delay);
     }
+    let faults = state.lock().unwrap().faults;
+    thread::sleep(Duration::from_millis(faults.delay_ms));
     let mut objects = state.lock().unwrap();
     if objects.faults.down {
         return answer(stream, 503, "", "");
@@ -389,12 +413,12 @@
     }
 }
 
-fn answer_watch(
+fn answer_watch<W: Write>(
     state: &Mutex<Objects>,
     request: &Request,
     kind: &str,
     since: u64,
-    stream: &mut TcpStream,
+    stream: &mut W,
 ) -> io::Result<bool> {
     let wait = request
         .query("wait_ms")
@@ -413,6 +437,9 @@
             if objects.faults.down {
                 break (503, String::new());
             }
+            if since < objects.oldest {
+                break (410, String::new());
+            }
             let events = objects.events_since(kind, since);
             if !events.is_empty() || Instant::now() >= end {
                 let batch = json!({ "events": events, "at": objects.revision });
--- a/tests/gateway_support/worker_process.rs
+++ b/tests/gateway_support/worker_process.rs
@@ -46,9 +46,11 @@
 /// Reads the requests of a ledger, with the event after which each went on.
 pub fn read_runs(ledger: &Path) -> Vec<(String, Option<u64>)> {
     let text = std::fs::read_to_string(ledger).unwrap_or_default();
-    let runs = text.lines().filter_map(|line| line.split_once(' '));
-    runs.map(|(id, last)| (id.to_owned(), last.parse().ok()))
-        .collect()
+    let run = |line: &str| {
+        let mut words = line.split(' ');
+        Some((words.next()?.to_owned(), words.next()?.parse().ok()))
+    };
+    text.lines().filter_map(run).collect()
 }
 
 /// A worker that runs as a process.
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -51,6 +51,11 @@
         (process, address)
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
     /// Kills the process (SIGKILL) and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.0.kill();
