--- a/tests/support/ports.rs
+++ b/tests/support/ports.rs
@@ -11,10 +11,11 @@
 /// First port of the range. Outgoing connections take ports from 32,768 on, and could take one before it
 /// is used.
 const FIRST_PORT: u16 = 12_000;
-/// Number of ports that a test program has for itself.
-const BLOCK_PORTS: u16 = 250;
+/// Number of ports that a test program has for itself; the largest soak takes four for each of 110
+/// instances.
+const BLOCK_PORTS: u16 = 800;
 /// Number of such blocks in the range.
-const BLOCKS: u16 = 80;
+const BLOCKS: u16 = 25;
 /// Pause while other test programs use all blocks.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
