--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,22 +7,24 @@
 
 use async_io::Timer;
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Response, StatusCode, Uri, http::response::Parts};
 use smol::channel::{Receiver, Sender};
 
 use crate::{
     adapter::headers,
     event,
     ids::{Fingerprint, RequestId, ServiceId, SoftwareVersion, WorkerId},
-    metrics::{self, CallEnd},
+    metrics::{self, CallEnd, EndEvidence},
     ownership,
 };
 
 use super::{
     answer::{CallerBody, full_body, refuse},
+    answer_end::AnswerEnd,
     config::{Route, RouteKind},
     connection::{self, AttemptError, Connection},
     dispatch::{Busy, Placement},
+    fleet::Worker,
     gateway::Gateway,
     marks::{self, Mark},
     relay,
@@ -150,6 +152,17 @@
     pub(super) sent: Overlap,
     /// Receives the changes of `sent` while an earlier worker may still answer.
     pub(super) takeover: Option<Sender<bool>>,
+    /// The worker that is asked for further events of a stream that ended with its connection.
+    pub(super) asked: Option<Asked>,
+}
+
+/// Worker that is asked for further events. It has to have a free slot.
+#[derive(Debug, Clone)]
+pub enum Asked {
+    /// One that has not run the call.
+    Other,
+    /// The one whose connection ended.
+    Same(Arc<Worker>),
 }
 
 /// Forwards a call and returns the answer for the caller.
@@ -184,6 +197,7 @@
         form: None,
         sent: Overlap::default(),
         takeover: None,
+        asked: None,
     };
     match origin {
         Some(Origin::Version(version)) => session.version = Some(version),
@@ -218,7 +232,7 @@
     call: &Call,
 ) -> Option<Origin> {
     let limit = route.objective.mul_f64(QUEUE_WAIT_SHARE);
-    if route.is_resumable() && call.after.is_some() && !knows_shares(gateway, call).await {
+    if route.is_resumable() && call.after.is_some() && !knows_shares(gateway, service, call).await {
         event!(
             Warn,
             OriginUnclear,
@@ -241,11 +255,11 @@
 
 /// Returns whether this instance knows all shares by which the stream that a call takes up may have
 /// begun.
-async fn knows_shares(gateway: &Gateway, call: &Call) -> bool {
+async fn knows_shares(gateway: &Gateway, service: &ServiceId, call: &Call) -> bool {
     let begun_here = call
         .origin
         .as_ref()
-        .is_some_and(|id| gateway.streams().has_begun(id));
+        .is_some_and(|id| gateway.streams().has_begun(service, id));
     if begun_here {
         return true;
     }
@@ -334,7 +348,7 @@
             Failure::Answered(answer) => {
                 let (mut head, body) = answer.into_parts();
                 head.headers = headers::forwarded(&head.headers);
-                Response::from_parts(head, full_body(body))
+                self.whole(head, body)
             }
             Failure::NotRun(busy) | Failure::Blocked(busy) => {
                 refuse(&self.call.id, status, &reason, Some(busy.retry_after))
@@ -382,6 +396,14 @@
         self.route.is_repeatable() && can_retry
     }
 
+    /// Counts a worker that may have run the call, unless it is counted already.
+    pub(super) fn count_run(&mut self, worker: &WorkerId) {
+        if !self.tried.contains(worker) {
+            self.tried.push(worker.clone());
+            self.runs += 1;
+        }
+    }
+
     /// Keeps later attempts from a worker.
     pub(super) fn leave_out(&mut self, worker: &WorkerId) {
         if !self.tried.contains(worker) {
@@ -396,6 +418,13 @@
             && !self.remaining().is_zero()
     }
 
+    /// Builds an answer that ends with the time of the call.
+    fn whole(&self, mut head: Parts, body: Bytes) -> Response<CallerBody> {
+        let (end, body) = AnswerEnd::of_whole(&self.call.id, self.remaining(), body);
+        head.extensions.insert(end);
+        Response::from_parts(head, full_body(body))
+    }
+
     /// Reads an answer that is forwarded as a whole.
     async fn read_whole(
         &mut self,
@@ -405,14 +434,24 @@
         loop {
             let (mut head, events) = started.answer.into_parts();
             let framed = events.is_framed();
+            let responder = events.responder().clone();
             let read = events.read_whole(MAX_ANSWER_BYTES);
-            match connection::within(self.remaining(), read).await {
+            let mut read = connection::within(self.remaining(), read).await;
+            if !framed && read.is_ok() {
+                started.placement.release();
+                let outlived = responder.record_end();
+                let outlived = outlived.outlive(EndEvidence::Outlived, self.remaining());
+                if let Err(e) = outlived.await {
+                    read = Err(e);
+                }
+            }
+            match read {
                 Ok(body) => {
                     self.record_begun();
                     self.keep_connection(&started.placement, started.connection);
                     self.record_answered(framed);
                     head.headers = headers::forwarded(&head.headers);
-                    return Ok(Response::from_parts(head, full_body(body)));
+                    return Ok(self.whole(head, body));
                 }
                 Err(e) => {
                     let broken = AttemptError::reading(&e, false);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! the I/O.
 
 pub mod answer;
+pub mod answer_end;
 mod attempt;
 pub mod blame;
 pub mod block_record;
@@ -14,6 +15,7 @@
 pub mod connection;
 pub mod crash_report;
 pub mod dispatch;
+pub mod ends;
 pub mod fair_stream;
 pub mod fleet;
 pub mod forward;
