--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -13,7 +13,7 @@
 use crate::{
     adapter::headers::{self, Attempt},
     event,
-    ids::{ItemId, JobId, SoftwareVersion, WorkerId},
+    ids::{ItemId, JobId, SoftwareVersion},
     metrics::{self, EndEvidence, ItemStatus},
     mutex::lock,
 };
@@ -23,7 +23,7 @@
     dispatch::Placement,
     gateway::Gateway,
     head::{self, Head},
-    job::{Item, Job, Verdict},
+    job::{Item, Job, Unproven, Verdict},
     jobs::SharedJob,
     liveness::{Ended, Responder},
     marks, refresh,
@@ -56,6 +56,8 @@
     Refused(StatusCode),
     /// The connection ended, and the text may be complete.
     Unproven(Ended),
+    /// Only one worker was there that had no further event, and it did not write the text.
+    NoMore,
     /// The item was not written, since the worker may have begun to leave.
     Revoked(String),
     /// The connection broke, the worker timed out or its answer was invalid.
@@ -120,8 +122,8 @@
     pub attempts: u32,
     /// Time from the submission after which the item fails.
     pub ttl: Duration,
-    /// Worker whose connection ended after the last event, which may be the last one.
-    pub unproven: Option<WorkerId>,
+    /// Set if the connection of a worker ended after the last event, which may be the last one.
+    pub unproven: Option<Unproven>,
 }
 
 impl Run {
@@ -160,27 +162,31 @@
                 .record_crash(&self.item.marks(), &self.item.id, &worker);
         }
         drop(placement);
-        if let RunEnd::Unproven(ended) = &end
-            && let Some(evidence) = self.evidence(&output, &worker)
-        {
-            end = match ended.outlive(evidence, PROOF_LIMIT).await {
-                Ok(()) => RunEnd::Whole { framed: false },
-                Err(e) => RunEnd::Broken(AttemptError::reading(&e, true)),
-            };
+        if let RunEnd::Unproven(ended) = end {
+            end = self.settle(ended, &output).await;
         }
         self.record_end(end, output, &worker, version);
         self.gateway.jobs.notify_runner();
     }
 
-    /// Returns what the end of a connection shows once its worker has outlived it, or `None` if another
-    /// worker has to be asked for further events.
-    fn evidence(&self, output: &Output, worker: &WorkerId) -> Option<EndEvidence> {
-        let can_ask = output.numbered == output.events.len();
-        match &self.unproven {
-            Some(other) if output.events.is_empty() && other != worker => Some(EndEvidence::Agreed),
-            Some(_) if output.events.is_empty() => Some(EndEvidence::Outlived),
-            _ if !can_ask => Some(EndEvidence::Outlived),
-            _ => None,
+    /// Decides what the end of a connection shows.
+    async fn settle(&self, ended: Ended, output: &Output) -> RunEnd {
+        let is_empty = output.events.is_empty();
+        let evidence = match &self.unproven {
+            Some(first) if is_empty && first.worker != ended.worker().id => EndEvidence::Agreed,
+            Some(first) if is_empty && first.begun => EndEvidence::Outlived,
+            // Two empty answers of one worker that was to go on may have the same fault.
+            Some(_) if is_empty => {
+                ended.reject_repeated();
+                return RunEnd::NoMore;
+            }
+            // No worker can be asked for what follows an event without a number.
+            _ if output.numbered != output.events.len() => EndEvidence::Outlived,
+            _ => return RunEnd::Unproven(ended),
+        };
+        match ended.outlive(evidence, PROOF_LIMIT).await {
+            Ok(()) => RunEnd::Whole { framed: false },
+            Err(e) => RunEnd::Broken(AttemptError::reading(&e, true)),
         }
     }
 
@@ -365,7 +371,10 @@
             }
         }
         if let RunEnd::Unproven(ended) = &end {
-            progress.unproven = Some(ended.worker().id.clone());
+            progress.unproven = Some(Unproven {
+                worker: ended.worker().id.clone(),
+                begun: has_events || last.is_none(),
+            });
         }
         progress.text.extend(match end {
             RunEnd::Whole { .. } => output.events,
@@ -439,6 +448,14 @@
                     self.job
                 );
             }
+            RunEnd::NoMore => {
+                event!(
+                    Info,
+                    ItemUnproven,
+                    "job={} item={id} worker={worker} last={last:?}",
+                    self.job
+                );
+            }
             RunEnd::Failed(status) => {
                 progress.failures += 1;
                 progress.not_before = now + ERROR_PAUSE;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -182,8 +182,17 @@
     pub not_before: Duration,
     /// Time of the end of its last run.
     pub ended: Option<Duration>,
-    /// Worker whose connection ended after the last event, so that the text may be complete.
-    pub unproven: Option<WorkerId>,
+    /// Set while the text may be complete, as the connection of a worker ended after its last event.
+    pub unproven: Option<Unproven>,
+}
+
+/// End of a connection after the last event of an item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unproven {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whether the worker sent an event in that answer, or was not to go on after one.
+    pub begun: bool,
 }
 
 /// A result that is not committed yet.
@@ -324,7 +333,8 @@
     pub fn avoided(&self, item: &str, now: Duration) -> Option<&WorkerId> {
         let progress = self.unfinished.get(item)?;
         let is_new = progress.ended.is_some_and(|t| now < t + PROOF_WAIT);
-        progress.unproven.as_ref().filter(|_| is_new)
+        let unproven = progress.unproven.as_ref().filter(|_| is_new);
+        unproven.map(|u| &u.worker)
     }
 
     /// Drops the text of an unfinished item, which starts again from its beginning. Without a text nothing
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -194,6 +194,13 @@
         );
     }
 
+    /// Records that the answer shows nothing, as the same worker sent an empty one before, and returns the
+    /// error for it.
+    pub fn reject_repeated(&self) -> io::Error {
+        self.reject(EndEvidence::InDoubt, "only one worker has no further event");
+        in_doubt()
+    }
+
     /// Records that the answer was torn: another one has an event after its last one.
     pub fn record_torn(&self) {
         let Responder {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -59,6 +59,8 @@
 /// A stream of which nothing but the end of a connection shows that it is whole.
 struct Unproven {
     ended: Ended,
+    /// Whether the worker sent an event in that answer, or was not to go on after one.
+    begun: bool,
     asked_other: bool,
     asked_same: bool,
 }
@@ -190,18 +192,17 @@
         }
         if let Some(unproven) = &self.unproven {
             let is_other = unproven.ended.worker().id != ended.worker().id;
-            let evidence = if is_other {
-                EndEvidence::Agreed
-            } else {
-                EndEvidence::Outlived
+            let outlived = match (is_other, unproven.begun) {
+                (true, _) => ended.outlive(EndEvidence::Agreed, remaining).await,
+                (false, true) => ended.outlive(EndEvidence::Outlived, remaining).await,
+                // Two empty answers of one worker that was to go on may have the same fault.
+                (false, false) => Err(ended.reject_repeated()),
             };
-            match ended.outlive(evidence, remaining).await {
-                Ok(()) => {
-                    self.finish();
-                    return Ok(true);
-                }
-                Err(_) => self.session.count_run(&ended.worker().id),
+            if outlived.is_ok() {
+                self.finish();
+                return Ok(true);
             }
+            self.session.count_run(&ended.worker().id);
         } else if let Err(e) = ended.check_running().await {
             self.resume(&e).await?;
             return Ok(false);
@@ -209,6 +210,7 @@
             self.session.count_run(&ended.worker().id);
             self.unproven = Some(Unproven {
                 ended,
+                begun: source.begun || self.last_id.is_none(),
                 asked_other: false,
                 asked_same: false,
             });
