Compare times of instances by a clock that does not step

An instance whose time of day was wrong, or had stepped shortly after the shares of the versions changed, took streams up at another version than the one that had begun them: shares that had just come into use counted as old. Ages of jobs changed with the clock of whichever instance computed them, so that items could be given up too early.

Within a process all times now come from a clock that is set once and counts steadily, also in suspension. A time that another instance tells is converted by the clock that it sends. Times in the store are those of the clock in the middle of all known ones, so that less than half of wrong clocks change nothing. Messages of a new kind carry the clock; instances of an earlier release skip them, and heartbeats stay as they are.

Three tests in tests/stream_versions.rs; they need the new interface, so that they could not land failing before. With the difference of clocks taken as zero, each of them fails.

--- a/src/gateway/block_store.rs
+++ b/src/gateway/block_store.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     adapter::store::{Freshness, Object, StoreError},
-    clock, event,
+    event,
     ids::{Fingerprint, Map},
     mutex::lock,
 };
@@ -80,7 +80,7 @@
 async fn read(gateway: &Gateway) -> Result<(), StoreError> {
     // The platform tolerates retries for longer than stale data lags behind.
     let (objects, _) = gateway.store.list(BLOCKED, Freshness::Stale).await?;
-    let now = clock::unix_millis();
+    let now = gateway.shared_millis();
     for (request, record) in decode_all(&objects) {
         if !record.is_expired(now) {
             merge(gateway, request, &record);
@@ -90,7 +90,7 @@
 }
 
 fn merge(gateway: &Gateway, request: Fingerprint, record: &BlockRecord) {
-    let report = record.report(request, clock::unix_millis());
+    let report = record.report(request, gateway.shared_millis());
     let now = gateway.now();
     if gateway.suspects().recall(report, now) {
         event!(
@@ -129,7 +129,7 @@
 }
 
 async fn save(gateway: &Gateway, request: Fingerprint, crashes: &[CrashReport]) {
-    let record = BlockRecord::new(crashes, clock::unix_millis());
+    let record = BlockRecord::new(crashes, gateway.shared_millis());
     for _ in 0..WRITE_ATTEMPTS {
         match try_save(gateway, request, &record).await {
             Err(StoreError::Conflict | StoreError::Missing) => {}
@@ -198,7 +198,7 @@
     let object = gateway.store.get(BLOCKED, &name, Freshness::Latest).await?;
     let now = gateway.now();
     let known = gateway.suspects().crashes_of(request, now);
-    let mut record = BlockRecord::new(&known, clock::unix_millis());
+    let mut record = BlockRecord::new(&known, gateway.shared_millis());
     if let Some((_, stored)) = object.as_ref().and_then(decode) {
         record.merge(&stored);
         merge(gateway, request, &stored);
@@ -207,7 +207,7 @@
             return Ok(false);
         }
     }
-    let Claim::Free(claimed) = record.claim(clock::unix_millis()) else {
+    let Claim::Free(claimed) = record.claim(gateway.shared_millis()) else {
         return Ok(false);
     };
     let store = &gateway.store;
@@ -230,7 +230,7 @@
 pub async fn sweep(gateway: &Gateway) -> Result<(), StoreError> {
     let (objects, _) = gateway.store.list(BLOCKED, Freshness::Stale).await?;
     let records = decode_all(&objects);
-    for request in block_record::outdated(&records, clock::unix_millis()) {
+    for request in block_record::outdated(&records, gateway.shared_millis()) {
         remove(gateway, request).await;
     }
     Ok(())
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -134,13 +134,18 @@
         lock(&self.streams)
     }
 
+    /// Returns the time in ms since the Unix epoch by the clock that the instances share.
+    pub fn shared_millis(&self) -> u64 {
+        self.streams().shared_time(clock::steady_millis())
+    }
+
     /// Returns the version at which a stream has to begin or go on.
     pub fn stream_version(&self, call: &StreamCall<'_>) -> Origin {
         let serving = || self.dispatch.versions(call.service);
         let is_unheard = self.now() < FORGET_AFTER && self.peers().has_unheard(self.settings.peers);
         let mut streams = self.streams();
         streams.set_unheard(is_unheard);
-        streams.version(call, serving, clock::unix_millis())
+        streams.version(call, serving, clock::steady_millis())
     }
 
     /// Records that the connection of an attempt broke.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -90,6 +90,8 @@
     Answer(WorkerId, Reply),
     /// Shares of the versions in new streams, by service.
     Histories(Vec<(ServiceId, History)>),
+    /// Time by the clock of an instance, in ms since the Unix epoch.
+    Clock(InstanceId, u64),
 }
 
 /// Exchanges heartbeats with the other instances forever.
@@ -266,7 +268,7 @@
     gateway.dispatch.notify();
 }
 
-/// Sends all that is known of limits and versions.
+/// Sends all that is known of limits and versions, and with it the local time.
 fn send_fleet_state(gateway: &Gateway, socket: &Async<UdpSocket>, targets: &Set<SocketAddr>) {
     let notices = gateway.dispatch.limits();
     for notices in notices.chunks(MAX_NOTICES) {
@@ -275,6 +277,9 @@
     let histories = gateway.streams().histories();
     if !histories.is_empty() {
         send_fleet_message(socket, &FleetMessage::Histories(histories), targets);
+        let instance = gateway.settings.instance.clone();
+        let clock = FleetMessage::Clock(instance, clock::steady_millis());
+        send_fleet_message(socket, &clock, targets);
     }
 }
 
@@ -318,11 +323,15 @@
     match message {
         FleetMessage::Histories(histories) => {
             let mut streams = gateway.streams();
-            let now = clock::unix_millis();
+            let now = clock::steady_millis();
             for (service, history) in histories {
                 streams.merge(service, history, now);
             }
         }
+        FleetMessage::Clock(member, sent) => {
+            let now = clock::steady_millis();
+            gateway.streams().hear_clock(&member, sent, now);
+        }
         FleetMessage::Notices(notices) => gateway.dispatch.hear_limits(&notices),
         FleetMessage::Ask(notice, class) => {
             let answer = match gateway.dispatch.grant(&notice, class) {
@@ -437,7 +446,7 @@
         address: gateway.settings.peers,
         config: gateway.config_version(),
         workers: gateway.views().workers_version,
-        shares: gateway.streams().share_state(clock::unix_millis()),
+        shares: gateway.streams().share_state(clock::steady_millis()),
         leaving: gateway.drain.phase() != Phase::Running,
         store: gateway.reaches_store(),
         levels: levels.into_iter().map(level).collect(),
@@ -548,7 +557,7 @@
     if result == PeerChange::Stale {
         return result;
     }
-    let time = clock::unix_millis();
+    let time = clock::steady_millis();
     gateway
         .streams()
         .hear(&heartbeat.instance, &heartbeat.shares, time);
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -18,7 +18,7 @@
         job_calls::{self, JobCall},
         store::{Freshness, StoreError},
     },
-    clock, event,
+    event,
     ids::{ItemId, JobId},
     mutex::lock,
 };
@@ -188,7 +188,7 @@
     let record = Record {
         host: request.host.clone(),
         path: request.path.clone(),
-        submitted: clock::unix_millis(),
+        submitted: gateway.shared_millis(),
         config: config.version,
         items,
     };
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -165,7 +165,7 @@
     let runnable = running.iter().filter_map(|(id, shared)| {
         let mut job = lock(shared);
         let route = route_of(config, &job.record)?;
-        let age = job_store::age(&job.record);
+        let age = job_store::age(gateway, &job.record);
         job.due = route.batch().map(|t| (now + t.due).saturating_sub(age));
         Some(RunnableJob {
             id: id.clone(),
@@ -299,7 +299,7 @@
     now: Duration,
 ) {
     let mut job = lock(shared);
-    let age = job_store::age(&job.record);
+    let age = job_store::age(gateway, &job.record);
     let route = route_of(config, &job.record);
     let (items, reason) = match route.as_ref().and_then(|r| r.batch()) {
         Some(terms) if age < terms.item_ttl => return,
--- a/src/gateway/job_store.rs
+++ b/src/gateway/job_store.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     adapter::store::{Freshness, Object, StoreError},
-    clock, event,
+    event,
     ids::{InstanceId, JobId, Set},
     mutex::lock,
 };
@@ -245,6 +245,6 @@
 }
 
 /// Returns the time since the submission of a job.
-pub fn age(record: &Record) -> Duration {
-    Duration::from_millis(clock::unix_millis().saturating_sub(record.submitted))
+pub fn age(gateway: &Gateway, record: &Record) -> Duration {
+    Duration::from_millis(gateway.shared_millis().saturating_sub(record.submitted))
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod server;
 pub mod settings;
 pub mod share_lag;
+pub mod shared_clock;
 pub mod splice;
 pub mod sse;
 pub mod suspects;
--- a/src/gateway/share_lag.rs
+++ b/src/gateway/share_lag.rs
@@ -2,7 +2,7 @@
 //!
 //! An instance that is cut off or stands still goes on with the shares that it knew. Which ones these
 //! are follows from the last heartbeat with which it agreed with this instance. All times are in ms
-//! since the Unix epoch, by the local clock.
+//! since the Unix epoch, by the local clock, which does not step.
 
 use crate::ids::{InstanceId, Map};
 
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -176,7 +176,7 @@
 }
 
 fn is_expired(gateway: &Gateway, record: &Record) -> bool {
-    job_store::age(record) > gateway.settings.retention + REMOVAL_DELAY
+    job_store::age(gateway, record) > gateway.settings.retention + REMOVAL_DELAY
 }
 
 /// Removes a job and its results from the store. The pages are removed first, so that an
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -78,7 +78,7 @@
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let is_writer = gateway.is_sweeper();
-        if gateway.streams().is_behind(clock::unix_millis()) {
+        if gateway.streams().is_behind(clock::steady_millis()) {
             let caught_up = if is_writer {
                 adopt(&gateway).await
             } else {
@@ -94,7 +94,7 @@
         }
         for (service, slots) in gateway.dispatch.slots_by_version() {
             let history = gateway.streams().history(&service);
-            let Some(next) = history.next(&slots, clock::unix_millis()) else {
+            let Some(next) = history.next(&slots, gateway.shared_millis()) else {
                 continue;
             };
             if let Err(e) = write(&gateway, &service, next).await {
@@ -111,7 +111,7 @@
 async fn read(gateway: &Gateway) -> Result<(), StoreError> {
     let histories = list(gateway).await?;
     let mut streams = gateway.streams();
-    let now = clock::unix_millis();
+    let now = clock::steady_millis();
     for (service, history) in histories {
         streams.merge(service, history, now);
     }
@@ -168,7 +168,7 @@
                     put_in_use(gateway, service, stored);
                     return Ok(());
                 }
-                next = stored.repeated(clock::unix_millis());
+                next = stored.repeated(gateway.shared_millis());
                 if next == stored {
                     put_in_use(gateway, service, next);
                     return Ok(());
@@ -190,7 +190,7 @@
                 return Ok(());
             }
             Ok(()) => {
-                next = next.repeated(clock::unix_millis());
+                next = next.repeated(gateway.shared_millis());
                 begun = Instant::now();
             }
             Err(StoreError::Conflict) => {}
@@ -213,7 +213,7 @@
         history.mixes.last().map(|m| &m.shares)
     );
     let mut streams = gateway.streams();
-    streams.merge(service.clone(), history, clock::unix_millis());
+    streams.merge(service.clone(), history, clock::steady_millis());
     streams.tell(service);
     drop(streams);
     gateway.dispatch.notify();
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -15,7 +15,10 @@
     ownership,
 };
 
-use super::share_lag::{Heard, Lag};
+use super::{
+    share_lag::{Heard, Lag},
+    shared_clock::SharedClock,
+};
 
 /// Time within which all instances use new shares, counted from the time that they bear.
 pub const NEWS_DELAY: Duration = Duration::from_millis(500);
@@ -41,7 +44,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Mix {
-    /// Time in ms since the Unix epoch.
+    /// Time in ms since the Unix epoch, by the clock that the instances share.
     pub since: u64,
     /// Versions with their shares.
     pub shares: Vec<(SoftwareVersion, u32)>,
@@ -85,7 +88,8 @@
     }
 }
 
-/// What an instance tells the others of the shares that it uses. Times are in ms since the Unix epoch.
+/// What an instance tells the others of the shares that it uses. Times are in ms since the Unix epoch, by
+/// the clock of the sender.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct ShareState {
@@ -134,7 +138,7 @@
     /// Returns the version that began the stream of a call at an unknown time since `from`, both in
     /// ms since the Unix epoch. Without a call, the version has to be the only one.
     pub fn origin(&self, call: Option<&str>, from: u64) -> Origin {
-        let may_precede = |mix: &Mix| is_replaced_after(mix, from);
+        let may_precede = |mix: &Mix| is_after(mix.since, from);
         let is_first = self.mixes.first().is_some_and(may_precede);
         self.origin_among(call, is_first, may_precede)
     }
@@ -235,9 +239,9 @@
     }
 }
 
-/// Returns whether a mix came into use at all instances in touch after a time.
-fn is_replaced_after(mix: &Mix, from: u64) -> bool {
-    mix.since > from.saturating_sub(millis(NEWS_DELAY + CLOCK_SLACK))
+/// Returns whether shares that bear a time came into use at all instances in touch after another time.
+fn is_after(since: u64, from: u64) -> bool {
+    since > from.saturating_sub(millis(NEWS_DELAY + CLOCK_SLACK))
 }
 
 /// Versions of the streams that this instance began or went on with, by service.
@@ -290,14 +294,16 @@
     pub waited: Duration,
 }
 
-/// What an instance knows of the versions that begin streams.
+/// What an instance knows of the versions that begin streams. Times are in ms since the Unix epoch, by the
+/// local clock, which does not step.
 #[derive(Debug, Default)]
 pub struct Streams {
     histories: Map<ServiceId, History>,
     /// Times at which this instance learned of the mixes that it did not read at its start, by the time
-    /// that they bear, in ms since the Unix epoch.
+    /// that they bear.
     learned: Map<ServiceId, Map<u64, u64>>,
     lag: Lag,
+    clock: SharedClock,
     /// Whether an instance that was never heard here may have begun streams.
     is_unheard: bool,
     /// Time since which another instance uses newer shares.
@@ -337,10 +343,12 @@
                     .lag
                     .since(from.saturating_sub(millis(CLOCK_SLACK)), now);
                 let learned = self.learned.get(call.service);
+                let clock = &self.clock;
                 let may_precede = |mix: &Mix, lagging: Option<u64>| {
+                    let stored = clock.local(mix.since);
                     let at = learned.and_then(|l| l.get(&mix.since));
-                    let at = at.copied().unwrap_or(mix.since);
-                    is_replaced_after(mix, from) || lagging.is_some_and(|since| at >= since)
+                    let at = at.copied().unwrap_or(stored);
+                    is_after(stored, from) || lagging.is_some_and(|since| at >= since)
                 };
                 // An instance that agreed at no known time has heard of some shares.
                 let agreed = lagging.filter(|since| *since > 0);
@@ -408,7 +416,7 @@
         self.is_read = true;
     }
 
-    /// Uses a history if it is newer. `now` is in ms since the Unix epoch.
+    /// Uses a history if it is newer.
     pub fn merge(&mut self, service: ServiceId, history: History, now: u64) {
         let known = self.histories.get(&service);
         if known.is_some_and(|k| k.number >= history.number) {
@@ -435,8 +443,19 @@
         }
     }
 
+    /// Records the time that an instance sent by its own clock.
+    pub fn hear_clock(&mut self, member: &InstanceId, sent: u64, now: u64) {
+        self.clock.hear(member, sent, now);
+    }
+
+    /// Returns the present time of the clock that the instances share.
+    pub fn shared_time(&self, now: u64) -> u64 {
+        self.clock.shared(now)
+    }
+
     /// Records what an instance tells of the shares that it uses.
     pub fn hear(&mut self, member: &InstanceId, shares: &ShareState, now: u64) {
+        self.clock.retain(member, now);
         let local = ShareVersion::of(&self.histories);
         let ShareState {
             version,
@@ -448,8 +467,15 @@
         }
         let heard = Heard {
             agrees: version == local,
-            changed,
-            lagging: (lagging > 0).then_some(lagging),
+            // Without the clock of a new member, it may have used earlier shares until now.
+            changed: match changed {
+                0 => 0,
+                told => self.clock.local_of(member, told).unwrap_or(now),
+            },
+            lagging: (lagging > 0).then(|| {
+                let known = self.clock.local_of(member, lagging);
+                known.unwrap_or_else(|| self.clock.local(lagging))
+            }),
         };
         self.lag.hear(member, heard, now);
         if version.total > local.total {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -6,6 +6,7 @@
     gateway::{
         dispatch::Dispatch,
         fleet::{Requirements, Worker},
+        shared_clock::SharedClock,
         versions::{History, Origin, ShareState, ShareVersion, StreamCall, Streams},
     },
     ids::{Map, SoftwareVersion},
@@ -305,6 +306,82 @@
     }
 }
 
+/// Guards against a shared time that the clock of a single instance changes.
+#[test]
+fn clocks_that_are_wrong_at_less_than_half_of_the_instances_change_nothing() {
+    fn holds(wrong: Vec<i16>, excess: u8) -> bool {
+        let right = wrong.len() + 1 + usize::from(excess % 4);
+        let wrong = wrong.into_iter().map(i64::from);
+        let offsets: Vec<i64> = wrong.chain(vec![0; right]).collect();
+        let instances = [0, offsets.len() - 1];
+        let at = |local: usize, time: u64| time.saturating_add_signed(offsets[local]);
+        instances.into_iter().all(|local| {
+            let mut clock = SharedClock::default();
+            for member in (0..offsets.len()).filter(|m| *m != local) {
+                let name = member.to_string().into();
+                clock.hear(&name, at(member, START), at(local, START));
+            }
+            let (now, time) = (at(local, START + 5000), START + 5000);
+            clock.shared(now) == time && clock.local(time) == now
+        })
+    }
+    quickcheck::quickcheck(holds as fn(Vec<i16>, u8) -> bool);
+}
+
+/// Guards against a stream that goes on at another version at an instance whose clock is wrong.
+#[test]
+fn an_instance_whose_clock_is_wrong_knows_when_shares_came_into_use() {
+    let case = Case::new(&["v1", "v2"]);
+    let (_, two, call) = second_version();
+    for ahead in [2000, 30_000] {
+        let mut streams = Streams::default();
+        for peer in ["a", "b"] {
+            let now = START + ahead;
+            streams.hear_clock(&peer.into(), START, now);
+        }
+        streams.merge("lm".into(), two.clone(), START + 10_300 + ahead);
+        // The stream began 0.1 s before the shares came into use.
+        let taken_up = case.call("b", Some(&call), 4500);
+        let soon = streams.version(&taken_up, case.serving(), START + 10_400 + ahead);
+        assert_eq!(soon, Origin::Unclear);
+        let later = streams.version(&taken_up, case.serving(), START + 11_500 + ahead);
+        assert_eq!(later, version("v2"));
+    }
+}
+
+/// Guards against streams that go on at another version since an instance with a wrong clock told when it
+/// used earlier shares.
+#[test]
+fn an_instance_whose_clock_is_wrong_tells_when_it_used_earlier_shares() {
+    let case = Case::new(&["v1", "v2"]);
+    let (_, two, call) = second_version();
+    let taken_up = case.call("b", Some(&call), 4000);
+    let now = START + 20_000;
+    let at = |clock: i64, time: u64| time.saturating_add_signed(clock);
+    for clock in [-2000, 2000] {
+        let mut streams = Streams::default();
+        streams.merge("lm".into(), two.clone(), now - 5000);
+        let shares = shares_of(&two, at(clock, now - 300));
+        streams.hear_clock(&"late".into(), at(clock, now), now);
+        streams.hear(&"late".into(), &shares, now);
+        let soon = streams.version(&taken_up, case.serving(), now + 500);
+        assert_eq!(soon, Origin::Unclear, "{clock} ms");
+        let later = streams.version(&taken_up, case.serving(), now + 1500);
+        assert_eq!(later, version("v2"), "{clock} ms");
+
+        let mut streams = Streams::default();
+        streams.merge("lm".into(), two.clone(), now - 5000);
+        let shares = ShareState {
+            lagging: at(clock, START + 9900),
+            ..shares
+        };
+        streams.hear_clock(&"observer".into(), at(clock, now), now);
+        streams.hear(&"observer".into(), &shares, now);
+        let during = streams.version(&taken_up, case.serving(), now + 1500);
+        assert_eq!(during, Origin::Unclear, "{clock} ms");
+    }
+}
+
 /// Guards against streams that an instance begins by earlier shares while it is cut off, and that go on
 /// at another version elsewhere.
 #[test]
