Choose a worker by a fresh list after a pause

A caller got 503 (not run) right after its instance had stood still, although a worker took requests. The log of a reproduction: worker-chosen, the process stands still for 1 s while it connects, worker-unreachable with "timed out" at its end, and 66 ms later call-failed with "no worker is free". The list is read again after a pause, but only before a request is written; the next worker was sought in the list from before the pause, for no longer than a request may queue.

A pause while a request queues for a worker is not covered.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -163,6 +163,8 @@
             return Err(self.blocked(retry_after));
         }
         let queued_at = Instant::now();
+        // After a pause the list may no longer have a worker that takes requests.
+        refresh::wait(&self.gateway).await;
         let placed = self.place(max_wait.min(remaining)).await;
         metrics::queue_time(queued_at.elapsed());
         let placement = match placed {
--- a/tests/gateway_late_writes.rs
+++ b/tests/gateway_late_writes.rs
@@ -18,6 +18,7 @@
 };
 use http_body_util::Full;
 use hyper::Request;
+use jiff::Timestamp;
 use support::late_port::LatePort;
 
 const PAUSE: Duration = Duration::from_millis(2);
@@ -113,13 +114,55 @@
             });
             if stopped {
                 assert_eq!(pair.leaves.runs().len(), 0, "{path}");
-                assert_eq!(answer.unwrap().status, 200, "{path}");
+                let log = std::fs::read_to_string(&instance.log).unwrap();
+                assert_eq!(answer.unwrap().status, 200, "{path}: {log}");
                 break;
             }
         }
     }
 }
 
+/// Guards against a request that is refused after its instance stood still: the list from before has no
+/// worker that takes requests, and the connection to the one that was chosen has failed.
+#[test]
+fn a_request_is_placed_by_the_present_list_after_a_pause() {
+    for path in ["/single/x", "/resumable/x", "/unsafe/x"] {
+        loop {
+            let pair = Pair::start();
+            let instance = Instance::start("one", &pair.store, &[]);
+            let log = || std::fs::read_to_string(&instance.log).unwrap();
+            let (resumed, answer) = thread::scope(|scope| {
+                let answer = scope.spawn(|| instance.stream(path, "r"));
+                holds_soon(|| log().contains("event=worker-chosen"));
+                instance.pause();
+                pair.store.hold_watches("servers");
+                let entry = entry(&pair.leaves, pair.port.address, "draining");
+                pair.store.put("servers", &pair.leaves.id, entry);
+                pair.store
+                    .put("servers", &pair.stays.id, pair.stays.entry("ready"));
+                thread::sleep(2 * MAX_PAUSE);
+                let resumed = Timestamp::now();
+                instance.resume();
+                (resumed, answer.join().unwrap())
+            });
+            // The instance may have given up the connection before it was stopped.
+            if failed_at(&log()).is_some_and(|failed| failed >= resumed) {
+                assert_eq!(answer.unwrap().status, 200, "{path}: {}", log());
+                break;
+            }
+        }
+    }
+}
+
+/// Returns the time at which a connection to a worker first failed.
+fn failed_at(log: &str) -> Option<Timestamp> {
+    let line = log
+        .lines()
+        .find(|l| l.contains("event=worker-unreachable"))?;
+    let time = line.strip_prefix("time=")?.split(' ').next()?;
+    Some(time.parse().unwrap())
+}
+
 /// Guards against an item that is written by a decision from before its instance stood still.
 #[test]
 fn an_item_is_not_written_to_a_worker_that_began_to_leave_meanwhile() {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -162,6 +162,7 @@
     refused_reads: BTreeMap<String, usize>,
     stale_lists: Option<String>,
     slow_reads: Option<(String, Duration)>,
+    held_watches: Option<String>,
 }
 
 /// Stand-in for the object store.
@@ -232,6 +233,11 @@
         self.lock().refused_reads.insert(kind.to_owned(), count);
     }
 
+    /// Keeps the changes of a kind from its watches.
+    pub fn hold_watches(&self, kind: &str) {
+        self.lock().held_watches = Some(kind.to_owned());
+    }
+
     /// Delays reads of single objects of a kind.
     pub fn slow_reads(&self, kind: &str, delay: Duration) {
         self.lock().slow_reads = Some((kind.to_owned(), delay));
@@ -413,8 +419,13 @@
             if objects.faults.down {
                 break (503, String::new());
             }
+            let is_held = objects.held_watches.as_deref() == Some(kind);
+            if is_held && Instant::now() >= end {
+                let batch = json!({ "events": [], "at": since });
+                break (200, batch.to_string());
+            }
             let events = objects.events_since(kind, since);
-            if !events.is_empty() || Instant::now() >= end {
+            if !is_held && (!events.is_empty() || Instant::now() >= end) {
                 let batch = json!({ "events": events, "at": objects.revision });
                 break (200, batch.to_string());
             }
