Do not take the end of a connection for the end of an answer

An answer with neither a length nor chunks ends with its connection, and a report that the worker answered after the end counted as proof that it was whole. That the process is alive says nothing on the answer.

The proof now comes after the last event. Of a stream that may be resumed and of an item the rest is asked for with Last-Event-Id, at another worker of the version that has a free slot if the attempts of the route allow it, else at the same one. An event shows that the answer was torn, and it goes on there; an empty answer with a length or chunks, or one whose worker outlives it, that it was whole. What cannot be asked for again has to be outlived by its worker for a second: the same start answers a report, is listed, was not found to tear others in the same 0.1 s and does not close others while it leaves. Otherwise a stream is broken off and a whole answer runs again or gets 502. A text of an item is kept meanwhile and no longer dropped when all workers send no length.

The test of sound workers asked that each request runs once; it now asks that each begins once and that, where the rest can be asked for, exactly one more request names the last event.

An answer without a length costs one report and one further request, or two reports, and its end waits for these: a round trip if the further answer has a length or chunks, else a second. Its events do not wait, and no slot is held.

The test of errors that continue no stream let its stand-in give a wrong answer once; the worker is now asked a second time, and that one was sound, so that the stream was complete, as it should be. The stand-in now gives the wrong answer to each request, and the stream has to be broken off as before.

--- a/src/events.rs
+++ b/src/events.rs
@@ -78,7 +78,7 @@
     BlockRecalled = 1022, "block-recalled";
     /// A stream is not taken up, as the shares by which it may have begun are not known.
     OriginUnclear = 1023, "origin-unclear";
-    /// An answer ended with its connection, and its worker did not show that it is still running.
+    /// An answer ended with its connection and does not count as whole.
     EndUnconfirmed = 1024, "end-unconfirmed";
     /// A request was written long after its worker was chosen.
     RequestLate = 1025, "request-late";
@@ -140,6 +140,8 @@
     ItemDone = 2038, "item-done";
     /// No instance runs a batch job that is known here; its home is asked to take it over.
     JobOrphaned = 2039, "job-orphaned";
+    /// The connection of an item ended, and another worker is asked whether its text is complete.
+    ItemUnproven = 2040, "item-unproven";
 
     // 3000 to 3999: sheet, peers and instance list.
     /// A sheet revision came into force.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
     adapter::headers::{self, Attempt},
     event, health,
     ids::WorkerId,
-    metrics,
+    metrics::{self, EndEvidence},
 };
 
 use super::{
@@ -62,6 +62,11 @@
         loop {
             match self.attempt_once(after, max_wait).await? {
                 AttemptResult::Answered(started) => return Ok(*started),
+                AttemptResult::TryNext if self.asked.is_some() => {
+                    return Err(Failure::MayHaveRun(
+                        "the asked worker did not answer".into(),
+                    ));
+                }
                 AttemptResult::TryNext => {}
                 AttemptResult::Broken(placement, broken) => {
                     self.record_broken(&placement, &broken);
@@ -367,8 +372,18 @@
 
     async fn read_failure(&self, answer: Response<Events>) -> Failure {
         let (head, body) = answer.into_parts();
+        let framed = body.is_framed();
+        let responder = body.responder().clone();
         let read = body.read_whole(MAX_ANSWER_BYTES);
-        match connection::within(self.remaining(), read).await {
+        let mut read = connection::within(self.remaining(), read).await;
+        if !framed && read.is_ok() {
+            let ended = responder.record_end();
+            let outlived = ended.outlive(EndEvidence::Outlived, self.remaining());
+            if let Err(e) = outlived.await {
+                read = Err(e);
+            }
+        }
+        match read {
             Ok(body) => Failure::Answered(Response::from_parts(head, body)),
             Err(e) => Failure::MayHaveRun(e.to_string()),
         }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -132,6 +132,7 @@
     started: Duration,
     /// Time when the worker last showed progress on the request, or was chosen.
     progress: Duration,
+    released: bool,
 }
 
 /// A request's entry in the queue. Dropping it removes the entry.
@@ -152,6 +153,32 @@
         self.progress = self.dispatch.now();
     }
 
+    /// Releases the slot before the placement is dropped, as the worker has ended its answer.
+    pub fn release(&mut self) {
+        if std::mem::replace(&mut self.released, true) {
+            return;
+        }
+        let key = fleet::key(&self.worker.id);
+        let now = self.dispatch.now();
+        let mut state = self.dispatch.lock();
+        state.fleet.finish_request(key, self.class);
+        if self.class == Class::Online {
+            let time = now.saturating_sub(self.started);
+            state.fleet.record_online_time(time);
+        }
+        if let Some(run) = self.run
+            && let Some(batch_runs) = state.batch_runs.get_mut(&key)
+        {
+            batch_runs.retain(|r| r.number != run);
+            if batch_runs.is_empty() {
+                state.batch_runs.remove(&key);
+            }
+        }
+        self.dispatch.assign_queued(&mut state);
+        drop(state);
+        self.dispatch.notify();
+    }
+
     /// Returns the time for which the worker has shown no progress.
     pub fn silence(&self) -> Duration {
         self.dispatch.now().saturating_sub(self.progress)
@@ -536,6 +563,37 @@
         Some(self.placement(grant))
     }
 
+    /// Places an online request on a worker that ran it already, waiting up to `max_wait` for a free slot.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Busy` when it has no free slot in time, or takes no requests any more.
+    pub async fn place_again(
+        self: &Arc<Self>,
+        worker: &Worker,
+        max_wait: Duration,
+    ) -> Result<Placement, Busy> {
+        let deadline = Instant::now() + max_wait;
+        loop {
+            if let Some(placement) = self.try_again(worker) {
+                return Ok(placement);
+            }
+            if Instant::now() >= deadline || !self.holds(worker) {
+                return Err(self.busy());
+            }
+            Timer::after(SPARE_POLL).await;
+        }
+    }
+
+    fn try_again(self: &Arc<Self>, worker: &Worker) -> Option<Placement> {
+        let now = self.now();
+        let mut state = self.lock();
+        let worker = state.fleet.choose_again(worker, now)?;
+        let grant = self.start_online(&mut state, worker);
+        drop(state);
+        Some(self.placement(grant))
+    }
+
     /// Places a batch item on a worker that has capacity beside online requests. The receiver gets
     /// a message when the item has to yield.
     pub fn place_batch(
@@ -575,6 +633,7 @@
             run: Some(number),
             started: now,
             progress: now,
+            released: false,
         };
         Some((placement, receiver))
     }
@@ -598,6 +657,7 @@
             run: None,
             started: now,
             progress: now,
+            released: false,
         }
     }
 
@@ -666,25 +726,7 @@
 
 impl Drop for Placement {
     fn drop(&mut self) {
-        let key = fleet::key(&self.worker.id);
-        let now = self.dispatch.now();
-        let mut state = self.dispatch.lock();
-        state.fleet.finish_request(key, self.class);
-        if self.class == Class::Online {
-            let time = now.saturating_sub(self.started);
-            state.fleet.record_online_time(time);
-        }
-        if let Some(run) = self.run
-            && let Some(batch_runs) = state.batch_runs.get_mut(&key)
-        {
-            batch_runs.retain(|r| r.number != run);
-            if batch_runs.is_empty() {
-                state.batch_runs.remove(&key);
-            }
-        }
-        self.dispatch.assign_queued(&mut state);
-        drop(state);
-        self.dispatch.notify();
+        self.release();
     }
 }
 
--- a/src/gateway/ends.rs
+++ b/src/gateway/ends.rs
@@ -14,22 +14,39 @@
 #[derive(Debug, Default)]
 pub struct Ends {
     times: Map<WorkerId, Vec<Duration>>,
+    /// The ends at which events were missing.
+    torn: Map<WorkerId, Vec<Duration>>,
 }
 
 impl Ends {
     /// Records the end of an answer.
     pub fn record(&mut self, worker: &WorkerId, now: Duration) {
-        self.times.retain(|_, times| {
-            times.retain(|t| now.saturating_sub(*t) < KEPT);
-            !times.is_empty()
-        });
+        for ends in [&mut self.times, &mut self.torn] {
+            ends.retain(|_, times| {
+                times.retain(|t| now.saturating_sub(*t) < KEPT);
+                !times.is_empty()
+            });
+        }
         self.times.entry(worker.clone()).or_default().push(now);
     }
 
+    /// Records that events were missing at a recorded end.
+    pub fn record_torn(&mut self, worker: &WorkerId, at: Duration) {
+        self.torn.entry(worker.clone()).or_default().push(at);
+    }
+
+    /// Returns whether an answer of a worker was torn at about the time of a recorded end.
+    pub fn is_torn(&self, worker: &WorkerId, at: Duration) -> bool {
+        near(&self.torn, worker, at) > 0
+    }
+
     /// Returns the number of other answers of a worker that ended at about the time of a recorded end.
     pub fn beside(&self, worker: &WorkerId, at: Duration) -> usize {
-        let times = self.times.get(worker).into_iter().flatten();
-        let near = times.filter(|t| t.abs_diff(at) <= NEAR).count();
-        near.saturating_sub(1)
+        near(&self.times, worker, at).saturating_sub(1)
     }
 }
+
+fn near(ends: &Map<WorkerId, Vec<Duration>>, worker: &WorkerId, at: Duration) -> usize {
+    let times = ends.get(worker).into_iter().flatten();
+    times.filter(|t| t.abs_diff(at) <= NEAR).count()
+}
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -539,6 +539,19 @@
         Some(chosen)
     }
 
+    /// Chooses a certain worker for an online request that it ran already, or returns `None` when it has
+    /// no free slot.
+    pub fn choose_again(&mut self, chosen: &Worker, now: Duration) -> Option<Arc<Worker>> {
+        let worker = find(&self.workers, &chosen.id)?.clone();
+        let is_free = self.level(key(&worker.id)).total() < worker.slots;
+        let is_open = self.holds(chosen, now) && self.limits.may_send(&worker, Class::Online, now);
+        if !is_free || !is_open {
+            return None;
+        }
+        self.record_chosen(&worker, now);
+        Some(worker)
+    }
+
     /// Chooses a worker for a batch item, or returns `None` when none has capacity beside online
     /// requests.
     ///
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,7 +14,7 @@
     adapter::headers,
     event,
     ids::{Fingerprint, RequestId, ServiceId, SoftwareVersion, WorkerId},
-    metrics::{self, CallEnd},
+    metrics::{self, CallEnd, EndEvidence},
     ownership,
 };
 
@@ -23,6 +23,7 @@
     config::{Route, RouteKind},
     connection::{self, AttemptError, Connection},
     dispatch::{Busy, Placement},
+    fleet::Worker,
     gateway::Gateway,
     marks::{self, Mark},
     relay,
@@ -150,6 +151,17 @@
     pub(super) sent: Overlap,
     /// Receives the changes of `sent` while an earlier worker may still answer.
     pub(super) takeover: Option<Sender<bool>>,
+    /// The worker that is asked for further events of a stream that ended with its connection.
+    pub(super) asked: Option<Asked>,
+}
+
+/// Worker that is asked for further events. It has to have a free slot.
+#[derive(Debug, Clone)]
+pub enum Asked {
+    /// One that has not run the call.
+    Other,
+    /// The one whose connection ended.
+    Same(Arc<Worker>),
 }
 
 /// Forwards a call and returns the answer for the caller.
@@ -184,6 +196,7 @@
         form: None,
         sent: Overlap::default(),
         takeover: None,
+        asked: None,
     };
     match origin {
         Some(Origin::Version(version)) => session.version = Some(version),
@@ -382,6 +395,14 @@
         self.route.is_repeatable() && can_retry
     }
 
+    /// Counts a worker that may have run the call, unless it is counted already.
+    pub(super) fn count_run(&mut self, worker: &WorkerId) {
+        if !self.tried.contains(worker) {
+            self.tried.push(worker.clone());
+            self.runs += 1;
+        }
+    }
+
     /// Keeps later attempts from a worker.
     pub(super) fn leave_out(&mut self, worker: &WorkerId) {
         if !self.tried.contains(worker) {
@@ -405,8 +426,18 @@
         loop {
             let (mut head, events) = started.answer.into_parts();
             let framed = events.is_framed();
+            let responder = events.responder().clone();
             let read = events.read_whole(MAX_ANSWER_BYTES);
-            match connection::within(self.remaining(), read).await {
+            let mut read = connection::within(self.remaining(), read).await;
+            if !framed && read.is_ok() {
+                started.placement.release();
+                let outlived = responder.record_end();
+                let outlived = outlived.outlive(EndEvidence::Outlived, self.remaining());
+                if let Err(e) = outlived.await {
+                    read = Err(e);
+                }
+            }
+            match read {
                 Ok(body) => {
                     self.record_begun();
                     self.keep_connection(&started.placement, started.connection);
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -14,7 +14,7 @@
     adapter::headers::{self, Attempt},
     event,
     ids::{ItemId, JobId, SoftwareVersion},
-    metrics::{self, ItemStatus},
+    metrics::{self, EndEvidence, ItemStatus},
     mutex::lock,
 };
 
@@ -23,17 +23,19 @@
     dispatch::Placement,
     gateway::Gateway,
     head::{self, Head},
-    job::{Item, Job, Verdict},
+    job::{Item, Job, Unproven, Verdict},
     jobs::SharedJob,
-    liveness::Responder,
+    liveness::{Ended, Responder},
     marks, refresh,
     splice::Form,
-    sse::{Event, Events, NoFurtherEvent},
+    sse::{End, Event, Events, Next},
     write_gate::Decision,
 };
 
 /// Time without an event after which an item moves to another worker.
 const STALL_LIMIT: Duration = Duration::from_millis(1500);
+/// Time in which a text that may be complete has to be proved. It bounds the wait for an end.
+const PROOF_LIMIT: Duration = Duration::from_secs(10);
 /// Delay before an item is started again after a worker refused it or broke the connection.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Share of the time until an item fails that it pauses at most after a crash of its worker, or while
@@ -52,8 +54,9 @@
     Yielded,
     /// The worker refused the item without running it.
     Refused(StatusCode),
-    /// A worker that was to go on ended the answer with its connection, without an event. The text may be
-    /// complete, or the worker may have failed.
+    /// The connection ended, and the text may be complete.
+    Unproven(Ended),
+    /// Only one worker was there that had no further event, and it did not write the text.
     NoMore,
     /// The item was not written, since the worker may have begun to leave.
     Revoked(String),
@@ -119,6 +122,8 @@
     pub attempts: u32,
     /// Time from the submission after which the item fails.
     pub ttl: Duration,
+    /// Set if the connection of a worker ended after the last event, which may be the last one.
+    pub unproven: Option<Unproven>,
 }
 
 impl Run {
@@ -143,8 +148,8 @@
             RunEnd::Yielded
         };
         let work = self.stream(&placement, after, &mut output);
-        let end = smol::future::or(work, yielded).await;
-        if after.is_none() && matches!(end, RunEnd::Whole { .. }) {
+        let mut end = smol::future::or(work, yielded).await;
+        if after.is_none() && matches!(end, RunEnd::Whole { .. } | RunEnd::Unproven(_)) {
             let time = self.gateway.now().saturating_sub(started);
             self.gateway.jobs.record_run(time, output.last.unwrap_or(0));
         }
@@ -157,10 +162,34 @@
                 .record_crash(&self.item.marks(), &self.item.id, &worker);
         }
         drop(placement);
+        if let RunEnd::Unproven(ended) = end {
+            end = self.settle(ended, &output).await;
+        }
         self.record_end(end, output, &worker, version);
         self.gateway.jobs.notify_runner();
     }
 
+    /// Decides what the end of a connection shows.
+    async fn settle(&self, ended: Ended, output: &Output) -> RunEnd {
+        let is_empty = output.events.is_empty();
+        let evidence = match &self.unproven {
+            Some(first) if is_empty && first.worker != ended.worker().id => EndEvidence::Agreed,
+            Some(first) if is_empty && first.begun => EndEvidence::Outlived,
+            // Two empty answers of one worker that was to go on may have the same fault.
+            Some(_) if is_empty => {
+                ended.reject_repeated();
+                return RunEnd::NoMore;
+            }
+            // No worker can be asked for what follows an event without a number.
+            _ if output.numbered != output.events.len() => EndEvidence::Outlived,
+            _ => return RunEnd::Unproven(ended),
+        };
+        match ended.outlive(evidence, PROOF_LIMIT).await {
+            Ok(()) => RunEnd::Whole { framed: false },
+            Err(e) => RunEnd::Broken(AttemptError::reading(&e, true)),
+        }
+    }
+
     /// Runs the item on a worker and collects its events.
     async fn stream(
         &self,
@@ -239,7 +268,7 @@
         let mut bytes = 0;
         loop {
             match events.next(output.last, STALL_LIMIT).await {
-                Ok(Some(event)) => {
+                Ok(Next::Event(event)) => {
                     if output.events.is_empty() && !event.is_comment() {
                         self.gateway.record_proof(&self.item.marks());
                     }
@@ -252,13 +281,20 @@
                         return RunEnd::Broken(AttemptError::fault("the output is too long"));
                     }
                 }
-                Ok(None) => {
+                Ok(Next::End(End::Framed)) => {
                     self.gateway.keep_connection(worker, connection);
-                    return RunEnd::Whole {
-                        framed: events.is_framed(),
+                    return RunEnd::Whole { framed: true };
+                }
+                Ok(Next::End(End::Connection)) => {
+                    let ended = events.responder().record_end();
+                    return match ended.check_running().await {
+                        Ok(()) => RunEnd::Unproven(ended),
+                        Err(e) => {
+                            dispatch.record_failure(&worker.id);
+                            RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()))
+                        }
                     };
                 }
-                Err(e) if NoFurtherEvent::is(&e) => return RunEnd::NoMore,
                 Err(e) => {
                     dispatch.record_failure(&worker.id);
                     return RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()));
@@ -325,6 +361,21 @@
         progress.running = false;
         progress.ended = Some(now);
         let last = output.last;
+        let has_events = !output.events.is_empty();
+        if progress.unproven.is_some() {
+            if has_events {
+                progress.unproven = None;
+                metrics::connection_end(EndEvidence::Torn);
+            } else if matches!(end, RunEnd::Whole { framed: true }) {
+                metrics::connection_end(EndEvidence::Framed);
+            }
+        }
+        if let RunEnd::Unproven(ended) = &end {
+            progress.unproven = Some(Unproven {
+                worker: ended.worker().id.clone(),
+                begun: has_events || last.is_none(),
+            });
+        }
         progress.text.extend(match end {
             RunEnd::Whole { .. } => output.events,
             _ => output.resumable(),
@@ -389,6 +440,14 @@
                 progress.not_before = now + self.pause(progress.crashes);
                 progress.crashes += u32::from(broken.closed);
             }
+            RunEnd::Unproven(_) => {
+                event!(
+                    Info,
+                    ItemUnproven,
+                    "job={} item={id} worker={worker} last={last:?}",
+                    self.job
+                );
+            }
             RunEnd::NoMore => {
                 event!(
                     Warn,
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     adapter::headers,
-    ids::{ItemId, JobId, Map, ServiceId, Set, SoftwareVersion},
+    ids::{ItemId, JobId, Map, ServiceId, Set, SoftwareVersion, WorkerId},
 };
 
 use super::{
@@ -40,6 +40,10 @@
 /// Space for the metadata of an object and for the positions in a read.
 const ENVELOPE_BYTES: usize = 1 << 10;
 
+/// Time for which an item whose text may be complete waits for a worker other than the one that wrote it.
+/// One that serves alone is asked after it.
+const PROOF_WAIT: Duration = Duration::from_secs(1);
+
 /// Minimum interval between searches of the store for pages of instances that are not heard. Callers
 /// expect a result that they read elsewhere after 1 s.
 const PAGE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -178,6 +182,17 @@
     pub not_before: Duration,
     /// Time of the end of its last run.
     pub ended: Option<Duration>,
+    /// Set while the text may be complete, as the connection of a worker ended after its last event.
+    pub unproven: Option<Unproven>,
+}
+
+/// End of a connection after the last event of an item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unproven {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whether the worker sent an event in that answer, or was not to go on after one.
+    pub begun: bool,
 }
 
 /// A result that is not committed yet.
@@ -313,9 +328,21 @@
         progress.last.and(progress.version.as_ref())
     }
 
-    /// Drops the text of an unfinished item, which starts again from its beginning.
+    /// Returns the worker that an unfinished item keeps from, as another one has to show whether its text
+    /// is complete.
+    pub fn avoided(&self, item: &str, now: Duration) -> Option<&WorkerId> {
+        let progress = self.unfinished.get(item)?;
+        let is_new = progress.ended.is_some_and(|t| now < t + PROOF_WAIT);
+        let unproven = progress.unproven.as_ref().filter(|_| is_new);
+        unproven.map(|u| &u.worker)
+    }
+
+    /// Drops the text of an unfinished item, which starts again from its beginning. Without a text nothing
+    /// changes.
     pub fn drop_text(&mut self, item: &str) {
-        if let Some(progress) = self.unfinished.get_mut(item) {
+        let progress = self.unfinished.get_mut(item);
+        if let Some(progress) = progress.filter(|p| p.last.is_some()) {
+            progress.unproven = None;
             progress.text.clear();
             progress.last = None;
             progress.version = None;
@@ -464,6 +491,7 @@
                 progress.last = part.last;
                 progress.version = part.version;
                 progress.text = vec![part.text];
+                progress.unproven = None;
             }
         }
     }
--- a/src/gateway/job_run.rs
+++ b/src/gateway/job_run.rs
@@ -203,9 +203,10 @@
         else {
             return false;
         };
+        let avoided = lock(shared).avoided(&item.id, now).cloned();
         let requirements = Requirements {
             service: &service,
-            tried: &[],
+            tried: avoided.as_slice(),
             version: version.as_ref(),
         };
         if let Some((placement, yield_request)) =
@@ -213,7 +214,12 @@
         {
             break (item, version, placement, yield_request);
         }
-        full.insert((service, version));
+        if avoided.is_none() {
+            full.insert((service, version));
+        } else if let Some(progress) = lock(shared).progress(&item.id) {
+            // The worker that it keeps from may have a slot for others.
+            progress.not_before = now + POLL_INTERVAL;
+        }
     };
     let mut job = lock(shared);
     if version.is_none() {
@@ -224,6 +230,7 @@
     };
     progress.running = true;
     let after = progress.last;
+    let unproven = progress.unproven.clone();
     let run = Run {
         gateway: gateway.clone(),
         job: runnable.id.clone(),
@@ -232,6 +239,7 @@
         item,
         attempts: runnable.route.attempts,
         ttl: runnable.ttl(),
+        unproven,
     };
     drop(job);
     smol::spawn(run.run(placement, yield_request, after)).detach();
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -1,5 +1,5 @@
-//! Tells an answer that ended with its connection from one whose worker died. The kernel closes the
-//! connections of a process that dies just as a sound process does.
+//! Tells answers that ended with their connection and are whole from those that their worker, or
+//! something in between, closed too early. The end of a connection shows neither.
 
 use std::{
     io,
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use async_io::Timer;
 use bytes::Bytes;
 use hyper::Response;
 
@@ -17,13 +18,19 @@
 };
 
 use super::{
-    connection::{self, Connection, Proof},
+    connection::{self, Connection, Proof, SendError},
     fleet::Worker,
     gateway::Gateway,
 };
 
-/// Time in which a worker has to show that it is running. A caller that has all events waits for it.
+/// Time in which a worker is expected to answer a report.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
+/// Time in which a worker has to answer the report that decides.
+const LAST_REPORT_LIMIT: Duration = Duration::from_millis(500);
+/// Time after the end of an answer for which its worker has to go on. A worker that ends closes its
+/// answers before its process exits. Callers give a stream up after 2 s without an event; half of that is
+/// left for the report.
+const SETTLE: Duration = Duration::from_secs(1);
 
 /// The worker that sends an answer.
 #[derive(Debug, Clone)]
@@ -38,58 +45,22 @@
     pub since: Instant,
 }
 
+/// An answer that ended with its connection.
+#[derive(Debug, Clone)]
+pub struct Ended {
+    responder: Responder,
+    /// Time of the end since the start of the instance.
+    at: Duration,
+}
+
 impl Responder {
-    /// Confirms that the end of a connection was the end of the answer on it: the process that sent the
-    /// answer is still running.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error of kind `ConnectionAborted` when the worker is gone, and one of kind
-    /// `UnexpectedEof` when that is not known.
-    pub async fn confirm_end(&self) -> io::Result<()> {
+    /// Records that the answer ended with its connection.
+    pub fn record_end(&self) -> Ended {
         let at = self.gateway.now();
         self.gateway.ends().record(&self.worker.id, at);
-        let result = connection::within(REPORT_LIMIT, self.ask()).await;
-        self.record_end(at, &result);
-        let Err(e) = result else { return Ok(()) };
-        // A worker that leaves may refuse connections before it ends.
-        let is_refused = e.kind() == io::ErrorKind::ConnectionRefused;
-        if is_refused && self.gateway.dispatch.is_ready(&self.worker.id) {
-            return Err(connection::aborted("the connection ended with its worker"));
-        }
-        Err(io::Error::new(
-            io::ErrorKind::UnexpectedEof,
-            "the connection ended, and the worker may have died",
-        ))
-    }
-
-    /// Logs and counts an end with the evidence for it.
-    fn record_end(&self, at: Duration, result: &io::Result<()>) {
-        let beside = self.gateway.ends().beside(&self.worker.id, at);
-        let (request, worker) = (&self.request, &self.worker);
-        match result {
-            Ok(()) => {
-                let evidence = EndEvidence::Report;
-                metrics::connection_end(evidence);
-                event!(
-                    Info,
-                    EndConfirmed,
-                    "request={request} worker={} zone={} evidence={} beside={beside}",
-                    worker.id,
-                    worker.zone,
-                    evidence.as_str()
-                );
-            }
-            Err(e) => {
-                metrics::connection_end(EndEvidence::InDoubt);
-                event!(
-                    Warn,
-                    EndUnconfirmed,
-                    "request={request} worker={} zone={} beside={beside} reason=\"{e}\"",
-                    worker.id,
-                    worker.zone
-                );
-            }
+        Ended {
+            responder: self.clone(),
+            at,
         }
     }
 
@@ -102,11 +73,12 @@
             let limit = if connection.reused {
                 REPORT_LIMIT / 2
             } else {
-                REPORT_LIMIT
+                LAST_REPORT_LIMIT
             };
             match connection.exchange(request, limit, Proof::Content).await {
                 Ok(answer) => return self.check(&answer, connection),
                 Err(_) if connection.reused => {}
+                Err(SendError::TimedOut(_)) => return Err(io::ErrorKind::TimedOut.into()),
                 Err(e) => return Err(connection::aborted(e.into_reason())),
             }
         }
@@ -130,3 +102,131 @@
         Ok(())
     }
 }
+
+impl Ended {
+    /// Returns the worker that sent the answer.
+    pub fn worker(&self) -> &Arc<Worker> {
+        &self.responder.worker
+    }
+
+    /// Checks that the worker is not known to be gone. A worker that does not answer in time may be busy.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of kind `ConnectionAborted` when the worker crashed, and one of kind
+    /// `UnexpectedEof` when it is gone for another reason.
+    pub async fn check_running(&self) -> io::Result<()> {
+        let Err(e) = connection::within(REPORT_LIMIT, self.responder.ask()).await else {
+            return Ok(());
+        };
+        if e.kind() == io::ErrorKind::TimedOut {
+            return Ok(());
+        }
+        self.reject(EndEvidence::InDoubt, &e.to_string());
+        // A worker that leaves may refuse connections before it ends.
+        let is_refused = e.kind() == io::ErrorKind::ConnectionRefused;
+        let dispatch = &self.responder.gateway.dispatch;
+        if is_refused && dispatch.is_ready(&self.worker().id) {
+            return Err(connection::aborted("the connection ended with its worker"));
+        }
+        Err(in_doubt())
+    }
+
+    /// Waits until the worker has outlived its answer, for half of `limit` at most. `evidence` is what
+    /// this shows together with what is known already.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `check_running`, and one of kind `UnexpectedEof` when the answer may be
+    /// incomplete for another reason.
+    pub async fn outlive(&self, evidence: EndEvidence, limit: Duration) -> io::Result<()> {
+        let now = self.responder.gateway.now();
+        let settled = self.at + SETTLE.min(limit / 2);
+        self.check_running().await?;
+        Timer::after(settled.saturating_sub(now)).await;
+        match self.check_settled().await {
+            Ok(()) => {
+                self.confirm(evidence);
+                Ok(())
+            }
+            Err(e) => {
+                self.reject(EndEvidence::InDoubt, &e.to_string());
+                Err(in_doubt())
+            }
+        }
+    }
+
+    async fn check_settled(&self) -> io::Result<()> {
+        let Responder {
+            gateway, worker, ..
+        } = &self.responder;
+        let listed = gateway.dispatch.worker(&worker.id);
+        if listed.is_none_or(|w| w.started != worker.started) {
+            return Err(io::Error::other("the worker is gone"));
+        }
+        if gateway.ends().is_torn(&worker.id, self.at) {
+            return Err(io::Error::other("other answers were torn at the same time"));
+        }
+        // A worker that leaves closes what is left at the end of its time.
+        if !gateway.dispatch.is_ready(&worker.id) && self.beside() > 0 {
+            return Err(io::Error::other("a leaving worker ended other answers too"));
+        }
+        connection::within(LAST_REPORT_LIMIT, self.responder.ask()).await
+    }
+
+    fn beside(&self) -> usize {
+        let ends = self.responder.gateway.ends();
+        ends.beside(&self.worker().id, self.at)
+    }
+
+    /// Records that the answer counts as whole.
+    pub fn confirm(&self, evidence: EndEvidence) {
+        metrics::connection_end(evidence);
+        event!(
+            Info,
+            EndConfirmed,
+            "request={} worker={} zone={} evidence={} beside={}",
+            self.responder.request,
+            self.worker().id,
+            self.worker().zone,
+            evidence.as_str(),
+            self.beside()
+        );
+    }
+
+    /// Records that the answer shows nothing, as the same worker sent an empty one before, and returns the
+    /// error for it.
+    pub fn reject_repeated(&self) -> io::Error {
+        self.reject(EndEvidence::InDoubt, "only one worker has no further event");
+        in_doubt()
+    }
+
+    /// Records that the answer was torn: another one has an event after its last one.
+    pub fn record_torn(&self) {
+        let Responder {
+            gateway, worker, ..
+        } = &self.responder;
+        gateway.ends().record_torn(&worker.id, self.at);
+        gateway.dispatch.record_failure(&worker.id);
+        self.reject(EndEvidence::Torn, "another answer has a further event");
+    }
+
+    fn reject(&self, evidence: EndEvidence, reason: &str) {
+        metrics::connection_end(evidence);
+        event!(
+            Warn,
+            EndUnconfirmed,
+            "request={} worker={} zone={} evidence={} beside={} reason={reason:?}",
+            self.responder.request,
+            self.worker().id,
+            self.worker().zone,
+            evidence.as_str(),
+            self.beside()
+        );
+    }
+}
+
+fn in_doubt() -> io::Error {
+    let reason = "the connection ended, and the answer may be incomplete";
+    io::Error::new(io::ErrorKind::UnexpectedEof, reason)
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -15,17 +15,18 @@
 use crate::{
     adapter::headers,
     event,
-    metrics::{self, CallEnd},
+    metrics::{self, CallEnd, EndEvidence},
 };
 
 use super::{
     answer::CallerBody,
     connection::{AttemptError, Connection},
     dispatch::Placement,
-    forward::{RESUME_WAIT, Session, StartedAnswer},
+    forward::{Asked, RESUME_WAIT, Session, StartedAnswer},
+    liveness::Ended,
     splice::Form,
-    sse::{Event, Events},
-    takeover::{self, Takeover},
+    sse::{End, Event, Events, Next},
+    takeover::{self, ASK_LIMIT, Takeover},
 };
 
 /// Share of the longest allowed pause after which a resumable stream moves to another worker. The
@@ -74,9 +75,20 @@
     /// not count.
     unnumbered: bool,
     first_sent: bool,
+    /// Set while the stream may be whole, as the connection of a worker ended after its last event.
+    unproven: Option<Unproven>,
     _open: Arc<()>,
 }
 
+/// A stream of which nothing but the end of a connection shows that it is whole.
+struct Unproven {
+    ended: Ended,
+    /// Whether the worker sent an event in that answer, or was not to go on after one.
+    begun: bool,
+    asked_other: bool,
+    asked_same: bool,
+}
+
 /// Starts forwarding a stream whose head was received.
 pub fn relay(mut session: Session, started: StartedAnswer) -> Response<CallerBody> {
     session.form = Some(Form::of(&started.answer));
@@ -92,6 +104,7 @@
         unnumbered: false,
         last_id: session.call.after,
         first_sent: false,
+        unproven: None,
         session,
         source: Some(Source {
             placement: started.placement,
@@ -119,31 +132,39 @@
             let Some(source) = &mut self.source else {
                 return Ok(None);
             };
-            match source.events.next(self.last_id, limit).await {
-                Ok(event) => return Ok(self.forward(event)),
+            let next = match source.events.next(self.last_id, limit).await {
                 Err(e) if may_move && e.kind() == io::ErrorKind::TimedOut => {
-                    if let Some(event) = self.seek_other().await? {
-                        return Ok(self.forward(event));
+                    match self.seek_other().await? {
+                        Some(next) => Ok(next),
+                        None => continue,
                     }
                 }
-                Err(e) => {
-                    let broken = AttemptError::reading(&e, source.begun);
-                    self.resume(broken).await?;
+                next => next,
+            };
+            match next {
+                Ok(Next::Event(event)) => return Ok(Some(self.forward(event))),
+                Ok(Next::End(End::Framed)) => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Ok(Next::End(End::Connection)) => {
+                    if self.settle().await? {
+                        return Ok(None);
+                    }
                 }
+                Err(e) => self.resume(&e).await?,
             }
         }
     }
 
-    /// Records an event of the source, or its end, and returns the bytes for the caller.
-    fn forward(&mut self, event: Option<Event>) -> Option<Bytes> {
-        let Some(event) = event else {
-            if let Some(source) = self.source.take() {
-                self.session.record_answered(source.events.is_framed());
-                self.session
-                    .keep_connection(&source.placement, source.connection);
-            }
-            return None;
-        };
+    /// Records an event of the source, and returns the bytes for the caller.
+    fn forward(&mut self, event: Event) -> Bytes {
+        if !event.is_comment()
+            && let Some(unproven) = self.unproven.take()
+        {
+            unproven.ended.record_torn();
+            self.log_moved();
+        }
         if let Some(source) = &mut self.source {
             source.placement.record_progress();
             if !source.begun {
@@ -159,12 +180,110 @@
             self.unnumbered = event.id.is_none();
         }
         self.last_id = event.id.or(self.last_id);
-        Some(event.bytes)
+        event.bytes
     }
 
-    /// Seeks another worker while the source is silent. Returns the next event of the source or its
-    /// end, or `None` when another worker has taken over.
-    async fn seek_other(&mut self) -> io::Result<Option<Option<Event>>> {
+    /// Records that the stream is whole.
+    fn finish(&mut self) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        if let Some(unproven) = self.unproven.take()
+            && source.events.is_framed()
+        {
+            unproven.ended.confirm(EndEvidence::Framed);
+        }
+        self.session.record_answered(source.events.is_framed());
+        self.session
+            .keep_connection(&source.placement, source.connection);
+    }
+
+    /// Decides whether the stream is whole after the connection of its source ended, and asks a worker
+    /// for further events while that is not known. Returns whether it is whole.
+    async fn settle(&mut self) -> io::Result<bool> {
+        let Some(source) = &mut self.source else {
+            return Ok(true);
+        };
+        source.placement.release();
+        let ended = source.events.responder().record_end();
+        let remaining = self.session.remaining();
+        if self.unnumbered || !self.session.route.is_resumable() {
+            return match ended.outlive(EndEvidence::Outlived, remaining).await {
+                Ok(()) => {
+                    self.finish();
+                    Ok(true)
+                }
+                Err(e) => Err(self.broken(&e.to_string())),
+            };
+        }
+        if let Some(unproven) = &self.unproven {
+            let is_other = unproven.ended.worker().id != ended.worker().id;
+            let outlived = match (is_other, unproven.begun) {
+                (true, _) => ended.outlive(EndEvidence::Agreed, remaining).await,
+                (false, true) => ended.outlive(EndEvidence::Outlived, remaining).await,
+                // Two empty answers of one worker that was to go on may have the same fault.
+                (false, false) => Err(ended.reject_repeated()),
+            };
+            if outlived.is_ok() {
+                self.finish();
+                return Ok(true);
+            }
+            self.session.count_run(&ended.worker().id);
+        } else if let Err(e) = ended.check_running().await {
+            self.resume(&e).await?;
+            return Ok(false);
+        } else {
+            self.session.count_run(&ended.worker().id);
+            self.unproven = Some(Unproven {
+                ended,
+                begun: source.begun || self.last_id.is_none(),
+                asked_other: false,
+                asked_same: false,
+            });
+        }
+        self.source = None;
+        self.ask("the connection ended").await?;
+        Ok(false)
+    }
+
+    /// Asks a worker for the events after the last one: another one, if the route allows it, or the one
+    /// whose connection ended, which has the prompt. Both need a free slot.
+    async fn ask(&mut self, reason: &str) -> io::Result<()> {
+        let mut reason = reason.to_owned();
+        while let Some(unproven) = &mut self.unproven {
+            let (asked, max_wait) = if !unproven.asked_other && self.session.may_run_again() {
+                unproven.asked_other = true;
+                (Asked::Other, Duration::ZERO)
+            } else if !unproven.asked_same {
+                unproven.asked_same = true;
+                (Asked::Same(unproven.ended.worker().clone()), ASK_LIMIT)
+            } else {
+                break;
+            };
+            let max_wait = max_wait.min(self.session.remaining());
+            self.session.asked = Some(asked);
+            let started = self.session.attempt(self.last_id, max_wait).await;
+            self.session.asked = None;
+            match started {
+                Ok(started) => match self.session.check_form(&started) {
+                    Ok(()) => {
+                        self.set_source(started);
+                        return Ok(());
+                    }
+                    Err(fault) => {
+                        self.session.record_broken(&started.placement, &fault);
+                        reason = format!("{reason}, then {}", fault.reason);
+                    }
+                },
+                Err(failure) => reason = format!("{reason}, then {failure}"),
+            }
+        }
+        self.move_on(AttemptError::fault(reason)).await
+    }
+
+    /// Seeks another worker while the source is silent. Returns what the source sends next, or `None` when
+    /// another worker has taken over.
+    async fn seek_other(&mut self) -> io::Result<Option<Next>> {
         let Some(source) = self.source.take() else {
             return Ok(None);
         };
@@ -176,21 +295,21 @@
         } = source;
         let (after, remaining) = (self.last_id, self.session.remaining());
         let reading = async move {
-            let event = events.next(after, remaining).await?;
-            Ok((connection, events, event))
+            let next = events.next(after, remaining).await?;
+            Ok((connection, events, next))
         };
         let silent = &placement.worker.id;
         let takeover = takeover::take_over(&mut self.session, silent, after, reading.boxed()).await;
         let Takeover { earlier, other } = takeover;
         let broken = match earlier {
-            Some(Ok((connection, events, event))) => {
+            Some(Ok((connection, events, next))) => {
                 self.source = Some(Source {
                     placement,
                     connection,
                     events,
                     begun,
                 });
-                return Ok(Some(event));
+                return Ok(Some(next));
             }
             Some(Err(e)) => AttemptError::reading(&e, begun),
             None => AttemptError::reading(&io::ErrorKind::TimedOut.into(), begun),
@@ -204,12 +323,19 @@
         Ok(None)
     }
 
-    /// Resumes at another worker after the last forwarded event.
-    async fn resume(&mut self, broken: AttemptError) -> io::Result<()> {
+    /// Resumes at another worker after the last forwarded event, or asks the next one for the events
+    /// after it.
+    async fn resume(&mut self, error: &io::Error) -> io::Result<()> {
+        let begun = self.source.as_ref().is_some_and(|s| s.begun);
+        let broken = AttemptError::reading(error, begun);
         if let Some(source) = self.source.take() {
             self.session.record_broken(&source.placement, &broken);
         }
-        self.move_on(broken).await
+        if self.unproven.is_some() {
+            self.ask(&broken.reason).await
+        } else {
+            self.move_on(broken).await
+        }
     }
 
     /// Resumes at another worker after the source was given up.
@@ -237,14 +363,23 @@
     }
 
     fn start_source(&mut self, started: StartedAnswer) {
+        self.set_source(started);
+        self.log_moved();
+    }
+
+    fn log_moved(&self) {
+        let worker = self.source.as_ref().map(|s| &s.placement.worker.id);
         event!(
             Info,
             StreamMoved,
             "request={} worker={} after={:?}",
             self.session.call.id,
-            started.placement.worker.id,
+            worker.map_or("", |w| w),
             self.last_id
         );
+    }
+
+    fn set_source(&mut self, started: StartedAnswer) {
         self.source = Some(Source {
             placement: started.placement,
             connection: started.connection,
@@ -271,6 +406,9 @@
     /// Returns the timeout of the next event, and whether the stream may then move to another worker.
     fn stall_limit(&self) -> (Duration, bool) {
         let remaining = self.session.remaining();
+        if self.unproven.is_some() {
+            return (remaining.min(ASK_LIMIT), false);
+        }
         if self.unnumbered || !self.session.may_run_beside() {
             return (remaining, false);
         }
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -29,6 +29,24 @@
     pub id: Option<u64>,
 }
 
+/// What an answer sends next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Next {
+    /// An event.
+    Event(Event),
+    /// Its end.
+    End(End),
+}
+
+/// End of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// A length or the last chunk shows that the answer is whole.
+    Framed,
+    /// The connection ended, so that the answer may lack events.
+    Connection,
+}
+
 /// Events of a worker's answer.
 #[derive(Debug)]
 pub struct Events {
@@ -41,7 +59,7 @@
     /// Whether the body has been read to its end.
     ended: bool,
     /// The next event, or the end, if it was read ahead.
-    ahead: Option<Option<Event>>,
+    ahead: Option<Next>,
     held: Held,
 }
 
@@ -50,8 +68,7 @@
 enum Start {
     /// Nothing.
     Free,
-    /// A numbered event after the one that it resumes after, or an end without any further event
-    /// that is more than the end of the connection.
+    /// A numbered event after the one that it resumes after, or an end without any further event.
     Resumed,
 }
 
@@ -77,21 +94,28 @@
         self.framed
     }
 
-    /// Reads the body, of which nothing may have been read, as a whole of at most `limit` bytes.
+    /// Returns the worker that sends the answer.
+    pub fn responder(&self) -> &Responder {
+        &self.responder
+    }
+
+    /// Returns whether the end of the connection was read ahead, without an event before it.
+    pub fn is_empty_end(&self) -> bool {
+        self.ahead == Some(Next::End(End::Connection))
+    }
+
+    /// Reads the body, of which nothing may have been read, as a whole of at most `limit` bytes. Unless
+    /// it is framed, it may be incomplete.
     ///
     /// # Errors
     ///
-    /// Returns the errors of `connection::read_held` and `Responder::confirm_end`.
+    /// Returns the errors of `connection::read_held`.
     pub async fn read_whole(self, limit: usize) -> io::Result<Bytes> {
         let memory = &self.responder.gateway.memory;
-        let bytes = connection::read_held(self.body, limit, memory).await?;
-        if !self.framed {
-            self.responder.confirm_end().await?;
-        }
-        Ok(bytes)
+        connection::read_held(self.body, limit, memory).await
     }
 
-    /// Returns the next event after the one with a number, or `None` at the end of the stream.
+    /// Returns the next event after the one with a number, or the end of the stream.
     ///
     /// Only a whole new event counts as progress. Single bytes or repeated events do not extend
     /// `limit`.
@@ -101,13 +125,13 @@
     /// Returns an error when the stream breaks, ends inside an event, sends an event that is too
     /// long or has no further event within `limit`, and when an answer that resumes a stream begins
     /// with something else than its next event.
-    pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Option<Event>> {
-        if let Some(event) = self.ahead.take() {
-            return Ok(event);
+    pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Next> {
+        if let Some(next) = self.ahead.take() {
+            return Ok(next);
         }
         match connection::within(limit, self.read_next(after)).await? {
-            Some(event) => Ok(Some(event)),
-            None => self.end().await,
+            Some(event) => Ok(Next::Event(event)),
+            None => self.end().map(Next::End),
         }
     }
 
@@ -119,8 +143,8 @@
     /// Returns the errors of `next`, except for the timeout.
     pub async fn read_ahead(&mut self, after: Option<u64>, limit: Duration) -> io::Result<()> {
         match self.next(after, limit).await {
-            Ok(event) => {
-                self.ahead = Some(event);
+            Ok(next) => {
+                self.ahead = Some(next);
                 Ok(())
             }
             Err(e) if e.kind() == io::ErrorKind::TimedOut => Ok(()),
@@ -164,44 +188,15 @@
         }
     }
 
-    /// Returns the end of the stream if nothing is missing.
-    async fn end(&self) -> io::Result<Option<Event>> {
-        if !self.splitter.is_empty() {
-            let reason = "the stream ended inside an event";
-            return Err(if self.framed {
-                connection::invalid(reason)
-            } else {
-                connection::aborted(reason)
-            });
+    /// Returns the end of the stream, unless it is inside an event.
+    fn end(&self) -> io::Result<End> {
+        let reason = "the stream ended inside an event";
+        match (self.splitter.is_empty(), self.framed) {
+            (true, true) => Ok(End::Framed),
+            (true, false) => Ok(End::Connection),
+            (false, true) => Err(connection::invalid(reason)),
+            (false, false) => Err(connection::aborted(reason)),
         }
-        if self.framed {
-            return Ok(None);
-        }
-        self.responder.confirm_end().await?;
-        match self.start {
-            Start::Free => Ok(None),
-            Start::Resumed => Err(connection::invalid(NoFurtherEvent)),
-        }
-    }
-}
-
-/// Error for an answer that resumes a stream, has no event and ends with its connection at a worker that is
-/// running. The stream may be complete, or the worker may have failed.
-#[derive(Debug)]
-pub struct NoFurtherEvent;
-
-impl std::fmt::Display for NoFurtherEvent {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the connection ended without an event")
-    }
-}
-
-impl std::error::Error for NoFurtherEvent {}
-
-impl NoFurtherEvent {
-    /// Returns whether an error is of this type.
-    pub fn is(error: &io::Error) -> bool {
-        error.get_ref().is_some_and(|e| e.is::<Self>())
     }
 }
 
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -23,7 +23,7 @@
     connection::{AttemptError, Connection, SendError},
     dispatch::{Busy, Placement},
     fleet::Requirements,
-    forward::{Session, StartedAnswer},
+    forward::{Asked, Session, StartedAnswer},
     splice::Form,
 };
 
@@ -37,6 +37,10 @@
 /// Maximum time for which two workers may have the same call.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
+/// Time in which a worker that is asked for further events has to begin to answer. Another one may then
+/// be asked while the caller, which gives a stream up after 2 s without an event, still waits.
+pub const ASK_LIMIT: Duration = Duration::from_millis(600);
+
 /// Time for which two workers have had the same call.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Overlap {
@@ -170,7 +174,9 @@
             version: self.version.as_ref(),
         };
         let dispatch = &self.gateway.dispatch;
-        if self.takeover.is_some() {
+        if let Some(Asked::Same(worker)) = &self.asked {
+            dispatch.place_again(worker, max_wait).await
+        } else if self.takeover.is_some() || self.asked.is_some() {
             dispatch.place_spare(&requirements, max_wait).await
         } else {
             dispatch.place_online(&requirements, max_wait).await
@@ -201,7 +207,10 @@
         placement: &Placement,
         after: Option<u64>,
     ) -> Result<Reply, SendError> {
-        let remaining = self.remaining();
+        let remaining = match self.asked {
+            Some(_) => self.remaining().min(ASK_LIMIT),
+            None => self.remaining(),
+        };
         let share = if placement.had_free_slot() {
             FIRST_EVENT_SHARE
         } else {
@@ -304,7 +313,12 @@
         let limit = self.sent.left(Instant::now()).unwrap_or_default();
         let events = started.answer.body_mut();
         let read = events.read_ahead(after, limit).await;
-        read.map_err(|e| AttemptError::reading(&e, false))
+        read.map_err(|e| AttemptError::reading(&e, false))?;
+        // Such an end is no reason to give up a worker that may go on.
+        if events.is_empty_end() {
+            return Err(AttemptError::fault("the connection ended without an event"));
+        }
+        Ok(())
     }
 
     /// Returns whether the head of an answer does not yet end a takeover.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -97,8 +97,14 @@
 /// Evidence on whether an answer that ended with its connection is whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndEvidence {
-    /// The worker answered a report after the end.
-    Report,
+    /// A worker that was asked for the rest marked the end of its empty answer.
+    Framed,
+    /// Another worker that was asked for the rest had none, and outlived that answer.
+    Agreed,
+    /// The worker outlived the answer.
+    Outlived,
+    /// A worker that was asked for the rest had one.
+    Torn,
     /// Nothing shows that the answer is whole.
     InDoubt,
 }
@@ -107,7 +113,10 @@
     /// Returns the name for logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
-            Self::Report => "report",
+            Self::Framed => "framed",
+            Self::Agreed => "agreed",
+            Self::Outlived => "outlived",
+            Self::Torn => "torn",
             Self::InDoubt => "in-doubt",
         }
     }
--- a/tests/gateway_answers.rs
+++ b/tests/gateway_answers.rs
@@ -125,7 +125,8 @@
     let instance = Instance::start("one", &store, &[]);
     let mut wrong = Vec::new();
     for (number, error) in ERRORS.iter().enumerate() {
-        behave_all(&workers, &[Behaviour::BreakThen(error)]);
+        // The worker that resumes the stream is asked again after an end without an event.
+        behave_all(&workers, &[Behaviour::BreakThen(error); 6]);
         let answer = instance.stream("/resumable/x", &format!("r{number}"));
         wrong.extend(answer.map(|a| (*error, a.text())));
     }
--- a/tests/gateway_dead_workers.rs
+++ b/tests/gateway_dead_workers.rs
@@ -6,7 +6,7 @@
 mod gateway_support;
 mod support;
 
-use std::thread;
+use std::{collections::HashSet, thread};
 
 use gateway_support::{
     process_fleet::{CALLERS, Fleet, KILLS, is_complete, post},
@@ -102,7 +102,14 @@
     let results = fleet.instance.wait_results("j", 2);
     let output = Value::from(fleet.setup.output());
     assert!(results.iter().all(|r| r["output"] == output));
-    let runs = fleet.runs();
-    assert_eq!(runs.len(), 10 * paths.len() + 2);
-    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+    let runs = fleet.setup.runs();
+    let begun = runs.iter().filter(|(_, after)| after.is_none());
+    let begun: HashSet<&str> = begun.map(|(id, _)| &**id).collect();
+    assert_eq!(begun.len(), 10 * paths.len() + 2);
+    // Where it is possible, a worker is asked once whether there are events after the last one.
+    let asked = runs.iter().filter(|(_, after)| *after == Some(4));
+    let asked: HashSet<&str> = asked.map(|(id, _)| &**id).collect();
+    let can_ask = |id: &&&str| id.contains("/resumable/") || ["a", "b"].contains(*id);
+    assert_eq!(asked, begun.iter().filter(can_ask).copied().collect());
+    assert_eq!(runs.len(), begun.len() + asked.len(), "{runs:?}");
 }
