Wait longer where several answers of a worker ended together

A worker that ends closes all its answers at once, so the wait is 1.5 s if others of it ended within 0.1 s. A worker that takes longer to exit still passes for a sound one.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -31,6 +31,9 @@
 /// answers before its process exits. Callers give a stream up after 2 s without an event; half of that is
 /// left for the report.
 const SETTLE: Duration = Duration::from_secs(1);
+/// Further time if other answers of the worker ended at the same time, as a worker that ends closes all of
+/// them. It leaves half a second of those 2 s.
+const SETTLE_TOGETHER: Duration = Duration::from_millis(500);
 
 /// The worker that sends an answer.
 #[derive(Debug, Clone)]
@@ -132,7 +135,7 @@
         Err(in_doubt())
     }
 
-    /// Waits until the worker has outlived its answer, for half of `limit` at most. `evidence` is what
+    /// Waits until the worker has outlived its answer, for three quarters of `limit` at most. `evidence` is what
     /// this shows together with what is known already.
     ///
     /// # Errors
@@ -140,10 +143,13 @@
     /// Returns the errors of `check_running`, and one of kind `UnexpectedEof` when the answer may be
     /// incomplete for another reason.
     pub async fn outlive(&self, evidence: EndEvidence, limit: Duration) -> io::Result<()> {
-        let now = self.responder.gateway.now();
-        let settled = self.at + SETTLE.min(limit / 2);
         self.check_running().await?;
+        let settled = self.at + SETTLE.min(limit / 2);
+        let now = self.responder.gateway.now();
         Timer::after(settled.saturating_sub(now)).await;
+        if self.beside() > 0 {
+            Timer::after(SETTLE_TOGETHER.min(limit / 4)).await;
+        }
         match self.check_settled().await {
             Ok(()) => {
                 self.confirm(evidence);
