--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -456,6 +456,14 @@
                     self.job
                 );
             }
+            RunEnd::NoMore => {
+                event!(
+                    Info,
+                    ItemUnproven,
+                    "job={} item={id} worker={worker} last={last:?}",
+                    self.job
+                );
+            }
             RunEnd::Failed(status) => {
                 progress.failures += 1;
                 progress.not_before = now + ERROR_PAUSE;
