Store how long callers wait with the shares of the versions

Callers whose streams broke got the rest from another version after all instances had started again, if they wait for longer than the timeout of the route.

Cause: the age of a stream is the longest deadline of its route less what is left of this one, and a started instance knows no deadline but the timeout, which a change of the configuration may have lowered since. The stream then counted as younger than it is, and as begun by the newest shares. The longest deadlines are now stored with each change of the shares, as only a change makes an age matter, and read with them.

--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -6,6 +6,7 @@
 };
 
 use async_io::Timer;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     adapter::store::{Freshness, Object, StoreError},
@@ -15,7 +16,7 @@
 
 use super::{
     gateway::Gateway,
-    versions::{History, NEWS_DELAY},
+    versions::{Deadlines, History, NEWS_DELAY},
 };
 
 /// Object kind of the histories, named after their services.
@@ -33,6 +34,18 @@
 /// and come back at another instance.
 const READ_KEPT: Duration = Duration::from_millis(100);
 
+/// A history as stored.
+#[derive(Debug, Clone)]
+#[derive(Serialize, Deserialize)]
+struct Stored {
+    #[serde(flatten)]
+    history: History,
+    /// The longest time that callers wait, as known when the shares changed: an instance that has started
+    /// cannot tell the age of their streams by the timeout of the route, which may have changed.
+    #[serde(default)]
+    deadlines: Deadlines,
+}
+
 /// Reads of the histories on behalf of calls, one at a time.
 #[derive(Debug, Default)]
 pub struct Reads {
@@ -133,14 +146,24 @@
 
 async fn list(gateway: &Gateway) -> Result<Vec<(ServiceId, History)>, StoreError> {
     let (objects, _) = gateway.store.list(VERSIONS, Freshness::Latest).await?;
-    let histories = objects.iter().filter_map(|o| Some((o, decode(o)?)));
-    Ok(histories
-        .map(|(object, history)| (object.name.as_str().into(), history))
-        .collect())
+    let decoded = objects.iter().map(|o| (o, decode(gateway, o)));
+    let histories = decoded.filter_map(|(o, history)| Some((o.name.as_str().into(), history?)));
+    Ok(histories.collect())
+}
+
+/// Decodes a history, and records the deadlines that are stored with it.
+fn decode(gateway: &Gateway, object: &Object) -> Option<History> {
+    let Stored { history, deadlines } = serde_json::from_str(&object.spec).ok()?;
+    gateway.streams().hear_deadlines(deadlines);
+    Some(history)
 }
 
-fn decode(object: &Object) -> Option<History> {
-    serde_json::from_str(&object.spec).ok()
+/// Returns a history with the deadlines that are known here.
+fn encode(gateway: &Gateway, history: &History) -> Stored {
+    Stored {
+        history: history.clone(),
+        deadlines: gateway.streams().deadlines(),
+    }
 }
 
 /// Stores a history and puts it in use. One that was stored late is stored again, since the earlier
@@ -156,7 +179,7 @@
     let mut is_sent = false;
     for _ in 0..WRITE_ATTEMPTS {
         let object = store.get(VERSIONS, service, Freshness::Latest).await?;
-        let written = match (&object, object.as_ref().and_then(decode)) {
+        let written = match (&object, object.as_ref().and_then(|o| decode(gateway, o))) {
             // An earlier write took effect, and its answer was lost.
             (_, Some(stored)) if is_sent && stored == next => Ok(()),
             (Some(object), Some(stored)) if stored.number >= next.number => {
@@ -175,13 +198,18 @@
                 }
                 begun = Instant::now();
                 let revision = object.revision;
-                store.replace_at(VERSIONS, service, revision, &next).await
+                let new = encode(gateway, &next);
+                store.replace_at(VERSIONS, service, revision, &new).await
             }
             (Some(object), _) => {
                 let revision = object.revision;
-                store.replace_at(VERSIONS, service, revision, &next).await
+                let new = encode(gateway, &next);
+                store.replace_at(VERSIONS, service, revision, &new).await
+            }
+            (None, _) => {
+                let new = encode(gateway, &next);
+                store.create(VERSIONS, service, &new).await
             }
-            (None, _) => store.create(VERSIONS, service, &next).await,
         };
         is_sent = true;
         match written {
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -40,6 +40,9 @@
 /// Time for which an instance remembers the versions of the streams that it began.
 const REMEMBERED: Duration = Duration::from_secs(12);
 
+/// The longest time that callers wait, by route.
+pub type Deadlines = Map<Arc<str>, Duration>;
+
 /// Shares of the versions in new streams, from a time on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -310,8 +313,7 @@
     behind_since: Option<u64>,
     is_read: bool,
     begun: Begun,
-    /// The longest time that callers waited, by route.
-    deadlines: Map<Arc<str>, Duration>,
+    deadlines: Deadlines,
     /// Histories to tell the other instances, with the number of messages that are left.
     news: Map<ServiceId, u32>,
 }
@@ -411,6 +413,19 @@
         histories.map(|(s, h)| (s.clone(), h.clone())).collect()
     }
 
+    /// Records how long callers waited at most, by route, as other instances have seen it.
+    pub fn hear_deadlines(&mut self, deadlines: Deadlines) {
+        for (route, deadline) in deadlines {
+            let longest = self.deadlines.entry(route).or_default();
+            *longest = deadline.max(*longest);
+        }
+    }
+
+    /// Returns the longest time that callers waited, by route, as far as known here.
+    pub fn deadlines(&self) -> Deadlines {
+        self.deadlines.clone()
+    }
+
     /// Records the histories that the store has.
     pub fn set_read(&mut self) {
         self.is_read = true;
