--- a/tests/gateway_calls.rs
+++ b/tests/gateway_calls.rs
@@ -374,6 +374,8 @@
     store.set_faults(StoreFaults::default());
     until("three instances watch", || store.watches("servers") == 3);
     thread::sleep(Duration::from_secs(2));
-    assert_eq!(store.lists("servers") - before, 3);
+    let log = |i: &Instance| std::fs::read_to_string(&i.log).unwrap();
+    let logs: String = instances().map(log).collect();
+    assert_eq!(store.lists("servers") - before, 3, "{logs}");
     assert!(instances().all(Instance::is_ready));
 }
