--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -6,7 +6,10 @@
 //! `benchline`, `hobart`), `S` (length in seconds), `SEED`, `FRAMING` (how workers mark the end of
 //! their answers), `PROGRAM` (path of the instances' program), `LOGS` (folder that keeps the logs),
 //! `BREAKS` (1: some workers break off answers while they stay up), `PAUSE_MS` (pause of a worker
-//! after each event).
+//! after each event), `INSTANCES` and `WORKERS` (numbers other than those of the size).
+//!
+//! The log folder has the log of each instance, the `ledger` of the requests that ran and `notes` on
+//! the troubles. `gentianpath explain ID FILE...` traces a request that a violation names.
 
 mod fleet_support;
 mod gateway_support;
@@ -54,10 +57,11 @@
 }
 
 fn run(fleet: &Fleet) -> (Vec<Worker>, Vec<Instance>) {
-    let size = fleet.options.size;
+    let (count, workers) = (fleet.options.instances, fleet.options.workers);
+    let callers = fleet.options.size.callers();
     let mut rng = fastrand::Rng::with_seed(fleet.options.seed);
     let mut seeds = move || rng.u64(..);
-    let mut instances: Vec<Instance> = (0..size.instances())
+    let mut instances: Vec<Instance> = (0..count)
         .map(|n| {
             let instance = Instance::spawn(fleet, n);
             fleet.publish(n, instance.callers, instance.peers);
@@ -65,7 +69,7 @@
         })
         .collect();
     thread::scope(|scope| {
-        let workers: Vec<_> = (0..size.workers())
+        let processes: Vec<_> = (0..workers)
             .map(|n| {
                 let seed = seeds();
                 scope.spawn(move || keep_worker(fleet, n, seed))
@@ -79,20 +83,20 @@
             .enumerate()
             .map(|(n, instance)| scope.spawn(move || keep_instance(fleet, n, instance)))
             .collect();
-        for n in 0..size.callers() {
+        for n in 0..callers {
             let seed = seeds();
             scope.spawn(move || fleet.call(n, seed));
         }
-        for n in 0..1 + size.callers() / 20 {
+        for n in 0..1 + callers / 20 {
             let seed = seeds();
             scope.spawn(move || fleet.submit(n, seed));
         }
         // Larger fleets have as many troubles for each process.
-        for _ in 0..1 + size.workers() / 10 {
+        for _ in 0..1 + workers / 10 {
             let seed = seeds();
             scope.spawn(move || fleet.trouble_workers(seed));
         }
-        for _ in 0..1 + size.instances() / 20 {
+        for _ in 0..1 + count / 20 {
             let seed = seeds();
             scope.spawn(move || fleet.trouble_instances(seed));
         }
@@ -105,12 +109,25 @@
             thread::sleep(Duration::from_millis(50));
         }
         fleet.stop();
-        let workers = workers.into_iter().map(|w| w.join().unwrap()).collect();
+        let workers = processes.into_iter().map(|w| w.join().unwrap()).collect();
         let instances = instances.into_iter().map(|i| i.join().unwrap()).collect();
         (workers, instances)
     })
 }
 
+/// Waits until an instance is ready and serves requests again.
+fn await_calm(fleet: &Fleet, n: usize, instance: &mut Instance) {
+    instance.wait_ready(fleet);
+    for kind in ["resumable", "unsafe", "side"] {
+        let mut attempt = 0;
+        until(&format!("{} serves {kind}", instance.callers), || {
+            attempt += 1;
+            let id = format!("{}z{n}{kind}{attempt}", fleet.run);
+            fleet.is_served(n, kind, &id)
+        });
+    }
+}
+
 /// Guards against combined faults of a deployment that tear, shorten, mix or double an answer or the
 /// output of an item.
 #[test]
@@ -119,20 +136,14 @@
     let fleet = &Fleet::new(options);
     let (_workers, mut instances) = run(fleet);
     let Options { seed, size, .. } = fleet.options;
-    for (n, instance) in instances.iter_mut().enumerate() {
-        instance.wait_ready(fleet);
-        for kind in ["resumable", "unsafe", "side"] {
-            let mut attempt = 0;
-            until(&format!("{} serves {kind}", instance.callers), || {
-                attempt += 1;
-                let id = format!("{}z{n}{kind}{attempt}", fleet.run);
-                fleet.is_served(n, kind, &id)
-            });
+    thread::scope(|scope| {
+        for (n, instance) in instances.iter_mut().enumerate() {
+            scope.spawn(move || await_calm(fleet, n, instance));
         }
-    }
+    });
     let jobs = fleet.accepted.lock().unwrap().clone();
     for (n, job) in jobs.iter().enumerate() {
-        let address = fleet.address_of(n % size.instances());
+        let address = fleet.address_of(n % fleet.options.instances);
         until(&format!("{job} is finished"), || {
             fleet.read(job, address) >= ITEMS
         });
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -99,6 +99,10 @@
     /// Whether some workers break off some answers while they stay up.
     pub breaks: bool,
     pub pause_ms: u64,
+    /// Number of instances, which the size sets unless a variable does.
+    pub instances: usize,
+    /// Number of workers.
+    pub workers: usize,
 }
 
 fn variable(name: &str) -> Option<String> {
@@ -114,8 +118,9 @@
     pub fn read(length_s: u64, seed: u64) -> Self {
         let number = |name, default| variable(name).map_or(default, |v| v.parse().unwrap());
         let program = variable("PROGRAM");
+        let size = Size::try_from(&*variable("SIZE").unwrap_or_else(|| "small".into())).unwrap();
         Self {
-            size: Size::try_from(&*variable("SIZE").unwrap_or_else(|| "small".into())).unwrap(),
+            size,
             length: Duration::from_secs(number("S", length_s)),
             seed: number("SEED", seed),
             framing: variable("FRAMING").unwrap_or_else(|| "mixed".into()),
@@ -125,6 +130,8 @@
             logs: variable("LOGS").map(PathBuf::from),
             breaks: number("BREAKS", 0) > 0,
             pause_ms: number("PAUSE_MS", 15),
+            instances: number("INSTANCES", size.instances() as u64) as usize,
+            workers: number("WORKERS", size.workers() as u64) as usize,
         }
     }
 }
@@ -189,7 +196,6 @@
         let logs = options.logs.clone();
         let logs = logs.unwrap_or_else(|| folder.path().to_owned());
         std::fs::create_dir_all(&logs).unwrap();
-        let size = options.size;
         let store = Store::start();
         store.put("config", "main", config(1, 5000, 0));
         Self {
@@ -201,8 +207,8 @@
             accepted: Mutex::default(),
             addresses: Mutex::default(),
             owners: Mutex::default(),
-            worker_orders: (0..size.workers()).map(|_| Mutex::default()).collect(),
-            instance_orders: (0..size.instances()).map(|_| Mutex::default()).collect(),
+            worker_orders: (0..options.workers).map(|_| Mutex::default()).collect(),
+            instance_orders: (0..options.instances).map(|_| Mutex::default()).collect(),
             stop: AtomicBool::default(),
             starts: AtomicU64::default(),
             notes: Mutex::new(File::create(logs.join("notes")).unwrap()),
@@ -264,7 +270,7 @@
 
     /// Returns the address for callers of some instance.
     pub fn address(&self, rng: &mut fastrand::Rng) -> SocketAddr {
-        self.address_of(rng.usize(..self.options.size.instances()))
+        self.address_of(rng.usize(..self.options.instances))
     }
 
     pub fn address_of(&self, number: usize) -> SocketAddr {
--- a/tests/fleet_support/troubles.rs
+++ b/tests/fleet_support/troubles.rs
@@ -16,7 +16,7 @@
     /// Draws troubles of instances until the end of the run.
     pub fn trouble_instances(&self, seed: u64) {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let count = self.options.size.instances();
+        let count = self.options.instances;
         while self.is_running() {
             pause(&mut rng, 300..2500);
             match rng.u32(..10) {
@@ -60,11 +60,11 @@
     fn cut_zone(&self, rng: &mut fastrand::Rng) {
         let zone = rng.usize(..ZONES.len());
         let (time, silent) = (millis(rng, 1000..5500), rng.bool());
-        let size = self.options.size;
-        for n in (zone..size.instances()).step_by(ZONES.len()) {
+        let options = &self.options;
+        for n in (zone..options.instances).step_by(ZONES.len()) {
             self.order_instance(n, instances::Trouble::Cut { time, silent });
         }
-        for n in (zone..size.workers()).step_by(ZONES.len()) {
+        for n in (zone..options.workers).step_by(ZONES.len()) {
             self.order_worker(n, workers::Trouble::Freeze(time));
         }
     }
@@ -72,7 +72,7 @@
     /// Draws troubles of workers until the end of the run.
     pub fn trouble_workers(&self, seed: u64) {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let count = self.options.size.workers();
+        let count = self.options.workers;
         let mut version = 1;
         while self.is_running() {
             pause(&mut rng, 200..2000);
@@ -131,7 +131,7 @@
     /// Draws troubles of the store until the end of the run.
     pub fn trouble_store(&self, seed: u64) {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let size = self.options.size;
+        let options = &self.options;
         while self.is_running() {
             pause(&mut rng, 2000..8000);
             let time = millis(&mut rng, 500..5000);
@@ -139,7 +139,7 @@
             self.unsettle(begin, u64::MAX);
             let faults = match rng.u32(..6) {
                 0 => {
-                    for n in self.share(size.workers(), 30, &mut rng) {
+                    for n in self.share(options.workers, 30, &mut rng) {
                         let late = time + millis(&mut rng, 0..2000);
                         self.order_worker(n, workers::Trouble::Lapse(late));
                     }
@@ -160,7 +160,7 @@
                 }
                 _ => {
                     let silent = rng.bool();
-                    for n in self.share(size.instances(), 33, &mut rng) {
+                    for n in self.share(options.instances, 33, &mut rng) {
                         self.order_instance(n, instances::Trouble::Cut { time, silent });
                     }
                     StoreFaults::default()
