Mend what a second reader found in the proof of ends

- A worker that had been silent and then went on was not counted in the attempts of the route, so that one more worker could get the call.
- Near the deadline the proof shrank with the time left, so that a torn answer could look complete.
It now takes its whole time or leaves the answer in doubt, and ends with the time of the call.
- A whole stream was broken off when nobody could be asked, as at the last worker of a version that drains.
The worker that sent it now has to outlive it, as for streams that may not be resumed.
- A worker that died in a stream that may not be resumed was not recorded as crashed.
- A worker that is no longer listed, but goes on to serve, counted as gone.

Found by reading.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -120,8 +120,7 @@
             self.gateway
                 .record_crash(self.blamed(broken), &self.call.id, worker);
         }
-        self.runs += 1;
-        self.leave_out(&placement.worker.id);
+        self.count_run(&placement.worker.id);
         let ejected = self.record_failure(placement);
         event!(
             Warn,
@@ -139,7 +138,8 @@
     /// Records a failure of a worker, unless it may be due to the time that the caller or the route
     /// leaves. Returns whether the worker is ejected.
     fn record_failure(&self, placement: &Placement) -> bool {
-        let is_over = self.remaining().is_zero();
+        // A worker that is asked for further events may have to read the whole prompt first.
+        let is_over = self.remaining().is_zero() || self.asked.is_some();
         if !health::is_failure(is_over, placement.silence(), self.route.objective) {
             return false;
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -152,6 +152,8 @@
     pub(super) sent: Overlap,
     /// Receives the changes of `sent` while an earlier worker may still answer.
     pub(super) takeover: Option<Sender<bool>>,
+    /// Workers that `runs` counts and that are not to be counted again.
+    pub(super) counted: Vec<WorkerId>,
     /// The worker that is asked for further events of a stream that ended with its connection.
     pub(super) asked: Option<Asked>,
 }
@@ -197,6 +199,7 @@
         form: None,
         sent: Overlap::default(),
         takeover: None,
+        counted: Vec::new(),
         asked: None,
     };
     match origin {
@@ -396,10 +399,12 @@
         self.route.is_repeatable() && can_retry
     }
 
-    /// Counts a worker that may have run the call, unless it is counted already.
+    /// Counts a worker that may have run the call, unless it is counted already, and keeps later attempts
+    /// from it.
     pub(super) fn count_run(&mut self, worker: &WorkerId) {
-        if !self.tried.contains(worker) {
-            self.tried.push(worker.clone());
+        self.leave_out(worker);
+        if !self.counted.contains(worker) {
+            self.counted.push(worker.clone());
             self.runs += 1;
         }
     }
@@ -413,7 +418,8 @@
 
     /// Returns whether the call may be sent to another worker beside one that has it.
     pub fn may_run_beside(&self) -> bool {
-        self.route.is_repeatable()
+        self.asked.is_none()
+            && self.route.is_repeatable()
             && self.runs + 1 < self.route.attempts
             && !self.remaining().is_zero()
     }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -450,19 +450,14 @@
             }
             RunEnd::NoMore => {
                 event!(
-                    Info,
-                    ItemUnproven,
-                    "job={} item={id} worker={worker} last={last:?}",
-                    self.job
-                );
-            }
-            RunEnd::NoMore => {
-                event!(
-                    Info,
-                    ItemUnproven,
-                    "job={} item={id} worker={worker} last={last:?}",
+                    Warn,
+                    ItemBroken,
+                    "job={} item={id} worker={worker} last={last:?} reason=\"no further event\"",
                     self.job
                 );
+                progress.not_before = now + RETRY_PAUSE;
+                // Only a whole run proves that no event is missing.
+                job.drop_text(id);
             }
             RunEnd::Failed(status) => {
                 progress.failures += 1;
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -135,22 +135,25 @@
         Err(in_doubt())
     }
 
-    /// Waits until the worker has outlived its answer, for three quarters of `limit` at most. `evidence` is what
-    /// this shows together with what is known already.
+    /// Waits until the worker has outlived its answer. `evidence` is what this shows together with what is
+    /// known already.
     ///
     /// # Errors
     ///
     /// Returns the errors of `check_running`, and one of kind `UnexpectedEof` when the answer may be
-    /// incomplete for another reason.
+    /// incomplete for another reason, or `limit` is over before that is known.
     pub async fn outlive(&self, evidence: EndEvidence, limit: Duration) -> io::Result<()> {
+        let deadline = Instant::now() + limit;
         self.check_running().await?;
-        let settled = self.at + SETTLE.min(limit / 2);
-        let now = self.responder.gateway.now();
-        Timer::after(settled.saturating_sub(now)).await;
-        if self.beside() > 0 {
-            Timer::after(SETTLE_TOGETHER.min(limit / 4)).await;
-        }
-        match self.check_settled().await {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let settled = async {
+            self.wait_until(self.at + SETTLE).await;
+            if self.beside() > 0 {
+                self.wait_until(self.at + SETTLE + SETTLE_TOGETHER).await;
+            }
+            self.check_settled().await
+        };
+        match connection::within(left, settled).await {
             Ok(()) => {
                 self.confirm(evidence);
                 Ok(())
@@ -162,13 +165,19 @@
         }
     }
 
+    async fn wait_until(&self, time: Duration) {
+        let now = self.responder.gateway.now();
+        Timer::after(time.saturating_sub(now)).await;
+    }
+
     async fn check_settled(&self) -> io::Result<()> {
         let Responder {
             gateway, worker, ..
         } = &self.responder;
+        // Some workers are removed from the list and go on to serve for a while.
         let listed = gateway.dispatch.worker(&worker.id);
-        if listed.is_none_or(|w| w.started != worker.started) {
-            return Err(io::Error::other("the worker is gone"));
+        if listed.is_some_and(|w| w.started != worker.started) {
+            return Err(io::Error::other("the worker started again"));
         }
         if gateway.ends().is_torn(&worker.id, self.at) {
             return Err(io::Error::other("other answers were torn at the same time"));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -187,7 +187,11 @@
                     self.finish();
                     Ok(true)
                 }
-                Err(e) => Err(self.broken(&e.to_string())),
+                Err(e) => {
+                    let broken = AttemptError::reading(&e, source.begun);
+                    self.session.record_broken(&source.placement, &broken);
+                    Err(self.broken(&broken.reason))
+                }
             };
         }
         if let Some(unproven) = &self.unproven {
@@ -221,7 +225,8 @@
     }
 
     /// Asks a worker for the events after the last one: another one, if the route allows it, or the one
-    /// whose connection ended, which has the prompt. Both need a free slot.
+    /// whose connection ended, which has the prompt. Both need a free slot. When neither answers, the first
+    /// worker has to outlive the stream.
     async fn ask(&mut self, reason: &str) -> io::Result<()> {
         let mut reason = reason.to_owned();
         while let Some(unproven) = &mut self.unproven {
@@ -252,6 +257,15 @@
                 Err(failure) => reason = format!("{reason}, then {failure}"),
             }
         }
+        if let Some(unproven) = self.unproven.take_if(|u| u.begun) {
+            let remaining = self.session.remaining();
+            let outlived = unproven.ended.outlive(EndEvidence::Outlived, remaining);
+            if outlived.await.is_ok() {
+                self.session.record_answered(false);
+                return Ok(());
+            }
+        }
+        self.unproven = None;
         self.move_on(AttemptError::fault(reason)).await
     }
 
@@ -303,7 +317,12 @@
         let begun = self.source.as_ref().is_some_and(|s| s.begun);
         let broken = AttemptError::reading(error, begun);
         if let Some(source) = self.source.take() {
-            self.session.record_broken(&source.placement, &broken);
+            // A worker that is asked may have to read the whole prompt first.
+            if self.unproven.is_some() && error.kind() == io::ErrorKind::TimedOut {
+                self.session.count_run(&source.placement.worker.id);
+            } else {
+                self.session.record_broken(&source.placement, &broken);
+            }
         }
         if self.unproven.is_some() {
             self.ask(&broken.reason).await
--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -132,7 +132,19 @@
 /// output of an item.
 #[test]
 fn a_fleet_in_trouble_tears_and_doubles_nothing() {
-    let options = Options::read(CI_LENGTH_S, CI_SEED);
+    check_fleet(Options::read(CI_LENGTH_S, CI_SEED));
+}
+
+/// Guards against the same where each answer shows its end.
+#[test]
+fn a_fleet_with_chunked_answers_tears_and_doubles_nothing() {
+    let mut options = Options::read(CI_LENGTH_S, CI_SEED);
+    options.framing = "chunked".into();
+    check_fleet(options);
+}
+
+/// Runs a fleet in trouble, and checks all answers, outputs and counts of runs.
+fn check_fleet(options: Options) {
     let fleet = &Fleet::new(options);
     let (_workers, mut instances) = run(fleet);
     let Options { seed, size, .. } = fleet.options;
