Release the lock of the shares before those of the jobs are taken

A heartbeat was built in one expression, which keeps the guard of the shares until its end, while the backlog takes the locks of the jobs. Since the age of a job takes the lock of the shares while the job is locked, so that the two threads can wait for each other. The shares are now read before.

No test plays it: the window lies between two locks.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -438,6 +438,9 @@
         (worker, count(level.online), count(level.batch))
     };
     let levels = gateway.dispatch.local_levels();
+    // Not within the literal below, which would keep the lock while those of the jobs are taken. The age of a
+    // job takes these locks in the other order.
+    let shares = gateway.streams().share_state(clock::steady_millis());
     Heartbeat {
         instance: gateway.settings.instance.clone(),
         session: gateway.session,
@@ -446,7 +449,7 @@
         address: gateway.settings.peers,
         config: gateway.config_version(),
         workers: gateway.views().workers_version,
-        shares: gateway.streams().share_state(clock::steady_millis()),
+        shares,
         leaving: gateway.drain.phase() != Phase::Running,
         store: gateway.reaches_store(),
         levels: levels.into_iter().map(level).collect(),
