Give no test address to two processes

Runs of the fleet soak at the size of 110 instances reported metrics pages as torn answers, and requests that were denied with 400. Callers keep connecting to the address of an instance that has moved, and free_address began again at the first port of its block after 800 calls, so that another process listened there: 110 instances take 440 addresses, and each move four more.

Once all ports have been used, free_address goes on at the next loopback host, so an address is returned once. No check changes.

no_address_is_given_to_two_processes fails before (an address is returned twice within 2000 calls) and passes now.

--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -16,12 +16,13 @@
 mod support;
 
 use std::{
+    collections::HashSet,
     thread,
     time::{Duration, Instant},
 };
 
 use fleet_support::{Fleet, Options, instances::Instance, jobs::ITEMS, workers::Worker};
-use support::until;
+use support::{free_address, until};
 
 /// Length of the test in CI, in seconds.
 const CI_LENGTH_S: u64 = 45;
@@ -128,6 +129,16 @@
     }
 }
 
+/// Guards against a process that listens where callers still expect one that has ended.
+#[test]
+fn no_address_is_given_to_two_processes() {
+    let mut seen = HashSet::new();
+    for _ in 0..2000 {
+        let address = free_address();
+        assert!(seen.insert(address), "{address} was returned twice");
+    }
+}
+
 /// Guards against combined faults of a deployment that tear, shorten, mix or double an answer or the
 /// output of an item.
 #[test]
--- a/tests/support/ports.rs
+++ b/tests/support/ports.rs
@@ -48,18 +48,26 @@
     }
 }
 
-/// Returns a loopback address whose port is free at this moment.
+/// Returns a loopback address that is free at this moment and that no earlier call returned.
 ///
 /// A port is not bound when its process starts, so a program that ran beside this one could take it.
+/// Addresses are not reused, because callers may still connect to those of processes that have ended.
+///
+/// # Panics
+///
+/// Panics when all addresses have been returned.
 pub fn free_address() -> SocketAddr {
     static BLOCK: Mutex<Option<Block>> = Mutex::new(None);
     let mut block = BLOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let block = block.get_or_insert_with(Block::take);
     loop {
         let port = block.first + block.next % BLOCK_PORTS;
-        block.next = block.next.wrapping_add(1);
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            return ([127, 0, 0, 1], port).into();
+        // Once all ports have been used, the next loopback host provides them again.
+        let host = u8::try_from(block.next / BLOCK_PORTS).unwrap();
+        block.next = block.next.checked_add(1).unwrap();
+        let address = SocketAddr::from(([127, 0, host, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
         }
     }
 }
