Keep links and relays of tests off the ports of workers

Instance e14 had moved, its new link to the store took port 45215 from the kernel, and a worker that was killed 0.4 s before had listened there. Instances still sent requests to that address, and the store answered them.

Links, relays and servers of tests now listen on addresses that free_address returns once. Workers keep ports of the kernel, so an address may still pass to another worker, which has to refuse by its id. No check changes.

--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -11,7 +11,7 @@
 use std::{
     collections::BTreeMap,
     io::{self, BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, MutexGuard},
@@ -24,6 +24,7 @@
 use crate::support::{
     free_address,
     http::{self, Answer},
+    ports::listen,
     until,
 };
 
@@ -63,13 +64,7 @@
 where
     H: Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
 {
-    // Retries, since `free_address` has bound the port once and a child process that another test
-    // is starting holds a copy of that socket until it executes its program.
-    let listener = loop {
-        if let Ok(listener) = TcpListener::bind(free_address()) {
-            break listener;
-        }
-    };
+    let listener = listen();
     let address = listener.local_addr().unwrap();
     let handler = Arc::new(handler);
     thread::spawn(move || {
--- a/tests/gateway_support/relay.rs
+++ b/tests/gateway_support/relay.rs
@@ -3,7 +3,7 @@
 
 use std::{
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -12,6 +12,8 @@
     time::Duration,
 };
 
+use crate::support::ports::listen;
+
 /// Size of the forwarding buffer, which holds a whole request.
 const BUFFER_BYTES: usize = 64 << 10;
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -45,7 +47,7 @@
 
 impl Relay {
     pub fn start(to: SocketAddr, seed: u64, length: usize) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let listener = listen();
         let address = listener.local_addr().unwrap();
         let shared = Arc::new(Shared {
             to: Mutex::new(to),
--- a/tests/support/link.rs
+++ b/tests/support/link.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicU8, AtomicUsize, Ordering},
@@ -11,6 +11,8 @@
     time::Duration,
 };
 
+use super::ports::listen;
+
 /// Size of the forwarding buffer.
 const BUFFER_BYTES: usize = 16 << 10;
 /// Interval at which the state of a silent link is polled.
@@ -47,7 +49,7 @@
 impl Link {
     /// Starts a link to an address.
     pub fn new(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let listener = listen();
         let address = listener.local_addr().unwrap();
         let shared = Arc::new(Shared {
             to,
--- a/tests/support/ports.rs
+++ b/tests/support/ports.rs
@@ -71,3 +71,14 @@
         }
     }
 }
+
+/// Listens on a loopback address that no earlier call returned.
+pub fn listen() -> TcpListener {
+    // Retries, since a child process that another thread is starting holds a copy of the socket that
+    // `free_address` has bound until it executes its program.
+    loop {
+        if let Ok(listener) = TcpListener::bind(free_address()) {
+            return listener;
+        }
+    }
+}
