Check the order in which locks are taken

Locks come from src/mutex.rs alone, which takes them from tracing-mutex: builds with debug assertions record the order and panic on the first cycle, release builds use the types of the standard library. Instances of the gateway tests keep their standard error, and a test fails if it holds such a panic.

The same class elsewhere: the literals of the heartbeat and of the gauges held the lock of the views, and that of the suspects, until their end, while they took those of placement, jobs and peers.

--- a/src/batch_state.rs
+++ b/src/batch_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -11,7 +11,7 @@
 use crate::{
     ids::{GroupIndex, JobId, Map, Set},
     job_record::{Counts, GroupKey, GroupRecord, InputRecord, Outcome},
-    mutex::lock,
+    mutex::{Mutex, lock},
     platform::Object,
 };
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -3,7 +3,7 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -12,7 +12,7 @@
 
 use crate::{
     ids::{InstanceId, Map, ServiceId, Set, SoftwareVersion, WorkerId, Zone},
-    mutex::lock,
+    mutex::{Mutex, MutexGuard, lock},
 };
 
 use super::{
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -18,7 +18,7 @@
     event, fnv,
     ids::{JobId, RequestId, SessionId, WorkerId},
     metrics::InstanceState,
-    mutex::lock,
+    mutex::{Mutex, MutexGuard, lock},
 };
 
 use super::{
@@ -314,9 +314,12 @@
         let running = self.jobs.running();
         let waiting = running.iter().map(|(_, job)| lock(job).waiting_tokens());
         let peers = self.peers().live(self.now()).count();
+        // Guards within the literal below would be held until its end.
+        let workers_revision = self.views().workers_version.newest;
+        let blocks = self.suspects().block_count() as u64;
         InstanceState {
             config: self.config_version(),
-            workers_revision: self.views().workers_version.newest,
+            workers_revision,
             workers: self.dispatch.ready_workers() as u64,
             peers: peers as u64,
             store: self.reaches_store(),
@@ -324,7 +327,7 @@
             queue: self.dispatch.queue_length() as u64,
             jobs: running.len() as u64,
             waiting: waiting.sum(),
-            blocks: self.suspects().block_count() as u64,
+            blocks,
             leaving: self.dispatch.leaving_count() as u64,
             limited: self.dispatch.limited_count() as u64,
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,7 +6,7 @@
 
 use std::{
     net::{SocketAddr, UdpSocket},
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::Duration,
 };
 
@@ -19,7 +19,7 @@
     drain::Phase,
     event, fnv,
     ids::{InstanceId, JobId, Map, ServiceId, SessionId, Set, WorkerId},
-    mutex::lock,
+    mutex::{Mutex, lock},
 };
 
 use super::{
@@ -432,15 +432,16 @@
         .collect()
 }
 
-fn heartbeat(gateway: &Gateway, number: u64) -> Heartbeat {
+/// Returns the heartbeat of this instance.
+pub fn heartbeat(gateway: &Gateway, number: u64) -> Heartbeat {
     let level = |(worker, level): (u32, Level)| {
         let count = |n: u32| u8::try_from(n).unwrap_or(u8::MAX);
         (worker, count(level.online), count(level.batch))
     };
     let levels = gateway.dispatch.local_levels();
-    // Not within the literal below, which would keep the lock while those of the jobs are taken. The age of a
-    // job takes these locks in the other order.
+    // A guard within the literal below would be held until its end, while those of the jobs are taken.
     let shares = gateway.streams().share_state(clock::steady_millis());
+    let workers = gateway.views().workers_version;
     Heartbeat {
         instance: gateway.settings.instance.clone(),
         session: gateway.session,
@@ -448,7 +449,7 @@
         number,
         address: gateway.settings.peers,
         config: gateway.config_version(),
-        workers: gateway.views().workers_version,
+        workers,
         shares,
         leaving: gateway.drain.phase() != Phase::Running,
         store: gateway.reaches_store(),
--- a/src/gateway/job_store.rs
+++ b/src/gateway/job_store.rs
@@ -12,7 +12,7 @@
     adapter::store::{Freshness, Object, StoreError},
     event,
     ids::{InstanceId, JobId, Set},
-    mutex::lock,
+    mutex::{Mutex, lock},
 };
 
 use super::{
@@ -92,7 +92,7 @@
         return Ok(None);
     };
     let (record, ended) = decode(&object).map_err(|e| StoreError::Unknown(e.to_string()))?;
-    let job = Arc::new(std::sync::Mutex::new(Job::new(Arc::new(record), ended)));
+    let job = Arc::new(Mutex::new(Job::new(Arc::new(record), ended)));
     read_pages(gateway, id, &job).await?;
     let job = Arc::into_inner(job).map(|m| m.into_inner().unwrap_or_else(|e| e.into_inner()));
     Ok(job.map(|job| gateway.jobs.add(id, job)))
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -1,16 +1,13 @@
 //! Batch jobs known to an instance, shared by all threads.
 
-use std::{
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use smol::channel::{Receiver, Sender, bounded};
 
 use crate::{
     fnv,
     ids::{JobId, Map},
-    mutex::lock,
+    mutex::{Mutex, lock},
 };
 
 use super::{
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -3,7 +3,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -27,7 +27,7 @@
     adapter::{headers, job_calls},
     drain::Phase,
     event, metrics,
-    mutex::lock,
+    mutex::{Mutex, lock},
 };
 
 use super::{
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -1,14 +1,10 @@
 //! Pool of idle connections to workers.
 
-use std::{
-    io,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{io, sync::Arc, time::Duration};
 
 use crate::{
     ids::{Map, WorkerId},
-    mutex::lock,
+    mutex::{Mutex, lock},
 };
 
 use super::{config::Service, connection::Connection, fleet::Worker, memory::Memory};
--- a/src/gateway/write_gate.rs
+++ b/src/gateway/write_gate.rs
@@ -2,11 +2,15 @@
 
 use std::{
     io,
-    sync::{Arc, Mutex},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use crate::{event, ids::WorkerId, mutex::lock};
+use crate::{
+    event,
+    ids::WorkerId,
+    mutex::{Mutex, lock},
+};
 
 /// Age of a decision from which on the write of its request is logged. Connections open within it.
 pub const LATE_WRITE: Duration = Duration::from_millis(120);
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -4,7 +4,7 @@
 use std::{
     fmt::Write as _,
     io::{self, Write},
-    sync::{Mutex, mpsc},
+    sync::mpsc,
     thread,
     time::{Duration, Instant},
 };
@@ -17,7 +17,7 @@
 use crate::{
     event,
     events::{EVENT_TARGET, ROUTINE_TARGET},
-    mutex::lock,
+    mutex::{Mutex, lock},
     volume::{Importance, Volume},
 };
 
--- a/src/online.rs
+++ b/src/online.rs
@@ -3,7 +3,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex,
+        Arc,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -18,7 +18,7 @@
     health::Health,
     ids::{Map, ModelId, RequestId, TargetId, TeamId, WorkerId},
     limits::{Queue, QueueError, RetryBudget, Teams, Ticket},
-    mutex::lock,
+    mutex::{Mutex, lock},
     route::{Candidate, Choice, RouteRequest},
     verdict::{Reason, RequestError},
     view::WorkerInfo,
--- a/src/replay_run.rs
+++ b/src/replay_run.rs
@@ -3,10 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{
-        Mutex,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::atomic::{AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
@@ -18,7 +15,7 @@
 
 use crate::{
     clock, dial,
-    mutex::lock,
+    mutex::{Mutex, lock},
     remote,
     replay::{Line, LineKind, Plan, Repeat},
     verdict::{VERDICT_HEADER, Verdict},
--- a/src/route.rs
+++ b/src/route.rs
@@ -1,17 +1,12 @@
 //! Selection of a worker for an online request.
 
-use std::{
-    iter,
-    ops::Range,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{iter, ops::Range, sync::Arc, time::Duration};
 
 use crate::{
     affinity::Affinity,
     free_index::FreeIndex,
     ids::{InstanceId, Map, ModelId, WorkerId, Zone},
-    mutex::lock,
+    mutex::{Mutex, MutexGuard, lock},
     view::{View, WorkerInfo},
     workers::{WorkerCell, WorkerTable},
 };
@@ -230,7 +225,7 @@
             .min_by_key(|c| c.cell.load())
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Affinity> {
+    fn lock(&self) -> MutexGuard<'_, Affinity> {
         lock(&self.affinity)
     }
 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, PoisonError, RwLock,
+        Arc, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
     time::{Duration, Instant},
@@ -16,7 +16,7 @@
     affinity::Affinity,
     free_index::FreeIndex,
     ids::{InstanceId, Map, WorkerId},
-    mutex::lock,
+    mutex::{Mutex, MutexGuard, RwLock, lock},
 };
 
 /// Maximum time for which a batch stream without a first token counts as starting, so that a driver
@@ -327,7 +327,7 @@
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, CellState> {
+    fn lock(&self) -> MutexGuard<'_, CellState> {
         lock(&self.state)
     }
 }
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -30,6 +30,11 @@
 /// Time after its start in which an instance discovers its peers.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1500);
 
+/// File of an instance's standard error.
+const ERRORS: &str = "errors";
+/// Text of the panic of a thread that takes locks in an order that contradicts an earlier one.
+const LOCK_CYCLE: &str = "cycle in mutex dependency graph";
+
 /// Host of all routes; the test client uses no other.
 pub const HOST: &str = "127.0.0.1";
 
@@ -879,7 +884,7 @@
     pub metrics: SocketAddr,
     pub log: PathBuf,
     process: Child,
-    _folder: tempfile::TempDir,
+    folder: tempfile::TempDir,
 }
 
 impl Instance {
@@ -938,7 +943,7 @@
             .arg("gateway")
             .env("GENTIANPATH_SETTINGS", &file)
             .stdout(log(&path))
-            .stderr(Stdio::null())
+            .stderr(std::fs::File::create(folder.path().join(ERRORS)).unwrap())
             .spawn()
             .unwrap();
         Self {
@@ -948,7 +953,7 @@
             metrics,
             log: path,
             process,
-            _folder: folder,
+            folder,
         }
     }
 
@@ -1060,6 +1065,10 @@
     fn drop(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
+        let errors = std::fs::read_to_string(self.folder.path().join(ERRORS));
+        let errors = errors.unwrap_or_default();
+        let has_cycle = errors.contains(LOCK_CYCLE);
+        assert!(thread::panicking() || !has_cycle, "{errors}");
     }
 }
 
