Let a sound worker be silent for 1.5 s after its answer

Of an answer that ended with its connection the worker is asked for a report 1 s later, and had 0.5 s for it. A sound worker that is silent for 1.5 s right after such an answer missed that: a whole answer became 502, one that may run again ran twice, and a stream was broken off after its last event.

The report may now come until 2.5 s after the end of an answer that nobody has a part of, and until 1.8 s after that of a stream, whose caller gives up after 2 s. Where other answers ended at the same time the worker is asked at 1.5 s, with at least 0.5 s as before. A worker that answers at once costs nothing more. One that is gone without a refused connection (a machine that is cut off) is noticed up to 1 s later.

Longer silences are not covered.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,7 +24,7 @@
     fleet::Worker,
     forward::{CRASHING, Failure, MAX_ANSWER_BYTES, Session, StartedAnswer},
     head::{self, Head},
-    liveness::Responder,
+    liveness::{Delivery, Responder},
     marks::{self, Mark},
     refresh,
     sse::Events,
@@ -380,7 +380,7 @@
         let mut read = connection::within(self.remaining(), read).await;
         if !framed && read.is_ok() {
             let ended = responder.record_end();
-            let outlived = ended.outlive(EndEvidence::Outlived, self.remaining());
+            let outlived = ended.outlive(EndEvidence::Outlived, Delivery::Whole, self.remaining());
             if let Err(e) = outlived.await {
                 read = Err(e);
             }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -26,6 +26,7 @@
     dispatch::{Busy, Placement},
     fleet::Worker,
     gateway::Gateway,
+    liveness::Delivery,
     marks::{self, Mark},
     relay,
     splice::Form,
@@ -446,7 +447,8 @@
             if !framed && read.is_ok() {
                 started.placement.release();
                 let outlived = responder.record_end();
-                let outlived = outlived.outlive(EndEvidence::Outlived, self.remaining());
+                let outlived =
+                    outlived.outlive(EndEvidence::Outlived, Delivery::Whole, self.remaining());
                 if let Err(e) = outlived.await {
                     read = Err(e);
                 }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -25,7 +25,7 @@
     head::{self, Head},
     job::{Item, Job, Unproven, Verdict},
     jobs::SharedJob,
-    liveness::{Ended, Responder},
+    liveness::{Delivery, Ended, Responder},
     marks, refresh,
     splice::Form,
     sse::{End, Event, Events, Next},
@@ -184,7 +184,7 @@
             _ if output.numbered != output.events.len() => EndEvidence::Outlived,
             _ => return RunEnd::Unproven(ended),
         };
-        match ended.outlive(evidence, PROOF_LIMIT).await {
+        match ended.outlive(evidence, Delivery::Whole, PROOF_LIMIT).await {
             Ok(()) => RunEnd::Whole { framed: false },
             Err(e) => RunEnd::Broken(AttemptError::reading(&e, true)),
         }
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -25,8 +25,10 @@
 
 /// Time in which a worker is expected to answer a report.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
-/// Time in which a worker has to answer the report that decides.
+/// Time in which a worker has to answer the report that decides, at least.
 const LAST_REPORT_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time for which a sound worker is silent.
+const MAX_SILENCE: Duration = Duration::from_millis(1500);
 /// Time after the end of an answer for which its worker has to go on. A worker that ends closes its
 /// answers before its process exits. Callers give a stream up after 2 s without an event; half of that is
 /// left for the report.
@@ -35,6 +37,15 @@
 /// them. It leaves half a second of those 2 s.
 const SETTLE_TOGETHER: Duration = Duration::from_millis(500);
 
+/// How an answer is passed on, which decides how long its end may be in doubt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// The caller has the events, and gives the answer up 2 s after the last one.
+    Streamed,
+    /// Nobody has a part of the answer yet.
+    Whole,
+}
+
 /// The worker that sends an answer.
 #[derive(Debug, Clone)]
 pub struct Responder {
@@ -56,6 +67,17 @@
     at: Duration,
 }
 
+impl Delivery {
+    /// Returns the time after an end until which its worker may answer the report that decides.
+    const fn report_limit(self) -> Duration {
+        match self {
+            // The rest of the 2 s is for the end of the answer on its way to the caller.
+            Self::Streamed => Duration::from_millis(1800),
+            Self::Whole => SETTLE.saturating_add(MAX_SILENCE),
+        }
+    }
+}
+
 impl Responder {
     /// Records that the answer ended with its connection.
     pub fn record_end(&self) -> Ended {
@@ -76,7 +98,7 @@
             let limit = if connection.reused {
                 REPORT_LIMIT / 2
             } else {
-                LAST_REPORT_LIMIT
+                Delivery::Whole.report_limit()
             };
             match connection.exchange(request, limit, Proof::Content).await {
                 Ok(answer) => return self.check(&answer, connection),
@@ -136,13 +158,18 @@
     }
 
     /// Waits until the worker has outlived its answer. `evidence` is what this shows together with what is
-    /// known already.
+    /// known already. A sound worker may be silent right after its answer.
     ///
     /// # Errors
     ///
     /// Returns the errors of `check_running`, and one of kind `UnexpectedEof` when the answer may be
     /// incomplete for another reason, or `limit` is over before that is known.
-    pub async fn outlive(&self, evidence: EndEvidence, limit: Duration) -> io::Result<()> {
+    pub async fn outlive(
+        &self,
+        evidence: EndEvidence,
+        delivery: Delivery,
+        limit: Duration,
+    ) -> io::Result<()> {
         let deadline = Instant::now() + limit;
         self.check_running().await?;
         let left = deadline.saturating_duration_since(Instant::now());
@@ -151,7 +178,7 @@
             if self.beside() > 0 {
                 self.wait_until(self.at + SETTLE + SETTLE_TOGETHER).await;
             }
-            self.check_settled().await
+            self.check_settled(delivery).await
         };
         match connection::within(left, settled).await {
             Ok(()) => {
@@ -170,7 +197,7 @@
         Timer::after(time.saturating_sub(now)).await;
     }
 
-    async fn check_settled(&self) -> io::Result<()> {
+    async fn check_settled(&self, delivery: Delivery) -> io::Result<()> {
         let Responder {
             gateway, worker, ..
         } = &self.responder;
@@ -186,7 +213,8 @@
         if !gateway.dispatch.is_ready(&worker.id) && self.beside() > 0 {
             return Err(io::Error::other("a leaving worker ended other answers too"));
         }
-        connection::within(LAST_REPORT_LIMIT, self.responder.ask()).await
+        let left = (self.at + delivery.report_limit()).saturating_sub(gateway.now());
+        connection::within(left.max(LAST_REPORT_LIMIT), self.responder.ask()).await
     }
 
     fn beside(&self) -> usize {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -20,7 +20,7 @@
     connection::{AttemptError, Connection},
     dispatch::Placement,
     forward::{Asked, RESUME_WAIT, Session, StartedAnswer},
-    liveness::Ended,
+    liveness::{Delivery, Ended},
     splice::Form,
     sse::{End, Event, Events, Next},
     takeover::{self, ASK_LIMIT, Takeover},
@@ -182,7 +182,10 @@
         let ended = source.events.responder().record_end();
         let remaining = self.session.remaining();
         if self.unnumbered || !self.session.route.is_resumable() {
-            return match ended.outlive(EndEvidence::Outlived, remaining).await {
+            return match ended
+                .outlive(EndEvidence::Outlived, Delivery::Streamed, remaining)
+                .await
+            {
                 Ok(()) => {
                     self.finish();
                     Ok(true)
@@ -197,8 +200,16 @@
         if let Some(unproven) = &self.unproven {
             let is_other = unproven.ended.worker().id != ended.worker().id;
             let outlived = match (is_other, unproven.begun) {
-                (true, _) => ended.outlive(EndEvidence::Agreed, remaining).await,
-                (false, true) => ended.outlive(EndEvidence::Outlived, remaining).await,
+                (true, _) => {
+                    ended
+                        .outlive(EndEvidence::Agreed, Delivery::Streamed, remaining)
+                        .await
+                }
+                (false, true) => {
+                    ended
+                        .outlive(EndEvidence::Outlived, Delivery::Streamed, remaining)
+                        .await
+                }
                 // Two empty answers of one worker that was to go on may have the same fault.
                 (false, false) => Err(ended.reject_repeated()),
             };
@@ -259,7 +270,10 @@
         }
         if let Some(unproven) = self.unproven.take_if(|u| u.begun) {
             let remaining = self.session.remaining();
-            let outlived = unproven.ended.outlive(EndEvidence::Outlived, remaining);
+            let outlived =
+                unproven
+                    .ended
+                    .outlive(EndEvidence::Outlived, Delivery::Streamed, remaining);
             if outlived.await.is_ok() {
                 self.session.record_answered(false);
                 return Ok(());
