Review the records of crashes once a report at most

Callers of a large fleet met instances whose control thread stood still for up to 34 s when many workers were lost: configuration, workers, leaving and shares were as old as the stall. In a profile two thirds of the processor time were in blame::blocks, under Suspects::merge.

Once an instance held all of its 128 records, each further record of each report was reviewed by itself. A review compared each record with each, one record was dropped, and the next report of another instance brought it back.

Now a report is merged as a whole. Its records wait for the next review, at most one in 30 ms; a crash that is seen here is still reviewed at the next request. The records are trimmed to 128 in one pass, at a review or when 256 are held. Dropped records are remembered for 60 s, 8192 at most, and come back only when a request has needed them since. Known records and known proofs cause no review. The review groups records by worker and counts the crashes by a mark again only when it has lost records. No more than 128 records and 512 proofs of a report are read.

The tests in gateway_suspects.rs count reviews. They need the new counter, so they were not run on the former code.

--- a/src/gateway/blame.rs
+++ b/src/gateway/blame.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::ids::Map;
+use crate::ids::{Map, Set};
 
 use super::{fleet::WorkerKey, marks::Mark};
 
@@ -77,30 +77,32 @@
     }
 
     /// Returns whether the worker of the attempt goes on to break connections of other requests, so
-    /// that the break says nothing about the request.
-    fn is_by_failing_worker(&self, crashes: &[Self]) -> bool {
-        let is_other = |c: &&Self| {
-            let distance = c.at.abs_diff(self.at);
-            c.attempt.0 == self.attempt.0
-                && (BREAK_TIME..SAME_CRASH).contains(&distance)
-                && !c.marks.iter().any(|m| self.marks.contains(m))
-        };
-        let mut times: Vec<Duration> = crashes.iter().filter(is_other).map(|c| c.at).collect();
-        times.sort_unstable();
+    /// that the break says nothing about the request. `breaks` are the records of the worker, sorted
+    /// by time.
+    fn is_by_failing_worker(&self, breaks: &[&Self]) -> bool {
+        let first = breaks.partition_point(|c| c.at + SAME_CRASH <= self.at);
+        let near = breaks[first..].iter();
+        let near = near.take_while(|c| c.at < self.at + SAME_CRASH);
         let mut moments = 0;
         let mut next = Duration::ZERO;
-        for time in times {
-            if time >= next {
-                moments += 1;
-                next = time + BREAK_TIME;
+        for other in near.filter(|c| c.at.abs_diff(self.at) >= BREAK_TIME) {
+            if other.at < next || other.marks.iter().any(|m| self.marks.contains(m)) {
+                continue;
+            }
+            moments += 1;
+            if moments == FAILING_MOMENTS {
+                return true;
             }
+            next = other.at + BREAK_TIME;
         }
-        moments >= FAILING_MOMENTS
+        false
     }
 
-    /// Returns whether both attempts broke with the same crash of a worker.
-    fn is_beside(&self, other: &Self) -> bool {
-        self.attempt.0 == other.attempt.0 && self.at.abs_diff(other.at) < BREAK_TIME
+    /// Returns whether the attempt broke with one of the crashes of its worker at these times, which
+    /// are sorted.
+    fn is_beside(&self, times: &[Duration]) -> bool {
+        let first = times.partition_point(|t| *t + BREAK_TIME <= self.at);
+        times.get(first).is_some_and(|t| *t < self.at + BREAK_TIME)
     }
 }
 
@@ -128,14 +130,24 @@
 pub fn blocks(crashes: &[Crash], now: Duration) -> (Vec<Block>, Option<Duration>) {
     let mut blocks = Vec::new();
     let mut outdated: Option<Duration> = None;
-    let crashed = |c: &&Crash| !c.is_by_failing_worker(crashes);
-    let mut open: Vec<&Crash> = crashes.iter().filter(crashed).collect();
-    while let Some(mark) = most_suspected(&open) {
+    let mut open = sound_worker_breaks(crashes);
+    let mut suspicions = Suspicions::new(&open);
+    while let Some(mark) = suspicions.most_suspected() {
         let (held, rest): (Vec<&Crash>, Vec<&Crash>) =
             open.into_iter().partition(|c| c.marks.contains(&mark));
-        let is_explained = |c: &&Crash| held.iter().any(|h| h.is_beside(c));
-        open = rest.into_iter().filter(|c| !is_explained(c)).collect();
+        let mut moments: Map<WorkerKey, Vec<Duration>> = Map::default();
+        for crash in &held {
+            moments.entry(crash.attempt.0).or_default().push(crash.at);
+        }
+        for times in moments.values_mut() {
+            times.sort_unstable();
+        }
+        let (explained, rest): (Vec<&Crash>, Vec<&Crash>) = rest
+            .into_iter()
+            .partition(|c| moments.get(&c.attempt.0).is_some_and(|t| c.is_beside(t)));
+        open = rest;
         let times = crash_times(&held);
+        suspicions.remove(held.iter().chain(&explained), &open);
         let third = times[MIN_CRASHES - 1];
         let mut marks = held[0].marks.clone();
         marks.retain(|m| held.iter().all(|c| c.marks.contains(m)));
@@ -164,18 +176,68 @@
     marks.iter().any(|m| matches!(m, Mark::Request(_)))
 }
 
-/// Returns the mark that is in the records of most crashes, if it has enough of them.
-fn most_suspected(crashes: &[&Crash]) -> Option<Mark> {
+/// Returns the records of attempts at workers that do not break connections all the time.
+fn sound_worker_breaks(crashes: &[Crash]) -> Vec<&Crash> {
+    let mut by_worker: Map<WorkerKey, Vec<&Crash>> = Map::default();
+    for crash in crashes {
+        by_worker.entry(crash.attempt.0).or_default().push(crash);
+    }
+    for breaks in by_worker.values_mut() {
+        breaks.sort_unstable_by_key(|c| c.at);
+    }
+    let is_sound = |c: &&Crash| !c.is_by_failing_worker(&by_worker[&c.attempt.0]);
+    crashes.iter().filter(is_sound).collect()
+}
+
+/// Number of crashes by each mark that may have enough of them.
+struct Suspicions(Map<Mark, usize>);
+
+impl Suspicions {
+    fn new(crashes: &[&Crash]) -> Self {
+        let mut by_mark = records_by_mark(crashes, |_| true);
+        by_mark.retain(|_, records| records.len() >= MIN_CRASHES);
+        let counts = by_mark.into_iter();
+        Self(counts.map(|(m, r)| (m, crash_times(&r).len())).collect())
+    }
+
+    /// Returns the mark that is in the records of most crashes, if it has enough of them.
+    fn most_suspected(&self) -> Option<Mark> {
+        let counts = self.0.iter().map(|(mark, count)| (*count, *mark));
+        let (count, mark) = counts.max()?;
+        (count >= MIN_CRASHES).then_some(mark)
+    }
+
+    /// Counts the marks of removed records again in those that are left.
+    fn remove<'a>(&mut self, removed: impl Iterator<Item = &'a &'a Crash>, left: &[&Crash]) {
+        let mut outdated: Set<Mark> = Set::default();
+        for mark in removed.flat_map(|c| &c.marks) {
+            if self.0.remove(mark).is_some() {
+                outdated.insert(*mark);
+            }
+        }
+        if outdated.is_empty() {
+            return;
+        }
+        for (mark, records) in records_by_mark(left, |m| outdated.contains(m)) {
+            if records.len() >= MIN_CRASHES {
+                self.0.insert(mark, crash_times(&records).len());
+            }
+        }
+    }
+}
+
+/// Returns the records with each of the wanted marks.
+fn records_by_mark<'a>(
+    crashes: &[&'a Crash],
+    wanted: impl Fn(&Mark) -> bool,
+) -> Map<Mark, Vec<&'a Crash>> {
     let mut by_mark: Map<Mark, Vec<&Crash>> = Map::default();
     for crash in crashes {
-        for mark in &crash.marks {
+        for mark in crash.marks.iter().filter(|m| wanted(m)) {
             by_mark.entry(*mark).or_default().push(crash);
         }
     }
-    let counts = by_mark.into_iter();
-    let counts = counts.map(|(mark, crashes)| (crash_times(&crashes).len(), mark));
-    let (count, mark) = counts.max()?;
-    (count >= MIN_CRASHES).then_some(mark)
+    by_mark
 }
 
 /// Returns the times of the crashes in records, in order. Attempts that broke at one worker at the
@@ -185,15 +247,26 @@
     let mut breaks: Vec<(Duration, AttemptKey)> =
         records.iter().map(|c| (c.at, c.attempt)).collect();
     breaks.sort_unstable();
-    let mut crashes: Vec<(Duration, AttemptKey)> = Vec::new();
+    let mut by_worker: Map<WorkerKey, Duration> = Map::default();
+    // The last crash, and the last one by another request.
+    let mut last: Option<(Duration, u32)> = None;
+    let mut before: Option<(Duration, u32)> = None;
+    let mut times = Vec::new();
     for (at, (worker, request)) in breaks {
-        let is_same = |(earlier, attempt): &(Duration, AttemptKey)| {
-            let same_cause = at < *earlier + SAME_CAUSE && attempt.1 != request;
-            same_cause || attempt.0 == worker && at < *earlier + SAME_CRASH
-        };
-        if !crashes.iter().any(is_same) {
-            crashes.push((at, (worker, request)));
+        let at_worker = by_worker.get(&worker);
+        let has_cause =
+            |(earlier, other): &(Duration, u32)| at < *earlier + SAME_CAUSE && *other != request;
+        if at_worker.is_some_and(|t| at < *t + SAME_CRASH)
+            || last.iter().chain(&before).any(has_cause)
+        {
+            continue;
+        }
+        times.push(at);
+        by_worker.insert(worker, at);
+        if last.is_some_and(|(_, other)| other != request) {
+            before = last;
         }
+        last = Some((at, request));
     }
-    crashes.into_iter().map(|(at, _)| at).collect()
+    times
 }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -23,6 +23,16 @@
 const MEMORY: Duration = Duration::from_secs(3600);
 /// Maximum number of records.
 const MAX_RECORDS: usize = 128;
+/// Number of records at which those beyond `MAX_RECORDS` are dropped at once. Up to it they wait for
+/// the next review, so that one review serves many new records.
+const FULL_RECORDS: usize = 2 * MAX_RECORDS;
+/// Minimum time between reviews that follow from reports of other instances. In a large fleet they
+/// arrive by the thousand in a second when many workers crash.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(30);
+/// Maximum number of dropped records that are remembered.
+const MAX_DROPPED: usize = 8192;
+/// Time by which a dropped record has to be needed later than before to be added again.
+const NEEDED_AGAIN: Duration = Duration::from_secs(1);
 /// Maximum number of marks in a record: the last parts of the prompt and the request.
 const MAX_MARKS: usize = 16;
 /// Maximum number of marks that are remembered as proved sound.
@@ -51,11 +61,17 @@
 /// Records of crashes and what follows from them.
 #[derive(Debug, Default)]
 pub struct Suspects {
+    /// Sorted by attempt.
     crashes: Vec<Crash>,
+    /// Records that were dropped lately, which other instances go on to report.
+    dropped: Map<AttemptKey, Dropped>,
     proved: Map<Mark, Duration>,
     blocks: Vec<Block>,
     /// Time from which on the blocks are outdated.
     review_at: Option<Duration>,
+    /// Time of the last review.
+    reviewed: Duration,
+    review_count: u64,
     probe_until: Duration,
     new_crashes: Vec<Crash>,
     new_proofs: Vec<(Mark, Duration)>,
@@ -66,6 +82,17 @@
     sound: Vec<Fingerprint>,
 }
 
+/// A record that was dropped.
+#[derive(Debug)]
+struct Dropped {
+    /// Time of the break.
+    crashed: Duration,
+    /// Time of the last request that the record kept from the workers.
+    needed: Duration,
+    /// Time at which it was dropped.
+    at: Duration,
+}
+
 /// What is new of blocked requests.
 #[derive(Debug, Default)]
 pub struct BlockNews {
@@ -90,9 +117,13 @@
         if !self.add(crash.clone(), now) {
             return false;
         }
+        self.review_at = Some(now);
         self.unsaved
             .extend(crash.marks.iter().filter_map(Mark::request));
-        self.new_crashes.push(crash);
+        // Other instances keep no more of a report.
+        if self.new_crashes.len() < MAX_RECORDS {
+            self.new_crashes.push(crash);
+        }
         true
     }
 
@@ -106,10 +137,11 @@
         let unblocked = sound.iter().filter_map(Mark::request).filter(is_blocked);
         let unblocked: Vec<Fingerprint> = unblocked.collect();
         self.sound.extend(unblocked);
-        for mark in &sound {
-            self.prove(*mark, now, now);
-            self.new_proofs.push((*mark, now));
+        if !sound.is_empty() {
+            self.prove(sound.iter().map(|m| (*m, now)));
+            self.review_at = Some(now);
         }
+        self.new_proofs.extend(sound.iter().map(|m| (*m, now)));
         !sound.is_empty()
     }
 
@@ -165,6 +197,11 @@
         self.blocks.len()
     }
 
+    /// Returns the number of times that the blocks were brought up to date.
+    pub fn review_count(&self) -> u64 {
+        self.review_count
+    }
+
     /// Returns the blocks that are new since the last call, for the log.
     pub fn take_blocks(&mut self) -> Vec<Block> {
         std::mem::take(&mut self.new_blocks)
@@ -235,6 +272,7 @@
                 .iter()
                 .any(|c| c.is_at_worker_of(&crash) && is_subset(&crash.marks, &c.marks));
             if !is_known && self.add(crash.clone(), now) {
+                self.review_at = Some(now);
                 is_new = true;
                 self.new_crashes.push(crash);
             }
@@ -266,6 +304,9 @@
     fn report_needed(&mut self, now: Duration, within: Duration) -> Report {
         let now = now + ORIGIN;
         self.expire(now);
+        if self.crashes.len() > MAX_RECORDS {
+            self.trim(now);
+        }
         let crashes = self.crashes.iter().filter(|c| now < c.needed + within);
         let proofs = self.proved.iter();
         let proofs = proofs.filter(|(_, at)| now < **at + PROOF_REPORTED);
@@ -279,78 +320,138 @@
     pub fn merge(&mut self, report: Report, now: Duration) {
         let now = now + ORIGIN;
         let time = |age: u64| now.saturating_sub(Duration::from_millis(age));
-        for (mark, age) in report.proved {
-            self.prove(mark, time(age), now);
-        }
-        for crash in report.crashes {
+        let proved = report.proved.into_iter().take(MAX_PROVED);
+        let mut changed = self.prove(proved.map(|(m, age)| (m, time(age))));
+        for crash in report.crashes.into_iter().take(MAX_RECORDS) {
             let crash = Crash {
                 attempt: crash.attempt,
                 at: time(crash.at),
                 needed: time(crash.needed),
                 marks: crash.marks,
             };
-            self.add(crash, now);
+            if !self.was_dropped(&crash, now) {
+                changed |= self.add(crash, now);
+            }
+        }
+        if changed {
+            let due = now.max(self.reviewed + REVIEW_INTERVAL);
+            self.review_at = Some(self.review_at.map_or(due, |t| t.min(due)));
         }
     }
 
-    /// Adds a record, and returns whether any of its marks may be to blame.
+    /// Returns whether a record was dropped and has not been needed since.
+    fn was_dropped(&self, crash: &Crash, now: Duration) -> bool {
+        self.dropped.get(&crash.attempt).is_some_and(|d| {
+            now < d.at + CRASH_REPORTED
+                && d.crashed.abs_diff(crash.at) < blame::SAME_CRASH
+                && crash.needed < d.needed + NEEDED_AGAIN
+        })
+    }
+
+    /// Adds a record, and returns whether that may change the blocks.
     fn add(&mut self, mut crash: Crash, now: Duration) -> bool {
         let is_sound = |m: &Mark| self.proved.get(m).is_some_and(|t| *t >= crash.at);
         crash.marks.retain(|m| !is_sound(m));
         if crash.marks.is_empty() || now >= crash.needed + MEMORY {
             return false;
         }
-        let same = |c: &&mut Crash| c.is_same(&crash);
-        if let Some(known) = self.crashes.iter_mut().find(same) {
+        let attempt = crash.attempt;
+        let first = self.crashes.partition_point(|c| c.attempt < attempt);
+        let beyond = self.crashes[first..].partition_point(|c| c.attempt == attempt);
+        let mut known = self.crashes[first..first + beyond].iter_mut();
+        if let Some(known) = known.find(|c| c.is_same(&crash)) {
             // Times that travel as ages are some milliseconds off, so the first one stays.
             known.needed = known.needed.max(crash.needed);
+            let before = known.marks.len();
             known.marks.retain(|m| crash.marks.contains(m));
-        } else {
-            self.crashes.push(crash);
+            if known.marks.is_empty() {
+                self.crashes.retain(|c| !c.marks.is_empty());
+                return true;
+            }
+            return known.marks.len() != before;
         }
-        self.crashes.retain(|c| !c.marks.is_empty());
-        self.review_at = Some(now);
-        if self.crashes.len() > MAX_RECORDS {
-            // The record may be the one that completes a block.
-            self.review(now);
-            self.drop_record();
-            self.review_at = Some(now);
+        self.crashes.insert(first, crash);
+        if self.crashes.len() >= FULL_RECORDS {
+            self.trim(now);
         }
         true
     }
 
-    /// Drops a record that keeps nothing from the workers, of the worker that has most of them: one
-    /// that breaks connections all the time would otherwise displace the records of all others.
-    fn drop_record(&mut self) {
-        let mut counts: Map<WorkerKey, usize> = Map::default();
-        for crash in &self.crashes {
-            *counts.entry(crash.attempt.0).or_default() += 1;
+    /// Drops the records beyond `MAX_RECORDS`: first those that keep nothing from the workers, of the
+    /// workers that have most of them. One that breaks connections all the time would otherwise
+    /// displace the records of all others.
+    fn trim(&mut self, now: Duration) {
+        // The new records may complete a block.
+        self.update_blocks(now);
+        let excess = self.crashes.len().saturating_sub(MAX_RECORDS);
+        if excess == 0 {
+            return;
         }
-        let need = |i: &usize| {
-            let crash = &self.crashes[*i];
-            let blocks = self.blocks_in(&crash.marks).next().is_some();
-            (blocks, Reverse(counts[&crash.attempt.0]), crash.needed)
-        };
-        let least = (0..self.crashes.len()).min_by_key(need);
-        least.map(|i| self.crashes.swap_remove(i));
+        let blocks = |c: &Crash| self.blocks_in(&c.marks).next().is_some();
+        let mut order: Vec<(bool, Duration, usize)> = self
+            .crashes
+            .iter()
+            .enumerate()
+            .map(|(i, c)| (blocks(c), c.needed, i))
+            .collect();
+        // The rank of a record among those of its worker: blocking ones first, then by need.
+        order.sort_unstable();
+        let mut ranks: Map<WorkerKey, usize> = Map::default();
+        let mut order: Vec<_> = order
+            .into_iter()
+            .rev()
+            .map(|(blocks, needed, i)| {
+                let rank = ranks.entry(self.crashes[i].attempt.0).or_default();
+                *rank += 1;
+                (blocks, Reverse(*rank), needed, i)
+            })
+            .collect();
+        order.sort_unstable();
+        let excess: Set<usize> = order[..excess].iter().map(|(.., i)| *i).collect();
+        let crashes = std::mem::take(&mut self.crashes).into_iter().enumerate();
+        for (i, crash) in crashes {
+            if excess.contains(&i) {
+                let dropped = Dropped {
+                    crashed: crash.at,
+                    needed: crash.needed,
+                    at: now,
+                };
+                self.dropped.insert(crash.attempt, dropped);
+            } else {
+                self.crashes.push(crash);
+            }
+        }
+        self.dropped.retain(|_, d| now < d.at + CRASH_REPORTED);
+        evict_oldest(&mut self.dropped, MAX_DROPPED, |d| d.at);
+        // Without the dropped records the blocks may differ.
+        let due = now + REVIEW_INTERVAL;
+        self.review_at = Some(self.review_at.map_or(due, |t| t.min(due)));
     }
 
-    /// Records that a mark was sound at a time.
-    fn prove(&mut self, mark: Mark, at: Duration, now: Duration) {
-        let known = self.proved.entry(mark).or_insert(at);
-        *known = at.max(*known);
-        let at = *known;
-        for crash in self.crashes.iter_mut().filter(|c| c.at <= at) {
-            crash.marks.retain(|m| *m != mark);
+    /// Records that marks were sound at times, and returns whether records changed.
+    fn prove(&mut self, proofs: impl Iterator<Item = (Mark, Duration)>) -> bool {
+        let mut is_new = false;
+        for (mark, at) in proofs {
+            let known = self.proved.entry(mark).or_default();
+            is_new |= at > *known;
+            *known = at.max(*known);
         }
-        self.crashes.retain(|c| !c.marks.is_empty());
-        if self.proved.len() > MAX_PROVED
-            && let Some((oldest, _)) = self.proved.iter().min_by_key(|(_, at)| **at)
-        {
-            let oldest = *oldest;
-            self.proved.remove(&oldest);
+        if !is_new {
+            return false;
         }
-        self.review_at = Some(now);
+        let mut changed = false;
+        let proved = &self.proved;
+        for crash in &mut self.crashes {
+            let before = crash.marks.len();
+            let at = crash.at;
+            crash
+                .marks
+                .retain(|m| proved.get(m).is_none_or(|t| *t < at));
+            changed |= crash.marks.len() != before;
+        }
+        self.crashes.retain(|c| !c.marks.is_empty());
+        evict_oldest(&mut self.proved, MAX_PROVED, |at| *at);
+        changed
     }
 
     fn expire(&mut self, now: Duration) {
@@ -372,6 +473,16 @@
         if self.review_at.is_none_or(|t| now < t) {
             return;
         }
+        if self.crashes.len() > MAX_RECORDS {
+            self.trim(now);
+        } else {
+            self.update_blocks(now);
+        }
+    }
+
+    fn update_blocks(&mut self, now: Duration) {
+        self.reviewed = now;
+        self.review_count += 1;
         let (blocks, outdated) = blame::blocks(&self.crashes, now);
         self.review_at = outdated;
         let is_new = |b: &&Block| self.blocks.iter().all(|old| old.marks != b.marks);
@@ -381,6 +492,23 @@
     }
 }
 
+/// Removes the entries with the oldest times beyond a number.
+fn evict_oldest<K: Copy + Eq + std::hash::Hash, V>(
+    entries: &mut Map<K, V>,
+    max: usize,
+    time: impl Fn(&V) -> Duration,
+) {
+    let excess = entries.len().saturating_sub(max);
+    if excess == 0 {
+        return;
+    }
+    let mut times: Vec<(Duration, K)> = entries.iter().map(|(k, v)| (time(v), *k)).collect();
+    times.select_nth_unstable_by_key(excess, |(at, _)| *at);
+    for (_, key) in &times[..excess] {
+        entries.remove(key);
+    }
+}
+
 fn is_subset(marks: &[Mark], of: &[Mark]) -> bool {
     marks.iter().all(|m| of.contains(m))
 }
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -388,3 +388,117 @@
     crash(&mut suspects, &[REQUEST], 4, 450);
     assert!(!admits(&mut suspects, &[REQUEST], 1000));
 }
+
+/// Builds the reports of instances with full records after many workers crashed.
+fn full_reports(instances: u64) -> Vec<Report> {
+    let report = |instance: u64| {
+        let mut suspects = Suspects::default();
+        for n in 0..128 {
+            let request = instance * 1000 + n;
+            let marks = [
+                Mark::Part(n % 20),
+                Mark::Part(20 + request % 50),
+                Mark::Request(request),
+            ];
+            let now = at(23 * n + instance % 23);
+            suspects.record_crash(&marks, ((n % 60) as u32, request as u32), now);
+        }
+        suspects.report(at(3000))
+    };
+    (0..instances).map(report).collect()
+}
+
+/// Measures what the reports of a large fleet cost one of its instances.
+#[test]
+#[ignore = "measures time"]
+fn reports_of_a_large_fleet_cost_little() {
+    for instances in [20, 110, 300] {
+        let reports = full_reports(instances);
+        let mut suspects = Suspects::default();
+        let mut longest = Duration::ZERO;
+        let mut total = Duration::ZERO;
+        for round in 0..3 {
+            for (n, report) in reports.iter().enumerate() {
+                let now = at(3000 + 1000 * round + 1000 * n as u64 / instances);
+                let report = report.clone();
+                let started = std::time::Instant::now();
+                suspects.merge(report, now);
+                admits(&mut suspects, &[REQUEST], now.as_millis() as u64);
+                let took = started.elapsed();
+                longest = longest.max(took);
+                total += took;
+            }
+        }
+        let mean = total / (3 * instances as u32);
+        println!("instances={instances} longest={longest:?} mean={mean:?}");
+    }
+}
+
+/// Guards against a review of all records for each record of each report, which keeps the control
+/// threads of a large fleet busy for seconds.
+#[test]
+fn reviews_do_not_grow_with_the_reports_of_a_large_fleet() {
+    for instances in [20, 110, 300] {
+        let mut suspects = Suspects::default();
+        for report in full_reports(instances) {
+            // Requests at the same moment see the blocks of the first review.
+            suspects.merge(report, at(4000));
+            admits(&mut suspects, &[REQUEST], 4000);
+        }
+        let reviews = suspects.review_count();
+        assert!(reviews <= 1 + instances, "{instances}: {reviews} reviews");
+    }
+}
+
+/// Guards against dropped records that come back as new with each report of another instance.
+#[test]
+fn dropped_records_do_not_come_back_with_the_next_report() {
+    let mut suspects = Suspects::default();
+    for report in full_reports(30) {
+        suspects.merge(report, at(4000));
+    }
+    let known = suspects.report(at(4000));
+    assert_eq!(known.crashes.len(), 128);
+    admits(&mut suspects, &[REQUEST], 5000);
+    let reviews = suspects.review_count();
+    for report in full_reports(30) {
+        suspects.merge(report, at(4000));
+        admits(&mut suspects, &[REQUEST], 5100);
+    }
+    assert_eq!(suspects.review_count(), reviews);
+    assert_eq!(suspects.report(at(4000)), known);
+}
+
+/// Guards against a crash that is not blamed since its record waits for the review of a report.
+#[test]
+fn a_crash_seen_here_counts_at_once_beside_reports_of_others() {
+    let mut other = Suspects::default();
+    other.record_crash(&[NEIGHBOUR], (5, 5), at(0));
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, &[REQUEST], 2, 0);
+    assert!(admits(&mut suspects, &[REQUEST], 200));
+    suspects.merge(other.report(at(200)), at(200));
+    suspects.record_crash(&[REQUEST], (9, 9), at(201));
+    assert!(!admits(&mut suspects, &[REQUEST], 201));
+}
+
+/// Guards against a record that was dropped and keeps a request of another instance from the workers,
+/// but is not taken again.
+#[test]
+fn a_dropped_record_is_added_again_when_it_is_needed() {
+    let mut other = Suspects::default();
+    crash(&mut other, &[REQUEST], 3, 0);
+    let mut suspects = Suspects::default();
+    suspects.merge(other.report(at(300)), at(300));
+    for n in 0..200_u32 {
+        let request = [Mark::Request(u64::from(n) + 100)];
+        suspects.record_crash(&request, (n + 100, n + 100), at(400 + 50 * u64::from(n)));
+    }
+    assert!(!admits(&mut suspects, &[REQUEST], 11_000));
+    suspects.record_proof(&[REQUEST], at(11_100));
+    assert!(admits(&mut suspects, &[REQUEST], 11_100));
+    crash(&mut other, &[REQUEST], 3, 12_000);
+    assert!(!admits(&mut other, &[REQUEST], 13_000));
+    suspects.merge(other.report(at(13_000)), at(13_000));
+    assert!(!admits(&mut suspects, &[REQUEST], 13_100));
+}
