--- a/tests/gateway_support/caller.rs
+++ b/tests/gateway_support/caller.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use crate::support::http::host;
+
 /// Bound on the wait for the next bytes of an answer.
 const READ_LIMIT: Duration = Duration::from_secs(10);
 
@@ -80,7 +82,8 @@
         }
         let pause = self.pause;
         let (address, reader) = self.connection.as_mut().ok_or(io::ErrorKind::NotFound)?;
-        let mut head = format!("POST {path} HTTP/1.1\r\nhost: {address}\r\n");
+        let host = host(*address);
+        let mut head = format!("POST {path} HTTP/1.1\r\nhost: {host}\r\n");
         for (name, value) in headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -63,6 +63,12 @@
     }
 }
 
+/// Returns the host that requests to an address name, which is the one of the routes of tests on each
+/// loopback host.
+pub fn host(address: SocketAddr) -> String {
+    format!("127.0.0.1:{}", address.port())
+}
+
 /// Sends a request. Returns `None` if the connection fails before the answer is complete.
 pub fn call(
     address: SocketAddr,
@@ -109,7 +115,8 @@
 ) -> io::Result<BufReader<TcpStream>> {
     let mut connection = TcpStream::connect_timeout(&address, CONNECT_LIMIT)?;
     connection.set_read_timeout(Some(READ_LIMIT))?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n");
+    let host = host(address);
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {host}\r\nconnection: close\r\n");
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
