Log the steps of the control thread that take long

A control thread that stood still was seen only in process-stalled, which gives the time and not the work. The step that held it had to be found with a profiler.

The steps of the heartbeats (received reports, heartbeats and fleet messages, building and sending heartbeats, reports, limits and shares, block news, silent members) are timed, and one of 100 ms or more is logged as step-slow with its name and its time. A stall without such a line has another cause: work outside of the heartbeats, or no processor.

--- a/src/events.rs
+++ b/src/events.rs
@@ -226,6 +226,8 @@
     LinesOmitted = 5006, "lines-omitted";
     /// The process did not run for a while.
     ProcessStalled = 5007, "process-stalled";
+    /// A step of the control thread took long.
+    StepSlow = 5008, "step-slow";
 }
 
 impl Event {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -32,6 +32,7 @@
     pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
+    slow_step::timed,
     versions::History,
     worker_limits::{Change, Notice, Reply},
 };
@@ -121,7 +122,7 @@
     loop {
         number += 1;
         let now = gateway.now();
-        let heartbeat = heartbeat(gateway, number);
+        let heartbeat = timed("build-heartbeat", || heartbeat(gateway, number));
         let repeated = last_sent
             .as_ref()
             .is_some_and(|h: &Heartbeat| h.is_repeated_by(&heartbeat));
@@ -140,20 +141,28 @@
                 urgent_targets(gateway, &targets, &yielding)
             };
             let near = due.near.then_some(&targets.near);
-            send_heartbeat(socket, &heartbeat, &far, near, relayed);
+            timed("send-heartbeat", || {
+                send_heartbeat(socket, &heartbeat, &far, near, relayed);
+            });
             pace.set_outside(targets.outside);
             gateway.dispatch.set_far_age(pace.far_age());
             last_sent = Some(heartbeat);
         }
-        send_reports(gateway, socket, &mut report_due);
-        send_limits(gateway, socket, &mut limits_due);
-        send_histories(gateway, socket);
+        timed("send-reports", || {
+            send_reports(gateway, socket, &mut report_due);
+        });
+        timed("send-limits", || {
+            send_limits(gateway, socket, &mut limits_due);
+            send_histories(gateway, socket);
+        });
         if now >= lead_due {
             lead_due = now + LEAD_INTERVAL;
-            gateway.update_limit_shares();
+            timed("limit-shares", || gateway.update_limit_shares());
         }
-        block_store::write_news(gateway);
-        remove_silent(gateway, updates, last_check, now);
+        timed("block-news", || block_store::write_news(gateway));
+        timed("silent-members", || {
+            remove_silent(gateway, updates, last_check, now);
+        });
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
         let next = now + pace.pause(now);
@@ -477,12 +486,16 @@
         };
         let message = &buffer[..count];
         if let Some(report) = message.strip_prefix(&REPORT_MARK) {
-            read_report(gateway, report);
+            timed("report", || read_report(gateway, report));
         } else if let Some(message) = message.strip_prefix(&FLEET_MARK) {
-            read_fleet_message(gateway, socket, message, sender);
+            timed("fleet-message", || {
+                read_fleet_message(gateway, socket, message, sender);
+            });
         } else {
-            let joined = read_message(gateway, message, updates, relayed);
-            greet(gateway, socket, joined);
+            timed("heartbeat", || {
+                let joined = read_message(gateway, message, updates, relayed);
+                greet(gateway, socket, joined);
+            });
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 pub mod settings;
 pub mod share_lag;
 pub mod shared_clock;
+pub mod slow_step;
 pub mod splice;
 pub mod sse;
 pub mod suspects;
