Bound the log lines on instances that join and leave

Each instance logs the changes of all others, so the lines grow with the square of the fleet.

Now an instance writes ten such lines within 10 s, from the first change on. Further changes are counted, and one members-changed line gives their numbers and the number of live instances at the end of the 10 s. So an instance writes at most 11 of these lines in 10 s, whatever the size of the fleet.

--- a/src/events.rs
+++ b/src/events.rs
@@ -200,6 +200,8 @@
     WorkerWithdrawn = 3026, "worker-withdrawn";
     /// The announcement of a worker that it leaves no longer holds.
     LeavingForgotten = 3027, "leaving-forgotten";
+    /// More instances joined or left than are logged one by one.
+    MembersChanged = 3028, "members-changed";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -31,6 +31,7 @@
     fleet::{self, Worker},
     jobs::Jobs,
     marks::{self, Mark},
+    member_log::MemberLog,
     memory::Memory,
     peers::{Candidate, FORGET_AFTER, Heartbeat, Member, Peers},
     refresh::Pulse,
@@ -74,6 +75,7 @@
     pub views: Mutex<Views>,
     peers: Mutex<Peers>,
     suspects: Mutex<Suspects>,
+    member_log: Mutex<MemberLog>,
     streams: Mutex<Streams>,
     ends: Mutex<Ends>,
     /// Reads of the shares of the versions.
@@ -103,6 +105,7 @@
             views: Mutex::default(),
             peers: Mutex::default(),
             suspects: Mutex::default(),
+            member_log: Mutex::default(),
             streams: Mutex::default(),
             ends: Mutex::default(),
             share_reads: Reads::default(),
@@ -132,6 +135,11 @@
         lock(&self.suspects)
     }
 
+    /// Returns the bound on the log lines on other instances.
+    pub fn member_log(&self) -> MutexGuard<'_, MemberLog> {
+        lock(&self.member_log)
+    }
+
     /// Returns what is known of the versions that begin streams.
     pub fn streams(&self) -> MutexGuard<'_, Streams> {
         lock(&self.streams)
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -29,6 +29,7 @@
     gateway::Gateway,
     jobs::SharedJob,
     marks,
+    member_log::MemberChange,
     pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
@@ -163,6 +164,7 @@
         timed("silent-members", || {
             remove_silent(gateway, updates, last_check, now);
         });
+        log_members(gateway, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
         let next = now + pace.pause(now);
@@ -389,6 +391,20 @@
     }
 }
 
+/// Logs how many instances joined and left without a line of their own.
+fn log_members(gateway: &Gateway, now: Duration) {
+    let Some(omitted) = gateway.member_log().take_omitted(now) else {
+        return;
+    };
+    let live = gateway.peers().live(now).count();
+    let (joined, left) = (omitted.joined, omitted.left);
+    event!(
+        Info,
+        MembersChanged,
+        "joined={joined} left={left} live={live}"
+    );
+}
+
 /// Removes the load of the instances whose heartbeats timed out since the last check.
 fn remove_silent(gateway: &Gateway, updates: &UpdateSenders, last_check: Duration, now: Duration) {
     let silent = gateway.peers().newly_silent(now, last_check);
@@ -401,7 +417,9 @@
         gateway.dispatch.mark_zone_unreachable(&zone);
     }
     for peer in silent {
-        event!(Info, MemberLeft, "peer={peer}");
+        if gateway.member_log().admit(MemberChange::Left, now) {
+            event!(Info, MemberLeft, "peer={peer}");
+        }
         let empty = Backlog::default();
         gateway.dispatch.set_peer(&peer, Map::default(), empty);
         gateway.dispatch.set_zone(&peer, None);
@@ -601,7 +619,10 @@
         }
     }
     if result == PeerChange::Joined {
-        event!(Info, MemberJoined, "peer={instance}");
+        let now = gateway.now();
+        if gateway.member_log().admit(MemberChange::Joined, now) {
+            event!(Info, MemberJoined, "peer={instance}");
+        }
         let _ = updates.members.try_send(());
     }
     result
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
 //! docs/platform.md describes the modules. `blame`, `block_record`, `config`, `crash_report`,
-//! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`,
+//! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `member_log`, `orphans`, `pace`, `peers`, `splice`, `sse`,
 //! `suspects`, `versions`, `view`, `worker_limits` and `write_gate` hold the logic; the other modules do
 //! the I/O.
 
@@ -32,6 +32,7 @@
 pub mod leaving;
 pub mod liveness;
 pub mod marks;
+pub mod member_log;
 pub mod memory;
 pub mod orphans;
 pub mod pace;
