--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -29,9 +29,11 @@
     gateway::Gateway,
     jobs::SharedJob,
     marks,
+    member_log::MemberChange,
     pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
+    slow_step::timed,
     versions::History,
     worker_limits::{Change, Notice, Reply},
 };
@@ -121,7 +123,7 @@
     loop {
         number += 1;
         let now = gateway.now();
-        let heartbeat = heartbeat(gateway, number);
+        let heartbeat = timed("build-heartbeat", || heartbeat(gateway, number));
         let repeated = last_sent
             .as_ref()
             .is_some_and(|h: &Heartbeat| h.is_repeated_by(&heartbeat));
@@ -140,20 +142,29 @@
                 urgent_targets(gateway, &targets, &yielding)
             };
             let near = due.near.then_some(&targets.near);
-            send_heartbeat(socket, &heartbeat, &far, near, relayed);
+            timed("send-heartbeat", || {
+                send_heartbeat(socket, &heartbeat, &far, near, relayed);
+            });
             pace.set_outside(targets.outside);
             gateway.dispatch.set_far_age(pace.far_age());
             last_sent = Some(heartbeat);
         }
-        send_reports(gateway, socket, &mut report_due);
-        send_limits(gateway, socket, &mut limits_due);
-        send_histories(gateway, socket);
+        timed("send-reports", || {
+            send_reports(gateway, socket, &mut report_due);
+        });
+        timed("send-limits", || {
+            send_limits(gateway, socket, &mut limits_due);
+            send_histories(gateway, socket);
+        });
         if now >= lead_due {
             lead_due = now + LEAD_INTERVAL;
-            gateway.update_limit_shares();
+            timed("limit-shares", || gateway.update_limit_shares());
         }
-        block_store::write_news(gateway);
-        remove_silent(gateway, updates, last_check, now);
+        timed("block-news", || block_store::write_news(gateway));
+        timed("silent-members", || {
+            remove_silent(gateway, updates, last_check, now);
+        });
+        log_members(gateway, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
         let next = now + pace.pause(now);
@@ -380,6 +391,20 @@
     }
 }
 
+/// Logs how many instances joined and left without a line of their own.
+fn log_members(gateway: &Gateway, now: Duration) {
+    let Some(omitted) = gateway.member_log().take_omitted(now) else {
+        return;
+    };
+    let live = gateway.peers().live(now).count();
+    let (joined, left) = (omitted.joined, omitted.left);
+    event!(
+        Info,
+        MembersChanged,
+        "joined={joined} left={left} live={live}"
+    );
+}
+
 /// Removes the load of the instances whose heartbeats timed out since the last check.
 fn remove_silent(gateway: &Gateway, updates: &UpdateSenders, last_check: Duration, now: Duration) {
     let silent = gateway.peers().newly_silent(now, last_check);
@@ -392,7 +417,9 @@
         gateway.dispatch.mark_zone_unreachable(&zone);
     }
     for peer in silent {
-        event!(Info, MemberLeft, "peer={peer}");
+        if gateway.member_log().admit(MemberChange::Left, now) {
+            event!(Info, MemberLeft, "peer={peer}");
+        }
         let empty = Backlog::default();
         gateway.dispatch.set_peer(&peer, Map::default(), empty);
         gateway.dispatch.set_zone(&peer, None);
@@ -478,12 +505,16 @@
         };
         let message = &buffer[..count];
         if let Some(report) = message.strip_prefix(&REPORT_MARK) {
-            read_report(gateway, report);
+            timed("report", || read_report(gateway, report));
         } else if let Some(message) = message.strip_prefix(&FLEET_MARK) {
-            read_fleet_message(gateway, socket, message, sender);
+            timed("fleet-message", || {
+                read_fleet_message(gateway, socket, message, sender);
+            });
         } else {
-            let joined = read_message(gateway, message, updates, relayed);
-            greet(gateway, socket, joined);
+            timed("heartbeat", || {
+                let joined = read_message(gateway, message, updates, relayed);
+                greet(gateway, socket, joined);
+            });
         }
     }
 }
@@ -589,7 +620,10 @@
         }
     }
     if result == PeerChange::Joined {
-        event!(Info, MemberJoined, "peer={instance}");
+        let now = gateway.now();
+        if gateway.member_log().admit(MemberChange::Joined, now) {
+            event!(Info, MemberJoined, "peer={instance}");
+        }
         let _ = updates.members.try_send(());
     }
     result
