--- a/src/events.rs
+++ b/src/events.rs
@@ -88,6 +88,8 @@
     EndConfirmed = 1027, "end-confirmed";
     /// The connection of an answer was closed at the end of its time.
     AnswerCut = 1029, "answer-cut";
+    /// A request is sent to its worker through another instance.
+    RequestRelayed = 1030, "request-relayed";
 
     // 2000 to 2999: batch jobs.
     /// A batch job was accepted.
@@ -200,6 +202,14 @@
     WorkerWithdrawn = 3026, "worker-withdrawn";
     /// The announcement of a worker that it leaves no longer holds.
     LeavingForgotten = 3027, "leaving-forgotten";
+    /// This instance reaches no worker; its requests go through other instances.
+    LinksCut = 3028, "links-cut";
+    /// This instance reaches workers again.
+    LinksBack = 3029, "links-back";
+    /// Another instance carried no connection to a worker and is not asked for a while.
+    CarrierAvoided = 3030, "carrier-avoided";
+    /// A connection to a worker is not carried for another instance.
+    RelayRefused = 3031, "relay-refused";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
@@ -237,6 +247,8 @@
             Event::RouteChosen
                 | Event::WorkerChosen
                 | Event::CallAnswered
+                | Event::RequestRelayed
+                | Event::RelayRefused
                 | Event::CallerLeft
                 | Event::GroupClaimed
                 | Event::GroupCommitted
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,12 +24,14 @@
     fleet::Worker,
     forward::{CRASHING, Failure, MAX_ANSWER_BYTES, Session, StartedAnswer},
     head::{self, Head},
+    links,
     liveness::Responder,
     marks::{self, Mark},
     refresh,
     sse::Events,
     suspects::Admission,
     takeover::Reply,
+    upstream::ConnectError,
     write_gate::Decision,
 };
 
@@ -69,6 +71,7 @@
                 }
                 AttemptResult::TryNext => {}
                 AttemptResult::Broken(placement, broken) => {
+                    self.check_links(&placement, &broken).await;
                     self.record_broken(&placement, &broken);
                     drop(placement);
                     if !self.may_run_again() {
@@ -79,6 +82,13 @@
         }
     }
 
+    /// Finds out whether the links of this instance explain that a worker closed a connection.
+    pub(super) async fn check_links(&self, placement: &Placement, broken: &AttemptError) {
+        if broken.closed && placement.path.is_direct() {
+            links::confirm_cut(&self.gateway, Some(&placement.worker.id)).await;
+        }
+    }
+
     /// Records that a worker sent the first event of its answer, or the whole of it.
     pub fn record_begun(&self) {
         if let Some(version) = &self.version {
@@ -114,7 +124,7 @@
 
     /// Records that a worker broke the connection or timed out on the call.
     pub fn record_broken(&mut self, placement: &Placement, broken: &AttemptError) {
-        if broken.closed {
+        if broken.closed && self.gateway.is_worker_fault(&placement.path) {
             self.recalled = Some(block_store::start_recall(&self.gateway));
             let worker = &placement.worker.id;
             self.gateway
@@ -140,7 +150,10 @@
     fn record_failure(&self, placement: &Placement) -> bool {
         // A worker that is asked for further events may have to read the whole prompt first.
         let is_over = self.remaining().is_zero() || self.asked.is_some();
-        if !health::is_failure(is_over, placement.silence(), self.route.objective) {
+        let silence = placement.silence();
+        if !health::is_failure(is_over, silence, self.route.objective)
+            || !self.gateway.is_worker_fault(&placement.path)
+        {
             return false;
         }
         self.gateway.dispatch.record_failure(&placement.worker.id)
@@ -172,7 +185,7 @@
         refresh::wait(&self.gateway).await;
         let placed = self.place(max_wait.min(remaining)).await;
         metrics::queue_time(queued_at.elapsed());
-        let placement = match placed {
+        let mut placement = match placed {
             Ok(placement) => placement,
             Err(busy) => return Err(self.no_worker(busy)),
         };
@@ -210,10 +223,13 @@
         );
         let repeatable = self.route.is_repeatable();
         let upstream = &self.gateway.upstream;
-        let connection = match upstream.connect(&worker, repeatable).await {
+        let connection = match upstream.connect(&self.gateway, &worker, repeatable).await {
             Ok(connection) => connection,
             Err(e) => {
-                let cut = dispatch.record_unreachable(&worker);
+                let cut = match &e {
+                    ConnectError::Worker(_) => dispatch.record_unreachable(&worker),
+                    ConnectError::Links(_) => false,
+                };
                 event!(
                     Warn,
                     WorkerUnreachable,
@@ -227,6 +243,16 @@
             }
         };
         let reused = connection.reused;
+        placement.path = connection.path.clone();
+        if !placement.path.is_direct() {
+            event!(
+                Info,
+                RequestRelayed,
+                "request={} worker={} kept={reused}",
+                self.call.id,
+                worker.id
+            );
+        }
         let opened = Instant::now();
         refresh::wait(&self.gateway).await;
         if !dispatch.holds(&worker) {
@@ -265,7 +291,9 @@
                 // A worker may close an idle connection at any time; a new connection may still
                 // work.
                 if !reused {
-                    dispatch.record_failure(&worker.id);
+                    if self.gateway.is_worker_fault(&placement.path) {
+                        dispatch.record_failure(&worker.id);
+                    }
                     self.tried.push(worker.id.clone());
                 }
                 return Ok(AttemptResult::TryNext);
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -4,7 +4,10 @@
     io,
     net::SocketAddr,
     pin::pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -21,7 +24,8 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::{
-    fair_stream::{FairStream, HeadBytes},
+    fair_stream::{FairStream, HeadBytes, Wire},
+    links::LastHeard,
     memory::{Held, HeldBuffer, Memory},
     write_gate::{Decision, WriteGate},
 };
@@ -49,6 +53,33 @@
     pub last_used: Instant,
     /// Whether an earlier answer was received on the connection.
     pub reused: bool,
+    /// Path of the connection.
+    pub path: Path,
+}
+
+/// Path of a connection to a worker.
+#[derive(Debug, Clone, Default)]
+pub enum Path {
+    /// It goes to the worker itself.
+    #[default]
+    Direct,
+    /// It goes through another instance. The flag is set once the way to that instance broke.
+    Relayed(Arc<AtomicBool>),
+}
+
+impl Path {
+    /// Returns whether the connection goes to the worker itself.
+    pub fn is_direct(&self) -> bool {
+        matches!(self, Self::Direct)
+    }
+
+    /// Returns whether the way to the instance in between broke.
+    pub fn is_lost(&self) -> bool {
+        match self {
+            Self::Direct => false,
+            Self::Relayed(lost) => lost.load(Ordering::Relaxed),
+        }
+    }
 }
 
 /// What shows that an answer is whole.
@@ -135,24 +166,29 @@
     ///
     /// Returns an error when the peer does not accept it within `limit`.
     pub async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
-        Self::open_held(address, limit, None).await
+        let stream = within(limit, TcpStream::connect(address)).await?;
+        stream.set_nodelay(true)?;
+        Self::over(stream.into(), None, None).await
     }
 
-    /// Opens a connection whose buffers grow only as far as they can be held.
+    /// Builds a connection over an open stream. With `buffers`, its buffers grow only as far as they can
+    /// be held. If it goes to a worker itself, `heard` records that bytes came.
     ///
     /// # Errors
     ///
-    /// Returns an error when the peer does not accept it within `limit`.
-    pub async fn open_held(
-        address: SocketAddr,
-        limit: Duration,
+    /// Returns an error when the stream was closed at once.
+    pub async fn over(
+        wire: Wire,
         buffers: Option<Held>,
+        heard: Option<LastHeard>,
     ) -> io::Result<Self> {
-        let stream = within(limit, TcpStream::connect(address)).await?;
-        stream.set_nodelay(true)?;
+        let path = match &wire {
+            Wire::Direct(_) => Path::Direct,
+            Wire::Relayed(stream) => Path::Relayed(stream.lost()),
+        };
         let head = HeadBytes::default();
         let gate = WriteGate::default();
-        let stream = FairStream::new(stream, head.clone(), gate.clone(), buffers);
+        let stream = FairStream::new(wire, head.clone(), gate.clone(), buffers).with_heard(heard);
         let mut client = http1::Builder::new();
         // Without vectored writes hyper copies a body before it sends it.
         let handshake = client.max_buf_size(BUFFER_BYTES).writev(true);
@@ -171,6 +207,7 @@
             opened: Instant::now(),
             last_used: Instant::now(),
             reused: false,
+            path,
         })
     }
 
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{
+    connection::Path,
     fleet::{
         self, Backlog, Class, Fleet, Level, ListChange, Requirements, Urgency, Worker, WorkerKey,
     },
@@ -127,6 +128,8 @@
     pub load: u32,
     /// Time when the worker was chosen.
     pub chosen: Instant,
+    /// Path of the connection to the worker.
+    pub path: Path,
     class: Class,
     run: Option<u64>,
     started: Duration,
@@ -317,6 +320,26 @@
         self.lock().fleet.record_unreachable(worker, now)
     }
 
+    /// Forgets failures of workers, as those of the links of this instance explain them.
+    pub fn forgive_workers(&self) {
+        let mut state = self.lock();
+        state.fleet.forgive_workers();
+        self.assign_queued(&mut state);
+    }
+
+    /// Returns some workers that take requests, those that are not ejected first.
+    pub fn sample_workers(&self, count: usize, except: Option<&WorkerId>) -> Vec<Arc<Worker>> {
+        let now = self.now();
+        let mut state = self.lock();
+        let State { fleet, rng, .. } = &mut *state;
+        fleet.sample_workers(count, except, rng, now)
+    }
+
+    /// Returns whether requests of this instance are in flight.
+    pub fn has_requests(&self) -> bool {
+        !self.lock().fleet.local_levels().is_empty()
+    }
+
     /// Records that no instance of a zone sends heartbeats any more.
     pub fn mark_zone_unreachable(&self, zone: &Zone) {
         let now = self.now();
@@ -629,6 +652,7 @@
             worker,
             load,
             chosen: self.start + now,
+            path: Path::default(),
             class: Class::Batch,
             run: Some(number),
             started: now,
@@ -653,6 +677,7 @@
             worker: grant.worker,
             load: grant.load,
             chosen: grant.chosen,
+            path: Path::default(),
             class: Class::Online,
             run: None,
             started: now,
--- a/src/gateway/fair_stream.rs
+++ b/src/gateway/fair_stream.rs
@@ -15,7 +15,10 @@
 use futures::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
-use super::{connection::BUFFER_BYTES, memory::Held, write_gate::WriteGate};
+use super::{
+    connection::BUFFER_BYTES, links::LastHeard, memory::Held, relayed::RelayedStream,
+    write_gate::WriteGate,
+};
 
 /// Bytes that are read in a row before other tasks get their turn. Neither hyper nor the executor makes
 /// a task yield whose socket always has something to read.
@@ -72,30 +75,69 @@
     }
 }
 
-/// A TCP stream of which a task reads a limited number of bytes in a row.
+/// What carries the bytes of a connection.
+#[derive(Debug)]
+pub enum Wire {
+    /// A connection to the peer itself.
+    Direct(TcpStream),
+    /// A connection to a worker through another instance.
+    Relayed(RelayedStream),
+}
+
+impl From<TcpStream> for Wire {
+    fn from(stream: TcpStream) -> Self {
+        Self::Direct(stream)
+    }
+}
+
+/// Calls a poll function of the stream in a `Wire`.
+macro_rules! poll_wire {
+    ($wire:expr, $poll:ident, $($arg:expr),+) => {
+        match $wire {
+            Wire::Direct(stream) => Pin::new(stream).$poll($($arg),+),
+            Wire::Relayed(stream) => Pin::new(stream).$poll($($arg),+),
+        }
+    };
+}
+
+/// A stream of which a task reads a limited number of bytes in a row.
 #[derive(Debug)]
 pub struct FairStream {
-    stream: TcpStream,
+    wire: Wire,
     turn: usize,
     head: HeadBytes,
     gate: WriteGate,
     /// Buffers of the connection, if they are bounded.
     buffers: Option<Held>,
+    /// Records that bytes came, if this is a direct connection to a worker.
+    heard: Option<LastHeard>,
 }
 
 impl FairStream {
     /// Wraps a stream, counts the bytes that it receives, and passes a gate before it sends any. With
     /// `buffers`, the buffers of its connection grow only as far as they can be held.
-    pub fn new(stream: TcpStream, head: HeadBytes, gate: WriteGate, buffers: Option<Held>) -> Self {
+    pub fn new(
+        wire: impl Into<Wire>,
+        head: HeadBytes,
+        gate: WriteGate,
+        buffers: Option<Held>,
+    ) -> Self {
         Self {
-            stream,
+            wire: wire.into(),
             turn: 0,
             head,
             gate,
             buffers,
+            heard: None,
         }
     }
 
+    /// Records in `heard` that bytes came.
+    pub fn with_heard(mut self, heard: Option<LastHeard>) -> Self {
+        self.heard = heard;
+        self
+    }
+
     /// Returns the number of bytes that may be read at once.
     fn max_read(&self) -> usize {
         match &self.buffers {
@@ -129,11 +171,14 @@
             return Poll::Pending;
         }
         let size = buffer.len().min(self.max_read());
-        let read = Pin::new(&mut self.stream).poll_read(context, &mut buffer[..size]);
+        let read = poll_wire!(&mut self.wire, poll_read, context, &mut buffer[..size]);
         if read.is_pending() {
             self.turn = 0;
         }
         let count = ready!(read)?;
+        if let Some(heard) = self.heard.as_ref().filter(|_| count > 0) {
+            heard.record();
+        }
         self.turn += count.max(MIN_READ);
         self.record_read(count);
         self.head.add(count)?;
@@ -148,7 +193,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.gate.pass(Instant::now())?;
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        poll_wire!(&mut self.wire, poll_write, context, bytes)
     }
 
     fn poll_write_vectored(
@@ -157,14 +202,14 @@
         bytes: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.gate.pass(Instant::now())?;
-        Pin::new(&mut self.stream).poll_write_vectored(context, bytes)
+        poll_wire!(&mut self.wire, poll_write_vectored, context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        poll_wire!(&mut self.wire, poll_flush, context)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
+        poll_wire!(&mut self.wire, poll_close, context)
     }
 }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -470,6 +470,30 @@
         now < partition.until
     }
 
+    /// Forgets failures of workers, as those of the links of this instance explain them.
+    pub fn forgive_workers(&mut self) {
+        self.health = Health::default();
+        self.partitions.retain(|_, p| p.silent);
+    }
+
+    /// Returns some workers that take requests, those that are not ejected first.
+    pub fn sample_workers(
+        &self,
+        count: usize,
+        except: Option<&WorkerId>,
+        rng: &mut fastrand::Rng,
+        now: Duration,
+    ) -> Vec<Arc<Worker>> {
+        let ejected = self.health.ejected(now);
+        let ready = self.workers.values().filter(|w| w.is_ready(now));
+        let others = ready.filter(|w| Some(&w.id) != except);
+        let mut workers: Vec<Arc<Worker>> = others.cloned().collect();
+        rng.shuffle(&mut workers);
+        workers.sort_by_key(|w| ejected.contains(&w.id));
+        workers.truncate(count);
+        workers
+    }
+
     /// Records that no instance of a zone sends heartbeats any more.
     pub fn mark_zone_unreachable(&mut self, zone: &Zone, now: Duration) {
         let partition = self.partitions.entry(zone.clone()).or_default();
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -30,10 +30,12 @@
     ends::Ends,
     fleet::{self, Worker},
     jobs::Jobs,
+    links::Links,
     marks::{self, Mark},
     memory::Memory,
     peers::{Candidate, FORGET_AFTER, Heartbeat, Member, Peers},
     refresh::Pulse,
+    relayed::Carried,
     settings::Settings,
     suspects::{Admission, Suspects},
     sync::Views,
@@ -82,6 +84,10 @@
     pub recall: Mutex<Option<Recall>>,
     /// Last sign that the process runs.
     pub pulse: Mutex<Pulse>,
+    /// State of the links to the workers.
+    pub(super) links: Mutex<Links>,
+    /// Connections to workers that are carried for other instances.
+    pub carried: Carried,
     store_reached: AtomicBool,
 }
 
@@ -108,6 +114,8 @@
             share_reads: Reads::default(),
             recall: Mutex::default(),
             pulse: Mutex::default(),
+            links: Mutex::default(),
+            carried: Carried::default(),
             store_reached: AtomicBool::new(true),
         })
     }
@@ -327,6 +335,8 @@
             blocks: self.suspects().block_count() as u64,
             leaving: self.dispatch.leaving_count() as u64,
             limited: self.dispatch.limited_count() as u64,
+            cut_off: self.is_cut_off(),
+            carried: self.carried.count() as u64,
         }
     }
 
@@ -404,7 +414,9 @@
     /// Keeps a connection to a worker that takes requests for reuse, after an answer was read to its
     /// end.
     pub fn keep_connection(&self, worker: &Worker, connection: Connection) {
-        if !self.dispatch.is_ready(&worker.id) {
+        // During a cut kept connections hang, or end at any moment.
+        let is_unusable = connection.path.is_direct() && self.is_cut_off();
+        if is_unusable || !self.dispatch.is_ready(&worker.id) {
             return;
         }
         let config = self.config.load();
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -19,16 +19,19 @@
 };
 
 use super::{
-    connection::{AttemptError, SendError},
+    connection::{AttemptError, Connection, SendError},
     dispatch::Placement,
+    fleet::Worker,
     gateway::Gateway,
     head::{self, Head},
     job::{Item, Job, Unproven, Verdict},
     jobs::SharedJob,
+    links,
     liveness::{Ended, Responder},
     marks, refresh,
     splice::Form,
     sse::{End, Event, Events, Next},
+    upstream::ConnectError,
     write_gate::Decision,
 };
 
@@ -128,7 +131,12 @@
 
 impl Run {
     /// Runs the item on a worker until it ends, breaks or yields.
-    pub async fn run(self, placement: Placement, yield_request: Receiver<()>, after: Option<u64>) {
+    pub async fn run(
+        self,
+        mut placement: Placement,
+        yield_request: Receiver<()>,
+        after: Option<u64>,
+    ) {
         let started = self.gateway.now();
         event!(
             Info,
@@ -147,7 +155,7 @@
             let _ = yield_request.recv().await;
             RunEnd::Yielded
         };
-        let work = self.stream(&placement, after, &mut output);
+        let work = self.stream(&mut placement, after, &mut output);
         let mut end = smol::future::or(work, yielded).await;
         if after.is_none() && matches!(end, RunEnd::Whole { .. } | RunEnd::Unproven(_)) {
             let time = self.gateway.now().saturating_sub(started);
@@ -157,6 +165,7 @@
         let version = placement.worker.version.clone();
         if let RunEnd::Broken(broken) = &end
             && broken.is_crash()
+            && self.is_worker_fault(&placement).await
         {
             self.gateway
                 .record_crash(&self.item.marks(), &self.item.id, &worker);
@@ -193,19 +202,22 @@
     /// Runs the item on a worker and collects its events.
     async fn stream(
         &self,
-        placement: &Placement,
+        placement: &mut Placement,
         after: Option<u64>,
         output: &mut Output,
     ) -> RunEnd {
         let dispatch = &self.gateway.dispatch;
-        let worker = &placement.worker;
-        let mut connection = match self.gateway.upstream.connect(worker, true).await {
+        let worker = &placement.worker.clone();
+        let mut connection = match self.connect(worker).await {
             Ok(connection) => connection,
             Err(e) => {
-                dispatch.record_unreachable(worker);
+                if let ConnectError::Worker(_) = e {
+                    dispatch.record_unreachable(worker);
+                }
                 return RunEnd::Broken(AttemptError::fault(e.to_string()));
             }
         };
+        placement.path = connection.path.clone();
         let request = match self.request(&worker.id, after) {
             Ok(request) => request,
             Err(e) => return RunEnd::Broken(AttemptError::fault(e.to_string())),
@@ -229,11 +241,11 @@
             Err(SendError::Revoked(reason)) => return RunEnd::Revoked(reason),
             Err(SendError::NotSent(e)) => return RunEnd::Broken(AttemptError::fault(e)),
             Err(SendError::Sent(reason)) => {
-                dispatch.record_failure(&worker.id);
+                self.record_failure(placement);
                 return RunEnd::Broken(AttemptError::closed(reason));
             }
             Err(SendError::TimedOut(reason)) => {
-                dispatch.record_failure(&worker.id);
+                self.record_failure(placement);
                 return RunEnd::Broken(AttemptError::fault(reason));
             }
         };
@@ -275,7 +287,7 @@
                     bytes += event.bytes.len();
                     output.push(&event);
                     if bytes > MAX_OUTPUT_BYTES {
-                        dispatch.record_failure(&worker.id);
+                        self.record_failure(placement);
                         // An endless output is no part of the item's result.
                         *output = Output::after(after);
                         return RunEnd::Broken(AttemptError::fault("the output is too long"));
@@ -290,13 +302,13 @@
                     return match ended.check_running().await {
                         Ok(()) => RunEnd::Unproven(ended),
                         Err(e) => {
-                            dispatch.record_failure(&worker.id);
+                            self.record_failure(placement);
                             RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()))
                         }
                     };
                 }
                 Err(e) => {
-                    dispatch.record_failure(&worker.id);
+                    self.record_failure(placement);
                     return RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()));
                 }
             }
@@ -306,6 +318,37 @@
         }
     }
 
+    async fn connect(&self, worker: &Worker) -> Result<Connection, ConnectError> {
+        let upstream = &self.gateway.upstream;
+        let connection = upstream.connect(&self.gateway, worker, true).await?;
+        if !connection.path.is_direct() {
+            event!(
+                Info,
+                RequestRelayed,
+                "request={} worker={} kept={}",
+                self.item.id,
+                worker.id,
+                connection.reused
+            );
+        }
+        Ok(connection)
+    }
+
+    /// Returns whether a closed connection may be put down to its worker.
+    async fn is_worker_fault(&self, placement: &Placement) -> bool {
+        if placement.path.is_direct() {
+            links::confirm_cut(&self.gateway, Some(&placement.worker.id)).await;
+        }
+        self.gateway.is_worker_fault(&placement.path)
+    }
+
+    /// Records a failure of a worker, unless the links of this instance explain it.
+    fn record_failure(&self, placement: &Placement) {
+        if self.gateway.is_worker_fault(&placement.path) {
+            self.gateway.dispatch.record_failure(&placement.worker.id);
+        }
+    }
+
     fn should_continue(&self) -> bool {
         let job = lock(&self.shared);
         job.active && !job.ended
--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -20,7 +20,7 @@
     gateway::Gateway,
     job::ItemHandover,
     job_api::{self, Action, JobRequest},
-    job_store, sweep,
+    job_store, relayed, sweep,
     sync::Snapshot,
 };
 
@@ -142,6 +142,9 @@
 
 /// Serves a call from another instance.
 pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
+    if relayed::is_request(&request) {
+        return relayed::answer(gateway, request).await;
+    }
     let body = connection::read_held(request.into_body(), CALL_BYTES, &gateway.memory);
     let body = match connection::within(CALL_LIMIT, body).await {
         Ok(body) => body,
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -271,6 +271,12 @@
         self.live(now).filter(|h| !h.leaving)
     }
 
+    /// Returns the zones and addresses of the live instances that are not about to stop.
+    pub fn carriers(&self, now: Duration) -> Vec<(Zone, SocketAddr)> {
+        let staying = self.staying(now);
+        staying.map(|h| (h.zone.clone(), h.address)).collect()
+    }
+
     /// Returns the last heartbeats of the live instances that are not about to stop and reach the
     /// object store.
     fn eligible(&self, now: Duration) -> impl Iterator<Item = &Heartbeat> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -317,6 +317,7 @@
         let begun = self.source.as_ref().is_some_and(|s| s.begun);
         let broken = AttemptError::reading(error, begun);
         if let Some(source) = self.source.take() {
+            self.session.check_links(&source.placement, &broken).await;
             // A worker that is asked may have to read the whole prompt first.
             if self.unproven.is_some() && error.kind() == io::ErrorKind::TimedOut {
                 self.session.count_run(&source.placement.worker.id);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -26,7 +26,7 @@
     block_store,
     gateway::Gateway,
     gossip::{self, UpdateSenders},
-    job_run, job_store, refresh,
+    job_run, job_store, links, refresh,
     server::{Server, ServerKind},
     settings::{KeeperSettings, Settings},
     sweep,
@@ -105,6 +105,7 @@
         .spawn(sync::follow(gateway.clone(), Kind::Workers))
         .detach();
     smol::spawn(refresh::run(gateway.clone())).detach();
+    smol::spawn(links::watch(gateway.clone())).detach();
     control.spawn(log_stalls("control")).detach();
     smol::spawn(log_stalls("traffic")).detach();
     control.spawn(sync::probe_watches(gateway.clone())).detach();
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -181,7 +181,8 @@
                 Some(gateway.memory.hold()),
             )),
             service,
-        );
+        )
+        .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     let stop = async {
         let _ = stopping.recv().await;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -6,16 +6,27 @@
     time::Duration,
 };
 
+use smol::net::TcpStream;
+
 use crate::{
     ids::{Map, WorkerId},
     mutex::lock,
 };
 
-use super::{config::Service, connection::Connection, fleet::Worker, memory::Memory};
+use super::{
+    config::Service,
+    connection::{self, Connection},
+    fair_stream::Wire,
+    fleet::Worker,
+    gateway::Gateway,
+    links::{self, LastHeard},
+    memory::Memory,
+    relayed::{OpenError, RelayedStream},
+};
 
 /// Timeout for connecting to a worker; across zones a connect takes a few milliseconds. A request
 /// that runs into this timeout can still meet its objective at another worker.
-const CONNECT_LIMIT: Duration = Duration::from_millis(120);
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(120);
 /// Time that an idle connection may be reused for requests that may be sent again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time that an idle connection may be reused for requests that run at most once. If the worker
@@ -25,6 +36,34 @@
 const MAX_IDLE: usize = 12;
 /// Share of the connections that a worker accepts that idle ones of all instances may take.
 const MAX_IDLE_SHARE: f64 = 0.5;
+/// Maximum number of instances that are asked for a connection to a worker, one after another.
+const MAX_CARRIERS: usize = 4;
+
+/// Reason why there is no connection to a worker.
+#[derive(Debug)]
+pub enum ConnectError {
+    /// The worker accepted none, directly or through another instance that reaches other workers.
+    Worker(io::Error),
+    /// This instance is cut off, and no other one carried a connection.
+    Links(io::Error),
+}
+
+impl std::fmt::Display for ConnectError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Worker(e) => e.fmt(f),
+            Self::Links(e) => write!(f, "cut off, and no instance carries the connection: {e}"),
+        }
+    }
+}
+
+impl From<ConnectError> for io::Error {
+    fn from(error: ConnectError) -> Self {
+        match error {
+            ConnectError::Worker(e) | ConnectError::Links(e) => e,
+        }
+    }
+}
 
 /// Idle connections by worker.
 #[derive(Debug, Default)]
@@ -32,6 +71,8 @@
     idle: Mutex<Map<WorkerId, Idle>>,
     /// Bound on the buffers of the connections, if there is one.
     memory: Option<Arc<Memory>>,
+    /// Time when any worker last sent something on a direct connection.
+    pub heard: LastHeard,
 }
 
 /// Idle connections to one run of a worker.
@@ -47,15 +88,22 @@
         Self {
             idle: Mutex::default(),
             memory: Some(memory),
+            heard: LastHeard::default(),
         }
     }
 
-    /// Returns a connection to a worker: a recently used idle one if there is any, else a new one.
+    /// Returns a connection to a worker: a recently used idle one if there is any, else a new one. While
+    /// this instance is cut off from all workers, it goes through another instance.
     ///
     /// # Errors
     ///
-    /// Returns an error when the worker accepts no connection in time.
-    pub async fn connect(&self, worker: &Worker, repeatable: bool) -> io::Result<Connection> {
+    /// Returns a `ConnectError` when there is no connection in time.
+    pub async fn connect(
+        &self,
+        gateway: &Arc<Gateway>,
+        worker: &Worker,
+        repeatable: bool,
+    ) -> Result<Connection, ConnectError> {
         let limit = if repeatable {
             IDLE_TIMEOUT
         } else {
@@ -66,8 +114,46 @@
                 return Ok(connection);
             }
         }
+        if !gateway.is_cut_off() {
+            let error = match self.open_direct(worker).await {
+                Ok(connection) => return Ok(connection),
+                Err(e) => e,
+            };
+            if !links::confirm_cut(gateway, Some(&worker.id)).await {
+                return Err(ConnectError::Worker(error));
+            }
+        }
+        self.open_relayed(gateway, worker).await
+    }
+
+    async fn open_direct(&self, worker: &Worker) -> io::Result<Connection> {
+        let opening = TcpStream::connect(worker.address);
+        let stream = connection::within(CONNECT_LIMIT, opening).await?;
+        stream.set_nodelay(true)?;
         let buffers = self.memory.as_ref().map(Memory::hold);
-        Connection::open_held(worker.address, CONNECT_LIMIT, buffers).await
+        Connection::over(stream.into(), buffers, Some(self.heard.clone())).await
+    }
+
+    /// Opens a connection through another instance, or a direct one if none carries it.
+    async fn open_relayed(
+        &self,
+        gateway: &Gateway,
+        worker: &Worker,
+    ) -> Result<Connection, ConnectError> {
+        for address in gateway.carriers(worker).into_iter().take(MAX_CARRIERS) {
+            match RelayedStream::open(address, worker).await {
+                Ok(stream) => {
+                    let buffers = self.memory.as_ref().map(Memory::hold);
+                    let connection = Connection::over(Wire::Relayed(stream), buffers, None).await;
+                    return connection.map_err(ConnectError::Links);
+                }
+                Err(OpenError::Worker(e)) => return Err(ConnectError::Worker(e)),
+                Err(OpenError::Unlisted) => {}
+                Err(OpenError::Instance(e)) => gateway.avoid_carrier(address, &e),
+            }
+        }
+        let opened = self.open_direct(worker).await;
+        opened.map_err(ConnectError::Links)
     }
 
     fn take(&self, worker: &Worker, limit: Duration) -> Option<Connection> {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -149,6 +149,10 @@
     pub leaving: u64,
     /// Workers that announced how many requests a second they take.
     pub limited: u64,
+    /// Whether this instance is cut off from all workers.
+    pub cut_off: bool,
+    /// Connections to workers that are carried for other instances.
+    pub carried: u64,
 }
 
 /// A call to another entry instance.
@@ -162,6 +166,8 @@
     HandOver,
     /// Check of a batch job that no instance runs.
     Check,
+    /// Connection to a worker that is carried for the caller.
+    Carry,
     /// Exchange of digests.
     Exchange,
     /// Pull of changes.
@@ -215,6 +221,7 @@
             PeerCall::Snapshot => "snapshot",
             PeerCall::HandOver => "hand-over",
             PeerCall::Check => "check",
+            PeerCall::Carry => "carry",
             PeerCall::Exchange => "exchange",
             PeerCall::Changes => "changes",
             PeerCall::Online => "online",
@@ -237,11 +244,11 @@
     call_time: Histogram<f64>,
     queue_time: Histogram<f64>,
     platform_time: Histogram<f64>,
-    state: [Gauge<u64>; 12],
+    state: [Gauge<u64>; 14],
 }
 
 /// Names of the gauges of [`InstanceState`], in the order of its fields.
-const STATE_GAUGES: [&str; 12] = [
+const STATE_GAUGES: [&str; 14] = [
     "gentianpath_config_version",
     "gentianpath_workers_revision",
     "gentianpath_workers",
@@ -254,6 +261,8 @@
     "gentianpath_blocked_parts",
     "gentianpath_leaving_workers",
     "gentianpath_limited_workers",
+    "gentianpath_cut_off",
+    "gentianpath_carried_connections",
 ];
 
 fn instruments() -> &'static Instruments {
@@ -378,6 +387,8 @@
         state.blocks,
         state.leaving,
         state.limited,
+        state.cut_off.into(),
+        state.carried,
     ];
     for (gauge, value) in instruments().state.iter().zip(values) {
         gauge.record(value, &[]);
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
 pub mod caller;
+pub mod partition;
 pub mod process_fleet;
 pub mod relay;
 pub mod worker_process;
@@ -1008,6 +1009,11 @@
         results
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Sends the stop signal to the instance.
     pub fn terminate(&self) {
         self.signal(rustix::process::Signal::TERM);
--- /dev/null
+++ b/tests/gateway_support/partition.rs
@@ -0,0 +1,162 @@
+//! Link between instances and a worker that can be cut for single processes.
+
+use std::{
+    fs,
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
+
+use rustix::net::sockopt::set_socket_linger;
+
+/// Size of the forwarding buffer.
+const BUFFER_BYTES: usize = 16 << 10;
+/// Interval at which the state of a silent connection is polled.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// How the connections of a process to a worker are cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Open and new connections carry no bytes.
+    Hang,
+    /// Open and new connections are reset.
+    Reset,
+    /// Open connections go on, new ones are reset.
+    Refuse,
+}
+
+/// Forwards connections to a worker, except for those of the processes that are cut off.
+pub struct Partition {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    to: SocketAddr,
+    cuts: Mutex<Vec<(u32, Cut)>>,
+    open: Mutex<Vec<(u32, TcpStream)>>,
+}
+
+impl Partition {
+    /// Starts a link to a worker.
+    pub fn new(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared = Arc::new(Shared {
+            to,
+            cuts: Mutex::default(),
+            open: Mutex::default(),
+        });
+        let acceptor = shared.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let shared = acceptor.clone();
+                thread::spawn(move || shared.accept(client));
+            }
+        });
+        Self { address, shared }
+    }
+
+    /// Cuts the connections of a process.
+    pub fn cut(&self, process: u32, how: Cut) {
+        self.shared.cuts.lock().unwrap().push((process, how));
+        if how == Cut::Reset {
+            let open = self.shared.open.lock().unwrap();
+            for (_, client) in open.iter().filter(|(p, _)| *p == process) {
+                reset(client);
+            }
+        }
+    }
+
+    /// Lets the connections of all processes work again.
+    pub fn heal(&self) {
+        self.shared.cuts.lock().unwrap().clear();
+    }
+}
+
+impl Shared {
+    fn cut_of(&self, process: u32) -> Option<Cut> {
+        let cuts = self.cuts.lock().unwrap();
+        cuts.iter().find(|(p, _)| *p == process).map(|(_, c)| *c)
+    }
+
+    fn accept(self: Arc<Self>, client: TcpStream) -> io::Result<()> {
+        let port = client.peer_addr()?.port();
+        let cuts = self.cuts.lock().unwrap().clone();
+        let is_cut = |(process, _): &&(u32, Cut)| has_port(*process, port);
+        let cut = cuts.iter().find(is_cut).copied();
+        if let Some((_, Cut::Reset | Cut::Refuse)) = cut {
+            reset(&client);
+            return Ok(());
+        }
+        let server = TcpStream::connect(self.to)?;
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
+        let process = owner(port);
+        self.open
+            .lock()
+            .unwrap()
+            .push((process, client.try_clone()?));
+        let (client_out, server_out) = (client.try_clone()?, server.try_clone()?);
+        let reverse = self.clone();
+        thread::spawn(move || self.forward(process, client, server_out));
+        reverse.forward(process, server, client_out);
+        Ok(())
+    }
+
+    fn forward(&self, process: u32, mut from: TcpStream, mut to: TcpStream) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        while let Ok(count @ 1..) = from.read(&mut buffer) {
+            while self.cut_of(process) == Some(Cut::Hang) {
+                thread::sleep(POLL_INTERVAL);
+            }
+            if to.write_all(&buffer[..count]).is_err() {
+                break;
+            }
+        }
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = set_socket_linger(stream, Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Returns the child process that has a connection from a local port, or 0.
+fn owner(port: u16) -> u32 {
+    let mut children = String::new();
+    for task in fs::read_dir("/proc/self/task")
+        .into_iter()
+        .flatten()
+        .flatten()
+    {
+        let listed = fs::read_to_string(task.path().join("children"));
+        children.push_str(&format!(" {}", listed.unwrap_or_default()));
+    }
+    let mut children = children.split_whitespace().filter_map(|c| c.parse().ok());
+    children.find(|c| has_port(*c, port)).unwrap_or_default()
+}
+
+/// Returns whether a process has a connection from a local port.
+fn has_port(process: u32, port: u16) -> bool {
+    let Some(inode) = inode(port) else {
+        return false;
+    };
+    let target = format!("socket:[{inode}]");
+    let files = fs::read_dir(format!("/proc/{process}/fd"));
+    let mut files = files.into_iter().flatten().flatten();
+    files.any(|f| fs::read_link(f.path()).is_ok_and(|l| l.as_os_str() == target.as_str()))
+}
+
+fn inode(port: u16) -> Option<String> {
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    let local = format!("0100007F:{port:04X}");
+    let line = table
+        .lines()
+        .find(|l| l.split_whitespace().nth(1) == Some(local.as_str()))?;
+    line.split_whitespace().nth(9).map(str::to_owned)
+}
