--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -279,6 +279,9 @@
             Ok(Reply::Received(connection, response)) => (connection, *response),
             Ok(Reply::TakenOver(started)) => return Ok(AttemptResult::Answered(started)),
             Err(SendError::NotSent(reason)) => {
+                if !reused && placement.path.is_direct() {
+                    links::confirm_cut(&self.gateway, Some(&worker.id)).await;
+                }
                 event!(
                     Warn,
                     WorkerUnreachable,
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -21,7 +21,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::{event, metrics};
+use crate::{event, ids::WorkerId, metrics};
 
 use super::{
     answer::{CallerBody, full_body, text_answer},
@@ -29,7 +29,7 @@
     fair_stream::FairStream,
     fleet::Worker,
     gateway::Gateway,
-    memory::Held,
+    links,
     upstream::CONNECT_LIMIT,
 };
 
@@ -327,13 +327,21 @@
     }
     let opened = within(CONNECT_LIMIT, TcpStream::connect(worker.address)).await;
     let target = opened.and_then(|s| s.set_nodelay(true).map(|()| s));
-    let target = target.map_err(|e| (StatusCode::BAD_GATEWAY, e.to_string()))?;
+    let target = match target {
+        Ok(target) => target,
+        Err(_) if links::confirm_cut(gateway, Some(&worker.id)).await => {
+            return refuse("this instance is cut off");
+        }
+        Err(e) => return Err((StatusCode::BAD_GATEWAY, e.to_string())),
+    };
     let upgrade = hyper::upgrade::on(request);
+    let gateway = gateway.clone();
     smol::spawn(async move {
         match upgrade.await {
-            Ok(upgraded) => pass_on(upgraded, target, guard, buffers).await,
+            Ok(upgraded) => pass_on(&gateway, &worker.id, upgraded, target).await,
             Err(e) => log::debug!("an upgrade failed: {e}"),
         }
+        drop((guard, buffers));
     })
     .detach();
     Ok(())
@@ -341,12 +349,12 @@
 
 /// Passes on bytes in both directions until one of the ends is closed. The connection to the worker is
 /// closed as soon as the first instance closes its own.
-async fn pass_on(upgraded: Upgraded, target: TcpStream, _guard: CarryGuard, _buffers: Held) {
+async fn pass_on(gateway: &Arc<Gateway>, worker: &WorkerId, upgraded: Upgraded, target: TcpStream) {
     let Ok(parts) = upgraded.downcast::<FuturesIo<FairStream>>() else {
         return;
     };
     let (from_caller, to_caller) = parts.io.into_inner().split();
-    let (early, worker) = (parts.read_buf, target.clone());
+    let (early, from_worker) = (parts.read_buf, target.clone());
     let forth = async move {
         let (mut from, mut to) = (from_caller, target);
         to.write_all(&early).await?;
@@ -359,7 +367,8 @@
         }
     };
     let back = async {
-        if let Err(e) = pass_frames(worker, to_caller).await {
+        let passed = pass_frames(gateway, worker, from_worker, to_caller);
+        if let Err(e) = passed.await {
             log::debug!("a carried connection ended: {e}");
         }
     };
@@ -373,12 +382,20 @@
     smol::future::or(back, ended).await;
 }
 
-async fn pass_frames(mut from: TcpStream, mut to: impl AsyncWrite + Unpin) -> io::Result<()> {
+/// Passes on bytes from a worker in frames. A break that is due to the links of this instance is passed on
+/// as the end of this instance, as it says nothing about the worker.
+async fn pass_frames(
+    gateway: &Arc<Gateway>,
+    worker: &WorkerId,
+    mut from: TcpStream,
+    mut to: impl AsyncWrite + Unpin,
+) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let (length, count) = match from.read(&mut buffer[LENGTH_BYTES..]).await {
             Ok(0) => (END, 0),
             Ok(count) => (count as u16, count),
+            Err(e) if links::confirm_cut(gateway, Some(worker)).await => return Err(e),
             Err(_) => (BREAK, 0),
         };
         buffer[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
--- a/src/gateway/takeover.rs
+++ b/src/gateway/takeover.rs
@@ -24,6 +24,7 @@
     dispatch::{Busy, Placement},
     fleet::Requirements,
     forward::{Asked, Session, StartedAnswer},
+    links,
     splice::Form,
 };
 
@@ -282,7 +283,9 @@
     /// continue the stream, if there is one.
     fn attempt_beside(&mut self, after: Option<u64>) -> BoxFuture<'_, Option<Box<StartedAnswer>>> {
         let max_wait = self.remaining();
+        let silent = self.tried.last().cloned();
         async move {
+            links::confirm_cut(&self.gateway, silent.as_ref()).await;
             loop {
                 let mut started = self.attempt(after, max_wait).await.ok()?;
                 let proof = self.await_event(&mut started, after).await;
--- a/tests/gateway_support/partition.rs
+++ b/tests/gateway_support/partition.rs
@@ -9,10 +9,18 @@
     time::Duration,
 };
 
-use rustix::net::sockopt::set_socket_linger;
+use rustix::net::{
+    AddressFamily, RecvFlags, SendFlags, SocketType, netlink, recv, send, socket,
+    sockopt::set_socket_linger,
+};
 
 /// Size of the forwarding buffer.
 const BUFFER_BYTES: usize = 16 << 10;
+/// Constants of the kernel's interface for questions about sockets.
+const SOCK_DIAG_BY_FAMILY: u16 = 20;
+const NLM_F_REQUEST: u16 = 1;
+const AF_INET: u8 = 2;
+const IPPROTO_TCP: u8 = 6;
 /// Interval at which the state of a silent connection is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -84,17 +92,14 @@
 
     fn accept(self: Arc<Self>, client: TcpStream) -> io::Result<()> {
         let port = client.peer_addr()?.port();
-        let cuts = self.cuts.lock().unwrap().clone();
-        let is_cut = |(process, _): &&(u32, Cut)| has_port(*process, port);
-        let cut = cuts.iter().find(is_cut).copied();
-        if let Some((_, Cut::Reset | Cut::Refuse)) = cut {
+        let process = owner(port, client.local_addr()?.port());
+        if let Some(Cut::Reset | Cut::Refuse) = self.cut_of(process) {
             reset(&client);
             return Ok(());
         }
         let server = TcpStream::connect(self.to)?;
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
-        let process = owner(port);
         self.open
             .lock()
             .unwrap()
@@ -127,7 +132,11 @@
 }
 
 /// Returns the child process that has a connection from a local port, or 0.
-fn owner(port: u16) -> u32 {
+fn owner(port: u16, peer: u16) -> u32 {
+    let Ok(inode) = inode(port, peer) else {
+        return 0;
+    };
+    let target = format!("socket:[{inode}]");
     let mut children = String::new();
     for task in fs::read_dir("/proc/self/task")
         .into_iter()
@@ -138,25 +147,45 @@
         children.push_str(&format!(" {}", listed.unwrap_or_default()));
     }
     let mut children = children.split_whitespace().filter_map(|c| c.parse().ok());
-    children.find(|c| has_port(*c, port)).unwrap_or_default()
+    children.find(|c| has_file(*c, &target)).unwrap_or_default()
 }
 
-/// Returns whether a process has a connection from a local port.
-fn has_port(process: u32, port: u16) -> bool {
-    let Some(inode) = inode(port) else {
-        return false;
-    };
-    let target = format!("socket:[{inode}]");
+/// Returns whether a process has a file open, by the target of its link under `/proc`.
+fn has_file(process: u32, target: &str) -> bool {
     let files = fs::read_dir(format!("/proc/{process}/fd"));
     let mut files = files.into_iter().flatten().flatten();
-    files.any(|f| fs::read_link(f.path()).is_ok_and(|l| l.as_os_str() == target.as_str()))
+    files.any(|f| fs::read_link(f.path()).is_ok_and(|l| l.as_os_str() == target))
 }
 
-fn inode(port: u16) -> Option<String> {
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let local = format!("0100007F:{port:04X}");
-    let line = table
-        .lines()
-        .find(|l| l.split_whitespace().nth(1) == Some(local.as_str()))?;
-    line.split_whitespace().nth(9).map(str::to_owned)
+/// Returns the inode of a local socket with these ports, as the kernel finds it. The table of all sockets
+/// takes seconds to read beside other tests.
+fn inode(port: u16, peer: u16) -> io::Result<u32> {
+    let socket = socket(
+        AddressFamily::NETLINK,
+        SocketType::RAW,
+        Some(netlink::SOCK_DIAG),
+    )?;
+    let mut address = [0; 16];
+    address[..4].copy_from_slice(&[127, 0, 0, 1]);
+    let mut request = Vec::new();
+    request.extend(72u32.to_ne_bytes());
+    request.extend(SOCK_DIAG_BY_FAMILY.to_ne_bytes());
+    request.extend(NLM_F_REQUEST.to_ne_bytes());
+    request.extend([0; 8]);
+    request.extend([AF_INET, IPPROTO_TCP, 0, 0]);
+    request.extend([0xff; 4]);
+    request.extend(port.to_be_bytes());
+    request.extend(peer.to_be_bytes());
+    request.extend(address);
+    request.extend(address);
+    request.extend([0; 4]);
+    request.extend([0xff; 8]);
+    send(&socket, &request, SendFlags::empty())?;
+    let mut answer = [0u8; 1024];
+    recv(&socket, &mut answer[..], RecvFlags::empty())?;
+    if answer[4..6] != SOCK_DIAG_BY_FAMILY.to_ne_bytes() {
+        return Err(io::ErrorKind::NotFound.into());
+    }
+    let inode = [answer[84], answer[85], answer[86], answer[87]];
+    Ok(u32::from_ne_bytes(inode))
 }
