--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -36,8 +36,9 @@
 const SAMPLE: usize = 4;
 /// Number of different workers that have to be out of reach at least.
 const MIN_SAMPLE: usize = 2;
-/// Time for which a probe that succeeded shows that the links work.
-const SOUND_TIME: Duration = Duration::from_millis(150);
+/// Time for which a probe that succeeded shows that the links work. It bounds the rate of probes while many
+/// connections break, and may not hide a cut that begins after the probe.
+const SOUND_TIME: Duration = Duration::from_millis(20);
 /// Time without any bytes from workers, while requests are in flight, after which the links are probed.
 const SILENCE: Duration = Duration::from_millis(250);
 /// Minimum interval between probes because of silence. A worker may need as long for its first event.
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -382,7 +382,7 @@
     smol::future::or(back, ended).await;
 }
 
-/// Passes on bytes from a worker in frames. A break that is due to the links of this instance is passed on
+/// Passes on bytes from a worker in frames. An end that is due to the links of this instance is passed on
 /// as the end of this instance, as it says nothing about the worker.
 async fn pass_frames(
     gateway: &Arc<Gateway>,
@@ -392,10 +392,14 @@
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let (length, count) = match from.read(&mut buffer[LENGTH_BYTES..]).await {
+        let read = from.read(&mut buffer[LENGTH_BYTES..]).await;
+        let is_end = !matches!(read, Ok(1..));
+        if is_end && links::confirm_cut(gateway, Some(worker)).await {
+            return Err(aborted("this instance is cut off"));
+        }
+        let (length, count) = match read {
             Ok(0) => (END, 0),
             Ok(count) => (count as u16, count),
-            Err(e) if links::confirm_cut(gateway, Some(worker)).await => return Err(e),
             Err(_) => (BREAK, 0),
         };
         buffer[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
