Bound what instances carry for each other

A second reader found that kept connections through another instance escape its check of the worker (DRAIN) and fill its limit, that a cut between zones looked like one from all workers, that a reset by the first instance did not close the worker's connection at once (GONE), and that instances that are cut off too used up the attempts. A carried connection now serves one request, the sample of workers spans all zones, refusals of instances that are cut off count by themselves, a stop waits for what it carries, and a direct connection that works ends the cut.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,7 +31,6 @@
     sse::Events,
     suspects::Admission,
     takeover::Reply,
-    upstream::ConnectError,
     write_gate::Decision,
 };
 
@@ -223,13 +222,10 @@
         );
         let repeatable = self.route.is_repeatable();
         let upstream = &self.gateway.upstream;
-        let connection = match upstream.connect(&self.gateway, &worker, repeatable).await {
+        let connection = match upstream.reach(&self.gateway, &worker, repeatable).await {
             Ok(connection) => connection,
             Err(e) => {
-                let cut = match &e {
-                    ConnectError::Worker(_) => dispatch.record_unreachable(&worker),
-                    ConnectError::Links(_) => false,
-                };
+                let cut = dispatch.record_unreachable(&worker);
                 event!(
                     Warn,
                     WorkerUnreachable,
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -327,7 +327,7 @@
         self.assign_queued(&mut state);
     }
 
-    /// Returns some workers that take requests, those that are not ejected first.
+    /// Returns some workers of all zones that take requests.
     pub fn sample_workers(&self, count: usize, except: Option<&WorkerId>) -> Vec<Arc<Worker>> {
         let now = self.now();
         let mut state = self.lock();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -476,7 +476,9 @@
         self.partitions.retain(|_, p| p.silent);
     }
 
-    /// Returns some workers that take requests, those that are not ejected first.
+    /// Returns some workers that take requests, those that are not ejected first: two of the local zone and
+    /// one of each other zone, so that a cut between zones differs from one from all workers, and further
+    /// ones up to `count`.
     pub fn sample_workers(
         &self,
         count: usize,
@@ -490,8 +492,21 @@
         let mut workers: Vec<Arc<Worker>> = others.cloned().collect();
         rng.shuffle(&mut workers);
         workers.sort_by_key(|w| ejected.contains(&w.id));
-        workers.truncate(count);
-        workers
+        let mut seen: Map<&Zone, usize> = Map::default();
+        let (mut sample, mut rest) = (Vec::new(), Vec::new());
+        for worker in &workers {
+            let number = seen.entry(&worker.zone).or_default();
+            *number += 1;
+            let needed = if worker.zone == self.zone { 2 } else { 1 };
+            if *number <= needed {
+                sample.push(worker.clone());
+            } else {
+                rest.push(worker.clone());
+            }
+        }
+        let missing = count.saturating_sub(sample.len());
+        sample.extend(rest.into_iter().take(missing));
+        sample
     }
 
     /// Records that no instance of a zone sends heartbeats any more.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -414,8 +414,9 @@
     /// Keeps a connection to a worker that takes requests for reuse, after an answer was read to its
     /// end.
     pub fn keep_connection(&self, worker: &Worker, connection: Connection) {
-        // During a cut kept connections hang, or end at any moment.
-        let is_unusable = connection.path.is_direct() && self.is_cut_off();
+        // A carried connection is opened for one request, as the other instance checks the worker then.
+        // Direct ones may hang during a cut.
+        let is_unusable = !connection.path.is_direct() || self.is_cut_off();
         if is_unusable || !self.dispatch.is_ready(&worker.id) {
             return;
         }
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -1,6 +1,7 @@
 //! Runs an item of a batch job on a worker.
 
 use std::{
+    io,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -31,7 +32,6 @@
     marks, refresh,
     splice::Form,
     sse::{End, Event, Events, Next},
-    upstream::ConnectError,
     write_gate::Decision,
 };
 
@@ -211,9 +211,7 @@
         let mut connection = match self.connect(worker).await {
             Ok(connection) => connection,
             Err(e) => {
-                if let ConnectError::Worker(_) = e {
-                    dispatch.record_unreachable(worker);
-                }
+                dispatch.record_unreachable(worker);
                 return RunEnd::Broken(AttemptError::fault(e.to_string()));
             }
         };
@@ -318,9 +316,9 @@
         }
     }
 
-    async fn connect(&self, worker: &Worker) -> Result<Connection, ConnectError> {
+    async fn connect(&self, worker: &Worker) -> io::Result<Connection> {
         let upstream = &self.gateway.upstream;
-        let connection = upstream.connect(&self.gateway, worker, true).await?;
+        let connection = upstream.reach(&self.gateway, worker, true).await?;
         if !connection.path.is_direct() {
             event!(
                 Info,
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -5,7 +5,6 @@
 //! If none of them answers either, the instance counts as cut off, until such probes succeed again.
 
 use std::{
-    io,
     net::SocketAddr,
     sync::{
         Arc, MutexGuard,
@@ -29,10 +28,11 @@
     connection::{Connection, Path, Proof},
     fleet::Worker,
     gateway::Gateway,
+    relayed::OpenError,
     upstream::CONNECT_LIMIT,
 };
 
-/// Number of different workers that have to be out of reach, if there are as many.
+/// Number of different workers that are probed, or more if there are more zones.
 const SAMPLE: usize = 4;
 /// Number of different workers that have to be out of reach at least.
 const MIN_SAMPLE: usize = 2;
@@ -52,8 +52,10 @@
 /// Time in which a worker answers a probe on an open connection.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
 
-/// Time for which an instance that carried no connection is not asked again.
+/// Time for which an instance that is full or does not answer is not asked again.
 const AVOID_TIME: Duration = Duration::from_millis(500);
+/// Time for which an instance that is cut off or stops is not asked again.
+const AVOID_CUT_TIME: Duration = Duration::from_secs(2);
 
 /// Evidence on the links of an instance to all workers (no I/O).
 #[derive(Debug, Default)]
@@ -117,6 +119,16 @@
         if self.successes < BACK_AFTER {
             return None;
         }
+        self.end(began, now)
+    }
+
+    /// Records that a request got a direct connection during a cut.
+    pub fn record_direct(&mut self, now: Duration) -> Option<LinkChange> {
+        let began = self.cut?;
+        self.end(began, now)
+    }
+
+    fn end(&mut self, began: Duration, now: Duration) -> Option<LinkChange> {
         self.cut = None;
         self.ended = Some(now);
         self.sound = Some(now);
@@ -203,7 +215,9 @@
     loop {
         Timer::after(CHECK_INTERVAL).await;
         if gateway.is_cut_off() {
-            let Some(worker) = gateway.dispatch.sample_workers(1, None).pop() else {
+            let mut workers = gateway.dispatch.sample_workers(SAMPLE, None);
+            fastrand::shuffle(&mut workers);
+            let Some(worker) = workers.pop() else {
                 continue;
             };
             let reached = probe(worker).await;
@@ -233,7 +247,6 @@
         count = 1;
     }
     if !reached {
-        workers.truncate(SAMPLE - count);
         count += workers.len();
         let mut probes: FuturesUnordered<_> = workers.into_iter().map(probe).collect();
         while let Some(answered) = probes.next().await {
@@ -271,6 +284,7 @@
         }
         Some(LinkChange::Back(after)) => {
             event!(Info, LinksBack, "after_ms={}", after.as_millis());
+            gateway.dispatch.forgive_workers();
         }
         None => {}
     }
@@ -290,6 +304,12 @@
         }
     }
 
+    /// Records that a direct connection was opened during a cut, which ends it.
+    pub fn record_direct(&self) {
+        let change = self.links().evidence.record_direct(self.now());
+        apply(self, change, 0);
+    }
+
     /// Returns the addresses of the instances to ask for connections to a worker, the best ones first:
     /// those for which the bytes cross no further border of zones, in random order.
     pub fn carriers(&self, worker: &Worker) -> Vec<SocketAddr> {
@@ -305,10 +325,15 @@
             .collect()
     }
 
-    /// Records that an instance carried no connection.
-    pub fn avoid_carrier(&self, address: SocketAddr, reason: &io::Error) {
+    /// Records that an instance carried no connection. One that does not know the worker may know others.
+    pub fn avoid_carrier(&self, address: SocketAddr, reason: &OpenError) {
+        let time = match reason {
+            OpenError::Unlisted => return,
+            OpenError::CutOff => AVOID_CUT_TIME,
+            OpenError::Worker(_) | OpenError::Instance(_) => AVOID_TIME,
+        };
         event!(Info, CarrierAvoided, "peer={address} reason=\"{reason}\"");
-        let until = self.now() + AVOID_TIME;
+        let until = self.now() + time;
         self.links().avoided.insert(address, until);
     }
 
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -70,7 +70,7 @@
     async fn ask(&self) -> io::Result<()> {
         loop {
             let upstream = &self.gateway.upstream;
-            let mut connection = upstream.connect(&self.gateway, &self.worker, true).await?;
+            let mut connection = upstream.reach(&self.gateway, &self.worker, true).await?;
             let request = reports::request(&self.worker).map_err(io::Error::other)?;
             // A kept connection may be silent; a new one may still work.
             let limit = if connection.reused {
--- a/src/gateway/relayed.rs
+++ b/src/gateway/relayed.rs
@@ -21,7 +21,7 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::{event, ids::WorkerId, metrics};
+use crate::{drain::Phase, event, ids::WorkerId, metrics};
 
 use super::{
     answer::{CallerBody, full_body, text_answer},
@@ -53,6 +53,8 @@
 const LENGTH_BYTES: usize = 2;
 /// Length that marks the end of the worker's connection.
 const END: u16 = 0;
+/// Answer of an instance that carries no more connections.
+const FULL: StatusCode = StatusCode::TOO_MANY_REQUESTS;
 /// Length that marks a break of the worker's connection.
 const BREAK: u16 = u16::MAX;
 
@@ -91,10 +93,22 @@
     Worker(io::Error),
     /// The other instance knows no such run of the worker that takes requests.
     Unlisted,
+    /// The other instance is cut off too, or stops.
+    CutOff,
     /// The other instance does not answer, or carries no connection.
     Instance(io::Error),
 }
 
+impl std::fmt::Display for OpenError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Worker(e) | Self::Instance(e) => e.fmt(f),
+            Self::Unlisted => f.write_str("it knows no such worker"),
+            Self::CutOff => f.write_str("it is cut off or stops"),
+        }
+    }
+}
+
 /// A connection to a worker through another instance.
 #[derive(Debug)]
 pub struct RelayedStream {
@@ -146,6 +160,7 @@
                 "another instance cannot connect",
             ))),
             Ok(409) => Err(OpenError::Unlisted),
+            Ok(503) => Err(OpenError::CutOff),
             Ok(status) => Err(OpenError::Instance(invalid(format!("status {status}")))),
             Err(e) => Err(OpenError::Instance(e)),
         }
@@ -315,15 +330,18 @@
         return Err((StatusCode::CONFLICT, reason.into()));
     };
     let refuse = |reason: &str| Err((StatusCode::SERVICE_UNAVAILABLE, reason.to_owned()));
+    if gateway.drain.phase() != Phase::Running {
+        return refuse("this instance stops");
+    }
     if gateway.is_cut_off() {
         return refuse("this instance is cut off");
     }
     let Some(guard) = gateway.carried.enter() else {
-        return refuse("too many connections are carried");
+        return Err((FULL, "too many connections are carried".into()));
     };
     let mut buffers = gateway.memory.hold();
     if buffers.set(2 * BUFFER_BYTES).is_err() {
-        return refuse("too many bytes are held");
+        return Err((FULL, "too many bytes are held".into()));
     }
     let opened = within(CONNECT_LIMIT, TcpStream::connect(worker.address)).await;
     let target = opened.and_then(|s| s.set_nodelay(true).map(|()| s));
@@ -357,14 +375,16 @@
     let (early, from_worker) = (parts.read_buf, target.clone());
     let forth = async move {
         let (mut from, mut to) = (from_caller, target);
-        to.write_all(&early).await?;
+        let mut sent = to.write_all(&early).await;
         let mut buffer = vec![0; BUFFER_BYTES];
-        loop {
-            match from.read(&mut buffer).await? {
-                0 => return Ok::<_, io::Error>(()),
-                count => to.write_all(&buffer[..count]).await?,
+        while sent.is_ok() {
+            match from.read(&mut buffer).await {
+                Ok(count @ 1..) => sent = to.write_all(&buffer[..count]).await,
+                Ok(0) | Err(_) => return,
             }
         }
+        // What the worker sent before it closed its connection is still passed on.
+        std::future::pending::<()>().await;
     };
     let back = async {
         let passed = pass_frames(gateway, worker, from_worker, to_caller);
@@ -372,14 +392,7 @@
             log::debug!("a carried connection ended: {e}");
         }
     };
-    let ended = async {
-        match forth.await {
-            Ok(()) => {}
-            // What the worker sent before it closed its connection is still passed on.
-            Err(_) => std::future::pending().await,
-        }
-    };
-    smol::future::or(back, ended).await;
+    smol::future::or(back, forth).await;
 }
 
 /// Passes on bytes from a worker in frames. An end that is due to the links of this instance is passed on
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -50,6 +50,8 @@
 const STALL_CHECK: Duration = Duration::from_millis(100);
 /// Delay of a check that is logged: connections to workers that take as long count as failed.
 const STALL: Duration = Duration::from_millis(120);
+/// Interval at which a planned stop checks whether it still carries connections for others.
+const CARRIED_POLL: Duration = Duration::from_millis(50);
 /// Interval at which the list of instances is read.
 const MEMBERS_INTERVAL: Duration = Duration::from_secs(20);
 
@@ -162,6 +164,9 @@
         Timer::after(delay).await;
         gateway.drain.advance(Phase::Draining);
         callers.stop().await;
+        while gateway.carried.count() > 0 {
+            Timer::after(CARRIED_POLL).await;
+        }
     };
     let stop = smol::future::zip(job_store::hand_over(gateway), leave);
     let mut stop = pin!(stop);
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -36,34 +36,11 @@
 const MAX_IDLE: usize = 12;
 /// Share of the connections that a worker accepts that idle ones of all instances may take.
 const MAX_IDLE_SHARE: f64 = 0.5;
-/// Maximum number of instances that are asked for a connection to a worker, one after another.
-const MAX_CARRIERS: usize = 4;
-
-/// Reason why there is no connection to a worker.
-#[derive(Debug)]
-pub enum ConnectError {
-    /// The worker accepted none, directly or through another instance that reaches other workers.
-    Worker(io::Error),
-    /// This instance is cut off, and no other one carried a connection.
-    Links(io::Error),
-}
-
-impl std::fmt::Display for ConnectError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Worker(e) => e.fmt(f),
-            Self::Links(e) => write!(f, "cut off, and no instance carries the connection: {e}"),
-        }
-    }
-}
-
-impl From<ConnectError> for io::Error {
-    fn from(error: ConnectError) -> Self {
-        match error {
-            ConnectError::Worker(e) | ConnectError::Links(e) => e,
-        }
-    }
-}
+/// Maximum number of instances that are asked for a connection to a worker, one after another. In a large
+/// cut most of them refuse at once, as they are cut off too.
+const MAX_ASKED: usize = 16;
+/// Maximum number of those that fail in another way, which can take longer.
+const MAX_FAILURES: usize = 4;
 
 /// Idle connections by worker.
 #[derive(Debug, Default)]
@@ -92,18 +69,45 @@
         }
     }
 
-    /// Returns a connection to a worker: a recently used idle one if there is any, else a new one. While
-    /// this instance is cut off from all workers, it goes through another instance.
+    /// Returns a connection to a worker: a recently used idle one if there is any, else a new one.
     ///
     /// # Errors
     ///
-    /// Returns a `ConnectError` when there is no connection in time.
-    pub async fn connect(
+    /// Returns an error when the worker accepts no connection in time.
+    pub async fn connect(&self, worker: &Worker, repeatable: bool) -> io::Result<Connection> {
+        match self.take_ready(worker, repeatable).await {
+            Some(connection) => Ok(connection),
+            None => self.open_direct(worker).await,
+        }
+    }
+
+    /// Returns a connection to a worker like `connect`, and one through another instance while this
+    /// instance is cut off from all workers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no connection in time.
+    pub async fn reach(
         &self,
         gateway: &Arc<Gateway>,
         worker: &Worker,
         repeatable: bool,
-    ) -> Result<Connection, ConnectError> {
+    ) -> io::Result<Connection> {
+        if !gateway.is_cut_off() {
+            let error = match self.connect(worker, repeatable).await {
+                Ok(connection) => return Ok(connection),
+                Err(e) => e,
+            };
+            if !links::confirm_cut(gateway, Some(&worker.id)).await {
+                return Err(error);
+            }
+        }
+        // A refusal that the links may explain is no sign of a crash.
+        let opened = self.open_relayed(gateway, worker).await;
+        opened.map_err(|e| io::Error::new(io::ErrorKind::TimedOut, e))
+    }
+
+    async fn take_ready(&self, worker: &Worker, repeatable: bool) -> Option<Connection> {
         let limit = if repeatable {
             IDLE_TIMEOUT
         } else {
@@ -111,19 +115,10 @@
         };
         while let Some(mut connection) = self.take(worker, limit) {
             if connection.is_ready().await {
-                return Ok(connection);
-            }
-        }
-        if !gateway.is_cut_off() {
-            let error = match self.open_direct(worker).await {
-                Ok(connection) => return Ok(connection),
-                Err(e) => e,
-            };
-            if !links::confirm_cut(gateway, Some(&worker.id)).await {
-                return Err(ConnectError::Worker(error));
+                return Some(connection);
             }
         }
-        self.open_relayed(gateway, worker).await
+        None
     }
 
     async fn open_direct(&self, worker: &Worker) -> io::Result<Connection> {
@@ -135,25 +130,28 @@
     }
 
     /// Opens a connection through another instance, or a direct one if none carries it.
-    async fn open_relayed(
-        &self,
-        gateway: &Gateway,
-        worker: &Worker,
-    ) -> Result<Connection, ConnectError> {
-        for address in gateway.carriers(worker).into_iter().take(MAX_CARRIERS) {
+    async fn open_relayed(&self, gateway: &Gateway, worker: &Worker) -> io::Result<Connection> {
+        let mut failures = 0;
+        for address in gateway.carriers(worker).into_iter().take(MAX_ASKED) {
             match RelayedStream::open(address, worker).await {
                 Ok(stream) => {
                     let buffers = self.memory.as_ref().map(Memory::hold);
-                    let connection = Connection::over(Wire::Relayed(stream), buffers, None).await;
-                    return connection.map_err(ConnectError::Links);
+                    return Connection::over(Wire::Relayed(stream), buffers, None).await;
                 }
-                Err(OpenError::Worker(e)) => return Err(ConnectError::Worker(e)),
-                Err(OpenError::Unlisted) => {}
-                Err(OpenError::Instance(e)) => gateway.avoid_carrier(address, &e),
+                Err(OpenError::Worker(e)) => return Err(e),
+                Err(OpenError::CutOff) => gateway.avoid_carrier(address, &OpenError::CutOff),
+                Err(e) => {
+                    gateway.avoid_carrier(address, &e);
+                    failures += 1;
+                }
+            }
+            if failures >= MAX_FAILURES {
+                break;
             }
         }
-        let opened = self.open_direct(worker).await;
-        opened.map_err(ConnectError::Links)
+        let connection = self.open_direct(worker).await?;
+        gateway.record_direct();
+        Ok(connection)
     }
 
     fn take(&self, worker: &Worker, limit: Duration) -> Option<Connection> {
