--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -30,11 +30,13 @@
     ends::Ends,
     fleet::{self, Worker},
     jobs::Jobs,
+    links::Links,
     marks::{self, Mark},
     member_log::MemberLog,
     memory::Memory,
     peers::{Candidate, FORGET_AFTER, Heartbeat, Member, Peers},
     refresh::Pulse,
+    relayed::Carried,
     settings::Settings,
     suspects::{Admission, Suspects},
     sync::Views,
@@ -84,6 +86,10 @@
     pub recall: Mutex<Option<Recall>>,
     /// Last sign that the process runs.
     pub pulse: Mutex<Pulse>,
+    /// State of the links to the workers.
+    pub(super) links: Mutex<Links>,
+    /// Connections to workers that are carried for other instances.
+    pub carried: Carried,
     store_reached: AtomicBool,
 }
 
@@ -111,6 +117,8 @@
             share_reads: Reads::default(),
             recall: Mutex::default(),
             pulse: Mutex::default(),
+            links: Mutex::default(),
+            carried: Carried::default(),
             store_reached: AtomicBool::new(true),
         })
     }
@@ -338,6 +346,8 @@
             blocks,
             leaving: self.dispatch.leaving_count() as u64,
             limited: self.dispatch.limited_count() as u64,
+            cut_off: self.is_cut_off(),
+            carried: self.carried.count() as u64,
         }
     }
 
@@ -415,7 +425,10 @@
     /// Keeps a connection to a worker that takes requests for reuse, after an answer was read to its
     /// end.
     pub fn keep_connection(&self, worker: &Worker, connection: Connection) {
-        if !self.dispatch.is_ready(&worker.id) {
+        // A carried connection is opened for one request, as the other instance checks the worker then.
+        // Direct ones may hang during a cut.
+        let is_unusable = !connection.path.is_direct() || self.is_cut_off();
+        if is_unusable || !self.dispatch.is_ready(&worker.id) {
             return;
         }
         let config = self.config.load();
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -27,6 +27,9 @@
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
 /// Time in which a worker has to answer the report that decides, at least.
 const LAST_REPORT_LIMIT: Duration = Duration::from_millis(500);
+/// Pause before a connection for a report is opened again. During a cut, other instances may refuse to carry
+/// it at once.
+const CONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time for which a sound worker is silent.
 const MAX_SILENCE: Duration = Duration::from_millis(1500);
 /// Time after the end of an answer for which its worker has to go on. A worker that ends closes its
@@ -92,10 +95,13 @@
     async fn ask(&self) -> io::Result<()> {
         loop {
             let upstream = &self.gateway.upstream;
-            let mut connection = match upstream.connect(&self.worker, true).await {
+            let mut connection = match upstream.reach(&self.gateway, &self.worker, true).await {
                 Ok(connection) => connection,
                 // A lost packet is no sign of the worker. The callers bound the time.
-                Err(e) if e.kind() == io::ErrorKind::TimedOut => continue,
+                Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+                    Timer::after(CONNECT_PAUSE).await;
+                    continue;
+                }
                 Err(e) => return Err(e),
             };
             let request = reports::request(&self.worker).map_err(io::Error::other)?;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -2,16 +2,27 @@
 
 use std::{io, sync::Arc, time::Duration};
 
+use smol::net::TcpStream;
+
 use crate::{
     ids::{Map, WorkerId},
     mutex::{Mutex, lock},
 };
 
-use super::{config::Service, connection::Connection, fleet::Worker, memory::Memory};
+use super::{
+    config::Service,
+    connection::{self, Connection},
+    fair_stream::Wire,
+    fleet::Worker,
+    gateway::Gateway,
+    links::{self, LastHeard},
+    memory::Memory,
+    relayed::{OpenError, RelayedStream},
+};
 
 /// Timeout for connecting to a worker; across zones a connect takes a few milliseconds. A request
 /// that runs into this timeout can still meet its objective at another worker.
-const CONNECT_LIMIT: Duration = Duration::from_millis(120);
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(120);
 /// Time that an idle connection may be reused for requests that may be sent again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time that an idle connection may be reused for requests that run at most once. If the worker
@@ -21,6 +32,11 @@
 const MAX_IDLE: usize = 12;
 /// Share of the connections that a worker accepts that idle ones of all instances may take.
 const MAX_IDLE_SHARE: f64 = 0.5;
+/// Maximum number of instances that are asked for a connection to a worker, one after another. In a large
+/// cut most of them refuse at once, as they are cut off too.
+const MAX_ASKED: usize = 16;
+/// Maximum number of those that fail in another way, which can take longer.
+const MAX_FAILURES: usize = 4;
 
 /// Idle connections by worker.
 #[derive(Debug, Default)]
@@ -28,6 +44,8 @@
     idle: Mutex<Map<WorkerId, Idle>>,
     /// Bound on the buffers of the connections, if there is one.
     memory: Option<Arc<Memory>>,
+    /// Time when any worker last sent something on a direct connection.
+    pub heard: LastHeard,
 }
 
 /// Idle connections to one run of a worker.
@@ -43,6 +61,7 @@
         Self {
             idle: Mutex::default(),
             memory: Some(memory),
+            heard: LastHeard::default(),
         }
     }
 
@@ -52,6 +71,39 @@
     ///
     /// Returns an error when the worker accepts no connection in time.
     pub async fn connect(&self, worker: &Worker, repeatable: bool) -> io::Result<Connection> {
+        match self.take_ready(worker, repeatable).await {
+            Some(connection) => Ok(connection),
+            None => self.open_direct(worker).await,
+        }
+    }
+
+    /// Returns a connection to a worker like `connect`, and one through another instance while this
+    /// instance is cut off from all workers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no connection in time.
+    pub async fn reach(
+        &self,
+        gateway: &Arc<Gateway>,
+        worker: &Worker,
+        repeatable: bool,
+    ) -> io::Result<Connection> {
+        if !gateway.is_cut_off() {
+            let error = match self.connect(worker, repeatable).await {
+                Ok(connection) => return Ok(connection),
+                Err(e) => e,
+            };
+            if !links::confirm_cut(gateway, Some(&worker.id)).await {
+                return Err(error);
+            }
+        }
+        // A refusal that the links may explain is no sign of a crash.
+        let opened = self.open_relayed(gateway, worker).await;
+        opened.map_err(|e| io::Error::new(io::ErrorKind::TimedOut, e))
+    }
+
+    async fn take_ready(&self, worker: &Worker, repeatable: bool) -> Option<Connection> {
         let limit = if repeatable {
             IDLE_TIMEOUT
         } else {
@@ -59,11 +111,43 @@
         };
         while let Some(mut connection) = self.take(worker, limit) {
             if connection.is_ready().await {
-                return Ok(connection);
+                return Some(connection);
             }
         }
+        None
+    }
+
+    async fn open_direct(&self, worker: &Worker) -> io::Result<Connection> {
+        let opening = TcpStream::connect(worker.address);
+        let stream = connection::within(CONNECT_LIMIT, opening).await?;
+        stream.set_nodelay(true)?;
         let buffers = self.memory.as_ref().map(Memory::hold);
-        Connection::open_held(worker.address, CONNECT_LIMIT, buffers).await
+        Connection::over(stream.into(), buffers, Some(self.heard.clone())).await
+    }
+
+    /// Opens a connection through another instance, or a direct one if none carries it.
+    async fn open_relayed(&self, gateway: &Gateway, worker: &Worker) -> io::Result<Connection> {
+        let mut failures = 0;
+        for address in gateway.carriers(worker).into_iter().take(MAX_ASKED) {
+            match RelayedStream::open(address, worker).await {
+                Ok(stream) => {
+                    let buffers = self.memory.as_ref().map(Memory::hold);
+                    return Connection::over(Wire::Relayed(stream), buffers, None).await;
+                }
+                Err(OpenError::Worker(e)) => return Err(e),
+                Err(OpenError::CutOff) => gateway.avoid_carrier(address, &OpenError::CutOff),
+                Err(e) => {
+                    gateway.avoid_carrier(address, &e);
+                    failures += 1;
+                }
+            }
+            if failures >= MAX_FAILURES {
+                break;
+            }
+        }
+        let connection = self.open_direct(worker).await?;
+        gateway.record_direct();
+        Ok(connection)
     }
 
     fn take(&self, worker: &Worker, limit: Duration) -> Option<Connection> {
