Cut the links between instances and workers in the fleet soak

No test cut these links for single instances with real processes.

A gate in front of each worker tells by the sockets of the processes which instance opened a connection, since heartbeats spread one address of a worker to all instances. For 9 to 13 s the links of one instance, of a zone's or of a share of them hang, are reset, or live on while new ones are reset. The check: from 3 s after the cut on, first tries that may run more than once are served at two thirds of the rate of the other instances at least, or at most 10 and 1 in 50 fail, for each kind of cut.

The gate has to accept a connection before it knows whose it is, so a new one is reset after it was accepted, not refused. Requests that may run once are not counted for that reason.

--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -6,7 +6,8 @@
 //! `benchline`, `hobart`), `S` (length in seconds), `SEED`, `FRAMING` (how workers mark the end of
 //! their answers), `PROGRAM` (path of the instances' program), `LOGS` (folder that keeps the logs),
 //! `BREAKS` (1: some workers break off answers while they stay up), `PAUSE_MS` (pause of a worker
-//! after each event), `INSTANCES` and `WORKERS` (numbers other than those of the size).
+//! after each event), `INSTANCES` and `WORKERS` (numbers other than those of the size), `CUTS` (1: links
+//! between instances and workers are cut).
 //!
 //! The log folder has the log of each instance, the `ledger` of the requests that ran and `notes` on
 //! the troubles. `gentianpath explain ID FILE...` traces a request that a violation names.
@@ -101,6 +102,10 @@
             let seed = seeds();
             scope.spawn(move || fleet.trouble_instances(seed));
         }
+        if fleet.options.cuts {
+            let seed = seeds();
+            scope.spawn(move || fleet.cut_links(seed));
+        }
         let seed = seeds();
         scope.spawn(move || fleet.change_config(seed));
         let seed = seeds();
@@ -154,6 +159,15 @@
     check_fleet(options);
 }
 
+/// Guards against instances that fail their callers while only their own links to workers are cut.
+#[test]
+fn instances_without_links_to_workers_serve_their_callers() {
+    let mut options = Options::read(CI_LENGTH_S, CI_SEED);
+    options.framing = "chunked".into();
+    options.cuts = true;
+    check_fleet(options);
+}
+
 /// Runs a fleet in trouble, and checks all answers, outputs and counts of runs.
 fn check_fleet(options: Options) {
     let fleet = &Fleet::new(options);
@@ -173,6 +187,9 @@
         fleet.check_job(job);
     }
     fleet.check_runs();
+    if fleet.options.cuts {
+        fleet.check_detached();
+    }
     let record = fleet.record.lock().unwrap();
     let framing = &fleet.options.framing;
     println!(
--- a/tests/fleet_support/calls.rs
+++ b/tests/fleet_support/calls.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    EVENTS, Fleet, SERVICES, pause,
+    EVENTS, Fleet, SERVICES, Try, pause,
     texts::{Expected, Fault},
+    unix_ms,
 };
 use crate::gateway_support::caller::{Caller, Seen};
 
@@ -77,6 +78,17 @@
         }
     }
 
+    fn record_try(&self, id: &str, sent: u64, served: bool) {
+        let mut record = self.record.lock().unwrap();
+        let instance = record.sent[id];
+        let first = Try {
+            instance,
+            sent,
+            served,
+        };
+        record.tries.push(first);
+    }
+
     fn blame(&self, kind: &str, id: &str, fault: Fault, seen: &Seen, text: &str) {
         let seal = seen.header("x-response-seal").unwrap_or("-");
         let framing = seen
@@ -124,7 +136,12 @@
             if let Some(origin) = &origin {
                 headers.extend([("last-event-id", &*last), ("resumes", origin)]);
             }
+            let sent = unix_ms();
             let seen = self.post(caller, rng, &path, &call, &headers);
+            if attempt == 0 {
+                let left = seen.status == 200 && caller.patience.is_some();
+                self.record_try(&call, sent, left || (seen.status == 200 && seen.complete));
+            }
             self.count(if attempt == 0 { kind } else { "taken up" }, &call, &seen);
             let part = seen.text();
             if seen.status == 200 {
@@ -166,7 +183,11 @@
             ("x-deadline-ms", "5000"),
             ("x-events", &count),
         ];
+        let sent = unix_ms();
         let seen = self.post(caller, rng, &format!("/{kind}/{id}"), id, &headers);
+        if kind == "safe" {
+            self.record_try(id, sent, seen.status == 200 && seen.complete);
+        }
         self.count(kind, id, &seen);
         let expected = Expected {
             run: &self.run,
--- a/tests/fleet_support/instances.rs
+++ b/tests/fleet_support/instances.rs
@@ -12,7 +12,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use super::{Fleet, unix_ms};
+use super::{Fleet, links::Cut, unix_ms};
 use crate::support::{
     free_address, http,
     link::{Link, State},
@@ -31,6 +31,11 @@
         moves: bool,
     },
     Freeze(Duration),
+    /// Its links to all workers are cut.
+    Detach {
+        time: Duration,
+        cut: Cut,
+    },
     /// The store refuses it or falls silent for it.
     Cut {
         time: Duration,
@@ -139,6 +144,14 @@
                 thread::sleep(time);
                 self.signal(Signal::CONT);
             }
+            Trouble::Detach { time, cut } => {
+                let process = self.process.id();
+                fleet.links.cut(process, cut);
+                thread::sleep(time);
+                fleet.links.mend(process);
+                let span = (self.number, begin, unix_ms(), cut);
+                fleet.record.lock().unwrap().detached.push(span);
+            }
             Trouble::Cut { time, silent } => {
                 self.store
                     .set(if silent { State::Silent } else { State::Cut });
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -5,6 +5,7 @@
 pub mod guard;
 pub mod instances;
 pub mod jobs;
+pub mod links;
 pub mod texts;
 pub mod troubles;
 pub mod workers;
@@ -17,7 +18,7 @@
     net::SocketAddr,
     path::PathBuf,
     sync::{
-        Mutex,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -28,6 +29,7 @@
 
 use crate::gateway_support::{HOST, Store};
 use guard::Guard;
+use links::{Cut, Links};
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// Services of the workers.
@@ -103,6 +105,8 @@
     pub instances: usize,
     /// Number of workers.
     pub workers: usize,
+    /// Whether links between instances and workers are cut.
+    pub cuts: bool,
 }
 
 fn variable(name: &str) -> Option<String> {
@@ -132,10 +136,20 @@
             pause_ms: number("PAUSE_MS", 15),
             instances: number("INSTANCES", size.instances() as u64) as usize,
             workers: number("WORKERS", size.workers() as u64) as usize,
+            cuts: number("CUTS", 0) > 0,
         }
     }
 }
 
+/// First try of a request that may run more than once.
+#[derive(Debug, Clone, Copy)]
+pub struct Try {
+    pub instance: usize,
+    /// Unix millisecond at which it was sent.
+    pub sent: u64,
+    pub served: bool,
+}
+
 /// What the callers saw, and what was wrong with it.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -153,6 +167,9 @@
     leaves: HashMap<String, u64>,
     /// Disturbed instances, from and to, in Unix milliseconds.
     disturbed: Vec<(usize, u64, u64)>,
+    pub tries: Vec<Try>,
+    /// Instances without their links to workers, from and to, in Unix milliseconds.
+    pub detached: Vec<(usize, u64, u64, Cut)>,
     /// Disturbances of the store.
     unstable: Vec<(u64, u64)>,
 }
@@ -163,6 +180,7 @@
     pub run: String,
     pub store: Store,
     pub guard: Guard,
+    pub links: Arc<Links>,
     pub logs: PathBuf,
     pub ledger: PathBuf,
     pub record: Mutex<Record>,
@@ -202,6 +220,7 @@
             run: format!("r{}s{}", std::process::id(), options.seed),
             store,
             guard: Guard::start(),
+            links: Arc::default(),
             ledger: logs.join("ledger"),
             record: Mutex::default(),
             accepted: Mutex::default(),
@@ -352,14 +371,20 @@
 impl Record {
     /// Returns whether an instance and the store were undisturbed in a span and before it.
     fn is_calm(&self, instance: usize, from: u64, to: u64) -> bool {
-        let from = from - CALM_MS;
-        let overlaps = |begin: u64, end: u64| begin <= to && end.saturating_add(CALM_MS) >= from;
-        let is_disturbed = self
-            .disturbed
-            .iter()
-            .any(|(n, begin, end)| *n == instance && overlaps(*begin, *end));
-        !is_disturbed && !self.unstable.iter().any(|(b, e)| overlaps(*b, *e))
+        let is_unstable = self.unstable.iter().any(|span| overlaps(*span, from, to));
+        !is_unstable && !self.is_disturbed(instance, from, to)
     }
+
+    /// Returns whether an instance was disturbed in a span or before it.
+    fn is_disturbed(&self, instance: usize, from: u64, to: u64) -> bool {
+        let mut disturbed = self.disturbed.iter();
+        disturbed.any(|(n, begin, end)| *n == instance && overlaps((*begin, *end), from, to))
+    }
+}
+
+/// Returns whether a disturbance had an effect in a span.
+fn overlaps((begin, end): (u64, u64), from: u64, to: u64) -> bool {
+    begin <= to && end.saturating_add(CALM_MS) >= from - CALM_MS
 }
 
 /// Returns a configuration with routes of each kind and some that no caller uses.
--- a/tests/fleet_support/troubles.rs
+++ b/tests/fleet_support/troubles.rs
@@ -2,7 +2,7 @@
 
 use std::{thread, time::Duration};
 
-use super::{Fleet, ZONES, config, instances, pause, unix_ms, workers};
+use super::{Fleet, ZONES, config, instances, links::Cut, pause, unix_ms, workers};
 use crate::gateway_support::StoreFaults;
 
 /// Versions of the configuration between two changes, at most.
@@ -69,6 +69,29 @@
         }
     }
 
+    /// Draws cuts of the links between instances and workers until the end of the run.
+    pub fn cut_links(&self, seed: u64) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let count = self.options.instances;
+        while self.is_running() {
+            pause(&mut rng, 1000..3000);
+            let cut = [Cut::Hang, Cut::Reset, Cut::ResetNew][rng.usize(..3)];
+            let time = millis(&mut rng, 9000..13_000);
+            let numbers = match rng.u32(..4) {
+                0 => vec![rng.usize(..count)],
+                // The instances of a zone.
+                1 => (rng.usize(..ZONES.len())..count)
+                    .step_by(ZONES.len())
+                    .collect(),
+                _ => self.share(count, rng.usize(20..70), &mut rng),
+            };
+            for n in numbers {
+                self.order_instance(n, instances::Trouble::Detach { time, cut });
+            }
+            thread::sleep(time);
+        }
+    }
+
     /// Draws troubles of workers until the end of the run.
     pub fn trouble_workers(&self, seed: u64) {
         let mut rng = fastrand::Rng::with_seed(seed);
--- a/tests/fleet_support/workers.rs
+++ b/tests/fleet_support/workers.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use super::{EVENTS, Fleet, unix_ms};
+use super::{EVENTS, Fleet, links::Gate, unix_ms};
 use crate::{gateway_support::relay::Relay, support::Standin};
 
 /// Slots of a worker.
@@ -47,6 +47,8 @@
     zone: String,
     standin: Standin,
     relay: Option<Relay>,
+    /// Address that its entry names where links are cut.
+    gate: Option<Gate>,
 }
 
 impl Worker {
@@ -106,6 +108,9 @@
         fleet.note(&format!("worker {id}@{born} v{version} {service} at {}: ending {ending}, lingers {linger} ms, piece {piece}", standin.address));
         // Relays add late connections and cuts in the middle of answers.
         let relay = (number % 3 == 1).then(|| Relay::start(standin.address, rng.u64(..), 2000));
+        let address = relay.as_ref().map_or(standin.address, |r| r.address);
+        let gate = fleet.options.cuts;
+        let gate = gate.then(|| Gate::start(fleet.links.clone(), address));
         Self {
             id,
             born,
@@ -115,13 +120,14 @@
             zone: fleet.zone(number),
             standin,
             relay,
+            gate,
         }
     }
 
     fn address(&self) -> SocketAddr {
-        self.relay
-            .as_ref()
-            .map_or(self.standin.address, |r| r.address)
+        let relay = self.relay.as_ref().map(|r| r.address);
+        let gate = self.gate.as_ref().map(|g| g.address);
+        gate.or(relay).unwrap_or(self.standin.address)
     }
 
     fn entry(&self, state: &str) -> Value {
@@ -152,12 +158,14 @@
     fn kill(&mut self, fleet: &Fleet) {
         fleet.guard.remove(self.standin.process.id());
         self.standin.process.kill();
+        self.gate = None;
     }
 
     /// Waits for the end of the process.
     fn wait_end(&mut self, fleet: &Fleet) {
         fleet.guard.remove(self.standin.process.id());
         self.standin.process.exit_code();
+        self.gate = None;
     }
 
     /// Starts a worker with another id in the same place.
