Let workers of the fleet soak fall silent for a moment

The soak paused workers for up to 4 s and checked nothing about the answers that they were sending.

Workers now also stand still for 0.5 to 1.5 s. An answer that breaks off during that time is a violation if its instance was undisturbed, its request younger than 3 s, and its worker behind no relay, since relays break answers off. Requests that may run once are checked for second runs as before. The soak does not see whether an instance stops choosing the worker.

--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -187,6 +187,7 @@
         fleet.check_job(job);
     }
     fleet.check_runs();
+    fleet.check_silences();
     if fleet.options.cuts {
         fleet.check_detached();
     }
--- a/tests/fleet_support/calls.rs
+++ b/tests/fleet_support/calls.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    EVENTS, Fleet, SERVICES, Try, pause,
+    Break, EVENTS, Fleet, SERVICES, Try, pause,
     texts::{Expected, Fault},
     unix_ms,
 };
@@ -78,6 +78,23 @@
         }
     }
 
+    fn record_break(&self, id: &str, sent: u64, seen: &Seen) {
+        if seen.status != 200 || seen.complete {
+            return;
+        }
+        let mut record = self.record.lock().unwrap();
+        let broken = Break {
+            request: id.to_owned(),
+            instance: record.sent[id],
+            seal: seen
+                .header("x-response-seal")
+                .unwrap_or_default()
+                .to_owned(),
+            span: (sent, unix_ms()),
+        };
+        record.broken.push(broken);
+    }
+
     fn record_try(&self, id: &str, sent: u64, served: bool) {
         let mut record = self.record.lock().unwrap();
         let instance = record.sent[id];
@@ -140,6 +157,9 @@
             let seen = self.post(caller, rng, &path, &call, &headers);
             if attempt == 0 {
                 let left = seen.status == 200 && caller.patience.is_some();
+                if !left {
+                    self.record_break(&call, sent, &seen);
+                }
                 self.record_try(&call, sent, left || (seen.status == 200 && seen.complete));
             }
             self.count(if attempt == 0 { kind } else { "taken up" }, &call, &seen);
@@ -185,6 +205,9 @@
         ];
         let sent = unix_ms();
         let seen = self.post(caller, rng, &format!("/{kind}/{id}"), id, &headers);
+        if caller.patience.is_none() {
+            self.record_break(id, sent, &seen);
+        }
         if kind == "safe" {
             self.record_try(id, sent, seen.status == 200 && seen.complete);
         }
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -36,6 +36,8 @@
 pub const SERVICES: [&str; 2] = ["lm", "side"];
 /// Events of an answer, unless the request names another number.
 pub const EVENTS: u64 = 20;
+/// Age of a request at which a short silence can't use up its deadline.
+const YOUNG_MS: u64 = 3000;
 /// Time after a disturbance in which an instance counts as disturbed.
 const CALM_MS: u64 = 3000;
 
@@ -150,6 +152,17 @@
     pub served: bool,
 }
 
+/// First answer to a request that broke off.
+#[derive(Debug, Clone)]
+pub struct Break {
+    pub request: String,
+    pub instance: usize,
+    /// Seal of the worker.
+    pub seal: String,
+    /// Unix milliseconds at which the request was sent and the answer ended.
+    pub span: (u64, u64),
+}
+
 /// What the callers saw, and what was wrong with it.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -168,6 +181,9 @@
     /// Disturbed instances, from and to, in Unix milliseconds.
     disturbed: Vec<(usize, u64, u64)>,
     pub tries: Vec<Try>,
+    /// Workers that stood still for a short time by their seals, from and to, in Unix milliseconds.
+    pub silences: Vec<(String, u64, u64)>,
+    pub broken: Vec<Break>,
     /// Instances without their links to workers, from and to, in Unix milliseconds.
     pub detached: Vec<(usize, u64, u64, Cut)>,
     /// Disturbances of the store.
@@ -322,6 +338,30 @@
         record.unstable.push((from, to));
     }
 
+    /// Checks that no answer broke off because its worker stood still for a short time.
+    pub fn check_silences(&self) {
+        let record = self.record.lock().unwrap();
+        let is_during = |b: &Break| {
+            let silences = record.silences.iter();
+            let mut silences = silences.filter(|(seal, ..)| *seal == b.seal);
+            silences.any(|(_, from, to)| (from..=to).contains(&&b.span.1))
+        };
+        let broken = record.broken.iter().filter(|b| {
+            let (sent, ended) = b.span;
+            is_during(b) && ended < sent + YOUNG_MS && !record.is_disturbed(b.instance, sent, ended)
+        });
+        let broken: Vec<Break> = broken.cloned().collect();
+        println!(
+            "summary: {} short silences of workers, {} answers broken off in one",
+            record.silences.len(),
+            broken.len()
+        );
+        drop(record);
+        for b in broken {
+            self.report("broken by silence", &format!("{} at {}", b.request, b.seal));
+        }
+    }
+
     /// Checks the requests that ran against those that were sent.
     pub fn check_runs(&self) {
         let text = std::fs::read_to_string(&self.ledger).unwrap_or_default();
--- a/tests/fleet_support/troubles.rs
+++ b/tests/fleet_support/troubles.rs
@@ -116,7 +116,8 @@
                     }
                 }
                 _ => {
-                    let trouble = match rng.u32(..10) {
+                    let trouble = match rng.u32(..13) {
+                        10.. => workers::Trouble::Silence(millis(&mut rng, 500..1500)),
                         0 => workers::Trouble::Kill,
                         1..4 => workers::Trouble::End,
                         4 => workers::Trouble::Drain,
--- a/tests/fleet_support/workers.rs
+++ b/tests/fleet_support/workers.rs
@@ -26,6 +26,8 @@
     /// Its entry is removed, and it ends later.
     Withdraw,
     Freeze(Duration),
+    /// Stands still for less time than a worker may be silent.
+    Silence(Duration),
     /// Killed and started again under the same id; its start goes back as after a step of its clock.
     Restart {
         back: bool,
@@ -220,10 +222,17 @@
                 self.remove(fleet);
                 next
             }
-            Trouble::Freeze(time) => {
+            Trouble::Freeze(time) | Trouble::Silence(time) => {
+                let begin = unix_ms();
                 self.standin.process.pause();
                 thread::sleep(time);
                 self.standin.process.resume();
+                // Relays break answers off.
+                if matches!(trouble, Trouble::Silence(_)) && self.relay.is_none() {
+                    let seal = format!("{}.{}", self.id, self.born);
+                    let span = (seal, begin, unix_ms());
+                    fleet.record.lock().unwrap().silences.push(span);
+                }
                 self
             }
             Trouble::Restart { back } => {
