--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -5,6 +5,7 @@
 pub mod guard;
 pub mod instances;
 pub mod jobs;
+pub mod links;
 pub mod texts;
 pub mod troubles;
 pub mod workers;
@@ -17,7 +18,7 @@
     net::SocketAddr,
     path::PathBuf,
     sync::{
-        Mutex,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
@@ -28,12 +29,15 @@
 
 use crate::gateway_support::{HOST, Store};
 use guard::Guard;
+use links::{Cut, Links};
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// Services of the workers.
 pub const SERVICES: [&str; 2] = ["lm", "side"];
 /// Events of an answer, unless the request names another number.
 pub const EVENTS: u64 = 20;
+/// Age of a request at which a short silence can't use up its deadline.
+const YOUNG_MS: u64 = 3000;
 /// Time after a disturbance in which an instance counts as disturbed.
 const CALM_MS: u64 = 3000;
 
@@ -103,6 +107,8 @@
     pub instances: usize,
     /// Number of workers.
     pub workers: usize,
+    /// Whether links between instances and workers are cut.
+    pub cuts: bool,
 }
 
 fn variable(name: &str) -> Option<String> {
@@ -132,10 +138,31 @@
             pause_ms: number("PAUSE_MS", 15),
             instances: number("INSTANCES", size.instances() as u64) as usize,
             workers: number("WORKERS", size.workers() as u64) as usize,
+            cuts: number("CUTS", 0) > 0,
         }
     }
 }
 
+/// First try of a request that may run more than once.
+#[derive(Debug, Clone, Copy)]
+pub struct Try {
+    pub instance: usize,
+    /// Unix millisecond at which it was sent.
+    pub sent: u64,
+    pub served: bool,
+}
+
+/// First answer to a request that broke off.
+#[derive(Debug, Clone)]
+pub struct Break {
+    pub request: String,
+    pub instance: usize,
+    /// Seal of the worker.
+    pub seal: String,
+    /// Unix milliseconds at which the request was sent and the answer ended.
+    pub span: (u64, u64),
+}
+
 /// What the callers saw, and what was wrong with it.
 #[derive(Debug, Default)]
 pub struct Record {
@@ -153,6 +180,12 @@
     leaves: HashMap<String, u64>,
     /// Disturbed instances, from and to, in Unix milliseconds.
     disturbed: Vec<(usize, u64, u64)>,
+    pub tries: Vec<Try>,
+    /// Workers that stood still for a short time by their seals, from and to, in Unix milliseconds.
+    pub silences: Vec<(String, u64, u64)>,
+    pub broken: Vec<Break>,
+    /// Instances without their links to workers, from and to, in Unix milliseconds.
+    pub detached: Vec<(usize, u64, u64, Cut)>,
     /// Disturbances of the store.
     unstable: Vec<(u64, u64)>,
 }
@@ -163,6 +196,7 @@
     pub run: String,
     pub store: Store,
     pub guard: Guard,
+    pub links: Arc<Links>,
     pub logs: PathBuf,
     pub ledger: PathBuf,
     pub record: Mutex<Record>,
@@ -202,6 +236,7 @@
             run: format!("r{}s{}", std::process::id(), options.seed),
             store,
             guard: Guard::start(),
+            links: Arc::default(),
             ledger: logs.join("ledger"),
             record: Mutex::default(),
             accepted: Mutex::default(),
@@ -303,6 +338,30 @@
         record.unstable.push((from, to));
     }
 
+    /// Checks that no answer broke off because its worker stood still for a short time.
+    pub fn check_silences(&self) {
+        let record = self.record.lock().unwrap();
+        let is_during = |b: &Break| {
+            let silences = record.silences.iter();
+            let mut silences = silences.filter(|(seal, ..)| *seal == b.seal);
+            silences.any(|(_, from, to)| (from..=to).contains(&&b.span.1))
+        };
+        let broken = record.broken.iter().filter(|b| {
+            let (sent, ended) = b.span;
+            is_during(b) && ended < sent + YOUNG_MS && !record.is_disturbed(b.instance, sent, ended)
+        });
+        let broken: Vec<Break> = broken.cloned().collect();
+        println!(
+            "summary: {} short silences of workers, {} answers broken off in one",
+            record.silences.len(),
+            broken.len()
+        );
+        drop(record);
+        for b in broken {
+            self.report("broken by silence", &format!("{} at {}", b.request, b.seal));
+        }
+    }
+
     /// Checks the requests that ran against those that were sent.
     pub fn check_runs(&self) {
         let text = std::fs::read_to_string(&self.ledger).unwrap_or_default();
@@ -352,16 +411,22 @@
 impl Record {
     /// Returns whether an instance and the store were undisturbed in a span and before it.
     fn is_calm(&self, instance: usize, from: u64, to: u64) -> bool {
-        let from = from - CALM_MS;
-        let overlaps = |begin: u64, end: u64| begin <= to && end.saturating_add(CALM_MS) >= from;
-        let is_disturbed = self
-            .disturbed
-            .iter()
-            .any(|(n, begin, end)| *n == instance && overlaps(*begin, *end));
-        !is_disturbed && !self.unstable.iter().any(|(b, e)| overlaps(*b, *e))
+        let is_unstable = self.unstable.iter().any(|span| overlaps(*span, from, to));
+        !is_unstable && !self.is_disturbed(instance, from, to)
+    }
+
+    /// Returns whether an instance was disturbed in a span or before it.
+    fn is_disturbed(&self, instance: usize, from: u64, to: u64) -> bool {
+        let mut disturbed = self.disturbed.iter();
+        disturbed.any(|(n, begin, end)| *n == instance && overlaps((*begin, *end), from, to))
     }
 }
 
+/// Returns whether a disturbance had an effect in a span.
+fn overlaps((begin, end): (u64, u64), from: u64, to: u64) -> bool {
+    begin <= to && end.saturating_add(CALM_MS) >= from - CALM_MS
+}
+
 /// Returns a configuration with routes of each kind and some that no caller uses.
 pub fn config(version: u64, timeout_ms: u64, idle: usize) -> Value {
     let route = |name: &str, kind: &str, service: &str, resumable: bool, attempts: u32| {
--- a/tests/fleet_support/workers.rs
+++ b/tests/fleet_support/workers.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use super::{EVENTS, Fleet, unix_ms};
+use super::{EVENTS, Fleet, links::Gate, unix_ms};
 use crate::{gateway_support::relay::Relay, support::Standin};
 
 /// Slots of a worker.
@@ -26,6 +26,8 @@
     /// Its entry is removed, and it ends later.
     Withdraw,
     Freeze(Duration),
+    /// Stands still for less time than a worker may be silent.
+    Silence(Duration),
     /// Killed and started again under the same id; its start goes back as after a step of its clock.
     Restart {
         back: bool,
@@ -47,6 +49,8 @@
     zone: String,
     standin: Standin,
     relay: Option<Relay>,
+    /// Address that its entry names where links are cut.
+    gate: Option<Gate>,
 }
 
 impl Worker {
@@ -106,6 +110,9 @@
         fleet.note(&format!("worker {id}@{born} v{version} {service} at {}: ending {ending}, lingers {linger} ms, piece {piece}", standin.address));
         // Relays add late connections and cuts in the middle of answers.
         let relay = (number % 3 == 1).then(|| Relay::start(standin.address, rng.u64(..), 2000));
+        let address = relay.as_ref().map_or(standin.address, |r| r.address);
+        let gate = fleet.options.cuts;
+        let gate = gate.then(|| Gate::start(fleet.links.clone(), address));
         Self {
             id,
             born,
@@ -115,13 +122,14 @@
             zone: fleet.zone(number),
             standin,
             relay,
+            gate,
         }
     }
 
     fn address(&self) -> SocketAddr {
-        self.relay
-            .as_ref()
-            .map_or(self.standin.address, |r| r.address)
+        let relay = self.relay.as_ref().map(|r| r.address);
+        let gate = self.gate.as_ref().map(|g| g.address);
+        gate.or(relay).unwrap_or(self.standin.address)
     }
 
     fn entry(&self, state: &str) -> Value {
@@ -152,12 +160,14 @@
     fn kill(&mut self, fleet: &Fleet) {
         fleet.guard.remove(self.standin.process.id());
         self.standin.process.kill();
+        self.gate = None;
     }
 
     /// Waits for the end of the process.
     fn wait_end(&mut self, fleet: &Fleet) {
         fleet.guard.remove(self.standin.process.id());
         self.standin.process.exit_code();
+        self.gate = None;
     }
 
     /// Starts a worker with another id in the same place.
@@ -212,10 +222,17 @@
                 self.remove(fleet);
                 next
             }
-            Trouble::Freeze(time) => {
+            Trouble::Freeze(time) | Trouble::Silence(time) => {
+                let begin = unix_ms();
                 self.standin.process.pause();
                 thread::sleep(time);
                 self.standin.process.resume();
+                // Relays break answers off.
+                if matches!(trouble, Trouble::Silence(_)) && self.relay.is_none() {
+                    let seal = format!("{}.{}", self.id, self.born);
+                    let span = (seal, begin, unix_ms());
+                    fleet.record.lock().unwrap().silences.push(span);
+                }
                 self
             }
             Trouble::Restart { back } => {
