Give dropped records of a blocked request to the others again

A request that crashes workers was admitted at an instance that had dropped the records of its first two crashes: dropped records come back only when they are needed again, and a block made at another instance did not count as a need until a request asked for it there.

A new block now makes its records needed, so that the next report brings them back. a_request_whose_first_crashes_were_dropped_is_refused fails before (the request is admitted) and passes with the change, as do the other 24 tests of gateway_suspects, and gateway_blame and gateway_deadly (debug build, arm64, one run each).

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -486,8 +486,14 @@
         let (blocks, outdated) = blame::blocks(&self.crashes, now);
         self.review_at = outdated;
         let is_new = |b: &&Block| self.blocks.iter().all(|old| old.marks != b.marks);
-        self.new_blocks
-            .extend(blocks.iter().filter(is_new).cloned());
+        let new: Vec<Block> = blocks.iter().filter(is_new).cloned().collect();
+        // Instances that dropped some of these records take them again.
+        for crash in &mut self.crashes {
+            if new.iter().any(|b| is_subset(&b.marks, &crash.marks)) {
+                crash.needed = crash.needed.max(now);
+            }
+        }
+        self.new_blocks.extend(new);
         self.blocks = blocks;
     }
 }
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -502,3 +502,23 @@
     suspects.merge(other.report(at(13_000)), at(13_000));
     assert!(!admits(&mut suspects, &[REQUEST], 13_100));
 }
+
+/// Guards against a request that goes on crashing workers where its first crashes were displaced before
+/// the third one.
+#[test]
+fn a_request_whose_first_crashes_were_dropped_is_refused() {
+    let mut other = Suspects::default();
+    crash(&mut other, &[REQUEST], 2, 0);
+    let mut suspects = Suspects::default();
+    suspects.merge(other.report(at(300)), at(300));
+    for n in 0..300_u32 {
+        let request = [Mark::Request(u64::from(n) + 100)];
+        suspects.record_crash(&request, (n + 100, n + 100), at(400 + 50 * u64::from(n)));
+    }
+    let known = suspects.report(at(15_500)).crashes;
+    assert!(known.iter().all(|c| !c.marks.contains(&REQUEST)));
+    other.record_crash(&[REQUEST], (3, 3), at(16_000));
+    assert!(other.is_blocked(&[REQUEST], at(16_100)));
+    suspects.merge(other.report(at(16_200)), at(16_200));
+    assert!(!admits(&mut suspects, &[REQUEST], 16_300));
+}
