Let one kind of trouble happen alone in the fleet soak

Without the variables no draw of an existing seed changes.

BREAKS=1 breaks off every ninth answer of a worker. BREAKS is left as it is, since its seeds are recorded.

--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -7,7 +7,9 @@
 //! their answers), `PROGRAM` (path of the instances' program), `LOGS` (folder that keeps the logs),
 //! `BREAKS` (1: some workers break off answers while they stay up), `PAUSE_MS` (pause of a worker
 //! after each event), `INSTANCES` and `WORKERS` (numbers other than those of the size), `CUTS` (1: links
-//! between instances and workers are cut).
+//! between instances and workers are cut), `ONLY` (the one kind of trouble that happens, by the names
+//! in `fleet_support/only.rs`; callers still leave and read slowly), `ZONES` (number of zones, 4 at
+//! most).
 //!
 //! The log folder has the log of each instance, the `ledger` of the requests that ran and `notes` on
 //! the troubles. `gentianpath explain ID FILE...` traces a request that a violation names.
@@ -93,23 +95,30 @@
             let seed = seeds();
             scope.spawn(move || fleet.submit(n, seed));
         }
-        // Larger fleets have as many troubles for each process.
-        for _ in 0..1 + workers / 10 {
-            let seed = seeds();
-            scope.spawn(move || fleet.trouble_workers(seed));
-        }
-        for _ in 0..1 + count / 20 {
+        if let Some(only) = fleet.options.only {
+            for _ in 0..only.directors(fleet) {
+                let seed = seeds();
+                scope.spawn(move || fleet.trouble_alone(only, seed));
+            }
+        } else {
+            // Larger fleets have as many troubles for each process.
+            for _ in 0..1 + workers / 10 {
+                let seed = seeds();
+                scope.spawn(move || fleet.trouble_workers(seed));
+            }
+            for _ in 0..1 + count / 20 {
+                let seed = seeds();
+                scope.spawn(move || fleet.trouble_instances(seed));
+            }
+            if fleet.options.cuts {
+                let seed = seeds();
+                scope.spawn(move || fleet.cut_links(seed));
+            }
             let seed = seeds();
-            scope.spawn(move || fleet.trouble_instances(seed));
-        }
-        if fleet.options.cuts {
+            scope.spawn(move || fleet.change_config(seed));
             let seed = seeds();
-            scope.spawn(move || fleet.cut_links(seed));
+            scope.spawn(move || fleet.trouble_store(seed));
         }
-        let seed = seeds();
-        scope.spawn(move || fleet.change_config(seed));
-        let seed = seeds();
-        scope.spawn(move || fleet.trouble_store(seed));
         let begin = Instant::now();
         while begin.elapsed() < fleet.options.length {
             thread::sleep(Duration::from_millis(50));
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -6,6 +6,7 @@
 pub mod instances;
 pub mod jobs;
 pub mod links;
+pub mod only;
 pub mod texts;
 pub mod troubles;
 pub mod workers;
@@ -30,6 +31,7 @@
 use crate::gateway_support::{HOST, Store};
 use guard::Guard;
 use links::{Cut, Links};
+use only::Only;
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// Services of the workers.
@@ -109,6 +111,10 @@
     pub workers: usize,
     /// Whether links between instances and workers are cut.
     pub cuts: bool,
+    /// Kind of trouble that happens alone.
+    pub only: Option<Only>,
+    /// Number of zones.
+    pub zones: usize,
 }
 
 fn variable(name: &str) -> Option<String> {
@@ -139,6 +145,8 @@
             instances: number("INSTANCES", size.instances() as u64) as usize,
             workers: number("WORKERS", size.workers() as u64) as usize,
             cuts: number("CUTS", 0) > 0,
+            only: variable("ONLY").map(|name| Only::try_from(&*name).unwrap()),
+            zones: number("ZONES", ZONES.len() as u64) as usize,
         }
     }
 }
@@ -280,7 +288,7 @@
     }
 
     pub fn zone(&self, number: usize) -> String {
-        ZONES[number % ZONES.len()].to_owned()
+        ZONES[number % self.options.zones].to_owned()
     }
 
     pub fn worker_id(&self, number: usize) -> String {
--- a/tests/fleet_support/troubles.rs
+++ b/tests/fleet_support/troubles.rs
@@ -2,13 +2,13 @@
 
 use std::{thread, time::Duration};
 
-use super::{Fleet, ZONES, config, instances, links::Cut, pause, unix_ms, workers};
+use super::{Fleet, config, instances, links::Cut, pause, unix_ms, workers};
 use crate::gateway_support::StoreFaults;
 
 /// Versions of the configuration between two changes, at most.
 const STEP: u64 = 7;
 
-fn millis(rng: &mut fastrand::Rng, range: std::ops::Range<u64>) -> Duration {
+pub fn millis(rng: &mut fastrand::Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.u64(range))
 }
 
@@ -58,13 +58,13 @@
 
     /// Cuts the instances of a zone off the store and makes its workers stand still.
     fn cut_zone(&self, rng: &mut fastrand::Rng) {
-        let zone = rng.usize(..ZONES.len());
+        let zone = rng.usize(..self.options.zones);
         let (time, silent) = (millis(rng, 1000..5500), rng.bool());
         let options = &self.options;
-        for n in (zone..options.instances).step_by(ZONES.len()) {
+        for n in (zone..options.instances).step_by(self.options.zones) {
             self.order_instance(n, instances::Trouble::Cut { time, silent });
         }
-        for n in (zone..options.workers).step_by(ZONES.len()) {
+        for n in (zone..options.workers).step_by(self.options.zones) {
             self.order_worker(n, workers::Trouble::Freeze(time));
         }
     }
@@ -80,8 +80,8 @@
             let numbers = match rng.u32(..4) {
                 0 => vec![rng.usize(..count)],
                 // The instances of a zone.
-                1 => (rng.usize(..ZONES.len())..count)
-                    .step_by(ZONES.len())
+                1 => (rng.usize(..self.options.zones)..count)
+                    .step_by(self.options.zones)
                     .collect(),
                 _ => self.share(count, rng.usize(20..70), &mut rng),
             };
@@ -199,18 +199,18 @@
     }
 
     /// Draws a share of numbers in percent, in random order.
-    fn share(&self, count: usize, percent: usize, rng: &mut fastrand::Rng) -> Vec<usize> {
+    pub fn share(&self, count: usize, percent: usize, rng: &mut fastrand::Rng) -> Vec<usize> {
         let mut numbers: Vec<usize> = (0..count).collect();
         rng.shuffle(&mut numbers);
         numbers.truncate((count * percent / 100).max(1));
         numbers
     }
 
-    fn order_instance(&self, n: usize, trouble: instances::Trouble) {
+    pub fn order_instance(&self, n: usize, trouble: instances::Trouble) {
         *self.instance_orders[n].lock().unwrap() = Some(trouble);
     }
 
-    fn order_worker(&self, n: usize, trouble: workers::Trouble) {
+    pub fn order_worker(&self, n: usize, trouble: workers::Trouble) {
         *self.worker_orders[n].lock().unwrap() = Some(trouble);
     }
 }
--- a/tests/fleet_support/workers.rs
+++ b/tests/fleet_support/workers.rs
@@ -4,7 +4,12 @@
 
 use serde_json::{Value, json};
 
-use super::{EVENTS, Fleet, links::Gate, unix_ms};
+use super::{
+    EVENTS, Fleet,
+    links::Gate,
+    only::{self, Only},
+    unix_ms,
+};
 use crate::{gateway_support::relay::Relay, support::Standin};
 
 /// Slots of a worker.
@@ -81,11 +86,15 @@
         let (born_text, drain) = (born.to_string(), drain.to_string());
         let linger = rng.u64(20..1500).to_string();
         let piece = if rng.u32(..4) == 0 { rng.u32(1..10) } else { 0 }.to_string();
-        let breaks = if fleet.options.breaks && rng.u32(..4) == 0 {
+        let only = fleet.options.only;
+        let breaks = if only == Some(Only::Breaks) {
+            only::SPOIL_EVERY
+        } else if fleet.options.breaks && rng.u32(..4) == 0 {
             "9"
         } else {
             "0"
         };
+        let fault = only.map(|only| only.worker_options(rng));
         let events = EVENTS.to_string();
         let (slots, pause) = (SLOTS.to_string(), fleet.options.pause_ms.to_string());
         let options = [
@@ -105,11 +114,13 @@
         ];
         let mut options = options.as_flattened().to_vec();
         options.push("--name-path");
+        options.extend(fault.unwrap_or_default());
         let standin = Standin::start("standin-worker", &options);
         fleet.guard.add(standin.process.id());
         fleet.note(&format!("worker {id}@{born} v{version} {service} at {}: ending {ending}, lingers {linger} ms, piece {piece}", standin.address));
         // Relays add late connections and cuts in the middle of answers.
-        let relay = (number % 3 == 1).then(|| Relay::start(standin.address, rng.u64(..), 2000));
+        let relays = number % 3 == 1 && only.is_none();
+        let relay = relays.then(|| Relay::start(standin.address, rng.u64(..), 2000));
         let address = relay.as_ref().map_or(standin.address, |r| r.address);
         let gate = fleet.options.cuts;
         let gate = gate.then(|| Gate::start(fleet.links.clone(), address));
