--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -81,9 +81,9 @@
 }
 
 /// Message on limits and versions of workers.
-#[derive(Debug)]
+#[derive(Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-enum FleetMessage {
+pub enum FleetMessage {
     /// What the sender knows.
     Notices(Vec<Notice>),
     /// Asks the leader of a worker whether a request of a class may be sent.
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -35,15 +35,16 @@
 const READ_KEPT: Duration = Duration::from_millis(100);
 
 /// A history as stored.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq)]
 #[derive(Serialize, Deserialize)]
-struct Stored {
+pub struct Stored {
+    /// The history.
     #[serde(flatten)]
-    history: History,
+    pub history: History,
     /// The longest time that callers wait, as known when the shares changed: an instance that has started
     /// cannot tell the age of their streams by the timeout of the route, which may have changed.
     #[serde(default)]
-    deadlines: Deadlines,
+    pub deadlines: Deadlines,
 }
 
 /// Reads of the histories on behalf of calls, one at a time.
