Refuse calls of other instances that cannot be read with 503

An instance passes the status of another one on to the caller, unless it is 503, after which it serves the call itself. A call that the receiver could not read got 400, so that a caller whose call a later release forwards with an action that an earlier one does not know would be denied it. No present release sends such a call. and earlier ones still answer 400, so docs/platform.md keeps the rule for new actions.

Found by reading.

--- a/src/gateway/peer_call.rs
+++ b/src/gateway/peer_call.rs
@@ -181,7 +181,9 @@
                 Err(e) => text_answer(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string(), None),
             }
         }
-        Err(e) => text_answer(StatusCode::BAD_REQUEST, &e.to_string(), None),
+        // A later release may send calls that this one does not know. Its sender then serves a caller's call
+        // itself, while it would pass another status on to the caller.
+        Err(e) => text_answer(StatusCode::SERVICE_UNAVAILABLE, &e.to_string(), None),
     }
 }
 
