Announce a block of requests once in the fleet

Each instance makes the blocks from the same records and logged each one. A block also counted as new when a review made it anew with other marks beside its request, or after its records were displaced and came back.

A record now says whether an attempt of this instance broke, and a block whether that was with the crash that completed it; only then it is logged, at other instances with a debug line. A block is known by its request, or by its parts, and is announced again only after these were proved sound or forgotten. A single crash that breaks attempts with the mark at several instances is logged at each of these.

--- a/src/gateway/blame.rs
+++ b/src/gateway/blame.rs
@@ -50,6 +50,8 @@
     pub needed: Duration,
     /// Marks of the request that are not proved sound.
     pub marks: Vec<Mark>,
+    /// Whether the attempt was made by this instance.
+    pub is_local: bool,
 }
 
 /// Marks that have crashed workers whenever they came together. A request that holds all of them is
@@ -60,6 +62,10 @@
     pub marks: Vec<Mark>,
     /// Number of crashes.
     pub crashes: usize,
+    /// Whether an attempt of this instance broke with the crash that completed the block.
+    pub is_local: bool,
+    /// Time of the crash that completed the block.
+    pub completed: Duration,
     last: Duration,
     late: usize,
 }
@@ -119,6 +125,13 @@
         let delay = (FIRST_PROBE * 3_u32.pow(triplings)).min(MAX_PROBE_DELAY);
         (self.late < max_late).then_some(self.last + delay)
     }
+
+    /// Returns the marks that identify the block: the request, if it names one. Its parts are proved
+    /// sound by other requests while the block holds.
+    pub fn identity(&self) -> Vec<Mark> {
+        let request = self.marks.iter().find(|m| m.request().is_some());
+        request.map_or_else(|| self.marks.clone(), |m| vec![*m])
+    }
 }
 
 /// Returns the blocks that follow from records, and the time from which on they are outdated.
@@ -162,7 +175,11 @@
             outdated = Some(outdated.map_or(settled, |t| t.min(settled)));
             continue;
         }
+        let mut completing = held.iter().filter(|c| c.at == third);
+        let is_local = |c: &&Crash| held.iter().any(|o| o.is_local && o.is_at_worker_of(c));
         blocks.push(Block {
+            is_local: completing.any(is_local),
+            completed: third,
             marks,
             crashes: times.len(),
             last: times[times.len() - 1],
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -207,7 +207,12 @@
     let blocks = gateway.suspects().take_blocks();
     for block in blocks {
         let (parts, crashes) = (marks::names(&block.marks), block.crashes);
-        event!(Warn, PartsBlocked, "parts={parts} crashes={crashes}");
+        // All instances make the block from the same records.
+        if block.is_local {
+            event!(Warn, PartsBlocked, "parts={parts} crashes={crashes}");
+        } else {
+            log::debug!("blocked by reports of other instances: {parts}, {crashes} crashes");
+        }
     }
     if news.is_empty() && now < *due {
         return;
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -76,6 +76,8 @@
     new_crashes: Vec<Crash>,
     new_proofs: Vec<(Mark, Duration)>,
     new_blocks: Vec<Block>,
+    /// Blocks that `take_blocks` has returned or will return, by their identity.
+    announced: Map<Vec<Mark>, Announced>,
     /// Requests under which a worker crashed at this instance, and whose crashes are not stored.
     unsaved: Set<Fingerprint>,
     /// Blocked requests that were proved sound at this instance.
@@ -93,6 +95,14 @@
     at: Duration,
 }
 
+/// A block that was announced.
+#[derive(Debug, Clone, Copy)]
+struct Announced {
+    /// Time of the crash that completed the block.
+    completed: Duration,
+    is_local: bool,
+}
+
 /// What is new of blocked requests.
 #[derive(Debug, Default)]
 pub struct BlockNews {
@@ -113,6 +123,7 @@
             at: now,
             needed: now,
             marks: marks[first..].to_vec(),
+            is_local: true,
         };
         if !self.add(crash.clone(), now) {
             return false;
@@ -202,7 +213,9 @@
         self.review_count
     }
 
-    /// Returns the blocks that are new since the last call, for the log.
+    /// Returns the blocks that are new since the last call, for the log. A block is new again only
+    /// after its marks were proved sound or forgotten, or when it turns out that this instance saw
+    /// the crash that completed it.
     pub fn take_blocks(&mut self) -> Vec<Block> {
         std::mem::take(&mut self.new_blocks)
     }
@@ -265,6 +278,7 @@
                 at: now.saturating_sub(Duration::from_millis(crash.at)),
                 needed: now,
                 marks: crash.marks,
+                is_local: false,
             };
             // The record of an instance that saw the crash may have more marks.
             let is_known = self
@@ -328,6 +342,7 @@
                 at: time(crash.at),
                 needed: time(crash.needed),
                 marks: crash.marks,
+                is_local: false,
             };
             if !self.was_dropped(&crash, now) {
                 changed |= self.add(crash, now);
@@ -450,6 +465,9 @@
             changed |= crash.marks.len() != before;
         }
         self.crashes.retain(|c| !c.marks.is_empty());
+        let is_sound = |m: &Mark, a: &Announced| proved.get(m).is_some_and(|t| *t >= a.completed);
+        self.announced
+            .retain(|marks, a| !marks.iter().any(|m| is_sound(m, a)));
         evict_oldest(&mut self.proved, MAX_PROVED, |at| *at);
         changed
     }
@@ -493,8 +511,33 @@
                 crash.needed = crash.needed.max(now);
             }
         }
-        self.new_blocks.extend(new);
         self.blocks = blocks;
+        self.announce(now);
+    }
+
+    /// Notes the blocks that have not been announced. Reviews make a block anew, with other marks
+    /// beside its request, whenever records come or go.
+    fn announce(&mut self, now: Duration) {
+        self.announced.retain(|_, a| now < a.completed + MEMORY);
+        for block in &self.blocks {
+            let announced = Announced {
+                completed: block.completed,
+                is_local: block.is_local,
+            };
+            let known = self.announced.get_mut(&block.identity());
+            let is_new = known.as_ref().is_none_or(|a| block.is_local && !a.is_local);
+            match known {
+                Some(known) if is_new => *known = announced,
+                // The record that completed it may have been dropped.
+                Some(known) => known.completed = known.completed.max(block.completed),
+                None => {
+                    self.announced.insert(block.identity(), announced);
+                }
+            }
+            if is_new {
+                self.new_blocks.push(block.clone());
+            }
+        }
     }
 }
 
--- a/tests/gateway_blame.rs
+++ b/tests/gateway_blame.rs
@@ -110,6 +110,7 @@
                 at,
                 needed: at,
                 marks,
+                is_local: false,
             }
         };
         let crashes: Vec<Crash> = (0..seed % 129).map(|_| crash()).collect();
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -522,3 +522,71 @@
     suspects.merge(other.report(at(16_200)), at(16_200));
     assert!(!admits(&mut suspects, &[REQUEST], 16_300));
 }
+
+/// Guards against a line on each block at each instance, and against further lines whenever a review
+/// makes the block anew: with more crashes, with other parts beside the request, or after its records
+/// were displaced.
+#[test]
+fn a_block_is_announced_once_in_a_fleet() {
+    for size in [20, 110] {
+        let mut fleet: Vec<Suspects> = (0..size).map(|_| Suspects::default()).collect();
+        let mut lines = 0;
+        // 19 requests meet three lost workers each, beside other requests that do so once.
+        for round in 0..12_u64 {
+            let now = 150 * round;
+            for n in 0..19_u32 {
+                let marks = [
+                    Mark::Part(u64::from(n % 3)),
+                    Mark::Request(u64::from(n) + 100),
+                ];
+                let other = [Mark::Request(round * 100 + u64::from(n) + 1000)];
+                let worker = 100 * round as u32 + n;
+                let instance = &mut fleet[n as usize % size];
+                if round < 4 {
+                    instance.record_crash(&marks, (worker, n), at(now));
+                }
+                let worker = worker + 50;
+                instance.record_crash(&other, (worker, worker), at(now + 3));
+            }
+            if round % 5 == 1 {
+                // Other requests show that a part is sound.
+                let part = Mark::Part(round / 5 % 3);
+                fleet[round as usize % size].record_proof(&[part], at(now + 10));
+            }
+            let news: Vec<_> = fleet.iter_mut().map(|i| i.take_news(at(now))).collect();
+            for (i, instance) in fleet.iter_mut().enumerate() {
+                for report in news.iter().filter(|r| !r.is_empty()) {
+                    instance.merge(report.clone(), at(now + 20 + i as u64 % 7));
+                }
+                // A repeat of each request is refused.
+                for n in 0..19 {
+                    let request = [Mark::Part(n % 3), Mark::Request(n + 100)];
+                    admits(instance, &request, now + 60);
+                }
+                let blocks = instance.take_blocks();
+                lines += blocks.iter().filter(|b| b.is_local).count();
+            }
+        }
+        let last = at(150 * 12 + 1000);
+        for instance in &mut fleet {
+            assert!(instance.is_blocked(&[Mark::Part(0), Mark::Request(100)], last));
+        }
+        assert!(
+            (19..=25).contains(&lines),
+            "{size} instances: {lines} lines"
+        );
+    }
+}
+
+/// Guards against a block without a line after its marks were proved sound in between.
+#[test]
+fn a_block_that_comes_again_after_a_proof_is_announced_again() {
+    let mut suspects = Suspects::default();
+    for from in [0, 2000, 4000] {
+        crash(&mut suspects, &[REQUEST], 4, from);
+        assert!(!admits(&mut suspects, &[REQUEST], from + 400));
+        assert_eq!(suspects.take_blocks().len(), 1);
+        suspects.record_proof(&[REQUEST], at(from + 1000));
+        assert!(admits(&mut suspects, &[REQUEST], from + 1000));
+    }
+}
