Bound the log lines on workers as those on instances

Each instance logged each worker that left or was kept and each change of the list, so that the lines grew with the product of both.

The bound on the lines on instances is generic now (change_log, was member_log) and also holds for workers: ten lines on workers and ten on the list within 10 s, the others are counted by the new event worker-changes (3033). A worker that is withdrawn with requests of the instance in flight always has its line. `explain` shows worker-withdrawn and worker-changes beside workers-changed, so that it is still seen when an instance learned that a worker left.

workers_that_leave_together_write_a_bounded_number_of_lines failed before: 60 lines worker-withdrawn at one instance for 60 workers, at most 20 are asked for. Whether entries that are rewritten without a change of their content add to workers-changed, and whether worker-kept repeats for one worker, was not traced.

--- a/src/events.rs
+++ b/src/events.rs
@@ -212,6 +212,8 @@
     RelayRefused = 3031, "relay-refused";
     /// More instances joined or left than are logged one by one.
     MembersChanged = 3032, "members-changed";
+    /// More workers were withdrawn or kept, or their list changed more often, than is logged one by one.
+    WorkerChanges = 3033, "worker-changes";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -15,13 +15,15 @@
 /// Keys whose values are ids.
 const ID_KEYS: [&str; 3] = ["request", "item", "job"];
 /// Events that change the state of a process and may be the reason for a decision.
-const CONTEXT_EVENTS: [&str; 10] = [
+const CONTEXT_EVENTS: [&str; 12] = [
     "config-in-force",
     "member-left",
     "platform-back",
     "platform-lost",
     "stop-began",
     "instance-ready",
+    "worker-changes",
+    "worker-withdrawn",
     "workers-changed",
     "worker-kept",
     "zone-silent",
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -24,6 +24,7 @@
 use super::{
     blame::Block,
     block_store::Recall,
+    change_log::MemberLog,
     config::Configuration,
     connection::Connection,
     dispatch::Dispatch,
@@ -32,7 +33,6 @@
     jobs::Jobs,
     links::Links,
     marks::{self, Mark},
-    member_log::MemberLog,
     memory::Memory,
     peers::{Candidate, FORGET_AFTER, Heartbeat, Member, Peers},
     refresh::Pulse,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -24,12 +24,12 @@
 
 use super::{
     block_store,
+    change_log::MemberChange,
     crash_report::Report,
     fleet::{Backlog, Class, Level},
     gateway::Gateway,
     jobs::SharedJob,
     marks,
-    member_log::MemberChange,
     pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
@@ -165,6 +165,7 @@
             remove_silent(gateway, updates, last_check, now);
         });
         log_members(gateway, now);
+        log_workers(gateway, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
         let next = now + pace.pause(now);
@@ -396,6 +397,21 @@
     }
 }
 
+/// Logs how many workers were withdrawn or kept, and how often their list changed, without a line of
+/// their own.
+fn log_workers(gateway: &Gateway, now: Duration) {
+    let Some((workers, lists)) = gateway.views().take_omitted(now) else {
+        return;
+    };
+    let (withdrawn, kept) = (workers.withdrawn, workers.kept);
+    let ready = gateway.dispatch.ready_workers();
+    event!(
+        Info,
+        WorkerChanges,
+        "withdrawn={withdrawn} kept={kept} lists={lists} workers={ready}"
+    );
+}
+
 /// Logs how many instances joined and left without a line of their own.
 fn log_members(gateway: &Gateway, now: Duration) {
     let Some(omitted) = gateway.member_log().take_omitted(now) else {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `blame`, `block_record`, `config`, `crash_report`,
-//! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `member_log`, `orphans`, `pace`, `peers`, `splice`, `sse`,
+//! docs/platform.md describes the modules. `blame`, `block_record`, `change_log`, `config`, `crash_report`,
+//! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`,
 //! `suspects`, `versions`, `view`, `worker_limits` and `write_gate` hold the logic; the other modules do
 //! the I/O.
 
@@ -11,6 +11,7 @@
 pub mod blame;
 pub mod block_record;
 pub mod block_store;
+pub mod change_log;
 pub mod config;
 pub mod connection;
 pub mod crash_report;
@@ -33,7 +34,6 @@
 pub mod links;
 pub mod liveness;
 pub mod marks;
-pub mod member_log;
 pub mod memory;
 pub mod orphans;
 pub mod pace;
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -17,6 +17,7 @@
 };
 
 use super::{
+    change_log::{ListLog, OmittedWorkers, WorkerChange, WorkerLog},
     fleet::{ListChange, Withdrawn, Worker},
     gateway::Gateway,
     leaving::Forgotten,
@@ -55,22 +56,64 @@
     pub workers_version: ListVersion,
     /// Workers without an entry that were logged as kept.
     kept: Set<String>,
+    worker_log: WorkerLog,
+    list_log: ListLog,
 }
 
 impl Views {
     /// Logs the workers that are newly kept without an entry, and returns how many are kept.
-    fn log_kept(&mut self) -> usize {
+    fn log_kept(&mut self, now: Duration) -> usize {
         let kept: Set<String> = self.workers.kept().cloned().collect();
         for worker in kept.difference(&self.kept) {
+            if self.worker_log.admit(WorkerChange::Kept, now) {
+                event!(
+                    Info,
+                    WorkerKept,
+                    "worker={worker} at={}",
+                    self.workers.revision
+                );
+            }
+        }
+        self.kept = kept;
+        self.kept.len()
+    }
+
+    fn log_change(&mut self, change: &ListChange, now: Duration) {
+        for Withdrawn {
+            worker,
+            reason,
+            level,
+        } in &change.withdrawn
+        {
+            // The history of a request in flight needs the line on its worker.
+            let in_use = level.online + level.batch > 0;
+            if !in_use && !self.worker_log.admit(WorkerChange::Withdrawn, now) {
+                continue;
+            }
             event!(
                 Info,
-                WorkerKept,
-                "worker={worker} at={}",
-                self.workers.revision
+                WorkerWithdrawn,
+                "worker={} zone={} reason={} online={} items={}",
+                worker.id,
+                worker.zone,
+                reason.name(),
+                level.online,
+                level.batch
             );
         }
-        self.kept = kept;
-        self.kept.len()
+        for Forgotten { worker, reason } in &change.forgotten {
+            let reason = reason.name();
+            event!(Info, LeavingForgotten, "worker={worker} reason={reason}");
+        }
+    }
+
+    /// Returns the changes of workers and the number of changes of their list that got no line, when
+    /// the time for which they are counted is over.
+    pub fn take_omitted(&mut self, now: Duration) -> Option<(OmittedWorkers, usize)> {
+        let workers = self.worker_log.take_omitted(now);
+        let lists = self.list_log.take_omitted(now);
+        (workers.is_some() || lists.is_some())
+            .then(|| (workers.unwrap_or_default(), lists.unwrap_or_default()))
     }
 }
 
@@ -318,11 +361,12 @@
             publish_config(gateway, object);
         }
         Kind::Workers => {
-            views.workers.expire(gateway.now());
+            let now = gateway.now();
+            views.workers.expire(now);
             let version = views.workers.version();
             let before = (views.workers_version.digest, views.kept.len());
             views.workers_version = version;
-            let kept = views.log_kept();
+            let kept = views.log_kept(now);
             let changed = before != (version.digest, kept);
             let worker = |object: &Object| {
                 let mut worker = decode_worker(object)?;
@@ -333,47 +377,26 @@
             gateway
                 .upstream
                 .retain(|id| workers.iter().any(|w| w.id == *id));
-            log_change(&gateway.dispatch.set_workers(workers));
+            let change = gateway.dispatch.set_workers(workers);
+            views.log_change(&change, now);
             if changed {
-                event!(
-                    Info,
-                    WorkersChanged,
-                    "at={} newest={} digest={:08x} workers={} kept={kept}",
-                    version.at,
-                    version.newest,
-                    version.digest,
-                    gateway.dispatch.ready_workers()
-                );
+                if views.list_log.admit(now) {
+                    event!(
+                        Info,
+                        WorkersChanged,
+                        "at={} newest={} digest={:08x} workers={} kept={kept}",
+                        version.at,
+                        version.newest,
+                        version.digest,
+                        gateway.dispatch.ready_workers()
+                    );
+                }
                 gateway.dispatch.notify();
             }
         }
     }
 }
 
-fn log_change(change: &ListChange) {
-    for Withdrawn {
-        worker,
-        reason,
-        level,
-    } in &change.withdrawn
-    {
-        event!(
-            Info,
-            WorkerWithdrawn,
-            "worker={} zone={} reason={} online={} items={}",
-            worker.id,
-            worker.zone,
-            reason.name(),
-            level.online,
-            level.batch
-        );
-    }
-    for Forgotten { worker, reason } in &change.forgotten {
-        let reason = reason.name();
-        event!(Info, LeavingForgotten, "worker={worker} reason={reason}");
-    }
-}
-
 fn publish_config(gateway: &Gateway, object: &Object) {
     match objects::decode_config(&object.spec) {
         Ok(config) => {
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -218,3 +218,33 @@
     thread::sleep(ACCEPT_BOUND);
     assert!(TcpStream::connect(instance.callers).is_err());
 }
+
+/// Guards against logs that grow with the number of workers times the number of instances when many
+/// workers leave, and against workers that left without a line that counts them.
+#[test]
+fn workers_that_leave_together_write_a_bounded_number_of_lines() {
+    let (store, workers) = platform(1, PAUSE);
+    let names: Vec<String> = (0..60).map(|n| format!("i-many-{n}")).collect();
+    for name in &names {
+        store.put("servers", name, workers[0].entry("ready"));
+    }
+    let instance = Instance::start("one", &store, &[]);
+    let log = || std::fs::read_to_string(&instance.log).unwrap();
+    until("the workers are known", || log().contains("workers=62 "));
+    for name in &names {
+        store.remove("servers", name);
+    }
+    let sum = |key: &str| -> usize {
+        let log = log();
+        let sums = log.lines().filter(|l| l.contains("event=worker-changes "));
+        let values = sums.filter_map(|l| l.split_once(&format!(" {key}="))?.1.split(' ').next());
+        values.map(|v| v.parse::<usize>().unwrap()).sum()
+    };
+    let lines = |event: &str| log().matches(&format!("event={event} ")).count();
+    until("all changes are counted", || {
+        lines("worker-withdrawn") + sum("withdrawn") == 60
+    });
+    for event in ["worker-withdrawn", "workers-changed"] {
+        assert!(lines(event) <= 20, "{event}: {}", lines(event));
+    }
+}
--- a/tests/gateway_member_log.rs
+++ b/tests/gateway_member_log.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentianpath::gateway::member_log::{MemberChange, MemberLog, Omitted};
+use gentianpath::gateway::change_log::{MemberChange, MemberLog, Omitted};
 
 /// Guards against logs that grow with the square of the fleet when its instances leave and join
 /// again, and against changes that no line counts.
