--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -24,12 +24,12 @@
 
 use super::{
     block_store,
+    change_log::MemberChange,
     crash_report::Report,
     fleet::{Backlog, Class, Level},
     gateway::Gateway,
     jobs::SharedJob,
     marks,
-    member_log::MemberChange,
     pace::{News, Pace},
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
@@ -165,6 +165,7 @@
             remove_silent(gateway, updates, last_check, now);
         });
         log_members(gateway, now);
+        log_workers(gateway, now);
         last_check = now;
         Timer::after(BUSY_INTERVAL).await;
         let next = now + pace.pause(now);
@@ -207,7 +208,12 @@
     let blocks = gateway.suspects().take_blocks();
     for block in blocks {
         let (parts, crashes) = (marks::names(&block.marks), block.crashes);
-        event!(Warn, PartsBlocked, "parts={parts} crashes={crashes}");
+        // All instances make the block from the same records.
+        if block.is_local {
+            event!(Warn, PartsBlocked, "parts={parts} crashes={crashes}");
+        } else {
+            log::debug!("blocked by reports of other instances: {parts}, {crashes} crashes");
+        }
     }
     if news.is_empty() && now < *due {
         return;
@@ -391,6 +397,21 @@
     }
 }
 
+/// Logs how many workers were withdrawn or kept, and how often their list changed, without a line of
+/// their own.
+fn log_workers(gateway: &Gateway, now: Duration) {
+    let Some((workers, lists)) = gateway.views().take_omitted(now) else {
+        return;
+    };
+    let (withdrawn, kept) = (workers.withdrawn, workers.kept);
+    let ready = gateway.dispatch.ready_workers();
+    event!(
+        Info,
+        WorkerChanges,
+        "withdrawn={withdrawn} kept={kept} lists={lists} workers={ready}"
+    );
+}
+
 /// Logs how many instances joined and left without a line of their own.
 fn log_members(gateway: &Gateway, now: Duration) {
     let Some(omitted) = gateway.member_log().take_omitted(now) else {
