Reject answers without any event

An item could be stored with an empty output in the same way.

A fresh answer without an event counted as begun, so that its worker only had to outlive it; comments counted as events as well. With a length or chunks it was whole at once.

A generation has at least one event. A stream or an item from its start that ends without one is now broken off or run again, however its end is marked, and so is a whole answer that holds nothing and ends with its connection. Whole answers with a length or chunks may stay empty, as may the rest of a stream that a caller takes up, and an error status without a body.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -358,7 +358,8 @@
                 connection,
                 answer: Events::of(
                     response,
-                    self.form.is_some() && after.is_some(),
+                    after,
+                    self.form.is_some(),
                     self.responder(&worker),
                 ),
             })));
@@ -377,7 +378,7 @@
             );
             return Ok(AttemptResult::TryNext);
         }
-        let answer = Events::of(response, false, self.responder(&worker));
+        let answer = Events::of(response, after, false, self.responder(&worker));
         Err(self.read_failure(answer).await)
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -30,7 +30,7 @@
     marks::{self, Mark},
     relay,
     splice::Form,
-    sse::Events,
+    sse::{self, Events},
     takeover::Overlap,
     version_store,
     versions::{Origin, StreamCall},
@@ -439,19 +439,25 @@
     ) -> Result<Response<CallerBody>, Failure> {
         let mut started = started;
         loop {
+            let is_stream = Form::of(&started.answer).is_stream();
             let (mut head, events) = started.answer.into_parts();
             let framed = events.is_framed();
             let responder = events.responder().clone();
             let read = events.read_whole(MAX_ANSWER_BYTES);
             let mut read = connection::within(self.remaining(), read).await;
-            if !framed && read.is_ok() {
+            if !framed && let Ok(body) = &read {
                 started.placement.release();
-                let outlived = responder.record_end();
-                let outlived =
-                    outlived.outlive(EndEvidence::Outlived, Delivery::Whole, self.remaining());
-                if let Err(e) = outlived.await {
-                    read = Err(e);
-                }
+                let ended = responder.record_end();
+                let holds_nothing = body.is_empty() || is_stream && !sse::has_event(body);
+                let proof = if holds_nothing {
+                    let running = ended.check_running().await;
+                    running.and_then(|()| Err(ended.reject_empty()))
+                } else {
+                    let limit = self.remaining();
+                    let evidence = EndEvidence::Outlived;
+                    ended.outlive(evidence, Delivery::Whole, limit).await
+                };
+                read = proof.and(read);
             }
             match read {
                 Ok(body) => {
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -274,7 +274,7 @@
             request: self.item.id.clone(),
             since: Instant::now(),
         };
-        let mut events = Events::of(answer, after.is_some(), responder).into_body();
+        let mut events = Events::of(answer, after, true, responder).into_body();
         let mut bytes = 0;
         loop {
             match events.next(output.last, STALL_LIMIT).await {
@@ -298,6 +298,11 @@
                 Ok(Next::End(End::Connection)) => {
                     let ended = events.responder().record_end();
                     return match ended.check_running().await {
+                        Ok(()) if events.lacks_event() => {
+                            self.record_failure(placement);
+                            let e = ended.reject_empty();
+                            RunEnd::Broken(AttemptError::reading(&e, false))
+                        }
                         Ok(()) => RunEnd::Unproven(ended),
                         Err(e) => {
                             self.record_failure(placement);
@@ -414,7 +419,7 @@
         if let RunEnd::Unproven(ended) = &end {
             progress.unproven = Some(Unproven {
                 worker: ended.worker().id.clone(),
-                begun: has_events || last.is_none(),
+                begun: has_events,
             });
         }
         progress.text.extend(match end {
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -191,7 +191,7 @@
 pub struct Unproven {
     /// The worker.
     pub worker: WorkerId,
-    /// Whether the worker sent an event in that answer, or was not to go on after one.
+    /// Whether the worker sent an event in that answer.
     pub begun: bool,
 }
 
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -21,6 +21,7 @@
     connection::{self, Connection, Proof, SendError},
     fleet::Worker,
     gateway::Gateway,
+    sse,
 };
 
 /// Time in which a worker is expected to answer a report.
@@ -263,6 +264,13 @@
         in_doubt()
     }
 
+    /// Records that the answer holds nothing, which no answer does that ends with its connection, and
+    /// returns the error for it.
+    pub fn reject_empty(&self) -> io::Error {
+        self.reject(EndEvidence::Empty, sse::NO_EVENT);
+        io::Error::new(io::ErrorKind::UnexpectedEof, sse::NO_EVENT)
+    }
+
     /// Records that the answer was torn: another one has an event after its last one.
     pub fn record_torn(&self) {
         let Responder {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -38,7 +38,7 @@
     placement: Placement,
     connection: Connection,
     events: Events,
-    /// Whether the worker has sent an event.
+    /// Whether the worker has sent an event that is no comment.
     begun: bool,
 }
 
@@ -59,7 +59,7 @@
 /// A stream of which nothing but the end of a connection shows that it is whole.
 struct Unproven {
     ended: Ended,
-    /// Whether the worker sent an event in that answer, or was not to go on after one.
+    /// Whether the worker sent an event in that answer.
     begun: bool,
     asked_other: bool,
     asked_same: bool,
@@ -141,12 +141,12 @@
         }
         if let Some(source) = &mut self.source {
             source.placement.record_progress();
-            if !source.begun {
+            if !source.begun && !event.is_comment() {
                 source.begun = true;
                 self.session.record_begun();
             }
         }
-        if !self.first_sent {
+        if !self.first_sent && !event.is_comment() {
             self.first_sent = true;
             metrics::first_token(self.session.call.received.elapsed());
         }
@@ -180,6 +180,12 @@
         };
         source.placement.release();
         let ended = source.events.responder().record_end();
+        if source.events.lacks_event() {
+            let running = ended.check_running().await;
+            let error = running.err().unwrap_or_else(|| ended.reject_empty());
+            self.resume(&error).await?;
+            return Ok(false);
+        }
         let remaining = self.session.remaining();
         if self.unnumbered || !self.session.route.is_resumable() {
             return match ended
@@ -225,7 +231,7 @@
             self.session.count_run(&ended.worker().id);
             self.unproven = Some(Unproven {
                 ended,
-                begun: source.begun || self.last_id.is_none(),
+                begun: source.begun,
                 asked_other: false,
                 asked_same: false,
             });
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -12,6 +12,9 @@
 /// store.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Reason why an answer without any event is not used.
+pub const NO_EVENT: &str = "the answer holds no event";
+
 /// Buffers bytes of an event stream and splits them into events.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -63,9 +66,11 @@
     held: Held,
 }
 
-/// What an answer has to show before its events are used.
+/// What an answer has to show before its events, or its end, are used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Start {
+    /// An event that is no comment, as each generation has one.
+    Fresh,
     /// Nothing.
     Free,
     /// A numbered event after the one that it resumes after, or an end without any further event.
@@ -73,15 +78,26 @@
 }
 
 impl Events {
-    /// Builds a reader of the events of an answer, which may have to resume a stream.
-    pub fn of(answer: Response<Incoming>, resumes: bool, responder: Responder) -> Response<Self> {
+    /// Builds a reader of the events of an answer to a request that resumes after an event, if any.
+    /// `is_begun` tells whether the caller has a part of the stream.
+    pub fn of(
+        answer: Response<Incoming>,
+        after: Option<u64>,
+        is_begun: bool,
+        responder: Responder,
+    ) -> Response<Self> {
+        let start = match after {
+            None => Start::Fresh,
+            Some(_) if is_begun => Start::Resumed,
+            Some(_) => Start::Free,
+        };
         let framed = connection::is_framed(&answer);
         let held = responder.gateway.memory.hold();
         answer.map(|body| Self {
             body,
             responder,
             splitter: Splitter::default(),
-            start: if resumes { Start::Resumed } else { Start::Free },
+            start,
             framed,
             ended: false,
             ahead: None,
@@ -99,6 +115,12 @@
         &self.responder
     }
 
+    /// Returns whether the answer has to have an event and has none so far. Such an answer is not whole,
+    /// however it ends.
+    pub fn lacks_event(&self) -> bool {
+        self.start == Start::Fresh
+    }
+
     /// Returns whether the end of the connection was read ahead, without an event before it.
     pub fn is_empty_end(&self) -> bool {
         self.ahead == Some(Next::End(End::Connection))
@@ -122,9 +144,9 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the stream breaks, ends inside an event, sends an event that is too
-    /// long or has no further event within `limit`, and when an answer that resumes a stream begins
-    /// with something else than its next event.
+    /// Returns an error when the stream breaks, ends inside an event or with a mark but without any
+    /// event, sends an event that is too long or has no further event within `limit`, and when an answer
+    /// that resumes a stream begins with something else than its next event.
     pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Next> {
         if let Some(next) = self.ahead.take() {
             return Ok(next);
@@ -162,7 +184,11 @@
                 }
                 match self.start {
                     _ if event.id.is_some() => {}
-                    Start::Free => return Ok(Some(event)),
+                    Start::Fresh if !event.is_comment() => {
+                        self.start = Start::Free;
+                        return Ok(Some(event));
+                    }
+                    Start::Fresh | Start::Free => return Ok(Some(event)),
                     Start::Resumed if event.is_comment() => {}
                     Start::Resumed => {
                         return Err(connection::invalid("the answer does not resume the stream"));
@@ -192,6 +218,7 @@
     fn end(&self) -> io::Result<End> {
         let reason = "the stream ended inside an event";
         match (self.splitter.is_empty(), self.framed) {
+            (true, true) if self.lacks_event() => Err(connection::invalid(NO_EVENT)),
             (true, true) => Ok(End::Framed),
             (true, false) => Ok(End::Connection),
             (false, true) => Err(connection::invalid(reason)),
@@ -261,6 +288,11 @@
     }
 }
 
+/// Returns whether a body holds an event that is no comment, or a part of one.
+pub fn has_event(body: &[u8]) -> bool {
+    lines(body).any(|l| !l.is_empty() && !l.starts_with(b":"))
+}
+
 fn field<'a>(event: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
     let value = lines(event).find_map(|l| l.strip_prefix(name))?;
     Some(value.trim_ascii())
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -105,6 +105,8 @@
     Outlived,
     /// A worker that was asked for the rest had one.
     Torn,
+    /// The answer holds nothing, which a whole one does not.
+    Empty,
     /// Nothing shows that the answer is whole.
     InDoubt,
 }
@@ -117,6 +119,7 @@
             Self::Agreed => "agreed",
             Self::Outlived => "outlived",
             Self::Torn => "torn",
+            Self::Empty => "empty",
             Self::InDoubt => "in-doubt",
         }
     }
