Break answers whose event numbers skip some

A worker that spoils the number of an event, or loses some, makes callers see a stream, and readers of jobs an output, that lacks events and looks complete: any event with a larger number than the last one was passed on, and the skipped ones were left out as repeated when they came.

An event that skips some is now the end of what its worker is used for, with a reason that names both numbers: a resumable stream and an item go on elsewhere after the last event that follows, any other stream is broken off. The first number of a stream stays free. A worker that skips events when it is asked for the rest of an answer in doubt shows that the answer was torn.

--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -78,6 +78,8 @@
     last: Option<u64>,
     /// Number of events up to and including that one.
     numbered: usize,
+    /// Whether the worker skipped the events after that one.
+    skipped: bool,
 }
 
 impl Output {
@@ -87,6 +89,7 @@
             events: Vec::new(),
             last,
             numbered: 0,
+            skipped: false,
         }
     }
 
@@ -311,6 +314,7 @@
                     };
                 }
                 Err(e) => {
+                    output.skipped = events.has_skipped();
                     self.record_failure(placement);
                     return RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()));
                 }
@@ -409,7 +413,7 @@
         let last = output.last;
         let has_events = !output.events.is_empty();
         if progress.unproven.is_some() {
-            if has_events {
+            if has_events || output.skipped {
                 progress.unproven = None;
                 metrics::connection_end(EndEvidence::Torn);
             } else if matches!(end, RunEnd::Whole { framed: true }) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -337,6 +337,12 @@
         let begun = self.source.as_ref().is_some_and(|s| s.begun);
         let broken = AttemptError::reading(error, begun);
         if let Some(source) = self.source.take() {
+            // Events that a worker skips when it is asked for the rest are missing.
+            if source.events.has_skipped()
+                && let Some(unproven) = self.unproven.take()
+            {
+                unproven.ended.record_torn();
+            }
             self.session.check_links(&source.placement, &broken).await;
             // A worker that is asked may have to read the whole prompt first.
             if self.unproven.is_some() && error.kind() == io::ErrorKind::TimedOut {
--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -59,6 +59,8 @@
     start: Start,
     /// Whether the end of the body differs from the end of its connection.
     framed: bool,
+    /// Whether an event came whose number does not follow.
+    skipped: bool,
     /// Whether the body has been read to its end.
     ended: bool,
     /// The next event, or the end, if it was read ahead.
@@ -99,6 +101,7 @@
             splitter: Splitter::default(),
             start,
             framed,
+            skipped: false,
             ended: false,
             ahead: None,
             held,
@@ -121,6 +124,12 @@
         self.start == Start::Fresh
     }
 
+    /// Returns whether the worker sent an event whose number does not follow, so that events before it are
+    /// missing.
+    pub fn has_skipped(&self) -> bool {
+        self.skipped
+    }
+
     /// Returns whether the end of the connection was read ahead, without an event before it.
     pub fn is_empty_end(&self) -> bool {
         self.ahead == Some(Next::End(End::Connection))
@@ -139,14 +148,16 @@
 
     /// Returns the next event after the one with a number, or the end of the stream.
     ///
-    /// Only a whole new event counts as progress. Single bytes or repeated events do not extend
+    /// The number of an event has to be the one after `after`, if there is one, as any worker resumes
+    /// there; lower ones are repeated and left out. An event that skips some shows that the worker lost
+    /// them. Only a whole new event counts as progress. Single bytes or repeated events do not extend
     /// `limit`.
     ///
     /// # Errors
     ///
     /// Returns an error when the stream breaks, ends inside an event or with a mark but without any
-    /// event, sends an event that is too long or has no further event within `limit`, and when an answer
-    /// that resumes a stream begins with something else than its next event.
+    /// event, sends an event that is too long or skips others, or has no further event within `limit`, and
+    /// when an answer that resumes a stream begins with something else than its next event.
     pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Next> {
         if let Some(next) = self.ahead.take() {
             return Ok(next);
@@ -178,6 +189,13 @@
     async fn read_next(&mut self, after: Option<u64>) -> io::Result<Option<Event>> {
         loop {
             while let Some(event) = self.splitter.pop() {
+                if let (Some(id), Some(last)) = (event.id, after)
+                    && id > last.saturating_add(1)
+                {
+                    self.skipped = true;
+                    let reason = format!("the worker sent event {id} after event {last}");
+                    return Err(connection::invalid(reason));
+                }
                 if event.id > after {
                     self.start = Start::Free;
                     return Ok(Some(event));
