--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -78,6 +78,8 @@
     last: Option<u64>,
     /// Number of events up to and including that one.
     numbered: usize,
+    /// Whether the worker skipped the events after that one.
+    skipped: bool,
 }
 
 impl Output {
@@ -87,6 +89,7 @@
             events: Vec::new(),
             last,
             numbered: 0,
+            skipped: false,
         }
     }
 
@@ -274,7 +277,7 @@
             request: self.item.id.clone(),
             since: Instant::now(),
         };
-        let mut events = Events::of(answer, after.is_some(), responder).into_body();
+        let mut events = Events::of(answer, after, true, responder).into_body();
         let mut bytes = 0;
         loop {
             match events.next(output.last, STALL_LIMIT).await {
@@ -298,6 +301,11 @@
                 Ok(Next::End(End::Connection)) => {
                     let ended = events.responder().record_end();
                     return match ended.check_running().await {
+                        Ok(()) if events.lacks_event() => {
+                            self.record_failure(placement);
+                            let e = ended.reject_empty();
+                            RunEnd::Broken(AttemptError::reading(&e, false))
+                        }
                         Ok(()) => RunEnd::Unproven(ended),
                         Err(e) => {
                             self.record_failure(placement);
@@ -306,6 +314,7 @@
                     };
                 }
                 Err(e) => {
+                    output.skipped = events.has_skipped();
                     self.record_failure(placement);
                     return RunEnd::Broken(AttemptError::reading(&e, !output.events.is_empty()));
                 }
@@ -404,7 +413,7 @@
         let last = output.last;
         let has_events = !output.events.is_empty();
         if progress.unproven.is_some() {
-            if has_events {
+            if has_events || output.skipped {
                 progress.unproven = None;
                 metrics::connection_end(EndEvidence::Torn);
             } else if matches!(end, RunEnd::Whole { framed: true }) {
@@ -414,7 +423,7 @@
         if let RunEnd::Unproven(ended) = &end {
             progress.unproven = Some(Unproven {
                 worker: ended.worker().id.clone(),
-                begun: has_events || last.is_none(),
+                begun: has_events,
             });
         }
         progress.text.extend(match end {
