Replace the instances of the fleet soak by another build, forth and back

An upgrade runs old and new builds side by side, which the soak did not. With GENTIANPATH_FLEET_SOAK_EARLIER the instances begin with that program and are replaced by the present one, one after the other, and then rolled back: by a planned stop, by a kill, or by either while the store refuses them or falls silent. Callers, jobs and the other troubles go on and all checks hold; in addition no instance may log a message, a job or a configuration that it could not read.

The upgrade is now bounded by 75 s, beyond which the test says that it was not completed.

--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -7,7 +7,8 @@
 //! their answers), `PROGRAM` (path of the instances' program), `LOGS` (folder that keeps the logs),
 //! `BREAKS` (1: some workers break off answers while they stay up), `PAUSE_MS` (pause of a worker
 //! after each event), `INSTANCES` and `WORKERS` (numbers other than those of the size), `CUTS` (1: links
-//! between instances and workers are cut).
+//! between instances and workers are cut), `EARLIER` (path of the program that the instances begin
+//! with; they are replaced by `PROGRAM` one after the other, and rolled back).
 //!
 //! The log folder has the log of each instance, the `ledger` of the requests that ran and `notes` on
 //! the troubles. `gentianpath explain ID FILE...` traces a request that a violation names.
@@ -22,13 +23,20 @@
     time::{Duration, Instant},
 };
 
-use fleet_support::{Fleet, Options, instances::Instance, jobs::ITEMS, workers::Worker};
+use fleet_support::{
+    Fleet, Options, instances::Instance, jobs::ITEMS, upgrades::Upgrade, workers::Worker,
+};
 use support::{free_address, until};
 
 /// Length of the test in CI, in seconds.
 const CI_LENGTH_S: u64 = 45;
 /// Seed of the test in CI.
 const CI_SEED: u64 = 11;
+/// Length of the test of an upgrade in CI, in seconds, unless the upgrade takes longer.
+const CI_UPGRADE_S: u64 = 30;
+/// Time in which all instances are replaced and rolled back, some 40 s at six instances. The jobs of the
+/// run have to be readable at its end, which they are for 120 s.
+const MAX_UPGRADE_TIME: Duration = Duration::from_secs(75);
 /// Interval at which a process looks for its next trouble.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -49,8 +57,7 @@
 
 fn keep_instance(fleet: &Fleet, n: usize, mut instance: Instance) -> Instance {
     while fleet.is_running() {
-        let order = fleet.instance_orders[n].lock().unwrap().take();
-        if let Some(trouble) = order {
+        if let Some(trouble) = fleet.next_trouble(n) {
             instance.suffer(fleet, trouble);
         }
         thread::sleep(POLL_INTERVAL);
@@ -106,12 +113,19 @@
             let seed = seeds();
             scope.spawn(move || fleet.cut_links(seed));
         }
+        if let Some(upgrade) = &fleet.upgrade {
+            let seed = seeds();
+            scope.spawn(move || fleet.replace_instances(upgrade, seed));
+        }
         let seed = seeds();
         scope.spawn(move || fleet.change_config(seed));
         let seed = seeds();
         scope.spawn(move || fleet.trouble_store(seed));
         let begin = Instant::now();
-        while begin.elapsed() < fleet.options.length {
+        let is_upgraded = || fleet.upgrade.as_ref().is_none_or(Upgrade::is_done);
+        while begin.elapsed() < fleet.options.length
+            || (!is_upgraded() && begin.elapsed() < MAX_UPGRADE_TIME)
+        {
             thread::sleep(Duration::from_millis(50));
         }
         fleet.stop();
@@ -168,6 +182,17 @@
     check_fleet(options);
 }
 
+/// Guards against two builds side by side that lose, tear or double what one of them began, while the
+/// instances are replaced one after the other, forth and back. In CI both programs are the same.
+#[test]
+fn instances_that_are_replaced_one_by_one_tear_and_double_nothing() {
+    let mut options = Options::read(CI_UPGRADE_S, CI_SEED);
+    options.framing = "chunked".into();
+    let earlier = options.earlier.take();
+    options.earlier = Some(earlier.unwrap_or_else(|| options.program.clone()));
+    check_fleet(options);
+}
+
 /// Runs a fleet in trouble, and checks all answers, outputs and counts of runs.
 fn check_fleet(options: Options) {
     let fleet = &Fleet::new(options);
@@ -191,6 +216,10 @@
     if fleet.options.cuts {
         fleet.check_detached();
     }
+    if let Some(upgrade) = &fleet.upgrade {
+        assert!(upgrade.is_done(), "not all instances were replaced");
+        fleet.check_logs();
+    }
     let record = fleet.record.lock().unwrap();
     let framing = &fleet.options.framing;
     println!(
--- a/tests/fleet_support/instances.rs
+++ b/tests/fleet_support/instances.rs
@@ -12,7 +12,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use super::{Fleet, links::Cut, unix_ms};
+use super::{Fleet, links::Cut, unix_ms, upgrades::Build};
 use crate::support::{
     free_address, http,
     link::{Link, State},
@@ -41,6 +41,43 @@
         time: Duration,
         silent: bool,
     },
+    /// It ends and starts again with the program of another build.
+    Replace {
+        build: Build,
+        way: Way,
+        moves: bool,
+    },
+}
+
+/// How an instance ends that is replaced.
+#[derive(Debug, Clone, Copy)]
+pub enum Way {
+    Stop,
+    Kill,
+    /// Stopped as planned while the store refuses it or falls silent for it.
+    StopCut {
+        silent: bool,
+    },
+    /// Killed while the store refuses it or falls silent for it.
+    KillCut {
+        silent: bool,
+        down: Duration,
+    },
+}
+
+impl Way {
+    pub fn draw(rng: &mut fastrand::Rng) -> Self {
+        let silent = rng.bool();
+        match rng.u32(..10) {
+            0..4 => Self::Stop,
+            4..7 => Self::Kill,
+            7 | 8 => Self::StopCut { silent },
+            _ => Self::KillCut {
+                silent,
+                down: Duration::from_millis(rng.u64(100..1500)),
+            },
+        }
+    }
 }
 
 pub struct Instance {
@@ -68,7 +105,7 @@
         let file = fleet.logs.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let log = fleet.logs.join(format!("{name}.log"));
-        let process = run(fleet, &file, &log);
+        let process = run(fleet, number, &file, &log);
         fleet.note(&format!("instance {name} at {callers}, {peers}"));
         Self {
             number,
@@ -111,11 +148,41 @@
         let _ = self.process.wait();
     }
 
+    /// Stops it as planned.
+    fn stop(&mut self, fleet: &Fleet) {
+        self.signal(Signal::TERM);
+        until("the instance ends", || {
+            self.process.try_wait().unwrap().is_some()
+        });
+        self.kill(fleet);
+    }
+
+    /// Ends it and starts it with the program of another build.
+    fn replace(&mut self, fleet: &Fleet, build: Build, way: Way, moves: bool) {
+        let cut = |silent| if silent { State::Silent } else { State::Cut };
+        match way {
+            Way::Stop => self.stop(fleet),
+            Way::Kill => self.kill(fleet),
+            Way::StopCut { silent } => {
+                self.store.set(cut(silent));
+                self.stop(fleet);
+            }
+            Way::KillCut { silent, down } => {
+                self.store.set(cut(silent));
+                self.kill(fleet);
+                thread::sleep(down);
+            }
+        }
+        self.store.set(State::Open);
+        fleet.set_build(self.number, build);
+        self.start(fleet, moves);
+    }
+
     fn start(&mut self, fleet: &Fleet, moves: bool) {
         if moves {
             *self = Self::spawn(fleet, self.number);
         } else {
-            self.process = run(fleet, &self.settings, &self.log);
+            self.process = run(fleet, self.number, &self.settings, &self.log);
         }
         fleet.publish(self.number, self.callers, self.peers);
     }
@@ -132,11 +199,7 @@
                 self.start(fleet, moves);
             }
             Trouble::Stop { moves } => {
-                self.signal(Signal::TERM);
-                until("the instance ends", || {
-                    self.process.try_wait().unwrap().is_some()
-                });
-                self.kill(fleet);
+                self.stop(fleet);
                 self.start(fleet, moves);
             }
             Trouble::Freeze(time) => {
@@ -158,6 +221,7 @@
                 thread::sleep(time);
                 self.store.set(State::Open);
             }
+            Trouble::Replace { build, way, moves } => self.replace(fleet, build, way, moves),
         }
         if self.process.try_wait().unwrap().is_some() {
             fleet.note(&format!("instance {} ended by itself", self.name));
@@ -175,13 +239,13 @@
     }
 }
 
-fn run(fleet: &Fleet, settings: &PathBuf, log: &PathBuf) -> Child {
+fn run(fleet: &Fleet, number: usize, settings: &PathBuf, log: &PathBuf) -> Child {
     let log: File = OpenOptions::new()
         .create(true)
         .append(true)
         .open(log)
         .unwrap();
-    let child = Command::new(&fleet.options.program)
+    let child = Command::new(fleet.program(number))
         .arg("gateway")
         .env("GENTIANPATH_SETTINGS", settings)
         .stdout(log)
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -8,6 +8,7 @@
 pub mod links;
 pub mod texts;
 pub mod troubles;
+pub mod upgrades;
 pub mod workers;
 
 use std::{
@@ -30,6 +31,7 @@
 use crate::gateway_support::{HOST, Store};
 use guard::Guard;
 use links::{Cut, Links};
+use upgrades::Upgrade;
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// Services of the workers.
@@ -98,6 +100,8 @@
     pub framing: String,
     /// Program of the instances.
     pub program: PathBuf,
+    /// Program that the instances begin with if they are replaced during the run.
+    pub earlier: Option<PathBuf>,
     /// Folder that keeps the logs.
     pub logs: Option<PathBuf>,
     /// Whether some workers break off some answers while they stay up.
@@ -133,6 +137,7 @@
             program: program
                 .unwrap_or_else(|| env!("CARGO_BIN_EXE_gentianpath").into())
                 .into(),
+            earlier: variable("EARLIER").map(PathBuf::from),
             logs: variable("LOGS").map(PathBuf::from),
             breaks: number("BREAKS", 0) > 0,
             pause_ms: number("PAUSE_MS", 15),
@@ -197,6 +202,7 @@
     pub store: Store,
     pub guard: Guard,
     pub links: Arc<Links>,
+    pub upgrade: Option<Upgrade>,
     pub logs: PathBuf,
     pub ledger: PathBuf,
     pub record: Mutex<Record>,
@@ -232,11 +238,13 @@
         std::fs::create_dir_all(&logs).unwrap();
         let store = Store::start();
         store.put("config", "main", config(1, 5000, 0));
+        let earlier = options.earlier.clone();
         Self {
             run: format!("r{}s{}", std::process::id(), options.seed),
             store,
             guard: Guard::start(),
             links: Arc::default(),
+            upgrade: earlier.map(|path| Upgrade::new(path, options.instances)),
             ledger: logs.join("ledger"),
             record: Mutex::default(),
             accepted: Mutex::default(),
