Check orders and numbers that the fleet soak did not look at

Readers of jobs saw no check of a list that got shorter at another instance, of next, of reads from a later position, of cancelled jobs or of bodies; nobody looked at the run that wrote an event, at the ids of answers or at numbers of a metrics page that go back in one process. Stand-in workers name the run in each event (--name-run), so that a text that goes on after event n with a run that was not asked with Last-Event-Id n shows. The check of a job replaces the comparison of the common part and is stricter.

The body of an item and items that run after the end of their job have no such test yet. Weight versions, preempted requests and effects of configurations stay without a check.

--- a/standins/src/gateway_worker.rs
+++ b/standins/src/gateway_worker.rs
@@ -50,6 +50,10 @@
     /// Puts the last segment of the path and a dot before the number of each event.
     #[arg(long)]
     pub name_path: bool,
+    /// Puts the run before the number of each event: worker, start and number of the run, and the
+    /// event after which it was asked to go on.
+    #[arg(long)]
+    pub name_run: bool,
     /// Sends each event in pieces of this many bytes; 0 sends it whole.
     #[arg(long, default_value_t = 0)]
     pub piece: usize,
@@ -247,11 +251,11 @@
         let last: Option<u64> = request
             .header("last-event-id")
             .and_then(|id| id.parse().ok());
+        let asked = last.map_or("-".to_owned(), |last| last.to_string());
         if let Some(mut ledger) = self.ledger.as_ref() {
-            let last = last.map_or("-".to_owned(), |last| last.to_string());
             let now = now_ms();
             let (worker, born) = (&self.options.id, self.options.born);
-            ledger.write_all(format!("{id} {last} {now} {worker}@{born}\n").as_bytes())?;
+            ledger.write_all(format!("{id} {asked} {now} {worker}@{born}\n").as_bytes())?;
         }
         let events = request.header("x-events").and_then(|n| n.parse().ok());
         let numbers = last.map_or(0, |last| last + 1)..events.unwrap_or(self.options.events);
@@ -260,8 +264,12 @@
             text.push_str(request.path.rsplit('/').next().unwrap_or_default());
             text.push('.');
         }
-        let event = |number: u64| format!("id: {number}\ndata: {text}{number}\n\n");
         let answer = self.answers.fetch_add(1, Ordering::SeqCst);
+        if self.options.name_run {
+            let (worker, born) = (&self.options.id, self.options.born);
+            text.push_str(&format!("{worker}@{born}_{answer}_{asked}."));
+        }
+        let event = |number: u64| format!("id: {number}\ndata: {text}{number}\n\n");
         let framing = self.options.framing.of_answer(answer);
         let frame = match framing {
             Framing::Length => {
--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -22,7 +22,7 @@
     time::{Duration, Instant},
 };
 
-use fleet_support::{Fleet, Options, instances::Instance, jobs::ITEMS, workers::Worker};
+use fleet_support::{Fleet, Options, instances::Instance, workers::Worker};
 use support::{free_address, until};
 
 /// Length of the test in CI, in seconds.
@@ -92,6 +92,11 @@
         for n in 0..1 + callers / 20 {
             let seed = seeds();
             scope.spawn(move || fleet.submit(n, seed));
+            let seed = seeds();
+            scope.spawn(move || fleet.read_jobs(seed));
+        }
+        for n in 0..count {
+            scope.spawn(move || fleet.watch_numbers(n));
         }
         // Larger fleets have as many troubles for each process.
         for _ in 0..1 + workers / 10 {
@@ -178,13 +183,15 @@
             scope.spawn(move || await_calm(fleet, n, instance));
         }
     });
+    fleet.await_touch();
+    let mut rng = fastrand::Rng::with_seed(seed);
     let jobs = fleet.accepted.lock().unwrap().clone();
     for (n, job) in jobs.iter().enumerate() {
         let address = fleet.address_of(n % fleet.options.instances);
         until(&format!("{job} is finished"), || {
-            fleet.read(job, address) >= ITEMS
+            fleet.read_whole(job, address)
         });
-        fleet.check_job(job);
+        fleet.check_job(job, &mut rng);
     }
     fleet.check_runs();
     fleet.check_silences();
@@ -197,6 +204,10 @@
         "summary: size {size:?}, seed {seed}, framing {framing}, {} jobs",
         jobs.len()
     );
+    println!(
+        "summary: {} reads of jobs, {} at instances in touch, {} metrics pages",
+        record.reads.0, record.reads.1, record.pages
+    );
     println!("summary: answers {:?}", record.ends);
     println!("summary: violations {:?}", record.violations);
     assert!(record.ends.contains_key(&("resumable", "whole")));
--- a/tests/fleet_support/calls.rs
+++ b/tests/fleet_support/calls.rs
@@ -14,6 +14,13 @@
 /// Time that a caller waits in all.
 const DEADLINE: Duration = Duration::from_millis(5000);
 
+/// Returns whether an answer has the id of its request, as far as its head came.
+pub fn has_own_id(id: &str, seen: &Seen) -> bool {
+    let needs_id = seen.status == 200 && (seen.complete || !seen.body.is_empty());
+    seen.header("x-request-id")
+        .map_or(!needs_id, |other| other == id)
+}
+
 impl Fleet {
     /// Sends requests until the end of the run.
     pub fn call(&self, number: usize, seed: u64) {
@@ -26,7 +33,7 @@
             let is_slow = rng.u32(..10) == 0;
             caller.pause = Duration::from_millis(if is_slow { 40 } else { 0 });
             let leaves = rng.u32(..12) == 0;
-            caller.patience = leaves.then(|| rng.usize(..1000));
+            caller.patience = leaves.then(|| rng.usize(..2000));
             let events = match rng.u32(..8) {
                 0 => rng.u64(1..80),
                 _ => EVENTS,
@@ -72,6 +79,10 @@
         let mut record = self.record.lock().unwrap();
         *record.ends.entry((kind, end)).or_default() += 1;
         drop(record);
+        if !has_own_id(id, seen) {
+            let other = seen.header("x-request-id");
+            self.report("request id", &format!("{kind} {id}: {other:?}"));
+        }
         let is_denied = matches!(seen.status, 300..500) && !matches!(seen.status, 408 | 421 | 429);
         if is_denied {
             self.report("denied", &format!("{kind} {id}: {}", seen.status));
@@ -132,6 +143,7 @@
             services: &[service],
             name: id,
             events,
+            resumable: true,
         };
         let (path, count) = (format!("/{kind}/{id}"), events.to_string());
         let mut text = String::new();
@@ -217,6 +229,7 @@
             services: &SERVICES[..1],
             name: id,
             events,
+            resumable: false,
         };
         if seen.status == 200
             && let Err(fault) = expected.check(&seen.text(), seen.complete)
--- a/tests/fleet_support/instances.rs
+++ b/tests/fleet_support/instances.rs
@@ -49,6 +49,7 @@
     pub callers: SocketAddr,
     ready: SocketAddr,
     pub peers: SocketAddr,
+    metrics: SocketAddr,
     log: PathBuf,
     settings: PathBuf,
     store: Link,
@@ -68,6 +69,7 @@
         let file = fleet.logs.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let log = fleet.logs.join(format!("{name}.log"));
+        fleet.begin_life(number, metrics);
         let process = run(fleet, &file, &log);
         fleet.note(&format!("instance {name} at {callers}, {peers}"));
         Self {
@@ -76,6 +78,7 @@
             callers,
             ready,
             peers,
+            metrics,
             log,
             settings: file,
             store,
@@ -115,6 +118,7 @@
         if moves {
             *self = Self::spawn(fleet, self.number);
         } else {
+            fleet.begin_life(self.number, self.metrics);
             self.process = run(fleet, &self.settings, &self.log);
         }
         fleet.publish(self.number, self.callers, self.peers);
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -3,9 +3,11 @@
 
 pub mod calls;
 pub mod guard;
+pub mod history;
 pub mod instances;
 pub mod jobs;
 pub mod links;
+pub mod numbers;
 pub mod texts;
 pub mod troubles;
 pub mod workers;
@@ -27,8 +29,12 @@
 
 use serde_json::{Value, json};
 
-use crate::gateway_support::{HOST, Store};
+use crate::{
+    gateway_support::{HOST, Store},
+    support::until,
+};
 use guard::Guard;
+use history::History;
 use links::{Cut, Links};
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
@@ -38,6 +44,10 @@
 pub const EVENTS: u64 = 20;
 /// Age of a request at which a short silence can't use up its deadline.
 const YOUNG_MS: u64 = 3000;
+/// Time without a disturbance after which an instance is in touch.
+const STABLE_MS: u64 = 4000;
+/// Time in which the end of a job reaches the instances that are in touch.
+const CANCEL_MS: u64 = 3000;
 /// Time after a disturbance in which an instance counts as disturbed.
 const CALM_MS: u64 = 3000;
 
@@ -172,8 +182,12 @@
     pub ends: BTreeMap<(&'static str, &'static str), usize>,
     /// Requests that may run once, and whether they were refused.
     pub once: Vec<(String, bool)>,
-    /// Results of accepted jobs as they were read.
-    pub jobs: HashMap<String, Vec<Value>>,
+    /// Jobs that were submitted, as they were read.
+    pub jobs: HashMap<String, History>,
+    /// Reads of jobs, and those of them at instances in touch.
+    pub reads: (usize, usize),
+    /// Metrics pages that were read.
+    pub pages: usize,
     /// Instances to which requests were sent, by the request.
     pub sent: HashMap<String, usize>,
     /// When workers said that they leave, in Unix milliseconds, by ID@BORN.
@@ -204,6 +218,8 @@
     pub accepted: Mutex<Vec<String>>,
     /// Addresses for callers and for other instances.
     addresses: Mutex<BTreeMap<usize, (SocketAddr, SocketAddr)>>,
+    /// Addresses of metrics pages by instance, and the numbers of the processes.
+    metrics: Mutex<BTreeMap<usize, (SocketAddr, u64)>>,
     /// Instances by their addresses for callers, present and past.
     owners: Mutex<HashMap<SocketAddr, usize>>,
     pub worker_orders: Vec<Mutex<Option<workers::Trouble>>>,
@@ -241,6 +257,7 @@
             record: Mutex::default(),
             accepted: Mutex::default(),
             addresses: Mutex::default(),
+            metrics: Mutex::default(),
             owners: Mutex::default(),
             worker_orders: (0..options.workers).map(|_| Mutex::default()).collect(),
             instance_orders: (0..options.instances).map(|_| Mutex::default()).collect(),
@@ -261,6 +278,15 @@
         self.stop.store(true, Ordering::SeqCst);
     }
 
+    /// Waits until all instances are in touch after the run.
+    pub fn await_touch(&self) {
+        let count = self.options.instances;
+        until("all instances are in touch", || {
+            let (now, record) = (unix_ms(), self.record.lock().unwrap());
+            (0..count).all(|n| record.is_in_touch(n, now, now))
+        });
+    }
+
     /// Writes a line with the time to the file of the run's events.
     pub fn note(&self, text: &str) {
         let _ = writeln!(self.notes.lock().unwrap(), "{} {text}", unix_ms());
@@ -303,6 +329,18 @@
         self.owners.lock().unwrap().insert(callers, number);
     }
 
+    /// Records that an instance starts a process.
+    fn begin_life(&self, number: usize, address: SocketAddr) {
+        let mut metrics = self.metrics.lock().unwrap();
+        let life = metrics.get(&number).map_or(1, |(_, life)| life + 1);
+        metrics.insert(number, (address, life));
+    }
+
+    /// Returns the address of an instance's metrics page and the number of its process.
+    fn metrics_of(&self, number: usize) -> (SocketAddr, u64) {
+        self.metrics.lock().unwrap()[&number]
+    }
+
     /// Returns the address for callers of some instance.
     pub fn address(&self, rng: &mut fastrand::Rng) -> SocketAddr {
         self.address_of(rng.usize(..self.options.instances))
@@ -381,6 +419,15 @@
             if sent.is_none() && !item.is_some_and(|job| record.jobs.contains_key(job)) {
                 found.push(("unasked", format!("{id} at {worker}")));
             }
+            let job = item.and_then(|job| record.jobs.get(job));
+            let cancelled = job.and_then(|job| job.cancelled);
+            if let Some(cancelled) = cancelled
+                && time > cancelled + CANCEL_MS
+                && (0..self.options.instances).all(|n| record.is_in_touch(n, time, time))
+            {
+                let late = time - cancelled;
+                found.push(("after cancel", format!("{id} at {worker}, {late} ms")));
+            }
             let left = record.leaves.get(worker);
             let late = left.filter(|left| time > **left + workers::DRAIN.as_millis() as u64);
             if let (Some(left), Some(instance)) = (late, sent)
@@ -415,6 +462,16 @@
         !is_unstable && !self.is_disturbed(instance, from, to)
     }
 
+    /// Returns whether an instance and the store were undisturbed in a span and for so long before it
+    /// that bounds of time hold.
+    fn is_in_touch(&self, instance: usize, from: u64, to: u64) -> bool {
+        let from = from - STABLE_MS;
+        let overlaps = |begin: u64, end: u64| begin <= to && end >= from;
+        let mut disturbed = self.disturbed.iter();
+        !self.unstable.iter().any(|(b, e)| overlaps(*b, *e))
+            && !disturbed.any(|(n, b, e)| *n == instance && overlaps(*b, *e))
+    }
+
     /// Returns whether an instance was disturbed in a span or before it.
     fn is_disturbed(&self, instance: usize, from: u64, to: u64) -> bool {
         let mut disturbed = self.disturbed.iter();
--- a/tests/fleet_support/texts.rs
+++ b/tests/fleet_support/texts.rs
@@ -1,4 +1,5 @@
-//! What the texts of workers show: run, version, service, request and number of each event.
+//! What the texts of workers show: run of the test, version, service, request, run at the worker and
+//! number of each event.
 
 use std::fmt;
 
@@ -15,8 +16,11 @@
     Gap,
     /// Events come from two versions of the software.
     Versions,
-    /// An event belongs to another request, service or run.
+    /// An event belongs to another request, service or run of the test.
     Foreign,
+    /// Events come from two runs at workers, of which the later one was not asked to go on after the
+    /// last event of the earlier one.
+    Joined,
 }
 
 impl fmt::Display for Fault {
@@ -28,6 +32,7 @@
             Self::Gap => "gap",
             Self::Versions => "mixed versions",
             Self::Foreign => "foreign",
+            Self::Joined => "joined runs",
         };
         f.write_str(name)
     }
@@ -42,6 +47,8 @@
     /// Last segment of the path.
     pub name: &'a str,
     pub events: u64,
+    /// Whether a run may go on where an earlier one ended.
+    pub resumable: bool,
 }
 
 impl Expected<'_> {
@@ -52,6 +59,7 @@
     /// Returns what is wrong first.
     pub fn check(&self, text: &str, complete: bool) -> Result<(), Fault> {
         let mut version = None;
+        let mut origin = None;
         let mut count = 0;
         let mut rest = text;
         while let Some((event, later)) = rest.split_once("\n\n") {
@@ -61,7 +69,7 @@
                 .and_then(|id| id.parse().ok())
                 .ok_or(Fault::Torn)?;
             let parts: Vec<&str> = data.split('.').collect();
-            let [run, this, service, name, number] = parts[..] else {
+            let [run, this, service, name, writer, number] = parts[..] else {
                 return Err(Fault::Torn);
             };
             if run != self.run || name != self.name || !self.services.contains(&service) {
@@ -79,6 +87,9 @@
             if id > count {
                 return Err(Fault::Gap);
             }
+            if origin.replace(writer) != Some(writer) && !self.may_begin(writer, id) {
+                return Err(Fault::Joined);
+            }
             count += 1;
             rest = later;
         }
@@ -95,18 +106,35 @@
         self.check_part(rest, version, count)
     }
 
+    /// Returns whether a run may have written an event that an earlier event of another run, or none,
+    /// comes before. The name of a run ends with the event after which it was asked to go on.
+    fn may_begin(&self, run: &str, event: u64) -> bool {
+        let asked = run.rsplit('_').next().unwrap_or_default();
+        match event.checked_sub(1) {
+            None => asked == "-",
+            Some(last) => self.resumable && asked.parse() == Ok(last),
+        }
+    }
+
     /// Checks the part of an event at the end of a broken answer.
     fn check_part(&self, part: &str, version: Option<&str>, number: u64) -> Result<(), Fault> {
+        let parts: Vec<&str> = part.split('.').collect();
         let fits = |version: &str, service: &str| {
             let (run, name) = (self.run, self.name);
-            let event =
-                format!("id: {number}\ndata: {run}.{version}.{service}.{name}.{number}\n\n");
-            event.starts_with(part)
+            let begin = format!("id: {number}\ndata: {run}.{version}.{service}.{name}.");
+            match parts[..] {
+                // The run at the worker may be any, and may be incomplete.
+                [_, _, _, _, _] => part.starts_with(&begin),
+                [_, _, _, _, writer, _] => {
+                    format!("{begin}{writer}.{number}\n\n").starts_with(part)
+                }
+                _ => begin.starts_with(part),
+            }
         };
-        let version = version.or_else(|| part.split('.').nth(1));
+        let version = version.or_else(|| parts.get(1).copied());
         let fits = match version {
             Some(version) => self.services.iter().any(|service| {
-                let is_begun = part.split('.').count() == 2;
+                let is_begun = parts.len() == 2;
                 // The version itself may be incomplete.
                 fits(version, service) || is_begun
             }),
--- a/tests/fleet_support/workers.rs
+++ b/tests/fleet_support/workers.rs
@@ -104,7 +104,7 @@
             ["--break-every", breaks],
         ];
         let mut options = options.as_flattened().to_vec();
-        options.push("--name-path");
+        options.extend(["--name-path", "--name-run"]);
         let standin = Standin::start("standin-worker", &options);
         fleet.guard.add(standin.process.id());
         fleet.note(&format!("worker {id}@{born} v{version} {service} at {}: ending {ending}, lingers {linger} ms, piece {piece}", standin.address));
