--- a/tests/fleet_support/instances.rs
+++ b/tests/fleet_support/instances.rs
@@ -86,6 +86,7 @@
     pub callers: SocketAddr,
     ready: SocketAddr,
     pub peers: SocketAddr,
+    metrics: SocketAddr,
     log: PathBuf,
     settings: PathBuf,
     store: Link,
@@ -105,6 +106,7 @@
         let file = fleet.logs.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).unwrap();
         let log = fleet.logs.join(format!("{name}.log"));
+        fleet.begin_life(number, metrics);
         let process = run(fleet, number, &file, &log);
         fleet.note(&format!("instance {name} at {callers}, {peers}"));
         Self {
@@ -113,6 +115,7 @@
             callers,
             ready,
             peers,
+            metrics,
             log,
             settings: file,
             store,
@@ -182,6 +185,7 @@
         if moves {
             *self = Self::spawn(fleet, self.number);
         } else {
+            fleet.begin_life(self.number, self.metrics);
             self.process = run(fleet, self.number, &self.settings, &self.log);
         }
         fleet.publish(self.number, self.callers, self.peers);
--- a/tests/fleet_support/workers.rs
+++ b/tests/fleet_support/workers.rs
@@ -113,7 +113,7 @@
             ["--break-every", breaks],
         ];
         let mut options = options.as_flattened().to_vec();
-        options.push("--name-path");
+        options.extend(["--name-path", "--name-run"]);
         options.extend(fault.unwrap_or_default());
         let standin = Standin::start("standin-worker", &options);
         fleet.guard.add(standin.process.id());
