Break answers that end after a repeated event

Callers could get a stream without its last event as a whole one: a number that is not larger than the last one counts as that of a repeated event, also where it is the damaged number of a further event. Within a stream the event after it skips one and breaks the answer; the last event has none after it, and a length or the last chunk made the stream whole.

A worker that repeats events goes on to its end. An answer that ends after an event with a smaller number than one that came before is now broken, with a reason that names both.

Answers that repeat events and go on are whole as before.

--- a/src/gateway/sse.rs
+++ b/src/gateway/sse.rs
@@ -63,6 +63,8 @@
     framed: bool,
     /// Whether an event came whose number does not follow.
     skipped: bool,
+    /// Number of the last event that came, also of a repeated one.
+    latest: Option<u64>,
     /// Whether the body has been read to its end.
     ended: bool,
     /// The next event, or the end, if it was read ahead.
@@ -104,6 +106,7 @@
             start,
             framed,
             skipped: false,
+            latest: None,
             ended: false,
             ahead: None,
             held,
@@ -157,8 +160,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the stream breaks, ends inside an event or with a mark but without any
-    /// event, sends an event that is malformed, too long or skips others, or has no further event within
+    /// Returns an error when the stream breaks, ends inside an event, after a repeated one, or with a mark
+    /// but without any event, sends an event that is malformed, too long or skips others, or has no further event within
     /// `limit`, and when an answer that resumes a stream begins with something else than its next event.
     pub async fn next(&mut self, after: Option<u64>, limit: Duration) -> io::Result<Next> {
         if let Some(next) = self.ahead.take() {
@@ -166,7 +169,7 @@
         }
         match connection::within(limit, self.read_next(after)).await? {
             Some(event) => Ok(Next::Event(event)),
-            None => self.end().map(Next::End),
+            None => self.end(after).map(Next::End),
         }
     }
 
@@ -202,6 +205,7 @@
                     let reason = format!("the worker sent event {id} after event {last}");
                     return Err(connection::invalid(reason));
                 }
+                self.latest = event.id.or(self.latest);
                 if event.id > after {
                     self.start = Start::Free;
                     return Ok(Some(event));
@@ -238,8 +242,15 @@
         }
     }
 
-    /// Returns the end of the stream, unless it is inside an event.
-    fn end(&self) -> io::Result<End> {
+    /// Returns the end of the stream, unless it is inside an event or after a repeated one, as an answer
+    /// that repeats events has to go on to the end.
+    fn end(&self, after: Option<u64>) -> io::Result<End> {
+        if let (Some(latest), Some(last)) = (self.latest, after)
+            && latest < last
+        {
+            let reason = format!("the answer ended with event {latest} after event {last}");
+            return Err(connection::invalid(reason));
+        }
         let reason = "the stream ended inside an event";
         match (self.splitter.is_empty(), self.framed) {
             (true, true) if self.lacks_event() => Err(connection::invalid(NO_EVENT)),
--- a/tests/gateway_event_numbers.rs
+++ b/tests/gateway_event_numbers.rs
@@ -22,12 +22,14 @@
     };
 }
 
-/// Answers in which an event comes too early, and is missing at its place.
-const SKIPPING: [&str; 4] = [
+/// Answers in which an event comes too early, or an earlier one in its place, so that one is missing.
+const SKIPPING: [&str; 6] = [
     answer!("content-length: 64\r\n", 0 2 1 3),
     answer!("", 0 2 1 3),
     answer!("content-length: 48\r\n", 0 1 3),
     answer!("", 0 1 3),
+    answer!("content-length: 64\r\n", 0 1 2 0),
+    answer!("", 0 1 2 0),
 ];
 /// Answers in which events come again.
 const REPEATING: [&str; 2] = [
