Announce a block that outlives its crashes once

An operator would get a line on a block at each review, up to one in 30 ms, once its crashes are an hour old and requests go on to meet it: the announcement was forgotten with the crashes while the block held. An announcement is now kept as long as its block.

--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -518,7 +518,10 @@
     /// Notes the blocks that have not been announced. Reviews make a block anew, with other marks
     /// beside its request, whenever records come or go.
     fn announce(&mut self, now: Duration) {
-        self.announced.retain(|_, a| now < a.completed + MEMORY);
+        // A block that requests go on to meet outlives the memory of its crashes.
+        let held: Set<Vec<Mark>> = self.blocks.iter().map(Block::identity).collect();
+        self.announced
+            .retain(|marks, a| now < a.completed + MEMORY || held.contains(marks));
         for block in &self.blocks {
             let announced = Announced {
                 completed: block.completed,
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -591,6 +591,22 @@
     }
 }
 
+/// Guards against a line for each review of a block that requests go on to meet for more than an hour.
+#[test]
+fn a_block_that_lasts_is_announced_once() {
+    let mut suspects = Suspects::default();
+    crash(&mut suspects, &[REQUEST], 4, 0);
+    let mut announced = 0;
+    for minute in 0..70 {
+        assert!(!admits(&mut suspects, &[REQUEST], 60_000 * minute + 400));
+        // A crash of another request makes a review due.
+        let other = Mark::Request(1000 + minute);
+        suspects.record_crash(&[other], (99, minute as u32), at(60_000 * minute + 500));
+        announced += suspects.take_blocks().len();
+    }
+    assert_eq!(announced, 1);
+}
+
 /// Kills workers one after the other, 40 ms apart, two at a time, while requests at instances are
 /// retried at once, and returns how many of them are refused after `hits` lost workers.
 fn refused_in_mass_kill(instances: usize, hits: u32) -> usize {
