Hold an empty answer against what else its worker ended

An answer without any event proves that its worker closes answers too early, but the other answers of this worker that ended at the same time could still count as whole. Such an end is now recorded as torn, as one is of which another worker has the rest.

--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -267,6 +267,8 @@
     /// Records that the answer holds nothing, which no answer does that ends with its connection, and
     /// returns the error for it.
     pub fn reject_empty(&self) -> io::Error {
+        let gateway = &self.responder.gateway;
+        gateway.ends().record_torn(&self.worker().id, self.at);
         self.reject(EndEvidence::Empty, sse::NO_EVENT);
         io::Error::new(io::ErrorKind::UnexpectedEof, sse::NO_EVENT)
     }
