--- a/src/gateway/config.rs
+++ b/src/gateway/config.rs
@@ -42,6 +42,8 @@
 pub struct Service {
     /// Maximum number of connections that one worker accepts from all instances together.
     pub connections: usize,
+    /// Path at which a worker tells whether it is healthy, if the service has one.
+    pub health: Option<Arc<str>>,
 }
 
 /// A route: the calls to one host below one path prefix.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -16,7 +16,7 @@
     clock,
     drain::{Drain, Phase, StopEnd},
     event, fnv,
-    ids::{JobId, RequestId, SessionId, WorkerId},
+    ids::{JobId, RequestId, ServiceId, SessionId, WorkerId},
     metrics::InstanceState,
     mutex::{Mutex, MutexGuard, lock},
 };
@@ -24,7 +24,7 @@
 use super::{
     blame::Block,
     block_store::Recall,
-    config::Configuration,
+    config::{Configuration, Service},
     connection::Connection,
     dispatch::Dispatch,
     ends::Ends,
@@ -431,12 +431,17 @@
         if is_unusable || !self.dispatch.is_ready(&worker.id) {
             return;
         }
-        let config = self.config.load();
-        let service = config
-            .as_ref()
-            .and_then(|c| c.services.get(&worker.service));
+        let service = self.service(&worker.service);
         let instances = 1 + self.peers().live(self.now()).count();
-        self.upstream.keep(worker, connection, service, instances);
+        self.upstream
+            .keep(worker, connection, service.as_ref(), instances);
+    }
+
+    /// Returns a service of the configuration.
+    pub fn service(&self, service: &ServiceId) -> Option<Service> {
+        let config = self.config.load();
+        let services = config.as_ref().map(|c| &c.services);
+        services.and_then(|s| s.get(service)).cloned()
     }
 
     /// Puts a configuration in use unless it is not newer than the current one, and returns whether
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -31,6 +31,8 @@
 /// Pause before a connection for a report is opened again. During a cut, other instances may refuse to carry
 /// it at once.
 const CONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections on which a health check is tried, as a worker may close one after its report.
+const HEALTH_ATTEMPTS: u32 = 3;
 /// Longest time for which a sound worker is silent.
 const MAX_SILENCE: Duration = Duration::from_millis(1500);
 /// Time after the end of an answer for which its worker has to go on. A worker that ends closes its
@@ -94,6 +96,14 @@
     }
 
     async fn ask(&self) -> io::Result<()> {
+        let connection = self.reach().await?;
+        self.gateway.keep_connection(&self.worker, connection);
+        Ok(())
+    }
+
+    /// Returns a connection on which the worker has just reported that it is the process that sent the
+    /// answer.
+    async fn reach(&self) -> io::Result<Connection> {
         loop {
             let upstream = &self.gateway.upstream;
             let mut connection = match upstream.reach(&self.gateway, &self.worker, true).await {
@@ -113,7 +123,10 @@
                 Delivery::Whole.report_limit()
             };
             match connection.exchange(request, limit, Proof::Content).await {
-                Ok(answer) => return self.check(&answer, connection),
+                Ok(answer) => {
+                    self.check(&answer, &connection)?;
+                    return Ok(connection);
+                }
                 Err(_) if connection.reused => {}
                 Err(SendError::TimedOut(_)) => return Err(io::ErrorKind::TimedOut.into()),
                 Err(e) => return Err(connection::aborted(e.into_reason())),
@@ -122,7 +135,7 @@
     }
 
     /// Checks that a report comes from the process that sent the answer.
-    fn check(&self, answer: &Response<Bytes>, connection: Connection) -> io::Result<()> {
+    fn check(&self, answer: &Response<Bytes>, connection: &Connection) -> io::Result<()> {
         let worker = &self.worker;
         let report = reports::decode(answer)
             .ok_or_else(|| connection::invalid("the answer is no report of the worker"))?;
@@ -135,9 +148,47 @@
         if report.leaving {
             self.gateway.record_leaving(worker);
         }
-        self.gateway.keep_connection(worker, connection);
         Ok(())
     }
+
+    /// Checks that the worker is healthy, on the connection of a report, as a connection does not outlive
+    /// its process.
+    async fn check_health(&self, path: &str) -> io::Result<()> {
+        for _ in 0..HEALTH_ATTEMPTS {
+            let mut connection = self.reach().await?;
+            let request = reports::health_request(&self.worker, path).map_err(io::Error::other)?;
+            let limit = Delivery::Whole.report_limit();
+            let answer = match connection.exchange(request, limit, Proof::Content).await {
+                Ok(answer) => answer,
+                // The worker closed the connection after its report.
+                Err(SendError::NotSent(_)) => continue,
+                Err(e) => return Err(io::Error::other(e.into_reason())),
+            };
+            if !reports::is_healthy(&answer, &self.worker) {
+                let status = answer.status().as_u16();
+                let reason = format!("the health check of the worker was answered {status}");
+                return Err(io::Error::other(reason));
+            }
+            self.gateway.keep_connection(&self.worker, connection);
+            return Ok(());
+        }
+        Err(io::Error::other(
+            "no connection stays open for the health check",
+        ))
+    }
+
+    /// Returns the path of the health check that decides on answers of the worker, if one can. A worker
+    /// that leaves passes none, and one that limits its requests gets none, as the check counts as one.
+    fn health_path(&self) -> Option<Arc<str>> {
+        let dispatch = &self.gateway.dispatch;
+        let limited = dispatch.limited_workers();
+        let is_limited = limited.iter().any(|w| w.id == self.worker.id);
+        if is_limited || !dispatch.is_ready(&self.worker.id) {
+            return None;
+        }
+        let service = self.gateway.service(&self.worker.service)?;
+        service.health
+    }
 }
 
 impl Ended {
@@ -193,8 +244,10 @@
             self.check_settled(delivery).await
         };
         match connection::within(left, settled).await {
-            Ok(()) => {
-                self.confirm(evidence);
+            Ok(shown) => {
+                // An answer of another worker is confirmed by both.
+                let is_agreed = evidence == EndEvidence::Agreed;
+                self.confirm(if is_agreed { evidence } else { shown });
                 Ok(())
             }
             Err(e) => {
@@ -209,12 +262,26 @@
         Timer::after(time.saturating_sub(now)).await;
     }
 
-    async fn check_settled(&self, delivery: Delivery) -> io::Result<()> {
+    /// Checks what the worker shows after the time in which it has to go on, and returns by what.
+    ///
+    /// A worker that ends answers reports, but begins no request.
+    async fn check_settled(&self, delivery: Delivery) -> io::Result<EndEvidence> {
         self.check_known()?;
         let left = (self.at + delivery.report_limit()).saturating_sub(self.responder.gateway.now());
-        connection::within(left.max(LAST_REPORT_LIMIT), self.responder.ask()).await?;
-        // The report may have taken more than a second, and may say that the worker leaves.
-        self.check_known()
+        let left = left.max(LAST_REPORT_LIMIT);
+        let shown = match self.responder.health_path() {
+            Some(path) => {
+                connection::within(left, self.responder.check_health(&path)).await?;
+                EndEvidence::Healthy
+            }
+            None => {
+                connection::within(left, self.responder.ask()).await?;
+                EndEvidence::Outlived
+            }
+        };
+        // The answer may have taken more than a second, and may say that the worker leaves.
+        self.check_known()?;
+        Ok(shown)
     }
 
     /// Checks what is known of the worker without asking it.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -101,8 +101,10 @@
     Framed,
     /// Another worker that was asked for the rest had none, and outlived that answer.
     Agreed,
-    /// The worker outlived the answer.
+    /// The worker outlived the answer, which its report shows.
     Outlived,
+    /// The worker was healthy after the answer, and answered a request that takes a slot.
+    Healthy,
     /// A worker that was asked for the rest had one.
     Torn,
     /// The answer holds nothing, which a whole one does not.
@@ -118,6 +120,7 @@
             Self::Framed => "framed",
             Self::Agreed => "agreed",
             Self::Outlived => "outlived",
+            Self::Healthy => "healthy",
             Self::Torn => "torn",
             Self::Empty => "empty",
             Self::InDoubt => "in-doubt",
--- a/standins/src/gateway_worker.rs
+++ b/standins/src/gateway_worker.rs
@@ -68,6 +68,9 @@
     /// Breaks off each answer whose number is a multiple of this, half way; 0 breaks off none.
     #[arg(long, default_value_t = 0)]
     pub break_every: usize,
+    /// Says that the worker is healthy after its end, too.
+    #[arg(long)]
+    pub claims_health: bool,
     /// Address to listen on.
     #[arg(long, default_value = "127.0.0.1:0")]
     pub address: SocketAddr,
@@ -209,11 +212,6 @@
                 let head = "Content-Type: application/json\r\n";
                 self.answer_whole(stream, 200, head, &self.report())
             }
-            ("GET", "/healthz") => {
-                let leaving = self.leaving.load(Ordering::SeqCst);
-                let head = format!("X-Instance-Id: {}\r\n", self.options.id);
-                self.answer_whole(stream, if leaving { 503 } else { 200 }, &head, "")
-            }
             _ => self.admit(request, stream),
         }
     }
@@ -231,8 +229,13 @@
     fn admit(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
         let running = self.running.fetch_add(1, Ordering::SeqCst);
         let is_full = running >= self.options.slots + QUEUE;
+        let is_health = (request.method.as_str(), request.path.as_str()) == ("GET", "/healthz");
         let result = if !is_full && !self.is_refusing() {
-            self.run(request, stream)
+            if is_health {
+                self.answer_health(stream)
+            } else {
+                self.run(request, stream)
+            }
         } else {
             let id = request.header("x-request-id").unwrap_or_default();
             let head = format!("X-Request-Id: {id}\r\nX-Not-Run: 1\r\n");
@@ -242,6 +245,14 @@
         result
     }
 
+    /// Answers a health check, which takes a slot like a request.
+    fn answer_health(&self, stream: &mut TcpStream) -> io::Result<bool> {
+        let is_ending = self.leaving.load(Ordering::SeqCst) || self.ended.load(Ordering::SeqCst);
+        let is_healthy = !is_ending || self.options.claims_health;
+        let head = format!("X-Instance-Id: {}\r\n", self.options.id);
+        self.answer_whole(stream, if is_healthy { 200 } else { 503 }, &head, "")
+    }
+
     fn run(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
         let id = request.header("x-request-id").unwrap_or_default();
         let last: Option<u64> = request
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -679,6 +679,15 @@
         let head = format!("{leaving}content-type: application/json\r\n");
         return answer(stream, 200, &head, &report.to_string());
     }
+    if (request.method.as_str(), request.path.as_str()) == ("GET", "/healthz") {
+        let status = if state.lock().unwrap().leaving {
+            503
+        } else {
+            200
+        };
+        let head = format!("{leaving}x-instance-id: {id}\r\n");
+        return answer(stream, status, &head, "");
+    }
     let (behaviour, events, pause) = {
         let mut state = state.lock().unwrap();
         let behaviour = if state.next.is_empty() {
@@ -1103,7 +1112,7 @@
             route("unsafe", "unsafe", false, 1),
             route("jobs", "batch", true, 3),
         ],
-        "services": [{ "name": "lm", "max_conns": 100 }],
+        "services": [{ "name": "lm", "max_conns": 100, "health_path": "/healthz" }],
         "limits": { "max_body_bytes": 4194304, "idle_timeout_ms": 15000 },
     })
 }
