--- a/src/gateway/blame.rs
+++ b/src/gateway/blame.rs
@@ -140,10 +140,16 @@
 /// broke with the same workers; what is left is examined in the same way. So marks that only come
 /// along with it, and requests that only ran beside it, are not blamed. Breaks by workers that fail
 /// all the time do not count.
+///
+/// While as many other workers crash as the request met, it may be sent once more after its third
+/// crash, for all of them may be lost for another reason. Its block begins with the fourth crash, or
+/// when further crashes would count as late. So a request that does crash workers costs one more of
+/// them, earlier than the platform counts.
 pub fn blocks(crashes: &[Crash], now: Duration) -> (Vec<Block>, Option<Duration>) {
     let mut blocks = Vec::new();
     let mut outdated: Option<Duration> = None;
-    let mut open = sound_worker_breaks(crashes);
+    let breaks = sound_worker_breaks(crashes);
+    let mut open = breaks.clone();
     let mut suspicions = Suspicions::new(&open);
     while let Some(mark) = suspicions.most_suspected() {
         let (held, rest): (Vec<&Crash>, Vec<&Crash>) =
@@ -165,11 +171,21 @@
         let mut marks = held[0].marks.clone();
         marks.retain(|m| held.iter().all(|c| c.marks.contains(m)));
         marks.sort_unstable();
-        // Only its own repeats prove a request sound, so nothing is gained by waiting for others.
-        let settled = if names_request(&marks) {
-            third
-        } else {
+        let is_elsewhere = |c: &&&Crash| {
+            c.at.abs_diff(third) < SETTLE_TIME
+                && moments.get(&c.attempt.0).is_none_or(|t| !c.is_beside(t))
+        };
+        let lost_elsewhere = || {
+            let lost = breaks.iter().filter(is_elsewhere).map(|c| c.attempt.0);
+            lost.collect::<Set<WorkerKey>>().len()
+        };
+        let settled = if !names_request(&marks) {
             third + SETTLE_TIME
+        } else if times.len() == MIN_CRASHES && lost_elsewhere() >= MIN_CRASHES {
+            third + LATE_AFTER
+        } else {
+            // Only its own repeats prove a request sound, so nothing is gained by waiting for others.
+            third
         };
         if now < settled {
             outdated = Some(outdated.map_or(settled, |t| t.min(settled)));
--- a/tests/gateway_blame.rs
+++ b/tests/gateway_blame.rs
@@ -7,7 +7,7 @@
         blame::{self, Crash},
         marks::Mark,
     },
-    ids::Map,
+    ids::{Map, Set},
 };
 
 /// Returns the marks and numbers of crashes of the blocks, and the time at which they are outdated, by
@@ -32,6 +32,17 @@
         let mut settled = times[2];
         if !marks.iter().any(|m| m.request().is_some()) {
             settled += Duration::from_millis(350);
+        } else if times.len() == 3 {
+            let is_elsewhere = |c: &Crash| {
+                c.at.abs_diff(times[2]) < Duration::from_millis(350)
+                    && !is_by_failing_worker(c, crashes)
+                    && !held.iter().any(|h| is_beside(h, c))
+            };
+            let elsewhere = crashes.iter().filter(|c| is_elsewhere(c));
+            let workers: Set<u32> = elsewhere.map(|c| c.attempt.0).collect();
+            if workers.len() >= 3 {
+                settled += Duration::from_secs(1);
+            }
         }
         if now < settled {
             outdated = Some(outdated.map_or(settled, |t| t.min(settled)));
--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -590,3 +590,107 @@
         assert!(admits(&mut suspects, &[REQUEST], from + 1000));
     }
 }
+
+/// Kills workers one after the other, 40 ms apart, two at a time, while requests at instances are
+/// retried at once, and returns how many of them are refused after `hits` lost workers.
+fn refused_in_mass_kill(instances: usize, hits: u32) -> usize {
+    let mut fleet: Vec<Suspects> = (0..instances).map(|_| Suspects::default()).collect();
+    let mut refused = 0;
+    for round in 0..hits {
+        let now = 40 * u64::from(round);
+        for (n, instance) in fleet.iter_mut().enumerate() {
+            // Half of the requests are at one worker, half at another one.
+            let n = n as u32;
+            let worker = 2 * round + n % 2;
+            let request = [Mark::Request(u64::from(n) + 100)];
+            instance.record_crash(&request, (worker, n), at(now + 15 * u64::from(n % 2)));
+        }
+        let news: Vec<_> = fleet
+            .iter_mut()
+            .map(|i| i.take_news(at(now + 16)))
+            .collect();
+        for instance in &mut fleet {
+            for report in &news {
+                instance.merge(report.clone(), at(now + 18));
+            }
+        }
+    }
+    let now = 40 * u64::from(hits) + 30;
+    for (n, instance) in fleet.iter_mut().enumerate() {
+        refused += usize::from(!admits(instance, &[Mark::Request(n as u64 + 100)], now));
+    }
+    refused
+}
+
+/// Guards against sound requests that are refused since they met three workers of many that were
+/// killed.
+#[test]
+fn a_request_that_meets_three_workers_of_a_mass_kill_is_sent_once_more() {
+    for instances in [15, 40] {
+        let refused = [3, 4, 5].map(|hits| refused_in_mass_kill(instances, hits));
+        println!("{instances} instances, refused after 3, 4 and 5 lost workers: {refused:?}");
+        assert_eq!(refused[0], 0, "{instances} instances");
+    }
+}
+
+/// Returns how many of the retries of deadly requests reach workers, and how many of them begin later
+/// than the stable window after the third crash. Each request comes again all 50 ms, later all 500 ms, at the
+/// next of the instances, which hear of each other's crashes after 100 ms; workers are killed beside it.
+fn retries_of_deadly(requests: u32, killed: u64) -> Vec<(usize, usize)> {
+    const INSTANCES: usize = 15;
+    let mut fleet: Vec<Suspects> = (0..INSTANCES).map(|_| Suspects::default()).collect();
+    let mut crashes: Vec<Vec<u64>> = vec![Vec::new(); requests as usize];
+    let mut reports = std::collections::VecDeque::new();
+    for step in 0..2_400_u64 {
+        // The later retries are seen over some 18 minutes.
+        let now = if step < 200 {
+            50 * step
+        } else {
+            500 * (step - 180)
+        };
+        while reports.front().is_some_and(|(due, _)| *due <= now) {
+            let (_, report): (u64, Report) = reports.pop_front().unwrap();
+            for instance in &mut fleet {
+                instance.merge(report.clone(), at(now));
+            }
+        }
+        let instance = &mut fleet[step as usize % INSTANCES];
+        for n in 0..requests {
+            let marks = [Mark::Request(u64::from(n) + 100)];
+            // One instance probes.
+            let admission = instance.admit(&marks, at(now + 1), |_| step % 15 == 0);
+            if !matches!(admission, Admission::Refused(_)) {
+                let attempt = (step as u32 * 8 + n, step as u32 * 8 + n);
+                instance.record_crash(&marks, attempt, at(now + 1 + 31 * u64::from(n)));
+                crashes[n as usize].push(now + 1);
+            }
+        }
+        if step < killed {
+            let other = step as u32 * 8 + 7;
+            instance.record_crash(&[Mark::Request(other.into())], (other, other), at(now + 20));
+        }
+        let report = instance.take_news(at(now + 49));
+        if !report.is_empty() {
+            reports.push_back((now + 149, report));
+        }
+    }
+    let late = |times: &Vec<u64>| times.iter().filter(|t| **t > times[2] + 3000).count();
+    crashes.iter().map(|c| (c.len(), late(c))).collect()
+}
+
+/// Guards against deadly requests that are sent on and on since others crash workers at the same time,
+/// or since workers are killed. The platform tolerates three retries later than 3 s after the third
+/// crash.
+#[test]
+fn deadly_requests_beside_other_crashes_are_refused_in_time() {
+    for requests in [1, 2, 3] {
+        for killed in [0, 10, 2_400] {
+            let found = retries_of_deadly(requests, killed);
+            println!("{requests} requests, {killed} killed: {found:?}");
+            for (all, late) in found {
+                assert!(all <= 10, "{requests}, {killed}: {all} retries");
+                assert!(late <= 2, "{requests}, {killed}: {late} late retries");
+            }
+        }
+    }
+}
