--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -9,7 +9,7 @@
 //! after each event), `INSTANCES` and `WORKERS` (numbers other than those of the size), `CUTS` (1: links
 //! between instances and workers are cut), `ONLY` (the one kind of trouble that happens, by the names
 //! in `fleet_support/only.rs`; callers still leave and read slowly), `ZONES` (number of zones, 4 at
-//! most), `EARLIER` (path of the program that the instances begin with; they are replaced by
+//! most), `SKEW` (parts of a day in `fleet_support/skew.rs`), `EARLIER` (path of the program that the instances begin with; they are replaced by
 //! `PROGRAM` one after the other, and rolled back).
 //!
 //! The log folder has the log of each instance, the `ledger` of the requests that ran and `notes` on
@@ -25,13 +25,31 @@
     time::{Duration, Instant},
 };
 
-use fleet_support::{Fleet, Options, instances::Instance, upgrades::Upgrade, workers::Worker};
+use fleet_support::{
+    Fleet, Options,
+    instances::Instance,
+    skew,
+    skew::{Away, Back, Breaker, Join, Skew},
+    upgrades::Upgrade,
+    workers::Worker,
+};
 use support::{free_address, until};
 
 /// Length of the test in CI, in seconds.
 const CI_LENGTH_S: u64 = 45;
 /// Seed of the test in CI.
 const CI_SEED: u64 = 11;
+/// Seed of the day on which an instance is out of step.
+const CI_SKEW_SEED: u64 = 1;
+/// That day in CI: the instance is back when others end.
+const CI_SKEW: Skew = Skew {
+    away: Away::Both,
+    back: Back::After,
+    join: Join::SameId,
+    breaker: Breaker::Instance,
+    late: false,
+    silent: false,
+};
 /// Length of the test of an upgrade in CI, in seconds, unless the upgrade takes longer.
 const CI_UPGRADE_S: u64 = 30;
 /// Time in which all instances are replaced and rolled back, some 40 s at six instances. The jobs of the
@@ -205,6 +223,34 @@
     check_fleet(options);
 }
 
+/// Guards against a worker that starts again under its id with another version of its software, and
+/// goes on with streams of the version that an instance without the store still lists for it.
+#[test]
+fn a_worker_that_starts_again_under_its_id_continues_no_stream_of_another_version() {
+    let options = skew::prepare(Options::read(CI_LENGTH_S, CI_SKEW_SEED));
+    let chosen = options.skew.unwrap();
+    let is_named = std::env::var("GENTIANPATH_FLEET_SOAK_SKEW").is_ok();
+    check_skew(options, if is_named { chosen } else { CI_SKEW });
+}
+
+/// Plays a day on which an instance is out of step, and checks the streams that were taken up.
+fn check_skew(mut options: Options, skew: Skew) {
+    options.skew = Some(skew);
+    let fleet = &Fleet::new(options);
+    let tally = fleet.play_skew(skew);
+    fleet.check_taken_up(skew, &tally);
+    let record = fleet.record.lock().unwrap();
+    let seed = fleet.options.seed;
+    println!("summary: seed {seed}, {skew:?}");
+    println!("summary: {tally:?}");
+    println!("summary: violations {:?}", record.violations);
+    assert!(
+        !tally.taken_up.is_empty(),
+        "no stream was taken up in seed {seed}"
+    );
+    assert!(record.violations.is_empty(), "violations in seed {seed}");
+}
+
 /// Runs a fleet in trouble, and checks all answers, outputs and counts of runs.
 fn check_fleet(options: Options) {
     let fleet = &Fleet::new(options);
--- a/tests/fleet_support/instances.rs
+++ b/tests/fleet_support/instances.rs
@@ -2,7 +2,9 @@
 
 use std::{
     fs::{File, OpenOptions},
+    io,
     net::SocketAddr,
+    os::fd::OwnedFd,
     path::PathBuf,
     process::{Child, Command, Stdio},
     thread,
@@ -12,7 +14,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use super::{Fleet, links::Cut, unix_ms, upgrades::Build};
+use super::{Fleet, datagrams, links::Cut, unix_ms, upgrades::Build};
 use crate::support::{
     free_address, http,
     link::{Link, State},
@@ -141,16 +143,30 @@
         answer.is_some_and(|a| a.status == 200)
     }
 
-    fn signal(&self, signal: Signal) {
+    pub fn signal(&self, signal: Signal) {
         kill_process(Pid::from_child(&self.process), signal).unwrap();
     }
 
-    fn kill(&mut self, fleet: &Fleet) {
+    pub fn kill(&mut self, fleet: &Fleet) {
         fleet.guard.remove(self.process.id());
         let _ = self.process.kill();
         let _ = self.process.wait();
     }
 
+    /// Changes the state of its link to the store.
+    pub fn set_store(&self, state: State) {
+        self.store.set(state);
+    }
+
+    /// Lets it receive no datagram until the returned socket is disconnected.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process has ended or may not be inspected.
+    pub fn cut_datagrams(&self) -> io::Result<OwnedFd> {
+        datagrams::cut(&self.process, self.peers)
+    }
+
     /// Stops it as planned.
     fn stop(&mut self, fleet: &Fleet) {
         self.signal(Signal::TERM);
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -2,6 +2,7 @@
 //! and troubles that overlap.
 
 pub mod calls;
+pub mod datagrams;
 pub mod guard;
 pub mod history;
 pub mod instances;
@@ -9,6 +10,7 @@
 pub mod links;
 pub mod numbers;
 pub mod only;
+pub mod skew;
 pub mod texts;
 pub mod troubles;
 pub mod upgrades;
@@ -39,6 +41,7 @@
 use history::History;
 use links::{Cut, Links};
 use only::Only;
+use skew::Skew;
 use upgrades::Upgrade;
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
@@ -127,6 +130,8 @@
     pub cuts: bool,
     /// Kind of trouble that happens alone.
     pub only: Option<Only>,
+    /// The day of an instance that is out of step during a release.
+    pub skew: Option<Skew>,
     /// Number of zones.
     pub zones: usize,
 }
@@ -160,6 +165,7 @@
             instances: number("INSTANCES", size.instances() as u64) as usize,
             workers: number("WORKERS", size.workers() as u64) as usize,
             cuts: number("CUTS", 0) > 0,
+            skew: None,
             only: variable("ONLY").map(|name| Only::try_from(&*name).unwrap()),
             zones: number("ZONES", ZONES.len() as u64) as usize,
         }
@@ -318,6 +324,9 @@
     }
 
     pub fn service(&self, worker: usize) -> &'static str {
+        if self.options.skew.is_some() {
+            return SERVICES[0];
+        }
         SERVICES[usize::from(worker % 4 == 3)]
     }
 
--- a/tests/fleet_support/workers.rs
+++ b/tests/fleet_support/workers.rs
@@ -1,6 +1,10 @@
 //! Workers of a fleet, and the ways in which they end.
 
-use std::{net::SocketAddr, thread, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    thread,
+    time::Duration,
+};
 
 use serde_json::{Value, json};
 
@@ -12,6 +16,8 @@
 };
 use crate::{gateway_support::relay::Relay, support::Standin};
 
+/// Address of a worker that listens on a free port.
+const ANY_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Slots of a worker.
 const SLOTS: usize = 8;
 /// Time for which the entry of a worker that crashed stays, which is three heartbeats.
@@ -46,7 +52,7 @@
 }
 
 pub struct Worker {
-    id: String,
+    pub id: String,
     born: u64,
     number: usize,
     version: u64,
@@ -67,7 +73,19 @@
         version: u64,
         rng: &mut fastrand::Rng,
     ) -> Self {
-        Self::spawn_born(fleet, number, id, version, unix_ms(), rng)
+        Self::spawn_at(fleet, number, id, version, ANY_ADDRESS, rng)
+    }
+
+    /// Starts a worker that no list names and that listens on an address.
+    pub fn spawn_at(
+        fleet: &Fleet,
+        number: usize,
+        id: String,
+        version: u64,
+        address: SocketAddr,
+        rng: &mut fastrand::Rng,
+    ) -> Self {
+        Self::spawn_born(fleet, number, id, version, (unix_ms(), address), rng)
     }
 
     fn spawn_born(
@@ -75,7 +93,7 @@
         number: usize,
         id: String,
         version: u64,
-        born: u64,
+        (born, listen): (u64, SocketAddr),
         rng: &mut fastrand::Rng,
     ) -> Self {
         let service = fleet.service(number);
@@ -96,9 +114,11 @@
         };
         let fault = only.map(|only| only.worker_options(rng));
         let events = EVENTS.to_string();
+        let listen = listen.to_string();
         let (slots, pause) = (SLOTS.to_string(), fleet.options.pause_ms.to_string());
         let options = [
             ["--id", &id],
+            ["--address", &listen],
             ["--born", &born_text],
             ["--events", &events],
             ["--slots", &slots],
@@ -158,7 +178,7 @@
         }
     }
 
-    fn remove(&self, fleet: &Fleet) {
+    pub fn remove(&self, fleet: &Fleet) {
         fleet.store.remove("servers", &self.id);
     }
 
@@ -168,7 +188,7 @@
         }
     }
 
-    fn kill(&mut self, fleet: &Fleet) {
+    pub fn kill(&mut self, fleet: &Fleet) {
         fleet.guard.remove(self.standin.process.id());
         self.standin.process.kill();
         self.gate = None;
@@ -194,10 +214,22 @@
             unix_ms()
         };
         let id = self.id.clone();
-        *self = Self::spawn_born(fleet, self.number, id, self.version, born, rng);
+        let start = (born, ANY_ADDRESS);
+        *self = Self::spawn_born(fleet, self.number, id, self.version, start, rng);
         self.list(fleet, "ready");
     }
 
+    /// Starts a worker of another version at the address of this one, which has ended.
+    pub fn replacement(
+        &self,
+        fleet: &Fleet,
+        id: String,
+        version: u64,
+        rng: &mut fastrand::Rng,
+    ) -> Self {
+        Self::spawn_at(fleet, self.number, id, version, self.standin.address, rng)
+    }
+
     /// Lets a trouble happen, and returns the worker that is there afterwards.
     pub fn suffer(mut self, fleet: &Fleet, trouble: Trouble, rng: &mut fastrand::Rng) -> Self {
         fleet.note(&format!("worker {}@{}: {trouble:?}", self.id, self.born));
