--- a/tests/fleet_soak.rs
+++ b/tests/fleet_soak.rs
@@ -10,7 +10,8 @@
 //! between instances and workers are cut), `ONLY` (the one kind of trouble that happens, by the names
 //! in `fleet_support/only.rs`; callers still leave and read slowly), `ZONES` (number of zones, 4 at
 //! most), `EARLIER` (path of the program that the instances begin with; they are replaced by
-//! `PROGRAM` one after the other, and rolled back).
+//! `PROGRAM` one after the other, and rolled back), `SKEW` (parts of a day on which an instance is out
+//! of step, see `fleet_support/skew.rs`).
 //!
 //! The log folder has the log of each instance, the `ledger` of the requests that ran and `notes` on
 //! the troubles. `gentianpath explain ID FILE...` traces a request that a violation names.
@@ -25,7 +26,13 @@
     time::{Duration, Instant},
 };
 
-use fleet_support::{Fleet, Options, instances::Instance, upgrades::Upgrade, workers::Worker};
+use fleet_support::{
+    Fleet, Options,
+    instances::Instance,
+    skew::{Breaker, Skew},
+    upgrades::Upgrade,
+    workers::Worker,
+};
 use support::{free_address, until};
 
 /// Length of the test in CI, in seconds.
@@ -205,6 +212,34 @@
     check_fleet(options);
 }
 
+/// Guards against a worker that starts again under its id with another version of its software, and
+/// goes on with streams of the version that an instance that is out of step still lists for it.
+#[test]
+fn a_worker_that_starts_again_under_its_id_continues_no_stream_of_another_version() {
+    let days = Skew::days(CI_LENGTH_S);
+    let violations: Vec<_> = days.into_iter().filter_map(play_skew).collect();
+    assert!(violations.is_empty(), "{violations:?}");
+}
+
+/// Plays a day on which an instance is out of step, and returns what was wrong with its streams.
+fn play_skew((options, skew): (Options, Skew)) -> Option<String> {
+    let fleet = &Fleet::new(options);
+    let tally = fleet.play_skew(skew);
+    fleet.check_taken_up(skew, &tally);
+    let record = fleet.record.lock().unwrap();
+    let seed = fleet.options.seed;
+    println!("summary: seed {seed}, {skew:?}");
+    println!("summary: {tally:?}");
+    println!("summary: violations {:?}", record.violations);
+    // Instances themselves go on with the streams of a worker that ends.
+    assert!(
+        skew.breaker == Breaker::Worker || !tally.taken_up.is_empty(),
+        "no stream was taken up in seed {seed}"
+    );
+    let is_sound = record.violations.is_empty();
+    (!is_sound).then(|| format!("seed {seed}, {skew:?}: {:?}", record.violations))
+}
+
 /// Runs a fleet in trouble, and checks all answers, outputs and counts of runs.
 fn check_fleet(options: Options) {
     let fleet = &Fleet::new(options);
