Prove the start of a worker before requests are sent to it

A worker may start again under its id and address with another version of its software.

The version of a worker was taken from the list of workers alone, and nothing checked that the process at the other end of a new connection was the start that the list named. An instance with an old list claimed a version for a start that it did not know, both where it began streams and where it took them up.

Before the first request on a new connection, the worker's report on that connection now has to name the listed start. A connection does not outlive its process, so this holds until it closes, also at an instance that is cut off from the store. A listed start that another process has replaced is not chosen until the list names another one, or for a second, as a report may be damaged.

--- a/src/events.rs
+++ b/src/events.rs
@@ -214,6 +214,8 @@
     MembersChanged = 3032, "members-changed";
     /// More workers were withdrawn or kept, or their list changed more often, than is logged one by one.
     WorkerChanges = 3033, "worker-changes";
+    /// A worker reported another start than the list names.
+    WorkerStartUnlisted = 3034, "worker-start-unlisted";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
     sse::Events,
     suspects::Admission,
     takeover::Reply,
+    upstream::{self, ReachError},
     write_gate::Decision,
 };
 
@@ -144,6 +145,24 @@
         );
     }
 
+    /// Records that there is no connection to the listed start of a worker.
+    async fn record_unreached(&mut self, worker: &Worker, error: &ReachError) {
+        if matches!(error, ReachError::OtherStart) {
+            self.log_revoked(&worker.id, &error.to_string());
+            return;
+        }
+        let cut = upstream::record_unreached(&self.gateway, worker, error).await;
+        event!(
+            Warn,
+            WorkerUnreachable,
+            "request={} worker={} zone={} cut={cut} reason=\"{error}\"",
+            self.call.id,
+            worker.id,
+            worker.zone
+        );
+        self.tried.push(worker.id.clone());
+    }
+
     /// Records a failure of a worker, unless it may be due to the time that the caller or the route
     /// leaves. Returns whether the worker is ejected.
     fn record_failure(&self, placement: &Placement) -> bool {
@@ -206,13 +225,14 @@
         event!(
             Info,
             WorkerChosen,
-            "request={} route={} worker={} zone={} version={} after={after:?} origin={:?} load={} \
-             slots={} waited_ms={} config={} workers_at={}",
+            "request={} route={} worker={} zone={} version={} started={:?} after={after:?} \
+             origin={:?} load={} slots={} waited_ms={} config={} workers_at={}",
             self.call.id,
             self.route.name,
             worker.id,
             worker.zone,
             worker.version,
+            worker.started,
             self.call.origin,
             placement.load,
             worker.slots,
@@ -222,19 +242,11 @@
         );
         let repeatable = self.route.is_repeatable();
         let upstream = &self.gateway.upstream;
-        let connection = match upstream.reach(&self.gateway, &worker, repeatable).await {
+        let reached = upstream.reach_listed(&self.gateway, &worker, repeatable);
+        let connection = match reached.await {
             Ok(connection) => connection,
             Err(e) => {
-                let cut = dispatch.record_unreachable(&worker);
-                event!(
-                    Warn,
-                    WorkerUnreachable,
-                    "request={} worker={} zone={} cut={cut} reason=\"{e}\"",
-                    self.call.id,
-                    worker.id,
-                    worker.zone
-                );
-                self.tried.push(worker.id.clone());
+                self.record_unreached(&worker, &e).await;
                 return Ok(AttemptResult::TryNext);
             }
         };
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -264,6 +264,12 @@
         self.lock().fleet.record_leaving(worker)
     }
 
+    /// Records that another process has replaced the listed start of a worker.
+    pub fn record_ended_start(&self, worker: &Worker) {
+        let now = self.now();
+        self.lock().fleet.record_ended_start(worker, now);
+    }
+
     /// Returns the number of workers that announced that they leave.
     pub fn leaving_count(&self) -> usize {
         self.lock().fleet.leaving_count()
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 };
 
 use super::{
+    ended_starts::EndedStarts,
     leaving::{Forgotten, Leaving},
     worker_limits::WorkerLimits,
 };
@@ -141,6 +142,7 @@
     health: Health,
     partitions: Map<Zone, Partition>,
     leaving: Leaving,
+    ended_starts: EndedStarts,
     /// Limits that workers announced.
     pub limits: WorkerLimits,
     far_age: Duration,
@@ -251,6 +253,7 @@
             health: Health::default(),
             partitions: Map::default(),
             leaving: Leaving::default(),
+            ended_starts: EndedStarts::default(),
             limits: WorkerLimits::default(),
             far_age: Duration::ZERO,
             online_time: None,
@@ -295,6 +298,8 @@
         let withdrawn = withdrawn.collect();
         let known = &self.workers;
         let forgotten = self.leaving.update(|id| find(known, id).map(Arc::as_ref));
+        self.ended_starts
+            .update(|id| find(known, id).map(Arc::as_ref));
         let leaving = self.workers.values_mut();
         leaving
             .filter(|w| self.leaving.contains(w))
@@ -336,6 +341,12 @@
         true
     }
 
+    /// Records that another process has replaced the listed start of a worker. Nothing is sent to it until
+    /// the list names another start.
+    pub fn record_ended_start(&mut self, worker: &Worker, now: Duration) {
+        self.ended_starts.record(worker, now);
+    }
+
     /// Returns the number of workers that announced that they leave.
     pub fn leaving_count(&self) -> usize {
         self.leaving.len()
@@ -641,7 +652,8 @@
         now: Duration,
     ) -> impl Iterator<Item = (&'a WorkerKey, &'a Arc<Worker>)> {
         self.workers.iter().filter(move |(_, w)| {
-            let serves = w.is_ready(now) && w.service == *requirements.service;
+            let is_usable = w.is_ready(now) && !self.ended_starts.contains(w, now);
+            let serves = is_usable && w.service == *requirements.service;
             let fits = requirements.version.is_none_or(|v| w.version == *v);
             serves && fits && !requirements.tried.contains(&w.id)
         })
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -1,7 +1,6 @@
 //! Runs an item of a batch job on a worker.
 
 use std::{
-    io,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -32,6 +31,7 @@
     marks, refresh,
     splice::Form,
     sse::{End, Event, Events, Next},
+    upstream::{self, ReachError},
     write_gate::Decision,
 };
 
@@ -213,10 +213,7 @@
         let worker = &placement.worker.clone();
         let mut connection = match self.connect(worker).await {
             Ok(connection) => connection,
-            Err(e) => {
-                dispatch.record_unreachable(worker);
-                return RunEnd::Broken(AttemptError::fault(e.to_string()));
-            }
+            Err(e) => return self.unreached(worker, &e).await,
         };
         placement.path = connection.path.clone();
         let request = match self.request(&worker.id, after) {
@@ -325,9 +322,9 @@
         }
     }
 
-    async fn connect(&self, worker: &Worker) -> io::Result<Connection> {
+    async fn connect(&self, worker: &Worker) -> Result<Connection, ReachError> {
         let upstream = &self.gateway.upstream;
-        let connection = upstream.reach(&self.gateway, worker, true).await?;
+        let connection = upstream.reach_listed(&self.gateway, worker, true).await?;
         if !connection.path.is_direct() {
             event!(
                 Info,
@@ -341,6 +338,15 @@
         Ok(connection)
     }
 
+    /// Records that there is no connection to the listed start of a worker, and returns the end of the run.
+    async fn unreached(&self, worker: &Worker, error: &ReachError) -> RunEnd {
+        if matches!(error, ReachError::OtherStart) {
+            return RunEnd::Revoked(error.to_string());
+        }
+        upstream::record_unreached(&self.gateway, worker, error).await;
+        RunEnd::Broken(AttemptError::fault(error.to_string()))
+    }
+
     /// Returns whether a closed connection may be put down to its worker.
     async fn is_worker_fault(&self, placement: &Placement) -> bool {
         if placement.path.is_direct() {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod connection;
 pub mod crash_report;
 pub mod dispatch;
+pub mod ended_starts;
 pub mod ends;
 pub mod fair_stream;
 pub mod fleet;
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -5,13 +5,15 @@
 use smol::net::TcpStream;
 
 use crate::{
+    adapter::reports,
+    event,
     ids::{Map, WorkerId},
     mutex::{Mutex, lock},
 };
 
 use super::{
     config::Service,
-    connection::{self, Connection},
+    connection::{self, Connection, Path, Proof},
     fair_stream::Wire,
     fleet::Worker,
     gateway::Gateway,
@@ -23,6 +25,10 @@
 /// Timeout for connecting to a worker; across zones a connect takes a few milliseconds. A request
 /// that runs into this timeout can still meet its objective at another worker.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(120);
+/// Time in which a worker reports its start on a new connection.
+const REPORT_LIMIT: Duration = Duration::from_millis(250);
+/// Maximum number of connections for one request that their worker closes after its report.
+const MAX_CLOSED: usize = 2;
 /// Time that an idle connection may be reused for requests that may be sent again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time that an idle connection may be reused for requests that run at most once. If the worker
@@ -55,6 +61,77 @@
     connections: Vec<Connection>,
 }
 
+/// Reason why there is no connection to the listed start of a worker.
+#[derive(Debug)]
+pub enum ReachError {
+    /// The worker accepts no connection.
+    Unreachable(io::Error),
+    /// The process at the address is another one than the list names.
+    OtherStart,
+    /// The process at the address did not report its start.
+    Unproven(String),
+}
+
+impl std::fmt::Display for ReachError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Unreachable(e) => e.fmt(f),
+            Self::OtherStart => f.write_str("the list names an earlier start of the worker"),
+            Self::Unproven(reason) => write!(f, "the worker did not report its start: {reason}"),
+        }
+    }
+}
+
+/// Checks that the process at the other end of a new connection is the listed start of a worker.
+async fn check_start(
+    gateway: &Gateway,
+    worker: &Worker,
+    connection: &mut Connection,
+) -> Result<(), ReachError> {
+    let unproven = |reason: String| ReachError::Unproven(reason);
+    let request = reports::request(worker).map_err(|e| unproven(e.to_string()))?;
+    let answer = connection.exchange(request, REPORT_LIMIT, Proof::Content);
+    let answer = answer.await.map_err(|e| unproven(e.into_reason()))?;
+    let report = reports::decode(&answer);
+    let report = report.ok_or_else(|| unproven("another worker answered".into()))?;
+    if report.started.is_none() {
+        return Err(unproven(format!("status {}", answer.status().as_u16())));
+    }
+    if report.started != worker.started {
+        gateway.dispatch.record_ended_start(worker);
+        event!(
+            Info,
+            WorkerStartUnlisted,
+            "worker={} zone={} listed={:?} reported={:?}",
+            worker.id,
+            worker.zone,
+            worker.started,
+            report.started
+        );
+        return Err(ReachError::OtherStart);
+    }
+    if report.leaving {
+        gateway.record_leaving(worker);
+    }
+    Ok(())
+}
+
+/// Records that there is no connection to the listed start of a worker, and returns whether its zone now
+/// counts as cut off.
+pub async fn record_unreached(gateway: &Arc<Gateway>, worker: &Worker, error: &ReachError) -> bool {
+    match error {
+        ReachError::Unreachable(_) => return gateway.dispatch.record_unreachable(worker),
+        ReachError::OtherStart => {}
+        ReachError::Unproven(_) => {
+            links::confirm_cut(gateway, Some(&worker.id)).await;
+            if gateway.is_worker_fault(&Path::Direct) {
+                gateway.dispatch.record_failure(&worker.id);
+            }
+        }
+    }
+    false
+}
+
 impl Upstream {
     /// Builds a pool of connections whose buffers are bounded.
     pub fn new(memory: Arc<Memory>) -> Self {
@@ -65,6 +142,36 @@
         }
     }
 
+    /// Returns a connection to the listed start of a worker, through another instance while this one is
+    /// cut off from all workers. A new connection is used only once the process at its other end has
+    /// reported that start: what the list tells of the worker, such as its version, holds for no other one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a `ReachError` when there is no such connection in time.
+    pub async fn reach_listed(
+        &self,
+        gateway: &Arc<Gateway>,
+        worker: &Worker,
+        repeatable: bool,
+    ) -> Result<Connection, ReachError> {
+        for _ in 0..MAX_CLOSED {
+            let reached = self.reach(gateway, worker, repeatable).await;
+            let mut connection = reached.map_err(ReachError::Unreachable)?;
+            if connection.reused || worker.started.is_none() {
+                return Ok(connection);
+            }
+            check_start(gateway, worker, &mut connection).await?;
+            // Some answers announce the end of their connection.
+            if connection.is_ready().await {
+                return Ok(connection);
+            }
+        }
+        Err(ReachError::Unproven(
+            "it closes connections after its report".into(),
+        ))
+    }
+
     /// Returns a connection to a worker: a recently used idle one if there is any, else a new one.
     ///
     /// # Errors
@@ -77,8 +184,8 @@
         }
     }
 
-    /// Returns a connection to a worker like `connect`, and one through another instance while this
-    /// instance is cut off from all workers.
+    /// Returns a connection to the address of a worker, through another instance while this one is cut off
+    /// from all workers. A new one may end at another start of the worker than the listed one.
     ///
     /// # Errors
     ///
--- a/tests/gateway_leaving.rs
+++ b/tests/gateway_leaving.rs
@@ -116,6 +116,16 @@
     }
 }
 
+/// Guards against requests to a worker that says that it leaves in its report on a new connection.
+#[test]
+fn a_worker_whose_report_says_that_it_leaves_gets_no_requests() {
+    let (store, [_, leaves]) = platform(2, PAUSE);
+    let instances = [Instance::start("one", &store, &[])];
+    leaves.set_report_leaving();
+    assert_eq!(runs_at(&leaves, &instances), 0);
+    assert!(has_logged(&instances[0], "worker-leaving"));
+}
+
 /// Guards against an announcement that is read in some answers only: refusals, errors and answers to
 /// items tell it too.
 #[test]
