Count the time that calls wait in the socket of a paused instance

The version is worked out from the shares that were in force since the stream began, and that time was computed from when the call was read. While a process stands still, calls wait in its socket, so the stream looked younger than it was and earlier shares were left out. Calls that are read within a second after a pause of more than 200 ms now count from the beginning of the pause.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     adapter::headers,
-    event,
+    clock, event,
     ids::{Fingerprint, RequestId, ServiceId, SoftwareVersion, WorkerId},
     metrics::{self, CallEnd, EndEvidence},
     ownership,
@@ -69,6 +69,9 @@
     pub body: Bytes,
     /// Time when the call was received.
     pub received: Instant,
+    /// Earliest time at which the call may have reached this instance, in ms since the Unix epoch, by
+    /// the clock of `clock::steady_millis`.
+    pub arrived: u64,
     /// Time that the caller waits for the answer.
     pub deadline: Option<Duration>,
     /// Number of the event after which the caller wants a stream to resume.
@@ -297,7 +300,7 @@
         resumes: call.after.is_some(),
         origin: call.origin.as_deref(),
         deadline: call.deadline,
-        waited: call.received.elapsed(),
+        waited: Duration::from_millis(clock::steady_millis().saturating_sub(call.arrived)),
     }))
 }
 
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -172,6 +172,15 @@
         streams.version(call, serving, clock::steady_millis())
     }
 
+    /// Returns the earliest time at which a call that is read now may have come, in ms since the Unix epoch,
+    /// by the clock of `clock::steady_millis`.
+    pub fn call_arrival(&self) -> u64 {
+        let now = clock::steady_millis();
+        let mut pulse = lock(&self.pulse);
+        pulse.beat(now);
+        pulse.arrival(now)
+    }
+
     /// Records that the connection of an attempt broke.
     pub fn record_crash(&self, marks: &[Mark], request: &str, worker: &WorkerId) {
         let attempt = (fleet::key(worker), fnv::hash32(request.bytes()));
--- a/src/gateway/refresh.rs
+++ b/src/gateway/refresh.rs
@@ -1,4 +1,5 @@
-//! Reads the list of workers again after the process stood still, before further requests are sent.
+//! Notices that the process stood still, and reads the list of workers again before further requests are
+//! sent.
 
 use std::{sync::Arc, time::Duration};
 
@@ -7,7 +8,7 @@
 
 use crate::{
     adapter::{objects, store::Freshness},
-    event,
+    clock, event,
     mutex::lock,
 };
 
@@ -22,20 +23,34 @@
 /// Time for which requests wait for the list.
 const READ_LIMIT: Duration = Duration::from_millis(500);
 
-/// Last sign that the process runs.
+/// Time between two signs that the process runs from which on it counts as a pause.
+const MIN_PAUSE: Duration = Duration::from_millis(200);
+/// Time after a pause in which calls are read that came meanwhile.
+const BACKLOG_TIME: Duration = Duration::from_secs(1);
+
+/// Signs that the process runs. All times are in ms since the Unix epoch, by a clock that also counts while
+/// the machine is suspended.
 #[derive(Debug, Default)]
 pub struct Pulse {
-    last: Duration,
+    last: Option<u64>,
+    pause: Option<Pause>,
     /// Whether the process stood still and the list has not been read since.
     stale: bool,
     /// Closed when the list has been read after the last pause.
     reading: Option<Receiver<()>>,
 }
 
+/// The last pauses of the process, with less time between two of them than their backlog takes.
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    from: u64,
+    until: u64,
+}
+
 /// Checks that the process runs, forever.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
-        lock(&gateway.pulse).beat(gateway.now());
+        lock(&gateway.pulse).beat(clock::steady_millis());
         Timer::after(CHECK_INTERVAL).await;
     }
 }
@@ -57,16 +72,36 @@
 
 impl Pulse {
     /// Records that the process runs.
-    fn beat(&mut self, now: Duration) {
-        self.stale |= now.saturating_sub(self.last) > MAX_PAUSE;
-        self.last = now;
+    pub fn beat(&mut self, now: u64) {
+        let last = self.last.replace(now).unwrap_or(now);
+        let gap = Duration::from_millis(now.saturating_sub(last));
+        self.stale |= gap > MAX_PAUSE;
+        if gap > MIN_PAUSE {
+            let earlier = self.pause.filter(|p| last < p.backlog_end());
+            self.pause = Some(Pause {
+                from: earlier.map_or(last, |p| p.from),
+                until: now,
+            });
+        }
+    }
+
+    /// Returns the earliest time at which a call may have come that is read at a time.
+    pub fn arrival(&self, read: u64) -> u64 {
+        let pause = self.pause.filter(|p| read < p.backlog_end());
+        pause.map_or(read, |p| p.from.min(read))
+    }
+}
+
+impl Pause {
+    fn backlog_end(self) -> u64 {
+        self.until.saturating_add(BACKLOG_TIME.as_millis() as u64)
     }
 }
 
 /// Starts to read the list if the process stood still, and returns the read that has not ended.
 fn reading(gateway: &Arc<Gateway>) -> Option<Receiver<()>> {
     let mut pulse = lock(&gateway.pulse);
-    pulse.beat(gateway.now());
+    pulse.beat(clock::steady_millis());
     if std::mem::take(&mut pulse.stale) {
         let (reading, done): (Sender<()>, Receiver<()>) = bounded(1);
         pulse.reading = Some(done);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -295,6 +295,7 @@
 
 async fn answer_caller(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
     let received = Instant::now();
+    let arrived = gateway.call_arrival();
     let Some(config) = gateway.config.load_full() else {
         let reason = "no configuration is known yet";
         return text_answer(
@@ -379,6 +380,7 @@
         headers: head.headers,
         body,
         received,
+        arrived,
         deadline: terms.deadline,
         after: terms.after,
         origin: terms.origin,
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -293,7 +293,7 @@
     pub origin: Option<&'a str>,
     /// Time that the caller waits from the receipt of the call on.
     pub deadline: Option<Duration>,
-    /// Time since the receipt of the call.
+    /// Time since which the call may have waited at this instance.
     pub waited: Duration,
 }
 
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -510,6 +510,69 @@
     assert_eq!(begin(&early, "new").unwrap().status, 200);
 }
 
+/// Guards against a stream that counts as younger than it is, since its caller waits for longer than the
+/// timeout of the route, and that goes on at another version.
+#[test]
+fn an_instance_that_starts_knows_how_long_callers_wait() {
+    let mut side = Side::start(&["v1", "v1"]);
+    let mut config = config(1);
+    config["routes"][0]["timeout_ms"] = 2000.into();
+    side.store.put("config", "main", config);
+    let mut one = Instance::start("one", &side.store, &[]);
+    until("the service has shares", || {
+        !side.store.names("stream-versions").is_empty()
+    });
+    thread::sleep(SETTLE);
+    let (ids, begun) = break_streams(&side, 24, &one);
+    for n in 2..6 {
+        side.add(n, "v2");
+    }
+    let shares = || side.store.get("stream-versions", "lm").unwrap()["spec"].to_string();
+    until("the shares change", || shares().contains("666"));
+    thread::sleep(SETTLE);
+    one.kill();
+    side.store.remove("entry-instances", "one");
+    let two = Instance::start("two", &side.store, &[]);
+    let count = take_all_up(&side, &ids, begun, &two);
+    assert!(count > 0, "streams whose version is clear go on");
+    assert_eq!(begin(&two, "new").unwrap().status, 200);
+}
+
+/// Guards against a stream that counts as younger than it is, since the call that takes it up waited in
+/// the socket of an instance that stood still, and that goes on at another version.
+#[test]
+fn a_call_that_waits_in_the_socket_of_a_paused_instance_ages() {
+    let mut side = Side::start(&["v1", "v1"]);
+    let one = Instance::start("one", &side.store, &[]);
+    let two = Instance::start("two", &side.store, &[one.peers]);
+    until("the service has shares", || {
+        !side.store.names("stream-versions").is_empty()
+    });
+    thread::sleep(SETTLE);
+    let (ids, begun) = break_streams(&side, 24, &one);
+    for n in 2..6 {
+        side.add(n, "v2");
+    }
+    let shares = || side.store.get("stream-versions", "lm").unwrap()["spec"].to_string();
+    until("the shares change", || shares().contains("666"));
+    thread::sleep(Duration::from_secs(1));
+    two.pause();
+    let tries: Vec<_> = ids.iter().map(|id| (id, format!("again-{id}"))).collect();
+    thread::scope(|scope| {
+        for (id, again) in &tries {
+            let two = &two;
+            scope.spawn(move || take_up(two, again, id, begun));
+        }
+        thread::sleep(Duration::from_secs(5));
+        two.resume();
+    });
+    for id in &ids {
+        let versions = side.versions(&[id, &format!("again-{id}")]);
+        assert_eq!(versions.len(), 1, "{id} at {versions:?}");
+    }
+    assert_eq!(begin(&two, "new").unwrap().status, 200);
+}
+
 /// Guards against a stream whose route moves to another service, and that goes on there at the version
 /// of the service that began it at one instance and at another version at another instance.
 #[test]
