Tell the versions of streams while shares change

The age of a stream is the longest time that callers of its route wait, less what its caller names. For a caller that names the same deadline at each try, or a shorter one than others, the stream seems older than the last change, so that it is unclear which shares began it. With the rest of their time named, 20 of 20 streams go on before this change too.

The version of a stream never changes. So the instance that begins or goes on with a stream tells its zone the version in a new fleet message, if the shares of the last minute give another one too, and after a change of the shares that of the streams before it. The receiver takes it as that of a stream of its own.

`a_stream_that_began_soon_after_a_change_of_the_shares_goes_on_elsewhere` (two instances, three workers of each version, a kill 2.5 s after the change, callers that name the same deadline): 12 of 20 streams went on before, 20 of 20 with the change, none at two versions.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     adapter::headers::{self, Attempt},
-    event, health,
+    clock, event, health,
     ids::WorkerId,
     metrics::{self, EndEvidence},
 };
@@ -91,9 +91,14 @@
     /// Records that a worker sent the first event of its answer, or the whole of it.
     pub fn record_begun(&self) {
         if let Some(version) = &self.version {
-            let now = self.gateway.now();
+            let now = clock::steady_millis();
+            let stream = self.call.stream_id();
             let mut streams = self.gateway.streams();
-            streams.record_begun(&self.service, self.call.stream_id(), version, now);
+            let is_news = streams.record_begun(&self.service, stream, version, now);
+            drop(streams);
+            if is_news {
+                self.gateway.dispatch.notify();
+            }
         }
         self.gateway.record_proof(self.part_marks());
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -18,7 +18,7 @@
     clock,
     drain::Phase,
     event, fnv,
-    ids::{InstanceId, JobId, Map, ServiceId, SessionId, Set, WorkerId},
+    ids::{InstanceId, JobId, Map, ServiceId, SessionId, Set, SoftwareVersion, WorkerId},
     mutex::{Mutex, lock},
 };
 
@@ -34,7 +34,7 @@
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
     slow_step::timed,
-    versions::History,
+    versions::{History, StreamKey},
     worker_limits::{Change, Notice, Reply},
 };
 
@@ -44,6 +44,8 @@
 const FULL_MESSAGE_BYTES: usize = 8 << 10;
 /// Maximum number of limits in one message.
 const MAX_NOTICES: usize = 64;
+/// Maximum number of streams in one message.
+const MAX_STREAMS: usize = 512;
 /// Maximum size of a received message.
 const MAX_MESSAGE_BYTES: usize = 64 << 10;
 
@@ -94,6 +96,8 @@
     Histories(Vec<(ServiceId, History)>),
     /// Time by the clock of an instance, in ms since the Unix epoch.
     Clock(InstanceId, u64),
+    /// Streams that began or went on at the sender, by the version that began them.
+    Begun(Vec<(SoftwareVersion, Vec<StreamKey>)>),
 }
 
 /// Exchanges heartbeats with the other instances forever.
@@ -155,6 +159,7 @@
         timed("send-limits", || {
             send_limits(gateway, socket, &mut limits_due);
             send_histories(gateway, socket);
+            send_begun(gateway, socket);
         });
         if now >= lead_due {
             lead_due = now + LEAD_INTERVAL;
@@ -285,6 +290,28 @@
     gateway.dispatch.notify();
 }
 
+/// Sends the versions of streams to the other instances of the zone, where callers take them up first. A
+/// message that is lost leaves the receiver to infer them from the shares.
+fn send_begun(gateway: &Gateway, socket: &Async<UdpSocket>) {
+    let begun = gateway.streams().take_begun();
+    if begun.is_empty() {
+        return;
+    }
+    let peers = gateway.peers();
+    let live = peers.live(gateway.now());
+    let near = live.filter(|h| h.zone == gateway.settings.zone);
+    let near: Set<SocketAddr> = near.map(|h| h.address).collect();
+    drop(peers);
+    for streams in begun.chunks(MAX_STREAMS) {
+        let mut versions: Map<SoftwareVersion, Vec<StreamKey>> = Map::default();
+        for (stream, version) in streams {
+            versions.entry(version.clone()).or_default().push(*stream);
+        }
+        let message = FleetMessage::Begun(versions.into_iter().collect());
+        send_fleet_message(socket, &message, &near);
+    }
+}
+
 /// Sends all that is known of limits and versions, and with it the local time.
 fn send_fleet_state(gateway: &Gateway, socket: &Async<UdpSocket>, targets: &Set<SocketAddr>) {
     let notices = gateway.dispatch.limits();
@@ -349,6 +376,15 @@
             let now = clock::steady_millis();
             gateway.streams().hear_clock(&member, sent, now);
         }
+        FleetMessage::Begun(versions) => {
+            let mut streams = gateway.streams();
+            let now = clock::steady_millis();
+            for (version, begun) in versions {
+                for stream in begun {
+                    streams.hear_begun(stream, &version, now);
+                }
+            }
+        }
         FleetMessage::Notices(notices) => gateway.dispatch.hear_limits(&notices),
         FleetMessage::Ask(notice, class) => {
             let answer = match gateway.dispatch.grant(&notice, class) {
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -37,8 +37,13 @@
 const MAX_KEPT: usize = 64;
 /// Number of messages to each instance that tell new shares.
 const NEWS_MESSAGES: u32 = 3;
-/// Time for which an instance remembers the versions of the streams that it began.
+/// Time for which an instance remembers the versions of streams.
 const REMEMBERED: Duration = Duration::from_secs(12);
+/// Maximum number of remembered streams up to which those of other instances are recorded.
+const MAX_REMEMBERED: usize = 1 << 15;
+
+/// Hash of a service and of the id of the call that began a stream there.
+pub type StreamKey = u64;
 
 /// The longest time that callers wait, by route.
 pub type Deadlines = Map<Arc<str>, Duration>;
@@ -247,32 +252,36 @@
     since > from.saturating_sub(millis(NEWS_DELAY + CLOCK_SLACK))
 }
 
-/// Versions of the streams that this instance began or went on with, by service.
+/// A stream that this instance or another one began or went on with.
+#[derive(Debug)]
+struct BegunStream {
+    version: SoftwareVersion,
+    /// Time when it was recorded.
+    at: u64,
+    /// Service and call, unless the other instances know the version.
+    untold: Option<(ServiceId, Arc<str>)>,
+}
+
+/// Versions of the streams that this instance began or went on with, and of those that others told.
 #[derive(Debug, Default)]
 struct Begun {
-    streams: Map<u64, (SoftwareVersion, Duration)>,
-    pruned: Duration,
+    streams: Map<StreamKey, BegunStream>,
+    pruned: u64,
 }
 
 impl Begun {
-    fn record(
-        &mut self,
-        service: &ServiceId,
-        call: &str,
-        version: &SoftwareVersion,
-        now: Duration,
-    ) {
-        if now >= self.pruned + REMEMBERED {
+    fn prune(&mut self, now: u64) {
+        let remembered = millis(REMEMBERED);
+        if now >= self.pruned.saturating_add(remembered) {
             self.pruned = now;
-            self.streams.retain(|_, (_, at)| now < *at + REMEMBERED);
+            self.streams
+                .retain(|_, s| now < s.at.saturating_add(remembered));
         }
-        self.streams
-            .insert(key(service, call), (version.clone(), now));
     }
 
     fn get(&self, service: &ServiceId, call: &str) -> Option<SoftwareVersion> {
-        let (version, _) = self.streams.get(&key(service, call))?;
-        Some(version.clone())
+        let stream = self.streams.get(&key(service, call))?;
+        Some(stream.version.clone())
     }
 }
 
@@ -313,6 +322,8 @@
     behind_since: Option<u64>,
     is_read: bool,
     begun: Begun,
+    /// Versions of streams to tell the other instances of the zone.
+    untold: Vec<(StreamKey, SoftwareVersion)>,
     deadlines: Deadlines,
     /// Histories to tell the other instances, with the number of messages that are left.
     news: Map<ServiceId, u32>,
@@ -386,20 +397,91 @@
         self.is_unheard = is_unheard;
     }
 
-    /// Returns whether the stream of a call began or went on here at a service.
+    /// Returns whether the version that began the stream of a call at a service is known, as it began or
+    /// went on here or another instance told it.
     pub fn has_begun(&self, service: &ServiceId, call: &str) -> bool {
         self.begun.get(service, call).is_some()
     }
 
-    /// Records the version of a service that began the stream of a call here, or went on with it.
+    /// Records the version of a service that began the stream of a call here, or went on with it. Returns
+    /// whether there is news for the other instances.
     pub fn record_begun(
         &mut self,
         service: &ServiceId,
         call: &str,
         version: &SoftwareVersion,
-        now: Duration,
-    ) {
-        self.begun.record(service, call, version, now);
+        now: u64,
+    ) -> bool {
+        self.begun.prune(now);
+        let stream = key(service, call);
+        let is_unclear = self.is_unclear(service, call, version, now);
+        if is_unclear {
+            self.untold.push((stream, version.clone()));
+        }
+        let begun = BegunStream {
+            version: version.clone(),
+            at: now,
+            untold: (!is_unclear).then(|| (service.clone(), call.into())),
+        };
+        self.begun.streams.insert(stream, begun);
+        is_unclear
+    }
+
+    /// Records the version of a stream that another instance began, or went on with.
+    pub fn hear_begun(&mut self, stream: StreamKey, version: &SoftwareVersion, now: u64) {
+        self.begun.prune(now);
+        if self.begun.streams.len() < MAX_REMEMBERED {
+            let begun = self.begun.streams.entry(stream);
+            begun.or_insert_with(|| BegunStream {
+                version: version.clone(),
+                at: now,
+                untold: None,
+            });
+        }
+    }
+
+    /// Returns the versions of streams to tell the other instances of the zone now.
+    pub fn take_begun(&mut self) -> Vec<(StreamKey, SoftwareVersion)> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Returns whether an instance that does not know when the stream of a call began, or what shares its
+    /// instance used, may find several versions or another one than the given.
+    fn is_unclear(
+        &self,
+        service: &ServiceId,
+        call: &str,
+        version: &SoftwareVersion,
+        now: u64,
+    ) -> bool {
+        let Some(history) = self.histories.get(service) else {
+            return false;
+        };
+        let learned = self.learned.get(service);
+        let is_recent = |mix: &Mix| {
+            let learned = learned.and_then(|l| l.get(&mix.since)).copied();
+            let in_use = self.clock.local(mix.since).max(learned.unwrap_or_default());
+            now < in_use.saturating_add(millis(KEPT))
+        };
+        let is_first = history.mixes.first().is_some_and(is_recent);
+        let origin = history.origin_among(Some(call), is_first, is_recent);
+        origin != Origin::Version(version.clone())
+    }
+
+    /// Tells the versions of the streams of a service that became unclear as its shares changed.
+    fn tell_begun(&mut self, service: &ServiceId, now: u64) {
+        let untold = self.begun.streams.iter().filter_map(|(stream, begun)| {
+            let (of, call) = begun.untold.as_ref()?;
+            let is_unclear = of == service && self.is_unclear(of, call, &begun.version, now);
+            is_unclear.then_some(*stream)
+        });
+        let untold: Vec<StreamKey> = untold.collect();
+        for stream in untold {
+            if let Some(begun) = self.begun.streams.get_mut(&stream) {
+                begun.untold = None;
+                self.untold.push((stream, begun.version.clone()));
+            }
+        }
     }
 
     /// Returns the history of a service, which is empty if none is known.
@@ -445,8 +527,9 @@
             learned.retain(|since, _| history.mixes.iter().any(|m| m.since == *since));
             self.lag.record_change(now);
         }
-        self.histories.insert(service, history);
+        self.histories.insert(service.clone(), history);
         self.behind_since = None;
+        self.tell_begun(&service, now);
     }
 
     /// Returns what to tell the other instances of the shares that are used here.
@@ -532,7 +615,7 @@
     }
 }
 
-fn key(service: &ServiceId, call: &str) -> u64 {
+fn key(service: &ServiceId, call: &str) -> StreamKey {
     ownership::score(call, service)
 }
 
--- a/tests/gateway_formats.rs
+++ b/tests/gateway_formats.rs
@@ -184,6 +184,13 @@
         "0402653180d095ffbc31",
         &FleetMessage::Clock("e1".into(), 1_700_000_000_000),
     );
+    check_message(
+        "0501027631028101ffffffffffffffffff01",
+        &FleetMessage::Begun(vec![("v1".into(), vec![129, u64::MAX])]),
+    );
+    // docs/platform.md names the size with the mark of 11 bytes.
+    let one = FleetMessage::Begun(vec![("v1.2.3".into(), vec![u64::MAX])]);
+    assert_eq!(11 + postcard::to_stdvec(&one).unwrap().len(), 31);
 }
 
 fn history() -> History {
@@ -378,6 +385,7 @@
     Answer(Vec<u8>),
     Histories(Vec<u8>),
     Clock(Arc<str>, u64, u32),
+    Begun(Vec<u8>),
     Later(u32),
 }
 
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -102,8 +102,22 @@
 
 /// Takes a stream that began at a time up after its third event.
 fn take_up(instance: &Instance, id: &str, origin: &str, begun: Instant) -> Option<http::Answer> {
-    let left = DEADLINE.saturating_sub(begun.elapsed()).as_millis();
-    let left = left.to_string();
+    take_up_within(
+        DEADLINE.saturating_sub(begun.elapsed()),
+        instance,
+        id,
+        origin,
+    )
+}
+
+/// Takes a stream up after its third event, on behalf of a caller that waits for a time from now on.
+fn take_up_within(
+    left: Duration,
+    instance: &Instance,
+    id: &str,
+    origin: &str,
+) -> Option<http::Answer> {
+    let left = left.as_millis().to_string();
     let headers = [
         ("x-request-id", id),
         ("x-deadline-ms", &*left),
@@ -511,6 +525,47 @@
     assert_eq!(begin(&early, "new").unwrap().status, 200);
 }
 
+/// Guards against streams that are refused as unclear after the instance that began them has ended, since
+/// their callers name the same deadline at each try, or a shorter one than others of the route, so that
+/// the streams seem to be older than the shares.
+#[test]
+fn a_stream_that_began_soon_after_a_change_of_the_shares_goes_on_elsewhere() {
+    for names_same in [false, true] {
+        let mut side = Side::start(&["v1", "v1", "v1"]);
+        let mut one = Instance::start("one", &side.store, &[]);
+        let two = Instance::start("two", &side.store, &[one.peers]);
+        thread::sleep(SETTLE);
+        for n in 3..6 {
+            side.add(n, "v2");
+        }
+        let shares = || side.store.get("stream-versions", "lm").unwrap()["spec"].to_string();
+        until("the shares change", || shares().contains("[\"v2\",500]"));
+        thread::sleep(Duration::from_millis(2500));
+        let (ids, begun) = break_streams(&side, 20, &one);
+        thread::sleep(Duration::from_millis(200));
+        one.kill();
+        let mut count = 0;
+        for id in &ids {
+            let again = format!("again-{id}");
+            let passed = if names_same {
+                Duration::from_secs(30)
+            } else {
+                begun.elapsed()
+            };
+            let left = DEADLINE.saturating_sub(passed);
+            let answer = take_up_within(left, &two, &again, id);
+            let versions = side.versions(&[id, &again]);
+            assert_eq!(versions.len(), 1, "{id} at {versions:?}");
+            count += usize::from(answer.is_some_and(|a| a.status == 200));
+        }
+        assert_eq!(
+            count,
+            ids.len(),
+            "streams that go on, names_same={names_same}"
+        );
+    }
+}
+
 /// Guards against a stream that counts as younger than it is, since its caller waits for longer than the
 /// timeout of the route, and that goes on at another version.
 #[test]
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -269,13 +269,61 @@
         streams.version(&taken_up, case.serving(), now),
         Origin::Unclear
     );
-    streams.record_begun(&case.service, &call, &"v2".into(), Duration::ZERO);
+    streams.record_begun(&case.service, &call, &"v2".into(), now);
     assert_eq!(
         streams.version(&taken_up, case.serving(), now),
         version("v2")
     );
 }
 
+/// Guards against streams that are refused as unclear although the instance that began them told their
+/// version, and against messages on streams whose version is clear at all instances.
+#[test]
+fn versions_are_told_while_earlier_shares_may_count() {
+    let case = Case::new(&["v1", "v2"]);
+    let (one, two, moved) = second_version();
+    let kept = calls(100)
+        .into_iter()
+        .find(|c| two.choose(c) == Some(&"v1".into()));
+    let kept = kept.unwrap();
+    let (v1, v2) = ("v1".into(), "v2".into());
+    let mut began = Streams::default();
+    began.merge(case.service.clone(), one.clone(), START);
+    // One version was the only one for a minute.
+    let change = START + 100_000;
+    let two = one.next(&slots(&[("v1", 8), ("v2", 8)]), change).unwrap();
+    assert!(!began.record_begun(&case.service, &moved, &v1, change - 400));
+    assert!(!began.record_begun(&case.service, &kept, &v1, change - 400));
+    assert!(began.take_begun().is_empty());
+    began.merge(case.service.clone(), two.clone(), change);
+    let told = began.take_begun();
+    assert_eq!(told.len(), 1, "of the streams before the change");
+    assert!(began.take_begun().is_empty());
+
+    let mut other = Streams::default();
+    other.merge(case.service.clone(), one, START);
+    other.merge(case.service.clone(), two.clone(), change);
+    let taken_up = case.call("b", Some(&moved), 4000);
+    let unclear = other.version(&taken_up, case.serving(), change + 100);
+    assert_eq!(unclear, Origin::Unclear);
+    let (stream, version) = told[0].clone();
+    other.hear_begun(stream, &version, change + 100);
+    assert!(other.has_begun(&case.service, &moved));
+    let told = other.version(&taken_up, case.serving(), change + 100);
+    assert_eq!(told, Origin::Version(v1.clone()));
+    // A hash that two streams share does not move the first.
+    other.hear_begun(stream, &v2, change + 100);
+    let told = other.version(&taken_up, case.serving(), change + 100);
+    assert_eq!(told, Origin::Version(v1.clone()));
+
+    assert!(began.record_begun(&case.service, &moved, &v2, change + 59_000));
+    assert!(!began.record_begun(&case.service, &kept, &v1, change + 59_000));
+    assert_eq!(began.take_begun().len(), 1);
+    assert!(!began.record_begun(&case.service, &moved, &v2, change + 60_000));
+    // A version that the present shares do not give is told at any time.
+    assert!(began.record_begun(&case.service, &kept, &v2, change + 60_000));
+}
+
 #[test]
 fn the_time_that_a_caller_has_waited_counts_from_the_longest_one() {
     let case = Case::new(&["v1", "v2"]);
