Treat answers without a final status as no answer

`interpret` took each status that is no success as a failure of the worker, which is passed on or, for an item, counts as one of its attempts. By RFC 9110, section 15, a status outside 100 to 599 is invalid, and an interim one ends no exchange. Both prove nothing about the request now: it gets 502, or another attempt where its route allows one, and an item runs again. The client of the chat path knows no status above 599 and passes over interim ones but 101, so a check of that one is enough there.

`an_answer_without_a_final_status_is_no_answer` failed before in gateway_heads (status 101 at /single/x) and in online_heads (101 at /services/till/stock). Status 000 and 099 got 502 before, too.

--- a/src/gateway/head.rs
+++ b/src/gateway/head.rs
@@ -35,6 +35,10 @@
         None if reused => return Head::Invalid("the answer names no request".into()),
         _ => {}
     }
+    // RFC 9110, section 15: a status above 599 is invalid, and one below 200 ends no exchange.
+    if !(200..600).contains(&status.as_u16()) {
+        return Head::Invalid(format!("the worker answered {}", status.as_u16()));
+    }
     if terms.not_run && !status.is_success() {
         return Head::NotRun;
     }
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -278,6 +278,11 @@
                 RequestError::not_run(Reason::Overloaded, message).with_retry_after(RETRY_AFTER)
             );
         }
+        // The client passes over other interim answers, and knows no status above 599.
+        if status < 200 {
+            let message = "the target sent no final status";
+            return Err(RequestError::may_have_run(Reason::TargetFailed, message));
+        }
         let headers = end_to_end_headers(conn.response_headers());
         let body = read_answer(&mut conn, settings.limits.answer, &settings.timeouts).await?;
         if !dial::is_framed(&conn) {
--- a/tests/gateway_heads.rs
+++ b/tests/gateway_heads.rs
@@ -71,3 +71,46 @@
         assert!(answer.is_none(), "{head:?}: {answer:?}");
     }
 }
+
+/// Answers whose status is invalid, or ends no exchange.
+const NO_STATUS: [&str; 6] = [
+    "HTTP/1.1 000 x\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 099 x\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 101 x\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\nUpgrade: x\r\n\r\nwrong",
+    "HTTP/1.1 199 x\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\n\r\n",
+    "HTTP/1.1 600 x\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 999 x\r\nX-Request-Id: {id}\r\nX-Response-Seal: s\r\nContent-Length: 5\r\n\r\nwrong",
+];
+
+/// Guards against an answer that reaches callers though its status is outside 200 to 599 (RFC 9110, section
+/// 15), and against an item that is given up for it.
+#[test]
+fn an_answer_without_a_final_status_is_no_answer() {
+    for head in NO_STATUS {
+        let (store, [first, second]) = platform(6, PAUSE);
+        let instance = Instance::start_for_jobs("one", &store);
+        for path in ["/single/x", "/unsafe/x"] {
+            first.behave(&[Behaviour::Raw(head)]);
+            second.behave(&[Behaviour::Raw(head)]);
+            let id = format!("r{}", fastrand::u64(..));
+            let answer = instance.stream(path, &id).unwrap();
+            assert_eq!(answer.status, 502, "{path} after {head:?}: {answer:?}");
+            let seal = answer.header("x-response-seal");
+            assert_eq!(seal, None, "{path} after {head:?}");
+        }
+        first.behave(&[Behaviour::Raw(head); 3]);
+        second.behave(&[Behaviour::Raw(head); 3]);
+        assert_eq!(instance.submit("j1", &["i1"]).unwrap().status, 202);
+        let results = instance.wait_results("j1", 1);
+        assert_eq!(results[0]["output"], "t0\nt1\nt2\nt3\nt4\nt5", "{head:?}");
+        // A route with two attempts sends such a request to the other worker.
+        first.behave(&[Behaviour::Raw(head); 9]);
+        second.behave(&[]);
+        for number in 0..4 {
+            let answer = instance
+                .stream("/safe/x", &format!("safe{number}"))
+                .unwrap();
+            assert_eq!(answer.status, 200, "after {head:?}: {answer:?}");
+        }
+    }
+}
--- a/tests/online_heads.rs
+++ b/tests/online_heads.rs
@@ -78,3 +78,49 @@
         }
     }
 }
+
+/// Answers whose status is invalid, or ends no exchange.
+const NO_STATUS: [&str; 6] = [
+    "HTTP/1.1 000 x\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 099 x\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 101 x\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 199 x\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 600 x\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\n\r\nwrong",
+    "HTTP/1.1 999 x\r\nContent-Type: text/event-stream\r\nContent-Length: 5\r\n\r\nwrong",
+];
+
+/// Guards against an answer that reaches callers though its status is outside 200 to 599 (RFC 9110, section
+/// 15).
+#[test]
+fn an_answer_without_a_final_status_is_no_answer() {
+    let platform = platform();
+    for head in NO_STATUS {
+        let service = ServiceTarget {
+            id: "s1".into(),
+            service: "till".into(),
+            address: target(head),
+            zone: "a".into(),
+            leaving: false,
+        };
+        let mut view = view(vec![info("w1", target(head))]);
+        view.services = vec![service];
+        let entry = entry_with(platform.host.address, view, json!({}));
+        let answer = post(entry.address, "/services/till/stock", &[], "{}");
+        assert!(
+            (500..600).contains(&answer.status),
+            "{head:?}: {}",
+            answer.head
+        );
+        for streamed in [false, true] {
+            let body = chat("first", 1, streamed);
+            let answer = post(entry.address, "/v1/chat/completions", &[], &body);
+            let is_whole = answer.status == 200 && !answer.body.contains("error");
+            assert!(!is_whole, "{head:?}: {} {}", answer.head, answer.body);
+            assert!(
+                (200..600).contains(&answer.status),
+                "{head:?}: {}",
+                answer.head
+            );
+        }
+    }
+}
