Use workers that end a report with its connection, and ones that are silent

The second reader of the check of starts found three ways in which a sound worker is refused. A worker that closes its connection after each answer was used before and never reached its request, since a report closed the connection too. A connection that has answered a report counted as kept, so that an answer without an id was invalid on it, and a worker that closed it after the report was chosen again without a bound. A sound worker may be silent for a second, and the call that had no other one was refused after 250 ms.

If a connection ends with its report, the request now goes over a second one, and the report on a third shows that the listed start was there when the second was opened. A connection counts as kept only after an answer to a request. A silent worker is asked again if there is no other one.

The worker of gateway_reports.rs answers without an id again, as it did before the check, and `reports_that_end_with_their_connection_are_read` is the case of before in which it closes each connection. By reading, both fail without this change; they were not run without it.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -21,7 +21,7 @@
     block_store,
     connection::{self, AttemptError, SendError},
     dispatch::{Busy, Placement},
-    fleet::Worker,
+    fleet::{Requirements, Worker},
     forward::{CRASHING, Failure, MAX_ANSWER_BYTES, Session, StartedAnswer},
     head::{self, Head},
     links,
@@ -165,7 +165,20 @@
             worker.id,
             worker.zone
         );
-        self.tried.push(worker.id.clone());
+        // A sound worker may be silent for a while. If there is no other one, it is asked again.
+        if !matches!(error, ReachError::Silent) || self.has_other(&worker.id) {
+            self.tried.push(worker.id.clone());
+        }
+    }
+
+    /// Returns whether another worker may run the call, however full it is.
+    fn has_other(&self, worker: &WorkerId) -> bool {
+        let tried: Vec<WorkerId> = self.tried.iter().chain([worker]).cloned().collect();
+        self.gateway.dispatch.has_candidate(&Requirements {
+            service: &self.service,
+            tried: &tried,
+            version: self.version.as_ref(),
+        })
     }
 
     /// Records a failure of a worker, unless it may be due to the time that the caller or the route
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -296,6 +296,12 @@
         self.lock().fleet.has_ready_worker(service, version, now)
     }
 
+    /// Returns whether a worker may serve a request, however full it is.
+    pub fn has_candidate(&self, requirements: &Requirements<'_>) -> bool {
+        let now = self.now();
+        self.lock().fleet.has_candidate(requirements, now)
+    }
+
     /// Returns the slots of the workers of a service that take requests, by version.
     pub fn versions(&self, service: &ServiceId) -> Map<SoftwareVersion, u32> {
         let mut services = self.slots_by_version();
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -378,12 +378,19 @@
         version: Option<&SoftwareVersion>,
         now: Duration,
     ) -> bool {
-        let requirements = Requirements {
-            service,
-            tried: &[],
-            version,
-        };
-        self.candidates(&requirements, now).next().is_some()
+        self.has_candidate(
+            &Requirements {
+                service,
+                tried: &[],
+                version,
+            },
+            now,
+        )
+    }
+
+    /// Returns whether a worker may serve a request, however full it is.
+    pub fn has_candidate(&self, requirements: &Requirements<'_>, now: Duration) -> bool {
+        self.candidates(requirements, now).next().is_some()
     }
 
     /// Returns the requests in flight from this instance, by worker.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -13,7 +13,7 @@
 
 use super::{
     config::Service,
-    connection::{self, Connection, Path, Proof},
+    connection::{self, Connection, Path, Proof, SendError},
     fair_stream::Wire,
     fleet::Worker,
     gateway::Gateway,
@@ -27,8 +27,6 @@
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(120);
 /// Time in which a worker reports its start on a new connection.
 const REPORT_LIMIT: Duration = Duration::from_millis(250);
-/// Maximum number of connections for one request that their worker closes after its report.
-const MAX_CLOSED: usize = 2;
 /// Time that an idle connection may be reused for requests that may be sent again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time that an idle connection may be reused for requests that run at most once. If the worker
@@ -68,6 +66,8 @@
     Unreachable(io::Error),
     /// The process at the address is another one than the list names.
     OtherStart,
+    /// The process at the address did not report its start in time.
+    Silent,
     /// The process at the address did not report its start.
     Unproven(String),
 }
@@ -77,6 +77,7 @@
         match self {
             Self::Unreachable(e) => e.fmt(f),
             Self::OtherStart => f.write_str("the list names an earlier start of the worker"),
+            Self::Silent => f.write_str("the worker did not report its start in time"),
             Self::Unproven(reason) => write!(f, "the worker did not report its start: {reason}"),
         }
     }
@@ -88,14 +89,18 @@
     worker: &Worker,
     connection: &mut Connection,
 ) -> Result<(), ReachError> {
-    let unproven = |reason: String| ReachError::Unproven(reason);
-    let request = reports::request(worker).map_err(|e| unproven(e.to_string()))?;
+    let request = reports::request(worker).map_err(|e| ReachError::Unproven(e.to_string()))?;
     let answer = connection.exchange(request, REPORT_LIMIT, Proof::Content);
-    let answer = answer.await.map_err(|e| unproven(e.into_reason()))?;
-    let report = reports::decode(&answer);
-    let report = report.ok_or_else(|| unproven("another worker answered".into()))?;
+    let answer = answer.await.map_err(|e| match e {
+        SendError::TimedOut(_) => ReachError::Silent,
+        e => ReachError::Unproven(e.into_reason()),
+    })?;
+    let Some(report) = reports::decode(&answer) else {
+        return Err(ReachError::Unproven("another worker answered".into()));
+    };
     if report.started.is_none() {
-        return Err(unproven(format!("status {}", answer.status().as_u16())));
+        let reason = format!("status {}", answer.status().as_u16());
+        return Err(ReachError::Unproven(reason));
     }
     if report.started != worker.started {
         gateway.dispatch.record_ended_start(worker);
@@ -122,7 +127,7 @@
     match error {
         ReachError::Unreachable(_) => return gateway.dispatch.record_unreachable(worker),
         ReachError::OtherStart => {}
-        ReachError::Unproven(_) => {
+        ReachError::Silent | ReachError::Unproven(_) => {
             links::confirm_cut(gateway, Some(&worker.id)).await;
             if gateway.is_worker_fault(&Path::Direct) {
                 gateway.dispatch.record_failure(&worker.id);
@@ -155,21 +160,25 @@
         worker: &Worker,
         repeatable: bool,
     ) -> Result<Connection, ReachError> {
-        for _ in 0..MAX_CLOSED {
+        let open = async || {
             let reached = self.reach(gateway, worker, repeatable).await;
-            let mut connection = reached.map_err(ReachError::Unreachable)?;
-            if connection.reused || worker.started.is_none() {
-                return Ok(connection);
-            }
-            check_start(gateway, worker, &mut connection).await?;
-            // Some answers announce the end of their connection.
-            if connection.is_ready().await {
-                return Ok(connection);
-            }
+            reached.map_err(ReachError::Unreachable)
+        };
+        let mut connection = open().await?;
+        if connection.reused || worker.started.is_none() {
+            return Ok(connection);
+        }
+        check_start(gateway, worker, &mut connection).await?;
+        if connection.is_ready().await {
+            connection.reused = false;
+            return Ok(connection);
         }
-        Err(ReachError::Unproven(
-            "it closes connections after its report".into(),
-        ))
+        // Some answers end with their connection. A report on a later connection shows that the listed
+        // start was there when this one was opened.
+        let connection = open().await?;
+        let mut later = open().await?;
+        check_start(gateway, worker, &mut later).await?;
+        Ok(connection)
     }
 
     /// Returns a connection to a worker: a recently used idle one if there is any, else a new one.
--- a/tests/gateway_reports.rs
+++ b/tests/gateway_reports.rs
@@ -15,7 +15,7 @@
 use support::until;
 
 const HEAD: &str =
-    "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-type: text/event-stream\r\nx-request-id: ";
+    "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
 const TEXT: &str = "id: 0\ndata: t0\n\nid: 1\ndata: t1\n\n";
 
 /// Answers of a worker to the call for its report that don't show that the process still runs.
@@ -39,14 +39,15 @@
     answered: usize,
 }
 
-/// Starts a worker that closes its connection after each answer to a request.
-fn start_worker(reports: Arc<Mutex<Reports>>) -> SocketAddr {
+/// Starts a worker that closes its connection after each answer to a request, and unless it keeps them also
+/// after each report.
+fn start_worker(reports: Arc<Mutex<Reports>>, keeps: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let reports = reports.clone();
-            thread::spawn(move || while answer(&stream, &reports) == Some(true) {});
+            thread::spawn(move || while answer(&stream, &reports) == Some(true) && keeps {});
         }
     });
     address
@@ -55,7 +56,7 @@
 /// Answers the next call on a connection, and returns whether the connection is kept.
 fn answer(mut stream: &TcpStream, reports: &Mutex<Reports>) -> Option<bool> {
     let mut reader = BufReader::new(stream);
-    let (mut head, mut length, mut id) = (String::new(), 0, String::new());
+    let (mut head, mut length) = (String::new(), 0);
     while !head.ends_with("\r\n\r\n") {
         let start = head.len();
         reader.read_line(&mut head).ok().filter(|n| *n > 0)?;
@@ -63,9 +64,6 @@
         if let Some(value) = line.strip_prefix("content-length:") {
             length = value.trim().parse().ok()?;
         }
-        if let Some(value) = line.strip_prefix("x-request-id:") {
-            value.trim().clone_into(&mut id);
-        }
     }
     reader.read_exact(&mut vec![0; length]).ok()?;
     if head.starts_with("GET ") {
@@ -81,7 +79,7 @@
             .map(|()| !report.is_empty());
     }
     reports.lock().unwrap().answered += 1;
-    let text = format!("{HEAD}{id}\r\n\r\n{TEXT}");
+    let text = format!("{HEAD}{TEXT}");
     stream.write_all(text.as_bytes()).ok().map(|()| false)
 }
 
@@ -89,9 +87,20 @@
 /// and against one of a sound worker that does not.
 #[test]
 fn only_a_report_of_the_same_process_confirms_an_end() {
+    check_reports(true);
+}
+
+/// Guards against the same at a worker that ends each report with its connection, and against one that is
+/// not used for that.
+#[test]
+fn reports_that_end_with_their_connection_are_read() {
+    check_reports(false);
+}
+
+fn check_reports(keeps: bool) {
     let reports = |later| Reports { later, answered: 0 };
     let state = Arc::new(Mutex::new(reports(PROOF)));
-    let address = start_worker(state.clone());
+    let address = start_worker(state.clone(), keeps);
     let store = Store::start();
     let entry = json!({
         "service": "lm", "addr": address, "zone": "a", "version": "v1", "slots": 2,
