--- a/tests/gateway_suspects.rs
+++ b/tests/gateway_suspects.rs
@@ -287,6 +287,7 @@
             headers,
             body: body.into(),
             received: std::time::Instant::now(),
+            arrived: 0,
             deadline: None,
             after: None,
             origin: None,
