Ask other instances for the version of a stream

A caller that took a stream up at an instance that had been out of step, had started since or is in another zone got 503, although an instance in step knew the version of the stream: that instance had not been told, and the shares alone left it unclear.

An instance now tells versions to one instance of another zone too, and one that finds a version unclear asks all that it hears and waits for up to 0.1 s. An answer holds whoever is out of step, since the version of a stream never changes. An unclear stream that nobody knows is refused 0.1 s later than before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -43,6 +43,8 @@
 const ORIGIN_POLL: Duration = Duration::from_millis(10);
 /// Time in which the store has to confirm the shares before a stream is taken up.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(500);
+/// Time for which the take-up of a stream whose version is unclear waits for instances that know it.
+const ASK_LIMIT: Duration = Duration::from_millis(100);
 /// Time for which the take-up of a stream waits at an instance that has just started until it knows the
 /// others.
 const START_LIMIT: Duration = Duration::from_secs(2);
@@ -236,15 +238,25 @@
     call: &Call,
 ) -> Option<Origin> {
     let limit = route.objective.mul_f64(QUEUE_WAIT_SHARE);
-    if route.is_resumable() && call.after.is_some() && !knows_shares(gateway, service, call).await {
-        event!(
-            Warn,
-            OriginUnclear,
-            "request={} origin={:?} store={}",
-            call.id,
-            call.origin,
-            gateway.reaches_store()
-        );
+    if route.is_resumable() && call.after.is_some() {
+        let knows_shares = knows_shares(gateway, service, call).await;
+        let origin = stream_origin(gateway, service, route, call);
+        if knows_shares && origin != Some(Origin::Unclear) {
+            return origin;
+        }
+        if is_told(gateway, service, call).await {
+            return stream_origin(gateway, service, route, call);
+        }
+        if !knows_shares {
+            event!(
+                Warn,
+                OriginUnclear,
+                "request={} origin={:?} store={}",
+                call.id,
+                call.origin,
+                gateway.reaches_store()
+            );
+        }
         return Some(Origin::Unclear);
     }
     loop {
@@ -257,6 +269,24 @@
     }
 }
 
+/// Asks the other instances for the version that began the stream of a call, and returns whether one of
+/// them knows it.
+async fn is_told(gateway: &Gateway, service: &ServiceId, call: &Call) -> bool {
+    let Some(id) = &call.origin else {
+        return false;
+    };
+    gateway.streams().ask_begun(service, id);
+    gateway.dispatch.notify();
+    let asked = Instant::now();
+    while asked.elapsed() < ASK_LIMIT {
+        Timer::after(ORIGIN_POLL).await;
+        if gateway.streams().has_begun(service, id) {
+            return true;
+        }
+    }
+    false
+}
+
 /// Returns whether this instance knows all shares by which the stream that a call takes up may have
 /// begun.
 async fn knows_shares(gateway: &Gateway, service: &ServiceId, call: &Call) -> bool {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -98,6 +98,8 @@
     Clock(InstanceId, u64),
     /// Streams that began or went on at the sender, by the version that began them.
     Begun(Vec<(SoftwareVersion, Vec<StreamKey>)>),
+    /// Asks for the versions that began streams.
+    AskBegun(Vec<StreamKey>),
 }
 
 /// Exchanges heartbeats with the other instances forever.
@@ -290,25 +292,44 @@
     gateway.dispatch.notify();
 }
 
-/// Sends the versions of streams to the other instances of the zone, where callers take them up first. A
-/// message that is lost leaves the receiver to infer them from the shares.
+/// Sends the versions of streams to the other instances of the zone, where callers take them up first, and
+/// to one of another zone, which knows them if none of this one is left. A message that is lost leaves the
+/// receiver to ask, or to infer them from the shares.
 fn send_begun(gateway: &Gateway, socket: &Async<UdpSocket>) {
-    let begun = gateway.streams().take_begun();
-    if begun.is_empty() {
+    let mut streams = gateway.streams();
+    let (begun, asked) = (streams.take_begun(), streams.take_asked());
+    drop(streams);
+    if begun.is_empty() && asked.is_empty() {
         return;
     }
     let peers = gateway.peers();
-    let live = peers.live(gateway.now());
-    let near = live.filter(|h| h.zone == gateway.settings.zone);
-    let near: Set<SocketAddr> = near.map(|h| h.address).collect();
+    let zone = &gateway.settings.zone;
+    let (near, far): (Vec<&Heartbeat>, _) =
+        peers.live(gateway.now()).partition(|h| h.zone == *zone);
+    let address = |h: &Heartbeat| h.address;
+    let far: Vec<SocketAddr> = far.into_iter().map(address).collect();
+    let near: Vec<SocketAddr> = near.into_iter().map(address).collect();
     drop(peers);
+    let one = fastrand::choice(&far);
+    send_versions(socket, &begun, &near.iter().chain(one).copied().collect());
+    let all = near.iter().chain(&far).copied().collect();
+    for streams in asked.chunks(MAX_STREAMS) {
+        send_fleet_message(socket, &FleetMessage::AskBegun(streams.to_vec()), &all);
+    }
+}
+
+fn send_versions(
+    socket: &Async<UdpSocket>,
+    begun: &[(StreamKey, SoftwareVersion)],
+    targets: &Set<SocketAddr>,
+) {
     for streams in begun.chunks(MAX_STREAMS) {
         let mut versions: Map<SoftwareVersion, Vec<StreamKey>> = Map::default();
         for (stream, version) in streams {
             versions.entry(version.clone()).or_default().push(*stream);
         }
         let message = FleetMessage::Begun(versions.into_iter().collect());
-        send_fleet_message(socket, &message, &near);
+        send_fleet_message(socket, &message, targets);
     }
 }
 
@@ -385,6 +406,10 @@
                 }
             }
         }
+        FleetMessage::AskBegun(streams) => {
+            let found = gateway.streams().find_begun(&streams);
+            send_versions(socket, &found, &Set::from_iter([sender]));
+        }
         FleetMessage::Notices(notices) => gateway.dispatch.hear_limits(&notices),
         FleetMessage::Ask(notice, class) => {
             let answer = match gateway.dispatch.grant(&notice, class) {
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -324,6 +324,8 @@
     begun: Begun,
     /// Versions of streams to tell the other instances of the zone.
     untold: Vec<(StreamKey, SoftwareVersion)>,
+    /// Streams to ask the other instances for.
+    asked: Vec<StreamKey>,
     deadlines: Deadlines,
     /// Histories to tell the other instances, with the number of messages that are left.
     news: Map<ServiceId, u32>,
@@ -445,6 +447,25 @@
         std::mem::take(&mut self.untold)
     }
 
+    /// Asks the other instances for the version that began the stream of a call.
+    pub fn ask_begun(&mut self, service: &ServiceId, call: &str) {
+        self.asked.push(key(service, call));
+    }
+
+    /// Returns the streams to ask the other instances for now.
+    pub fn take_asked(&mut self) -> Vec<StreamKey> {
+        std::mem::take(&mut self.asked)
+    }
+
+    /// Returns those of some streams whose versions are known here.
+    pub fn find_begun(&self, streams: &[StreamKey]) -> Vec<(StreamKey, SoftwareVersion)> {
+        let found = streams.iter().filter_map(|stream| {
+            let begun = self.begun.streams.get(stream)?;
+            Some((*stream, begun.version.clone()))
+        });
+        found.collect()
+    }
+
     /// Returns whether an instance that does not know when the stream of a call began, or what shares its
     /// instance used, may find several versions or another one than the given.
     fn is_unclear(
--- a/tests/gateway_formats.rs
+++ b/tests/gateway_formats.rs
@@ -188,6 +188,7 @@
         "0501027631028101ffffffffffffffffff01",
         &FleetMessage::Begun(vec![("v1".into(), vec![129, u64::MAX])]),
     );
+    check_message("0602058101", &FleetMessage::AskBegun(vec![5, 129]));
     // docs/platform.md names the size with the mark of 11 bytes.
     let one = FleetMessage::Begun(vec![("v1.2.3".into(), vec![u64::MAX])]);
     assert_eq!(11 + postcard::to_stdvec(&one).unwrap().len(), 31);
@@ -386,6 +387,7 @@
     Histories(Vec<u8>),
     Clock(Arc<str>, u64, u32),
     Begun(Vec<u8>),
+    AskBegun(Vec<u8>),
     Later(u32),
 }
 
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -566,6 +566,31 @@
     }
 }
 
+/// Guards against streams that are refused as unclear by an instance that was not told their version, as
+/// it was not in touch when they began, although another one was.
+#[test]
+fn an_instance_asks_the_others_for_the_version_of_a_stream() {
+    let mut side = Side::start(&["v1", "v1", "v1"]);
+    let mut one = Instance::start("one", &side.store, &[]);
+    let two = Instance::start("two", &side.store, &[one.peers]);
+    thread::sleep(SETTLE);
+    for n in 3..6 {
+        side.add(n, "v2");
+    }
+    let shares = || side.store.get("stream-versions", "lm").unwrap()["spec"].to_string();
+    until("the shares change", || shares().contains("[\"v2\",500]"));
+    thread::sleep(Duration::from_millis(1500));
+    let (ids, begun) = break_streams(&side, 20, &one);
+    thread::sleep(Duration::from_millis(200));
+    one.kill();
+    let late = Instance::start("late", &side.store, &[two.peers]);
+    until("the instance knows the others", || {
+        begin(&late, "new").is_some_and(|a| a.status == 200)
+    });
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(take_all_up(&side, &ids, begun, &late), ids.len());
+}
+
 /// Guards against a stream that counts as younger than it is, since its caller waits for longer than the
 /// timeout of the route, and that goes on at another version.
 #[test]
