--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -255,7 +255,8 @@
 /// A stream that this instance or another one began or went on with.
 #[derive(Debug)]
 struct BegunStream {
-    version: SoftwareVersion,
+    /// Unclear if two versions were recorded.
+    origin: Origin,
     /// Time when it was recorded.
     at: u64,
     /// Service and call, unless the other instances know the version.
@@ -279,9 +280,18 @@
         }
     }
 
-    fn get(&self, service: &ServiceId, call: &str) -> Option<SoftwareVersion> {
+    fn get(&self, service: &ServiceId, call: &str) -> Option<Origin> {
         let stream = self.streams.get(&key(service, call))?;
-        Some(stream.version.clone())
+        Some(stream.origin.clone())
+    }
+
+    /// Returns the version of a stream, with a further one that was recorded.
+    fn origin_with(&self, stream: StreamKey, version: &SoftwareVersion) -> Origin {
+        let version = Origin::Version(version.clone());
+        match self.streams.get(&stream) {
+            Some(known) if known.origin != version => Origin::Unclear,
+            _ => version,
+        }
     }
 }
 
@@ -347,8 +357,8 @@
         let longest = call.timeout.max(*longest).min(KEPT);
         let history = self.histories.get(call.service);
         if call.resumes {
-            if let Some(version) = call.origin.and_then(|id| self.begun.get(call.service, id)) {
-                return Origin::Version(version);
+            if let Some(origin) = call.origin.and_then(|id| self.begun.get(call.service, id)) {
+                return origin;
             }
             if let Some(history) = history {
                 let left = call.deadline.filter(|left| *left < longest);
@@ -421,7 +431,7 @@
             self.untold.push((stream, version.clone()));
         }
         let begun = BegunStream {
-            version: version.clone(),
+            origin: self.begun.origin_with(stream, version),
             at: now,
             untold: (!is_unclear).then(|| (service.clone(), call.into())),
         };
@@ -432,13 +442,16 @@
     /// Records the version of a stream that another instance began, or went on with.
     pub fn hear_begun(&mut self, stream: StreamKey, version: &SoftwareVersion, now: u64) {
         self.begun.prune(now);
-        if self.begun.streams.len() < MAX_REMEMBERED {
-            let begun = self.begun.streams.entry(stream);
-            begun.or_insert_with(|| BegunStream {
-                version: version.clone(),
+        let origin = self.begun.origin_with(stream, version);
+        if let Some(known) = self.begun.streams.get_mut(&stream) {
+            known.origin = origin;
+        } else if self.begun.streams.len() < MAX_REMEMBERED {
+            let begun = BegunStream {
+                origin,
                 at: now,
                 untold: None,
-            });
+            };
+            self.begun.streams.insert(stream, begun);
         }
     }
 
@@ -459,10 +472,13 @@
 
     /// Returns those of some streams whose versions are known here.
     pub fn find_begun(&self, streams: &[StreamKey]) -> Vec<(StreamKey, SoftwareVersion)> {
-        let found = streams.iter().filter_map(|stream| {
-            let begun = self.begun.streams.get(stream)?;
-            Some((*stream, begun.version.clone()))
-        });
+        let found =
+            streams
+                .iter()
+                .filter_map(|stream| match &self.begun.streams.get(stream)?.origin {
+                    Origin::Version(version) => Some((*stream, version.clone())),
+                    Origin::Unclear => None,
+                });
         found.collect()
     }
 
@@ -493,16 +509,19 @@
     fn tell_begun(&mut self, service: &ServiceId, now: u64) {
         let untold = self.begun.streams.iter().filter_map(|(stream, begun)| {
             let (of, call) = begun.untold.as_ref()?;
-            let is_unclear = of == service && self.is_unclear(of, call, &begun.version, now);
-            is_unclear.then_some(*stream)
+            let Origin::Version(version) = &begun.origin else {
+                return None;
+            };
+            let is_unclear = of == service && self.is_unclear(of, call, version, now);
+            is_unclear.then(|| (*stream, version.clone()))
         });
-        let untold: Vec<StreamKey> = untold.collect();
-        for stream in untold {
-            if let Some(begun) = self.begun.streams.get_mut(&stream) {
+        let untold: Vec<(StreamKey, SoftwareVersion)> = untold.collect();
+        for (stream, _) in &untold {
+            if let Some(begun) = self.begun.streams.get_mut(stream) {
                 begun.untold = None;
-                self.untold.push((stream, begun.version.clone()));
             }
         }
+        self.untold.extend(untold);
     }
 
     /// Returns the history of a service, which is empty if none is known.
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -311,10 +311,13 @@
     assert!(other.has_begun(&case.service, &moved));
     let told = other.version(&taken_up, case.serving(), change + 100);
     assert_eq!(told, Origin::Version(v1.clone()));
-    // A hash that two streams share does not move the first.
-    other.hear_begun(stream, &v2, change + 100);
-    let told = other.version(&taken_up, case.serving(), change + 100);
-    assert_eq!(told, Origin::Version(v1.clone()));
+    // Two versions are told of a stream if its id is used twice, or hashes are the same.
+    for version in [&v2, &v1] {
+        other.hear_begun(stream, version, change + 100);
+        let told = other.version(&taken_up, case.serving(), change + 100);
+        assert_eq!(told, Origin::Unclear);
+        assert!(other.find_begun(&[stream]).is_empty());
+    }
 
     assert!(began.record_begun(&case.service, &moved, &v2, change + 59_000));
     assert!(!began.record_begun(&case.service, &kept, &v1, change + 59_000));
