Keep the address of an unreachable worker from other tests

The test bound a port of the dynamic range and closed it, so a listener of a test beside it could get that port. The entry instance then sent the request to a process that is no worker of the test; an answer of may-have-run is right for it.

The address is now of a socket that is bound and does not listen, so connections are refused and nothing else binds it. The new test fails with the former address, which a listener could bind.

--- a/tests/online_common/mod.rs
+++ b/tests/online_common/mod.rs
@@ -6,6 +6,7 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::OwnedFd,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
@@ -20,6 +21,7 @@
     sheet::Sheet,
     view::{ServiceTarget, View, WorkerInfo},
 };
+use rustix::net::{AddressFamily, SocketType, bind, getsockname, socket};
 use serde_json::{Value, json};
 use smol::channel::Receiver;
 use standins::{engine, host, host::Host, platform};
@@ -251,10 +253,23 @@
     Settings::load(file.path()).expect("valid settings")
 }
 
-/// Returns an address on which nothing listens.
-pub fn dead_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// An address that refuses connections, and at which nothing else can listen.
+pub struct DeadAddress {
+    pub address: SocketAddr,
+    /// Bound without listening.
+    _socket: OwnedFd,
+}
+
+impl DeadAddress {
+    pub fn bind() -> Self {
+        let socket = socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+        bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a free port");
+        let address = getsockname(&socket).expect("an address");
+        Self {
+            address: address.try_into().expect("an IP address"),
+            _socket: socket,
+        }
+    }
 }
 
 /// Returns the body of a chat request.
--- a/tests/online_verdict.rs
+++ b/tests/online_verdict.rs
@@ -2,11 +2,15 @@
 
 mod online_common;
 
-use std::{io::Read, thread};
+use std::{
+    io::{ErrorKind, Read},
+    net::{TcpListener, TcpStream},
+    thread,
+};
 
 use gentianpath::{context::Command, view::WorkerInfo};
 use online_common::{
-    Answer, EngineProxy, Entry, SLOTS, Target, chat, dead_address, entry, info, platform, post,
+    Answer, DeadAddress, EngineProxy, Entry, SLOTS, Target, chat, entry, info, platform, post,
     publish, receive, scripted, send, view, wait_until, worker,
 };
 use serde_json::{Value, json};
@@ -149,13 +153,25 @@
     assert_eq!(bad.runs().len(), 4);
 }
 
+/// Guards against a listener of another test that takes the address of a worker that is gone and gets its
+/// requests.
+#[test]
+fn no_listener_takes_the_address_of_an_unreachable_worker() {
+    let dead = DeadAddress::bind();
+    let refused = TcpStream::connect(dead.address).map_err(|e| e.kind());
+    assert_eq!(refused.err(), Some(ErrorKind::ConnectionRefused));
+    let taken = TcpListener::bind(dead.address).map_err(|e| e.kind());
+    assert_eq!(taken.err(), Some(ErrorKind::AddrInUse));
+}
+
 /// Guards against refusing a request that another worker would accept, and against sending requests
 /// to a worker that keeps refusing connections.
 #[test]
 fn unreachable_worker_is_passed_over_and_ejected() {
     let platform = platform();
     let good = worker("b", &[]);
-    let workers = vec![info("a", dead_address()), good.info()];
+    let dead = DeadAddress::bind();
+    let workers = vec![info("a", dead.address), good.info()];
     let entry = entry(platform.host.address, workers, json!({}));
     for number in 0..8 {
         let prompt = format!("p{number}");
@@ -168,7 +184,8 @@
 #[test]
 fn without_a_worker_nothing_runs() {
     let platform = platform();
-    for workers in [vec![], vec![info("a", dead_address())]] {
+    let dead = DeadAddress::bind();
+    for workers in [vec![], vec![info("a", dead.address)]] {
         let entry = entry(platform.host.address, workers, json!({}));
         let answer = request(&entry, &[], "p", true);
         assert_eq!((answer.status, answer.verdict()), (503, "not-run"));
