Learn the versions of unclear streams from the workers' reports

Callers whose streams had begun at an instance that was cut off from the store and the other instances, and then killed, were refused with 503 at the instances in touch. The shares had changed meanwhile, the instance could tell nobody which ones it used, and no other one can rule them out.

The workers know it: all attempts of a call use one version, and a report names the calls that its worker ran some hundred ms before, with the start of the worker. The take-up of a stream whose version is unclear now asks the workers of the service, at most each 100 ms, beside the other instances. Only runs of the start that the list names count, for their service alone; two versions for one call leave it unclear, and an absent call shows nothing. Messages between instances do not change.

--- a/src/events.rs
+++ b/src/events.rs
@@ -216,6 +216,8 @@
     WorkerChanges = 3033, "worker-changes";
     /// A worker reported another start than the list names.
     WorkerStartUnlisted = 3034, "worker-start-unlisted";
+    /// Workers were asked what they run, as the version of a stream is unclear.
+    RunsRead = 3035, "runs-read";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -410,6 +410,13 @@
         self.lock().fleet.worker(id).cloned()
     }
 
+    /// Returns the workers of a service in the list.
+    pub fn workers_of(&self, service: &ServiceId) -> Vec<Arc<Worker>> {
+        let state = self.lock();
+        let workers = state.fleet.workers().filter(|w| w.service == *service);
+        workers.cloned().collect()
+    }
+
     /// Returns the limited workers of the list, and forgets limits without news.
     pub fn limited_workers(&self) -> Vec<Arc<Worker>> {
         let mut state = self.lock();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -28,7 +28,7 @@
     gateway::Gateway,
     liveness::Delivery,
     marks::{self, Mark},
-    relay,
+    relay, run_reads,
     splice::Form,
     sse::{self, Events},
     takeover::Overlap,
@@ -43,7 +43,8 @@
 const ORIGIN_POLL: Duration = Duration::from_millis(10);
 /// Time in which the store has to confirm the shares before a stream is taken up.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(500);
-/// Time for which the take-up of a stream whose version is unclear waits for instances that know it.
+/// Time for which the take-up of a stream whose version is unclear waits for instances and workers
+/// that know it.
 const ASK_LIMIT: Duration = Duration::from_millis(100);
 /// Time for which the take-up of a stream waits at an instance that has just started until it knows the
 /// others.
@@ -235,7 +236,7 @@
 /// Like `stream_origin`, but waits as long as for a worker until the version of a new stream is known.
 /// An instance that has just started knows neither shares nor workers.
 async fn await_origin(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     service: &ServiceId,
     route: &Route,
     call: &Call,
@@ -272,14 +273,15 @@
     }
 }
 
-/// Asks the other instances for the version that began the stream of a call, and returns whether one of
-/// them knows it.
-async fn is_told(gateway: &Gateway, service: &ServiceId, call: &Call) -> bool {
+/// Asks the other instances and the workers for the version that began the stream of a call, and returns
+/// whether one of them knows it.
+async fn is_told(gateway: &Arc<Gateway>, service: &ServiceId, call: &Call) -> bool {
     let Some(id) = &call.origin else {
         return false;
     };
     gateway.streams().ask_begun(service, id);
     gateway.dispatch.notify();
+    run_reads::begin_round(gateway, service);
     let asked = Instant::now();
     while asked.elapsed() < ASK_LIMIT {
         Timer::after(ORIGIN_POLL).await;
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -37,6 +37,7 @@
     peers::{Candidate, FORGET_AFTER, Heartbeat, Member, Peers},
     refresh::Pulse,
     relayed::Carried,
+    run_reads::RunReads,
     settings::Settings,
     suspects::{Admission, Suspects},
     sync::Views,
@@ -80,6 +81,7 @@
     member_log: Mutex<MemberLog>,
     streams: Mutex<Streams>,
     ends: Mutex<Ends>,
+    run_reads: Mutex<RunReads>,
     /// Reads of the shares of the versions.
     pub share_reads: Reads,
     /// The last read of the requests that are blocked by others.
@@ -114,6 +116,7 @@
             member_log: Mutex::default(),
             streams: Mutex::default(),
             ends: Mutex::default(),
+            run_reads: Mutex::default(),
             share_reads: Reads::default(),
             recall: Mutex::default(),
             pulse: Mutex::default(),
@@ -158,6 +161,11 @@
         lock(&self.ends)
     }
 
+    /// Returns the times at which workers were asked what they run.
+    pub fn run_reads(&self) -> MutexGuard<'_, RunReads> {
+        lock(&self.run_reads)
+    }
+
     /// Returns the time in ms since the Unix epoch by the clock that the instances share.
     pub fn shared_millis(&self) -> u64 {
         self.streams().shared_time(clock::steady_millis())
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod refresh;
 pub mod relay;
 pub mod relayed;
+pub mod run_reads;
 pub mod serve;
 pub mod server;
 pub mod settings;
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -455,6 +455,18 @@
         }
     }
 
+    /// Records the version of a worker of a service that ran a call. The stream of that call, if it began one,
+    /// began there.
+    pub fn hear_run(
+        &mut self,
+        service: &ServiceId,
+        call: &str,
+        version: &SoftwareVersion,
+        now: u64,
+    ) {
+        self.hear_begun(key(service, call), version, now);
+    }
+
     /// Returns the versions of streams to tell the other instances of the zone now.
     pub fn take_begun(&mut self) -> Vec<(StreamKey, SoftwareVersion)> {
         std::mem::take(&mut self.untold)
--- a/standins/src/gateway_worker.rs
+++ b/standins/src/gateway_worker.rs
@@ -7,11 +7,11 @@
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use anyhow::Context;
@@ -21,6 +21,8 @@
 
 /// Requests that run beyond the slots before others are refused.
 const QUEUE: usize = 2;
+/// Age of the runs that a report names.
+const REPORT_AGE: Duration = Duration::from_millis(300);
 
 /// Options of the program.
 #[derive(Debug, Clone)]
@@ -148,6 +150,18 @@
     ended: AtomicBool,
     /// Number of the first answer after its end.
     first_late: AtomicUsize,
+    /// Answers that run, and those that ended within the age of a report.
+    runs: Mutex<Vec<Run>>,
+}
+
+/// An answer that runs or has ended.
+#[derive(Debug)]
+struct Run {
+    answer: usize,
+    request: String,
+    /// Times of its events.
+    events: Vec<Instant>,
+    ended: Option<Instant>,
 }
 
 impl Worker {
@@ -170,6 +184,7 @@
             leaving: AtomicBool::default(),
             ended: AtomicBool::default(),
             first_late: AtomicUsize::default(),
+            runs: Mutex::default(),
         }))
     }
 
@@ -242,12 +257,25 @@
         }
     }
 
+    /// Returns the reported fields of the answers that ran at a time.
+    fn runs_at(&self, time: Instant) -> Vec<serde_json::Value> {
+        let runs = self.runs.lock().unwrap();
+        let runs = runs.iter().filter(|r| r.ended.is_none_or(|e| e > time));
+        let made = |run: &Run| run.events.iter().filter(|at| **at <= time).count();
+        // A request begins to run with its first event.
+        let began = runs.filter(|r| made(r) > 0);
+        began.map(|r| json!([r.request, 0, made(r), 0])).collect()
+    }
+
     fn report(&self) -> String {
         let running = self.running.load(Ordering::SeqCst);
+        let runs = Instant::now()
+            .checked_sub(REPORT_AGE)
+            .map(|time| self.runs_at(time));
         let report = json!({
             "stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0,
             "running": running, "kv_used": 0, "kv_total": 1000, "handles": 0,
-            "born": self.options.born,
+            "born": self.options.born, "runs": runs.unwrap_or_default(),
         });
         report.to_string()
     }
@@ -277,6 +305,38 @@
             let (worker, born) = (&self.options.id, self.options.born);
             ledger.write_all(format!("{id} {asked} {now} {worker}@{born}\n").as_bytes())?;
         }
+        let answer = self.answers.fetch_add(1, Ordering::SeqCst);
+        let mut runs = self.runs.lock().unwrap();
+        runs.retain(|r| r.ended.is_none_or(|ended| ended.elapsed() < REPORT_AGE));
+        runs.push(Run {
+            answer,
+            request: id.to_owned(),
+            events: Vec::new(),
+            ended: None,
+        });
+        drop(runs);
+        let result = self.write_answer(request, stream, answer, last);
+        self.change_run(answer, |run| run.ended = Some(Instant::now()));
+        result
+    }
+
+    fn change_run(&self, answer: usize, change: impl FnOnce(&mut Run)) {
+        let mut runs = self.runs.lock().unwrap();
+        if let Some(run) = runs.iter_mut().find(|r| r.answer == answer) {
+            change(run);
+        }
+    }
+
+    /// Writes an answer that goes on after an event.
+    fn write_answer(
+        &self,
+        request: &Request,
+        stream: &mut TcpStream,
+        answer: usize,
+        last: Option<u64>,
+    ) -> io::Result<bool> {
+        let id = request.header("x-request-id").unwrap_or_default();
+        let asked = last.map_or("-".to_owned(), |last| last.to_string());
         let events = request.header("x-events").and_then(|n| n.parse().ok());
         let numbers = last.map_or(0, |last| last + 1)..events.unwrap_or(self.options.events);
         let mut text = self.options.text.clone();
@@ -284,7 +344,6 @@
             text.push_str(request.path.rsplit('/').next().unwrap_or_default());
             text.push('.');
         }
-        let answer = self.answers.fetch_add(1, Ordering::SeqCst);
         if self.options.name_run {
             let (worker, born) = (&self.options.id, self.options.born);
             text.push_str(&format!("{worker}@{born}_{answer}_{asked}."));
@@ -331,6 +390,7 @@
             if self.is_closed(answer) || (breaks && n == middle) {
                 return Ok(false);
             }
+            self.change_run(answer, |run| run.events.push(Instant::now()));
             let is_cut = spoil == Some(Spoil::Cut) && n == middle;
             let bytes = &event.as_bytes()[..event.len() / if is_cut { 2 } else { 1 }];
             let size = match self.options.piece {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -549,6 +549,7 @@
     pause: Duration,
     next: Vec<Behaviour>,
     runs: Vec<Request>,
+    reported_runs: Vec<String>,
     arrivals: Vec<Instant>,
     limit: Option<&'static str>,
     sent: u64,
@@ -569,6 +570,7 @@
             pause,
             next: Vec::new(),
             runs: Vec::new(),
+            reported_runs: Vec::new(),
             arrivals: Vec::new(),
             limit: None,
             sent: 0,
@@ -647,6 +649,11 @@
         self.state.lock().unwrap().copies
     }
 
+    /// Sets the requests that the worker reports as running.
+    pub fn report_runs(&self, requests: &[String]) {
+        self.state.lock().unwrap().reported_runs = requests.to_vec();
+    }
+
     /// Sets the start that the worker reports.
     pub fn set_born(&self, born: u64) {
         self.state.lock().unwrap().born = born;
@@ -691,10 +698,14 @@
         return answer(stream, 421, &head, "");
     }
     if is_report {
+        let state = state.lock().unwrap();
+        let runs = state.reported_runs.iter().map(|id| json!([id, 0, 1, 0]));
         let report = json!({
             "stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0, "running": 0,
-            "kv_used": 0, "kv_total": 1000, "handles": 0, "born": state.lock().unwrap().born,
+            "kv_used": 0, "kv_total": 1000, "handles": 0, "born": state.born,
+            "runs": runs.collect::<Vec<_>>(),
         });
+        drop(state);
         let head = format!("{leaving}content-type: application/json\r\n");
         return answer(stream, 200, &head, &report.to_string());
     }
--- a/tests/gateway_versions.rs
+++ b/tests/gateway_versions.rs
@@ -446,12 +446,9 @@
     assert!(count > 0, "streams whose version is clear go on");
 }
 
-/// Guards against streams that an instance began while it was cut off, and that another one takes up by
-/// shares that the first did not know.
-#[test]
-fn a_stream_of_an_instance_that_fell_silent_keeps_to_its_version() {
-    let mut side = Side::start(&["v1", "v1"]);
-    let one = Instance::start("one", &side.store, &[]);
+/// Makes an instance hear another one that uses the same shares and then falls silent, after which workers of
+/// a second version join.
+fn join_after_silence(side: &mut Side, instance: &Instance) {
     let shares = || side.store.get("stream-versions", "lm");
     until("shares are stored", || shares().is_some());
     let spec = shares().unwrap()["spec"].to_string();
@@ -479,7 +476,7 @@
             ended: Vec::new(),
         };
         let heartbeat = postcard::to_stdvec(&heartbeat).unwrap();
-        peer.send_to(&heartbeat, one.peers).unwrap();
+        peer.send_to(&heartbeat, instance.peers).unwrap();
         thread::sleep(Duration::from_millis(200));
     }
     thread::sleep(SETTLE);
@@ -489,6 +486,15 @@
     let shares = || side.store.get("stream-versions", "lm").unwrap()["spec"].to_string();
     until("the shares change", || shares().contains("v2"));
     thread::sleep(Duration::from_secs(2));
+}
+
+/// Guards against streams that an instance began while it was cut off, and that another one takes up by
+/// shares that the first did not know.
+#[test]
+fn a_stream_of_an_instance_that_fell_silent_keeps_to_its_version() {
+    let mut side = Side::start(&["v1", "v1"]);
+    let one = Instance::start("one", &side.store, &[]);
+    join_after_silence(&mut side, &one);
     let (begun, mut count) = (Instant::now(), 0);
     for n in 0..24 {
         // The silent instance began the stream at v1, the only version that it knew.
@@ -500,6 +506,55 @@
     assert!(count > 0, "streams whose version is clear go on");
 }
 
+/// Guards against streams of a silent instance that are refused as unclear although a worker reports that it
+/// runs them, and against runs that count although they tell nothing: those of a start that is not listed,
+/// and those that two versions report.
+#[test]
+fn a_stream_goes_on_at_the_version_whose_worker_reports_its_run() {
+    let mut side = Side::start(&["v1", "v1"]);
+    let one = Instance::start("one", &side.store, &[]);
+    join_after_silence(&mut side, &one);
+    let ids = |name: &str| (0..12).map(|n| format!("{name}-{n}")).collect::<Vec<_>>();
+    let (unlisted, twice) = (ids("unlisted"), ids("twice"));
+    let reported = |n: usize, names: &[&str]| {
+        let runs: Vec<String> = names.iter().flat_map(|name| ids(name)).collect();
+        side.workers[n].0.report_runs(&runs);
+    };
+    reported(1, &["first", "twice"]);
+    reported(2, &["second", "twice"]);
+    reported(5, &["unlisted"]);
+    side.workers[5].0.set_born(2);
+    let begun = Instant::now();
+    let go_on = |id: &String| {
+        // A report that comes late serves the next try.
+        let goes_on = (0..TRIES).any(|n| {
+            let answer = take_up(&one, &format!("again-{n}-{id}"), id, begun);
+            answer.is_some_and(|a| a.status == 200)
+        });
+        let tries: Vec<String> = (0..TRIES).map(|n| format!("again-{n}-{id}")).collect();
+        let tries: Vec<&str> = tries.iter().map(String::as_str).collect();
+        (goes_on, side.versions(&tries))
+    };
+    for (name, version) in [("first", "v1"), ("second", "v2")] {
+        let results: Vec<_> = ids(name).iter().map(go_on).collect();
+        let count = results.iter().filter(|(goes_on, _)| *goes_on).count();
+        println!("{name}: {count} of {} go on", results.len());
+        for (goes_on, versions) in results {
+            assert!(versions.is_empty() || versions == [version], "{versions:?}");
+            assert!(goes_on, "{count} streams of {version} go on");
+        }
+    }
+    for id in &unlisted {
+        let (_, versions) = go_on(id);
+        assert!(versions.is_empty() || versions == ["v1"], "{versions:?}");
+    }
+    for id in &twice {
+        let (goes_on, versions) = go_on(id);
+        // The shares alone show the version of some.
+        assert!(!goes_on || versions == ["v1"], "{versions:?}");
+    }
+}
+
 /// Guards against streams that an instance begins before it has read the shares, and that go on at another
 /// version elsewhere.
 #[test]
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -2,16 +2,21 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use gentianpath::{
+    adapter::reports,
     gateway::{
         dispatch::Dispatch,
         fleet::{Requirements, Worker},
+        run_reads::{INTERVAL, RunReads},
         shared_clock::SharedClock,
         versions::{History, Origin, ShareState, ShareVersion, StreamCall, Streams},
     },
     ids::{Map, SoftwareVersion},
 };
 
+use hyper::Response;
+
 const START: u64 = 1_800_000_000_000;
 
 fn slots(versions: &[(&str, u32)]) -> Map<SoftwareVersion, u32> {
@@ -327,6 +332,59 @@
     assert!(began.record_begun(&case.service, &kept, &v2, change + 60_000));
 }
 
+/// Guards against the run of a call at one service that counts as the beginning of a stream of another
+/// service, and against a version that is used although two versions ran the call.
+#[test]
+fn a_run_tells_the_version_of_its_stream_at_its_service_alone() {
+    let case = Case::new(&["v1", "v2"]);
+    let (v1, v2) = ("v1".into(), "v2".into());
+    let (one, two, call) = second_version();
+    let mut streams = Streams::default();
+    streams.merge(case.service.clone(), one, START);
+    streams.merge(case.service.clone(), two, START);
+    let now = START + 10_500;
+    let taken_up = case.call("b", Some(&call), 4000);
+    streams.hear_run(&"other".into(), &call, &v2, now);
+    let unclear = streams.version(&taken_up, case.serving(), now);
+    assert_eq!(unclear, Origin::Unclear);
+    streams.hear_run(&case.service, &call, &v1, now);
+    let known = streams.version(&taken_up, case.serving(), now);
+    assert_eq!(known, version("v1"));
+    streams.hear_run(&case.service, &call, &v2, now);
+    let unclear = streams.version(&taken_up, case.serving(), now);
+    assert_eq!(unclear, Origin::Unclear);
+}
+
+/// Guards against reports that are asked for more often than the workers' figures change.
+#[test]
+fn the_workers_of_a_service_are_asked_once_in_an_interval() {
+    let mut reads = RunReads::default();
+    let (lm, other) = ("lm".into(), "other".into());
+    let now = Duration::from_secs(1);
+    assert!(reads.begin(&lm, now));
+    assert!(!reads.begin(&lm, now));
+    assert!(!reads.begin(&lm, now + INTERVAL - Duration::from_millis(1)));
+    assert!(reads.begin(&other, now));
+    assert!(reads.begin(&lm, now + INTERVAL));
+}
+
+/// Guards against runs of a report that names no start, or that is another answer of the worker.
+#[test]
+fn a_report_names_the_runs_of_a_start() {
+    let report = |status: u16, body: &str| {
+        let answer = Response::builder().status(status);
+        let answer = answer.body(Bytes::from(body.to_owned())).unwrap();
+        reports::decode_running(&answer).map(|r| (r.started, r.requests))
+    };
+    let runs = r#"[["a", 120, 3, 0], ["b", 0, 1, 2]]"#;
+    let whole = format!(r#"{{"stage": "both", "born": 7, "runs": {runs}}}"#);
+    assert_eq!(report(200, &whole), Some((7, vec!["a".into(), "b".into()])));
+    assert_eq!(report(503, &whole), None);
+    assert_eq!(report(200, &format!(r#"{{"runs": {runs}}}"#)), None);
+    assert_eq!(report(200, r#"{"born": 7}"#), None);
+    assert_eq!(report(200, r#"{"born": 7, "runs": [[1, 2]]}"#), None);
+}
+
 #[test]
 fn the_time_that_a_caller_has_waited_counts_from_the_longest_one() {
     let case = Case::new(&["v1", "v2"]);
