Take streams up without asking once their versions are recorded

The take-up of a stream for which two versions were told asked the other instances and the workers, and waited for an answer, although nothing that they say can make the stream go on. The origin was also worked out by the shares before it was known whether the instance knows them all.

New streams and those that are taken up now have functions of their own: what was recorded of a stream counts first, then the shares once they are known, then what others tell.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -233,44 +233,69 @@
     }
 }
 
-/// Like `stream_origin`, but waits as long as for a worker until the version of a new stream is known.
-/// An instance that has just started knows neither shares nor workers.
+/// Returns the version at which the stream of a call has to begin or go on, or `None` for a call whose
+/// answer is never resumed.
 async fn await_origin(
     gateway: &Arc<Gateway>,
     service: &ServiceId,
     route: &Route,
     call: &Call,
 ) -> Option<Origin> {
+    if !route.is_resumable() {
+        return None;
+    }
+    Some(match call.after {
+        Some(_) => taken_up_origin(gateway, service, route, call).await,
+        None => new_origin(gateway, service, route, call).await,
+    })
+}
+
+/// Returns the version at which a new stream has to begin, and waits for it as long as for a worker. An
+/// instance that has just started knows neither shares nor workers.
+async fn new_origin(gateway: &Gateway, service: &ServiceId, route: &Route, call: &Call) -> Origin {
     let limit = route.objective.mul_f64(QUEUE_WAIT_SHARE);
-    if route.is_resumable() && call.after.is_some() {
-        let knows_shares = knows_shares(gateway, service, call).await;
+    loop {
         let origin = stream_origin(gateway, service, route, call);
-        if knows_shares && origin != Some(Origin::Unclear) {
+        if origin != Origin::Unclear || call.received.elapsed() >= limit {
             return origin;
         }
-        if is_told(gateway, service, call).await {
-            return stream_origin(gateway, service, route, call);
-        }
-        if !knows_shares {
-            event!(
-                Warn,
-                OriginUnclear,
-                "request={} origin={:?} store={}",
-                call.id,
-                call.origin,
-                gateway.reaches_store()
-            );
-        }
-        return Some(Origin::Unclear);
+        Timer::after(ORIGIN_POLL).await;
     }
-    loop {
+}
+
+/// Returns the version at which the stream that a call takes up has to go on. What was recorded of the stream
+/// counts before the shares, also if that is two versions.
+async fn taken_up_origin(
+    gateway: &Arc<Gateway>,
+    service: &ServiceId,
+    route: &Route,
+    call: &Call,
+) -> Origin {
+    let begun = call.origin.as_ref();
+    if begun.is_some_and(|id| gateway.streams().has_begun(service, id)) {
+        return stream_origin(gateway, service, route, call);
+    }
+    let knows_shares = knows_shares(gateway).await;
+    if knows_shares {
         let origin = stream_origin(gateway, service, route, call);
-        let is_open = origin == Some(Origin::Unclear) && call.after.is_none();
-        if !is_open || call.received.elapsed() >= limit {
+        if origin != Origin::Unclear {
             return origin;
         }
-        Timer::after(ORIGIN_POLL).await;
     }
+    if is_told(gateway, service, call).await {
+        return stream_origin(gateway, service, route, call);
+    }
+    if !knows_shares {
+        event!(
+            Warn,
+            OriginUnclear,
+            "request={} origin={:?} store={}",
+            call.id,
+            call.origin,
+            gateway.reaches_store()
+        );
+    }
+    Origin::Unclear
 }
 
 /// Asks the other instances and the workers for the version that began the stream of a call, and returns
@@ -292,16 +317,8 @@
     false
 }
 
-/// Returns whether this instance knows all shares by which the stream that a call takes up may have
-/// begun.
-async fn knows_shares(gateway: &Gateway, service: &ServiceId, call: &Call) -> bool {
-    let begun_here = call
-        .origin
-        .as_ref()
-        .is_some_and(|id| gateway.streams().has_begun(service, id));
-    if begun_here {
-        return true;
-    }
+/// Returns whether this instance knows all shares by which streams of other instances may have begun.
+async fn knows_shares(gateway: &Gateway) -> bool {
     // What the others use is known once they are heard.
     let started = Instant::now();
     while !gateway.knows_peers() {
@@ -313,18 +330,9 @@
     version_store::confirm(gateway, CONFIRM_LIMIT).await || gateway.is_store_unreached()
 }
 
-/// Returns the version at which the stream of a call has to begin or go on, or `None` for a call whose
-/// answer is never resumed.
-fn stream_origin(
-    gateway: &Gateway,
-    service: &ServiceId,
-    route: &Route,
-    call: &Call,
-) -> Option<Origin> {
-    if !route.is_resumable() {
-        return None;
-    }
-    Some(gateway.stream_version(&StreamCall {
+/// Returns the version at which the stream of a call has to begin or go on, as far as it is known now.
+fn stream_origin(gateway: &Gateway, service: &ServiceId, route: &Route, call: &Call) -> Origin {
+    gateway.stream_version(&StreamCall {
         service,
         route: &route.name,
         timeout: route.timeout,
@@ -333,7 +341,7 @@
         origin: call.origin.as_deref(),
         deadline: call.deadline,
         waited: Duration::from_millis(clock::steady_millis().saturating_sub(call.arrived)),
-    }))
+    })
 }
 
 impl Session {
