Choose the instances of other zones for messages in one place

Messages on streams that began chose the instances of their zone and one of each other zone by themselves, from the live ones; heartbeats chose relays with a rule that leaves out those that stop and tries all of a zone that is silent. Peers::zone_targets now serves both. Messages on streams therefore also go to instances of the zone that were not heard for 1.6 to 60 s, which may be cut off in one direction only.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -18,7 +18,7 @@
     clock,
     drain::Phase,
     event, fnv,
-    ids::{InstanceId, JobId, Map, ServiceId, SessionId, Set, SoftwareVersion, WorkerId, Zone},
+    ids::{InstanceId, JobId, Map, ServiceId, SessionId, Set, SoftwareVersion, WorkerId},
     mutex::{Mutex, lock},
 };
 
@@ -302,26 +302,13 @@
     if begun.is_empty() && asked.is_empty() {
         return;
     }
-    let peers = gateway.peers();
     let zone = &gateway.settings.zone;
-    let (near, far): (Vec<&Heartbeat>, _) =
-        peers.live(gateway.now()).partition(|h| h.zone == *zone);
-    let near: Vec<SocketAddr> = near.into_iter().map(|h| h.address).collect();
-    let mut zones: Map<Zone, Vec<SocketAddr>> = Map::default();
-    for heartbeat in far {
-        let zone = zones.entry(heartbeat.zone.clone()).or_default();
-        zone.push(heartbeat.address);
-    }
-    drop(peers);
+    let round = fastrand::u64(..);
     // The instances of a zone know the same streams.
-    let far: Vec<SocketAddr> = zones
-        .values()
-        .filter_map(fastrand::choice)
-        .copied()
-        .collect();
+    let Targets { near, far, .. } = gateway.peers().zone_targets(zone, 1, round, gateway.now());
     let one = fastrand::choice(&far);
     send_versions(socket, &begun, &near.iter().chain(one).copied().collect());
-    let targets = near.iter().chain(&far).copied().collect();
+    let targets = near.union(&far).copied().collect();
     for streams in asked.chunks(MAX_STREAMS) {
         send_fleet_message(socket, &FleetMessage::AskBegun(streams.to_vec()), &targets);
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -159,12 +159,12 @@
     is_listed: bool,
 }
 
-/// Heartbeat addresses of the other instances.
+/// Addresses of other instances for messages.
 #[derive(Debug, Default)]
 pub struct Targets {
     /// Instances of the local zone.
     pub near: Set<SocketAddr>,
-    /// Relays of the other zones, and instances that have not sent a heartbeat yet.
+    /// Some instances of each other zone, and those that have not sent a heartbeat yet.
     pub far: Set<SocketAddr>,
     /// Number of instances outside the local zone.
     pub outside: usize,
@@ -345,23 +345,32 @@
     /// pass it on to their neighbours. Each round uses the next relays, so that a failed one loses
     /// only some of the heartbeats until it counts as gone.
     pub fn targets(&self, zone: &Zone, round: u64, now: Duration) -> Targets {
-        let mut near = Set::default();
+        let mut targets = self.zone_targets(zone, RELAYS, round, now);
+        let known: Set<SocketAddr> = self.known.values().map(|p| p.heartbeat.address).collect();
+        let unknown = self.registered.iter().filter(|a| !known.contains(*a));
+        let unknown: Set<SocketAddr> = unknown.copied().collect();
+        targets.outside += unknown.len();
+        targets.far.extend(unknown);
+        targets
+    }
+
+    /// Returns the addresses of all known instances of a zone, and of at most `count` of each other zone. Each
+    /// round uses the next ones there.
+    pub fn zone_targets(&self, zone: &Zone, count: usize, round: u64, now: Duration) -> Targets {
+        let mut targets = Targets::default();
         let mut zones: Map<&Zone, Vec<&Peer>> = Map::default();
         for peer in self.known.values() {
             if peer.heartbeat.zone == *zone {
-                near.insert(peer.heartbeat.address);
+                targets.near.insert(peer.heartbeat.address);
             } else {
                 zones.entry(&peer.heartbeat.zone).or_default().push(peer);
+                targets.outside += 1;
             }
         }
-        let known: Set<SocketAddr> = self.known.values().map(|p| p.heartbeat.address).collect();
-        let unknown = self.registered.iter().filter(|a| !known.contains(*a));
-        let mut far: Set<SocketAddr> = unknown.copied().collect();
-        let outside = far.len() + zones.values().map(Vec::len).sum::<usize>();
         for peers in zones.into_values() {
-            far.extend(relays(peers, round, now));
+            targets.far.extend(relays(peers, count, round, now));
         }
-        Targets { near, far, outside }
+        targets
     }
 
     /// Returns the last heartbeat of the instance that runs a job, or `None` when it is the local
@@ -489,8 +498,13 @@
     }
 }
 
-/// Returns the addresses of the instances of a zone that pass on the heartbeats of a round.
-fn relays(mut peers: Vec<&Peer>, round: u64, now: Duration) -> impl Iterator<Item = SocketAddr> {
+/// Returns the addresses of at most `count` instances of a zone that get the messages of a round.
+fn relays(
+    mut peers: Vec<&Peer>,
+    count: usize,
+    round: u64,
+    now: Duration,
+) -> impl Iterator<Item = SocketAddr> {
     let usable = |p: &&Peer| now <= p.received + LIVENESS_TIMEOUT && !p.heartbeat.leaving;
     // A zone that is silent as a whole is cut off. Any of its instances may be back first.
     if peers.iter().any(usable) {
@@ -498,7 +512,7 @@
     }
     let mut addresses: Vec<SocketAddr> = peers.iter().map(|p| p.heartbeat.address).collect();
     addresses.sort_unstable();
-    let start = round.wrapping_mul(RELAYS as u64) % addresses.len().max(1) as u64;
+    let start = round.wrapping_mul(count as u64) % addresses.len().max(1) as u64;
     addresses.rotate_left(start as usize);
-    addresses.into_iter().take(RELAYS)
+    addresses.into_iter().take(count)
 }
