Keep the streams that began apart from the shares of the versions

Streams held both the shares of the versions and what is known of streams that began, and a stream carried its service and call only for the case that the shares change. The streams that began are now in begun.rs; the calls that the others were not told of are a list of their own there. No change of behaviour.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -23,6 +23,7 @@
 };
 
 use super::{
+    begun::StreamKey,
     block_store,
     change_log::MemberChange,
     crash_report::Report,
@@ -34,7 +35,7 @@
     peers::{Heartbeat, JobState, PeerChange, Targets},
     settings::Settings,
     slow_step::timed,
-    versions::{History, StreamKey},
+    versions::History,
     worker_limits::{Change, Notice, Reply},
 };
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,13 +1,14 @@
 //! Serves routed calls and batch jobs on a platform with its own registry of routes and workers.
 //!
-//! docs/platform.md describes the modules. `blame`, `block_record`, `change_log`, `config`, `crash_report`,
-//! `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`, `splice`, `sse`,
-//! `suspects`, `versions`, `view`, `worker_limits` and `write_gate` hold the logic; the other modules do
-//! the I/O.
+//! docs/platform.md describes the modules. `begun`, `blame`, `block_record`, `change_log`, `config`,
+//! `crash_report`, `dispatch`, `fleet`, `head`, `job`, `leaving`, `marks`, `orphans`, `pace`, `peers`,
+//! `splice`, `sse`, `suspects`, `versions`, `view`, `worker_limits` and `write_gate` hold the logic; the
+//! other modules do the I/O.
 
 pub mod answer;
 pub mod answer_end;
 mod attempt;
+pub mod begun;
 pub mod blame;
 pub mod block_record;
 pub mod block_store;
--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -16,6 +16,7 @@
 };
 
 use super::{
+    begun::{self, Begun, StreamKey},
     share_lag::{Heard, Lag},
     shared_clock::SharedClock,
 };
@@ -37,14 +38,6 @@
 const MAX_KEPT: usize = 64;
 /// Number of messages to each instance that tell new shares.
 const NEWS_MESSAGES: u32 = 3;
-/// Time for which an instance remembers the versions of streams.
-const REMEMBERED: Duration = Duration::from_secs(12);
-/// Maximum number of remembered streams up to which those of other instances are recorded.
-const MAX_REMEMBERED: usize = 1 << 15;
-
-/// Hash of a service and of the id of the call that began a stream there.
-pub type StreamKey = u64;
-
 /// The longest time that callers wait, by route.
 pub type Deadlines = Map<Arc<str>, Duration>;
 
@@ -252,49 +245,6 @@
     since > from.saturating_sub(millis(NEWS_DELAY + CLOCK_SLACK))
 }
 
-/// A stream that this instance or another one began or went on with.
-#[derive(Debug)]
-struct BegunStream {
-    /// Unclear if two versions were recorded.
-    origin: Origin,
-    /// Time when it was recorded.
-    at: u64,
-    /// Service and call, unless the other instances know the version.
-    untold: Option<(ServiceId, Arc<str>)>,
-}
-
-/// Versions of the streams that this instance began or went on with, and of those that others told.
-#[derive(Debug, Default)]
-struct Begun {
-    streams: Map<StreamKey, BegunStream>,
-    pruned: u64,
-}
-
-impl Begun {
-    fn prune(&mut self, now: u64) {
-        let remembered = millis(REMEMBERED);
-        if now >= self.pruned.saturating_add(remembered) {
-            self.pruned = now;
-            self.streams
-                .retain(|_, s| now < s.at.saturating_add(remembered));
-        }
-    }
-
-    fn get(&self, service: &ServiceId, call: &str) -> Option<Origin> {
-        let stream = self.streams.get(&key(service, call))?;
-        Some(stream.origin.clone())
-    }
-
-    /// Returns the version of a stream, with a further one that was recorded.
-    fn origin_with(&self, stream: StreamKey, version: &SoftwareVersion) -> Origin {
-        let version = Origin::Version(version.clone());
-        match self.streams.get(&stream) {
-            Some(known) if known.origin != version => Origin::Unclear,
-            _ => version,
-        }
-    }
-}
-
 /// A call for a stream that may be resumed.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamCall<'a> {
@@ -332,10 +282,6 @@
     behind_since: Option<u64>,
     is_read: bool,
     begun: Begun,
-    /// Versions of streams to tell the other instances of the zone.
-    untold: Vec<(StreamKey, SoftwareVersion)>,
-    /// Streams to ask the other instances for.
-    asked: Vec<StreamKey>,
     deadlines: Deadlines,
     /// Histories to tell the other instances, with the number of messages that are left.
     news: Map<ServiceId, u32>,
@@ -357,8 +303,9 @@
         let longest = call.timeout.max(*longest).min(KEPT);
         let history = self.histories.get(call.service);
         if call.resumes {
-            if let Some(origin) = call.origin.and_then(|id| self.begun.get(call.service, id)) {
-                return origin;
+            let stream = call.origin.map(|id| begun::key(call.service, id));
+            if let Some(origin) = stream.and_then(|s| self.begun.get(s)) {
+                return origin.clone();
             }
             if let Some(history) = history {
                 let left = call.deadline.filter(|left| *left < longest);
@@ -412,7 +359,7 @@
     /// Returns whether the version that began the stream of a call at a service is known, as it began or
     /// went on here or another instance told it.
     pub fn has_begun(&self, service: &ServiceId, call: &str) -> bool {
-        self.begun.get(service, call).is_some()
+        self.begun.get(begun::key(service, call)).is_some()
     }
 
     /// Records the version of a service that began the stream of a call here, or went on with it. Returns
@@ -424,35 +371,14 @@
         version: &SoftwareVersion,
         now: u64,
     ) -> bool {
-        self.begun.prune(now);
-        let stream = key(service, call);
         let is_unclear = self.is_unclear(service, call, version, now);
-        if is_unclear {
-            self.untold.push((stream, version.clone()));
-        }
-        let begun = BegunStream {
-            origin: self.begun.origin_with(stream, version),
-            at: now,
-            untold: (!is_unclear).then(|| (service.clone(), call.into())),
-        };
-        self.begun.streams.insert(stream, begun);
+        self.begun.record(service, call, version, is_unclear, now);
         is_unclear
     }
 
     /// Records the version of a stream that another instance began, or went on with.
     pub fn hear_begun(&mut self, stream: StreamKey, version: &SoftwareVersion, now: u64) {
-        self.begun.prune(now);
-        let origin = self.begun.origin_with(stream, version);
-        if let Some(known) = self.begun.streams.get_mut(&stream) {
-            known.origin = origin;
-        } else if self.begun.streams.len() < MAX_REMEMBERED {
-            let begun = BegunStream {
-                origin,
-                at: now,
-                untold: None,
-            };
-            self.begun.streams.insert(stream, begun);
-        }
+        self.begun.hear(stream, version, now);
     }
 
     /// Records the version of a worker of a service that ran a call. The stream of that call, if it began one,
@@ -464,34 +390,27 @@
         version: &SoftwareVersion,
         now: u64,
     ) {
-        self.hear_begun(key(service, call), version, now);
+        self.begun.hear(begun::key(service, call), version, now);
     }
 
     /// Returns the versions of streams to tell the other instances of the zone now.
     pub fn take_begun(&mut self) -> Vec<(StreamKey, SoftwareVersion)> {
-        std::mem::take(&mut self.untold)
+        self.begun.take_news()
     }
 
     /// Asks the other instances for the version that began the stream of a call.
     pub fn ask_begun(&mut self, service: &ServiceId, call: &str) {
-        self.asked.push(key(service, call));
+        self.begun.ask(begun::key(service, call));
     }
 
     /// Returns the streams to ask the other instances for now.
     pub fn take_asked(&mut self) -> Vec<StreamKey> {
-        std::mem::take(&mut self.asked)
+        self.begun.take_asked()
     }
 
     /// Returns those of some streams whose versions are known here.
     pub fn find_begun(&self, streams: &[StreamKey]) -> Vec<(StreamKey, SoftwareVersion)> {
-        let found =
-            streams
-                .iter()
-                .filter_map(|stream| match &self.begun.streams.get(stream)?.origin {
-                    Origin::Version(version) => Some((*stream, version.clone())),
-                    Origin::Unclear => None,
-                });
-        found.collect()
+        self.begun.find(streams)
     }
 
     /// Returns whether an instance that does not know when the stream of a call began, or what shares its
@@ -519,21 +438,10 @@
 
     /// Tells the versions of the streams of a service that became unclear as its shares changed.
     fn tell_begun(&mut self, service: &ServiceId, now: u64) {
-        let untold = self.begun.streams.iter().filter_map(|(stream, begun)| {
-            let (of, call) = begun.untold.as_ref()?;
-            let Origin::Version(version) = &begun.origin else {
-                return None;
-            };
-            let is_unclear = of == service && self.is_unclear(of, call, version, now);
-            is_unclear.then(|| (*stream, version.clone()))
-        });
-        let untold: Vec<(StreamKey, SoftwareVersion)> = untold.collect();
-        for (stream, _) in &untold {
-            if let Some(begun) = self.begun.streams.get_mut(stream) {
-                begun.untold = None;
-            }
-        }
-        self.untold.extend(untold);
+        let untold = self.begun.untold(service);
+        let unclear = untold.filter(|(_, call, v)| self.is_unclear(service, call, v, now));
+        let unclear: Vec<StreamKey> = unclear.map(|(stream, ..)| stream).collect();
+        self.begun.tell(&unclear);
     }
 
     /// Returns the history of a service, which is empty if none is known.
@@ -667,10 +575,6 @@
     }
 }
 
-fn key(service: &ServiceId, call: &str) -> StreamKey {
-    ownership::score(call, service)
-}
-
 fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
