Cut instances off in the other direction and over TCP in the soak

`away` has four more values. `unheard` and `unheard-store`: no other instance hears it, without and with a cut from the store. `isolated`: cut off from the store, and from the others for datagrams and calls in both directions. `stopped-twice`: it stands still, runs for 300 ms and stands still again.

Datagrams of one sender are taken by a second socket at the receiver's address that is connected to the sender. Calls are taken by a gate at the loopback address of a port whose listener is bound to all addresses, which passes on those of other processes.

--- a/tests/fleet_checks.rs
+++ b/tests/fleet_checks.rs
@@ -6,16 +6,27 @@
 mod gateway_support;
 mod support;
 
+use std::{
+    io::{Read as _, Write as _},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
 use serde_json::{Value, json};
 
 use fleet_support::{
     calls::has_own_id,
     history::{Fault as JobFault, History, Item, Read},
     jobs::check_result,
+    links::{Cut, Gate, Links},
     numbers::Numbers,
+    sockets,
     texts::{Expected, Fault},
 };
 use gateway_support::caller::Seen;
+use support::free_address;
 
 const JOB: &str = "r1s1j0x0";
 
@@ -304,3 +315,67 @@
     // The next process begins anew.
     assert_eq!(check(2, &page(3, 1, 0, 0)), 0);
 }
+
+/// Time in which a datagram or an answer arrives on this machine.
+const ARRIVAL_TIME: Duration = Duration::from_millis(500);
+
+/// Guards against a cut in one direction that also cuts the other one, or other senders.
+#[test]
+fn a_blocked_sender_is_not_heard_and_hears() {
+    let bind = || {
+        let socket = UdpSocket::bind(free_address()).unwrap();
+        socket.set_read_timeout(Some(ARRIVAL_TIME)).unwrap();
+        socket
+    };
+    let [receiver, sender, other] = [(); 3].map(|()| bind());
+    let arrives = |from: &UdpSocket, to: &UdpSocket| {
+        let (address, mut buffer) = (to.local_addr().unwrap(), [0; 1]);
+        from.send_to(b"x", address).unwrap();
+        let seen = to.recv_from(&mut buffer);
+        seen.is_ok_and(|(_, address)| address == from.local_addr().unwrap())
+    };
+    assert!(arrives(&sender, &receiver));
+    let (address, blocked) = (receiver.local_addr(), sender.local_addr());
+    let block = sockets::block(&receiver, address.unwrap(), blocked.unwrap()).unwrap();
+    for _ in 0..3 {
+        assert!(!arrives(&sender, &receiver));
+        assert!(arrives(&receiver, &sender));
+        assert!(arrives(&other, &receiver));
+    }
+    drop(block);
+    assert!(arrives(&sender, &receiver));
+}
+
+/// Guards against calls between instances that pass a cut, or are cut for other processes too.
+#[test]
+fn intercepted_calls_of_a_process_that_is_cut_off_do_not_arrive() {
+    let address = free_address();
+    let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, address.port()));
+    let beyond = SocketAddr::from(([127, 0, 0, 2], address.port()));
+    let listener = TcpListener::bind(any).unwrap();
+    let accepting = listener.try_clone().unwrap();
+    thread::spawn(move || {
+        for mut stream in accepting.incoming().flatten() {
+            let _ = stream.write_all(b"x");
+        }
+    });
+    let is_served = || {
+        let mut stream = TcpStream::connect(any).unwrap();
+        stream.set_read_timeout(Some(ARRIVAL_TIME)).unwrap();
+        stream.read(&mut [0; 1]).is_ok_and(|count| count == 1)
+    };
+    assert!(is_served());
+    for cut in [Cut::Hang, Cut::Reset] {
+        let links = Arc::<Links>::default();
+        let narrow = sockets::intercept(&listener, any).unwrap();
+        let gate = Gate::serve(links.clone(), narrow, beyond);
+        assert!(is_served());
+        links.cut(std::process::id(), cut);
+        assert!(!is_served(), "{cut:?}");
+        links.mend(std::process::id());
+        links.cut(1, cut);
+        assert!(is_served(), "{cut:?} of another process");
+        drop(gate);
+        assert!(is_served());
+    }
+}
--- a/tests/fleet_support/instances.rs
+++ b/tests/fleet_support/instances.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{File, OpenOptions},
     io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     os::fd::OwnedFd,
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -14,13 +14,22 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use super::{Fleet, datagrams, links::Cut, unix_ms, upgrades::Build};
+use super::{
+    Fleet,
+    links::Cut,
+    sockets::{self, Kind},
+    unix_ms,
+    upgrades::Build,
+};
 use crate::support::{
     free_address, http,
     link::{Link, State},
     until,
 };
 
+/// Loopback address that reaches a listener whose calls are intercepted.
+const BEYOND: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 2);
+
 /// What happens to an instance.
 #[derive(Debug, Clone, Copy)]
 pub enum Trouble {
@@ -98,7 +107,10 @@
 impl Instance {
     pub fn spawn(fleet: &Fleet, number: usize) -> Self {
         let name = format!("{}-e{number}", fleet.run);
-        let [callers, ready, peers, metrics] = [(); 4].map(|()| free_address());
+        let [callers, ready, mut peers, metrics] = [(); 4].map(|()| free_address());
+        if fleet.options.skew.is_some_and(|s| s.away.cuts_calls()) {
+            peers.set_ip(Ipv4Addr::UNSPECIFIED.into());
+        }
         let store = Link::new(fleet.store.address);
         let settings = json!({
             "instance": name, "zone": fleet.zone(number), "caller_address": callers,
@@ -164,7 +176,33 @@
     ///
     /// Returns an error when the process has ended or may not be inspected.
     pub fn cut_datagrams(&self) -> io::Result<OwnedFd> {
-        datagrams::cut(&self.process, self.peers)
+        sockets::cut(&self.process, self.peers)
+    }
+
+    /// Lets it receive no datagram from a sender until the returned socket is closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process has ended or may not be inspected.
+    pub fn block_datagrams(&self, sender: SocketAddr) -> io::Result<OwnedFd> {
+        let socket = sockets::find(&self.process, Kind::Datagram, self.peers)?;
+        sockets::block(socket, self.peers, sender)
+    }
+
+    /// Returns a listener that gets the calls of other instances to it, and the address at which it
+    /// still accepts them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process has ended or may not be inspected.
+    pub fn intercept_calls(&self) -> io::Result<(TcpListener, SocketAddr)> {
+        let socket = sockets::find(&self.process, Kind::Listener, self.peers)?;
+        let listener = sockets::intercept(socket, self.peers)?;
+        Ok((listener, (BEYOND, self.peers.port()).into()))
+    }
+
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
     }
 
     /// Stops it as planned.
--- a/tests/fleet_support/links.rs
+++ b/tests/fleet_support/links.rs
@@ -6,12 +6,12 @@
 use std::{
     collections::{HashMap, HashSet},
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, Weak,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    thread,
+    thread::{self, JoinHandle},
     time::Duration,
 };
 
@@ -201,15 +201,20 @@
 pub struct Gate {
     pub address: SocketAddr,
     ended: Arc<AtomicBool>,
+    acceptor: Option<JoinHandle<()>>,
 }
 
 impl Gate {
     pub fn start(links: Arc<Links>, worker: SocketAddr) -> Self {
-        let listener = listen();
+        Self::serve(links, listen(), worker)
+    }
+
+    /// Starts a gate with a listener.
+    pub fn serve(links: Arc<Links>, listener: TcpListener, worker: SocketAddr) -> Self {
         let address = listener.local_addr().unwrap();
         let ended = Arc::new(AtomicBool::default());
         let stop = ended.clone();
-        thread::spawn(move || {
+        let acceptor = thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 if stop.load(Ordering::SeqCst) {
                     break;
@@ -225,7 +230,11 @@
                 });
             }
         });
-        Self { address, ended }
+        Self {
+            address,
+            ended,
+            acceptor: Some(acceptor),
+        }
     }
 }
 
@@ -235,6 +244,8 @@
         self.ended.store(true, Ordering::SeqCst);
         // Wakes the thread that waits for a connection.
         let _ = TcpStream::connect(self.address);
+        // The thread owns the listener.
+        let _ = self.acceptor.take().map(JoinHandle::join);
     }
 }
 
--- a/tests/fleet_support/mod.rs
+++ b/tests/fleet_support/mod.rs
@@ -2,7 +2,7 @@
 //! and troubles that overlap.
 
 pub mod calls;
-pub mod datagrams;
+pub mod cuts;
 pub mod guard;
 pub mod history;
 pub mod instances;
@@ -11,6 +11,7 @@
 pub mod numbers;
 pub mod only;
 pub mod skew;
+pub mod sockets;
 pub mod texts;
 pub mod troubles;
 pub mod upgrades;
--- a/tests/fleet_support/skew.rs
+++ b/tests/fleet_support/skew.rs
@@ -3,16 +3,14 @@
 
 use std::{
     collections::BTreeMap,
-    os::fd::OwnedFd,
     sync::Mutex,
     thread,
     time::{Duration, Instant},
 };
 
-use rustix::process::Signal;
-
 use super::{
-    Fleet, Options, Size, datagrams,
+    Fleet, Options, Size,
+    cuts::{Away, Cut},
     instances::Instance,
     only::Only,
     pause,
@@ -75,20 +73,6 @@
     silent: true,
 };
 
-/// How an instance is out of step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Away {
-    /// Cut off from the store.
-    Store,
-    /// Hears no other instance. The others hear it, and calls between them work.
-    Peers,
-    Both,
-    /// Stands still.
-    Stopped,
-    /// Nothing happens to it.
-    None,
-}
-
 /// When an instance that was out of step is back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Back {
@@ -176,6 +160,10 @@
                     ("both", Away::Both),
                     ("stopped", Away::Stopped),
                     ("none", Away::None),
+                    ("unheard", Away::Unheard),
+                    ("unheard-store", Away::UnheardStore),
+                    ("isolated", Away::Isolated),
+                    ("stopped-twice", Away::StoppedTwice),
                 ],
                 rng,
             ),
@@ -297,41 +285,6 @@
     }
 }
 
-/// Ends of a cut.
-struct Cut {
-    socket: Option<OwnedFd>,
-}
-
-impl Cut {
-    fn begin(instance: &Instance, skew: Skew) -> Self {
-        let state = if skew.silent {
-            State::Silent
-        } else {
-            State::Cut
-        };
-        if matches!(skew.away, Away::Store | Away::Both) {
-            instance.set_store(state);
-        }
-        if skew.away == Away::Stopped {
-            instance.signal(Signal::STOP);
-        }
-        let is_deaf = matches!(skew.away, Away::Peers | Away::Both);
-        Self {
-            socket: is_deaf.then(|| instance.cut_datagrams().unwrap()),
-        }
-    }
-
-    fn end(self, instance: &Instance, away: Away) {
-        instance.set_store(State::Open);
-        if away == Away::Stopped {
-            instance.signal(Signal::CONT);
-        }
-        if let Some(socket) = self.socket {
-            datagrams::mend(socket).unwrap();
-        }
-    }
-}
-
 fn sleep_until(time: Instant) {
     thread::sleep(time.saturating_duration_since(Instant::now()));
 }
@@ -397,10 +350,11 @@
             });
             sleep_until(day.begin + SETTLE_TIME);
             self.note(&format!("instance {skewed} is out of step"));
-            let mut cut = Some(Cut::begin(&instances[skewed], skew));
+            let cut = Cut::begin(&instances, skewed, skew.away, skew.silent);
+            let mut cut = Some(cut.unwrap());
             if day.back() < day.end_of_streams() {
                 sleep_until(day.back());
-                cut.take().unwrap().end(&instances[skewed], skew.away);
+                cut.take().unwrap().end(&instances[skewed]).unwrap();
                 self.note(&format!("instance {skewed} is back"));
             }
             sleep_until(day.end_of_streams());
@@ -415,7 +369,7 @@
             }
             sleep_until(day.back());
             if let Some(cut) = cut {
-                cut.end(&instances[skewed], skew.away);
+                cut.end(&instances[skewed]).unwrap();
                 self.note(&format!("instance {skewed} is back"));
             }
             versions.join().unwrap();
