Begin cuts between instances at once on a busy machine

A debug build of the test parsed all of them for each instance at the cut and for each call that reached a gate; the gate in front of the instance that is cut off also read the open files of all others.

The table is now searched as text for one pair of addresses, and all calls to the instance that is cut off go to a link that is silent or closed, which needs no search. That the parsing alone cost this time was not measured.

--- a/tests/fleet_support/cuts.rs
+++ b/tests/fleet_support/cuts.rs
@@ -9,7 +9,7 @@
     links::{self, Gate, Links},
     sockets,
 };
-use crate::support::link::State;
+use crate::support::link::{Link, State};
 
 /// Time for which an instance stands still before it stands still again.
 const FIRST_STOP: Duration = Duration::from_millis(1300);
@@ -66,24 +66,22 @@
     }
 }
 
-/// A gate at the address for calls of an instance, and the processes that are cut off from it.
+/// A gate in front of an instance that stops the calls of one process.
 struct CallCut {
     links: Arc<Links>,
-    processes: Vec<u32>,
+    process: u32,
     _gate: Gate,
 }
 
 impl CallCut {
-    fn begin(to: &Instance, processes: Vec<u32>, cut: links::Cut) -> io::Result<Self> {
-        let links = Arc::<Links>::default();
-        for process in &processes {
-            links.cut(*process, cut);
-        }
+    fn begin(from: &Instance, to: &Instance, cut: links::Cut) -> io::Result<Self> {
+        let (links, process) = (Arc::<Links>::default(), from.process_id());
+        links.cut(process, cut);
         let (listener, beyond) = to.intercept_calls()?;
         Ok(Self {
             _gate: Gate::serve(links.clone(), listener, beyond),
             links,
-            processes,
+            process,
         })
     }
 }
@@ -91,9 +89,7 @@
 impl Drop for CallCut {
     /// Lets the connections that hang go on.
     fn drop(&mut self) {
-        for process in &self.processes {
-            self.links.mend(*process);
-        }
+        self.links.mend(self.process);
     }
 }
 
@@ -104,6 +100,8 @@
     /// Sockets that take what the instance sends to the others.
     _blocks: Vec<OwnedFd>,
     _calls: Vec<CallCut>,
+    /// A gate in front of the instance, and the link that stops all calls to it.
+    _called: Option<(Gate, Link)>,
 }
 
 impl Cut {
@@ -120,13 +118,13 @@
     ) -> io::Result<Self> {
         let instance = &instances[skewed];
         let others = || instances.iter().enumerate().filter(|(n, _)| *n != skewed);
-        let (store, calls) = if silent {
+        let (state, call_cut) = if silent {
             (State::Silent, links::Cut::Hang)
         } else {
             (State::Cut, links::Cut::Reset)
         };
         if away.cuts_store() {
-            instance.set_store(store);
+            instance.set_store(state);
         }
         let deaf = away.is_deaf().then(|| instance.cut_datagrams());
         let mut cut = Self {
@@ -134,18 +132,20 @@
             deaf: deaf.transpose()?,
             _blocks: Vec::new(),
             _calls: Vec::new(),
+            _called: None,
         };
         if away.is_unheard() {
             let blocks = others().map(|(_, other)| other.block_datagrams(instance.peers));
             cut._blocks = blocks.collect::<io::Result<_>>()?;
         }
         if away.cuts_calls() {
-            let processes = others().map(|(_, other)| other.process_id()).collect();
-            cut._calls.push(CallCut::begin(instance, processes, calls)?);
-            for (_, other) in others() {
-                let process = vec![instance.process_id()];
-                cut._calls.push(CallCut::begin(other, process, calls)?);
-            }
+            let (listener, beyond) = instance.intercept_calls()?;
+            let link = Link::new(beyond);
+            link.set(state);
+            let gate = Gate::serve(Arc::default(), listener, link.address);
+            cut._called = Some((gate, link));
+            let calls = others().map(|(_, other)| CallCut::begin(instance, other, call_cut));
+            cut._calls = calls.collect::<io::Result<_>>()?;
         }
         if away.is_stopped() {
             instance.signal(Signal::STOP);
--- a/tests/fleet_support/instances.rs
+++ b/tests/fleet_support/instances.rs
@@ -196,7 +196,7 @@
     ///
     /// Returns an error when the process has ended or may not be inspected.
     pub fn intercept_calls(&self) -> io::Result<(TcpListener, SocketAddr)> {
-        let socket = sockets::find(&self.process, Kind::Listener, self.peers)?;
+        let socket = sockets::find(&self.process, Kind::Stream, self.peers)?;
         let listener = sockets::intercept(socket, self.peers)?;
         Ok((listener, (BEYOND, self.peers.port()).into()))
     }
--- a/tests/fleet_support/links.rs
+++ b/tests/fleet_support/links.rs
@@ -17,7 +17,10 @@
 
 use rustix::net::sockopt::set_socket_linger;
 
-use super::Fleet;
+use super::{
+    Fleet,
+    sockets::{self, Kind},
+};
 use crate::support::ports::listen;
 
 /// Size of the forwarding buffer.
@@ -145,11 +148,11 @@
         drop(open);
         let processes: Vec<u32> = self.cuts.lock().unwrap().keys().copied().collect();
         if !processes.is_empty()
-            && let Some(inode) = inodes_by_ends()?.get(&ends)
+            && let Some(inode) = sockets::inode(Kind::Stream, ends.0, Some(ends.1))?
         {
             let owner = processes
                 .into_iter()
-                .find(|process| inodes(*process).is_ok_and(|i| i.contains(inode)));
+                .find(|process| inodes(*process).is_ok_and(|i| i.contains(&inode)));
             // The cut may have ended in the meantime.
             let cuts = self.cuts.lock().unwrap();
             if let Some((owner, cut)) = owner.and_then(|o| Some((o, cuts.get(&o)?))) {
--- a/tests/fleet_support/sockets.rs
+++ b/tests/fleet_support/sockets.rs
@@ -26,14 +26,14 @@
 #[derive(Debug, Clone, Copy)]
 pub enum Kind {
     Datagram,
-    Listener,
+    Stream,
 }
 
 impl Kind {
     fn table(self) -> &'static str {
         match self {
             Self::Datagram => "/proc/net/udp",
-            Self::Listener => "/proc/net/tcp",
+            Self::Stream => "/proc/net/tcp",
         }
     }
 }
@@ -97,7 +97,8 @@
 ///
 /// Returns an error when the process has no such socket or may not be inspected.
 pub fn find(process: &Child, kind: Kind, address: SocketAddr) -> io::Result<OwnedFd> {
-    let target = format!("socket:[{}]", inode(kind, address)?);
+    let inode = inode(kind, address, None)?.ok_or(io::ErrorKind::NotFound)?;
+    let target = format!("socket:[{inode}]");
     let files = fs::read_dir(format!("/proc/{}/fd", process.id()))?;
     let number = files.flatten().find_map(|file| {
         let is_socket = fs::read_link(file.path()).is_ok_and(|t| t.as_os_str() == &*target);
@@ -114,19 +115,30 @@
     (Ipv4Addr::LOCALHOST, address.port()).into()
 }
 
-/// Returns the inode of the socket that is bound to an address and connected to none.
-fn inode(kind: Kind, address: SocketAddr) -> io::Result<String> {
+/// Returns the inode of a socket by its local and remote address, if there is one.
+///
+/// # Errors
+///
+/// Returns an error when the table of the kernel cannot be read.
+pub fn inode(
+    kind: Kind,
+    local: SocketAddr,
+    remote: Option<SocketAddr>,
+) -> io::Result<Option<String>> {
+    let remote = remote.and_then(hex).unwrap_or_else(|| NO_PEER.into());
+    let local = hex(local).ok_or(io::ErrorKind::Unsupported)?;
+    // The table is searched as text, as it lists all sockets of the machine.
+    let table = fs::read_to_string(kind.table())?;
+    let rest = table.split_once(&format!(" {local} {remote} "));
+    let inode = rest.and_then(|(_, rest)| rest.split_whitespace().nth(6));
+    Ok(inode.map(str::to_owned))
+}
+
+/// Returns an address as the tables of the kernel have it.
+fn hex(address: SocketAddr) -> Option<String> {
     let SocketAddr::V4(address) = address else {
-        return Err(io::ErrorKind::Unsupported.into());
+        return None;
     };
     let host = u32::from_ne_bytes(address.ip().octets());
-    let local = format!("{host:08X}:{:04X}", address.port());
-    let table = fs::read_to_string(kind.table())?;
-    let mut sockets = table.lines().map(|line| line.split_whitespace());
-    let is_bound = |fields: &std::str::SplitWhitespace<'_>| {
-        let mut ends = fields.clone().skip(1);
-        ends.next() == Some(&*local) && ends.next() == Some(NO_PEER)
-    };
-    let inode = sockets.find(is_bound).and_then(|mut f| f.nth(9));
-    Ok(inode.ok_or(io::ErrorKind::NotFound)?.to_owned())
+    Some(format!("{host:08X}:{:04X}", address.port()))
 }
