List streams of instances that are cut off for more than a minute

A silent instance is forgotten after 60 s, and with it the time since which it may have used earlier shares. It goes on beginning streams by them. A new pure test has one begin a stream at v1; another instance finds its origin unclear at 59 s after the last heartbeat and claims v2 at 61 s.

--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -460,6 +460,29 @@
     assert_eq!(later, version("v2"));
 }
 
+/// Guards against streams that an instance begins after it has been cut off for more than a minute, and
+/// that go on at another version elsewhere since the others have forgotten it.
+#[test]
+fn an_instance_that_is_cut_off_for_minutes_may_still_begin_streams() {
+    let case = Case::new(&["v1", "v2"]);
+    let (one, two, call) = second_version();
+    let mut cut_off = Streams::default();
+    cut_off.merge("lm".into(), one.clone(), START);
+    let mut streams = Streams::default();
+    streams.merge("lm".into(), one.clone(), START);
+    let heard = START + 9000;
+    streams.hear(&"peer".into(), &shares_of(&one, 0), heard);
+    streams.merge("lm".into(), two, START + 10_000);
+    for silent in [30_000, 59_000, 61_000, 300_000] {
+        let now = heard + silent;
+        let begun = cut_off.version(&case.call(&call, None, 5000), case.serving(), now - 500);
+        assert_eq!(begun, version("v1"));
+        let taken_up = case.call("b", Some(&call), 4500);
+        let claimed = streams.version(&taken_up, case.serving(), now);
+        assert_eq!(claimed, Origin::Unclear, "after {silent} ms");
+    }
+}
+
 /// Guards against an instance that has just started and has not heard one that lags.
 #[test]
 fn an_instance_learns_from_others_that_one_lags() {
