--- a/tests/fleet_support/links.rs
+++ b/tests/fleet_support/links.rs
@@ -6,18 +6,21 @@
 use std::{
     collections::{HashMap, HashSet},
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, Weak,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    thread,
+    thread::{self, JoinHandle},
     time::Duration,
 };
 
 use rustix::net::sockopt::set_socket_linger;
 
-use super::Fleet;
+use super::{
+    Fleet,
+    sockets::{self, Kind},
+};
 use crate::support::ports::listen;
 
 /// Size of the forwarding buffer.
@@ -145,11 +148,11 @@
         drop(open);
         let processes: Vec<u32> = self.cuts.lock().unwrap().keys().copied().collect();
         if !processes.is_empty()
-            && let Some(inode) = inodes_by_ends()?.get(&ends)
+            && let Some(inode) = sockets::inode(Kind::Stream, ends.0, Some(ends.1))?
         {
             let owner = processes
                 .into_iter()
-                .find(|process| inodes(*process).is_ok_and(|i| i.contains(inode)));
+                .find(|process| inodes(*process).is_ok_and(|i| i.contains(&inode)));
             // The cut may have ended in the meantime.
             let cuts = self.cuts.lock().unwrap();
             if let Some((owner, cut)) = owner.and_then(|o| Some((o, cuts.get(&o)?))) {
@@ -201,15 +204,20 @@
 pub struct Gate {
     pub address: SocketAddr,
     ended: Arc<AtomicBool>,
+    acceptor: Option<JoinHandle<()>>,
 }
 
 impl Gate {
     pub fn start(links: Arc<Links>, worker: SocketAddr) -> Self {
-        let listener = listen();
+        Self::serve(links, listen(), worker)
+    }
+
+    /// Starts a gate with a listener.
+    pub fn serve(links: Arc<Links>, listener: TcpListener, worker: SocketAddr) -> Self {
         let address = listener.local_addr().unwrap();
         let ended = Arc::new(AtomicBool::default());
         let stop = ended.clone();
-        thread::spawn(move || {
+        let acceptor = thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 if stop.load(Ordering::SeqCst) {
                     break;
@@ -225,7 +233,11 @@
                 });
             }
         });
-        Self { address, ended }
+        Self {
+            address,
+            ended,
+            acceptor: Some(acceptor),
+        }
     }
 }
 
@@ -235,6 +247,8 @@
         self.ended.store(true, Ordering::SeqCst);
         // Wakes the thread that waits for a connection.
         let _ = TcpStream::connect(self.address);
+        // The thread owns the listener.
+        let _ = self.acceptor.take().map(JoinHandle::join);
     }
 }
 
