Send requests on at workers that end each report with its connection

A request was refused with 503 that could run, and its only worker left out, if the worker closes each connection after a report without announcing it. The end came after the check that the connection is ready, so the request was not written (`NotSent`) on a connection that had carried only the report, which counted as a failure of the worker.

Such a request is now sent again over a connection that carries no report and is proved by one on a later connection. The instance remembers the start of the worker that closes its connections so, and sends all requests and items to it that way at once, so each request is affected once at most and no count is needed. It no longer keeps connections idle that carried a report last, as the next request on one may be lost (`Sent`). Announced ends are not remembered. Items that were not written on a kept or reported connection start again without a pause.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,7 +19,7 @@
 use super::{
     blame::FIRST_PROBE,
     block_store,
-    connection::{self, AttemptError, SendError},
+    connection::{self, AttemptError, Connection, SendError},
     dispatch::{Busy, Placement},
     fleet::{Requirements, Worker},
     forward::{CRASHING, Failure, MAX_ANSWER_BYTES, Session, StartedAnswer},
@@ -268,7 +268,9 @@
                 return Ok(AttemptResult::TryNext);
             }
         };
-        let reused = connection.reused;
+        let Connection {
+            reused, reported, ..
+        } = connection;
         placement.path = connection.path.clone();
         if !placement.path.is_direct() {
             event!(
@@ -317,9 +319,11 @@
                     worker.zone,
                     reused
                 );
-                // A worker may close an idle connection at any time; a new connection may still
-                // work.
-                if !reused {
+                // A worker may close an idle connection at any time, and some close each after a report; a
+                // new connection may still work.
+                if reported {
+                    self.gateway.upstream.record_report_end(&worker);
+                } else if !reused {
                     if self.gateway.is_worker_fault(&placement.path) {
                         dispatch.record_failure(&worker.id);
                     }
@@ -337,6 +341,9 @@
                 return Err(Failure::TimedOut);
             }
             Err(SendError::Sent(reason)) => {
+                if reported {
+                    self.gateway.upstream.record_report_end(&worker);
+                }
                 return Ok(AttemptResult::Broken(
                     placement,
                     AttemptError::closed(reason),
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -53,6 +53,8 @@
     pub last_used: Instant,
     /// Whether an earlier answer was received on the connection.
     pub reused: bool,
+    /// Whether the last request on it was a call for a report, after which some workers close it.
+    pub reported: bool,
     /// Path of the connection.
     pub path: Path,
 }
@@ -208,6 +210,7 @@
             opened: Instant::now(),
             last_used: Instant::now(),
             reused: false,
+            reported: false,
             path,
         })
     }
@@ -221,6 +224,11 @@
         within(READY_WAIT, ready).await.is_ok()
     }
 
+    /// Returns whether the connection has ended, as far as is known.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sets the decision behind the next request.
     pub fn set_decision(&self, decision: Decision) {
         self.gate.set(decision);
@@ -235,6 +243,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.reported = false;
         self.head.start();
         let sent = self.sender.try_send_request(request).await;
         self.head.stop();
@@ -299,6 +308,15 @@
     is_chunked || answer.body().size_hint().exact().is_some()
 }
 
+/// Returns whether an answer that was read tells that its connection ends.
+pub fn announces_end<B>(answer: &Response<B>) -> bool {
+    let options = answer.headers().get_all(header::CONNECTION).iter();
+    let mut options = options
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','));
+    options.any(|o| o.trim().eq_ignore_ascii_case("close"))
+}
+
 async fn answered_within<T>(
     limit: Duration,
     work: impl Future<Output = Result<T, SendError>>,
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -234,9 +234,22 @@
             reused: connection.reused,
         });
         let sent = dispatch.now();
-        let answer = match connection.send_within(request, STALL_LIMIT).await {
+        let Connection {
+            reused, reported, ..
+        } = connection;
+        let answer = connection.send_within(request, STALL_LIMIT).await;
+        if let Err(SendError::NotSent(_) | SendError::Sent(_)) = &answer
+            && reported
+        {
+            self.gateway.upstream.record_report_end(worker);
+        }
+        let answer = match answer {
             Ok(answer) => answer,
             Err(SendError::Revoked(reason)) => return RunEnd::Revoked(reason),
+            // A new connection may still work.
+            Err(SendError::NotSent(e)) if reused || reported => {
+                return RunEnd::Revoked(e);
+            }
             Err(SendError::NotSent(e)) => return RunEnd::Broken(AttemptError::fault(e)),
             Err(SendError::Sent(reason)) => {
                 self.record_failure(placement);
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -113,7 +113,10 @@
                 Delivery::Whole.report_limit()
             };
             match connection.exchange(request, limit, Proof::Content).await {
-                Ok(answer) => return self.check(&answer, connection),
+                Ok(answer) => {
+                    connection.reported = true;
+                    return self.check(&answer, connection);
+                }
                 Err(_) if connection.reused => {}
                 Err(SendError::TimedOut(_)) => return Err(io::ErrorKind::TimedOut.into()),
                 Err(e) => return Err(connection::aborted(e.into_reason())),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -57,6 +57,8 @@
 struct Idle {
     started: Option<u64>,
     connections: Vec<Connection>,
+    /// Whether connections end after a report, without a notice.
+    reports_end: bool,
 }
 
 /// Reason why there is no connection to the listed start of a worker.
@@ -83,12 +85,13 @@
     }
 }
 
-/// Checks that the process at the other end of a new connection is the listed start of a worker.
+/// Checks that the process at the other end of a new connection is the listed start of a worker, and returns
+/// whether it announced that the connection ends.
 async fn check_start(
     gateway: &Gateway,
     worker: &Worker,
     connection: &mut Connection,
-) -> Result<(), ReachError> {
+) -> Result<bool, ReachError> {
     let request = reports::request(worker).map_err(|e| ReachError::Unproven(e.to_string()))?;
     let answer = connection.exchange(request, REPORT_LIMIT, Proof::Content);
     let answer = answer.await.map_err(|e| match e {
@@ -118,7 +121,7 @@
     if report.leaving {
         gateway.record_leaving(worker);
     }
-    Ok(())
+    Ok(connection::announces_end(&answer))
 }
 
 /// Records that there is no connection to the listed start of a worker, and returns whether its zone now
@@ -137,6 +140,15 @@
     false
 }
 
+impl Idle {
+    fn of(worker: &Worker) -> Self {
+        Self {
+            started: worker.started,
+            ..Self::default()
+        }
+    }
+}
+
 impl Upstream {
     /// Builds a pool of connections whose buffers are bounded.
     pub fn new(memory: Arc<Memory>) -> Self {
@@ -160,22 +172,30 @@
         worker: &Worker,
         repeatable: bool,
     ) -> Result<Connection, ReachError> {
+        if let Some(kept) = self.take_open(gateway, worker, repeatable).await {
+            return Ok(kept);
+        }
         let open = async || {
-            let reached = self.reach(gateway, worker, repeatable).await;
-            reached.map_err(ReachError::Unreachable)
+            let opened = self.open(gateway, worker).await;
+            opened.map_err(ReachError::Unreachable)
         };
         let mut connection = open().await?;
-        if connection.reused || worker.started.is_none() {
+        if worker.started.is_none() {
             return Ok(connection);
         }
-        check_start(gateway, worker, &mut connection).await?;
-        if connection.is_ready().await {
-            connection.reused = false;
-            return Ok(connection);
+        if !self.reports_end(worker) {
+            let announced = check_start(gateway, worker, &mut connection).await?;
+            if connection.is_ready().await {
+                connection.reused = false;
+                connection.reported = true;
+                return Ok(connection);
+            }
+            if !announced && connection.is_closed() {
+                self.record_report_end(worker);
+            }
+            connection = open().await?;
         }
-        // Some answers end with their connection. A report on a later connection shows that the listed
-        // start was there when this one was opened.
-        let connection = open().await?;
+        // A report on a later connection shows that the listed start was there when this one was opened.
         let mut later = open().await?;
         check_start(gateway, worker, &mut later).await?;
         Ok(connection)
@@ -193,6 +213,24 @@
         }
     }
 
+    /// Records that a connection ended after a report, without a notice and before a request on it was
+    /// answered. Requests to this run of the worker then go over connections that carried no report, so that
+    /// each is affected once at most.
+    pub fn record_report_end(&self, worker: &Worker) {
+        let mut idle = lock(&self.idle);
+        let idle = idle.entry(worker.id.clone()).or_default();
+        if idle.started != worker.started {
+            *idle = Idle::of(worker);
+        }
+        idle.reports_end = true;
+    }
+
+    fn reports_end(&self, worker: &Worker) -> bool {
+        let idle = lock(&self.idle);
+        let idle = idle.get(&worker.id);
+        idle.is_some_and(|i| i.started == worker.started && i.reports_end)
+    }
+
     /// Returns a connection to the address of a worker, through another instance while this one is cut off
     /// from all workers. A new one may end at another start of the worker than the listed one.
     ///
@@ -205,8 +243,31 @@
         worker: &Worker,
         repeatable: bool,
     ) -> io::Result<Connection> {
+        match self.take_open(gateway, worker, repeatable).await {
+            Some(kept) => Ok(kept),
+            None => self.open(gateway, worker).await,
+        }
+    }
+
+    /// Returns a recently used idle connection to a worker, unless this instance is cut off from all
+    /// workers.
+    async fn take_open(
+        &self,
+        gateway: &Gateway,
+        worker: &Worker,
+        repeatable: bool,
+    ) -> Option<Connection> {
+        if gateway.is_cut_off() {
+            return None;
+        }
+        self.take_ready(worker, repeatable).await
+    }
+
+    /// Opens a connection to the address of a worker, through another instance while this one is cut off
+    /// from all workers.
+    async fn open(&self, gateway: &Arc<Gateway>, worker: &Worker) -> io::Result<Connection> {
         if !gateway.is_cut_off() {
-            let error = match self.connect(worker, repeatable).await {
+            let error = match self.open_direct(worker).await {
                 Ok(connection) => return Ok(connection),
                 Err(e) => e,
             };
@@ -288,7 +349,8 @@
 
     /// Keeps a connection whose answer was read to its end, if this instance's share of the
     /// worker's idle connections is not used up. `instances` is the number of instances that share
-    /// them. Of two runs under one id, the connections to the later one are kept.
+    /// them. Of two runs under one id, the connections to the later one are kept. One that may end after a
+    /// report is not kept.
     pub fn keep(
         &self,
         worker: &Worker,
@@ -305,12 +367,10 @@
         let mut idle = lock(&self.idle);
         let idle = idle.entry(worker.id.clone()).or_default();
         if idle.started < worker.started {
-            *idle = Idle {
-                started: worker.started,
-                connections: Vec::new(),
-            };
+            *idle = Idle::of(worker);
         }
-        if idle.started == worker.started && idle.connections.len() < max_idle {
+        let may_end = connection.reported && idle.reports_end;
+        if idle.started == worker.started && !may_end && idle.connections.len() < max_idle {
             idle.connections.push(connection);
         }
     }
