Learn how long callers wait from their first tries alone

The time that a caller has waited is the longest deadline of its route less what is left of its own. A take-up counted for that longest deadline too, though it names only what is left: with a timeout of 3 s and callers that wait for 10 s, a first take-up with 6 s left made the next one with 5.9 s left seem 0.1 s old, so that it could go on at a version that came into use after its stream had begun (found by a second reader).

Only first tries count now, and a take-up with more left than the longest known deadline may be of any age. The new test failed before (5.9 s left: v2 instead of unclear). A second one guards the take-up that names its whole deadline, which passed before, too.

--- a/src/gateway/versions.rs
+++ b/src/gateway/versions.rs
@@ -298,7 +298,9 @@
         now: u64,
     ) -> Origin {
         let longest = self.deadlines.entry(call.route.clone()).or_default();
-        *longest = call.deadline.unwrap_or_default().max(*longest);
+        if !call.resumes {
+            *longest = call.deadline.unwrap_or_default().max(*longest);
+        }
         // No earlier shares are known, so a longer wait of some callers tells nothing.
         let longest = call.timeout.max(*longest).min(KEPT);
         let history = self.histories.get(call.service);
@@ -308,8 +310,13 @@
                 return origin.clone();
             }
             if let Some(history) = history {
-                let left = call.deadline.filter(|left| *left < longest);
-                let age = longest.saturating_sub(left.unwrap_or_default()) + call.waited;
+                let waited = match call.deadline {
+                    Some(left) if left < longest => longest.saturating_sub(left),
+                    Some(left) if left > longest => KEPT,
+                    // Some callers name their whole deadline at each try.
+                    _ => longest,
+                };
+                let age = waited + call.waited;
                 let from = now.saturating_sub(millis(age));
                 let lagging = self
                     .lag
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -406,6 +406,37 @@
     );
 }
 
+/// Guards against a stream that seems to have begun just now, as its caller names its whole deadline at each
+/// try.
+#[test]
+fn a_whole_deadline_at_a_take_up_tells_no_age() {
+    let case = Case::new(&["v1", "v2"]);
+    let mut streams = Streams::default();
+    let (_, two, call) = second_version();
+    streams.merge("lm".into(), two, START);
+    let taken_up = case.call("b", Some(&call), 5000);
+    let claimed = streams.version(&taken_up, case.serving(), START + 12_000);
+    assert_eq!(claimed, Origin::Unclear);
+}
+
+/// Guards against a stream that seems younger than it is, as an earlier take-up of the route named what was left
+/// of a longer deadline.
+#[test]
+fn what_a_take_up_has_left_is_not_the_longest_time_that_callers_wait() {
+    let case = Case::new(&["v1", "v2"]);
+    let mut streams = Streams::default();
+    let (_, two, call) = second_version();
+    streams.merge("lm".into(), two, START);
+    // The callers wait for 10 s, which this instance has not seen, and began before the change.
+    let now = START + 12_000;
+    for left in [6000, 5900] {
+        let mut taken_up = case.call("b", Some(&call), left);
+        taken_up.timeout = Duration::from_secs(3);
+        let claimed = streams.version(&taken_up, case.serving(), now);
+        assert_eq!(claimed, Origin::Unclear, "{left} ms left");
+    }
+}
+
 /// Returns the state of an instance that knows only a history, which it has used since a time.
 fn shares_of(history: &History, changed: u64) -> ShareState {
     ShareState {
