Ask workers again that were silent while no other worker is left

A request was refused with 503 when no worker reported its start within 250 ms, although time was left: each silent worker but the last was left out for good, and the last was asked again for 250 ms at a time, so a worker that takes 400 ms for a report was never used, and items never ran. A sound worker may be silent for a second or so.

A worker now has 250 ms for its report only while another one may run the request that was not silent. After that it has the longest silence of a sound worker (1.5 s), and the silent ones are asked again in turn until the deadline, each time by waiting for a report, so there is no busy loop. Requests that another worker can run leave a silent one after 250 ms as before. Items give a worker the pause that their streams may have (1.5 s). A worker that is asked for further events keeps 250 ms, as its caller gives up soon.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -25,13 +25,13 @@
     forward::{CRASHING, Failure, MAX_ANSWER_BYTES, Session, StartedAnswer},
     head::{self, Head},
     links,
-    liveness::{Delivery, Responder},
+    liveness::{Delivery, MAX_SILENCE, Responder},
     marks::{self, Mark},
     refresh,
     sse::Events,
     suspects::Admission,
     takeover::Reply,
-    upstream::{self, ReachError},
+    upstream::{self, REPORT_LIMIT, ReachError},
     write_gate::Decision,
 };
 
@@ -61,8 +61,9 @@
         after: Option<u64>,
         max_wait: Duration,
     ) -> Result<StartedAnswer, Failure> {
+        let mut silent = Vec::new();
         loop {
-            match self.attempt_once(after, max_wait).await? {
+            match self.attempt_once(after, max_wait, &mut silent).await? {
                 AttemptResult::Answered(started) => return Ok(*started),
                 AttemptResult::TryNext if self.asked.is_some() => {
                     return Err(Failure::MayHaveRun(
@@ -151,7 +152,12 @@
     }
 
     /// Records that there is no connection to the listed start of a worker.
-    async fn record_unreached(&mut self, worker: &Worker, error: &ReachError) {
+    async fn record_unreached(
+        &mut self,
+        worker: &Worker,
+        error: &ReachError,
+        silent: &mut Vec<WorkerId>,
+    ) {
         if matches!(error, ReachError::OtherStart) {
             self.log_revoked(&worker.id, &error.to_string());
             return;
@@ -165,15 +171,27 @@
             worker.id,
             worker.zone
         );
-        // A sound worker may be silent for a while. If there is no other one, it is asked again.
-        if !matches!(error, ReachError::Silent) || self.has_other(&worker.id) {
+        if !matches!(error, ReachError::Silent) {
+            self.tried.push(worker.id.clone());
+            return;
+        }
+        // A sound worker may be silent for a while. Once no other one is left, the silent ones are asked again,
+        // this one last.
+        if !self.has_other(&worker.id, silent) {
+            self.tried.retain(|w| !silent.contains(w));
+        }
+        if self.has_other(&worker.id, &[]) {
             self.tried.push(worker.id.clone());
         }
+        if !silent.contains(&worker.id) {
+            silent.push(worker.id.clone());
+        }
     }
 
-    /// Returns whether another worker may run the call, however full it is.
-    fn has_other(&self, worker: &WorkerId) -> bool {
-        let tried: Vec<WorkerId> = self.tried.iter().chain([worker]).cloned().collect();
+    /// Returns whether a worker may run the call, however full it is, that is neither the given one nor silent.
+    fn has_other(&self, worker: &WorkerId, silent: &[WorkerId]) -> bool {
+        let tried = self.tried.iter().chain(silent).chain([worker]);
+        let tried: Vec<WorkerId> = tried.cloned().collect();
         self.gateway.dispatch.has_candidate(&Requirements {
             service: &self.service,
             tried: &tried,
@@ -181,6 +199,16 @@
         })
     }
 
+    /// Returns the time in which a worker has to report its start.
+    fn report_limit(&self, worker: &WorkerId, silent: &[WorkerId]) -> Duration {
+        let limit = if self.asked.is_some() || self.has_other(worker, silent) {
+            REPORT_LIMIT
+        } else {
+            MAX_SILENCE
+        };
+        limit.min(self.remaining())
+    }
+
     /// Records a failure of a worker, unless it may be due to the time that the caller or the route
     /// leaves. Returns whether the worker is ejected.
     fn record_failure(&self, placement: &Placement) -> bool {
@@ -195,11 +223,12 @@
         self.gateway.dispatch.record_failure(&placement.worker.id)
     }
 
-    /// Sends the call to one worker.
+    /// Sends the call to one worker. `silent` are those that did not report their start in time.
     async fn attempt_once(
         &mut self,
         after: Option<u64>,
         max_wait: Duration,
+        silent: &mut Vec<WorkerId>,
     ) -> Result<AttemptResult, Failure> {
         let remaining = self.remaining();
         if remaining.is_zero() {
@@ -260,11 +289,12 @@
         );
         let repeatable = self.route.is_repeatable();
         let upstream = &self.gateway.upstream;
-        let reached = upstream.reach_listed(&self.gateway, &worker, repeatable);
+        let limit = self.report_limit(&worker.id, silent);
+        let reached = upstream.reach_listed(&self.gateway, &worker, repeatable, limit);
         let connection = match reached.await {
             Ok(connection) => connection,
             Err(e) => {
-                self.record_unreached(&worker, &e).await;
+                self.record_unreached(&worker, &e, silent).await;
                 return Ok(AttemptResult::TryNext);
             }
         };
--- a/src/gateway/item_run.rs
+++ b/src/gateway/item_run.rs
@@ -337,7 +337,9 @@
 
     async fn connect(&self, worker: &Worker) -> Result<Connection, ReachError> {
         let upstream = &self.gateway.upstream;
-        let connection = upstream.reach_listed(&self.gateway, worker, true).await?;
+        let connection = upstream
+            .reach_listed(&self.gateway, worker, true, STALL_LIMIT)
+            .await?;
         if !connection.path.is_direct() {
             event!(
                 Info,
--- a/src/gateway/liveness.rs
+++ b/src/gateway/liveness.rs
@@ -32,7 +32,7 @@
 /// it at once.
 const CONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time for which a sound worker is silent.
-const MAX_SILENCE: Duration = Duration::from_millis(1500);
+pub const MAX_SILENCE: Duration = Duration::from_millis(1500);
 /// Time after the end of an answer for which its worker has to go on. A worker that ends closes its
 /// answers before its process exits. Callers give a stream up after 2 s without an event; half of that is
 /// left for the report.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -25,8 +25,8 @@
 /// Timeout for connecting to a worker; across zones a connect takes a few milliseconds. A request
 /// that runs into this timeout can still meet its objective at another worker.
 pub const CONNECT_LIMIT: Duration = Duration::from_millis(120);
-/// Time in which a worker reports its start on a new connection.
-const REPORT_LIMIT: Duration = Duration::from_millis(250);
+/// Time in which a worker reports its start on a new connection while another one may run the request.
+pub const REPORT_LIMIT: Duration = Duration::from_millis(250);
 /// Time that an idle connection may be reused for requests that may be sent again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time that an idle connection may be reused for requests that run at most once. If the worker
@@ -91,9 +91,10 @@
     gateway: &Gateway,
     worker: &Worker,
     connection: &mut Connection,
+    limit: Duration,
 ) -> Result<bool, ReachError> {
     let request = reports::request(worker).map_err(|e| ReachError::Unproven(e.to_string()))?;
-    let answer = connection.exchange(request, REPORT_LIMIT, Proof::Content);
+    let answer = connection.exchange(request, limit, Proof::Content);
     let answer = answer.await.map_err(|e| match e {
         SendError::TimedOut(_) => ReachError::Silent,
         e => ReachError::Unproven(e.into_reason()),
@@ -162,6 +163,7 @@
     /// Returns a connection to the listed start of a worker, through another instance while this one is
     /// cut off from all workers. A new connection is used only once the process at its other end has
     /// reported that start: what the list tells of the worker, such as its version, holds for no other one.
+    /// `limit` is the time for a report.
     ///
     /// # Errors
     ///
@@ -171,6 +173,7 @@
         gateway: &Arc<Gateway>,
         worker: &Worker,
         repeatable: bool,
+        limit: Duration,
     ) -> Result<Connection, ReachError> {
         if let Some(kept) = self.take_open(gateway, worker, repeatable).await {
             return Ok(kept);
@@ -184,7 +187,7 @@
             return Ok(connection);
         }
         if !self.reports_end(worker) {
-            let announced = check_start(gateway, worker, &mut connection).await?;
+            let announced = check_start(gateway, worker, &mut connection, limit).await?;
             if connection.is_ready().await {
                 connection.reused = false;
                 connection.reported = true;
@@ -197,7 +200,7 @@
         }
         // A report on a later connection shows that the listed start was there when this one was opened.
         let mut later = open().await?;
-        check_start(gateway, worker, &mut later).await?;
+        check_start(gateway, worker, &mut later, limit).await?;
         Ok(connection)
     }
 
--- a/tests/gateway_reports.rs
+++ b/tests/gateway_reports.rs
@@ -1,4 +1,5 @@
-//! Reports of workers after answers that ended with their connection.
+//! Reports of workers: after answers that ended with their connection, and before requests on new
+//! connections.
 
 mod gateway_support;
 mod support;
@@ -8,11 +9,12 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
+    time::{Duration, Instant},
 };
 
-use gateway_support::{Instance, Store, config};
-use serde_json::json;
-use support::until;
+use gateway_support::{Instance, Store, config, platform};
+use serde_json::{Value, json};
+use support::{http, until};
 
 const HEAD: &str =
     "HTTP/1.1 200 OK\r\nx-response-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
@@ -114,7 +116,7 @@
         number += 1;
         instance.stream("/single/x", &format!("r{number}"))
     };
-    let is_whole = |a: Option<support::http::Answer>| a.is_some_and(|a| a.text() == TEXT);
+    let is_whole = |a: Option<http::Answer>| a.is_some_and(|a| a.text() == TEXT);
     until("the worker is known", || is_whole(send()));
     for wrong in NO_PROOF {
         *state.lock().unwrap() = reports(wrong);
@@ -125,3 +127,100 @@
         until("the worker is in use again", || is_whole(send()));
     }
 }
+
+const PAUSE: Duration = Duration::from_millis(2);
+/// Time for a report of a worker that is hung.
+const HUNG: Duration = Duration::from_secs(60);
+/// Time of a request in which the machine may stand still for some seconds.
+const LONG_MS: u64 = 25_000;
+/// Longest time for which a sound worker is silent.
+const MAX_SILENCE: Duration = Duration::from_millis(1500);
+
+/// Returns a configuration whose requests have long timeouts.
+fn long_config() -> Value {
+    let mut config = config(2);
+    for route in config["routes"].as_array_mut().unwrap() {
+        route["timeout_ms"] = LONG_MS.into();
+    }
+    config
+}
+
+/// Starts an instance and waits until it has read the list of workers.
+fn start_listed(store: &Store) -> Instance {
+    let instance = Instance::start("one", store, &[]);
+    until("the workers are listed", || {
+        let log = std::fs::read_to_string(&instance.log).unwrap();
+        log.contains("event=workers-changed")
+    });
+    instance
+}
+
+fn send_long(instance: &Instance, path: &str) -> Option<http::Answer> {
+    let deadline = LONG_MS.to_string();
+    let headers = [("x-request-id", "r"), ("x-deadline-ms", &deadline)];
+    http::call(instance.callers, "POST", path, &headers, "prompt")
+}
+
+/// Guards against requests that are refused while time is left, as no worker reports its start soon.
+#[test]
+fn requests_wait_for_late_reports_while_no_other_worker_is_left() {
+    for delay in [400, 1000].map(Duration::from_millis) {
+        for path in ["/single/x", "/resumable/x", "/safe/x", "/unsafe/x"] {
+            let (store, workers) = platform(2, PAUSE);
+            store.put("config", "main", long_config());
+            for worker in &workers {
+                worker.set_report_delay(delay);
+            }
+            let instance = start_listed(&store);
+            let status = send_long(&instance, path).map(|a| a.status);
+            assert_eq!(status, Some(200), "{path} {delay:?}");
+        }
+    }
+}
+
+/// Guards against a request that waits for one silent worker only, although another one reports.
+#[test]
+fn a_worker_whose_report_came_late_is_asked_again() {
+    for _ in 0..4 {
+        let (store, [late, hung]) = platform(2, PAUSE);
+        store.put("config", "main", long_config());
+        late.set_report_delay(Duration::from_millis(400));
+        hung.set_report_delay(HUNG);
+        let instance = start_listed(&store);
+        let answer = send_long(&instance, "/single/x");
+        let log = || std::fs::read_to_string(&instance.log).unwrap();
+        assert_eq!(answer.map(|a| a.status), Some(200), "{}", log());
+        assert_eq!(late.runs().len(), 1);
+    }
+}
+
+/// Guards against requests that wait for a silent worker while another one can run them.
+#[test]
+fn a_silent_worker_delays_no_request_of_another() {
+    let (store, [_sound, hung]) = platform(2, PAUSE);
+    store.put("config", "main", long_config());
+    hung.set_report_delay(HUNG);
+    // The first worker of a request is chosen at random.
+    until("a request leaves the hung worker soon", || {
+        let instance = start_listed(&store);
+        let sent = Instant::now();
+        let answer = send_long(&instance, "/single/x");
+        let time = sent.elapsed();
+        assert_eq!(answer.map(|a| a.status), Some(200));
+        let log = std::fs::read_to_string(&instance.log).unwrap();
+        log.contains("event=worker-unreachable") && time < MAX_SILENCE
+    });
+}
+
+/// Guards against items that never run, as no worker reports its start soon.
+#[test]
+fn items_wait_for_late_reports() {
+    let (store, workers) = platform(2, PAUSE);
+    for worker in &workers {
+        worker.set_report_delay(Duration::from_millis(400));
+    }
+    let instance = Instance::start_for_jobs("one", &store);
+    instance.submit("j", &["a", "b"]).unwrap();
+    let results = instance.wait_results("j", 2);
+    assert!(results.iter().all(|r| r["state"] == "done"), "{results:?}");
+}
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -556,6 +556,7 @@
     copies: u32,
     leaving: bool,
     report_leaving: bool,
+    report_delay: Duration,
     deadly: Option<String>,
     deadly_path: Option<(String, u64)>,
 }
@@ -576,6 +577,7 @@
             copies: 0,
             leaving: false,
             report_leaving: false,
+            report_delay: Duration::ZERO,
             deadly: None,
             deadly_path: None,
         }));
@@ -611,6 +613,11 @@
         self.state.lock().unwrap().report_leaving = true;
     }
 
+    /// Sets the time that the worker takes for a report.
+    pub fn set_report_delay(&self, delay: Duration) {
+        self.state.lock().unwrap().report_delay = delay;
+    }
+
     /// Sets the limit that the worker names in all its answers.
     pub fn set_limit(&self, limit: Option<&'static str>) {
         self.state.lock().unwrap().limit = limit;
@@ -691,6 +698,8 @@
         return answer(stream, 421, &head, "");
     }
     if is_report {
+        let delay = state.lock().unwrap().report_delay;
+        thread::sleep(delay);
         let report = json!({
             "stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0, "running": 0,
             "kv_used": 0, "kv_total": 1000, "handles": 0, "born": state.lock().unwrap().born,
