--- a/tests/fleet_checks.rs
+++ b/tests/fleet_checks.rs
@@ -9,6 +9,7 @@
 use std::{
     io::{Read as _, Write as _},
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket},
+    process::Command,
     sync::Arc,
     thread,
     time::Duration,
@@ -342,8 +343,13 @@
         assert!(arrives(&receiver, &sender));
         assert!(arrives(&other, &receiver));
     }
+    // A process that starts during the cut does not prolong it.
+    let mut process = Command::new("sleep").arg("60").spawn().unwrap();
     drop(block);
-    assert!(arrives(&sender, &receiver));
+    let is_mended = arrives(&sender, &receiver);
+    process.kill().unwrap();
+    process.wait().unwrap();
+    assert!(is_mended);
 }
 
 /// Guards against calls between instances that pass a cut, or are cut for other processes too.
@@ -375,7 +381,11 @@
         links.mend(std::process::id());
         links.cut(1, cut);
         assert!(is_served(), "{cut:?} of another process");
+        let mut process = Command::new("sleep").arg("60").spawn().unwrap();
         drop(gate);
-        assert!(is_served());
+        let is_mended = is_served();
+        process.kill().unwrap();
+        process.wait().unwrap();
+        assert!(is_mended);
     }
 }
--- a/tests/fleet_support/sockets.rs
+++ b/tests/fleet_support/sockets.rs
@@ -9,7 +9,7 @@
 
 use rustix::{
     net::{
-        AddressFamily, SocketType, bind, connect, connect_unspec, listen, socket,
+        AddressFamily, SocketFlags, SocketType, bind, connect, connect_unspec, listen, socket_with,
         sockopt::{set_socket_reuseaddr, set_socket_reuseport},
     },
     process::{Pid, PidfdFlags, PidfdGetfdFlags, pidfd_getfd, pidfd_open},
@@ -68,7 +68,7 @@
 /// Returns an error when the address cannot be shared.
 pub fn block(receiver: impl AsFd, address: SocketAddr, sender: SocketAddr) -> io::Result<OwnedFd> {
     set_socket_reuseaddr(receiver, true)?;
-    let socket = socket(AddressFamily::INET, SocketType::DGRAM, None)?;
+    let socket = open(SocketType::DGRAM)?;
     set_socket_reuseaddr(&socket, true)?;
     bind(&socket, &local(address))?;
     connect(&socket, &local(sender))?;
@@ -83,7 +83,7 @@
 /// Returns an error when the port cannot be shared.
 pub fn intercept(receiver: impl AsFd, address: SocketAddr) -> io::Result<TcpListener> {
     set_socket_reuseport(receiver, true)?;
-    let socket = socket(AddressFamily::INET, SocketType::STREAM, None)?;
+    let socket = open(SocketType::STREAM)?;
     set_socket_reuseaddr(&socket, true)?;
     set_socket_reuseport(&socket, true)?;
     bind(&socket, &local(address))?;
@@ -91,6 +91,16 @@
     Ok(socket.into())
 }
 
+/// Opens a socket. Processes that start later do not inherit it, so that it ends when it is closed here.
+fn open(kind: SocketType) -> io::Result<OwnedFd> {
+    Ok(socket_with(
+        AddressFamily::INET,
+        kind,
+        SocketFlags::CLOEXEC,
+        None,
+    )?)
+}
+
 /// Returns the socket of a process that is bound to an address.
 ///
 /// # Errors
