Count connections that were read for runs as ones that carried a report

A worker that closes each connection after a report may close one that was kept after a report of its runs, so that the next request on it is lost. reach_listed and liveness mark such connections; run_reads did not (second reader).

--- a/src/gateway/run_reads.rs
+++ b/src/gateway/run_reads.rs
@@ -79,6 +79,7 @@
     let mut connection = gateway.upstream.connect(worker, true).await.ok()?;
     let answer = connection.exchange(request, REPORT_LIMIT, Proof::Content);
     let answer = answer.await.ok()?;
+    connection.reported = true;
     let running = reports::decode_running(&answer)?;
     // Of another start than the listed one, the version is not known.
     if worker.started != Some(running.started) {
