Keep connections to a worker that starts again with a smaller time

Each request to a worker took a new connection and a report if its listed start (`born`) was smaller than the one before, as after the clock of its machine was set back. The pool kept connections to the larger start only, and its entry stayed while the list named the id.

The list now decides: connections to starts that it does not name are closed as it is read, and only those to the listed start are kept. Connections to an earlier start whose answers end later are still dropped.

Limits and notices that a worker leaves still compare starts by size.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -373,7 +373,7 @@
             worker.zone,
             self.dispatch.ready_workers()
         );
-        self.upstream.retain(|id| *id != worker.id);
+        self.upstream.retain(|id, _| *id != worker.id);
     }
 
     /// Records what an answer to a request that was sent at a time tells of the limit of its worker.
@@ -431,13 +431,13 @@
         }
     }
 
-    /// Keeps a connection to a worker that takes requests for reuse, after an answer was read to its
+    /// Keeps a connection to the listed start of a worker that takes requests for reuse, after an answer was read to its
     /// end.
     pub fn keep_connection(&self, worker: &Worker, connection: Connection) {
         // A carried connection is opened for one request, as the other instance checks the worker then.
         // Direct ones may hang during a cut.
         let is_unusable = !connection.path.is_direct() || self.is_cut_off();
-        if is_unusable || !self.dispatch.is_ready(&worker.id) {
+        if is_unusable || !self.dispatch.holds(worker) {
             return;
         }
         let config = self.config.load();
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -280,7 +280,7 @@
             event!(Warn, LinksCut, "failed={failed} silent_ms={silent}");
             // The failures before the cut was known say nothing about the workers.
             gateway.dispatch.forgive_workers();
-            gateway.upstream.retain(|_| false);
+            gateway.upstream.retain(|_, _| false);
         }
         Some(LinkChange::Back(after)) => {
             event!(Info, LinksBack, "after_ms={}", after.as_millis());
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -13,7 +13,7 @@
     },
     backoff::Backoff,
     event,
-    ids::Set,
+    ids::{Set, WorkerId},
 };
 
 use super::{
@@ -374,9 +374,12 @@
                 Some(Arc::new(worker))
             };
             let workers: Vec<Arc<Worker>> = views.workers.objects().filter_map(worker).collect();
-            gateway
-                .upstream
-                .retain(|id| workers.iter().any(|w| w.id == *id));
+            // The clock of a worker's machine may have been set back, so that a later start is the smaller one.
+            let is_listed = |id: &WorkerId, started| {
+                let mut workers = workers.iter();
+                workers.any(|w| w.id == *id && w.started == started)
+            };
+            gateway.upstream.retain(is_listed);
             let change = gateway.dispatch.set_workers(workers);
             views.log_change(&change, now);
             if changed {
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -378,11 +378,11 @@
         }
     }
 
-    /// Closes the idle connections of workers for which `keep` returns false, and those that have
-    /// been idle for too long.
-    pub fn retain(&self, keep: impl Fn(&WorkerId) -> bool) {
+    /// Closes the idle connections to runs of workers, by id and start, for which `keep` returns false, and
+    /// those that have been idle for too long.
+    pub fn retain(&self, keep: impl Fn(&WorkerId, Option<u64>) -> bool) {
         let mut idle = lock(&self.idle);
-        idle.retain(|worker, _| keep(worker));
+        idle.retain(|worker, run| keep(worker, run.started));
         for Idle { connections, .. } in idle.values_mut() {
             connections.retain(|c| c.last_used.elapsed() < IDLE_TIMEOUT);
         }
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -557,6 +557,7 @@
     leaving: bool,
     report_leaving: bool,
     report_delay: Duration,
+    reports: u32,
     deadly: Option<String>,
     deadly_path: Option<(String, u64)>,
 }
@@ -578,6 +579,7 @@
             leaving: false,
             report_leaving: false,
             report_delay: Duration::ZERO,
+            reports: 0,
             deadly: None,
             deadly_path: None,
         }));
@@ -613,6 +615,11 @@
         self.state.lock().unwrap().report_leaving = true;
     }
 
+    /// Returns the number of calls for a report that the worker got.
+    pub fn reports(&self) -> u32 {
+        self.state.lock().unwrap().reports
+    }
+
     /// Sets the time that the worker takes for a report.
     pub fn set_report_delay(&self, delay: Duration) {
         self.state.lock().unwrap().report_delay = delay;
@@ -698,7 +705,11 @@
         return answer(stream, 421, &head, "");
     }
     if is_report {
-        let delay = state.lock().unwrap().report_delay;
+        let delay = {
+            let mut state = state.lock().unwrap();
+            state.reports += 1;
+            state.report_delay
+        };
         thread::sleep(delay);
         let report = json!({
             "stage": "both", "models": [], "busy": false, "seq": 0, "queued": 0, "running": 0,
--- a/tests/gateway_worker_starts.rs
+++ b/tests/gateway_worker_starts.rs
@@ -90,3 +90,33 @@
     damaged.set_born(1);
     await_use(&instance, &damaged, "/resumable/x");
 }
+
+/// Guards against connections to a worker that are never used again, as the clock of its machine was set
+/// back before it started again, so that its listed start is the smaller one.
+#[test]
+fn connections_to_a_start_with_a_smaller_time_are_kept() {
+    let store = Store::start();
+    let worker = Worker::start("w", EVENTS, PAUSE);
+    worker.set_born(5);
+    store.put("servers", &worker.id, worker.entry("ready"));
+    store.put("config", "main", config(1));
+    let instance = Instance::start("one", &store, &[]);
+    for born in [5, 3] {
+        worker.set_born(born);
+        store.put("servers", &worker.id, worker.entry("ready"));
+        let mut calls = 0;
+        let mut reported = worker.reports();
+        until("a kept connection is used", || {
+            calls += 1;
+            let id = format!("{born}-{calls}");
+            instance.stream("/resumable/x", &id);
+            let before = std::mem::replace(&mut reported, worker.reports());
+            let listed = std::fs::read_to_string(&instance.log).unwrap();
+            let on_start = listed.lines().any(|l| {
+                l.contains(&format!("request={id} "))
+                    && l.contains(&format!("started=Some({born})"))
+            });
+            on_start && ran(&worker, &id) && before == reported
+        });
+    }
+}
