Take an entry without a version for none of a worker

Two workers whose entries lack the version counted as of one version, the empty one, so that streams could go on from one to the other although their software differs. PROTOCOL says that an entry with fields missing names no worker to use (found by a second reader; by reading, no caller saw it). an_unreadable_entry_names_no_worker failed before; its other cases now have a version, so that each is refused for its own fault.

--- a/tests/gateway_view.rs
+++ b/tests/gateway_view.rs
@@ -163,15 +163,16 @@
 /// Guards against an entry of an unrelated writer that is taken for a worker or breaks the list.
 #[test]
 fn an_unreadable_entry_names_no_worker() {
-    let good = r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","slots":8,"state":"ready"}"#;
+    let good = r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","version":"v","slots":8,"state":"ready"}"#;
     assert!(decode_worker("i", good).unwrap().ready);
     for bad in [
         "null",
         "[1]",
         r#"{"service":"s"}"#,
-        r#"{"service":"s","addr":"nowhere","zone":"z","slots":8,"state":"ready"}"#,
-        r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","slots":"8","state":"ready"}"#,
-        r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","slots":8,"state":"asleep"}"#,
+        r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","slots":8,"state":"ready"}"#,
+        r#"{"service":"s","addr":"nowhere","zone":"z","version":"v","slots":8,"state":"ready"}"#,
+        r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","version":"v","slots":"8","state":"ready"}"#,
+        r#"{"service":"s","addr":"127.0.0.1:80","zone":"z","version":"v","slots":8,"state":"asleep"}"#,
     ] {
         assert!(decode_worker("i", bad).is_err(), "{bad}");
     }
@@ -183,7 +184,7 @@
 fn an_entry_out_of_range_names_no_worker() {
     let entry = |slots: &str, addr: &str, more: &str| {
         format!(
-            r#"{{"service":"s","addr":"{addr}","zone":"z","slots":{slots},"state":"ready"{more}}}"#
+            r#"{{"service":"s","addr":"{addr}","zone":"z","version":"v","slots":{slots},"state":"ready"{more}}}"#
         )
     };
     let nested = format!(r#","x":{}{}"#, "[".repeat(100_000), "]".repeat(100_000));
