Say in comments what the check of starts and told versions do

Second readers found sentences that claim more than the code does: a start that is not listed is left out for a short time, not until the list changes; the other start need not be a later one; a read of the shares may be shared by a stream that began within it; own streams are remembered without a bound. The reason in the log of a start that is not listed says so too. No behaviour changes.

--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -264,7 +264,7 @@
         self.lock().fleet.record_leaving(worker)
     }
 
-    /// Records that another process has replaced the listed start of a worker.
+    /// Records that a worker reported another start than the list names.
     pub fn record_ended_start(&self, worker: &Worker) {
         let now = self.now();
         self.lock().fleet.record_ended_start(worker, now);
--- a/src/gateway/ended_starts.rs
+++ b/src/gateway/ended_starts.rs
@@ -1,4 +1,4 @@
-//! Listed starts of workers that have ended, by the word of the workers themselves (no I/O).
+//! Starts that the list of workers names and that others have replaced, by the reports of the workers (no I/O).
 
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
 /// Time after which a listed start is tried again, as a report may be damaged.
 const RETRY_TIME: Duration = Duration::from_secs(1);
 
-/// Starts that the list of workers still names and that later ones have replaced.
+/// Starts that the list of workers names and that others have replaced.
 #[derive(Debug, Default)]
 pub struct EndedStarts {
     ended: Map<WorkerId, EndedStart>,
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -341,8 +341,8 @@
         true
     }
 
-    /// Records that another process has replaced the listed start of a worker. Nothing is sent to it until
-    /// the list names another start.
+    /// Records that a worker reported another start than the list names. It gets no requests until the list
+    /// names another one, or for a short time, as a report may be damaged.
     pub fn record_ended_start(&mut self, worker: &Worker, now: Duration) {
         self.ended_starts.record(worker, now);
     }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -439,8 +439,8 @@
         }
     }
 
-    /// Keeps a connection to the listed start of a worker that takes requests for reuse, after an answer was read to its
-    /// end.
+    /// Keeps a connection for reuse after an answer was read to its end, if it goes to the listed start of a
+    /// worker that takes requests.
     pub fn keep_connection(&self, worker: &Worker, connection: Connection) {
         // A carried connection is opened for one request, as the other instance checks the worker then.
         // Direct ones may hang during a cut.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -78,7 +78,9 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Unreachable(e) => e.fmt(f),
-            Self::OtherStart => f.write_str("the list names an earlier start of the worker"),
+            Self::OtherStart => {
+                f.write_str("the worker reported another start than the list names")
+            }
             Self::Silent => f.write_str("the worker did not report its start in time"),
             Self::Unproven(reason) => write!(f, "the worker did not report its start: {reason}"),
         }
@@ -217,8 +219,7 @@
     }
 
     /// Records that a connection ended after a report, without a notice and before a request on it was
-    /// answered. Requests to this run of the worker then go over connections that carried no report, so that
-    /// each is affected once at most.
+    /// answered. Further requests to this run of the worker go over connections that carried no report.
     pub fn record_report_end(&self, worker: &Worker) {
         let mut idle = lock(&self.idle);
         let idle = idle.entry(worker.id.clone()).or_default();
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -30,8 +30,8 @@
 const WRITE_LIMIT: Duration = Duration::from_millis(300);
 /// Maximum number of writes of one change.
 const WRITE_ATTEMPTS: usize = 4;
-/// Time for which a read counts as the current state of the store. In it no stream can begin, break
-/// and come back at another instance.
+/// Time for which a read counts as the current state of the store, so that calls that come together share
+/// one. A stream seldom begins, breaks and comes back at another instance within it.
 const READ_KEPT: Duration = Duration::from_millis(100);
 
 /// A history as stored.
