Use workers whose reports name no start

At workers that answer their report with an empty body or without `born` no request was served: each new connection was refused as unproven, for the life of the worker.

A report that names no start contradicts nothing, so the list counts, as for an entry without a start. One that cannot be read, or names another start, still proves nothing.

--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -104,11 +104,12 @@
     let Some(report) = reports::decode(&answer) else {
         return Err(ReachError::Unproven("another worker answered".into()));
     };
-    if report.started.is_none() {
+    if !report.readable {
         let reason = format!("status {}", answer.status().as_u16());
         return Err(ReachError::Unproven(reason));
     }
-    if report.started != worker.started {
+    // Nothing but the list tells the start of a worker whose reports name none.
+    if report.started.is_some() && report.started != worker.started {
         gateway.dispatch.record_ended_start(worker);
         event!(
             Info,
--- a/tests/gateway_worker_starts.rs
+++ b/tests/gateway_worker_starts.rs
@@ -75,6 +75,25 @@
     assert!(restarted.runs().is_empty(), "{:?}", restarted.runs());
 }
 
+/// Guards against workers that get no requests since their reports name no start, and against requests to one
+/// whose report cannot be read.
+#[test]
+fn workers_whose_reports_name_no_start_are_used() {
+    for report in ["", "{}", r#"{"stage":"both","queued":0}"#] {
+        let store = Store::start();
+        let [unnamed, damaged] = start_workers(&store);
+        unnamed.set_report(report);
+        damaged.set_report("\u{7}x");
+        let instance = Instance::start("one", &store, &[]);
+        await_use(&instance, &unnamed, "/resumable/x");
+        for path in ["/resumable/x", "/single/x", "/safe/x", "/unsafe/x"] {
+            let answer = instance.stream(path, &format!("{path}-0"));
+            assert_eq!(answer.map(|a| a.status), Some(200), "{path} {report:?}");
+        }
+        assert!(damaged.runs().is_empty());
+    }
+}
+
 /// Guards against a worker that is not used any more after one of its reports came damaged.
 #[test]
 fn a_worker_is_used_again_after_a_damaged_report() {
