Decode the targets of calls in the stand-ins of the store

Both stand-ins now read a target as RFC 3986 asks, with '+' for a blank in a query: they decode the segments and values, fold '.' and '..', and answer 400 to what is no URI and 414 to one over 8 KiB. They give lists in pages, and objects as any text, repeat a page and refuse a name on demand. The code under test is unchanged.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod reply;
 pub mod store;
 pub mod stream_faults;
+pub mod target;
 pub mod text;
 pub mod weights;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -9,7 +9,10 @@
 
 use clap::Parser;
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
+use serde_json::{
+    Value, json,
+    value::{RawValue, to_raw_value},
+};
 use smol::channel::{Receiver, Sender};
 use trillium::{Conn, Handler, Method};
 
@@ -18,7 +21,8 @@
     instances::{FullList, Instances},
     ledger::Counter,
     reply,
-    store::{Change, Condition, Gone, Refusal, Store},
+    store::{Change, Condition, Gone, Object, Refusal, Store},
+    target::Target,
 };
 
 /// Largest value of an object, in bytes.
@@ -72,6 +76,10 @@
     pub list_lag_ms: Option<u64>,
     /// Drops the history once, so that older watches get 410.
     pub forget: bool,
+    /// Texts that are given out in place of objects and their changes, by `KIND/NAME`.
+    pub texts: BTreeMap<String, Box<RawValue>>,
+    /// Ignores after which name a listing goes on.
+    pub repeat_pages: bool,
 }
 
 /// Record of the calls to the platform.
@@ -109,10 +117,24 @@
     state: Arc<Mutex<State>>,
 }
 
+/// Answer with a listing.
+#[derive(Serialize)]
+struct Listed {
+    version: u64,
+    items: Vec<Box<RawValue>>,
+}
+
+/// Answer with changes.
+#[derive(Serialize)]
+struct Changed {
+    version: u64,
+    events: Vec<Box<RawValue>>,
+}
+
 /// Changes up to a version, and the notification of the next one.
 struct WatchBatch {
     version: u64,
-    events: Vec<Change>,
+    events: Vec<Box<RawValue>>,
     notified: Receiver<()>,
 }
 
@@ -184,7 +206,10 @@
         if !self.count_read(kind).await {
             return reply::error(conn, 503, "over the read limit");
         }
-        let object = self.lock().store.get(kind, name).cloned();
+        let state = self.lock();
+        let object = state.store.get(kind, name);
+        let object = object.map(|o| state.faults.text(kind, name, o));
+        drop(state);
         match object {
             Some(object) => reply::json(conn, 200, &object),
             None => reply::error(conn, 404, "no such object"),
@@ -202,8 +227,18 @@
             limit => limit,
         };
         let state = self.lock();
-        let items = state.store.list(kind, prefix, after, limit as usize);
-        let answer = json!({ "version": state.store.version(), "items": items });
+        let after = if state.faults.repeat_pages {
+            ""
+        } else {
+            &after
+        };
+        let items = state.store.list(kind, &prefix, after, limit as usize);
+        let text = |o: &Object| state.faults.text(kind, &o.name, o);
+        let items: Vec<Box<RawValue>> = items.iter().map(text).collect();
+        let answer = Listed {
+            version: state.store.version(),
+            items,
+        };
         drop(state);
         reply::json(conn, 200, &answer)
     }
@@ -280,8 +315,8 @@
                 return reply::error(conn, 410, "the history is gone");
             };
             if !batch.events.is_empty() || Instant::now() >= deadline {
-                let answer = json!({ "version": batch.version, "events": batch.events });
-                return reply::json(conn, 200, &answer);
+                let (version, events) = (batch.version, batch.events);
+                return reply::json(conn, 200, &Changed { version, events });
             }
             let timeout = async {
                 async_io::Timer::at(deadline).await;
@@ -302,9 +337,11 @@
         let mut state = self.lock();
         state.watchers.retain(|watcher| !watcher.is_closed());
         state.watchers.push(sender);
+        let events = state.store.since(kind, since)?;
+        let text = |c: &Change| state.faults.text(kind, &c.name, c);
         Ok(WatchBatch {
             version: state.store.version(),
-            events: state.store.since(kind, since)?,
+            events: events.iter().map(text).collect(),
             notified,
         })
     }
@@ -401,8 +438,12 @@
 
 impl Handler for Platform {
     async fn run(&self, conn: Conn) -> Conn {
-        let path = conn.path().to_owned();
-        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let target = match Target::parse(&format!("{}?{}", conn.path(), conn.querystring())) {
+            Ok(target) => target,
+            Err(refusal) => return reply::error(conn, refusal as u16, "the target is no URI"),
+        };
+        let segments = target.segments.iter().map(String::as_str);
+        let parts: Vec<&str> = segments.filter(|s| !s.is_empty()).collect();
         match (conn.method(), parts.as_slice()) {
             (Method::Post, ["faults"]) => self.set_faults(conn).await,
             (Method::Get, ["ledger"]) => {
@@ -417,6 +458,14 @@
     }
 }
 
+impl Faults {
+    /// Returns the text of an object or a change.
+    fn text(&self, kind: &str, name: &str, value: &impl Serialize) -> Box<RawValue> {
+        let text = self.texts.get(&format!("{kind}/{name}")).cloned();
+        text.unwrap_or_else(|| to_raw_value(value).expect("a value can be written"))
+    }
+}
+
 impl Ledger {
     fn count(&mut self, call: &str, kind: &str) {
         *self.calls.entry(format!("{call} {kind}")).or_default() += 1;
--- a/standins/src/reply.rs
+++ b/standins/src/reply.rs
@@ -12,6 +12,8 @@
 use serde_json::json;
 use trillium::{Body, Conn};
 
+use crate::target::Target;
+
 /// Header with the name of the caller, so that faults can cut it off.
 pub const PARTY_HEADER: &str = "gentianpath-party";
 
@@ -84,13 +86,10 @@
     serde_json::from_slice(&bytes).map_err(|e| e.to_string())
 }
 
-/// Returns a parameter of the query string; names and values are not percent-decoded.
-pub fn query<'a>(conn: &'a Conn, key: &str) -> Option<&'a str> {
-    let pairs = conn.querystring().split('&');
-    pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(name, _)| *name == key)
-        .map(|(_, value)| value)
+/// Returns a decoded parameter of the query string.
+pub fn query(conn: &Conn, key: &str) -> Option<String> {
+    let target = Target::parse(&format!("/?{}", conn.querystring())).ok()?;
+    target.query(key).map(str::to_owned)
 }
 
 /// Returns a number from the query string, or 0 when it is missing.
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -7,6 +7,8 @@
 pub mod partition;
 pub mod process_fleet;
 pub mod relay;
+#[path = "../../standins/src/target.rs"]
+pub mod target;
 pub mod worker_process;
 
 use std::{
@@ -22,6 +24,7 @@
 
 use serde_json::{Value, json};
 
+use self::target::Target;
 use crate::support::{
     free_address,
     http::{self, Answer},
@@ -54,14 +57,6 @@
         let found = self.headers.iter().find(|(n, _)| n == name);
         found.map(|(_, v)| v.as_str())
     }
-
-    fn query(&self, name: &str) -> Option<&str> {
-        let pairs = self.path.split_once('?')?.1.split('&');
-        pairs
-            .filter_map(|p| p.split_once('='))
-            .find(|(n, _)| *n == name)
-            .map(|(_, v)| v)
-    }
 }
 
 /// Serves connections until the process ends. The handler returns whether the connection stays
@@ -123,11 +118,18 @@
 }
 
 fn answer<W: Write>(stream: &mut W, status: u16, headers: &str, body: &str) -> io::Result<bool> {
+    answer_bytes(stream, status, headers, body.as_bytes())
+}
+
+fn answer_bytes<W: Write>(
+    stream: &mut W,
+    status: u16,
+    headers: &str,
+    body: &[u8],
+) -> io::Result<bool> {
     let length = body.len();
-    write!(
-        stream,
-        "HTTP/1.1 {status} x\r\n{headers}content-length: {length}\r\n\r\n{body}"
-    )?;
+    let head = format!("HTTP/1.1 {status} x\r\n{headers}content-length: {length}\r\n\r\n");
+    stream.write_all(&[head.as_bytes(), body].concat())?;
     Ok(true)
 }
 
@@ -174,6 +176,11 @@
     stale_lists: Option<String>,
     slow_reads: Option<(String, Duration)>,
     held_watches: Option<String>,
+    /// Items that are listed as another text than their object, by its revision.
+    raw: BTreeMap<u64, Vec<u8>>,
+    repeated: Option<String>,
+    refused_names: Vec<String>,
+    calls: BTreeMap<&'static str, usize>,
 }
 
 /// Stand-in for the object store.
@@ -253,6 +260,34 @@
         state.between_pages = Some((kind.to_owned(), name.to_owned(), spec));
     }
 
+    /// Gives lists this many objects a page.
+    pub fn set_page(&self, count: usize) {
+        self.lock().page = Some(count);
+    }
+
+    /// Writes an object that is given out as this text.
+    pub fn put_raw(&self, kind: &str, name: &str, text: &[u8]) {
+        let mut state = self.lock();
+        state.put(kind, name, Some(Value::Null), None);
+        let revision = state.revision;
+        state.raw.insert(revision, text.to_vec());
+    }
+
+    /// Gives lists of a kind their first page again and again, or no longer.
+    pub fn repeat_pages(&self, kind: Option<&str>) {
+        self.lock().repeated = kind.map(str::to_owned);
+    }
+
+    /// Refuses calls that name an object, as some servers do.
+    pub fn refuse_name(&self, name: &str) {
+        self.lock().refused_names.push(name.to_owned());
+    }
+
+    /// Returns the number of calls by a method, without watches.
+    pub fn calls(&self, method: &str) -> usize {
+        self.lock().calls.get(method).copied().unwrap_or_default()
+    }
+
     /// Refuses the next reads of single objects of a kind.
     pub fn refuse_reads(&self, kind: &str, count: usize) {
         self.lock().refused_reads.insert(kind.to_owned(), count);
@@ -318,15 +353,39 @@
         true
     }
 
-    fn events_since(&self, kind: &str, since: u64) -> Vec<Value> {
+    fn events_since(&self, kind: &str, since: u64) -> Vec<Vec<u8>> {
         let later = self
             .events
             .iter()
             .filter(|(r, k, ..)| *r > since && k == kind);
         later
-            .map(|(_, _, object, gone)| json!({ "object": object, "deleted": gone }))
+            .map(|(_, _, object, gone)| {
+                let end = format!(",\"deleted\":{gone}}}");
+                [b"{\"object\":", &*self.render(object), end.as_bytes()].concat()
+            })
             .collect()
     }
+
+    /// Returns the text of an object.
+    fn render(&self, object: &Value) -> Vec<u8> {
+        let revision = object["metadata"]["rev"].as_u64();
+        let raw = revision.and_then(|r| self.raw.get(&r));
+        raw.cloned()
+            .unwrap_or_else(|| object.to_string().into_bytes())
+    }
+}
+
+/// Returns an object whose first member holds texts of items, and the others these values.
+fn listing(name: &str, items: &[Vec<u8>], rest: &Value) -> Vec<u8> {
+    let rest = rest.to_string();
+    let head = format!("{{\"{name}\":[");
+    [
+        head.as_bytes(),
+        &items.join(&b','),
+        b"],",
+        &rest.as_bytes()[1..],
+    ]
+    .concat()
 }
 
 fn answer_store<W: Write>(
@@ -334,13 +393,16 @@
     request: &Request,
     stream: &mut W,
 ) -> io::Result<bool> {
-    let path = request.path.split('?').next().unwrap_or_default();
-    let mut parts = path.trim_start_matches("/objects/").split('/');
-    let kind = parts.next().unwrap_or_default().to_owned();
-    let name = parts.next().map(str::to_owned);
-    let status = parts.next() == Some("status");
-    if let Some(since) = request.query("watch") {
-        return answer_watch(state, request, &kind, since.parse().unwrap(), stream);
+    let target = match Target::parse(&request.path) {
+        Ok(target) => target,
+        Err(refusal) => return answer(stream, refusal as u16, "", ""),
+    };
+    let mut parts = target.segments.iter().skip(1);
+    let kind = parts.next().cloned().unwrap_or_default();
+    let name = parts.next().cloned();
+    let status = parts.next().is_some_and(|p| p == "status");
+    if let Some(since) = target.query("watch") {
+        return answer_watch(state, &target, &kind, since.parse().unwrap(), stream);
     }
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let slow = state.lock().unwrap().slow_reads.clone();
@@ -354,6 +416,14 @@
     if objects.faults.down {
         return answer(stream, 503, "", "");
     }
+    let method = ["GET", "POST", "PUT", "DELETE"]
+        .into_iter()
+        .find(|m| *m == request.method);
+    *objects.calls.entry(method.unwrap_or_default()).or_default() += 1;
+    let mut named = name.iter().map(String::as_str).chain(target.query("after"));
+    if named.any(|n| objects.refused_names.iter().any(|r| r == n)) {
+        return answer(stream, 400, "", "");
+    }
     let key = |name: &str| (kind.clone(), name.to_owned());
     match (request.method.as_str(), name) {
         ("GET", None) => {
@@ -362,26 +432,29 @@
                 *count -= 1;
                 return answer(stream, 503, "", "");
             }
-            if request.query("stale_ok").is_some() && objects.stale_lists.as_ref() == Some(&kind) {
+            if target.query("stale_ok").is_some() && objects.stale_lists.as_ref() == Some(&kind) {
                 let list = json!({ "items": [], "truncated": false, "at": 1 });
                 return answer(stream, 200, "", &list.to_string());
             }
-            let after = request.query("after").unwrap_or_default();
+            let is_repeated = objects.repeated.as_ref() == Some(&kind);
+            let after = target.query("after").filter(|_| !is_repeated);
+            let after = after.unwrap_or_default();
             let items = objects.objects.iter().filter(|((k, _), _)| *k == kind);
             let items = items.filter(|((_, n), _)| n.as_str() > after);
             let mut items: Vec<&Value> = items.map(|(_, o)| o).collect();
             let count = objects.page.unwrap_or(items.len()).min(items.len());
             let truncated = count < items.len();
             items.truncate(count);
-            let list = json!({ "items": items, "truncated": truncated, "at": objects.revision });
-            let list = list.to_string();
+            let items: Vec<Vec<u8>> = items.into_iter().map(|o| objects.render(o)).collect();
+            let rest = json!({ "truncated": truncated, "at": objects.revision });
+            let list = listing("items", &items, &rest);
             let write = objects
                 .between_pages
                 .take_if(|(k, ..)| truncated && *k == kind);
             if let Some((kind, name, spec)) = write {
                 objects.put(&kind, &name, Some(spec), None);
             }
-            answer(stream, 200, "", &list)
+            answer_bytes(stream, 200, "", &list)
         }
         ("GET", Some(name)) => {
             if let Some(count) = objects.refused_reads.get_mut(&kind).filter(|c| **c > 0) {
@@ -389,7 +462,7 @@
                 return answer(stream, 503, "", "");
             }
             match objects.objects.get(&key(&name)) {
-                Some(object) => answer(stream, 200, "", &object.to_string()),
+                Some(object) => answer_bytes(stream, 200, "", &objects.render(object)),
                 None => answer(stream, 404, "", ""),
             }
         }
@@ -433,12 +506,12 @@
 
 fn answer_watch<W: Write>(
     state: &Mutex<Objects>,
-    request: &Request,
+    target: &Target,
     kind: &str,
     since: u64,
     stream: &mut W,
 ) -> io::Result<bool> {
-    let wait = request
+    let wait = target
         .query("wait_ms")
         .and_then(|v| v.parse().ok())
         .unwrap_or(0);
@@ -453,26 +526,25 @@
         {
             let objects = state.lock().unwrap();
             if objects.faults.down {
-                break (503, String::new());
+                break (503, Vec::new());
             }
             if since < objects.oldest {
-                break (410, String::new());
+                break (410, Vec::new());
             }
             let is_held = objects.held_watches.as_deref() == Some(kind);
             if is_held && Instant::now() >= end {
-                let batch = json!({ "events": [], "at": since });
-                break (200, batch.to_string());
+                break (200, listing("events", &[], &json!({ "at": since })));
             }
             let events = objects.events_since(kind, since);
             if !is_held && (!events.is_empty() || Instant::now() >= end) {
-                let batch = json!({ "events": events, "at": objects.revision });
-                break (200, batch.to_string());
+                let rest = json!({ "at": objects.revision });
+                break (200, listing("events", &events, &rest));
             }
         }
         thread::sleep(Duration::from_millis(5));
     };
     count(-1);
-    answer(stream, status, "", &body)
+    answer_bytes(stream, status, "", &body)
 }
 
 /// Behaviour of a worker on the next request that it runs.
@@ -1050,6 +1122,7 @@
 
     /// Reads the results of a job.
     pub fn results(&self, job: &str, after: usize) -> Option<Answer> {
+        let job = percent_encoding::utf8_percent_encode(job, percent_encoding::NON_ALPHANUMERIC);
         let path = format!("/lots/{job}?after={after}");
         http::call(self.callers, "GET", &path, &[], "")
     }
@@ -1182,6 +1255,7 @@
 
 /// A process that is killed at the end of its test.
 pub struct Process {
+    pub log: PathBuf,
     child: Child,
     _folder: tempfile::TempDir,
 }
@@ -1201,14 +1275,16 @@
         "instance": name, "zone": "a", "store_address": store.address, "grace_s": 8, "status_s": 120,
     });
     std::fs::write(&file, settings.to_string()).unwrap();
+    let log = folder.path().join("log");
     let child = Command::new(env!("CARGO_BIN_EXE_gentianpath"))
         .arg("keeper")
         .env("GENTIANPATH_SETTINGS", &file)
-        .stdout(Stdio::null())
+        .stdout(std::fs::File::create(&log).unwrap())
         .stderr(Stdio::null())
         .spawn()
         .unwrap();
     Process {
+        log,
         child,
         _folder: folder,
     }
