Log an entry that cannot be used only once

Callers and operators: one entry of another writer in the list of workers got a line at each change of any worker, as the list is decoded anew each time. So did a configuration that cannot be read, at each watch, and a job, at each search of the store. In the bounded log such lines push out others. Entries of other kinds were left out without a line.

Entries of instances, blocked requests and versions that cannot be decoded get a line of their own, entry-invalid.

--- a/src/events.rs
+++ b/src/events.rs
@@ -218,6 +218,8 @@
     WorkerStartUnlisted = 3034, "worker-start-unlisted";
     /// Workers were asked what they run, as the version of a stream is unclear.
     RunsRead = 3035, "runs-read";
+    /// An object of the store is left out, as it cannot be read or named in a call.
+    EntryInvalid = 3036, "entry-invalid";
 
     // 4000 to 4999: placement and orders.
     /// The placement of a worker was recorded.
--- a/src/gateway/block_store.rs
+++ b/src/gateway/block_store.rs
@@ -81,7 +81,7 @@
     // The platform tolerates retries for longer than stale data lags behind.
     let (objects, _) = gateway.store.list(BLOCKED, Freshness::Stale).await?;
     let now = gateway.shared_millis();
-    for (request, record) in decode_all(&objects) {
+    for (request, record) in decode_all(gateway, &objects) {
         if !record.is_expired(now) {
             merge(gateway, request, &record);
         }
@@ -104,14 +104,20 @@
     }
 }
 
-fn decode_all(objects: &[Object]) -> Map<Fingerprint, BlockRecord> {
-    objects.iter().filter_map(decode).collect()
+fn decode_all(gateway: &Gateway, objects: &[Object]) -> Map<Fingerprint, BlockRecord> {
+    let decoded = objects.iter().filter_map(|o| decode(gateway, o));
+    decoded.collect()
 }
 
-fn decode(object: &Object) -> Option<(Fingerprint, BlockRecord)> {
-    let request = block_record::request(&object.name)?;
-    let record = serde_json::from_str(&object.spec).ok()?;
-    Some((request, record))
+fn decode(gateway: &Gateway, object: &Object) -> Option<(Fingerprint, BlockRecord)> {
+    let name = &object.name;
+    let log = |reason: &dyn std::fmt::Display| gateway.store.log_fault(BLOCKED, name, reason);
+    let Some(request) = block_record::request(name) else {
+        log(&"the name is no fingerprint");
+        return None;
+    };
+    let record = serde_json::from_str(&object.spec).inspect_err(|e| log(e));
+    Some((request, record.ok()?))
 }
 
 /// Stores what is new of blocked requests, and removes those that are proved sound.
@@ -151,7 +157,7 @@
     }
     let object = gateway.store.get(BLOCKED, &name, Freshness::Latest).await?;
     let object = object.ok_or(StoreError::Missing)?;
-    let mut stored = decode(&object).map_or_else(BlockRecord::default, |(_, r)| r);
+    let mut stored = decode(gateway, &object).map_or_else(BlockRecord::default, |(_, r)| r);
     let changed = stored.merge(record);
     merge(gateway, request, &stored);
     if !changed {
@@ -199,7 +205,7 @@
     let now = gateway.now();
     let known = gateway.suspects().crashes_of(request, now);
     let mut record = BlockRecord::new(&known, gateway.shared_millis());
-    if let Some((_, stored)) = object.as_ref().and_then(decode) {
+    if let Some((_, stored)) = object.as_ref().and_then(|o| decode(gateway, o)) {
         record.merge(&stored);
         merge(gateway, request, &stored);
         let now = gateway.now();
@@ -229,7 +235,7 @@
 /// Returns an error when the records cannot be read.
 pub async fn sweep(gateway: &Gateway) -> Result<(), StoreError> {
     let (objects, _) = gateway.store.list(BLOCKED, Freshness::Stale).await?;
-    let records = decode_all(&objects);
+    let records = decode_all(gateway, &objects);
     for request in block_record::outdated(&records, gateway.shared_millis()) {
         remove(gateway, request).await;
     }
--- a/src/gateway/job_store.rs
+++ b/src/gateway/job_store.rs
@@ -91,7 +91,8 @@
     let Some(object) = gateway.store.get(JOBS, id, Freshness::Latest).await? else {
         return Ok(None);
     };
-    let (record, ended) = decode(&object).map_err(|e| StoreError::Unknown(e.to_string()))?;
+    let (record, ended) =
+        decode(gateway, &object).map_err(|e| StoreError::Unknown(e.to_string()))?;
     let job = Arc::new(Mutex::new(Job::new(Arc::new(record), ended)));
     read_pages(gateway, id, &job).await?;
     let job = Arc::into_inner(job).map(|m| m.into_inner().unwrap_or_else(|e| e.into_inner()));
@@ -103,15 +104,13 @@
 /// # Errors
 ///
 /// Returns an error when the record cannot be read.
-pub fn decode(object: &Object) -> serde_json::Result<(Record, bool)> {
+pub fn decode(gateway: &Gateway, object: &Object) -> serde_json::Result<(Record, bool)> {
     let record = serde_json::from_str(&object.spec)?;
     let status: Option<JobStatus> = serde_json::from_str(&object.status).unwrap_or_else(|e| {
-        event!(
-            Warn,
-            JobInvalid,
-            "job={} part=status reason=\"{e}\"",
-            object.name
-        );
+        let id = &object.name;
+        if gateway.store.is_new_fault(JOBS, id) {
+            event!(Warn, JobInvalid, "job={id} part=status reason=\"{e}\"");
+        }
         None
     });
     Ok((record, status.unwrap_or_default().ended))
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -15,7 +15,7 @@
 use smol::channel::bounded;
 
 use crate::{
-    adapter::store::{Freshness, Store, StoreError},
+    adapter::store::{Freshness, Object, Store, StoreError},
     drain::Phase,
     event,
     exit::Exit,
@@ -212,9 +212,8 @@
         Timer::after(REGISTER_PAUSE).await;
         match gateway.store.list(INSTANCES, Freshness::Stale).await {
             Ok((objects, _)) => {
-                let entry = |spec: &str| serde_json::from_str::<Entry>(spec).ok();
-                let addresses = objects.iter().filter_map(|o| entry(&o.spec));
-                let addresses = addresses.map(|e| e.address).collect();
+                let addresses = objects.iter().filter_map(|o| address(&gateway.store, o));
+                let addresses = addresses.collect();
                 gateway.peers().set_registered(addresses);
             }
             Err(e) => event!(Info, StoreCallFailed, "call=members reason=\"{e}\""),
@@ -223,6 +222,12 @@
     }
 }
 
+fn address(store: &Store, object: &Object) -> Option<SocketAddr> {
+    let entry = serde_json::from_str::<Entry>(&object.spec);
+    let entry = entry.inspect_err(|e| store.log_fault(INSTANCES, &object.name, e));
+    Some(entry.ok()?.address)
+}
+
 /// Runs a keeper, which confirms the operator's requests to empty a machine with a disk.
 ///
 /// # Errors
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -105,10 +105,12 @@
 /// Has a listed job checked by the instance that should run it, unless an instance runs it.
 async fn sweep_one(gateway: &Arc<Gateway>, object: &Object, found: &mut Set<JobId>) {
     let id: JobId = object.name.as_str().into();
-    let (record, ended) = match job_store::decode(object) {
+    let (record, ended) = match job_store::decode(gateway, object) {
         Ok(decoded) => decoded,
         Err(e) => {
-            event!(Warn, JobInvalid, "job={id} reason=\"{e}\"");
+            if gateway.store.is_new_fault(JOBS, &id) {
+                event!(Warn, JobInvalid, "job={id} reason=\"{e}\"");
+            }
             return;
         }
     };
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -369,7 +369,7 @@
             let kept = views.log_kept(now);
             let changed = before != (version.digest, kept);
             let worker = |object: &Object| {
-                let mut worker = decode_worker(object)?;
+                let mut worker = decode_worker(gateway, object)?;
                 worker.until = views.workers.kept_until(&object.name);
                 Some(Arc::new(worker))
             };
@@ -405,25 +405,28 @@
         Ok(config) => {
             gateway.set_config(config);
         }
-        Err(e) => event!(
-            Warn,
-            ConfigInvalid,
-            "revision={} reason=\"{e:#}\"",
-            object.revision
-        ),
+        Err(e) => {
+            let revision = object.revision;
+            let entry = format!("{}@{revision}", object.name);
+            if gateway.store.is_new_fault(objects::CONFIG.0, &entry) {
+                event!(Warn, ConfigInvalid, "revision={revision} reason=\"{e:#}\"");
+            }
+        }
     }
 }
 
-fn decode_worker(object: &Object) -> Option<Worker> {
+fn decode_worker(gateway: &Gateway, object: &Object) -> Option<Worker> {
     match objects::decode_worker(&object.name, &object.spec) {
         Ok(worker) => Some(worker),
         Err(e) => {
-            event!(
-                Warn,
-                WorkerInvalid,
-                "entry={} reason=\"{e:#}\"",
-                object.name
-            );
+            if gateway.store.is_new_fault(objects::WORKERS, &object.name) {
+                event!(
+                    Warn,
+                    WorkerInvalid,
+                    "entry={:?} reason=\"{e:#}\"",
+                    object.name
+                );
+            }
             None
         }
     }
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -154,7 +154,9 @@
 
 /// Decodes a history, and records the deadlines that are stored with it.
 fn decode(gateway: &Gateway, object: &Object) -> Option<History> {
-    let Stored { history, deadlines } = serde_json::from_str(&object.spec).ok()?;
+    let stored = serde_json::from_str(&object.spec);
+    let stored = stored.inspect_err(|e| gateway.store.log_fault(VERSIONS, &object.name, e));
+    let Stored { history, deadlines } = stored.ok()?;
     gateway.streams().hear_deadlines(deadlines);
     Some(history)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod exchange;
 pub mod exit;
 pub mod explain;
+pub mod fault_log;
 pub mod fnv;
 pub mod forward;
 pub mod free_index;
