Encode names in paths and queries of the store

Of two jobs `j` and `j?x` the items of `j` ran twice and those of `j?x` never; an expired job `j#1` removed `j`.

Cause: platform/store.rs put names into `after=` and into paths as they were. They were no URI, or named another object.

`uri::Target` builds paths and queries from parts, with percent-encoding. `.`, `..`, the empty name and names of over 7500 encoded bytes are refused before they are sent: servers fold the first two away, encoded or not, and RFC 9110 asks servers to read targets of 8000 bytes. Jobs whose ids or pages cannot be named so get 400. An answer that holds an object of another name is an error. A history of versions that cannot be stored is written again after 10 s, not after 0.3 s, and holds up no other. An entry whose name cannot stand in a header names no worker, as its requests could not say whom they mean.

--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -17,6 +17,7 @@
 use crate::{
     adapter::headers,
     ids::{ItemId, JobId, Map, ServiceId, Set, SoftwareVersion, WorkerId},
+    uri::{self, NameError},
 };
 
 use super::{
@@ -562,6 +563,16 @@
     format!("{job}.{page}")
 }
 
+/// Checks that calls to the store can name a job and its pages.
+///
+/// # Errors
+///
+/// Returns the reason why they cannot.
+pub fn check_id(job: &JobId) -> Result<(), NameError> {
+    uri::check_segment(job)?;
+    uri::check_segment(&page_name(job, u32::MAX))
+}
+
 /// Counts bytes.
 struct Counter(usize);
 
--- a/src/gateway/job_api.rs
+++ b/src/gateway/job_api.rs
@@ -28,7 +28,7 @@
     config::{Configuration, Route},
     connection::SendError,
     gateway::Gateway,
-    job::{Job, JobStatus, Record},
+    job::{self, Job, JobStatus, Record},
     job_store::{self, JOBS},
     jobs::{self, SharedJob},
     peer_call,
@@ -101,6 +101,12 @@
 /// fails.
 pub async fn answer_caller(gateway: Arc<Gateway>, request: JobRequest) -> Response<CallerBody> {
     let started = Instant::now();
+    if let Err(e) = job::check_id(&request.job) {
+        return match request.action {
+            Action::Submit => text_answer(StatusCode::BAD_REQUEST, &format!("job id: {e}"), None),
+            _ => text_answer(StatusCode::NOT_FOUND, "no such job", None),
+        };
+    }
     if let Some(home) = gateway.home(&request.job) {
         match peer_call::job(home.address, &request).await {
             // The other instance may not have heard of the route yet.
--- a/src/gateway/job_store.rs
+++ b/src/gateway/job_store.rs
@@ -58,8 +58,10 @@
         match gateway.store.create(JOBS, id, record).await {
             Ok(()) => return Ok(true),
             Err(StoreError::Conflict) => return Ok(false),
-            Err(StoreError::Unavailable(e)) if !outcome_unknown => {
-                return Err(StoreError::Unavailable(e));
+            Err(e @ (StoreError::Unavailable(_) | StoreError::Unnamable(_)))
+                if !outcome_unknown =>
+            {
+                return Err(e);
             }
             Err(e) => {
                 outcome_unknown = true;
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -11,7 +11,7 @@
 use crate::{
     adapter::store::{Freshness, Object, StoreError},
     clock, event,
-    ids::ServiceId,
+    ids::{Map, ServiceId},
 };
 
 use super::{
@@ -28,6 +28,8 @@
 /// Time from new shares to the answer of the store after which they are written again with a new
 /// time. What is left of the delay is for the other instances.
 const WRITE_LIMIT: Duration = Duration::from_millis(300);
+/// Time until a history that the store does not take is written again.
+const HOLD_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of writes of one change.
 const WRITE_ATTEMPTS: usize = 4;
 /// Time for which a read counts as the current state of the store, so that calls that come together share
@@ -89,6 +91,8 @@
         log_failure("read-versions", &e);
         Timer::after(RETRY_PAUSE).await;
     }
+    // Services whose histories the store does not take, with the time of the next try.
+    let mut held: Map<ServiceId, Instant> = Map::default();
     loop {
         Timer::after(CHECK_INTERVAL).await;
         let is_writer = gateway.is_sweeper();
@@ -106,12 +110,22 @@
         if !is_writer {
             continue;
         }
+        let now = Instant::now();
+        held.retain(|_, until| now < *until);
         for (service, slots) in gateway.dispatch.slots_by_version() {
+            if held.contains_key(&service) {
+                continue;
+            }
             let history = gateway.streams().history(&service);
             let Some(next) = history.next(&slots, gateway.shared_millis()) else {
                 continue;
             };
             if let Err(e) = write(&gateway, &service, next).await {
+                if e.is_lasting() {
+                    gateway.store.log_fault(VERSIONS, &service, &e);
+                    held.insert(service, now + HOLD_TIME);
+                    continue;
+                }
                 log_failure("write-versions", &e);
                 Timer::after(RETRY_PAUSE).await;
                 if let Err(e) = adopt(&gateway).await {
@@ -136,11 +150,17 @@
 
 /// Puts histories in use that the store has and that no instance may have told the others.
 async fn adopt(gateway: &Gateway) -> Result<(), StoreError> {
+    let mut written = Ok(());
     for (service, history) in list(gateway).await? {
         if history.number > gateway.streams().history(&service).number {
-            write(gateway, &service, history).await?;
+            // One that fails does not keep the others out of use.
+            match write(gateway, &service, history).await {
+                Err(e) if e.is_lasting() => gateway.store.log_fault(VERSIONS, &service, &e),
+                result => written = result.and(written),
+            }
         }
     }
+    written?;
     gateway.streams().set_caught_up();
     Ok(())
 }
@@ -225,6 +245,7 @@
                 begun = Instant::now();
             }
             Err(StoreError::Conflict) => {}
+            Err(e) if e.is_lasting() => return Err(e),
             Err(e) => {
                 log_failure("write-versions", &e);
                 Timer::after(NEWS_DELAY).await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -97,6 +97,7 @@
 pub mod stream;
 pub mod submit;
 pub mod submit_run;
+pub mod uri;
 pub mod verdict;
 pub mod view;
 pub mod volume;
--- a/tests/gateway_odd_names.rs
+++ b/tests/gateway_odd_names.rs
@@ -6,11 +6,76 @@
 
 use std::{path::Path, thread, time::Duration};
 
-use gateway_support::{Instance, config, platform};
-use serde_json::json;
-use support::http;
+use gateway_support::{HOST, Instance, Store, Worker, config, platform};
+use gentianpath::clock;
+use serde_json::{Value, json};
+use support::{http, until};
 
 const PAUSE: Duration = Duration::from_millis(2);
+/// Number of stores and instances that a test uses at once.
+const AT_ONCE: usize = 4;
+
+/// Returns names that mean something else in a path or query unless they are encoded, or that cannot
+/// stand there.
+fn odd_names() -> Vec<String> {
+    let names = [
+        "m&x",
+        "m+x",
+        "m#x",
+        "m%a",
+        "m%zz",
+        "m%7a",
+        "m%2Fa",
+        "m%00",
+        "m?x",
+        "m/x",
+        "m=x",
+        "m x",
+        "m\"x",
+        "m'x",
+        "m\u{1}x",
+        "m\nx",
+        "m\r\nX: y",
+        "m\0x",
+        "m\u{7f}",
+        "m\\x",
+        "mäx",
+        "m日本",
+        "m\u{10ffff}",
+        "m;x",
+        "m@x:y",
+        "m[x]",
+        "m{x}",
+        "m|^`<>",
+        "m%",
+        "m&after=m",
+        ".",
+        "..",
+        "...",
+        "%2E",
+        "%2e%2e",
+        "m/../x",
+        " ",
+        "é",
+    ];
+    let mut names: Vec<String> = names.map(str::to_owned).into();
+    names.push("m".repeat(2000));
+    names
+}
+
+fn add_worker(store: &Store, id: &str) -> Worker {
+    let worker = Worker::start(id, 2, PAUSE);
+    store.put("servers", id, worker.entry("ready"));
+    worker
+}
+
+fn until_used(instance: &Instance, worker: &Worker) {
+    let before = worker.runs().len();
+    until("the instance uses the worker", || {
+        instance.stream("/resumable/x", &format!("r{}", fastrand::u64(..)));
+        worker.runs().len() > before
+    });
+}
 
 /// Requires that all of some requests are served.
 fn assert_serves(instance: &Instance) {
@@ -35,6 +100,28 @@
     assert!(reports.len() <= count, "{count} entries: {reports:#?}");
 }
 
+/// Starts two instances that use the same store.
+fn start_two(store: &Store) -> [Instance; 2] {
+    let one = Instance::start("one", store, &[]);
+    let two = Instance::start("two", store, &[one.peers]);
+    [one, two]
+}
+
+/// Calls a function for each of the cases, some at a time.
+fn for_each_case<T: Sync>(cases: &[T], run: impl Fn(&T) + Sync) {
+    let numbers: Vec<usize> = (0..cases.len()).collect();
+    for chunk in numbers.chunks(AT_ONCE) {
+        thread::scope(|scope| {
+            for number in chunk {
+                let name = format!("case {number}");
+                let case = thread::Builder::new().name(name);
+                let run = || run(&cases[*number]);
+                case.spawn_scoped(scope, run).unwrap();
+            }
+        });
+    }
+}
+
 /// Guards against a log that one entry fills, as it is read again with each change of the others.
 #[test]
 fn entries_that_cannot_be_used_are_logged_once() {
@@ -75,6 +162,123 @@
     assert_eq!(text.matches("event=config-invalid").count(), 1);
 }
 
+/// Guards against a list of workers that stops, skips some or reads others again at a name that ends
+/// a page: before the start of the instances, while they run and after a restart of all.
+#[test]
+fn odd_names_hide_no_worker() {
+    let store = Store::start();
+    store.set_page(1);
+    store.put("config", "main", config(1));
+    let names = odd_names();
+    for name in &names {
+        store.put("servers", name, json!({ "odd": true }));
+    }
+    let worker = add_worker(&store, "m~");
+    for instance in start_two(&store) {
+        assert_serves(&instance);
+        assert_reported_once(&instance.log, names.len());
+    }
+    let instances = start_two(&store);
+    instances.iter().for_each(assert_serves);
+    let lists = store.lists("servers");
+    for name in &names {
+        store.put("servers", &format!("later-{name}"), json!({ "odd": true }));
+    }
+    let later = add_worker(&store, "z~");
+    store.remove("servers", &worker.id);
+    for instance in &instances {
+        until_used(instance, &later);
+        assert_serves(instance);
+        assert_reported_once(&instance.log, 2 * names.len());
+    }
+    assert!(store.lists("servers") - lists <= 2 * names.len() + 2);
+}
+
+/// Returns the ids of the requests that a worker ran, in their order.
+fn ran(worker: &Worker) -> Vec<String> {
+    let runs = worker.runs().into_iter();
+    runs.filter_map(|r| Some(r.header("x-request-id")?.to_owned()))
+        .collect()
+}
+
+/// Guards against a job that is read under the name of another one after all instances have ended, so
+/// that items run twice or never.
+#[test]
+fn jobs_with_odd_ids_are_taken_up_as_themselves() {
+    let (store, workers) = platform(40, Duration::from_millis(40));
+    let jobs = [
+        "j",
+        "j?x",
+        "j#1",
+        "j x",
+        "j%41",
+        "j+x",
+        "j%2Bx",
+        "j/x",
+        "j&after=j",
+        "j\"x",
+        "j%",
+        "...",
+        "j/../j",
+    ];
+    let items = |n: usize| [format!("a{n}"), format!("b{n}")];
+    let mut first = Instance::start_for_jobs("one", &store);
+    for (n, job) in jobs.iter().enumerate() {
+        let [a, b] = items(n);
+        assert_eq!(first.submit(job, &[&a, &b]).unwrap().status, 202, "{job}");
+    }
+    first.kill();
+    // Requests that were on their way have arrived.
+    thread::sleep(Duration::from_millis(300));
+    let before = workers.each_ref().map(|w| ran(w).len());
+    let second = Instance::start_for_jobs("two", &store);
+    until("all jobs have results", || {
+        store.names("batch-pages").len() >= jobs.len()
+    });
+    for (n, job) in jobs.iter().enumerate() {
+        let results = second.wait_results(job, 2);
+        let mut found: Vec<&str> = results.iter().filter_map(|r| r["id"].as_str()).collect();
+        found.sort_unstable();
+        assert_eq!(found, items(n), "{job}");
+        assert!(results.iter().all(|r| r["state"] == "done"), "{job}");
+    }
+    let later = workers.iter().zip(before);
+    let mut runs: Vec<String> = later.flat_map(|(w, n)| ran(w).split_off(n)).collect();
+    let count = runs.len();
+    runs.sort_unstable();
+    runs.dedup();
+    assert_eq!(runs.len(), count, "an item ran twice");
+    let mut names = store.names("batch-jobs");
+    names.sort_unstable();
+    let mut expected = jobs.map(str::to_owned);
+    expected.sort_unstable();
+    assert_eq!(names, expected);
+}
+
+/// Guards against the removal of an expired job that removes another one or its results.
+#[test]
+fn the_removal_of_an_expired_job_leaves_the_others() {
+    let (store, _workers) = platform(2, PAUSE);
+    let record = |submitted: u64| json!({ "host": HOST, "path": "/jobs/x", "submitted": submitted, "config": 1, "items": [] });
+    let expired = ["j#1", "j?x", "j%31", "j/../j", "j x"];
+    let kept = ["j", "j1"];
+    for job in kept {
+        store.put("batch-jobs", job, record(clock::unix_millis()));
+        store.put("batch-pages", &format!("{job}.0"), json!([]));
+    }
+    for job in expired {
+        store.put("batch-jobs", job, record(1));
+        store.set_status("batch-jobs", job, json!({ "ended": true }));
+    }
+    let _instance = Instance::start_for_jobs("one", &store);
+    until("the expired jobs are gone", || {
+        let names = store.names("batch-jobs");
+        expired.iter().all(|job| !names.iter().any(|n| n == job))
+    });
+    assert_eq!(store.names("batch-jobs"), kept);
+    assert_eq!(store.names("batch-pages"), ["j.0", "j1.0"]);
+}
+
 /// Guards against ids of jobs and items that are read as they stand in a path or query of a caller, so
 /// that another job or none is found.
 #[test]
@@ -102,6 +306,7 @@
         assert_eq!(answer.status, 200, "{path}");
         assert_eq!(answer.json()["results"][0]["id"], id(n), "{path}");
     }
+    assert_eq!(get("/lots/j%2520x").status, 404);
     assert_eq!(get("/lots/%FF").status, 404);
     assert_eq!(get("/lots/").status, 404);
     let odd = ["a b", "a+b", "a&b"];
@@ -119,3 +324,80 @@
     );
     assert_eq!(store.names("batch-jobs").len(), 6);
 }
+
+/// Guards against jobs that are accepted under an id that no path can hold, so that no instance finds
+/// them again.
+#[test]
+fn jobs_whose_ids_cannot_be_sent_are_refused() {
+    let (store, _workers) = platform(2, PAUSE);
+    let instance = Instance::start_for_jobs("one", &store);
+    let long = "%".repeat(4000);
+    for job in [".", "..", "", &long] {
+        assert_eq!(instance.submit(job, &["i"]).unwrap().status, 400, "{job}");
+    }
+    assert!(store.names("batch-jobs").is_empty());
+    for path in ["/lots/.", "/lots/%2E%2E", "/lots/", "/items/..?id=i"] {
+        let answer = http::call(instance.callers, "GET", path, &[], "").unwrap();
+        assert_eq!(answer.status, 404, "{path}");
+    }
+}
+
+/// Guards against histories of versions that are stored under another name, or that hold up those of
+/// other services.
+#[test]
+fn versions_of_services_with_odd_names_are_stored_under_their_names() {
+    let store = Store::start();
+    let mut names = odd_names();
+    names.retain(|n| ![".", ".."].contains(&n.as_str()));
+    let service = |name: &str| json!({ "name": name, "max_conns": 100 });
+    let mut config = config(1);
+    let all = names.iter().map(String::as_str);
+    let services: Vec<Value> = all.chain([".", "..", "lm"]).map(service).collect();
+    config["services"] = services.into();
+    store.put("config", "main", config);
+    for (n, name) in names
+        .iter()
+        .map(String::as_str)
+        .chain([".", ".."])
+        .enumerate()
+    {
+        let worker = Worker::start(&format!("w{n}"), 2, PAUSE);
+        let mut entry = worker.entry("ready");
+        entry["service"] = name.into();
+        store.put("servers", &worker.id, entry);
+    }
+    add_worker(&store, "w");
+    let instance = Instance::start("one", &store, &[]);
+    names.push("lm".to_owned());
+    names.sort_unstable();
+    until("the versions are stored", || {
+        store.names("stream-versions").len() >= names.len()
+    });
+    thread::sleep(Duration::from_secs(1));
+    assert_eq!(store.names("stream-versions"), names);
+    let (reads, writes) = (store.calls("GET"), store.calls("POST") + store.calls("PUT"));
+    thread::sleep(Duration::from_secs(3));
+    assert!(store.calls("GET") - reads <= 12);
+    assert_eq!(store.calls("POST") + store.calls("PUT"), writes);
+    assert_reported_once(&instance.log, 2);
+}
+
+/// Guards against an instance whose entry is not renewed after a restart.
+#[test]
+fn instances_with_odd_names_register_again() {
+    let (store, _workers) = platform(2, PAUSE);
+    let names: Vec<String> = ["one#1", "one?x", "one x", "one%41", "one/x"]
+        .map(str::to_owned)
+        .into();
+    for_each_case(&names, |name| {
+        Instance::start(name, &store, &[]).kill();
+        let first = store.get("entry-instances", name).unwrap()["spec"].clone();
+        let _second = Instance::start(name, &store, &[]);
+        until("the entry is renewed", || {
+            store.get("entry-instances", name).unwrap()["spec"] != first
+        });
+    });
+    let mut names = names;
+    names.sort_unstable();
+    assert_eq!(store.names("entry-instances"), names);
+}
