Read lists and changes of the store item by item

What callers saw: with one item in the list of workers that lacks its metadata, whose name is no text, whose revision is negative or whose bytes are not UTF-8, no request was served after a restart, and running instances no longer followed changes. An unreadable configuration made instances that do not watch it take the store for lost.

Cause: a page and a batch of changes were each one value, so one item refused all.

`json_parts` splits a text at its brackets and quotes, and `items` reads each part by itself. A parser of the whole ends at the first byte that it cannot read. Objects that cannot be read or named are left out and logged once; a change to one counts as its removal, since what it held before is no longer so. A list goes on from the last name that can be read. An object that is read alone and is whole but unreadable is told from a cut answer: the earlier configuration stays in force, and histories and blocked requests of this system are written over.

Before, the 4 new tests of gateway_odd_names.rs failed.

--- a/src/gateway/block_store.rs
+++ b/src/gateway/block_store.rs
@@ -155,18 +155,16 @@
         Err(StoreError::Conflict) => {}
         other => return other,
     }
-    let object = gateway.store.get(BLOCKED, &name, Freshness::Latest).await?;
-    let object = object.ok_or(StoreError::Missing)?;
-    let mut stored = decode(gateway, &object).map_or_else(BlockRecord::default, |(_, r)| r);
+    let prior = gateway.store.prior(BLOCKED, &name).await?;
+    let stored = prior.object().and_then(|o| decode(gateway, o));
+    let mut stored = stored.map_or_else(BlockRecord::default, |(_, r)| r);
     let changed = stored.merge(record);
     merge(gateway, request, &stored);
     if !changed {
         return Ok(());
     }
     let store = &gateway.store;
-    store
-        .replace_at(BLOCKED, &name, object.revision, &stored)
-        .await
+    store.write_over(BLOCKED, &name, &prior, &stored).await
 }
 
 async fn remove(gateway: &Gateway, request: Fingerprint) {
@@ -201,11 +199,11 @@
 
 async fn try_claim(gateway: &Gateway, request: Fingerprint) -> Result<bool, StoreError> {
     let name = block_record::name(request);
-    let object = gateway.store.get(BLOCKED, &name, Freshness::Latest).await?;
+    let prior = gateway.store.prior(BLOCKED, &name).await?;
     let now = gateway.now();
     let known = gateway.suspects().crashes_of(request, now);
     let mut record = BlockRecord::new(&known, gateway.shared_millis());
-    if let Some((_, stored)) = object.as_ref().and_then(|o| decode(gateway, o)) {
+    if let Some((_, stored)) = prior.object().and_then(|o| decode(gateway, o)) {
         record.merge(&stored);
         merge(gateway, request, &stored);
         let now = gateway.now();
@@ -217,14 +215,7 @@
         return Ok(false);
     };
     let store = &gateway.store;
-    match object {
-        Some(object) => {
-            store
-                .replace_at(BLOCKED, &name, object.revision, &claimed)
-                .await?;
-        }
-        None => store.create(BLOCKED, &name, &claimed).await?,
-    }
+    store.write_over(BLOCKED, &name, &prior, &claimed).await?;
     Ok(true)
 }
 
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -86,20 +86,13 @@
 
 /// Adds the jobs that no instance runs to `found`, and has them checked.
 async fn sweep(gateway: &Arc<Gateway>, found: &mut Set<JobId>) -> Result<(), StoreError> {
-    let mut after: Option<String> = None;
-    loop {
-        let page = gateway
-            .store
-            .list_page(JOBS, after.as_deref(), Freshness::Latest)
-            .await?;
+    let mut pages = gateway.store.pages(JOBS, Freshness::Latest);
+    while let Some(page) = pages.next().await? {
         for object in &page.objects {
             sweep_one(gateway, object, found).await;
         }
-        after = page.next;
-        if after.is_none() {
-            return Ok(());
-        }
     }
+    Ok(())
 }
 
 /// Has a listed job checked by the instance that should run it, unless an instance runs it.
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -299,7 +299,11 @@
         }
         self.called = gateway.now();
         let (kind, name) = objects::CONFIG;
-        let config = gateway.store.get(kind, name, Freshness::Stale).await?;
+        let config = match gateway.store.get(kind, name, Freshness::Stale).await {
+            // The earlier configuration stays in force.
+            Err(StoreError::Unreadable(_)) => None,
+            other => other?,
+        };
         let now = gateway.now();
         gateway.set_store_reached(true);
         let mut views = gateway.views();
--- a/src/gateway/version_store.rs
+++ b/src/gateway/version_store.rs
@@ -201,11 +201,11 @@
     let mut begun = Instant::now();
     let mut is_sent = false;
     for _ in 0..WRITE_ATTEMPTS {
-        let object = store.get(VERSIONS, service, Freshness::Latest).await?;
-        let written = match (&object, object.as_ref().and_then(|o| decode(gateway, o))) {
+        let prior = store.prior(VERSIONS, service).await?;
+        let written = match prior.object().and_then(|o| decode(gateway, o)) {
             // An earlier write took effect, and its answer was lost.
-            (_, Some(stored)) if is_sent && stored == next => Ok(()),
-            (Some(object), Some(stored)) if stored.number >= next.number => {
+            Some(stored) if is_sent && stored == next => Ok(()),
+            Some(stored) if stored.number >= next.number => {
                 if stored.number <= gateway.streams().history(service).number {
                     return Ok(());
                 }
@@ -220,18 +220,12 @@
                     return Ok(());
                 }
                 begun = Instant::now();
-                let revision = object.revision;
                 let new = encode(gateway, &next);
-                store.replace_at(VERSIONS, service, revision, &new).await
+                store.write_over(VERSIONS, service, &prior, &new).await
             }
-            (Some(object), _) => {
-                let revision = object.revision;
+            _ => {
                 let new = encode(gateway, &next);
-                store.replace_at(VERSIONS, service, revision, &new).await
-            }
-            (None, _) => {
-                let new = encode(gateway, &next);
-                store.create(VERSIONS, service, &new).await
+                store.write_over(VERSIONS, service, &prior, &new).await
             }
         };
         is_sent = true;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod job_queue;
 pub mod job_record;
 pub mod jobs;
+pub mod json_parts;
 pub mod kv;
 pub mod lease;
 pub mod levels;
--- a/tests/gateway_odd_names.rs
+++ b/tests/gateway_odd_names.rs
@@ -12,6 +12,10 @@
 use support::{http, until};
 
 const PAUSE: Duration = Duration::from_millis(2);
+/// Objects of a page.
+const PAGE: usize = 10;
+/// Bytes of a name that no URI can hold.
+const ENDLESS_NAME: usize = 20_000;
 /// Number of stores and instances that a test uses at once.
 const AT_ONCE: usize = 4;
 
@@ -63,6 +67,43 @@
     names
 }
 
+/// Returns items of a list that cannot be read as an object of a name.
+fn unreadable_items(name: &str) -> Vec<Vec<u8>> {
+    let item = |metadata: &str, spec: &str| {
+        format!("{{\"metadata\":{metadata},\"spec\":{spec},\"status\":null}}").into_bytes()
+    };
+    let named = |spec: &str| item(&format!("{{\"name\":\"{name}\",\"rev\":2}}"), spec);
+    let revised = |rev: &str| item(&format!("{{\"name\":\"{name}\",\"rev\":{rev}}}"), "{}");
+    let broken = |mut item: Vec<u8>| {
+        for byte in item.iter_mut().filter(|b| **b == b'!') {
+            *byte = 0xff;
+        }
+        item
+    };
+    let long = "n".repeat(ENDLESS_NAME);
+    vec![
+        b"{\"spec\":{}}".to_vec(),
+        item("null", "{}"),
+        item("{\"rev\":2}", "{}"),
+        item("{\"name\":5,\"rev\":2}", "{}"),
+        item("{\"name\":null,\"rev\":2}", "{}"),
+        item("{\"name\":\"\",\"rev\":2}", "{}"),
+        item("{\"name\":\"b\\ud800\",\"rev\":2}", "{}"),
+        item(&format!("{{\"name\":\"{long}\",\"rev\":2}}"), "{}"),
+        broken(item("{\"name\":\"b!\",\"rev\":2}", "{}")),
+        broken(named("\"!\"")),
+        named("NaN"),
+        named("\"\u{1}\""),
+        revised("-1"),
+        revised("\"2\""),
+        revised("1e30"),
+        b"null".to_vec(),
+        b"5".to_vec(),
+        b"\"]}\"".to_vec(),
+        b"[]".to_vec(),
+    ]
+}
+
 fn add_worker(store: &Store, id: &str) -> Worker {
     let worker = Worker::start(id, 2, PAUSE);
     store.put("servers", id, worker.entry("ready"));
@@ -194,6 +235,93 @@
     assert!(store.lists("servers") - lists <= 2 * names.len() + 2);
 }
 
+/// Guards against one entry that cannot be read and that hides the others of its list, of its page or
+/// of a batch of changes: before the start, while instances run and after a restart of all.
+#[test]
+fn unreadable_entries_hide_no_worker() {
+    for_each_case(&unreadable_items("b"), |item| {
+        let store = Store::start();
+        store.set_page(PAGE);
+        store.put("config", "main", config(1));
+        for n in 1..PAGE {
+            store.put("servers", &format!("a{n}"), json!({ "odd": true }));
+        }
+        store.put_raw("servers", "b", item);
+        let worker = add_worker(&store, "c");
+        store.put_raw("servers", "d", item);
+        for instance in start_two(&store) {
+            assert_serves(&instance);
+        }
+        let instances = start_two(&store);
+        instances.iter().for_each(assert_serves);
+        let lists = store.lists("servers");
+        store.put_raw("servers", "e", item);
+        let later = add_worker(&store, "f");
+        store.remove("servers", &worker.id);
+        for instance in &instances {
+            until_used(instance, &later);
+            assert_serves(instance);
+            assert_reported_once(&instance.log, PAGE + 2);
+            assert!(
+                reports(&instance.log)
+                    .iter()
+                    .any(|r| r.contains("kind=servers"))
+            );
+        }
+        assert!(store.lists("servers") - lists <= 4);
+    });
+}
+
+/// Guards against a worker that stays in use after its entry was replaced by one that cannot be read.
+#[test]
+fn a_worker_whose_entry_becomes_unreadable_is_out_of_use() {
+    let items = unreadable_items("w1");
+    let named: Vec<Vec<u8>> = items
+        .into_iter()
+        .filter(|i| i.windows(10).any(|w| w == b"\"name\":\"w1"))
+        .collect();
+    assert!(named.len() > 4);
+    for_each_case(&named, |item| {
+        let (store, [first, second]) = platform(2, PAUSE);
+        let instance = Instance::start("one", &store, &[]);
+        until_used(&instance, &first);
+        store.put_raw("servers", "w1", item);
+        thread::sleep(Duration::from_millis(500));
+        let before = first.runs().len();
+        assert_serves(&instance);
+        assert_eq!(first.runs().len(), before);
+        store.put("servers", "w1", first.entry("ready"));
+        until_used(&instance, &first);
+        until_used(&instance, &second);
+    });
+}
+
+/// Guards against instances that take the store for lost, or that stop following the configuration,
+/// while it cannot be read.
+#[test]
+fn an_unreadable_configuration_leaves_the_earlier_one_in_force() {
+    for_each_case(&unreadable_items("main"), |item| {
+        let (store, _workers) = platform(2, PAUSE);
+        let instances = start_two(&store);
+        store.put_raw("config", "main", item);
+        let calls = store.calls("GET");
+        thread::sleep(Duration::from_secs(3));
+        assert!(store.calls("GET") - calls <= 12);
+        instances.iter().for_each(assert_serves);
+        let mut second = config(2);
+        second["routes"][0]["path_prefix"] = "/second/".into();
+        store.put("config", "main", second);
+        for instance in &instances {
+            until("the new configuration is in force", || {
+                let answer = instance.stream("/second/x", &format!("n{}", fastrand::u64(..)));
+                answer.is_some_and(|a| a.status == 200)
+            });
+            // A change without a readable name, and the object that is read by its name.
+            assert_reported_once(&instance.log, 2);
+        }
+    });
+}
+
 /// Returns the ids of the requests that a worker ran, in their order.
 fn ran(worker: &Worker) -> Vec<String> {
     let runs = worker.runs().into_iter();
@@ -279,6 +407,47 @@
     assert_eq!(store.names("batch-pages"), ["j.0", "j1.0"]);
 }
 
+/// Guards against jobs that other jobs hide that cannot be read or whose names cannot stand in a path.
+#[test]
+fn jobs_are_found_beside_unreadable_ones() {
+    let (store, _workers) = platform(2, PAUSE);
+    store.set_page(PAGE);
+    let items = json!([{ "id": "i", "path": "/jobs/i", "headers": [], "body": "", "tokens": 1 }]);
+    let record = |items: &Value| {
+        json!({ "host": HOST, "path": "/jobs/x", "submitted": clock::unix_millis(), "config": 1,
+                "items": items })
+    };
+    for (n, item) in unreadable_items("a").iter().enumerate() {
+        for kind in [
+            "batch-jobs",
+            "blocked-requests",
+            "stream-versions",
+            "entry-instances",
+        ] {
+            store.put_raw(kind, &format!("a{n:02}-raw"), item);
+            store.put(kind, &format!("a{n:02}-odd"), Value::Null);
+        }
+    }
+    store.put("batch-jobs", ".", record(&items));
+    store.put("batch-jobs", "..", record(&items));
+    store.put("batch-jobs", "b", record(&items));
+    let instance = Instance::start_for_jobs("one", &store);
+    until("the job has results", || {
+        store.names("batch-pages") == ["b.0"]
+    });
+    let calls = store.calls("GET");
+    thread::sleep(Duration::from_secs(3));
+    // A list of instances, two of workers' versions and probes of the connections.
+    assert!(
+        store.calls("GET") - calls <= 30,
+        "{}",
+        store.calls("GET") - calls
+    );
+    assert_eq!(store.names("batch-pages"), ["b.0"]);
+    // Two entries of each of four kinds, and the two names.
+    assert_reported_once(&instance.log, 4 * 2 * unreadable_items("a").len() + 2);
+}
+
 /// Guards against ids of jobs and items that are read as they stand in a path or query of a caller, so
 /// that another job or none is found.
 #[test]
@@ -390,7 +559,11 @@
         .map(str::to_owned)
         .into();
     for_each_case(&names, |name| {
-        Instance::start(name, &store, &[]).kill();
+        let mut instance = Instance::start(name, &store, &[]);
+        until("the instance is registered", || {
+            store.get("entry-instances", name).is_some()
+        });
+        instance.kill();
         let first = store.get("entry-instances", name).unwrap()["spec"].clone();
         let _second = Instance::start(name, &store, &[]);
         until("the entry is renewed", || {
