--- a/src/gateway/job_store.rs
+++ b/src/gateway/job_store.rs
@@ -58,11 +58,10 @@
         match gateway.store.create(JOBS, id, record).await {
             Ok(()) => return Ok(true),
             Err(StoreError::Conflict) => return Ok(false),
-            Err(e @ (StoreError::Unavailable(_) | StoreError::Unnamable(_)))
-                if !outcome_unknown =>
-            {
-                return Err(e);
-            }
+            Err(
+                e
+                @ (StoreError::Unavailable(_) | StoreError::Refused(_) | StoreError::Unnamable(_)),
+            ) if !outcome_unknown => return Err(e),
             Err(e) => {
                 outcome_unknown = true;
                 event!(Info, StoreCallFailed, "job={id} call=create reason=\"{e}\"");
--- a/tests/gateway_odd_names.rs
+++ b/tests/gateway_odd_names.rs
@@ -4,7 +4,11 @@
 mod gateway_support;
 mod support;
 
-use std::{path::Path, thread, time::Duration};
+use std::{
+    path::Path,
+    thread,
+    time::{Duration, Instant},
+};
 
 use gateway_support::{HOST, Instance, Store, Worker, config, platform};
 use gentianpath::clock;
@@ -322,6 +326,66 @@
     });
 }
 
+/// Guards against calls without end or pause while a list does not advance, and requires that it is
+/// read as soon as it does.
+#[test]
+fn a_list_that_does_not_advance_ends_with_a_pause() {
+    let repeat = |store: &Store| store.repeat_pages(Some("servers"));
+    let fill = |store: &Store| {
+        for n in 0..PAGE {
+            store.put_raw("servers", &format!("a{n}"), b"{}");
+        }
+    };
+    let clear = |store: &Store| {
+        store.repeat_pages(None);
+        for n in 0..PAGE {
+            store.remove("servers", &format!("a{n}"));
+        }
+    };
+    for_each_case::<&(dyn Fn(&Store) + Sync)>(&[&repeat, &fill], |stop| {
+        let store = Store::start();
+        store.set_page(PAGE);
+        store.put("config", "main", config(1));
+        for n in 0..2 * PAGE {
+            store.put("servers", &format!("b{n:02}"), json!({ "odd": true }));
+        }
+        add_worker(&store, "c");
+        stop(&store);
+        let instance = Instance::spawn("one", &store, &[]);
+        until("the list is read", || store.lists("servers") > 1);
+        let lists = store.lists("servers");
+        let started = Instant::now();
+        thread::sleep(Duration::from_secs(3));
+        // A try reads two pages at most. The pauses are random, of up to 150 ms at first and 900 ms later.
+        let tries = started.elapsed().as_millis() as usize / 150;
+        assert!(store.lists("servers") - lists <= 2 * tries);
+        let text = std::fs::read_to_string(&instance.log).unwrap();
+        assert!(text.contains("the list does not advance"), "{text}");
+        clear(&store);
+        until("requests are served", || {
+            let answer = instance.stream("/resumable/x", &format!("r{}", fastrand::u64(..)));
+            answer.is_some_and(|a| a.status == 200)
+        });
+    });
+}
+
+/// Guards against a list that ends at a name that the store refuses in a query.
+#[test]
+fn a_list_goes_on_from_an_earlier_name_if_the_store_refuses_one() {
+    let store = Store::start();
+    store.set_page(PAGE);
+    store.put("config", "main", config(1));
+    for n in 0..PAGE {
+        let name = format!("a{n}");
+        store.put("servers", &name, json!({ "odd": true }));
+        if n > PAGE / 2 {
+            store.refuse_name(&name);
+        }
+    }
+    add_worker(&store, "b");
+    assert_serves(&Instance::start("one", &store, &[]));
+}
+
 /// Returns the ids of the requests that a worker ran, in their order.
 fn ran(worker: &Worker) -> Vec<String> {
     let runs = worker.runs().into_iter();
