Encode names in calls to the object service

Names that this system gives are limited to letters, digits, `-` and `_`, but a listing goes on after names of other writers.

It builds its targets with `uri::Target`. A name that no path can hold is no object for reads, and its writes are refused.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -11,6 +11,7 @@
     ids::{InstanceId, Version},
     instance_list::{InstanceList, ListAnswer, ListedEntry},
     metrics::{self, CallOutcome, PlatformCall},
+    uri::{NameError, Target},
 };
 
 /// Request header with the name of the calling instance.
@@ -153,6 +154,18 @@
     }
 }
 
+impl From<NameError> for ReadError {
+    fn from(_: NameError) -> Self {
+        Self::Unavailable
+    }
+}
+
+impl From<NameError> for WriteError {
+    fn from(_: NameError) -> Self {
+        Self::Refused
+    }
+}
+
 impl std::error::Error for ReadError {}
 impl std::error::Error for WriteError {}
 
@@ -193,11 +206,19 @@
     ///
     /// Returns [`ReadError::Unavailable`] when the service does not answer.
     pub async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, ReadError> {
-        let conn = self
-            .client
-            .get(format!("{}/objects/{kind}/{name}", self.base));
+        let Ok(target) = object_target(kind, name) else {
+            return Ok(None);
+        };
+        let conn = self.client.get(self.url(&target));
         match self.send(PlatformCall::Get, conn, self.timeout).await {
-            Ok((200, body)) => parse(&body).map(Some),
+            Ok((200, body)) => {
+                let object: Object = parse(&body)?;
+                // A server that reads another path than was meant answers with another object.
+                let is_meant = *object.name == *name;
+                is_meant
+                    .then_some(Some(object))
+                    .ok_or(ReadError::Unavailable)
+            }
             Ok((404, _)) => Ok(None),
             _ => Err(ReadError::Unavailable),
         }
@@ -216,14 +237,12 @@
         after: &str,
         limit: usize,
     ) -> Result<Listing, ReadError> {
-        let url = format!(
-            "{}/objects/{kind}?prefix={prefix}&after={after}&limit={limit}",
-            self.base
-        );
-        match self
-            .send(PlatformCall::List, self.client.get(url), self.timeout)
-            .await
-        {
+        let target = Target::of_path(&["objects", kind.as_str()])?
+            .with("prefix", prefix)?
+            .with("after", after)?
+            .with("limit", &limit.to_string())?;
+        let conn = self.client.get(self.url(&target));
+        match self.send(PlatformCall::List, conn, self.timeout).await {
             Ok((200, body)) => parse(&body),
             _ => Err(ReadError::Unavailable),
         }
@@ -240,11 +259,10 @@
         since: Version,
         wait: Duration,
     ) -> Result<Changes, ReadError> {
-        let url = format!(
-            "{}/watch/{kind}?since={since}&timeout_ms={}",
-            self.base,
-            wait.as_millis()
-        );
+        let target = Target::of_path(&["watch", kind.as_str()])?
+            .with("since", &since.to_string())?
+            .with("timeout_ms", &wait.as_millis().to_string())?;
+        let url = self.url(&target);
         let deadline = wait + self.timeout;
         match self
             .send(PlatformCall::Watch, self.client.get(url), deadline)
@@ -268,7 +286,7 @@
         value: &impl Serialize,
     ) -> Result<Version, WriteError> {
         let conn = self
-            .object(Method::Put, kind, name)
+            .object(Method::Put, kind, name)?
             .with_request_header("if-none-match", "*");
         self.write(PlatformCall::Create, conn, value).await
     }
@@ -320,7 +338,7 @@
         value: &impl Serialize,
     ) -> Result<Version, WriteError> {
         let conn = self
-            .object(Method::Put, kind, name)
+            .object(Method::Put, kind, name)?
             .with_request_header("if-match", version.to_string());
         self.write(PlatformCall::Update, conn, value).await
     }
@@ -332,7 +350,7 @@
     /// Returns [`WriteError::Conflict`] when it has another version.
     pub async fn delete(&self, kind: Kind, name: &str, version: Version) -> Result<(), WriteError> {
         let conn = self
-            .object(Method::Delete, kind, name)
+            .object(Method::Delete, kind, name)?
             .with_request_header("if-match", version.to_string());
         let answer = self.send(PlatformCall::Delete, conn, self.timeout).await?;
         written(answer).map(|_| ())
@@ -378,7 +396,7 @@
     ///
     /// Returns [`WriteError::Unknown`] when there was no answer. The call may be repeated.
     pub async fn register(&self, entry: &ListedEntry) -> Result<(), WriteError> {
-        let url = format!("{}/instances/entries/{}", self.base, entry.id);
+        let url = self.url(&Target::of_path(&["instances", "entries", &entry.id])?);
         let body = serde_json::to_vec(entry).map_err(|_| WriteError::Refused)?;
         let conn = self.client.put(url).with_body(body);
         match self
@@ -390,9 +408,13 @@
         }
     }
 
-    fn object(&self, method: Method, kind: Kind, name: &str) -> Conn {
-        let url = format!("{}/objects/{kind}/{name}", self.base);
-        self.client.build_conn(method, url)
+    fn url(&self, target: &Target) -> String {
+        format!("{}{target}", self.base)
+    }
+
+    fn object(&self, method: Method, kind: Kind, name: &str) -> Result<Conn, WriteError> {
+        let url = self.url(&object_target(kind, name)?);
+        Ok(self.client.build_conn(method, url))
     }
 
     async fn write(
@@ -460,6 +482,10 @@
     }
 }
 
+fn object_target(kind: Kind, name: &str) -> Result<Target, NameError> {
+    Target::of_path(&["objects", kind.as_str(), name])
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, ReadError> {
     serde_json::from_slice(body).map_err(|_| ReadError::Unavailable)
 }
