Read listings and changes of the object service item by item

As in the store of the users' platform, one object that cannot be read refused the whole page or batch, and a listing that does not advance was read without end. A push read the same page of the log again and again if 500 objects that are no entries stood behind the head.

Objects are read one by one and logged once if that fails; a change to one counts as a removal. `list_all` pages by the names that it reads, ends if one comes again, and serves the watches, the reads of the log and the pushes.

--- a/src/platform.rs
+++ b/src/platform.rs
@@ -8,10 +8,13 @@
 
 use crate::{
     dial,
-    ids::{InstanceId, Version},
+    fault_log::FaultLog,
+    ids::{InstanceId, Set, Version},
     instance_list::{InstanceList, ListAnswer, ListedEntry},
+    json_parts,
     metrics::{self, CallOutcome, PlatformCall},
-    uri::{NameError, Target},
+    mutex::{Mutex, lock},
+    uri::{self, NameError, Target},
 };
 
 /// Request header with the name of the calling instance.
@@ -80,9 +83,8 @@
     pub value: Value,
 }
 
-/// Objects of a kind at one version of the store.
+/// Objects of a kind at one version of the store. Those that cannot be read are left out.
 #[derive(Debug, Clone)]
-#[derive(Deserialize)]
 pub struct Listing {
     /// Version of the store when the listing was made.
     pub version: Version,
@@ -102,9 +104,8 @@
     pub value: Option<Value>,
 }
 
-/// Changes of a watched kind up to a version.
+/// Changes of a watched kind up to a version. An object that cannot be read counts as removed.
 #[derive(Debug, Clone)]
-#[derive(Deserialize)]
 pub struct Changes {
     /// Version up to which the changes are complete.
     pub version: Version,
@@ -174,12 +175,26 @@
     version: Version,
 }
 
-/// Client of the platform; every call has a deadline. Clones share only their settings.
+/// Maximum number of objects in a page of a listing.
+const PAGE: usize = 500;
+
+/// Page of a listing.
+struct Page {
+    listing: Listing,
+    /// Number of objects, with those that cannot be read.
+    count: usize,
+    /// Name of the last object whose name can be read and stand in a query.
+    last: Option<Arc<str>>,
+}
+
+/// Client of the platform; every call has a deadline. Clones share their settings and the log of
+/// objects that cannot be read.
 #[derive(Debug, Clone)]
 pub struct Platform {
     client: Client,
     base: Arc<str>,
     timeout: Duration,
+    faults: Arc<Mutex<FaultLog>>,
 }
 
 impl Platform {
@@ -189,6 +204,7 @@
             client: dial::client(connect),
             base: format!("http://{address}").into(),
             timeout,
+            faults: Arc::default(),
         }
     }
 
@@ -204,21 +220,26 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ReadError::Unavailable`] when the service does not answer.
+    /// Returns [`ReadError::Unavailable`] when the service does not answer or the object cannot be
+    /// read.
     pub async fn get(&self, kind: Kind, name: &str) -> Result<Option<Object>, ReadError> {
         let Ok(target) = object_target(kind, name) else {
             return Ok(None);
         };
         let conn = self.client.get(self.url(&target));
         match self.send(PlatformCall::Get, conn, self.timeout).await {
-            Ok((200, body)) => {
-                let object: Object = parse(&body)?;
-                // A server that reads another path than was meant answers with another object.
-                let is_meant = *object.name == *name;
-                is_meant
-                    .then_some(Some(object))
-                    .ok_or(ReadError::Unavailable)
-            }
+            Ok((200, body)) => match read_object(&body) {
+                Ok(object) if *object.name == *name => Ok(Some(object)),
+                Ok(other) => {
+                    let name_differs = format!("the object has the name {:?}", other.name);
+                    self.log_fault(kind, name, &name_differs);
+                    Err(ReadError::Unavailable)
+                }
+                Err(e) => {
+                    self.log_fault(kind, name, &e);
+                    Err(ReadError::Unavailable)
+                }
+            },
             Ok((404, _)) => Ok(None),
             _ => Err(ReadError::Unavailable),
         }
@@ -237,17 +258,70 @@
         after: &str,
         limit: usize,
     ) -> Result<Listing, ReadError> {
+        let page = self.list_page(kind, prefix, after, limit).await?;
+        Ok(page.listing)
+    }
+
+    /// Lists the objects of a kind whose names come after `after`, in pages. The version is that of
+    /// the first page.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ReadError::Unavailable`] when the service does not answer or the listing does not
+    /// advance.
+    pub async fn list_all(&self, kind: Kind, after: &str) -> Result<Listing, ReadError> {
+        let mut page = self.list_page(kind, "", after, PAGE).await?;
+        let mut listing = page.listing;
+        let mut used = Set::default();
+        while page.count >= PAGE {
+            let Some(last) = page.last.filter(|last| used.insert(last.clone())) else {
+                log::warn!("the listing of kind '{kind}' does not advance");
+                return Err(ReadError::Unavailable);
+            };
+            page = self.list_page(kind, "", &last, PAGE).await?;
+            listing.items.append(&mut page.listing.items);
+        }
+        Ok(listing)
+    }
+
+    async fn list_page(
+        &self,
+        kind: Kind,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Page, ReadError> {
         let target = Target::of_path(&["objects", kind.as_str()])?
             .with("prefix", prefix)?
             .with("after", after)?
             .with("limit", &limit.to_string())?;
         let conn = self.client.get(self.url(&target));
         match self.send(PlatformCall::List, conn, self.timeout).await {
-            Ok((200, body)) => parse(&body),
+            Ok((200, body)) => self.read_page(kind, &body).map_err(unreadable),
             _ => Err(ReadError::Unavailable),
         }
     }
 
+    fn read_page(&self, kind: Kind, body: &[u8]) -> anyhow::Result<Page> {
+        let items = json_parts::member_elements(body, "items")?;
+        let objects = items.iter().filter_map(|text| {
+            let object = read_object(text);
+            object
+                .inspect_err(|e| self.log_unreadable(kind, text, e))
+                .ok()
+        });
+        let listing = Listing {
+            version: json_parts::read_member(body, "version")?,
+            items: objects.collect(),
+        };
+        let mut names = items.iter().rev().filter_map(|text| read_name(text));
+        Ok(Page {
+            listing,
+            count: items.len(),
+            last: names.find(|name| uri::check_length(name).is_ok()),
+        })
+    }
+
     /// Waits up to `wait` for changes of a kind after a version.
     ///
     /// # Errors
@@ -268,12 +342,50 @@
             .send(PlatformCall::Watch, self.client.get(url), deadline)
             .await
         {
-            Ok((200, body)) => parse(&body),
+            Ok((200, body)) => self.read_changes(kind, &body).map_err(unreadable),
             Ok((410, _)) => Err(ReadError::Gone),
             _ => Err(ReadError::Unavailable),
         }
     }
 
+    fn read_changes(&self, kind: Kind, body: &[u8]) -> anyhow::Result<Changes> {
+        let version = json_parts::read_member(body, "version")?;
+        let events = json_parts::member_elements(body, "events")?;
+        let changes = events.into_iter().filter_map(|text| {
+            let change: anyhow::Result<Change> = read_part(text);
+            let error = match change {
+                Ok(change) => return Some(change),
+                Err(e) => e,
+            };
+            self.log_unreadable(kind, text, &error);
+            // What the object held before is no longer so.
+            Some(Change {
+                name: read_name(text)?,
+                version: json_parts::read_member(text, "version").unwrap_or(version),
+                value: None,
+            })
+        });
+        Ok(Changes {
+            version,
+            events: changes.collect(),
+        })
+    }
+
+    fn log_unreadable(&self, kind: Kind, text: &[u8], reason: &anyhow::Error) {
+        let name = read_name(text);
+        let name = name.unwrap_or_else(|| String::from_utf8_lossy(text).into());
+        self.log_fault(kind, &name, reason);
+    }
+
+    /// Logs an object that cannot be read, unless that was done before.
+    fn log_fault(&self, kind: Kind, name: &str, reason: &dyn fmt::Display) {
+        lock(&self.faults).log(kind.as_str(), name, reason);
+    }
+
+    fn url(&self, target: &Target) -> String {
+        format!("{}{target}", self.base)
+    }
+
     /// Creates an object and returns its version.
     ///
     /// # Errors
@@ -408,10 +520,6 @@
         }
     }
 
-    fn url(&self, target: &Target) -> String {
-        format!("{}{target}", self.base)
-    }
-
     fn object(&self, method: Method, kind: Kind, name: &str) -> Result<Conn, WriteError> {
         let url = self.url(&object_target(kind, name)?);
         Ok(self.client.build_conn(method, url))
@@ -486,6 +594,26 @@
     Target::of_path(&["objects", kind.as_str(), name])
 }
 
+fn unreadable(_: anyhow::Error) -> ReadError {
+    ReadError::Unavailable
+}
+
+fn read_name(text: &[u8]) -> Option<Arc<str>> {
+    let name: Option<Arc<str>> = json_parts::read_member(text, "name").ok();
+    name.filter(|name| !name.is_empty())
+}
+
+fn read_object(text: &[u8]) -> anyhow::Result<Object> {
+    let object: Object = read_part(text)?;
+    uri::check_segment(&object.name)?;
+    Ok(object)
+}
+
+fn read_part<T: DeserializeOwned>(text: &[u8]) -> anyhow::Result<T> {
+    let text = std::str::from_utf8(text)?;
+    Ok(serde_json::from_str(text)?)
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, ReadError> {
     serde_json::from_slice(body).map_err(|_| ReadError::Unavailable)
 }
--- a/src/push.rs
+++ b/src/push.rs
@@ -16,8 +16,6 @@
     watch,
 };
 
-/// Maximum number of entries in a page of the log.
-const PAGE: usize = 500;
 /// Upper bound of the first wait before a call of a push is repeated.
 const RETRY_BASE: Duration = Duration::from_millis(50);
 /// Upper bound of any wait before a call of a push is repeated.
@@ -97,16 +95,11 @@
             }
         }
     }
-    loop {
-        let after = entry_name(log.head().revision);
-        let page = platform.list(Kind::Sheet, "", &after, PAGE).await?;
-        for object in &page.items {
-            log.offer_object(&object.name, &object.value);
-        }
-        if page.items.len() < PAGE {
-            return Ok(log);
-        }
+    let after = entry_name(log.head().revision);
+    for object in platform.list_all(Kind::Sheet, &after).await?.items {
+        log.offer_object(&object.name, &object.value);
     }
+    Ok(log)
 }
 
 /// Resolves a push whose base is not the last revision: a resend that was accepted before, a lost
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -35,8 +35,6 @@
 const RETRY_CAP: Duration = Duration::from_secs(10);
 /// Number of sheet snapshots that are kept. A reader may still use the one before the last.
 const SNAPSHOTS_KEPT: usize = 2;
-/// Maximum number of objects in a page of a listing.
-const PAGE: usize = 500;
 
 /// Keeps the view of a kind up to date while this instance is a watcher.
 pub async fn run(control: Rc<Control>, kind: Watched, stored: Kind) {
@@ -89,51 +87,32 @@
 ///
 /// Returns [`ReadError::Unavailable`] when the platform does not answer.
 pub async fn list_all(platform: &Platform, kind: Kind) -> Result<Delta, ReadError> {
-    let mut items = Vec::new();
-    let mut version = None;
-    let mut after = String::new();
+    let mut snapshot = None;
     if kind == Kind::Sheet {
-        let page = platform.list(Kind::SheetSnapshot, "", "", PAGE).await?;
-        version = Some(page.version);
-        if let Some(snapshot) = page.items.into_iter().next_back() {
-            after = snapshot.name.to_string();
-            items.push(Object {
-                name: sheet_log::snapshot_name(sheet_log::revision_of(&after).unwrap_or(0)).into(),
-                ..snapshot
-            });
-        }
-    }
-    loop {
-        let page = platform.list(kind, "", &after, PAGE).await?;
-        version.get_or_insert(page.version);
-        let last = page.items.len() < PAGE;
-        if let Some(object) = page.items.last() {
-            after = object.name.to_string();
-        }
-        items.extend(page.items);
-        if last {
-            break;
-        }
+        let mut snapshots = platform.list_all(Kind::SheetSnapshot, "").await?;
+        snapshot = snapshots.items.pop().map(|s| (snapshots.version, s));
     }
-    Ok(Delta::of_listing(Listing {
-        version: version.unwrap_or_default(),
-        items,
-    }))
+    let Some((version, snapshot)) = snapshot else {
+        return Ok(Delta::of_listing(platform.list_all(kind, "").await?));
+    };
+    let after = snapshot.name.clone();
+    let revision = sheet_log::revision_of(&after).unwrap_or(0);
+    let mut items = vec![Object {
+        name: sheet_log::snapshot_name(revision).into(),
+        ..snapshot
+    }];
+    items.append(&mut platform.list_all(kind, &after).await?.items);
+    Ok(Delta::of_listing(Listing { version, items }))
 }
 
 /// Reads the entries of the sheet log that this instance lacks, without waiting for a watch.
 pub async fn refresh(control: Rc<Control>) {
     let after = sheet_log::entry_name(control.state().log.head().revision);
-    if let Ok(page) = control
-        .ctx
-        .platform
-        .list(Kind::Sheet, "", &after, PAGE)
-        .await
-    {
+    if let Ok(listing) = control.ctx.platform.list_all(Kind::Sheet, &after).await {
         let now = control.now();
         control
             .state()
-            .merge_objects(Watched::Sheet, page.items, now);
+            .merge_objects(Watched::Sheet, listing.items, now);
         control.request_publish();
     }
 }
@@ -264,11 +243,11 @@
         );
         return;
     }
-    let Ok(page) = platform.list(Kind::SheetSnapshot, "", "", PAGE).await else {
+    let Ok(snapshots) = platform.list_all(Kind::SheetSnapshot, "").await else {
         return;
     };
-    let old = page.items.len().saturating_sub(SNAPSHOTS_KEPT);
-    for object in &page.items[..old] {
+    let old = snapshots.items.len().saturating_sub(SNAPSHOTS_KEPT);
+    for object in &snapshots.items[..old] {
         let _ = platform
             .delete(Kind::SheetSnapshot, &object.name, object.version)
             .await;
--- a/standins/tests/platform_names.rs
+++ b/standins/tests/platform_names.rs
@@ -2,13 +2,15 @@
 
 mod support;
 
+use std::{net::SocketAddr, time::Duration};
+
 use gentianpath::{
     platform::{Change, Kind, Platform, ReadError, WriteError},
     watch,
 };
 use serde_json::json;
 use standins::host::block_on;
-use support::{platform, platform_client};
+use support::{faults, get, platform, platform_client};
 
 /// Objects of a page of the client.
 const PAGE: usize = 500;
@@ -56,6 +58,11 @@
     }
 }
 
+async fn lists(address: SocketAddr) -> u64 {
+    let (_, ledger) = get(address, "/ledger").await;
+    ledger["calls"]["read job"].as_u64().unwrap_or_default()
+}
+
 /// Guards against an object that is read, written or removed in place of another one.
 #[test]
 fn objects_are_found_under_their_names() {
@@ -102,3 +109,92 @@
         }
     });
 }
+
+/// Guards against one object that cannot be read and that hides the others of its listing.
+#[test]
+fn an_unreadable_object_hides_no_other_of_its_listing() {
+    let texts = [
+        r#"{"name":"0499","version":-1,"value":1}"#,
+        r#"{"name":5,"version":1,"value":1}"#,
+        r#"{"name":"\ud800","version":1,"value":1}"#,
+        r#"{"version":1,"value":1}"#,
+        r#"{"name":"0499","version":1}"#,
+        "null",
+    ];
+    block_on(async {
+        let address = platform(&[]);
+        let client = platform_client(address);
+        let all: Vec<String> = (0..PAGE + 2).map(|n| format!("{n:04}")).collect();
+        fill(&client, all.clone()).await;
+        let mut expected = all;
+        expected.remove(PAGE - 1);
+        for text in texts {
+            let text: &serde_json::value::RawValue = serde_json::from_str(text).unwrap();
+            let odd = format!("{{\"texts\":{{\"job/0499\":{text}}}}}");
+            set_faults(address, &odd).await;
+            let mut found = names(&list(&client).await.unwrap());
+            found.dedup();
+            assert_eq!(found, expected, "{text}");
+            let read = client.get(Kind::Job, "0499").await;
+            assert_eq!(read, Err(ReadError::Unavailable), "{text}");
+        }
+    });
+}
+
+/// Sets faults that are not read as JSON before.
+async fn set_faults(address: SocketAddr, text: &str) {
+    let mut conn = trillium_client::Client::new(trillium_smol::ClientConfig::default())
+        .post(format!("http://{address}/faults"))
+        .with_body(text.to_owned());
+    (&mut conn).await.unwrap();
+    assert_eq!(conn.status().map(u16::from), Some(200));
+}
+
+/// Guards against a change that cannot be read and that hides the others of its batch, or leaves the
+/// earlier content of its object in use.
+#[test]
+fn an_unreadable_change_counts_as_a_removal() {
+    block_on(async {
+        let address = platform(&[]);
+        let client = platform_client(address);
+        set_faults(
+            address,
+            r#"{"texts":{"job/a":{"name":"a","version":1e300,"value":1},"job/b":{"value":1}}}"#,
+        )
+        .await;
+        fill(&client, ["a", "b", "c"].map(str::to_owned)).await;
+        let wait = Duration::from_secs(1);
+        let changes = client.watch(Kind::Job, 0, wait).await.unwrap();
+        let change = |name: &str, version, value| Change {
+            name: name.into(),
+            version,
+            value,
+        };
+        let expected = [
+            change("a", changes.version, None),
+            change("c", changes.version, Some(json!("c"))),
+        ];
+        assert_eq!(changes.events, expected);
+    });
+}
+
+/// Guards against calls without end while a listing does not advance.
+#[test]
+fn a_listing_that_does_not_advance_ends() {
+    block_on(async {
+        let address = platform(&[]);
+        let client = platform_client(address);
+        fill(&client, (0..2 * PAGE).map(|n| format!("{n:04}"))).await;
+        faults(address, json!({ "repeat_pages": true })).await;
+        let before = lists(address).await;
+        let timeout = async {
+            async_io::Timer::after(Duration::from_secs(5)).await;
+            panic!("the listing does not end");
+        };
+        let listed = smol::future::or(list(&client), timeout).await;
+        assert_eq!(listed.err(), Some(ReadError::Unavailable));
+        assert!(lists(address).await - before <= 2);
+        faults(address, json!({})).await;
+        assert_eq!(list(&client).await.unwrap().len(), 2 * PAGE);
+    });
+}
