--- a/src/watch.rs
+++ b/src/watch.rs
@@ -6,6 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use async_io::Timer;
+use serde::Deserialize;
 
 use crate::{
     backoff::Backoff,
@@ -89,7 +90,7 @@
 pub async fn list_all(platform: &Platform, kind: Kind) -> Result<Delta, ReadError> {
     let mut snapshot = None;
     if kind == Kind::Sheet {
-        let mut snapshots = platform.list_all(Kind::SheetSnapshot, "").await?;
+        let mut snapshots = list_snapshots(platform).await?;
         snapshot = snapshots.items.pop().map(|s| (snapshots.version, s));
     }
     let Some((version, snapshot)) = snapshot else {
@@ -105,6 +106,16 @@
     Ok(Delta::of_listing(Listing { version, items }))
 }
 
+/// Lists the snapshots of the sheet. Objects of another writer among them count for none.
+async fn list_snapshots(platform: &Platform) -> Result<Listing, ReadError> {
+    let mut listing = platform.list_all(Kind::SheetSnapshot, "").await?;
+    listing.items.retain(|o| {
+        let is_whole = Snapshot::deserialize(&o.value).is_ok();
+        is_whole && sheet_log::revision_of(&o.name).is_some()
+    });
+    Ok(listing)
+}
+
 /// Reads the entries of the sheet log that this instance lacks, without waiting for a watch.
 pub async fn refresh(control: Rc<Control>) {
     let after = sheet_log::entry_name(control.state().log.head().revision);
@@ -243,7 +254,7 @@
         );
         return;
     }
-    let Ok(snapshots) = platform.list_all(Kind::SheetSnapshot, "").await else {
+    let Ok(snapshots) = list_snapshots(platform).await else {
         return;
     };
     let old = snapshots.items.len().saturating_sub(SNAPSHOTS_KEPT);
--- a/standins/tests/platform_names.rs
+++ b/standins/tests/platform_names.rs
@@ -6,9 +6,10 @@
 
 use gentianpath::{
     platform::{Change, Kind, Platform, ReadError, WriteError},
+    sheet_log::{Entry, Snapshot, entry_name},
     watch,
 };
-use serde_json::json;
+use serde_json::{Value, json};
 use standins::host::block_on;
 use support::{faults, get, platform, platform_client};
 
@@ -198,3 +199,38 @@
         assert_eq!(list(&client).await.unwrap().len(), 2 * PAGE);
     });
 }
+
+/// Guards against a sheet that is not read from its log, as an object of another writer stands among
+/// its snapshots.
+#[test]
+fn odd_snapshots_hide_no_revision() {
+    block_on(async {
+        let client = platform_client(platform(&[]));
+        let entry = Entry {
+            token: "t".into(),
+            base: 0,
+            changes: Default::default(),
+        };
+        let snapshot = Snapshot {
+            revision: 1,
+            parts: Default::default(),
+        };
+        for (name, value) in [
+            (entry_name(1), serde_json::to_value(&snapshot).unwrap()),
+            (entry_name(9), json!({ "odd": true })),
+            ("zzz".to_owned(), serde_json::to_value(&snapshot).unwrap()),
+            ("odd&x".to_owned(), Value::Null),
+        ] {
+            let created = client.create(Kind::SheetSnapshot, &name, &value).await;
+            created.unwrap();
+        }
+        for revision in 1..4 {
+            let name = entry_name(revision);
+            client.create(Kind::Sheet, &name, &entry).await.unwrap();
+        }
+        let delta = watch::list_all(&client, Kind::Sheet).await.unwrap();
+        let found: Vec<&str> = delta.changes.iter().map(|c| &*c.name).collect();
+        let snapshot = gentianpath::sheet_log::snapshot_name(1);
+        assert_eq!(found, [&*snapshot, &entry_name(2), &entry_name(3)]);
+    });
+}
