Refuse to start under a name that no path can hold

An instance named `.` or `..` could create its entry but not renew it after a restart, and tried to twice a second without end. The settings of an instance are checked for it.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,7 +6,10 @@
 use anyhow::{Context, ensure};
 use serde::Deserialize;
 
-use crate::ids::{InstanceId, Zone};
+use crate::{
+    ids::{InstanceId, Zone},
+    uri,
+};
 
 /// Settings as read from the file, unchecked. docs/settings.md describes every field.
 #[derive(Debug, Clone)]
@@ -77,7 +80,8 @@
     type Error = anyhow::Error;
 
     fn try_from(raw: RawSettings) -> anyhow::Result<Self> {
-        ensure!(!raw.instance.is_empty(), "instance: must not be empty");
+        // The instance registers under its name.
+        uri::check_segment(&raw.instance).context("instance")?;
         ensure!(raw.grace_s > 0.0, "grace_s: must be above 0");
         ensure!(raw.memory_mb > 0.0, "memory_mb: must be above 0");
         ensure!(raw.status_s > 0.0, "status_s: must be above 0");
--- a/tests/gateway_odd_names.rs
+++ b/tests/gateway_odd_names.rs
@@ -683,3 +683,14 @@
     names.sort_unstable();
     assert_eq!(store.names("entry-instances"), names);
 }
+
+/// Guards against an instance that cannot register again under its name, and tries to without end.
+#[test]
+fn an_instance_whose_name_no_path_can_hold_does_not_start() {
+    let (store, _workers) = platform(2, PAUSE);
+    for name in ["", ".", ".."] {
+        let mut instance = Instance::spawn(name, &store, &[]);
+        until("the process ends", || !instance.is_running());
+    }
+    assert!(store.names("entry-instances").is_empty());
+}
