--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -121,7 +121,12 @@
             .stdout(log.try_clone().expect("a log"))
             .stderr(log)
             .spawn();
-        self.child = Some(child.expect("the instance starts"));
+        let child = child.expect("the instance starts");
+        // The script ends what is left.
+        let pids = self.folder.join("pids");
+        let pids = File::options().create(true).append(true).open(pids);
+        let _ = writeln!(pids.expect("a list of processes"), "{}", child.id());
+        self.child = Some(child);
     }
 
     pub fn pid(&self) -> u32 {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,4 +1,4 @@
-//! Runs the cases of the second review: `review-2 CASE FOLDER`. Ends with 1 if the rule was broken, 0 if it
+//! Runs the cases of the second review: `review-2 CASE FOLDER WORK`. Ends with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. `TROUBLE=0` leaves out the disruption.
 
 mod cancel_cut;
@@ -14,7 +14,7 @@
 mod store;
 mod worker;
 
-use std::{env, fs, path::Path, process::exit};
+use std::{env, path::Path, process::exit};
 
 /// Returns a configuration with a stream that may be resumed, one that may not, and batch jobs.
 pub fn config(quota: u64) -> String {
@@ -60,25 +60,19 @@
 }
 
 fn main() {
-    let mut words = env::args().skip(1);
-    let (case, folder) = (
-        words.next().unwrap_or_default(),
-        words.next().unwrap_or_default(),
-    );
+    let words: Vec<String> = env::args().skip(1).collect();
+    let [case, folder, scratch] = &*words else {
+        exit(2);
+    };
     let trouble = env::var("TROUBLE").map_or(true, |t| t != "0");
-    let folder = Path::new(&folder);
-    let scratch = env::temp_dir().join(format!("review-2-{}", std::process::id()));
-    fs::create_dir_all(&scratch).expect("a temporary folder");
+    let (folder, scratch) = (Path::new(folder), Path::new(scratch));
     let code = match case.as_str() {
-        "cancel-cut" => cancel_cut::run(trouble, folder, &scratch),
-        "slow-readers" => slow_readers::run(trouble, folder, &scratch),
-        "foreign-end" => foreign_end::run(trouble, folder, &scratch),
-        "short-streams" => short_streams::run(trouble, folder, &scratch),
-        "job-memory" => job_memory::run(trouble, folder, &scratch),
+        "cancel-cut" => cancel_cut::run(trouble, folder, scratch),
+        "slow-readers" => slow_readers::run(trouble, folder, scratch),
+        "foreign-end" => foreign_end::run(trouble, folder, scratch),
+        "short-streams" => short_streams::run(trouble, folder, scratch),
+        "job-memory" => job_memory::run(trouble, folder, scratch),
         _ => 2,
     };
-    if env::var_os("KEEP").is_none() {
-        let _ = fs::remove_dir_all(&scratch);
-    }
     exit(code);
 }
